--- /dev/null
+++ b/Makefile
@@ -0,0 +1,9 @@
+.PHONY: build test race format lint ci demo
+
+build: ; go build -o bin/rosereach .
+test: ; go test ./...
+race: ; go test -race ./...
+format: ; go tool -modfile=tools/go.mod gofumpt -w $$(git ls-files '*.go')
+lint: ; go tool -modfile=tools/go.mod golangci-lint run ./...
+ci: ; .ci/run
+demo: ; go run . demo
--- /dev/null
+++ b/core/catalog/apply.go
@@ -0,0 +1,210 @@
+package catalog
+
+import (
+	"encoding/json"
+	"slices"
+
+	"rosereach/core/change"
+	"rosereach/core/service"
+	"rosereach/core/template"
+	"rosereach/core/version"
+	"rosereach/core/workspace"
+)
+
+// maxSealKeys bounds how many rotations a session token survives.
+const maxSealKeys = 4
+
+// Apply returns the documents after the change, at the given revision, and
+// the answer. Documents are returned unchanged unless the answer is Accepted.
+func (d Documents) Apply(c change.Change, revision uint64) (Documents, change.Result) {
+	if current := d.RevisionOf(c); c.Expect != nil && *c.Expect != current {
+		return d, change.Result{Status: change.Conflict, Revision: current}
+	}
+	next := d.Clone()
+	next.Revision = revision
+	result := next.write(c, revision)
+	if result.Status != change.Accepted {
+		return d, result
+	}
+	return next, result
+}
+
+// RevisionOf returns the current revision of the document that the change
+// writes, 0 when there is none.
+func (d Documents) RevisionOf(c change.Change) uint64 {
+	switch c.Kind {
+	case change.PutTemplate:
+		return d.Templates[c.Name].Revision
+	case change.PutWorkspace, change.AddKey, change.RemoveKey:
+		return d.Workspaces[c.Name].Revision
+	case change.PutService:
+		return d.Services[c.Name].Revision
+	case change.PutVersion, change.MoveVersion:
+		return d.Versions[c.Name].Revision
+	}
+	return d.Revision
+}
+
+func (d *Documents) write(c change.Change, revision uint64) change.Result {
+	accepted := change.Result{Status: change.Accepted, Revision: revision}
+	switch c.Kind {
+	case change.PutTemplate:
+		return d.putTemplate(c, accepted)
+	case change.PutWorkspace:
+		return d.putWorkspace(c, accepted)
+	case change.AddKey, change.RemoveKey:
+		return d.writeKey(c, accepted)
+	case change.PutService:
+		return d.putService(c, accepted)
+	case change.PutVersion:
+		return d.putVersion(c, accepted)
+	case change.MoveVersion:
+		return d.moveVersion(c, accepted)
+	case change.RotateSeal:
+		return d.rotateSeal(c, accepted)
+	}
+	return change.RefuseFor("kind", "unknown kind "+string(c.Kind), "a kind of change")
+}
+
+func (d *Documents) putTemplate(c change.Change, accepted change.Result) change.Result {
+	t, found := template.Parse(c.Document)
+	if t.Name != c.Name {
+		found.Add("name", "differs from the change's name", c.Name)
+	}
+	for _, w := range d.Workspaces {
+		if w.Template != c.Name || len(found) > 0 {
+			continue
+		}
+		_, unfit := t.Fill(w.Values)
+		found.Within("workspaces."+w.Name, unfit)
+	}
+	if len(found) > 0 {
+		return change.Refuse(found)
+	}
+	t.Revision = accepted.Revision
+	d.Templates[c.Name] = t
+	return accepted
+}
+
+func (d *Documents) putWorkspace(c change.Change, accepted change.Result) change.Result {
+	var w workspace.Workspace
+	if err := json.Unmarshal(c.Document, &w); err != nil {
+		return change.RefuseFor("workspace", err.Error(), "a JSON object")
+	}
+	found := w.Check()
+	if w.Name != c.Name {
+		found.Add("name", "differs from the change's name", c.Name)
+	}
+	t, ok := d.Templates[w.Template]
+	if !ok {
+		found.Add("template", "no template "+w.Template, "the name of a template")
+	} else {
+		_, unfit := t.Fill(w.Values)
+		found = append(found, unfit...)
+	}
+	if len(found) > 0 {
+		return change.Refuse(found)
+	}
+	w.KeyHashes = d.Workspaces[c.Name].KeyHashes
+	w.Revision = accepted.Revision
+	d.Workspaces[c.Name] = w
+	return accepted
+}
+
+func (d *Documents) writeKey(c change.Change, accepted change.Result) change.Result {
+	var key change.Key
+	if err := json.Unmarshal(c.Document, &key); err != nil || key.Hash == "" {
+		return change.RefuseFor("hash", "missing", "the hash of a key")
+	}
+	w, ok := d.Workspaces[c.Name]
+	if !ok {
+		return change.RefuseFor("name", "no workspace "+c.Name, "the name of a workspace")
+	}
+	if c.Kind == change.AddKey && d.isForeignKey(c.Name, key.Hash) {
+		return change.RefuseFor("hash", "the key belongs to another workspace", "a new key")
+	}
+	if c.Kind == change.AddKey {
+		w = w.WithKey(key.Hash)
+	} else {
+		w = w.WithoutKey(key.Hash)
+	}
+	w.Revision = accepted.Revision
+	d.Workspaces[c.Name] = w
+	return accepted
+}
+
+func (d *Documents) isForeignKey(owner, hash string) bool {
+	for name, w := range d.Workspaces {
+		if name != owner && slices.Contains(w.KeyHashes, hash) {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Documents) putService(c change.Change, accepted change.Result) change.Result {
+	var s service.Service
+	if err := json.Unmarshal(c.Document, &s); err != nil {
+		return change.RefuseFor("service", err.Error(), "a JSON object")
+	}
+	found := s.Check()
+	if s.Name != c.Name {
+		found.Add("name", "differs from the change's name", c.Name)
+	}
+	if len(found) > 0 {
+		return change.Refuse(found)
+	}
+	s.Revision = accepted.Revision
+	d.Services[c.Name] = s
+	return accepted
+}
+
+func (d *Documents) putVersion(c change.Change, accepted change.Result) change.Result {
+	var v version.Version
+	if err := json.Unmarshal(c.Document, &v); err != nil {
+		return change.RefuseFor("version", err.Error(), "a JSON object")
+	}
+	found := v.Check()
+	if v.Ref.String() != c.Name {
+		found.Add("ref", "differs from the change's name", c.Name)
+	}
+	if len(found) > 0 {
+		return change.Refuse(found)
+	}
+	v.State = version.Loaded
+	if old, ok := d.Versions[c.Name]; ok {
+		v.State, v.Share = old.State, old.Share
+	}
+	v.Revision = accepted.Revision
+	d.Versions[c.Name] = v
+	return accepted
+}
+
+func (d *Documents) moveVersion(c change.Change, accepted change.Result) change.Result {
+	var move change.Move
+	if err := json.Unmarshal(c.Document, &move); err != nil {
+		return change.RefuseFor("move", err.Error(), "a JSON object with trigger and share")
+	}
+	v, ok := d.Versions[c.Name]
+	if !ok {
+		return change.RefuseFor("name", "no version "+c.Name, "model@version")
+	}
+	v, err := v.WithTrigger(version.Trigger(move.Trigger))
+	if err != nil {
+		return change.RefuseFor("trigger", err.Error(), "a trigger that the version's state accepts")
+	}
+	v = v.WithShare(move.Share)
+	v.Revision = accepted.Revision
+	d.Versions[c.Name] = v
+	return accepted
+}
+
+func (d *Documents) rotateSeal(c change.Change, accepted change.Result) change.Result {
+	var key SealKey
+	if err := json.Unmarshal(c.Document, &key); err != nil || key.ID == "" || len(key.Secret) == 0 {
+		return change.RefuseFor("seal_key", "missing id or secret", "an id and 32 random bytes")
+	}
+	d.SealKeys = append([]SealKey{key}, d.SealKeys...)
+	d.SealKeys = d.SealKeys[:min(len(d.SealKeys), maxSealKeys)]
+	return accepted
+}
--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,172 @@
+// Package catalog holds the documents that decide what traffic may do, at one
+// revision, and the permissions that follow from them. A Catalog is immutable.
+package catalog
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/service"
+	"rosereach/core/template"
+	"rosereach/core/version"
+	"rosereach/core/workspace"
+)
+
+// The reasons for which a request is not permitted.
+const (
+	ErrUnknownWorkspace = errors.ConstError("no such workspace")
+	ErrClosedWorkspace  = errors.ConstError("the workspace is closed")
+	ErrUnknownVersion   = errors.ConstError("no such version")
+	ErrNotAllowed       = errors.ConstError("the workspace's template does not allow it")
+	ErrNotServing       = errors.ConstError("the version takes no new work")
+	ErrUnknownService   = errors.ConstError("no such service")
+)
+
+type (
+	// Documents are the documents of one revision, in the form in which they
+	// are stored and sent to entries.
+	Documents struct {
+		Revision   uint64                         `json:"revision"`
+		Templates  map[string]template.Template   `json:"templates"`
+		Workspaces map[string]workspace.Workspace `json:"workspaces"`
+		Versions   map[string]version.Version     `json:"versions"`
+		Services   map[string]service.Service     `json:"services"`
+		SealKeys   []SealKey                      `json:"seal_keys"`
+	}
+
+	// SealKey is a key for session tokens. The newest seals; all open.
+	SealKey struct {
+		ID     string `json:"id"`
+		Secret []byte `json:"secret"`
+	}
+
+	// Catalog answers questions about the documents of one revision.
+	Catalog struct {
+		docs     Documents
+		policies map[string]template.Policy
+		owners   map[string]string
+	}
+)
+
+// New returns the catalog of the documents. A workspace whose values do not
+// fit its template gets no policy, and so no permissions.
+func New(docs Documents) *Catalog {
+	c := &Catalog{
+		docs:     docs,
+		policies: make(map[string]template.Policy, len(docs.Workspaces)),
+		owners:   make(map[string]string),
+	}
+	for name, w := range docs.Workspaces {
+		policy, found := docs.Templates[w.Template].Fill(w.Values)
+		if len(found) > 0 {
+			continue
+		}
+		c.policies[name] = policy
+		for _, hash := range w.KeyHashes {
+			c.owners[hash] = name
+		}
+	}
+	return c
+}
+
+// Revision returns the revision of the documents.
+func (c *Catalog) Revision() uint64 { return c.docs.Revision }
+
+// Documents returns the documents. Callers must not change the maps.
+func (c *Catalog) Documents() Documents { return c.docs }
+
+// Owner returns the name of the workspace that the key belongs to.
+func (c *Catalog) Owner(key string) (string, error) {
+	name, ok := c.owners[workspace.HashKey(key)]
+	if !ok {
+		return "", errors.Trace(ErrUnknownWorkspace)
+	}
+	return name, nil
+}
+
+// Policy returns what the workspace's traffic is allowed to do.
+func (c *Catalog) Policy(name string) (template.Policy, error) {
+	w, ok := c.docs.Workspaces[name]
+	if !ok {
+		return template.Policy{}, errors.Trace(ErrUnknownWorkspace)
+	}
+	if w.Closed {
+		return template.Policy{}, errors.Trace(ErrClosedWorkspace)
+	}
+	p, ok := c.policies[name]
+	if !ok {
+		return template.Policy{}, errors.Trace(ErrNotAllowed)
+	}
+	return p, nil
+}
+
+// Permit returns nil when the workspace may send new work to the version.
+func (c *Catalog) Permit(name string, ref version.Ref) error {
+	p, err := c.Policy(name)
+	if err != nil {
+		return err
+	}
+	v, ok := c.docs.Versions[ref.String()]
+	if !ok {
+		return errors.Trace(ErrUnknownVersion)
+	}
+	if !p.Allows(ref) {
+		return errors.Trace(ErrNotAllowed)
+	}
+	if !v.AcceptsWork() {
+		return errors.Trace(ErrNotServing)
+	}
+	return nil
+}
+
+// PermitService returns the service when the workspace may call it.
+func (c *Catalog) PermitService(name, svc string) (service.Service, error) {
+	p, err := c.Policy(name)
+	if err != nil {
+		return service.Service{}, err
+	}
+	s, ok := c.docs.Services[svc]
+	if !ok {
+		return service.Service{}, errors.Trace(ErrUnknownService)
+	}
+	if !p.AllowsService(svc) {
+		return service.Service{}, errors.Trace(ErrNotAllowed)
+	}
+	return s, nil
+}
+
+// Permitted returns the versions that the workspace may send new work to,
+// ordered by reference.
+func (c *Catalog) Permitted(name string) []version.Version {
+	p, err := c.Policy(name)
+	if err != nil {
+		return nil
+	}
+	var permitted []version.Version
+	for _, key := range slices.Sorted(maps.Keys(c.docs.Versions)) {
+		v := c.docs.Versions[key]
+		if v.AcceptsWork() && p.Allows(v.Ref) {
+			permitted = append(permitted, v)
+		}
+	}
+	return permitted
+}
+
+// Clone returns documents whose maps can be changed on their own.
+func (d Documents) Clone() Documents {
+	d.Templates = cloneMap(d.Templates)
+	d.Workspaces = cloneMap(d.Workspaces)
+	d.Versions = cloneMap(d.Versions)
+	d.Services = cloneMap(d.Services)
+	d.SealKeys = slices.Clone(d.SealKeys)
+	return d
+}
+
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return make(map[string]V)
+	}
+	return maps.Clone(m)
+}
--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,172 @@
+// Package lease holds both sides of the serving lease: an entry may dispatch
+// only while it holds one, and a change is in force once every entry with a
+// live lease has applied it.
+package lease
+
+import (
+	"time"
+)
+
+type (
+	// Terms are the times of a lease. Drift is the share by which an entry's
+	// clock may run slower than the grantor's. Lag is how long an entry may
+	// trail a committed revision before its lease is no longer renewed.
+	Terms struct {
+		Duration time.Duration
+		Drift    float64
+		Lag      time.Duration
+	}
+
+	// Request asks for a lease. Applied is the revision that the entry applies.
+	Request struct {
+		Entry       string `json:"entry"`
+		Incarnation uint64 `json:"incarnation"`
+		Sequence    uint64 `json:"sequence"`
+		Applied     uint64 `json:"applied"`
+		Address     string `json:"address"`
+		Region      string `json:"region"`
+		Zone        string `json:"availability_zone"`
+		Draining    bool   `json:"draining"`
+		Load        int    `json:"load"`
+	}
+
+	// Grant answers a request. Duration counts from when the request was sent.
+	Grant struct {
+		Sequence uint64        `json:"sequence"`
+		Granted  bool          `json:"granted"`
+		Duration time.Duration `json:"duration"`
+		Term     uint64        `json:"term"`
+		Revision uint64        `json:"revision"`
+		Entries  []Entry       `json:"entries"`
+	}
+
+	// Entry is one entry as the grantor knows it.
+	Entry struct {
+		ID          string    `json:"id"`
+		Incarnation uint64    `json:"incarnation"`
+		Address     string    `json:"address"`
+		Region      string    `json:"region"`
+		Zone        string    `json:"availability_zone"`
+		Applied     uint64    `json:"applied"`
+		Draining    bool      `json:"draining"`
+		Load        int       `json:"load"`
+		Expires     time.Time `json:"expires"`
+	}
+
+	// Holder is the entry's side. It is not safe for concurrent use.
+	Holder struct {
+		sequence uint64
+		sent     time.Time
+		expires  time.Time
+		term     uint64
+	}
+
+	// Grantor is the leader's side. It is not safe for concurrent use.
+	Grantor struct {
+		terms   Terms
+		entries map[string]Entry
+	}
+)
+
+// DefaultTerms are the times that control and entry use unless told otherwise.
+func DefaultTerms() Terms {
+	return Terms{Duration: 3 * time.Second, Drift: 0.01, Lag: 2 * time.Second}
+}
+
+// Hold returns how long the holder may count on a lease of the duration.
+func (t Terms) Hold(d time.Duration) time.Duration {
+	return d - time.Duration(float64(d)*t.Drift)
+}
+
+// Send notes that a request is sent now and returns its sequence.
+func (h *Holder) Send(now time.Time) uint64 {
+	h.sequence++
+	h.sent = now
+	return h.sequence
+}
+
+// Receive takes a grant. Only the answer to the newest request counts, and a
+// grant of an older term never does.
+func (h *Holder) Receive(terms Terms, g Grant) {
+	if !g.Granted || g.Sequence != h.sequence || g.Term < h.term {
+		return
+	}
+	h.term = g.Term
+	h.expires = h.sent.Add(terms.Hold(g.Duration))
+}
+
+// IsLive reports whether the holder may dispatch now.
+func (h *Holder) IsLive(now time.Time) bool { return now.Before(h.expires) }
+
+// Expires returns when the lease ends unless it is renewed.
+func (h *Holder) Expires() time.Time { return h.expires }
+
+// Release gives the lease up.
+func (h *Holder) Release() { h.expires = time.Time{} }
+
+// NewGrantor returns a grantor without entries.
+func NewGrantor(terms Terms) *Grantor {
+	return &Grantor{terms: terms, entries: make(map[string]Entry)}
+}
+
+// Grant decides on a request. Overdue is the newest revision that was
+// committed longer ago than the terms' lag: an entry behind it gets no lease.
+func (g *Grantor) Grant(now time.Time, term, overdue uint64, r Request) Grant {
+	grant := Grant{Sequence: r.Sequence, Term: term, Revision: r.Applied}
+	old, known := g.entries[r.Entry]
+	if known && old.Incarnation > r.Incarnation {
+		return grant
+	}
+	e := Entry{
+		ID: r.Entry, Incarnation: r.Incarnation, Address: r.Address, Region: r.Region, Zone: r.Zone,
+		Applied: r.Applied, Draining: r.Draining, Load: r.Load, Expires: old.Expires,
+	}
+	if r.Applied >= overdue {
+		grant.Granted = true
+		grant.Duration = g.terms.Duration
+		e.Expires = now.Add(g.terms.Duration)
+	}
+	g.entries[r.Entry] = e
+	return grant
+}
+
+// Release ends an entry's lease at once, when the entry said that it stopped.
+func (g *Grantor) Release(id string, incarnation uint64) {
+	if e, ok := g.entries[id]; ok && e.Incarnation == incarnation {
+		delete(g.entries, id)
+	}
+}
+
+// InForce reports whether every entry with a live lease applies the revision.
+func (g *Grantor) InForce(now time.Time, revision uint64) bool {
+	for _, e := range g.entries {
+		if now.Before(e.Expires) && e.Applied < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// Live returns the entries with a live lease, in no order.
+func (g *Grantor) Live(now time.Time) []Entry {
+	var live []Entry
+	for _, e := range g.entries {
+		if now.Before(e.Expires) {
+			live = append(live, e)
+		}
+	}
+	return live
+}
+
+// Expire forgets and returns the entries whose lease has ended.
+func (g *Grantor) Expire(now time.Time) []Entry {
+	var ended []Entry
+	for id, e := range g.entries {
+		if now.Before(e.Expires) {
+			continue
+		}
+		ended = append(ended, e)
+		delete(g.entries, id)
+	}
+	return ended
+}
--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,63 @@
+// Package placement chooses the backend server for one attempt of a request.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rosereach/core/backend"
+)
+
+type (
+	// Candidate is a backend server as one entry sees it. InFlight counts the
+	// entry's own requests on it. Prefix is the share of the prompt that its
+	// cache is thought to hold, 0 to 1. Distance is the time one way; SameRegion
+	// is false when the link between regions lies between.
+	Candidate struct {
+		Server     backend.Announcement
+		InFlight   int
+		Prefix     float64
+		Distance   time.Duration
+		SameRegion bool
+	}
+
+	// Demand is what a request asks of a backend server.
+	Demand struct {
+		InputTokens  int64
+		OutputTokens int64
+		Priority     int
+	}
+
+	// Policy picks one of the candidates; it returns its index, or -1 when none
+	// should get the request. Candidates are ordered by id and not empty.
+	Policy interface {
+		Name() string
+		Pick(now time.Time, d Demand, candidates []Candidate, random *rand.Rand) int
+	}
+
+	// LeastInFlight picks the candidate with the fewest of the entry's own
+	// requests per unit of capacity, ties broken at random.
+	LeastInFlight struct{}
+)
+
+// Name returns the policy's name.
+func (LeastInFlight) Name() string { return "least_in_flight" }
+
+// Pick returns the index of the least used candidate.
+func (LeastInFlight) Pick(_ time.Time, _ Demand, candidates []Candidate, random *rand.Rand) int {
+	best, ties := -1, 0
+	for i, c := range candidates {
+		switch {
+		case best < 0 || c.use() < candidates[best].use():
+			best, ties = i, 1
+		case c.use() == candidates[best].use():
+			ties++
+			if random.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+func (c Candidate) use() float64 { return float64(c.InFlight) / float64(max(c.Server.Capacity, 1)) }
--- /dev/null
+++ b/core/service/service.go
@@ -0,0 +1,43 @@
+// Package service holds the plain services that stand beside the model
+// engines, and which of their calls may be repeated.
+package service
+
+import (
+	"slices"
+
+	"rosereach/core/finding"
+)
+
+// Service is the document of a plain service. Methods that Repeatable or
+// Unrepeatable name override the default that HTTP gives to a method.
+type Service struct {
+	Name         string   `json:"name"`
+	Repeatable   []string `json:"repeatable"`
+	Unrepeatable []string `json:"unrepeatable"`
+	Revision     uint64   `json:"revision"`
+}
+
+// safeMethods are the methods that HTTP defines as idempotent.
+var safeMethods = []string{"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
+
+// IsIdempotent reports whether a call with the method may be repeated.
+func (s Service) IsIdempotent(method string) bool {
+	if slices.Contains(s.Unrepeatable, method) {
+		return false
+	}
+	return slices.Contains(s.Repeatable, method) || slices.Contains(safeMethods, method)
+}
+
+// Check returns all findings of the document.
+func (s Service) Check() finding.List {
+	var found finding.List
+	if s.Name == "" {
+		found.Add("name", "missing", "a name")
+	}
+	for _, m := range s.Repeatable {
+		if slices.Contains(s.Unrepeatable, m) {
+			found.Add("repeatable", "method "+m+" is also unrepeatable", "each method in one list")
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/core/session/session.go
@@ -0,0 +1,106 @@
+// Package session seals session tokens. A token carries the session's
+// workspace and version, so that every entry can read it and none keeps a
+// table of sessions.
+package session
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/catalog"
+	"rosereach/core/version"
+)
+
+// The reasons for which a token is refused.
+const (
+	ErrNoKey     = errors.ConstError("no key for session tokens is in force yet")
+	ErrBadToken  = errors.ConstError("the session token is damaged or foreign")
+	ErrOldKey    = errors.ConstError("the session token's key is no longer in use")
+	ErrWorkspace = errors.ConstError("the session belongs to another workspace")
+)
+
+// partSeparator stands between key id, content and seal.
+const partSeparator = "."
+
+type (
+	// Token is what a session is: its version is kept for its whole life.
+	Token struct {
+		ID        string      `json:"id"`
+		Workspace string      `json:"workspace"`
+		Version   version.Ref `json:"version"`
+		OpenedAt  time.Time   `json:"opened_at"`
+	}
+
+	// Sealer seals with the newest key and opens with all of them.
+	Sealer struct {
+		keys []catalog.SealKey
+	}
+)
+
+// NewSealer returns a sealer for the keys, newest first.
+func NewSealer(keys []catalog.SealKey) Sealer { return Sealer{keys: keys} }
+
+// Seal returns the token as text for the caller. The same token sealed with
+// the same key gives the same text.
+func (s Sealer) Seal(t Token) (string, error) {
+	if len(s.keys) == 0 {
+		return "", errors.Trace(ErrNoKey)
+	}
+	content, err := json.Marshal(t)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	body := s.keys[0].ID + partSeparator + encode(content)
+	return body + partSeparator + encode(sealOf(s.keys[0], body)), nil
+}
+
+// Open reads a token and checks its seal and its workspace.
+func (s Sealer) Open(text, workspace string) (Token, error) {
+	parts := strings.Split(text, partSeparator)
+	if len(parts) != 3 {
+		return Token{}, errors.Trace(ErrBadToken)
+	}
+	key, ok := s.find(parts[0])
+	if !ok {
+		return Token{}, errors.Trace(ErrOldKey)
+	}
+	content, contentErr := base64.RawURLEncoding.DecodeString(parts[1])
+	seal, sealErr := base64.RawURLEncoding.DecodeString(parts[2])
+	if contentErr != nil || sealErr != nil {
+		return Token{}, errors.Trace(ErrBadToken)
+	}
+	if !hmac.Equal(seal, sealOf(key, parts[0]+partSeparator+parts[1])) {
+		return Token{}, errors.Trace(ErrBadToken)
+	}
+	var t Token
+	if err := json.Unmarshal(content, &t); err != nil {
+		return Token{}, errors.Trace(ErrBadToken)
+	}
+	if t.Workspace != workspace {
+		return Token{}, errors.Trace(ErrWorkspace)
+	}
+	return t, nil
+}
+
+func (s Sealer) find(id string) (catalog.SealKey, bool) {
+	for _, k := range s.keys {
+		if k.ID == id {
+			return k, true
+		}
+	}
+	return catalog.SealKey{}, false
+}
+
+func sealOf(key catalog.SealKey, body string) []byte {
+	mac := hmac.New(sha256.New, key.Secret)
+	mac.Write([]byte(body))
+	return mac.Sum(nil)
+}
+
+func encode(b []byte) string { return base64.RawURLEncoding.EncodeToString(b) }
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,225 @@
+// Package state is the replicated state: what every replica computes from the
+// same log of commands. It holds the documents, the answers to changes, the
+// audit trail and the request ledger.
+package state
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"rosereach/core/audit"
+	"rosereach/core/catalog"
+	"rosereach/core/change"
+	"rosereach/core/ledger"
+)
+
+type (
+	// Command is one entry of the log. Exactly one field is set.
+	Command struct {
+		Change *change.Change `json:"change,omitempty"`
+		Begin  *ledger.Begin  `json:"begin,omitempty"`
+		Finish *ledger.Finish `json:"finish,omitempty"`
+		Settle *Settle        `json:"settle,omitempty"`
+		Note   *audit.Event   `json:"note,omitempty"`
+	}
+
+	// Settle ends the open requests of an owner whose lease ended.
+	Settle struct {
+		Owner ledger.Owner `json:"owner"`
+		At    time.Time    `json:"at"`
+	}
+
+	// Result answers a command; the field of the command's kind is set.
+	Result struct {
+		Change *change.Result `json:"change,omitempty"`
+		Ledger *ledger.Reply  `json:"ledger,omitempty"`
+	}
+
+	// State is the replicated state. It is not safe for concurrent use; the
+	// catalogs that it returns are immutable.
+	State struct {
+		index   uint64
+		docs    catalog.Documents
+		catalog *catalog.Catalog
+		answers map[string]answer
+		chain   audit.Chain
+		trail   []audit.Event
+		ledger  *ledger.Ledger
+	}
+
+	// answer is the first answer to a change, kept for resends.
+	answer struct {
+		Hash   string        `json:"hash"`
+		Index  uint64        `json:"index"`
+		Result change.Result `json:"result"`
+	}
+
+	// snapshot is the encoded form of the whole state.
+	snapshot struct {
+		Index   uint64            `json:"index"`
+		Docs    catalog.Documents `json:"docs"`
+		Answers map[string]answer `json:"answers"`
+		Chain   audit.Chain       `json:"chain"`
+		Trail   []audit.Event     `json:"trail"`
+		Ledger  ledger.Snapshot   `json:"ledger"`
+	}
+)
+
+// New returns the empty state.
+func New() *State {
+	docs := catalog.Documents{}.Clone()
+	return &State{
+		docs:    docs,
+		catalog: catalog.New(docs),
+		answers: make(map[string]answer),
+		ledger:  ledger.NewLedger(),
+	}
+}
+
+// Apply executes the command at the log's index.
+func (s *State) Apply(index uint64, c Command) Result {
+	s.index = index
+	switch {
+	case c.Change != nil:
+		r := s.applyChange(*c.Change)
+		return Result{Change: &r}
+	case c.Begin != nil:
+		r := s.ledger.Begin(*c.Begin)
+		return Result{Ledger: &r}
+	case c.Finish != nil:
+		r := s.ledger.Finish(*c.Finish)
+		return Result{Ledger: &r}
+	case c.Settle != nil:
+		s.applySettle(*c.Settle)
+	case c.Note != nil:
+		s.note(*c.Note)
+	}
+	return Result{}
+}
+
+// Index returns the index of the last command.
+func (s *State) Index() uint64 { return s.index }
+
+// Catalog returns the documents in force at the last command.
+func (s *State) Catalog() *catalog.Catalog { return s.catalog }
+
+// Ledger returns the request ledger, for reading.
+func (s *State) Ledger() *ledger.Ledger { return s.ledger }
+
+// Trail returns at most limit audit events after the sequence, in order.
+func (s *State) Trail(after uint64, limit int) []audit.Event {
+	if after >= uint64(len(s.trail)) {
+		return nil
+	}
+	rest := s.trail[after:]
+	return append([]audit.Event(nil), rest[:min(len(rest), limit)]...)
+}
+
+// Encode returns the whole state as a snapshot.
+func (s *State) Encode() ([]byte, error) {
+	return cbor.Marshal(snapshot{
+		Index: s.index, Docs: s.docs, Answers: s.answers, Chain: s.chain, Trail: s.trail,
+		Ledger: s.ledger.Snapshot(),
+	})
+}
+
+// Decode returns the state of a snapshot.
+func Decode(data []byte) (*State, error) {
+	var snap snapshot
+	if err := cbor.Unmarshal(data, &snap); err != nil {
+		return nil, errors.Annotate(err, "snapshot of the replicated state")
+	}
+	s := New()
+	s.index = snap.Index
+	s.docs = snap.Docs.Clone()
+	s.catalog = catalog.New(s.docs)
+	if snap.Answers != nil {
+		s.answers = snap.Answers
+	}
+	s.chain = snap.Chain
+	s.trail = snap.Trail
+	s.ledger = ledger.Restore(snap.Ledger)
+	return s, nil
+}
+
+func (s *State) applyChange(c change.Change) change.Result {
+	if c.ID == "" {
+		return change.RefuseFor("change_id", "missing", "an id that is new for each change")
+	}
+	hash := c.Hash()
+	if first, ok := s.answers[c.ID]; ok {
+		return first.repeat(hash)
+	}
+	before := s.subject(c)
+	docs, result := s.docs.Apply(c, s.index)
+	s.answers[c.ID] = answer{Hash: hash, Index: s.index, Result: result}
+	if result.Status == change.Accepted {
+		s.docs = docs
+		s.catalog = catalog.New(docs)
+	}
+	s.noteChange(c, result, before)
+	return result
+}
+
+func (s *State) applySettle(c Settle) {
+	for _, key := range s.ledger.Settle(c.Owner, c.At) {
+		s.note(audit.Event{
+			At: c.At, Kind: audit.LeaseEnded, Actor: "system", Subject: key.Workspace + "/" + key.RequestID,
+			Detail: "open request of " + c.Owner.Entry + " settled as unknown",
+		})
+	}
+}
+
+func (s *State) noteChange(c change.Change, r change.Result, before json.RawMessage) {
+	e := audit.Event{
+		At: c.At, Kind: audit.Changed, Actor: c.Actor, From: c.From, Subject: string(c.Kind) + " " + c.Name,
+		ChangeID: c.ID, Revision: r.Revision,
+	}
+	if r.Status == change.Accepted {
+		e.Before, e.After = before, s.subject(c)
+	} else {
+		e.Kind, e.Detail = audit.Refused, string(r.Status)+" "+r.Findings.Error()
+	}
+	s.note(e)
+}
+
+func (s *State) note(e audit.Event) {
+	s.trail = append(s.trail, s.chain.Append(e))
+}
+
+// subject returns the document that the change writes, as JSON, or nil.
+func (s *State) subject(c change.Change) json.RawMessage {
+	if s.docs.RevisionOf(c) == 0 {
+		return nil
+	}
+	var doc any
+	switch c.Kind {
+	case change.PutTemplate:
+		doc = s.docs.Templates[c.Name]
+	case change.PutWorkspace, change.AddKey, change.RemoveKey:
+		doc = s.docs.Workspaces[c.Name]
+	case change.PutService:
+		doc = s.docs.Services[c.Name]
+	case change.PutVersion, change.MoveVersion:
+		doc = s.docs.Versions[c.Name]
+	default:
+		return nil
+	}
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func (a answer) repeat(hash string) change.Result {
+	if a.Hash != hash {
+		return change.RefuseFor("change_id", "was used for another change", "a new id")
+	}
+	r := a.Result
+	r.Repeated = true
+	return r
+}
--- /dev/null
+++ b/core/template/policy.go
@@ -0,0 +1,127 @@
+package template
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/finding"
+	"rosereach/core/version"
+)
+
+type (
+	// Policy is what a workspace's traffic is allowed to do: the template's
+	// policy with the workspace's values in place.
+	Policy struct {
+		Allow         []string   `json:"allow"`
+		QualityTarget float64    `json:"quality_target"`
+		Priorities    Priorities `json:"priorities"`
+		Priority      int        `json:"priority"`
+		Weight        int        `json:"weight"`
+		Services      []string   `json:"services"`
+		Limits        Limits     `json:"limits"`
+		RetentionDays int        `json:"retention_days"`
+	}
+
+	// Priorities weigh what the choice of a version optimizes. Each is 0 or
+	// more; only their ratio counts.
+	Priorities struct {
+		Cost     float64 `json:"cost"`
+		Latency  float64 `json:"latency"`
+		Exposure float64 `json:"exposure"`
+	}
+
+	// Limits bound one workspace's use. Zero means the entry's own limit.
+	Limits struct {
+		RequestsPerSecond float64 `json:"requests_per_second"`
+		Concurrent        int     `json:"concurrent"`
+		BodyBytes         int64   `json:"body_bytes"`
+		MaxTokens         int64   `json:"max_tokens"`
+	}
+
+	// reference is the place of a parameter in a template's policy.
+	reference struct {
+		Parameter string `json:"parameter"`
+	}
+)
+
+// AllowsService reports whether the policy names the plain service.
+func (p Policy) AllowsService(name string) bool { return slices.Contains(p.Services, name) }
+
+// Check returns all findings of the policy.
+func (p Policy) Check() finding.List {
+	var found finding.List
+	for _, pattern := range p.Allow {
+		if _, err := version.ParseRef(pattern); err != nil {
+			found.Add("allow", "bad pattern "+pattern, "model@version or model@*")
+		}
+	}
+	if p.QualityTarget < 0 || p.QualityTarget > 1 {
+		found.Add("quality_target", "out of range", "0 to 1")
+	}
+	if min(p.Priorities.Cost, p.Priorities.Latency, p.Priorities.Exposure) < 0 {
+		found.Add("priorities", "negative weight", "0 or more")
+	}
+	if p.Weight < 0 {
+		found.Add("weight", "negative", "0 (for 1) or more")
+	}
+	if p.Limits.RequestsPerSecond < 0 || p.Limits.Concurrent < 0 || p.Limits.BodyBytes < 0 || p.Limits.MaxTokens < 0 {
+		found.Add("limits", "negative limit", "0 (for the default) or more")
+	}
+	if p.RetentionDays < 0 {
+		found.Add("retention_days", "negative", "0 or more")
+	}
+	return found
+}
+
+func parsePolicy(raw json.RawMessage) (Policy, finding.List) {
+	var (
+		p     Policy
+		found finding.List
+	)
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&p); err != nil {
+		found.Add("", err.Error(), "the fields of a policy")
+		return p, found
+	}
+	return p, p.Check()
+}
+
+// substitute replaces each {"parameter": NAME} object by the value of NAME.
+func substitute(raw json.RawMessage, values Values) (json.RawMessage, error) {
+	var object map[string]json.RawMessage
+	if !isObject(raw) {
+		return raw, nil
+	}
+	if err := json.Unmarshal(raw, &object); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if _, ok := object["parameter"]; ok && len(object) == 1 {
+		return lookup(raw, values)
+	}
+	for field, value := range object {
+		replaced, err := substitute(value, values)
+		if err != nil {
+			return nil, errors.Annotate(err, field)
+		}
+		object[field] = replaced
+	}
+	return json.Marshal(object)
+}
+
+func isObject(raw json.RawMessage) bool { return bytes.HasPrefix(bytes.TrimSpace(raw), []byte("{")) }
+
+func lookup(raw json.RawMessage, values Values) (json.RawMessage, error) {
+	var ref reference
+	if err := json.Unmarshal(raw, &ref); err != nil {
+		return nil, errors.Trace(err)
+	}
+	v, ok := values[ref.Parameter]
+	if !ok {
+		return nil, errors.NotFoundf("parameter %q", ref.Parameter)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/core/template/template.go
@@ -0,0 +1,198 @@
+// Package template holds the templates that workspaces are created from. A
+// template has typed parameters and a policy that refers to them.
+package template
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"rosereach/core/finding"
+	"rosereach/core/version"
+)
+
+// The types that a parameter may have.
+const (
+	Number Type = "number"
+	Text   Type = "text"
+	List   Type = "list"
+)
+
+type (
+	// Type is the type of a parameter's value.
+	Type string
+
+	// Template is the document that operators write.
+	Template struct {
+		Name       string          `json:"name"`
+		Parameters []Parameter     `json:"parameters"`
+		Policy     json.RawMessage `json:"policy"`
+		Revision   uint64          `json:"revision"`
+	}
+
+	// Parameter is one value that a workspace fills in. Min and Max bound a
+	// number; Allowed lists the texts, or the items of a list, that may be given.
+	Parameter struct {
+		Name    string          `json:"name"`
+		Type    Type            `json:"type"`
+		Min     *float64        `json:"min,omitempty"`
+		Max     *float64        `json:"max,omitempty"`
+		Allowed []string        `json:"allowed,omitempty"`
+		Default json.RawMessage `json:"default,omitempty"`
+	}
+
+	// Values are the parameters that a workspace gives, as JSON by name.
+	Values map[string]json.RawMessage
+)
+
+// Parse reads a template and checks it whole.
+func Parse(data []byte) (Template, finding.List) {
+	var (
+		t     Template
+		found finding.List
+	)
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&t); err != nil {
+		found.Add("template", err.Error(), "a JSON object with name, parameters and policy")
+		return t, found
+	}
+	return t, t.Check()
+}
+
+// Check returns all findings of the template, also those of its policy filled
+// in with the default values.
+func (t Template) Check() finding.List {
+	var found finding.List
+	if t.Name == "" {
+		found.Add("name", "missing", "a name")
+	}
+	for _, p := range t.Parameters {
+		found.Within("parameters."+p.Name, p.check())
+	}
+	if len(t.Policy) == 0 {
+		found.Add("policy", "missing", "an object")
+	}
+	return found
+}
+
+// Fill puts values into the policy and checks the result whole.
+func (t Template) Fill(values Values) (Policy, finding.List) {
+	filled, found := t.resolve(values)
+	if len(found) > 0 {
+		return Policy{}, found
+	}
+	raw, err := substitute(t.Policy, filled)
+	if err != nil {
+		found.Add("policy", err.Error(), "values, or {\"parameter\": NAME} with a declared name")
+		return Policy{}, found
+	}
+	p, policyFound := parsePolicy(raw)
+	found.Within("policy", policyFound)
+	return p, found
+}
+
+// resolve checks the values against the parameters and adds the defaults.
+func (t Template) resolve(values Values) (Values, finding.List) {
+	var found finding.List
+	filled := make(Values, len(t.Parameters))
+	for _, p := range t.Parameters {
+		v, ok := values[p.Name]
+		if !ok {
+			v = p.Default
+		}
+		if len(v) == 0 {
+			found.Add("parameters."+p.Name, "missing, and it has no default", string(p.Type))
+			continue
+		}
+		found.Within("parameters."+p.Name, p.checkValue(v))
+		filled[p.Name] = v
+	}
+	for name := range values {
+		if !slices.ContainsFunc(t.Parameters, func(p Parameter) bool { return p.Name == name }) {
+			found.Add("parameters."+name, "the template has no such parameter", "a declared name")
+		}
+	}
+	return filled, found
+}
+
+func (p Parameter) check() finding.List {
+	var found finding.List
+	if p.Name == "" {
+		found.Add("name", "missing", "a name")
+	}
+	if p.Type != Number && p.Type != Text && p.Type != List {
+		found.Add("type", "unknown type "+string(p.Type), "number, text, list")
+	}
+	if len(p.Default) > 0 {
+		found.Within("default", p.checkValue(p.Default))
+	}
+	return found
+}
+
+func (p Parameter) checkValue(raw json.RawMessage) finding.List {
+	switch p.Type {
+	case Number:
+		return p.checkNumber(raw)
+	case Text:
+		var s string
+		if json.Unmarshal(raw, &s) != nil {
+			return finding.List{{Problem: "no text", Allowed: "a JSON string"}}
+		}
+		return p.checkItems([]string{s})
+	case List:
+		var items []string
+		if json.Unmarshal(raw, &items) != nil {
+			return finding.List{{Problem: "no list", Allowed: "a JSON list of strings"}}
+		}
+		return p.checkItems(items)
+	}
+	return nil
+}
+
+func (p Parameter) checkNumber(raw json.RawMessage) finding.List {
+	var (
+		found finding.List
+		v     float64
+	)
+	if json.Unmarshal(raw, &v) != nil {
+		found.Add("", "no number", "a JSON number")
+		return found
+	}
+	if p.Min != nil && v < *p.Min {
+		found.Add("", "too small", "at least "+jsonText(*p.Min))
+	}
+	if p.Max != nil && v > *p.Max {
+		found.Add("", "too large", "at most "+jsonText(*p.Max))
+	}
+	return found
+}
+
+func (p Parameter) checkItems(items []string) finding.List {
+	var found finding.List
+	if len(p.Allowed) == 0 {
+		return found
+	}
+	for _, s := range items {
+		if !slices.Contains(p.Allowed, s) {
+			found.Add("", "value "+s+" is not allowed", jsonText(p.Allowed))
+		}
+	}
+	return found
+}
+
+func jsonText(v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
+// Allows reports whether any pattern of the policy fits the version.
+func (p Policy) Allows(ref version.Ref) bool {
+	return slices.ContainsFunc(p.Allow, func(pattern string) bool {
+		parsed, err := version.ParseRef(pattern)
+		return err == nil && ref.Matches(parsed)
+	})
+}
--- /dev/null
+++ b/core/workspace/workspace.go
@@ -0,0 +1,56 @@
+// Package workspace holds workspaces: a template's name, the values for its
+// parameters and the hashes of the keys that callers present.
+package workspace
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+
+	"rosereach/core/finding"
+	"rosereach/core/template"
+)
+
+// Workspace is one customer's document.
+type Workspace struct {
+	Name      string          `json:"name"`
+	Template  string          `json:"template"`
+	Values    template.Values `json:"values"`
+	KeyHashes []string        `json:"key_hashes"`
+	Closed    bool            `json:"closed"`
+	Revision  uint64          `json:"revision"`
+}
+
+// HashKey returns the hash under which a caller's key is stored. Keys are
+// random and long, so that a plain hash is enough.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// WithKey returns the workspace with one more key hash.
+func (w Workspace) WithKey(hash string) Workspace {
+	if slices.Contains(w.KeyHashes, hash) {
+		return w
+	}
+	w.KeyHashes = append(slices.Clone(w.KeyHashes), hash)
+	return w
+}
+
+// WithoutKey returns the workspace without the key hash.
+func (w Workspace) WithoutKey(hash string) Workspace {
+	w.KeyHashes = slices.DeleteFunc(slices.Clone(w.KeyHashes), func(h string) bool { return h == hash })
+	return w
+}
+
+// Check returns the findings that need no other document.
+func (w Workspace) Check() finding.List {
+	var found finding.List
+	if w.Name == "" {
+		found.Add("name", "missing", "a name")
+	}
+	if w.Template == "" {
+		found.Add("template", "missing", "the name of a template")
+	}
+	return found
+}
--- /dev/null
+++ b/internal/cmd/cmd.go
@@ -0,0 +1,99 @@
+// Package cmd holds the commands of the rosereach program, one a file, and
+// the table that lists them.
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"rosereach/core/finding"
+)
+
+// The program's exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+	exitRefused  = 3
+	exitConflict = 4
+	exitUnknown  = 5
+)
+
+type (
+	// command is one command of the program. A private one is not listed.
+	command struct {
+		name    string
+		short   string
+		args    string
+		private bool
+		flags   []cli.Flag
+		action  cli.ActionFunc
+		subs    []*command
+	}
+
+	// exitError is an error with an exit code of its own.
+	exitError struct {
+		code  int
+		cause error
+	}
+)
+
+// commands returns the table of all commands.
+func commands() []*command {
+	return []*command{
+		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
+		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(),
+		cmdBills(), cmdAudit(), cmdStatus(),
+	}
+}
+
+// Main runs the command that the arguments name and returns the exit code.
+func Main(ctx context.Context, version string, args []string) int {
+	root := &cli.Command{
+		Name: "rosereach", Usage: "route requests to permitted models and versions", Version: version,
+		Commands:                  build(commands()),
+		ExitErrHandler:            func(context.Context, *cli.Command, error) {},
+		DisableSliceFlagSeparator: true,
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "rosereach:", err)
+	return codeOf(err)
+}
+
+// Error gives the cause.
+func (e *exitError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.cause }
+
+func exit(code int, cause error) error { return &exitError{code: code, cause: cause} }
+
+func codeOf(err error) int {
+	var e *exitError
+	if errors.As(err, &e) {
+		return e.code
+	}
+	var findings finding.List
+	if errors.As(err, &findings) {
+		return exitSettings
+	}
+	return exitFailure
+}
+
+func build(table []*command) []*cli.Command {
+	var built []*cli.Command
+	for _, c := range table {
+		built = append(built, &cli.Command{
+			Name: c.name, Usage: c.short, ArgsUsage: c.args, Hidden: c.private,
+			Flags: c.flags, Action: c.action, Commands: build(c.subs),
+		})
+	}
+	return built
+}
--- /dev/null
+++ b/internal/cmd/cmd_demo.go
@@ -0,0 +1,37 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"rosereach/internal/demo"
+)
+
+// cmdDemo runs the whole system in one process and counts its promises.
+func cmdDemo() *command {
+	return &command{
+		name: "demo", short: "run all parts on loopback, send requests and count the promises",
+		flags:  []cli.Flag{flag("requests", "240", "requests to send"), flag("seed", "1", "seed of the mix of requests")},
+		action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	opts := demo.Options{Requests: int(s.number("requests", 1, 100_000)), Seed: uint64(s.number("seed", 0, 1<<62))}
+	if err := s.err(); err != nil {
+		return err
+	}
+	summary, err := demo.Run(ctx, opts)
+	if err != nil {
+		return err
+	}
+	fmt.Print(summary)
+	if broken := summary.Broken(); len(broken) > 0 {
+		return exit(exitFailure, errors.Errorf("promises broken: %v", broken))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cmd/cmd_entry.go
@@ -0,0 +1,88 @@
+package cmd
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/juju/clock"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"rosereach/core/lease"
+	"rosereach/internal/entry"
+	"rosereach/internal/httpd"
+)
+
+// drainTimeout bounds a graceful shutdown; a request has its own deadline.
+const drainTimeout = 10 * time.Minute
+
+// cmdEntry runs an entry process.
+func cmdEntry() *command {
+	return &command{
+		name: "entry", short: "serve callers and backend servers", action: runEntry,
+		flags: append(commonFlags(),
+			flag("controls", "", "host:port of the controls, with commas"),
+			flag("member-key", "", "key that rosereach's own processes share"),
+			flag("backend-key", "", "key that backend servers present"),
+			flag("address-ttl", "10s", "how long callers may keep the list of addresses"),
+			flag("request-timeout", "60s", "longest time for one request"),
+			flag("max-body", "1048576", "largest body of a request, in bytes"),
+			flag("max-running", "1024", "requests that run at once"),
+			flag("max-waiting", "1024", "requests that wait at once"),
+		),
+	}
+}
+
+func runEntry(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	listen := s.address("listen")
+	started := incarnation()
+	cfg := entry.Config{
+		ID: s.text("id"), Incarnation: started, Region: s.text("region"), Zone: s.text("availability-zone"),
+		Controls: s.addresses("controls"), MemberKey: s.text("member-key"), BackendKey: s.text("backend-key"),
+		Terms: lease.DefaultTerms(), AddressTTL: s.duration("address-ttl"), Timeout: s.duration("request-timeout"),
+		MaxBody: s.number("max-body", 1, 1<<30), MaxRunning: int(s.number("max-running", 1, math.MaxInt32)),
+		MaxWaiting: int(s.number("max-waiting", 0, math.MaxInt32)), Seed: started,
+		Clock: clock.WallClock, Logger: newLogger(s, "entry"),
+	}
+	if err := s.err(); err != nil {
+		return err
+	}
+	l, err := httpd.Listen(ctx, listen)
+	if err != nil {
+		return err
+	}
+	cfg.Address = cmp.Or(s.optional("advertise"), l.Addr().String())
+	fmt.Println(l.Addr())
+	cfg.Logger.Log("msg", "Entry serves.", "id", cfg.ID, "address", cfg.Address)
+	return serveEntry(ctx, cfg, func(ctx context.Context, e *entry.Entry) error {
+		return httpd.Serve(ctx, l, e.Handler())
+	})
+}
+
+// serveEntry runs the entry until the context ends, then drains it before its
+// listener and its link to the controls close.
+func serveEntry(ctx context.Context, cfg entry.Config, serve func(context.Context, *entry.Entry) error) error {
+	e := entry.New(cfg)
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, serving := errgroup.WithContext(serving)
+	g.Go(func() error { return e.Run(serving) })
+	g.Go(func() error { return serve(serving, e) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-serving.Done():
+			return nil
+		}
+		defer stop()
+		cfg.Logger.Log("msg", "Entry drains.", "id", cfg.ID)
+		draining, cancel := context.WithTimeout(serving, drainTimeout)
+		defer cancel()
+		return e.Drain(draining)
+	})
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/cmd/cmd_fake.go
@@ -0,0 +1,172 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/juju/clock"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"rosereach/core/backend"
+	"rosereach/core/version"
+	"rosereach/internal/fake"
+	"rosereach/internal/httpd"
+)
+
+// cmdFake runs the stand-ins for the systems around rosereach.
+func cmdFake() *command {
+	return &command{
+		name: "fake", short: "run a stand-in for a system around rosereach",
+		subs: []*command{
+			{
+				name: "engine", short: "a model engine", action: runFakeEngine,
+				flags: append(announceFlags(),
+					flag("versions", "", "versions it has loaded, as model@version with commas"),
+					flag("step-time", "5ms", "time of a step of an empty batch"),
+					flag("step-per-sequence", "200us", "time that each sequence adds to a step"),
+					flag("prefill-per-token", "50us", "time of a prompt's token that is not cached"),
+					flag("cache-tokens", "100000", "memory for prefixes, in tokens"),
+					flag("load-lag", "1s", "age of load reports"),
+					boolFlag("ignore-fence", "take orders with old fencing numbers too"),
+				),
+			},
+			{
+				name: "service", short: "a plain service", action: runFakeService,
+				flags: append(announceFlags(), flag("service", "", "name of the service")),
+			},
+			{
+				name: "rater", short: "a rating service", action: runFakeRater,
+				flags: append(commonFlags(),
+					flag("quality", "", "true quality, as model@version=0.8 with commas"),
+					flag("noise", "0.1", "standard deviation of a rating"),
+					flag("rating-lag", "1m", "time until a rating is ready"),
+					flag("seed", "1", "seed of the noise"),
+				),
+			},
+			{
+				name: "store", short: "a rate-limited weight store", action: runFakeStore,
+				flags: append(commonFlags(),
+					flag("loads-per-second", "1", "loads that it serves each second"),
+					flag("burst", "4", "loads that it serves at once"),
+					flag("load-time", "2s", "time of a load"),
+				),
+			},
+		},
+	}
+}
+
+func announceFlags() []cli.Flag {
+	return append(commonFlags(),
+		flag("entries", "", "host:port of the entries to announce to, with commas"),
+		flag("backend-key", "", "key to present to entries"),
+		flag("capacity", "16", "requests that it runs at once"),
+	)
+}
+
+func runFakeEngine(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	cfg := fake.EngineConfig{
+		ID: s.text("id"), Incarnation: incarnation(), Region: s.text("region"), Zone: s.text("availability-zone"),
+		Versions: s.refs("versions"), Capacity: int(s.number("capacity", 1, 4096)),
+		CacheTokens: s.number("cache-tokens", 0, 1<<40), StepTime: s.duration("step-time"),
+		StepPerSequence: s.duration("step-per-sequence"), PrefillPerToken: s.duration("prefill-per-token"),
+		LoadLag: s.duration("load-lag"), HonoursFence: !c.Bool("ignore-fence"), Clock: clock.WallClock,
+	}
+	engine := fake.NewEngine(cfg)
+	return serveFake(ctx, s, engine.Handler(), engine.Announcement, engine.Run)
+}
+
+func runFakeService(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	svc := fake.NewService(fake.ServiceConfig{
+		ID: s.text("id"), Incarnation: incarnation(), Region: s.text("region"), Zone: s.text("availability-zone"),
+		Service: s.text("service"), Capacity: int(s.number("capacity", 1, 4096)), Clock: clock.WallClock,
+	})
+	idle := func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	}
+	return serveFake(ctx, s, svc.Handler(), svc.Announcement, idle)
+}
+
+func runFakeRater(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	rater := fake.NewRater(fake.RaterConfig{
+		Quality: s.qualities("quality"), Noise: s.ratio("noise"), Lag: s.duration("rating-lag"),
+		Seed: uint64(s.number("seed", 0, 1<<62)), Clock: clock.WallClock,
+	})
+	return serveAlone(ctx, s, rater.Handler())
+}
+
+func runFakeStore(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	store := fake.NewStore(fake.StoreConfig{
+		PerSecond: float64(s.number("loads-per-second", 1, 1000)), Burst: int(s.number("burst", 1, 1000)),
+		LoadTime: s.duration("load-time"), Clock: clock.WallClock,
+	})
+	return serveAlone(ctx, s, store.Handler())
+}
+
+func serveAlone(ctx context.Context, s *settings, h http.Handler) error {
+	listen := s.address("listen")
+	if err := s.err(); err != nil {
+		return err
+	}
+	l, err := httpd.Listen(ctx, listen)
+	if err != nil {
+		return err
+	}
+	fmt.Println(l.Addr())
+	return httpd.Serve(ctx, l, h)
+}
+
+func serveFake(ctx context.Context, s *settings, h http.Handler, describe func(string) backend.Announcement, run func(context.Context) error) error {
+	listen := s.address("listen")
+	announcer := &fake.Announcer{Entries: s.addresses("entries"), Key: s.text("backend-key"), Clock: clock.WallClock}
+	if err := s.err(); err != nil {
+		return err
+	}
+	l, err := httpd.Listen(ctx, listen)
+	if err != nil {
+		return err
+	}
+	fmt.Println(l.Addr())
+	announcer.Describe = func() backend.Announcement { return describe(l.Addr().String()) }
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return run(ctx) })
+	g.Go(func() error { return announcer.Run(ctx) })
+	g.Go(func() error { return httpd.Serve(ctx, l, h) })
+	return g.Wait()
+}
+
+// refs reads versions given as model@version with commas.
+func (s *settings) refs(name string) []version.Ref {
+	var refs []version.Ref
+	for _, text := range strings.Split(s.text(name), ",") {
+		ref, err := version.ParseRef(strings.TrimSpace(text))
+		if err != nil {
+			s.found.Add("--"+name, err.Error(), "model@version, more than one with commas")
+			continue
+		}
+		refs = append(refs, ref)
+	}
+	return refs
+}
+
+// qualities reads shares given as model@version=0.8 with commas.
+func (s *settings) qualities(name string) map[string]float64 {
+	qualities := make(map[string]float64)
+	for _, text := range strings.Split(s.text(name), ",") {
+		var quality float64
+		ref, number, _ := strings.Cut(text, "=")
+		if _, err := fmt.Sscanf(number, "%g", &quality); err != nil || quality < 0 || quality > 1 {
+			s.found.Add("--"+name, "bad quality "+text, "model@version=0.8, more than one with commas")
+			continue
+		}
+		qualities[strings.TrimSpace(ref)] = quality
+	}
+	return qualities
+}
--- /dev/null
+++ b/internal/cmd/cmd_workspace.go
@@ -0,0 +1,108 @@
+package cmd
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"rosereach/core/change"
+	"rosereach/core/template"
+	"rosereach/core/workspace"
+)
+
+// cmdWorkspace works with workspaces.
+func cmdWorkspace() *command {
+	values := flag("values", "", "parameters as NAME=JSON, more than one with semicolons")
+	from := flag("template", "", "name of the template")
+	return &command{
+		name: "workspace", short: "create, set, show and list workspaces and make their keys",
+		subs: []*command{
+			{name: "create", short: "create a workspace", args: "NAME", flags: changeFlags(from, values), action: createWorkspace},
+			{name: "set", short: "change a workspace's parameters", args: "NAME", flags: changeFlags(from, values), action: setWorkspace},
+			{name: "show", short: "show a workspace", args: "NAME", flags: operatorFlags(), action: showWorkspace},
+			{name: "list", short: "list workspaces", flags: operatorFlags(), action: listWorkspaces},
+			{name: "key", short: "make a new key for a workspace's callers", args: "NAME", flags: changeFlags(), action: keyWorkspace},
+		},
+	}
+}
+
+func createWorkspace(ctx context.Context, c *cli.Command) error {
+	if c.String("expect") == "" {
+		if err := c.Set("expect", "0"); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return setWorkspace(ctx, c)
+}
+
+func setWorkspace(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	w := workspace.Workspace{
+		Name: s.argument(0, "NAME"), Template: s.text("template"), Values: s.values("values"),
+	}
+	return s.change(ctx, change.PutWorkspace, w.Name, w)
+}
+
+func showWorkspace(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	name, client := s.argument(0, "NAME"), s.client()
+	if err := s.err(); err != nil {
+		return err
+	}
+	docs, err := client.Documents(ctx)
+	if err != nil {
+		return err
+	}
+	w, ok := docs.Workspaces[name]
+	if !ok {
+		return errors.NotFoundf("workspace %q", name)
+	}
+	return printJSON(w)
+}
+
+func listWorkspaces(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	client := s.client()
+	if err := s.err(); err != nil {
+		return err
+	}
+	docs, err := client.Documents(ctx)
+	if err != nil {
+		return err
+	}
+	return printJSON(docs.Workspaces)
+}
+
+// keyWorkspace makes a key, stores its hash and prints the key once.
+func keyWorkspace(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	name := s.argument(0, "NAME")
+	key := rand.Text()
+	if err := s.change(ctx, change.AddKey, name, change.Key{Hash: workspace.HashKey(key)}); err != nil {
+		return err
+	}
+	fmt.Println(key)
+	return nil
+}
+
+// values reads parameters given as NAME=JSON with semicolons.
+func (s *settings) values(name string) template.Values {
+	values := make(template.Values)
+	for _, text := range strings.Split(s.optional(name), ";") {
+		if strings.TrimSpace(text) == "" {
+			continue
+		}
+		parameter, value, ok := strings.Cut(text, "=")
+		if !ok || !json.Valid([]byte(value)) {
+			s.found.Add("--"+name, "bad parameter "+text, "NAME=JSON, more than one with semicolons")
+			continue
+		}
+		values[strings.TrimSpace(parameter)] = json.RawMessage(value)
+	}
+	return values
+}
--- /dev/null
+++ b/internal/cmd/settings.go
@@ -0,0 +1,98 @@
+package cmd
+
+import (
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"rosereach/core/finding"
+)
+
+// envPrefix stands before the name of every environment variable.
+const envPrefix = "ROSEREACH_"
+
+// settings reads flags and collects what is wrong with them, so that all bad
+// settings are reported together.
+type settings struct {
+	cmd   *cli.Command
+	found finding.List
+}
+
+// flag returns a setting that is a flag and an environment variable.
+func flag(name, fallback, usage string) cli.Flag {
+	env := envPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	return &cli.StringFlag{Name: name, Value: fallback, Usage: usage, Sources: cli.EnvVars(env)}
+}
+
+// boolFlag returns a switch that is a flag and an environment variable.
+func boolFlag(name, usage string) cli.Flag {
+	env := envPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	return &cli.BoolFlag{Name: name, Usage: usage, Sources: cli.EnvVars(env)}
+}
+
+func newSettings(cmd *cli.Command) *settings { return &settings{cmd: cmd} }
+
+// err returns all findings, or nil.
+func (s *settings) err() error { return s.found.Err() }
+
+func (s *settings) text(name string) string {
+	v := s.cmd.String(name)
+	if v == "" {
+		s.found.Add("--"+name, "missing", "a text that is not empty")
+	}
+	return v
+}
+
+func (s *settings) optional(name string) string { return s.cmd.String(name) }
+
+func (s *settings) address(name string) string {
+	v := s.text(name)
+	if v == "" {
+		return v
+	}
+	if _, _, err := net.SplitHostPort(v); err != nil {
+		s.found.Add("--"+name, err.Error(), "host:port")
+	}
+	return v
+}
+
+func (s *settings) addresses(name string) []string {
+	var list []string
+	for _, v := range strings.Split(s.text(name), ",") {
+		v = strings.TrimSpace(v)
+		if _, _, err := net.SplitHostPort(v); err != nil {
+			s.found.Add("--"+name, "bad address "+strconv.Quote(v), "host:port, more than one with commas")
+			continue
+		}
+		list = append(list, v)
+	}
+	return list
+}
+
+func (s *settings) duration(name string) time.Duration {
+	d, err := time.ParseDuration(s.cmd.String(name))
+	if err != nil || d <= 0 {
+		s.found.Add("--"+name, "bad duration "+strconv.Quote(s.cmd.String(name)), "a duration above 0, such as 500ms or 3s")
+	}
+	return d
+}
+
+func (s *settings) number(name string, least, most int64) int64 {
+	v, err := strconv.ParseInt(s.cmd.String(name), 10, 64)
+	if err != nil || v < least || v > most {
+		allowed := strconv.FormatInt(least, 10) + " to " + strconv.FormatInt(most, 10)
+		s.found.Add("--"+name, "bad number "+strconv.Quote(s.cmd.String(name)), allowed)
+	}
+	return v
+}
+
+func (s *settings) ratio(name string) float64 {
+	v, err := strconv.ParseFloat(s.cmd.String(name), 64)
+	if err != nil || v < 0 || v > 1 {
+		s.found.Add("--"+name, "bad share "+strconv.Quote(s.cmd.String(name)), "0 to 1")
+	}
+	return v
+}
--- /dev/null
+++ b/internal/control/seal.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+
+	"rosereach/core/catalog"
+	"rosereach/core/change"
+	"rosereach/core/state"
+)
+
+const (
+	// sealSecretBytes is the length of a key for session tokens.
+	sealSecretBytes = 32
+
+	// firstSealChange makes the first key once, also when leaders change.
+	firstSealChange = "system-first-seal-key"
+)
+
+// ensureSealKey makes the first key for session tokens in a new group.
+func (n *Node) ensureSealKey(ctx context.Context) {
+	if len(n.Catalog().Documents().SealKeys) > 0 {
+		return
+	}
+	key := catalog.SealKey{ID: rand.Text(), Secret: make([]byte, sealSecretBytes)}
+	rand.Read(key.Secret) //nolint:errcheck // it never fails
+	document, err := json.Marshal(key)
+	if err != nil {
+		return
+	}
+	c := change.Change{
+		ID: firstSealChange, Kind: change.RotateSeal, Name: key.ID, Document: document, Actor: "system",
+		At: n.cfg.Clock.Now().UTC(),
+	}
+	if _, err := n.Propose(ctx, state.Command{Change: &c}); err != nil {
+		n.cfg.Logger.Log("msg", "First seal key is not made.", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,146 @@
+// Package entry is the process that callers and backend servers connect to. It
+// admits requests, chooses where they run, and returns their answers.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
+
+	"rosereach/core/backend"
+	"rosereach/core/cascade"
+	"rosereach/core/catalog"
+	"rosereach/core/lease"
+	"rosereach/core/ledger"
+	"rosereach/core/limit"
+	"rosereach/core/placement"
+	"rosereach/core/registry"
+	iobackend "rosereach/io/backend"
+)
+
+const (
+	// backendLease is how long an announcement counts.
+	backendLease = 3 * time.Second
+
+	// maxIdleConns bounds the idle connections to one backend server.
+	maxIdleConns = 256
+)
+
+type (
+	// Config are the settings of an entry process.
+	Config struct {
+		ID          string
+		Incarnation uint64
+		Region      string
+		Zone        string
+		Address     string
+		Controls    []string
+		MemberKey   string
+		BackendKey  string
+		Terms       lease.Terms
+		AddressTTL  time.Duration
+		Timeout     time.Duration
+		MaxBody     int64
+		MaxRunning  int
+		MaxWaiting  int
+		Seed        uint64
+		Clock       clock.Clock
+		Logger      log.Logger
+	}
+
+	// Entry is one entry process.
+	Entry struct {
+		cfg      Config
+		link     *link
+		engines  *iobackend.Client
+		catalog  atomic.Pointer[catalog.Catalog]
+		draining atomic.Bool
+		closed   atomic.Bool
+		active   sync.WaitGroup
+
+		mu        sync.Mutex
+		registry  *registry.Registry
+		inFlight  map[string]int
+		random    *rand.Rand
+		choice    cascade.Policy
+		placement placement.Policy
+		gate      *admission
+		holder    lease.Holder
+		peers     []lease.Entry
+	}
+)
+
+// New returns an entry, which Run connects to the controls.
+func New(cfg Config) *Entry {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
+	e := &Entry{
+		cfg:       cfg,
+		engines:   iobackend.NewClient(transport),
+		registry:  registry.New(backendLease),
+		inFlight:  make(map[string]int),
+		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
+		choice:    cascade.Cheapest{},
+		placement: placement.LeastInFlight{},
+		gate:      newAdmission(limit.NewFirstCome(cfg.MaxRunning, cfg.MaxWaiting)),
+	}
+	e.catalog.Store(catalog.New(catalog.Documents{}))
+	e.link = newLink(e)
+	return e
+}
+
+// Run keeps lease and documents until the context ends.
+func (e *Entry) Run(ctx context.Context) error { return e.link.run(ctx) }
+
+// Ready reports whether the entry may dispatch work.
+func (e *Entry) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holder.IsLive(e.cfg.Clock.Now())
+}
+
+// Drain takes the entry off the list of addresses, waits until no caller can
+// hold an old list, refuses new work and returns when all requests have ended.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.draining.Store(true)
+	e.link.renewNow()
+	select {
+	case <-e.cfg.Clock.After(e.cfg.AddressTTL + e.cfg.Terms.Duration):
+	case <-ctx.Done():
+	}
+	e.closed.Store(true)
+	idle := make(chan struct{})
+	go func() {
+		e.active.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return e.link.release(ctx)
+}
+
+// observe records a backend server's announcement.
+func (e *Entry) observe(a backend.Announcement) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.registry.Observe(e.cfg.Clock.Now(), 0, a)
+}
+
+func (e *Entry) owner() ledger.Owner {
+	return ledger.Owner{Entry: e.cfg.ID, Incarnation: e.cfg.Incarnation}
+}
+
+// addresses returns the entries to use, nearest first and least loaded next.
+func (e *Entry) addresses(region, zone string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return orderAddresses(e.peers, region, zone)
+}
--- /dev/null
+++ b/internal/entry/link.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"rosereach/core/catalog"
+	"rosereach/core/lease"
+	"rosereach/core/ledger"
+	"rosereach/core/state"
+	"rosereach/io/member"
+)
+
+const (
+	// renewsPerLease is how often a lease is renewed within its duration.
+	renewsPerLease = 4
+
+	// redialDelay lies between two attempts to reach a control.
+	redialDelay = 100 * time.Millisecond
+
+	// proposeTimeout bounds the wait for the ledger.
+	proposeTimeout = 5 * time.Second
+)
+
+// errNoControl is the cause when no control is connected.
+const errNoControl = errors.ConstError("no control is connected")
+
+// link is the entry's connection to the controls.
+type link struct {
+	entry *Entry
+	wake  chan struct{}
+
+	mu   sync.Mutex
+	conn *member.Conn
+}
+
+func newLink(e *Entry) *link { return &link{entry: e, wake: make(chan struct{}, 1)} }
+
+// run keeps a connection and renews the lease over it until the context ends.
+func (l *link) run(ctx context.Context) error {
+	for next := 0; ctx.Err() == nil; next++ {
+		address := l.entry.cfg.Controls[next%len(l.entry.cfg.Controls)]
+		if err := l.serve(ctx, address); err != nil && ctx.Err() == nil {
+			l.entry.cfg.Logger.Log("msg", "Control is out of reach.", "control", address, "err", err)
+		}
+		select {
+		case <-l.entry.cfg.Clock.After(redialDelay):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (l *link) serve(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	cfg := l.entry.cfg
+	conn, err := member.Dial(ctx, address, cfg.MemberKey, member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}, l)
+	if err != nil {
+		return err
+	}
+	l.set(conn)
+	defer l.set(nil)
+	interval := cfg.Terms.Duration / renewsPerLease
+	for {
+		if err := l.refresh(ctx, conn, interval); err != nil {
+			return err
+		}
+		select {
+		case <-cfg.Clock.After(interval):
+		case <-l.wake:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Handle takes the control's notices.
+func (l *link) Handle(_ context.Context, _ *member.Conn, kind member.Kind, _ cbor.RawMessage) (any, error) {
+	if kind != member.KindChanged {
+		return nil, &member.Problem{Code: member.CodeRefused, Detail: "unknown message " + string(kind)}
+	}
+	l.renewNow()
+	return nil, nil
+}
+
+// renewNow asks for documents and lease without waiting for the next turn.
+func (l *link) renewNow() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// refresh takes newer documents, then renews the lease, which names them.
+func (l *link) refresh(ctx context.Context, conn *member.Conn, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var docs member.DocumentsReply
+	have := l.entry.catalog.Load().Revision()
+	if err := conn.Call(ctx, member.KindDocuments, member.DocumentsRequest{Have: have}, &docs); err != nil {
+		return err
+	}
+	if docs.Documents != nil {
+		l.entry.catalog.Store(catalog.New(*docs.Documents))
+	}
+	var grant lease.Grant
+	if err := conn.Call(ctx, member.KindLease, l.entry.leaseRequest(), &grant); err != nil {
+		return err
+	}
+	l.entry.takeGrant(grant)
+	return nil
+}
+
+// propose commits commands at the control.
+func (l *link) propose(ctx context.Context, commands ...state.Command) ([]state.Result, error) {
+	conn := l.current()
+	if conn == nil {
+		return nil, errors.Trace(errNoControl)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var reply member.ProposeReply
+	if err := conn.Call(ctx, member.KindPropose, member.ProposeRequest{Commands: commands}, &reply); err != nil {
+		return nil, err
+	}
+	if len(reply.Results) != len(commands) {
+		return nil, errors.Errorf("%d results for %d commands", len(reply.Results), len(commands))
+	}
+	return reply.Results, nil
+}
+
+// begin records the start of a request.
+func (l *link) begin(ctx context.Context, b ledger.Begin) (ledger.Reply, error) {
+	return l.record(ctx, state.Command{Begin: &b})
+}
+
+// finish records the end of a request.
+func (l *link) finish(ctx context.Context, f ledger.Finish) (ledger.Reply, error) {
+	return l.record(ctx, state.Command{Finish: &f})
+}
+
+func (l *link) record(ctx context.Context, c state.Command) (ledger.Reply, error) {
+	results, err := l.propose(ctx, c)
+	if err != nil {
+		return ledger.Reply{}, err
+	}
+	if results[0].Ledger == nil {
+		return ledger.Reply{}, errors.New("the control's result holds no ledger reply")
+	}
+	return *results[0].Ledger, nil
+}
+
+// release gives the lease back, so that the control need not wait it out.
+func (l *link) release(ctx context.Context) error {
+	l.entry.mu.Lock()
+	l.entry.holder.Release()
+	l.entry.mu.Unlock()
+	conn := l.current()
+	if conn == nil {
+		return nil
+	}
+	cfg := l.entry.cfg
+	return conn.Call(ctx, member.KindRelease, member.Released{Entry: cfg.ID, Incarnation: cfg.Incarnation}, nil)
+}
+
+func (l *link) set(c *member.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = c
+}
+
+func (l *link) current() *member.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// leaseRequest notes the time of sending, from which the lease counts.
+func (e *Entry) leaseRequest() lease.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return lease.Request{
+		Entry: e.cfg.ID, Incarnation: e.cfg.Incarnation, Sequence: e.holder.Send(e.cfg.Clock.Now()),
+		Applied: e.catalog.Load().Revision(), Address: e.cfg.Address, Region: e.cfg.Region, Zone: e.cfg.Zone,
+		Draining: e.draining.Load(), Load: e.running(),
+	}
+}
+
+func (e *Entry) takeGrant(g lease.Grant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.holder.Receive(e.cfg.Terms, g)
+	e.peers = g.Entries
+}
+
+// running returns the number of the entry's requests at backend servers.
+// Callers hold e.mu.
+func (e *Entry) running() int {
+	sum := 0
+	for _, n := range e.inFlight {
+		sum += n
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"rosereach/core/request"
+	iobackend "rosereach/io/backend"
+	"rosereach/io/caller"
+)
+
+// Handler returns the HTTP handler for callers and backend servers.
+func (e *Entry) Handler() http.Handler {
+	r := chi.NewRouter()
+	caller.Mount(r, e, caller.Options{
+		MaxBody: e.cfg.MaxBody, Timeout: e.cfg.Timeout, AddressTTL: e.cfg.AddressTTL, Clock: e.cfg.Clock,
+	})
+	r.Post(iobackend.PathAnnounce, iobackend.AnnounceHandler(e.cfg.BackendKey, e.observe))
+	return r
+}
+
+// Owner returns the workspace of a caller's key.
+func (e *Entry) Owner(key string) (string, error) {
+	name, err := e.catalog.Load().Owner(key)
+	if err == nil {
+		return name, nil
+	}
+	if !e.Ready() {
+		return "", request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
+			WithAddresses(e.addresses(e.cfg.Region, e.cfg.Zone))
+	}
+	return "", request.NewNotRun(request.CodeUnauthorized, "the key belongs to no workspace")
+}
+
+// Addresses returns the entries to use, nearest first. An empty region or
+// zone stands for the entry's own.
+func (e *Entry) Addresses(region, zone string) []string {
+	if zone == "" {
+		region, zone = e.cfg.Region, e.cfg.Zone
+	}
+	return e.addresses(region, zone)
+}
--- /dev/null
+++ b/internal/entry/session.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/request"
+	"rosereach/core/session"
+)
+
+// OpenSession chooses a version for a new session and returns its token. A
+// resend with the same request id gets the first token.
+func (e *Entry) OpenSession(ctx context.Context, req request.Request) (string, error) {
+	leave, err := e.admit(ctx, req)
+	if err != nil {
+		return "", err
+	}
+	defer leave()
+	begun, err := e.beginBefore(ctx, req)
+	if replay := begun.replay(); replay != nil {
+		return string(replay.Body), nil
+	}
+	if err != nil {
+		return "", err
+	}
+	token, err := e.seal(req)
+	if err != nil {
+		return "", e.fail(ctx, req, begun, err)
+	}
+	a := request.Answer{Outcome: request.Done, Status: 200, Body: []byte(token)}
+	_, err = e.record(ctx, req, a, 0, true)
+	return token, err
+}
+
+// Resume reads a session token and returns the request bound to its version.
+func (e *Entry) Resume(req request.Request, token string) (request.Request, error) {
+	sealer := session.NewSealer(e.catalog.Load().Documents().SealKeys)
+	t, err := sealer.Open(token, req.Workspace)
+	if err != nil {
+		return req, request.NewNotRun(request.CodeBadSession, errors.Cause(err).Error()+"; open a new session")
+	}
+	if req.Model != request.AutoModel && req.Model != t.Version.Model {
+		return req, request.NewNotRun(request.CodeBadSession, "the session is for model "+t.Version.Model)
+	}
+	req.Session = t.ID
+	req.Version = &t.Version
+	return req, nil
+}
+
+func (e *Entry) seal(req request.Request) (string, error) {
+	ref, err := e.choose(req)
+	if err != nil {
+		return "", err
+	}
+	if err := e.catalog.Load().Permit(req.Workspace, ref); err != nil {
+		return "", refusalOf(err, req)
+	}
+	sealer := session.NewSealer(e.catalog.Load().Documents().SealKeys)
+	return sealer.Seal(session.Token{
+		ID: req.ID, Workspace: req.Workspace, Version: ref, OpenedAt: e.cfg.Clock.Now().UTC(),
+	})
+}
--- /dev/null
+++ b/internal/fake/announcer.go
@@ -0,0 +1,50 @@
+package fake
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/clock"
+
+	"rosereach/core/backend"
+	iobackend "rosereach/io/backend"
+)
+
+// AnnounceInterval is how often a backend server announces itself.
+const AnnounceInterval = time.Second
+
+// Announcer announces a backend server to entries, again every second.
+type Announcer struct {
+	Entries  []string
+	Key      string
+	Clock    clock.Clock
+	Describe func() backend.Announcement
+
+	sequence atomic.Uint64
+}
+
+// Run announces until the context ends.
+func (a *Announcer) Run(ctx context.Context) error {
+	for {
+		a.Now(ctx)
+		select {
+		case <-a.Clock.After(AnnounceInterval):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Now announces once to every entry. An entry out of reach is passed over: the
+// next announcement tries it again.
+func (a *Announcer) Now(ctx context.Context) {
+	said := a.Describe()
+	said.Sequence = a.sequence.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, AnnounceInterval)
+	defer cancel()
+	for _, entry := range a.Entries {
+		iobackend.Announce(ctx, http.DefaultClient, entry, a.Key, said) //nolint:errcheck // tried again each second
+	}
+}
--- /dev/null
+++ b/internal/fake/rater.go
@@ -0,0 +1,107 @@
+package fake
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/clock"
+
+	"rosereach/core/version"
+)
+
+// PathRatings is where the rating service takes answers and gives ratings.
+const PathRatings = "/v1/ratings"
+
+type (
+	// RaterConfig are the settings of a fake rating service. Quality is the true
+	// mean quality by version as model@version. Ratings are noisy and come late.
+	RaterConfig struct {
+		Quality map[string]float64
+		Noise   float64
+		Lag     time.Duration
+		Seed    uint64
+		Clock   clock.Clock
+	}
+
+	// Sample is an answer to be rated.
+	Sample struct {
+		RequestID string      `json:"request_id"`
+		Version   version.Ref `json:"version"`
+	}
+
+	// Rating is the rating of one answer, 0 to 1.
+	Rating struct {
+		Sample
+		Quality float64 `json:"quality"`
+	}
+
+	// Rater is a fake rating service.
+	Rater struct {
+		cfg RaterConfig
+
+		mu      sync.Mutex
+		random  *rand.Rand
+		pending []pendingRating
+	}
+
+	pendingRating struct {
+		rating Rating
+		due    time.Time
+	}
+)
+
+// NewRater returns a rating service.
+func NewRater(cfg RaterConfig) *Rater {
+	return &Rater{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1))}
+}
+
+// Submit gives the service an answer to rate.
+func (r *Rater) Submit(s Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	quality := r.cfg.Quality[s.Version.String()] + r.random.NormFloat64()*r.cfg.Noise
+	r.pending = append(r.pending, pendingRating{
+		rating: Rating{Sample: s, Quality: min(max(quality, 0), 1)}, due: r.cfg.Clock.Now().Add(r.cfg.Lag),
+	})
+}
+
+// Collect takes the ratings that are ready.
+func (r *Rater) Collect() []Rating {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock.Now()
+	var (
+		ready []Rating
+		later []pendingRating
+	)
+	for _, p := range r.pending {
+		if now.Before(p.due) {
+			later = append(later, p)
+			continue
+		}
+		ready = append(ready, p.rating)
+	}
+	r.pending = later
+	return ready
+}
+
+// Handler returns the service's HTTP interface: POST submits a sample, GET
+// collects the ratings that are ready.
+func (r *Rater) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Post(PathRatings, func(w http.ResponseWriter, req *http.Request) {
+		var s Sample
+		if err := json.NewDecoder(req.Body).Decode(&s); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		r.Submit(s)
+		w.WriteHeader(http.StatusAccepted)
+	})
+	router.Get(PathRatings, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, r.Collect()) })
+	return router
+}
--- /dev/null
+++ b/internal/fake/service.go
@@ -0,0 +1,108 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/clock"
+
+	"rosereach/core/backend"
+	iobackend "rosereach/io/backend"
+)
+
+type (
+	// ServiceConfig are the settings of a fake plain service.
+	ServiceConfig struct {
+		ID          string
+		Incarnation uint64
+		Region      string
+		Zone        string
+		Service     string
+		Capacity    int
+		Clock       clock.Clock
+	}
+
+	// Service is a fake register or ledger. It answers every call with a
+	// receipt and does not recognize repeated calls.
+	Service struct {
+		cfg ServiceConfig
+		Log RunLog
+
+		mu      sync.Mutex
+		leaving bool
+		busy    int
+	}
+
+	// Receipt is the answer to a call.
+	Receipt struct {
+		Service   string `json:"service"`
+		RequestID string `json:"request_id"`
+		Method    string `json:"method"`
+		Path      string `json:"path"`
+		Bytes     int    `json:"bytes"`
+	}
+)
+
+// NewService returns a service.
+func NewService(cfg ServiceConfig) *Service { return &Service{cfg: cfg} }
+
+// Leave makes the service announce that it is leaving.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/v1/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Log.Runs()) })
+	r.Get(iobackend.PathRequests+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		id := chi.URLParam(r, "id")
+		writeJSON(w, lookup(id, s.Log.Of(id)))
+	})
+	r.HandleFunc("/*", s.call)
+	return r
+}
+
+// Announcement returns what the service says about itself now.
+func (s *Service) Announcement(address string) backend.Announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := backend.Announcement{
+		ID: s.cfg.ID, Incarnation: s.cfg.Incarnation, Region: s.cfg.Region, Zone: s.cfg.Zone, Kind: backend.Plain,
+		Service: s.cfg.Service, Capacity: s.cfg.Capacity, State: backend.Serving, Address: address,
+		Load: backend.Load{At: s.cfg.Clock.Now(), Running: s.busy},
+	}
+	if s.leaving {
+		a.State = backend.Leaving
+	}
+	return a
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(iobackend.HeaderRequestID)
+	place := s.Log.Start(Run{
+		Backend: s.cfg.ID, RequestID: id, Attempt: int(numberIn(r, iobackend.HeaderAttempt)),
+		Method: r.Method, Path: r.URL.Path, StartedAt: s.cfg.Clock.Now(),
+	})
+	s.count(1)
+	defer s.count(-1)
+	w.Header().Set("Content-Type", "application/json")
+	receipt := Receipt{Service: s.cfg.Service, RequestID: id, Method: r.Method, Path: r.URL.Path, Bytes: len(body)}
+	s.Log.Finish(place, 0, true)
+	json.NewEncoder(w).Encode(receipt) //nolint:errcheck // the entry has gone
+}
+
+func (s *Service) count(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy += n
+}
--- /dev/null
+++ b/internal/fault/proxy_test.go
@@ -0,0 +1,99 @@
+package fault
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo starts a server that sends back what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func TestProxyFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		plan Plan
+		want string
+	}{
+		{"pass", Plan{}, "hello"},
+		{"refuse", Plan{Refuse: true}, ""},
+		{"reset before the first byte", Plan{ResetAfter: -1}, ""},
+		{"reset after some", Plan{ResetAfter: 2}, "he"},
+		{"delay", Plan{Delay: time.Millisecond, BytesPerSecond: 10_000}, "hello"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p, err := Start(t.Context(), echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Set(tc.plan)
+			c := dial(t, p)
+			c.Write([]byte("hello"))
+			got := make([]byte, len("hello"))
+			n, _ := io.ReadFull(c, got)
+			if string(got[:n]) != tc.want {
+				t.Errorf("got %q, want %q", got[:n], tc.want)
+			}
+		})
+	}
+}
+
+// A silent cut holds bytes back and keeps the connection open; they arrive
+// once it ends.
+func TestProxySilentCut(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p, err := Start(ctx, echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, p)
+	got := make([]byte, 1)
+	c.Write([]byte("a"))
+	if _, err := io.ReadFull(c, got); err != nil {
+		t.Fatal(err)
+	}
+	p.Set(Plan{Silent: true})
+	c.Write([]byte("b"))
+	c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := c.Read(got); err == nil {
+		t.Fatal("a byte came through the cut")
+	}
+	p.Set(Plan{})
+	c.SetReadDeadline(time.Time{})
+	if _, err := io.ReadFull(c, got); err != nil || got[0] != 'b' || p.Bytes() < 4 {
+		t.Errorf("after the cut: %q, %v, %d bytes", got, err, p.Bytes())
+	}
+}
--- /dev/null
+++ b/io/backend/engine.go
@@ -0,0 +1,245 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/request"
+	"rosereach/core/version"
+)
+
+const (
+	// maxEventBytes bounds one server-sent event.
+	maxEventBytes = 1 << 20
+
+	// maxAnswerBytes bounds a plain service's answer.
+	maxAnswerBytes = 16 << 20
+
+	eventPrefix = "data: "
+	eventDone   = "[DONE]"
+)
+
+// ErrCut is the cause of an answer that ended before its end was said.
+const ErrCut = errors.ConstError("the answer was cut")
+
+type (
+	// Client calls backend servers over HTTP.
+	Client struct {
+		http *http.Client
+	}
+
+	// PlainCall is one attempt of a call to a plain service.
+	PlainCall struct {
+		Address     string
+		RequestID   string
+		Attempt     int
+		Deadline    time.Time
+		Method      string
+		Path        string
+		ContentType string
+		Body        []byte
+	}
+
+	// PlainAnswer is the answer of a plain service.
+	PlainAnswer struct {
+		Status      int
+		ContentType string
+		Body        []byte
+	}
+)
+
+// NewClient returns a client whose connections come from the transport.
+func NewClient(t *http.Transport) *Client { return &Client{http: &http.Client{Transport: t}} }
+
+// Stream runs a chat completion and passes each piece to take, in the order
+// in which the engine sent them. The error is an *AttemptError.
+func (c *Client) Stream(ctx context.Context, call Call, take func(Piece) error) (End, error) {
+	body, err := json.Marshal(ChatRequest{
+		Model: call.Version.Model, Messages: call.Messages, MaxTokens: call.MaxTokens, Stream: true, Prefix: call.Prefix,
+	})
+	if err != nil {
+		return End{}, notRun(err)
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+call.Address+PathChat, bytes.NewReader(body))
+	if err != nil {
+		return End{}, notRun(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	setCommon(req.Header, call.RequestID, call.Attempt, call.Deadline)
+	req.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
+	req.Header.Set(HeaderVersion, call.Version.String())
+	if call.Prefix != "" {
+		req.Header.Set(HeaderPrefix, strconv.FormatInt(call.Offset, 10))
+	} else if call.Offset > 0 {
+		req.Header.Set(HeaderOffset, strconv.FormatInt(call.Offset, 10))
+	}
+	resp, err := c.do(ctx, req)
+	if err != nil {
+		return End{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return End{}, failureOf(resp)
+	}
+	return readStream(resp.Body, call.RequestID, take)
+}
+
+// Plain calls a plain service. The error is an *AttemptError.
+func (c *Client) Plain(ctx context.Context, call PlainCall) (PlainAnswer, error) {
+	req, err := http.NewRequest(call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return PlainAnswer{}, notRun(err)
+	}
+	if call.ContentType != "" {
+		req.Header.Set("Content-Type", call.ContentType)
+	}
+	setCommon(req.Header, call.RequestID, call.Attempt, call.Deadline)
+	resp, err := c.do(ctx, req)
+	if err != nil {
+		return PlainAnswer{}, err
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get(HeaderOutcome) == string(request.NotRun) {
+		return PlainAnswer{}, failureOf(resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return PlainAnswer{}, unknown(err)
+	}
+	if len(body) > maxAnswerBytes {
+		return PlainAnswer{}, unknown(errors.Errorf("answer over %d bytes", maxAnswerBytes))
+	}
+	return PlainAnswer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// do sends the request. An error before a connection stood is not_run: no
+// byte of the attempt was written.
+func (c *Client) do(ctx context.Context, req *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil {
+		return resp, nil
+	}
+	if !connected.Load() {
+		return nil, notRun(err)
+	}
+	return nil, unknown(err)
+}
+
+func setCommon(h http.Header, id string, attempt int, deadline time.Time) {
+	h.Set(HeaderRequestID, id)
+	h.Set(HeaderAttempt, strconv.Itoa(attempt))
+	if !deadline.IsZero() {
+		h.Set(HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
+	}
+}
+
+// failureOf reads a refusal. Only the backend server's own word makes it not_run.
+func failureOf(resp *http.Response) error {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 1024))
+	if err != nil {
+		return unknown(err)
+	}
+	cause := errors.Errorf("status %d: %s", resp.StatusCode, strings.TrimSpace(string(text)))
+	if resp.Header.Get(HeaderOutcome) == string(request.NotRun) {
+		return notRun(cause)
+	}
+	return unknown(cause)
+}
+
+func readStream(r io.Reader, id string, take func(Piece) error) (End, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	var end *End
+	for scanner.Scan() {
+		event, ok := strings.CutPrefix(scanner.Text(), eventPrefix)
+		if !ok {
+			continue
+		}
+		if event == eventDone && end != nil {
+			return *end, nil
+		}
+		chunk, err := parseChunk(event, id)
+		if err != nil {
+			return End{}, unknown(err)
+		}
+		if err := takeChunk(chunk, take); err != nil {
+			return End{}, unknown(err)
+		}
+		if chunk.Usage != nil {
+			end = endOf(chunk)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return End{}, unknown(err)
+	}
+	return End{}, unknown(ErrCut)
+}
+
+func parseChunk(event, id string) (Chunk, error) {
+	var chunk Chunk
+	if err := json.Unmarshal([]byte(event), &chunk); err != nil {
+		return chunk, errors.Annotate(err, "event of the answer")
+	}
+	if chunk.ID != id {
+		return chunk, errors.Errorf("event of another answer, %q", chunk.ID)
+	}
+	if len(chunk.Choices) != 1 {
+		return chunk, errors.Errorf("event with %d choices", len(chunk.Choices))
+	}
+	return chunk, nil
+}
+
+func takeChunk(chunk Chunk, take func(Piece) error) error {
+	text := chunk.Choices[0].Delta.Content
+	if text == "" {
+		return nil
+	}
+	return take(Piece{Offset: chunk.Offset, Text: text})
+}
+
+func endOf(chunk Chunk) *End {
+	return &End{
+		Usage:  request.Usage{InputTokens: chunk.Usage.PromptTokens, OutputTokens: chunk.Usage.CompletionTokens},
+		Tokens: chunk.Usage.CompletionTokens,
+	}
+}
+
+func notRun(cause error) error  { return &AttemptError{Outcome: request.NotRun, Cause: cause} }
+func unknown(cause error) error { return &AttemptError{Outcome: request.Unknown, Cause: cause} }
+
+// NewChunk returns a chunk with text, as engines and entries send it.
+func NewChunk(id string, ref version.Ref, at time.Time, offset int64, text string) Chunk {
+	return Chunk{
+		ID: id, Object: "chat.completion.chunk", Created: at.Unix(), Model: ref.String(), Offset: offset,
+		Choices: []Choice{{Delta: Delta{Content: text}}},
+	}
+}
+
+// NewEndChunk returns the last chunk of an answer.
+func NewEndChunk(id string, ref version.Ref, at time.Time, usage request.Usage) Chunk {
+	stop := "stop"
+	chunk := NewChunk(id, ref, at, usage.OutputTokens, "")
+	chunk.Choices[0].FinishReason = &stop
+	chunk.Usage = UsageOf(usage)
+	return chunk
+}
+
+// UsageOf returns the usage in the names of chat completions.
+func UsageOf(u request.Usage) *Usage {
+	return &Usage{
+		PromptTokens: u.InputTokens, CompletionTokens: u.OutputTokens, TotalTokens: u.InputTokens + u.OutputTokens,
+	}
+}
--- /dev/null
+++ b/io/caller/chat.go
@@ -0,0 +1,219 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+
+	"rosereach/core/request"
+	"rosereach/core/version"
+	iobackend "rosereach/io/backend"
+)
+
+const defaultMaxTokens = 256
+
+type (
+	// ChatRequest is the part of a chat completion's body that the router
+	// reads. Model may be a model, a version as model@version, or auto.
+	ChatRequest struct {
+		Model     string            `json:"model"`
+		Messages  []request.Message `json:"messages"`
+		MaxTokens int64             `json:"max_tokens"`
+		Stream    bool              `json:"stream"`
+	}
+
+	// Completion is the answer to a chat completion that is not streamed.
+	Completion struct {
+		ID      string             `json:"id"`
+		Object  string             `json:"object"`
+		Created int64              `json:"created"`
+		Model   string             `json:"model"`
+		Choices []CompletionChoice `json:"choices"`
+		Usage   *iobackend.Usage   `json:"usage"`
+	}
+
+	// CompletionChoice is the only choice of a completion.
+	CompletionChoice struct {
+		Index        int             `json:"index"`
+		Message      request.Message `json:"message"`
+		FinishReason string          `json:"finish_reason"`
+	}
+
+	// sessionRequest is the body of a request for a session.
+	sessionRequest struct {
+		Model string `json:"model"`
+	}
+
+	// SessionReply is the answer to a request for a session.
+	SessionReply struct {
+		Session string `json:"session"`
+	}
+
+	// eventSink streams text to the caller as server-sent events.
+	eventSink struct {
+		w       http.ResponseWriter
+		id      string
+		clock   clock.Clock
+		started bool
+	}
+
+	// textSink collects text.
+	textSink struct{ text strings.Builder }
+)
+
+func (s *server) postChat(w http.ResponseWriter, r *http.Request) {
+	req, err := s.newChat(w, r)
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	if req.Stream {
+		s.streamChat(w, r, req)
+		return
+	}
+	sink := &textSink{}
+	answer, err := s.router.Complete(r.Context(), req, sink)
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	setAnswerHeaders(w.Header(), answer)
+	writeJSON(w, http.StatusOK, Completion{
+		ID: req.ID, Object: "chat.completion", Created: s.opts.Clock.Now().Unix(), Model: answer.Version.String(),
+		Choices: []CompletionChoice{{
+			Message: request.Message{Role: "assistant", Content: sink.text.String()}, FinishReason: "stop",
+		}},
+		Usage: iobackend.UsageOf(answer.Usage),
+	})
+}
+
+func (s *server) streamChat(w http.ResponseWriter, r *http.Request, req request.Request) {
+	sink := &eventSink{w: w, id: req.ID, clock: s.opts.Clock}
+	answer, err := s.router.Complete(r.Context(), req, sink)
+	if err != nil && !sink.started {
+		writeRefusal(w, err)
+		return
+	}
+	if err != nil {
+		sink.fail(err)
+		return
+	}
+	sink.end(answer)
+}
+
+// newChat reads and checks the body of a chat completion.
+func (s *server) newChat(w http.ResponseWriter, r *http.Request) (request.Request, error) {
+	req, err := s.newRequest(w, r)
+	if err != nil {
+		return req, err
+	}
+	var body ChatRequest
+	if err := json.Unmarshal(req.Body, &body); err != nil {
+		return req, request.NewNotRun(request.CodeBadRequest, "the body is no valid JSON: "+err.Error())
+	}
+	if body.Model == "" || len(body.Messages) == 0 {
+		return req, request.NewNotRun(request.CodeBadRequest, "the body needs model and messages")
+	}
+	req.Kind = request.Model
+	req.Idempotent = true
+	req.Messages = body.Messages
+	req.Stream = body.Stream
+	req.MaxTokens = body.MaxTokens
+	if req.MaxTokens <= 0 {
+		req.MaxTokens = defaultMaxTokens
+	}
+	setModel(&req, body.Model)
+	if token := r.Header.Get(HeaderSession); token != "" {
+		return s.router.Resume(req, token)
+	}
+	return req, nil
+}
+
+func setModel(req *request.Request, model string) {
+	req.Model = model
+	if ref, err := version.ParseRef(model); err == nil {
+		req.Model = ref.Model
+		req.Version = &ref
+	}
+}
+
+func (s *server) postSession(w http.ResponseWriter, r *http.Request) {
+	req, err := s.newRequest(w, r)
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	var body sessionRequest
+	if err := json.Unmarshal(req.Body, &body); err != nil || body.Model == "" {
+		writeRefusal(w, request.NewNotRun(request.CodeBadRequest, "the body needs model"))
+		return
+	}
+	req.Kind = request.Model
+	req.Idempotent = true
+	setModel(&req, body.Model)
+	token, err := s.router.OpenSession(r.Context(), req)
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, SessionReply{Session: token})
+}
+
+// Text sends one event.
+func (e *eventSink) Text(ref version.Ref, offset int64, text string) error {
+	if !e.started {
+		e.started = true
+		e.w.Header().Set("Content-Type", "text/event-stream")
+		e.w.Header().Set(HeaderVersion, ref.String())
+		e.w.WriteHeader(http.StatusOK)
+	}
+	return e.send(iobackend.NewChunk(e.id, ref, e.clock.Now(), offset, text))
+}
+
+// end says that the answer is whole.
+func (e *eventSink) end(a request.Answer) {
+	if !e.started {
+		e.w.Header().Set("Content-Type", "text/event-stream")
+		setAnswerHeaders(e.w.Header(), a)
+	}
+	if e.send(iobackend.NewEndChunk(e.id, a.Version, e.clock.Now(), a.Usage)) == nil {
+		e.write([]byte("[DONE]")) //nolint:errcheck // the caller has gone; the answer is recorded
+	}
+}
+
+// fail ends a started answer with an error event, so that a cut answer is
+// never taken for a whole one.
+func (e *eventSink) fail(err error) {
+	e.send(struct { //nolint:errcheck // the caller has gone
+		Error Problem `json:"error"`
+	}{problemOf(err)})
+}
+
+func (e *eventSink) send(event any) error {
+	data, err := json.Marshal(event)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return e.write(data)
+}
+
+func (e *eventSink) write(data []byte) error {
+	var b bytes.Buffer
+	b.WriteString("data: ")
+	b.Write(data)
+	b.WriteString("\n\n")
+	if _, err := e.w.Write(b.Bytes()); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(http.NewResponseController(e.w).Flush())
+}
+
+// Text keeps the text.
+func (t *textSink) Text(_ version.Ref, _ int64, text string) error {
+	t.text.WriteString(text)
+	return nil
+}
--- /dev/null
+++ b/io/caller/client.go
@@ -0,0 +1,219 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/request"
+	iobackend "rosereach/io/backend"
+)
+
+const maxEventBytes = 1 << 20
+
+type (
+	// Client is a caller: it sends requests to one entry with one workspace's
+	// key. The zero HTTP client is http.DefaultClient.
+	Client struct {
+		Address string
+		Key     string
+		HTTP    *http.Client
+	}
+
+	// CallOptions are the parts of a request beside its body. Empty fields are
+	// left out.
+	CallOptions struct {
+		RequestID string
+		Session   string
+		Priority  string
+		Timeout   time.Duration
+	}
+
+	// Reply is what a caller saw. Problem is set when the request was refused
+	// or its answer broke; Whole when a streamed answer came to its end.
+	Reply struct {
+		RequestID  string
+		Status     int
+		Version    string
+		Text       string
+		Tokens     int64
+		Whole      bool
+		Repeated   bool
+		Problem    *Problem
+		FirstToken time.Duration
+		Total      time.Duration
+	}
+
+	// event is one server-sent event of an answer: a chunk or an error.
+	event struct {
+		iobackend.Chunk
+		Error *Problem `json:"error"`
+	}
+)
+
+// Outcome returns what the caller knows of its request.
+func (r Reply) Outcome() request.Outcome {
+	switch {
+	case r.Problem != nil:
+		return r.Problem.Outcome
+	case r.Whole:
+		return request.Done
+	}
+	return request.Unknown
+}
+
+// Chat sends a chat completion. A non-nil error means that the connection
+// failed: the request's outcome is not known.
+func (c Client) Chat(ctx context.Context, body ChatRequest, opts CallOptions) (Reply, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	return c.send(ctx, http.MethodPost, "/v1/chat/completions", data, opts, body.Stream)
+}
+
+// Service calls a plain service.
+func (c Client) Service(ctx context.Context, service, method, path string, body []byte, opts CallOptions) (Reply, error) {
+	return c.send(ctx, method, "/v1/services/"+url.PathEscape(service)+path, body, opts, false)
+}
+
+// OpenSession opens a session for the model and returns its token.
+func (c Client) OpenSession(ctx context.Context, model string, opts CallOptions) (string, error) {
+	body, err := json.Marshal(sessionRequest{Model: model})
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	reply, err := c.send(ctx, http.MethodPost, "/v1/sessions", body, opts, false)
+	if err != nil {
+		return "", err
+	}
+	if reply.Problem != nil {
+		return "", errors.Errorf("%s: %s", reply.Problem.Code, reply.Problem.Detail)
+	}
+	var session SessionReply
+	return session.Session, errors.Trace(json.Unmarshal([]byte(reply.Text), &session))
+}
+
+// FindAddresses asks the entry which entries to use.
+func (c Client) FindAddresses(ctx context.Context, region, zone string) (Addresses, error) {
+	query := url.Values{"region": {region}, "availability_zone": {zone}}
+	reply, err := c.send(ctx, http.MethodGet, "/v1/addresses?"+query.Encode(), nil, CallOptions{}, false)
+	if err != nil {
+		return Addresses{}, err
+	}
+	var a Addresses
+	return a, errors.Trace(json.Unmarshal([]byte(reply.Text), &a))
+}
+
+func (c Client) send(ctx context.Context, method, path string, body []byte, opts CallOptions, stream bool) (Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	req.GetBody = nil
+	c.setHeaders(req.Header, opts)
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	began := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return Reply{}, errors.Annotatef(err, "entry at %s", c.Address)
+	}
+	defer resp.Body.Close()
+	reply := Reply{
+		RequestID: resp.Header.Get(HeaderRequestID), Status: resp.StatusCode,
+		Version: resp.Header.Get(HeaderVersion), Repeated: resp.Header.Get(HeaderRepeated) == "true",
+	}
+	if stream && resp.StatusCode == http.StatusOK {
+		err = reply.readEvents(resp.Body, began)
+	} else {
+		err = reply.readBody(resp)
+	}
+	reply.Total = time.Since(began)
+	return reply, err
+}
+
+func (c Client) setHeaders(h http.Header, opts CallOptions) {
+	if c.Key != "" {
+		h.Set("Authorization", "Bearer "+c.Key)
+	}
+	if opts.RequestID != "" {
+		h.Set(HeaderRequestID, opts.RequestID)
+	}
+	if opts.Session != "" {
+		h.Set(HeaderSession, opts.Session)
+	}
+	if opts.Priority != "" {
+		h.Set(HeaderPriority, opts.Priority)
+	}
+	if opts.Timeout > 0 {
+		h.Set(HeaderTimeout, strconv.FormatInt(opts.Timeout.Milliseconds(), 10))
+	}
+}
+
+func (r *Reply) readBody(resp *http.Response) error {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Annotate(err, "answer")
+	}
+	if resp.Header.Get("Content-Type") == "application/problem+json" {
+		r.Problem = &Problem{}
+		return errors.Annotate(json.Unmarshal(body, r.Problem), "problem")
+	}
+	r.Text = string(body)
+	r.Whole = true
+	return nil
+}
+
+func (r *Reply) readEvents(body io.Reader, began time.Time) error {
+	var text strings.Builder
+	defer func() { r.Text = text.String() }()
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.Whole = true
+			return nil
+		}
+		var e event
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return errors.Annotate(err, "event")
+		}
+		if e.Error != nil {
+			r.Problem = e.Error
+			return nil
+		}
+		r.takeChunk(e.Chunk, &text, began)
+	}
+	return errors.Annotate(scanner.Err(), "answer")
+}
+
+func (r *Reply) takeChunk(chunk iobackend.Chunk, text *strings.Builder, began time.Time) {
+	for _, choice := range chunk.Choices {
+		if choice.Delta.Content == "" {
+			continue
+		}
+		if r.FirstToken == 0 {
+			r.FirstToken = time.Since(began)
+		}
+		text.WriteString(choice.Delta.Content)
+	}
+	if chunk.Usage != nil {
+		r.Tokens = chunk.Usage.CompletionTokens
+	}
+}
--- /dev/null
+++ b/io/caller/problem.go
@@ -0,0 +1,116 @@
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/request"
+)
+
+type (
+	// Addresses tells callers which entries to use, in order, and for how long
+	// they may keep the answer.
+	Addresses struct {
+		Addresses []string `json:"addresses"`
+		TTLMs     int64    `json:"ttl_ms"`
+	}
+
+	// Problem is an error as application/problem+json. Outcome says whether
+	// the request ran.
+	Problem struct {
+		Title        string          `json:"title"`
+		Status       int             `json:"status"`
+		Detail       string          `json:"detail"`
+		Code         request.Code    `json:"code"`
+		Outcome      request.Outcome `json:"outcome"`
+		RetryAfterMs int64           `json:"retry_after_ms,omitempty"`
+		Addresses    []string        `json:"addresses,omitempty"`
+	}
+)
+
+// statuses gives each code its HTTP status; codes that are not here get 503.
+var statuses = map[request.Code]int{
+	request.CodeBadRequest:       http.StatusBadRequest,
+	request.CodeBadSession:       http.StatusBadRequest,
+	request.CodeUnauthorized:     http.StatusUnauthorized,
+	request.CodeNotPermitted:     http.StatusForbidden,
+	request.CodeUnknownModel:     http.StatusNotFound,
+	request.CodeUnknownService:   http.StatusNotFound,
+	request.CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	request.CodeWithdrawn:        http.StatusConflict,
+	request.CodeSessionEnded:     http.StatusConflict,
+	request.CodeBodyMismatch:     http.StatusConflict,
+	request.CodeRunningElsewhere: http.StatusConflict,
+	request.CodeAnswerNotKept:    http.StatusConflict,
+	request.CodeIDExpired:        http.StatusGone,
+	request.CodeRateLimited:      http.StatusTooManyRequests,
+	request.CodeOverloaded:       http.StatusTooManyRequests,
+	request.CodeDeadline:         http.StatusGatewayTimeout,
+	request.CodeBackendFailed:    http.StatusBadGateway,
+	request.CodeAnswerCut:        http.StatusBadGateway,
+}
+
+// problemOf describes an error. One that is no refusal leaves open whether the
+// request ran.
+func problemOf(err error) Problem {
+	var r *request.Refusal
+	if !errors.As(err, &r) {
+		r = request.NewUnknown(request.CodeBackendFailed, "internal error")
+	}
+	status, ok := statuses[r.Code]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	return Problem{
+		Title: http.StatusText(status), Status: status, Detail: r.Detail, Code: r.Code, Outcome: r.Outcome,
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Addresses: r.Addresses,
+	}
+}
+
+func writeRefusal(w http.ResponseWriter, err error) {
+	p := problemOf(err)
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(HeaderOutcome, string(p.Outcome))
+	if p.RetryAfterMs > 0 {
+		wait := time.Duration(p.RetryAfterMs) * time.Millisecond
+		h.Set("Retry-After", strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
+	}
+	w.WriteHeader(p.Status)
+	json.NewEncoder(w).Encode(p) //nolint:errcheck // the caller has gone
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v) //nolint:errcheck // the caller has gone
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, request.NewNotRun(request.CodeTooLarge, "the body is over "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, request.NewNotRun(request.CodeBadRequest, "the body could not be read")
+	}
+	return body, nil
+}
+
+func positiveHeader(r *http.Request, name string, fallback int64) (int64, error) {
+	text := r.Header.Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	v, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || v < 0 {
+		return 0, request.NewNotRun(request.CodeBadRequest, name+": give a whole number, 0 or more")
+	}
+	return v, nil
+}
--- /dev/null
+++ b/io/operator/server.go
@@ -0,0 +1,174 @@
+// Package operator is the HTTP interface of a control for operators, and the
+// client for it.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"rosereach/core/audit"
+	"rosereach/core/change"
+	"rosereach/core/lease"
+	"rosereach/core/ledger"
+	"rosereach/core/service"
+	"rosereach/core/template"
+	"rosereach/core/version"
+	"rosereach/core/workspace"
+)
+
+const (
+	// MaxChangeBytes bounds one change.
+	MaxChangeBytes = 1 << 20
+
+	// MaxPage bounds one page of bills or audit events.
+	MaxPage = 10_000
+
+	// maxWait bounds how long a change may wait until it is in force.
+	maxWait = 30 * time.Second
+)
+
+type (
+	// Backend is what the interface needs of a control.
+	Backend interface {
+		Change(ctx context.Context, c change.Change) (change.Result, error)
+		WaitInForce(ctx context.Context, revision uint64) error
+		Documents() Documents
+		Bills(after uint64, limit int) []ledger.Bill
+		Trail(after uint64, limit int) []audit.Event
+		Status() Status
+	}
+
+	// Documents are the documents at one revision, without secrets.
+	Documents struct {
+		Revision   uint64                         `json:"revision"`
+		Templates  map[string]template.Template   `json:"templates"`
+		Workspaces map[string]workspace.Workspace `json:"workspaces"`
+		Versions   map[string]version.Version     `json:"versions"`
+		Services   map[string]service.Service     `json:"services"`
+	}
+
+	// Status is what a control knows of the fleet.
+	Status struct {
+		Control  string        `json:"control"`
+		Leader   string        `json:"leader"`
+		Index    uint64        `json:"index"`
+		Revision uint64        `json:"revision"`
+		Entries  []lease.Entry `json:"entries"`
+	}
+
+	// Answer is the answer to a change: the result and, when the caller waited,
+	// whether it is in force everywhere.
+	Answer struct {
+		change.Result
+		InForce bool `json:"in_force"`
+	}
+
+	// Problem is an error as application/problem+json.
+	Problem struct {
+		Status int    `json:"status"`
+		Code   string `json:"code"`
+		Detail string `json:"detail"`
+	}
+
+	server struct {
+		key     string
+		backend Backend
+	}
+)
+
+// Mount adds the interface's routes to the router.
+func Mount(r chi.Router, key string, b Backend) {
+	s := &server{key: key, backend: b}
+	r.Group(func(r chi.Router) {
+		r.Use(s.authenticate)
+		r.Post("/v1/changes", s.postChange)
+		r.Get("/v1/documents", s.getDocuments)
+		r.Get("/v1/bills", s.getBills)
+		r.Get("/v1/audit", s.getTrail)
+		r.Get("/v1/status", s.getStatus)
+	})
+}
+
+func (s *server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := r.Header.Get("Authorization")
+		if subtle.ConstantTimeCompare([]byte(given), []byte("Bearer "+s.key)) != 1 {
+			writeProblem(w, Problem{Status: http.StatusUnauthorized, Code: "unauthorized", Detail: "give an operator's key as bearer token"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *server) postChange(w http.ResponseWriter, r *http.Request) {
+	var c change.Change
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxChangeBytes)).Decode(&c); err != nil {
+		writeProblem(w, Problem{Status: http.StatusBadRequest, Code: "bad_request", Detail: err.Error()})
+		return
+	}
+	c.From = r.RemoteAddr
+	result, err := s.backend.Change(r.Context(), c)
+	if err != nil {
+		writeProblem(w, Problem{Status: http.StatusServiceUnavailable, Code: "unknown", Detail: err.Error() + "; send the same change again"})
+		return
+	}
+	answer := Answer{Result: result}
+	if result.Status == change.Accepted && r.URL.Query().Get("wait") != "false" {
+		ctx, cancel := context.WithTimeout(r.Context(), maxWait)
+		defer cancel()
+		answer.InForce = s.backend.WaitInForce(ctx, result.Revision) == nil
+	}
+	writeJSON(w, statusOf(result), answer)
+}
+
+func (s *server) getDocuments(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.backend.Documents())
+}
+
+func (s *server) getBills(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, s.backend.Bills(afterOf(r), MaxPage))
+}
+
+func (s *server) getTrail(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, s.backend.Trail(afterOf(r), MaxPage))
+}
+
+func (s *server) getStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.backend.Status())
+}
+
+func afterOf(r *http.Request) uint64 {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return after
+}
+
+func statusOf(r change.Result) int {
+	switch r.Status {
+	case change.Accepted:
+		return http.StatusOK
+	case change.Conflict:
+		return http.StatusConflict
+	}
+	return http.StatusUnprocessableEntity
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v) //nolint:errcheck // the operator has gone
+}
+
+func writeProblem(w http.ResponseWriter, p Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.Status)
+	json.NewEncoder(w).Encode(p) //nolint:errcheck // the operator has gone
+}
