--- /dev/null
+++ b/internal/entry/choose.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"rosereach/core/cascade"
+	"rosereach/core/request"
+	"rosereach/core/version"
+)
+
+// choose returns the version that the request runs on.
+func (e *Entry) choose(req request.Request) (version.Ref, error) {
+	if req.Version != nil {
+		return *req.Version, nil
+	}
+	c := e.catalog.Load()
+	policy, err := c.Policy(req.Workspace)
+	if err != nil {
+		return version.Ref{}, refusalOf(err, req)
+	}
+	permitted := c.Permitted(req.Workspace)
+	if req.Model != request.AutoModel {
+		permitted = ofModel(permitted, req.Model)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	plan, ok := e.choice.Choose(e.cfg.Clock.Now(), cascade.Demand{
+		Workspace: req.Workspace, Policy: policy, Permitted: permitted,
+		InputTokens: int64(len(req.Body) / bytesPerToken), InSession: req.Session != "",
+	}, e.random)
+	if !ok {
+		return version.Ref{}, request.NewNotRun(request.CodeNotPermitted, "no permitted version serves the model")
+	}
+	return plan.Steps[0], nil
+}
+
+func ofModel(versions []version.Version, model string) []version.Version {
+	var found []version.Version
+	for _, v := range versions {
+		if v.Ref.Model == model {
+			found = append(found, v)
+		}
+	}
+	return found
+}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
-	"rosereach/core/cascade"
 	"rosereach/core/ledger"
 	"rosereach/core/limit"
 	"rosereach/core/placement"
@@ -77,42 +76,6 @@
 	}, nil
 }
 
-// choose returns the version that the request runs on.
-func (e *Entry) choose(req request.Request) (version.Ref, error) {
-	if req.Version != nil {
-		return *req.Version, nil
-	}
-	c := e.catalog.Load()
-	policy, err := c.Policy(req.Workspace)
-	if err != nil {
-		return version.Ref{}, refusalOf(err, req)
-	}
-	permitted := c.Permitted(req.Workspace)
-	if req.Model != request.AutoModel {
-		permitted = ofModel(permitted, req.Model)
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	plan, ok := e.choice.Choose(e.cfg.Clock.Now(), cascade.Demand{
-		Workspace: req.Workspace, Policy: policy, Permitted: permitted,
-		InputTokens: int64(len(req.Body) / bytesPerToken), InSession: req.Session != "",
-	}, e.random)
-	if !ok {
-		return version.Ref{}, request.NewNotRun(request.CodeNotPermitted, "no permitted version serves the model")
-	}
-	return plan.Steps[0], nil
-}
-
-func ofModel(versions []version.Version, model string) []version.Version {
-	var found []version.Version
-	for _, v := range versions {
-		if v.Ref.Model == model {
-			found = append(found, v)
-		}
-	}
-	return found
-}
-
 // attempts sends the request until an answer is whole. An answer that broke
 // is resumed on its own engine, or continued behind its text on another.
 func (e *Entry) attempts(ctx context.Context, req request.Request, ref version.Ref, out *output) (request.Answer, error) {
