--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race format lint ci demo
+.PHONY: build test race format lint ci demo property
 
 build: ; go build -o bin/rosereach .
 test: ; go test ./...
@@ -7,3 +7,5 @@
 lint: ; go tool -modfile=tools/go.mod golangci-lint run ./...
 ci: ; .ci/run
 demo: ; go run . demo
+
+property: ; go test ./core/replica -run TestGroup -count=1 -rapid.seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' ') -rapid.checks=20000
--- /dev/null
+++ b/core/replica/membership.go
@@ -0,0 +1,169 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// The reasons for which a membership change is refused.
+const (
+	ErrNotLeader   = errors.ConstError("this replica is not the leader")
+	ErrPending     = errors.ConstError("another membership change is under way")
+	ErrNotCaughtUp = errors.ConstError("the learner has not caught up")
+	ErrNoMember    = errors.ConstError("no such member")
+	ErrLastVoter   = errors.ConstError("the last voter cannot be removed")
+	ErrStopping    = errors.ConstError("the leader is handing over")
+)
+
+type (
+	// Identity names a replica: its id and the incarnation of its data folder.
+	// A replica that lost its disk has a new identity.
+	Identity struct {
+		ID          string `json:"id"`
+		Incarnation uint64 `json:"incarnation"`
+	}
+
+	// Member is a replica and the address, host:port, at which others reach it.
+	Member struct {
+		Identity
+		Address string `json:"address"`
+	}
+
+	// Membership is the set of replicas of a group. Learners get the log but
+	// have no vote.
+	Membership struct {
+		Voters   []Member `json:"voters"`
+		Learners []Member `json:"learners,omitempty"`
+	}
+)
+
+// IsZero reports whether the identity is none.
+func (i Identity) IsZero() bool { return i == Identity{} }
+
+// IsVoter reports whether the replica has a vote.
+func (m Membership) IsVoter(id Identity) bool { return find(m.Voters, id) >= 0 }
+
+// IsMember reports whether the replica is a voter or a learner.
+func (m Membership) IsMember(id Identity) bool { return m.IsVoter(id) || find(m.Learners, id) >= 0 }
+
+// All returns voters and learners.
+func (m Membership) All() []Member { return slices.Concat(m.Voters, m.Learners) }
+
+// Quorum returns the number of voters that make a majority.
+func (m Membership) Quorum() int { return len(m.Voters)/2 + 1 }
+
+// WithLearner returns the membership with a new learner.
+func (m Membership) WithLearner(n Member) Membership {
+	return Membership{Voters: m.Voters, Learners: append(slices.Clone(m.Learners), n)}
+}
+
+// WithVoter returns the membership with a learner made a voter.
+func (m Membership) WithVoter(id Identity) Membership {
+	i := find(m.Learners, id)
+	n := m.Learners[i]
+	return Membership{
+		Voters:   append(slices.Clone(m.Voters), n),
+		Learners: slices.Delete(slices.Clone(m.Learners), i, i+1),
+	}
+}
+
+// Without returns the membership without a replica.
+func (m Membership) Without(id Identity) Membership {
+	same := func(n Member) bool { return n.Identity == id }
+	return Membership{
+		Voters:   slices.DeleteFunc(slices.Clone(m.Voters), same),
+		Learners: slices.DeleteFunc(slices.Clone(m.Learners), same),
+	}
+}
+
+// AddLearner proposes a new learner.
+func (r *Replica) AddLearner(now time.Time, n Member) error {
+	if err := r.mayChangeMembers(); err != nil {
+		return err
+	}
+	if r.members.IsMember(n.Identity) {
+		return nil
+	}
+	r.proposeMembers(now, r.members.WithLearner(n))
+	return nil
+}
+
+// Promote proposes to make a learner a voter once it has caught up.
+func (r *Replica) Promote(now time.Time, id Identity) error {
+	if err := r.mayChangeMembers(); err != nil {
+		return err
+	}
+	if find(r.members.Learners, id) < 0 {
+		return errors.Trace(ErrNoMember)
+	}
+	if !r.IsCaughtUp(id) {
+		return errors.Trace(ErrNotCaughtUp)
+	}
+	r.proposeMembers(now, r.members.WithVoter(id))
+	return nil
+}
+
+// Remove proposes to take a replica out of the group.
+func (r *Replica) Remove(now time.Time, id Identity) error {
+	if err := r.mayChangeMembers(); err != nil {
+		return err
+	}
+	if !r.members.IsMember(id) {
+		return errors.Trace(ErrNoMember)
+	}
+	next := r.members.Without(id)
+	if len(next.Voters) == 0 {
+		return errors.Trace(ErrLastVoter)
+	}
+	r.proposeMembers(now, next)
+	return nil
+}
+
+// IsCaughtUp reports whether a replica holds all that was committed at the
+// heartbeat before the last.
+func (r *Replica) IsCaughtUp(id Identity) bool {
+	p, ok := r.peers[id]
+	return ok && p.match > 0 && p.match >= r.settled
+}
+
+// mayChangeMembers allows one change at a time, and the first one only after
+// the leader has committed an entry of its own term.
+func (r *Replica) mayChangeMembers() error {
+	switch {
+	case r.role != Leader:
+		return errors.Trace(ErrNotLeader)
+	case !r.transfer.IsZero():
+		return errors.Trace(ErrStopping)
+	case r.membersIndex > r.commit || r.commit < r.firstOwn:
+		return errors.Trace(ErrPending)
+	}
+	return nil
+}
+
+func (r *Replica) proposeMembers(now time.Time, m Membership) {
+	r.addEntries(now, Entry{Kind: Members, Members: &m})
+}
+
+// loadMembers takes the newest membership of the log, committed or not.
+func (r *Replica) loadMembers() {
+	r.members, r.membersIndex = r.log.members()
+	if r.role != Leader {
+		return
+	}
+	for _, m := range r.members.All() {
+		if _, ok := r.peers[m.Identity]; !ok && m.Identity != r.cfg.Self {
+			r.peers[m.Identity] = &progress{next: r.log.lastIndex() + 1, acked: r.now}
+		}
+	}
+	for id := range r.peers {
+		if !r.members.IsMember(id) {
+			delete(r.peers, id)
+		}
+	}
+}
+
+func find(list []Member, id Identity) int {
+	return slices.IndexFunc(list, func(m Member) bool { return m.Identity == id })
+}
--- /dev/null
+++ b/core/replica/replica_test.go
@@ -0,0 +1,375 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	testHeartbeat = 50 * time.Millisecond
+	testElection  = 300 * time.Millisecond
+)
+
+type (
+	// world is a group of replicas, their disks and the network between them.
+	world struct {
+		t       *rapid.T
+		random  *rand.Rand
+		now     time.Time
+		nodes   map[Identity]*node
+		network []Message
+		leaders map[uint64]Identity
+		newest  uint64
+		applied []Entry
+		next    int
+		lossy   bool
+	}
+
+	// node is one replica: the machine, its synced folder and what the disk has
+	// not synced yet.
+	node struct {
+		replica *Replica
+		disk    Saved
+		pending []Write
+		applied uint64
+		down    bool
+		cut     bool
+	}
+)
+
+func newWorld(t *rapid.T, seed uint64, voters int) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		nodes: make(map[Identity]*node), leaders: make(map[uint64]Identity), lossy: true,
+	}
+	first := Member{Identity: Identity{ID: "a", Incarnation: 1}}
+	saved := Bootstrap(first)
+	for i := 1; i < voters; i++ {
+		m := Member{Identity: Identity{ID: string(rune('a' + i)), Incarnation: 1}}
+		saved.Snapshot.Members.Voters = append(saved.Snapshot.Members.Voters, m)
+	}
+	for _, m := range saved.Snapshot.Members.Voters {
+		w.start(m.Identity, saved)
+	}
+	return w
+}
+
+func (w *world) start(id Identity, saved Saved) {
+	cfg := Config{
+		Group: "g", Self: id, Heartbeat: testHeartbeat, Election: testElection,
+		MaxAppend: 4, MaxBytes: 16, Window: 16, Random: w.random,
+	}
+	saved.Entries = slices.Clone(saved.Entries)
+	n := &node{replica: New(cfg, w.now, saved), disk: saved, applied: saved.Snapshot.Index}
+	if old := w.nodes[id]; old != nil {
+		n.cut = old.cut
+	}
+	w.nodes[id] = n
+}
+
+func (w *world) ids() []Identity {
+	var ids []Identity
+	for id := range w.nodes {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b Identity) int {
+		return 2*int(a.Incarnation) - 2*int(b.Incarnation) + sign(a.ID > b.ID)
+	})
+	return ids
+}
+
+func sign(b bool) int {
+	if b {
+		return 1
+	}
+	return -1
+}
+
+// collect takes what the replica emits and checks the invariants.
+func (w *world) collect(id Identity) {
+	n := w.nodes[id]
+	if n.down {
+		return
+	}
+	w.network = append(w.network, n.replica.TakeMessages()...)
+	if write, ok := n.replica.TakeWrite(); ok {
+		n.pending = append(n.pending, write)
+	}
+	c := n.replica.TakeCommits()
+	if c.Snapshot != nil {
+		n.applied = c.Snapshot.Index
+	}
+	for _, e := range c.Entries {
+		w.apply(id, n, e)
+	}
+	s := n.replica.Status()
+	if s.Role != Leader {
+		return
+	}
+	if old, ok := w.leaders[s.Term]; ok && old != id {
+		w.t.Fatalf("term %d has leaders %v and %v", s.Term, old, id)
+	}
+	w.leaders[s.Term] = id
+	w.newest = max(w.newest, s.Term)
+}
+
+// checkGrants checks that no leader may grant once a newer one was elected.
+func (w *world) checkGrants() {
+	for id, n := range w.nodes {
+		if term := n.replica.Status().Term; !n.down && term < w.newest && n.replica.MayGrant(w.now) {
+			w.t.Fatalf("%v may grant in term %d, but term %d has a leader", id, term, w.newest)
+		}
+	}
+}
+
+// apply checks that all replicas apply the same entries in the same order.
+func (w *world) apply(id Identity, n *node, e Entry) {
+	if e.Index != n.applied+1 {
+		w.t.Fatalf("%v applies %d after %d", id, e.Index, n.applied)
+	}
+	n.applied = e.Index
+	at := int(e.Index) - 2
+	if at < len(w.applied) {
+		known := w.applied[at]
+		if known.Term != e.Term || string(known.Data) != string(e.Data) {
+			w.t.Fatalf("%v applies %+v, others %+v", id, e, known)
+		}
+		return
+	}
+	w.applied = append(w.applied, e)
+}
+
+// sync completes the oldest write of a replica.
+func (w *world) sync(id Identity) {
+	n := w.nodes[id]
+	if n.down || len(n.pending) == 0 {
+		return
+	}
+	write := n.pending[0]
+	n.pending = n.pending[1:]
+	n.disk = persist(n.disk, write)
+	n.replica.Synced(w.now, write.Sequence)
+	w.collect(id)
+}
+
+func persist(d Saved, w Write) Saved {
+	if w.Hard != nil {
+		d.Hard = *w.Hard
+	}
+	if w.Snapshot != nil {
+		d.Snapshot = *w.Snapshot
+		d.Entries = slices.DeleteFunc(slices.Clone(d.Entries), func(e Entry) bool { return w.Reset || e.Index <= w.Snapshot.Index })
+	}
+	if len(w.Entries) > 0 {
+		d.Entries = slices.DeleteFunc(slices.Clone(d.Entries), func(e Entry) bool { return e.Index >= w.Entries[0].Index })
+		d.Entries = append(d.Entries, w.Entries...)
+	}
+	return d
+}
+
+// deliver hands over a message of the network, which may be lost or doubled.
+func (w *world) deliver() {
+	if len(w.network) == 0 {
+		return
+	}
+	i := 0
+	if w.lossy {
+		i = w.random.IntN(min(len(w.network), 8))
+	}
+	m := w.network[i]
+	fate := w.random.IntN(20)
+	if !w.lossy || fate != 0 {
+		w.network = slices.Delete(w.network, i, i+1)
+	}
+	if w.lossy && fate == 1 {
+		return
+	}
+	from, to := w.nodes[m.From], w.nodes[m.To]
+	if to == nil || to.down || to.cut || (from != nil && from.cut) {
+		return
+	}
+	to.replica.Receive(w.now, m)
+	w.collect(m.To)
+}
+
+func (w *world) tick(d time.Duration) {
+	w.now = w.now.Add(d)
+	for _, id := range w.ids() {
+		if n := w.nodes[id]; !n.down {
+			n.replica.Tick(w.now)
+			w.collect(id)
+		}
+	}
+}
+
+func (w *world) leader() (Identity, *node) {
+	var (
+		best Identity
+		top  *node
+	)
+	for _, id := range w.ids() {
+		n := w.nodes[id]
+		s := n.replica.Status()
+		if !n.down && s.Role == Leader && (top == nil || s.Term > top.replica.Status().Term) {
+			best, top = id, n
+		}
+	}
+	return best, top
+}
+
+// crash loses what was not synced; with wipe the folder is lost too and a
+// replica with a new incarnation asks to join.
+func (w *world) crash(id Identity) {
+	n := w.nodes[id]
+	n.down, n.pending = true, nil
+}
+
+func (w *world) restart(id Identity) {
+	if n := w.nodes[id]; n.down {
+		w.start(id, n.disk)
+	}
+}
+
+// step does one random thing.
+func (w *world) step() {
+	ids := w.ids()
+	id := ids[w.random.IntN(len(ids))]
+	switch k := w.random.IntN(100); {
+	case k < 50:
+		w.deliver()
+	case k < 75:
+		w.sync(id)
+	case k < 84:
+		w.tick(time.Duration(w.random.IntN(40)) * time.Millisecond)
+	case k < 91:
+		w.propose()
+	case k < 94:
+		w.restart(id)
+	case k < 97:
+		w.changeMembers()
+	case k < 98:
+		w.compact(id)
+	case k < 99:
+		w.crash(id)
+	default:
+		w.nodes[id].cut = !w.nodes[id].cut && w.random.IntN(3) == 0
+	}
+}
+
+func (w *world) propose() {
+	id, n := w.leader()
+	if n == nil {
+		return
+	}
+	w.next++
+	n.replica.Propose(w.now, fmt.Appendf(nil, "command %d", w.next))
+	w.collect(id)
+}
+
+func (w *world) compact(id Identity) {
+	if n := w.nodes[id]; !n.down {
+		n.replica.Compact(fmt.Appendf(nil, "state with a length above one chunk at %d", n.applied))
+		w.collect(id)
+	}
+}
+
+// changeMembers replaces, adds, promotes, removes or hands over.
+func (w *world) changeMembers() {
+	id, n := w.leader()
+	if n == nil {
+		return
+	}
+	members := n.replica.Status().Members
+	all := members.All()
+	other := all[w.random.IntN(len(all))].Identity
+	switch w.random.IntN(6) {
+	case 0, 1:
+		if len(all) < 5 {
+			fresh := Identity{ID: other.ID, Incarnation: uint64(len(w.nodes)) + 1}
+			if n.replica.AddLearner(w.now, Member{Identity: fresh}) == nil {
+				w.start(fresh, Saved{})
+			}
+		}
+	case 2, 3:
+		for _, l := range members.Learners {
+			n.replica.Promote(w.now, l.Identity)
+		}
+	case 4:
+		if len(members.Voters) > 2 {
+			n.replica.Remove(w.now, other)
+		}
+	case 5:
+		n.replica.Transfer(w.now)
+	}
+	w.collect(id)
+}
+
+// heal ends all faults and runs until a new command is applied everywhere.
+func (w *world) heal() {
+	w.lossy = false
+	for _, id := range w.ids() {
+		w.restart(id)
+		w.nodes[id].cut = false
+	}
+	for range 400 {
+		w.propose()
+		w.settle()
+		w.tick(testHeartbeat)
+		w.settle()
+		if w.agrees() {
+			return
+		}
+	}
+	for _, id := range w.ids() {
+		w.t.Logf("applied %d of %d: %+v", w.nodes[id].applied, len(w.applied)+1, w.nodes[id].replica.Status())
+	}
+	w.t.Fatalf("the group does not agree after all faults ended")
+}
+
+func (w *world) settle() {
+	for range 2000 {
+		for _, id := range w.ids() {
+			w.sync(id)
+		}
+		if len(w.network) == 0 {
+			return
+		}
+		w.deliver()
+	}
+}
+
+func (w *world) agrees() bool {
+	id, n := w.leader()
+	if n == nil || !n.replica.Status().Ready || w.leaders[n.replica.Status().Term] != id {
+		return false
+	}
+	for _, m := range n.replica.Status().Members.All() {
+		if w.nodes[m.Identity].applied != uint64(len(w.applied))+1 {
+			return false
+		}
+	}
+	return true
+}
+
+// Whatever is lost, doubled, late or reordered, and whoever crashes or joins:
+// one leader a term, no committed entry lost, applied prefixes agree, and the
+// group goes on once the faults end.
+func TestGroup(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		w := newWorld(t, seed, rapid.IntRange(1, 5).Draw(t, "voters"))
+		for range rapid.IntRange(1000, 8000).Draw(t, "steps") {
+			w.step()
+			w.checkGrants()
+		}
+		w.heal()
+		if len(w.applied) == 0 {
+			t.Fatal("nothing was applied")
+		}
+	})
+}
--- /dev/null
+++ b/core/replica/vote_test.go
@@ -0,0 +1,118 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var (
+	voteA = Identity{ID: "a", Incarnation: 1}
+	voteB = Identity{ID: "b", Incarnation: 1}
+	voteC = Identity{ID: "c", Incarnation: 1}
+	epoch = time.Unix(1000, 0)
+)
+
+func threeVoters() Saved {
+	members := Membership{Voters: []Member{{Identity: voteA}, {Identity: voteB}, {Identity: voteC}}}
+	return Saved{Snapshot: Snapshot{Index: 1, Term: 1, Members: members}, Hard: HardState{Term: 1}}
+}
+
+func newTestReplica(self Identity, saved Saved) *Replica {
+	return New(Config{
+		Group: "g", Self: self, Heartbeat: testHeartbeat, Election: testElection,
+		MaxAppend: 4, MaxBytes: 16, Window: 16, Random: rand.New(rand.NewPCG(1, 1)),
+	}, epoch, saved)
+}
+
+func voteRequest(term uint64, forced bool) Message {
+	return Message{Group: "g", Kind: Vote, From: voteB, To: voteA, Term: term, Index: 9, LogTerm: 9, Forced: forced}
+}
+
+// A vote counts on the candidate's side, so it must not be given by a replica
+// that a leader may still count on, or that has no place in the group.
+func TestVote(t *testing.T) {
+	heartbeat := Message{Group: "g", Kind: Append, From: voteC, To: voteA, Term: 1, Index: 1, LogTerm: 1}
+	for _, tc := range []struct {
+		name    string
+		saved   Saved
+		heard   bool
+		after   time.Duration
+		forced  bool
+		granted bool
+	}{
+		{"the leader is silent", threeVoters(), true, testElection, false, true},
+		{"a leader was heard", threeVoters(), true, testElection - 1, false, false},
+		{"a leader was heard and hands over", threeVoters(), true, 1, true, true},
+		{"a restart forgot what was heard", threeVoters(), false, testElection - 1, false, false},
+		{"an empty folder", Saved{}, false, testElection, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newTestReplica(voteA, tc.saved)
+			if tc.heard {
+				r.Receive(epoch, heartbeat)
+				r.TakeMessages()
+			}
+			r.Receive(epoch.Add(tc.after), voteRequest(2, tc.forced))
+			if w, ok := r.TakeWrite(); ok {
+				r.Synced(epoch.Add(tc.after), w.Sequence)
+			}
+			granted := false
+			for _, m := range r.TakeMessages() {
+				granted = granted || (m.Kind == VoteReply && !m.Reject)
+			}
+			if granted != tc.granted {
+				t.Errorf("granted: %t", granted)
+			}
+		})
+	}
+}
+
+// A vote leaves only after it is synced, and it is not given twice in a term.
+func TestVoteIsSyncedFirst(t *testing.T) {
+	r := newTestReplica(voteA, threeVoters())
+	now := epoch.Add(testElection)
+	r.Receive(now, voteRequest(2, false))
+	if sent := r.TakeMessages(); len(sent) != 0 {
+		t.Fatalf("sent before the sync: %+v", sent)
+	}
+	w, ok := r.TakeWrite()
+	if !ok || w.Hard == nil || *w.Hard != (HardState{Term: 2, Vote: voteB}) {
+		t.Fatalf("write %+v, %t", w, ok)
+	}
+	r.Synced(now, w.Sequence)
+	if sent := r.TakeMessages(); len(sent) != 1 || sent[0].Reject {
+		t.Fatalf("sent after the sync: %+v", sent)
+	}
+	restarted := newTestReplica(voteA, Saved{Hard: *w.Hard, Snapshot: threeVoters().Snapshot})
+	other := voteRequest(2, false)
+	other.From = voteC
+	restarted.Receive(now, other)
+	if sent := restarted.TakeMessages(); len(sent) != 1 || !sent[0].Reject {
+		t.Fatalf("second vote in the term: %+v", sent)
+	}
+}
+
+// The completion of a write counts nothing for entries that were replaced
+// after the write was taken.
+func TestSyncedOfReplacedEntries(t *testing.T) {
+	r := newTestReplica(voteA, threeVoters())
+	appendOf := func(from Identity, term uint64) Message {
+		return Message{
+			Group: "g", Kind: Append, From: from, To: voteA, Term: term, Index: 1, LogTerm: 1,
+			Entries: []Entry{{Index: 2, Term: term, Data: []byte{byte(term)}}}, Commit: 2,
+		}
+	}
+	r.Receive(epoch, appendOf(voteB, 2))
+	first, _ := r.TakeWrite()
+	r.Receive(epoch, appendOf(voteC, 3))
+	r.Synced(epoch, first.Sequence)
+	if c := r.TakeCommits(); len(c.Entries) != 0 {
+		t.Fatalf("applied before its sync: %+v", c.Entries)
+	}
+	second, _ := r.TakeWrite()
+	r.Synced(epoch, second.Sequence)
+	if c := r.TakeCommits(); len(c.Entries) != 1 || c.Entries[0].Term != 3 {
+		t.Fatalf("applied %+v", c.Entries)
+	}
+}
