Give the ledger shards, a horizon and settling with what was learnt

Records were kept for ever and in one map, settling walked all of them in the random order of the map, so that replicas wrote different audit trails, and a request id could not be refused for its age. A ledger now has shards by hash and one sequence of bills; it drops ended requests by age and number and the oldest answers by bytes. An idempotent request with an unknown outcome may begin anew.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -36,12 +36,14 @@
 		Incarnation uint64 `json:"incarnation"`
 	}
 
-	// Begin asks to run a request.
+	// Begin asks to run a request. Service names the plain service that it
+	// calls; it is empty for model requests.
 	Begin struct {
 		Key        Key       `json:"key"`
 		BodyHash   uint64    `json:"body_hash"`
 		Owner      Owner     `json:"owner"`
 		Idempotent bool      `json:"idempotent"`
+		Service    string    `json:"service,omitempty"`
 		At         time.Time `json:"at"`
 	}
 
@@ -55,14 +57,27 @@
 		At     time.Time      `json:"at"`
 	}
 
+	// Learnt is what a backend server said about an open request whose entry
+	// is gone.
+	Learnt struct {
+		Key    Key            `json:"key"`
+		Answer request.Answer `json:"answer"`
+		Price  int64          `json:"price"`
+	}
+
 	// Record is a request as the ledger knows it. Answer is nil while it runs.
+	// Ended orders the records by their end; Timed says that the request id
+	// tells when it was made.
 	Record struct {
 		Key        Key             `json:"key"`
 		BodyHash   uint64          `json:"body_hash"`
 		Owner      Owner           `json:"owner"`
 		Idempotent bool            `json:"idempotent"`
+		Service    string          `json:"service,omitempty"`
 		BeganAt    time.Time       `json:"began_at"`
 		EndedAt    time.Time       `json:"ended_at"`
+		Ended      uint64          `json:"ended,omitempty"`
+		Timed      bool            `json:"timed,omitempty"`
 		Answer     *request.Answer `json:"answer,omitempty"`
 	}
 
@@ -88,45 +103,25 @@
 
 	// Ledger is the state of one shard. It is not safe for concurrent use.
 	Ledger struct {
+		limits  Limits
+		now     time.Time
 		records map[Key]Record
-		bills   []Bill
-	}
-
-	// Snapshot is the whole state of a ledger.
-	Snapshot struct {
-		Records []Record `json:"records"`
-		Bills   []Bill   `json:"bills"`
+		open    map[Owner]map[Key]bool
+		kept    retention
 	}
 )
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{records: make(map[Key]Record)} }
-
-// Restore returns the ledger of a snapshot.
-func Restore(s Snapshot) *Ledger {
-	l := NewLedger()
-	for _, r := range s.Records {
-		l.records[r.Key] = r
+func NewLedger(limits Limits) *Ledger {
+	return &Ledger{
+		limits: limits, records: make(map[Key]Record), open: make(map[Owner]map[Key]bool), kept: newRetention(),
 	}
-	l.bills = s.Bills
-	return l
 }
 
-// Snapshot returns the whole state.
-func (l *Ledger) Snapshot() Snapshot {
-	s := Snapshot{Bills: slices.Clone(l.bills)}
-	for _, r := range l.records {
-		s.Records = append(s.Records, r)
-	}
-	slices.SortFunc(s.Records, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.Key.Workspace, b.Key.Workspace), cmp.Compare(a.Key.RequestID, b.Key.RequestID))
-	})
-	return s
-}
-
-// Begin records a request unless it is known. A request that provably did
-// not run may begin again.
+// Begin records a request unless it is known. A request that provably did not
+// run may begin again, and so may an idempotent one whose outcome is unknown.
 func (l *Ledger) Begin(b Begin) Reply {
+	b.At = l.advance(b.At)
 	old, known := l.records[b.Key]
 	if known && old.BodyHash != b.BodyHash {
 		return Reply{Status: Mismatch, Owner: old.Owner}
@@ -134,52 +129,77 @@
 	if known && old.Answer == nil {
 		return Reply{Status: Running, Owner: old.Owner}
 	}
-	if known && old.Answer.Outcome != request.NotRun {
+	if known && !old.mayBeginAgain() {
 		return Reply{Status: Finished, Owner: old.Owner, Answer: old.Answer}
 	}
+	if !known && l.isExpired(b.Key) {
+		return Reply{Status: Expired}
+	}
+	l.release(old)
+	_, timed := timeOf(b.Key.RequestID, l.now)
 	l.records[b.Key] = Record{
-		Key: b.Key, BodyHash: b.BodyHash, Owner: b.Owner, Idempotent: b.Idempotent, BeganAt: b.At,
+		Key: b.Key, BodyHash: b.BodyHash, Owner: b.Owner, Idempotent: b.Idempotent, Service: b.Service,
+		BeganAt: b.At, Timed: timed,
 	}
+	l.setOpen(b.Owner, b.Key)
 	return Reply{Status: New, Owner: b.Owner}
 }
 
-// Finish ends a request that its owner runs, and writes its bill when it is
-// done. A second finish gets the first one's answer.
-func (l *Ledger) Finish(f Finish) Reply {
+// Finish ends a request that its owner runs, and returns its bill when it is
+// done. A second finish gets the first one's answer and no bill.
+func (l *Ledger) Finish(f Finish) (Reply, *Bill) {
+	f.At = l.advance(f.At)
 	r, known := l.records[f.Key]
 	if !known || r.Owner != f.Owner {
-		return Reply{Status: Mismatch, Owner: r.Owner}
+		return Reply{Status: Mismatch, Owner: r.Owner}, nil
 	}
 	if r.Answer != nil {
-		return Reply{Status: Finished, Owner: r.Owner, Answer: r.Answer}
+		return Reply{Status: Finished, Owner: r.Owner, Answer: r.Answer}, nil
 	}
 	answer := f.Answer
-	r.Answer = &answer
-	r.EndedAt = f.At
-	l.records[f.Key] = r
-	if answer.Outcome == request.Done && !f.Free {
-		l.bills = append(l.bills, Bill{
-			Sequence: uint64(len(l.bills)) + 1, Key: f.Key, Version: answer.Version, Backend: answer.Backend,
-			Usage: answer.Usage, Price: f.Price, At: f.At,
-		})
-	}
-	return Reply{Status: Finished, Owner: r.Owner, Answer: r.Answer}
+	l.end(r, &answer, f.At)
+	reply := Reply{Status: Finished, Owner: r.Owner, Answer: &answer}
+	if answer.Outcome != request.Done || f.Free {
+		return reply, nil
+	}
+	return reply, newBill(f.Key, answer, f.Price, f.At)
 }
 
-// Settle ends the open requests of an owner that is gone with the outcome
-// unknown, and returns their keys.
-func (l *Ledger) Settle(o Owner, at time.Time) []Key {
-	var settled []Key
-	for key, r := range l.records {
-		if r.Owner != o || r.Answer != nil {
-			continue
+// Settle ends the open requests of an owner that is gone: with what was learnt
+// of them, else with the outcome unknown. It returns their keys in order and
+// the bills of those that are done.
+func (l *Ledger) Settle(o Owner, at time.Time, learnt []Learnt) ([]Key, []Bill) {
+	at = l.advance(at)
+	known := make(map[Key]Learnt, len(learnt))
+	for _, e := range learnt {
+		known[e.Key] = e
+	}
+	var (
+		settled []Key
+		bills   []Bill
+	)
+	for _, r := range l.Open(o) {
+		settled = append(settled, r.Key)
+		e, ok := known[r.Key]
+		if !ok {
+			e.Answer = request.Answer{Outcome: request.Unknown, Code: request.CodeAnswerCut}
+		}
+		l.end(r, &e.Answer, at)
+		if e.Answer.Outcome == request.Done {
+			bills = append(bills, *newBill(r.Key, e.Answer, e.Price, at))
 		}
-		r.Answer = &request.Answer{Outcome: request.Unknown, Code: request.CodeAnswerCut}
-		r.EndedAt = at
-		l.records[key] = r
-		settled = append(settled, key)
 	}
-	return settled
+	return settled, bills
+}
+
+// Open returns the requests that the owner runs, ordered by key.
+func (l *Ledger) Open(o Owner) []Record {
+	var open []Record
+	for key := range l.open[o] {
+		open = append(open, l.records[key])
+	}
+	sortByKey(open)
+	return open
 }
 
 // Find returns the record of a request.
@@ -188,11 +208,50 @@
 	return r, ok
 }
 
-// Bills returns at most limit bills after the sequence, in order.
-func (l *Ledger) Bills(after uint64, limit int) []Bill {
-	if after >= uint64(len(l.bills)) {
-		return nil
+// end closes the record and makes it subject to retention.
+func (l *Ledger) end(r Record, a *request.Answer, at time.Time) {
+	r.Answer = a
+	r.EndedAt = at
+	r.Ended = l.kept.add(r.Key)
+	l.records[r.Key] = r
+	l.kept.held++
+	l.kept.bytes += int64(len(a.Body))
+	l.setClosed(r.Owner, r.Key)
+	l.retain()
+}
+
+func (l *Ledger) setOpen(o Owner, k Key) {
+	if l.open[o] == nil {
+		l.open[o] = make(map[Key]bool)
 	}
-	rest := l.bills[after:]
-	return slices.Clone(rest[:min(len(rest), limit)])
+	l.open[o][k] = true
+}
+
+func (l *Ledger) setClosed(o Owner, k Key) {
+	delete(l.open[o], k)
+	if len(l.open[o]) == 0 {
+		delete(l.open, o)
+	}
+}
+
+func (r Record) mayBeginAgain() bool {
+	switch r.Answer.Outcome {
+	case request.NotRun:
+		return true
+	case request.Unknown:
+		return r.Idempotent
+	}
+	return false
+}
+
+func newBill(k Key, a request.Answer, price int64, at time.Time) *Bill {
+	return &Bill{Key: k, Version: a.Version, Backend: a.Backend, Usage: a.Usage, Price: price, At: at}
+}
+
+func sortByKey(records []Record) {
+	slices.SortFunc(records, func(a, b Record) int { return a.Key.compare(b.Key) })
+}
+
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Workspace, other.Workspace), cmp.Compare(k.RequestID, other.RequestID))
 }
--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,178 @@
+package ledger
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/oklog/ulid/v2"
+
+	"rosereach/core/request"
+)
+
+var (
+	start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	one   = Owner{Entry: "entry-1", Incarnation: 1}
+	two   = Owner{Entry: "entry-2", Incarnation: 1}
+)
+
+func begin(id string, o Owner, at time.Time) Begin {
+	return Begin{Key: Key{"terminalna", id}, BodyHash: 1, Owner: o, At: at}
+}
+
+func finish(id string, o Owner, outcome request.Outcome, at time.Time) Finish {
+	return Finish{Key: Key{"terminalna", id}, Owner: o, Price: 7, At: at, Answer: request.Answer{Outcome: outcome, Body: []byte("receipt")}}
+}
+
+func idMadeAt(t time.Time) string {
+	return ulid.MustNew(ulid.Timestamp(t), strings.NewReader("0123456789")).String()
+}
+
+// What a second begin record of a request gets, by how the first one ended.
+func TestSecondBegin(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		idempotent bool
+		outcome    request.Outcome
+		hash       uint64
+		want       Status
+	}{
+		{"it runs", false, "", 1, Running},
+		{"other body", false, "", 2, Mismatch},
+		{"done", false, request.Done, 1, Finished},
+		{"done, other body", false, request.Done, 2, Mismatch},
+		{"not run", false, request.NotRun, 1, New},
+		{"unknown", false, request.Unknown, 1, Finished},
+		{"unknown, idempotent", true, request.Unknown, 1, New},
+		{"done, idempotent", true, request.Done, 1, Finished},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := NewSharded(4, DefaultLimits())
+			first := begin("a", one, start)
+			first.Idempotent = tc.idempotent
+			if r := l.Begin(first); r.Status != New {
+				t.Fatalf("first begin: %+v", r)
+			}
+			if tc.outcome != "" {
+				l.Finish(finish("a", one, tc.outcome, start))
+			}
+			again := begin("a", two, start)
+			again.BodyHash = tc.hash
+			again.Idempotent = tc.idempotent
+			if r := l.Begin(again); r.Status != tc.want {
+				t.Errorf("status %s, want %s", r.Status, tc.want)
+			}
+		})
+	}
+}
+
+// A request that another entry began anew cannot be finished by its first one.
+func TestFinishOfFormerOwner(t *testing.T) {
+	l := NewSharded(1, DefaultLimits())
+	b := begin("a", one, start)
+	b.Idempotent = true
+	l.Begin(b)
+	l.Settle(one, start, nil)
+	b.Owner = two
+	if r := l.Begin(b); r.Status != New {
+		t.Fatalf("begin after settling: %+v", r)
+	}
+	if r := l.Finish(finish("a", one, request.Done, start)); r.Status != Mismatch {
+		t.Errorf("finish of the former owner: %+v", r)
+	}
+	l.Finish(finish("a", two, request.Done, start))
+	if bills := l.Bills(0, 10); len(bills) != 1 {
+		t.Errorf("bills: %+v", bills)
+	}
+}
+
+// Settling keeps what a backend server said and bills what is done; all else
+// is unknown and never runs again.
+func TestSettle(t *testing.T) {
+	l := NewSharded(4, DefaultLimits())
+	for _, id := range []string{"b", "a", "c"} {
+		l.Begin(begin(id, one, start))
+	}
+	l.Begin(begin("d", two, start))
+	if open := l.Open(one); len(open) != 3 {
+		t.Fatalf("open requests: %+v", open)
+	}
+	done := Learnt{Key: Key{"terminalna", "a"}, Price: 3, Answer: request.Answer{Outcome: request.Done, Backend: "ledger-1"}}
+	if keys := l.Settle(one, start, []Learnt{done}); len(keys) != 3 {
+		t.Errorf("settled: %v", keys)
+	}
+	var got []request.Outcome
+	for _, id := range []string{"a", "b", "c"} {
+		r := l.Begin(begin(id, two, start))
+		if r.Status != Finished {
+			t.Fatalf("%s may run again: %+v", id, r)
+		}
+		got = append(got, r.Answer.Outcome)
+	}
+	if diff := cmp.Diff([]request.Outcome{request.Done, request.Unknown, request.Unknown}, got); diff != "" {
+		t.Error(diff)
+	}
+	if bills := l.Bills(0, 10); len(bills) != 1 || bills[0].Key.RequestID != "a" || bills[0].Price != 3 {
+		t.Errorf("bills: %+v", bills)
+	}
+	if open := l.Open(two); len(open) != 1 {
+		t.Errorf("open requests of the other owner: %+v", open)
+	}
+}
+
+// An old request id is refused, also after its record went, and bills stay.
+func TestRetention(t *testing.T) {
+	limits := Limits{Horizon: time.Minute, Records: 3, AnswerBytes: 1 << 20, Tombstones: 10}
+	for _, tc := range []struct {
+		name   string
+		ids    []string
+		pass   time.Duration
+		resend string
+		want   Status
+	}{
+		{"within the horizon", []string{"a"}, 30 * time.Second, "a", Finished},
+		{"past the horizon", []string{"a"}, 2 * time.Minute, "a", Expired},
+		{"over the number", []string{"a", "b", "c", "d"}, 0, "a", Expired},
+		{"the newest ones stay", []string{"a", "b", "c", "d"}, 0, "b", Finished},
+		{"made long ago and never seen", nil, time.Hour, idMadeAt(start), Expired},
+		{"made now", nil, time.Hour, idMadeAt(start.Add(time.Hour)), New},
+		{"with a time, dropped", []string{idMadeAt(start)}, 2 * time.Minute, idMadeAt(start), Expired},
+		{"with a time far ahead, dropped", []string{idMadeAt(start.Add(2 * time.Minute))}, 3 * time.Minute, idMadeAt(start.Add(2 * time.Minute)), Expired},
+		{"looks like a time", nil, 0, "00000000000000000000000001", New},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := NewSharded(1, limits)
+			for _, id := range tc.ids {
+				l.Begin(begin(id, one, start))
+				l.Finish(finish(id, one, request.Done, start))
+			}
+			l = RestoreSharded(l.Snapshot(), limits)
+			if r := l.Begin(begin(tc.resend, two, start.Add(tc.pass))); r.Status != tc.want {
+				t.Errorf("status %s, want %s", r.Status, tc.want)
+			}
+			if bills := l.Bills(0, 10); len(bills) != len(tc.ids) {
+				t.Errorf("%d bills for %d requests", len(bills), len(tc.ids))
+			}
+		})
+	}
+}
+
+// Recorded answers take bounded memory; the oldest goes first.
+func TestAnswerBytes(t *testing.T) {
+	l := NewSharded(1, Limits{Horizon: time.Minute, Records: 10, AnswerBytes: 14, Tombstones: 1})
+	for _, id := range []string{"a", "b", "c"} {
+		l.Begin(begin(id, one, start))
+		l.Finish(finish(id, one, request.Done, start))
+	}
+	var kept []string
+	for _, id := range []string{"a", "b", "c"} {
+		r := l.Begin(begin(id, two, start))
+		if r.Answer.Code != request.CodeAnswerNotKept {
+			kept = append(kept, id)
+		}
+	}
+	if diff := cmp.Diff([]string{"b", "c"}, kept); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/core/ledger/property_test.go
@@ -0,0 +1,94 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"rosereach/core/request"
+)
+
+// counts is what the property test knows beside the ledger.
+type counts struct {
+	runs  map[Key]int
+	bills map[Key]int
+	next  uint64
+}
+
+// Whatever is sent in whatever order, and with snapshots in between: a request
+// that is not idempotent gets at most one run that may have happened, no request
+// is billed twice, the bills' sequence has no gap, and retention holds.
+func TestLedgerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Horizon: time.Minute, Records: 8, AnswerBytes: 64, Tombstones: 1000}
+		l := NewSharded(3, limits)
+		seen := counts{runs: make(map[Key]int), bills: make(map[Key]int)}
+		at := start
+		owners := []Owner{one, two}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			id := fmt.Sprint(rapid.IntRange(0, 12).Draw(t, "id"))
+			o := owners[rapid.IntRange(0, 1).Draw(t, "owner")]
+			switch rapid.SampledFrom([]string{"begin", "begin", "finish", "finish", "settle", "wait", "restart"}).Draw(t, "step") {
+			case "begin":
+				if l.Begin(begin(id, o, at)).Status == New {
+					seen.runs[Key{"terminalna", id}]++
+				}
+			case "finish":
+				outcome := rapid.SampledFrom([]request.Outcome{request.Done, request.NotRun, request.Unknown}).Draw(t, "outcome")
+				before, known := l.Find(Key{"terminalna", id})
+				ends := known && before.Answer == nil && before.Owner == o
+				if l.Finish(finish(id, o, outcome, at)); ends && outcome == request.NotRun {
+					seen.runs[before.Key]--
+				}
+			case "settle":
+				l.Settle(o, at, nil)
+			case "wait":
+				at = at.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "seconds")) * time.Second)
+			case "restart":
+				l = restart(t, l, limits)
+			}
+			seen.check(t, l, limits)
+		}
+	})
+}
+
+// restart takes the ledger through the encoding of a snapshot.
+func restart(t *rapid.T, l *Sharded, limits Limits) *Sharded {
+	data, err := cbor.Marshal(l.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var snap Snapshot
+	if err := cbor.Unmarshal(data, &snap); err != nil {
+		t.Fatal(err)
+	}
+	again := RestoreSharded(snap, limits)
+	if diff := cmp.Diff(l.Snapshot(), again.Snapshot()); diff != "" {
+		t.Fatal(diff)
+	}
+	return again
+}
+
+func (c *counts) check(t *rapid.T, l *Sharded, limits Limits) {
+	for key, n := range c.runs {
+		if n > 1 {
+			t.Fatalf("%v ran %d times", key, n)
+		}
+	}
+	for _, b := range l.Bills(c.next, 100) {
+		c.next++
+		c.bills[b.Key]++
+		if b.Sequence != c.next || c.bills[b.Key] > 1 {
+			t.Fatalf("bill %+v after sequence %d, %d for its request", b, c.next-1, c.bills[b.Key])
+		}
+	}
+	for i, shard := range l.shards {
+		if shard.kept.held > max(limits.Records/3, 1) || shard.kept.bytes > limits.AnswerBytes/3 || shard.kept.bytes < 0 {
+			t.Fatalf("shard %d holds %d ended requests with %d bytes", i, shard.kept.held, shard.kept.bytes)
+		}
+	}
+}
--- /dev/null
+++ b/core/ledger/sharded.go
@@ -0,0 +1,156 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// DefaultShards is the number of shards of a new ledger.
+const DefaultShards = 16
+
+type (
+	// Sharded is a ledger in shards by hash of the key, with one sequence of
+	// bills. It is not safe for concurrent use.
+	Sharded struct {
+		shards []*Ledger
+		bills  []Bill
+	}
+
+	// Snapshot is the whole state of a sharded ledger.
+	Snapshot struct {
+		Shards []Shard `json:"shards"`
+		Bills  []Bill  `json:"bills"`
+	}
+
+	// Shard is the whole state of one shard. Gone are the hashes of dropped
+	// request ids, oldest first.
+	Shard struct {
+		Now     time.Time `json:"now"`
+		Floor   int64     `json:"floor"`
+		Last    uint64    `json:"last"`
+		Gone    []uint64  `json:"gone,omitempty"`
+		Records []Record  `json:"records"`
+	}
+)
+
+// NewSharded returns an empty ledger of n shards. The limits are those of all
+// shards together.
+func NewSharded(n int, limits Limits) *Sharded {
+	s := &Sharded{}
+	for range n {
+		s.shards = append(s.shards, NewLedger(limits.split(n)))
+	}
+	return s
+}
+
+// RestoreSharded returns the ledger of a snapshot. One without shards gives an
+// empty ledger.
+func RestoreSharded(snap Snapshot, limits Limits) *Sharded {
+	n := len(snap.Shards)
+	if n == 0 {
+		return NewSharded(DefaultShards, limits)
+	}
+	s := &Sharded{bills: slices.Clone(snap.Bills)}
+	for _, part := range snap.Shards {
+		s.shards = append(s.shards, restore(part, limits.split(n)))
+	}
+	return s
+}
+
+// Snapshot returns the whole state.
+func (s *Sharded) Snapshot() Snapshot {
+	snap := Snapshot{Bills: slices.Clone(s.bills)}
+	for _, l := range s.shards {
+		snap.Shards = append(snap.Shards, l.snapshot())
+	}
+	return snap
+}
+
+// Begin records a request unless it is known.
+func (s *Sharded) Begin(b Begin) Reply { return s.shard(b.Key).Begin(b) }
+
+// Finish ends a request that its owner runs, and writes its bill when it is
+// done.
+func (s *Sharded) Finish(f Finish) Reply {
+	reply, bill := s.shard(f.Key).Finish(f)
+	if bill != nil {
+		s.write(*bill)
+	}
+	return reply
+}
+
+// Settle ends the open requests of an owner that is gone and returns their
+// keys, in the order of the shards.
+func (s *Sharded) Settle(o Owner, at time.Time, learnt []Learnt) []Key {
+	var settled []Key
+	for _, l := range s.shards {
+		keys, bills := l.Settle(o, at, learnt)
+		settled = append(settled, keys...)
+		for _, b := range bills {
+			s.write(b)
+		}
+	}
+	return settled
+}
+
+// Open returns the requests that the owner runs.
+func (s *Sharded) Open(o Owner) []Record {
+	var open []Record
+	for _, l := range s.shards {
+		open = append(open, l.Open(o)...)
+	}
+	return open
+}
+
+// Find returns the record of a request.
+func (s *Sharded) Find(k Key) (Record, bool) { return s.shard(k).Find(k) }
+
+// Bills returns at most limit bills after the sequence, in order.
+func (s *Sharded) Bills(after uint64, limit int) []Bill {
+	if after >= uint64(len(s.bills)) {
+		return nil
+	}
+	rest := s.bills[after:]
+	return slices.Clone(rest[:min(len(rest), limit)])
+}
+
+func (s *Sharded) write(b Bill) {
+	b.Sequence = uint64(len(s.bills)) + 1
+	s.bills = append(s.bills, b)
+}
+
+func (s *Sharded) shard(k Key) *Ledger { return s.shards[k.hash()%uint64(len(s.shards))] }
+
+func (l *Ledger) snapshot() Shard {
+	part := Shard{Now: l.now, Floor: l.kept.floor, Last: l.kept.last, Gone: slices.Clone(l.kept.goneIDs)}
+	for _, r := range l.records {
+		part.Records = append(part.Records, r)
+	}
+	sortByKey(part.Records)
+	return part
+}
+
+func restore(part Shard, limits Limits) *Ledger {
+	l := NewLedger(limits)
+	l.now, l.kept.floor, l.kept.last = part.Now, part.Floor, part.Last
+	for _, id := range part.Gone {
+		l.kept.bury(id, limits.Tombstones)
+	}
+	var ended []Record
+	for _, r := range part.Records {
+		l.records[r.Key] = r
+		if r.Answer == nil {
+			l.setOpen(r.Owner, r.Key)
+			continue
+		}
+		ended = append(ended, r)
+		l.kept.held++
+		l.kept.bytes += int64(len(r.Answer.Body))
+	}
+	slices.SortFunc(ended, func(a, b Record) int { return cmp.Compare(a.Ended, b.Ended) })
+	for _, r := range ended {
+		l.kept.queue = append(l.kept.queue, ending{key: r.Key, ended: r.Ended})
+	}
+	return l
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -26,10 +26,12 @@
 		Note   *audit.Event   `json:"note,omitempty"`
 	}
 
-	// Settle ends the open requests of an owner whose lease ended.
+	// Settle ends the open requests of an owner whose lease ended. Learnt is
+	// what backend servers said of them.
 	Settle struct {
-		Owner ledger.Owner `json:"owner"`
-		At    time.Time    `json:"at"`
+		Owner  ledger.Owner    `json:"owner"`
+		At     time.Time       `json:"at"`
+		Learnt []ledger.Learnt `json:"learnt,omitempty"`
 	}
 
 	// Result answers a command; the field of the command's kind is set.
@@ -47,7 +49,7 @@
 		answers map[string]answer
 		chain   audit.Chain
 		trail   []audit.Event
-		ledger  *ledger.Ledger
+		ledger  *ledger.Sharded
 	}
 
 	// answer is the first answer to a change, kept for resends.
@@ -75,7 +77,7 @@
 		docs:    docs,
 		catalog: catalog.New(docs),
 		answers: make(map[string]answer),
-		ledger:  ledger.NewLedger(),
+		ledger:  ledger.NewSharded(ledger.DefaultShards, ledger.DefaultLimits()),
 	}
 }
 
@@ -107,7 +109,7 @@
 func (s *State) Catalog() *catalog.Catalog { return s.catalog }
 
 // Ledger returns the request ledger, for reading.
-func (s *State) Ledger() *ledger.Ledger { return s.ledger }
+func (s *State) Ledger() *ledger.Sharded { return s.ledger }
 
 // Trail returns at most limit audit events after the sequence, in order.
 func (s *State) Trail(after uint64, limit int) []audit.Event {
@@ -141,7 +143,7 @@
 	}
 	s.chain = snap.Chain
 	s.trail = snap.Trail
-	s.ledger = ledger.Restore(snap.Ledger)
+	s.ledger = ledger.RestoreSharded(snap.Ledger, ledger.DefaultLimits())
 	return s, nil
 }
 
@@ -165,7 +167,7 @@
 }
 
 func (s *State) applySettle(c Settle) {
-	for _, key := range s.ledger.Settle(c.Owner, c.At) {
+	for _, key := range s.ledger.Settle(c.Owner, c.At, c.Learnt) {
 		s.note(audit.Event{
 			At: c.At, Kind: audit.LeaseEnded, Actor: "system", Subject: key.Workspace + "/" + key.RequestID,
 			Detail: "open request of " + c.Owner.Entry + " settled as unknown",
