--- a/core/request/request.go
+++ b/core/request/request.go
@@ -24,19 +24,25 @@
 	Plain Kind = "plain"
 )
 
-// The states of a request before its outcome.
+// The states of a request before its outcome. No attempt of a request that is
+// Admitted, Queued or Dispatched for the first time can have run, once its
+// backend server said so; from Retrying on, one may have.
 const (
-	Admitted   State = "admitted"
-	Queued     State = "queued"
-	Dispatched State = "dispatched"
-	Streaming  State = "streaming"
+	Admitted     State = "admitted"
+	Queued       State = "queued"
+	Dispatched   State = "dispatched"
+	Streaming    State = "streaming"
+	Retrying     State = "retrying"
+	Redispatched State = "redispatched"
 )
 
-// The triggers that move a request between states.
+// The triggers that move a request between states. Requeue needs proof that
+// the attempt did not run; Retry follows an attempt that may have run.
 const (
 	Enqueue  Trigger = "enqueue"
 	Dispatch Trigger = "dispatch"
 	Stream   Trigger = "stream"
+	Requeue  Trigger = "requeue"
 	Retry    Trigger = "retry"
 	Finish   Trigger = "finish"
 	Refuse   Trigger = "refuse"
@@ -129,6 +135,15 @@
 	return false
 }
 
+// Outcome returns the outcome that a request in the state has when it ends
+// now without an answer: NotRun only where the chart allows it.
+func (s State) Outcome() Outcome {
+	if Chart.Accepts(s, Refuse) {
+		return NotRun
+	}
+	return Unknown
+}
+
 // Add returns the sum of two usages.
 func (u Usage) Add(other Usage) Usage {
 	return Usage{
