Show what a change would permit, and check templates whole

Operators could not see the effect of a change before making it, and a bad template showed only its first finding, because encoding/json stops there. A walk over the Go type (core/shape) now reports all findings with path and what is allowed, also references to parameters whose default hid them. Preview is a pure function of the documents. A schema library was ruled out: the Go types are the schema already. Findings of several workspaces came in map order, which differs between replicas; a table test showed it, and they are sorted now. A change that is accepted but not in force in time exits with 6.

--- a/core/catalog/apply.go
+++ b/core/catalog/apply.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"rosereach/core/change"
+	"rosereach/core/finding"
 	"rosereach/core/service"
+	"rosereach/core/shape"
 	"rosereach/core/template"
 	"rosereach/core/version"
 	"rosereach/core/workspace"
@@ -71,12 +74,8 @@
 	if t.Name != c.Name {
 		found.Add("name", "differs from the change's name", c.Name)
 	}
-	for _, w := range d.Workspaces {
-		if w.Template != c.Name || len(found) > 0 {
-			continue
-		}
-		_, unfit := t.Fill(w.Values)
-		found.Within("workspaces."+w.Name, unfit)
+	if len(found) == 0 {
+		found = d.misfits(t)
 	}
 	if len(found) > 0 {
 		return change.Refuse(found)
@@ -86,12 +85,27 @@
 	return accepted
 }
 
+// misfits returns what the template's workspaces do not fill in, in an order
+// that is the same at every replica.
+func (d *Documents) misfits(t template.Template) finding.List {
+	var found finding.List
+	for _, name := range slices.Sorted(maps.Keys(d.Workspaces)) {
+		w := d.Workspaces[name]
+		if w.Template != t.Name {
+			continue
+		}
+		_, unfit := t.Fill(w.Values)
+		found.Within("workspaces."+name, unfit)
+	}
+	return found
+}
+
 func (d *Documents) putWorkspace(c change.Change, accepted change.Result) change.Result {
-	var w workspace.Workspace
-	if err := json.Unmarshal(c.Document, &w); err != nil {
-		return change.RefuseFor("workspace", err.Error(), "a JSON object")
+	w, found := shape.Decode[workspace.Workspace](c.Document)
+	if len(found) > 0 {
+		return change.Refuse(found)
 	}
-	found := w.Check()
+	found = w.Check()
 	if w.Name != c.Name {
 		found.Add("name", "differs from the change's name", c.Name)
 	}
@@ -143,11 +157,11 @@
 }
 
 func (d *Documents) putService(c change.Change, accepted change.Result) change.Result {
-	var s service.Service
-	if err := json.Unmarshal(c.Document, &s); err != nil {
-		return change.RefuseFor("service", err.Error(), "a JSON object")
+	s, found := shape.Decode[service.Service](c.Document)
+	if len(found) > 0 {
+		return change.Refuse(found)
 	}
-	found := s.Check()
+	found = s.Check()
 	if s.Name != c.Name {
 		found.Add("name", "differs from the change's name", c.Name)
 	}
@@ -160,11 +174,11 @@
 }
 
 func (d *Documents) putVersion(c change.Change, accepted change.Result) change.Result {
-	var v version.Version
-	if err := json.Unmarshal(c.Document, &v); err != nil {
-		return change.RefuseFor("version", err.Error(), "a JSON object")
+	v, found := shape.Decode[version.Version](c.Document)
+	if len(found) > 0 {
+		return change.Refuse(found)
 	}
-	found := v.Check()
+	found = v.Check()
 	if v.Ref.String() != c.Name {
 		found.Add("ref", "differs from the change's name", c.Name)
 	}
@@ -181,9 +195,9 @@
 }
 
 func (d *Documents) moveVersion(c change.Change, accepted change.Result) change.Result {
-	var move change.Move
-	if err := json.Unmarshal(c.Document, &move); err != nil {
-		return change.RefuseFor("move", err.Error(), "a JSON object with trigger and share")
+	move, found := shape.Decode[change.Move](c.Document)
+	if len(found) > 0 {
+		return change.Refuse(found)
 	}
 	v, ok := d.Versions[c.Name]
 	if !ok {
--- a/core/finding/finding.go
+++ b/core/finding/finding.go
@@ -3,7 +3,6 @@
 package finding
 
 import (
-	"fmt"
 	"strings"
 )
 
@@ -52,8 +51,12 @@
 
 // String gives the finding on one line.
 func (f Finding) String() string {
-	if f.Allowed == "" {
-		return fmt.Sprintf("%s: %s", f.Place, f.Problem)
+	text := f.Problem
+	if f.Place != "" {
+		text = f.Place + ": " + text
 	}
-	return fmt.Sprintf("%s: %s; allowed: %s", f.Place, f.Problem, f.Allowed)
+	if f.Allowed != "" {
+		text += "; allowed: " + f.Allowed
+	}
+	return text
 }
--- a/core/template/policy.go
+++ b/core/template/policy.go
@@ -1,13 +1,11 @@
 package template
 
 import (
-	"bytes"
 	"encoding/json"
 	"slices"
 
-	"github.com/juju/errors"
-
 	"rosereach/core/finding"
+	"rosereach/core/shape"
 	"rosereach/core/version"
 )
 
@@ -40,11 +38,6 @@
 		BodyBytes         int64   `json:"body_bytes"`
 		MaxTokens         int64   `json:"max_tokens"`
 	}
-
-	// reference is the place of a parameter in a template's policy.
-	reference struct {
-		Parameter string `json:"parameter"`
-	}
 )
 
 // AllowsService reports whether the policy names the plain service.
@@ -77,51 +70,9 @@
 }
 
 func parsePolicy(raw json.RawMessage) (Policy, finding.List) {
-	var (
-		p     Policy
-		found finding.List
-	)
-	d := json.NewDecoder(bytes.NewReader(raw))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&p); err != nil {
-		found.Add("", err.Error(), "the fields of a policy")
+	p, found := shape.Decode[Policy](raw)
+	if len(found) > 0 {
 		return p, found
 	}
 	return p, p.Check()
 }
-
-// substitute replaces each {"parameter": NAME} object by the value of NAME.
-func substitute(raw json.RawMessage, values Values) (json.RawMessage, error) {
-	var object map[string]json.RawMessage
-	if !isObject(raw) {
-		return raw, nil
-	}
-	if err := json.Unmarshal(raw, &object); err != nil {
-		return nil, errors.Trace(err)
-	}
-	if _, ok := object["parameter"]; ok && len(object) == 1 {
-		return lookup(raw, values)
-	}
-	for field, value := range object {
-		replaced, err := substitute(value, values)
-		if err != nil {
-			return nil, errors.Annotate(err, field)
-		}
-		object[field] = replaced
-	}
-	return json.Marshal(object)
-}
-
-func isObject(raw json.RawMessage) bool { return bytes.HasPrefix(bytes.TrimSpace(raw), []byte("{")) }
-
-func lookup(raw json.RawMessage, values Values) (json.RawMessage, error) {
-	var ref reference
-	if err := json.Unmarshal(raw, &ref); err != nil {
-		return nil, errors.Trace(err)
-	}
-	v, ok := values[ref.Parameter]
-	if !ok {
-		return nil, errors.NotFoundf("parameter %q", ref.Parameter)
-	}
-	return v, nil
-}
--- a/core/template/template.go
+++ b/core/template/template.go
@@ -3,11 +3,14 @@
 package template
 
 import (
-	"bytes"
+	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
+	"strconv"
 
 	"rosereach/core/finding"
+	"rosereach/core/shape"
 	"rosereach/core/version"
 )
 
@@ -18,6 +21,9 @@
 	List   Type = "list"
 )
 
+// sampleText stands for a text without a default; it fits a pattern and a name.
+const sampleText = "model@version"
+
 type (
 	// Type is the type of a parameter's value.
 	Type string
@@ -45,37 +51,75 @@
 	Values map[string]json.RawMessage
 )
 
-// Parse reads a template and checks it whole.
+// Parse reads a template and checks it whole. The findings of its parts are
+// reported together.
 func Parse(data []byte) (Template, finding.List) {
-	var (
-		t     Template
-		found finding.List
-	)
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&t); err != nil {
-		found.Add("template", err.Error(), "a JSON object with name, parameters and policy")
-		return t, found
+	var t Template
+	found := shape.Check[Template](data, nil)
+	if err := json.Unmarshal(data, &t); err != nil && len(found) == 0 {
+		found.Add("", err.Error(), "a JSON object")
+	}
+	if !json.Valid(data) {
+		return Template{}, found
 	}
-	return t, t.Check()
+	return t, append(found, t.Check()...)
 }
 
 // Check returns all findings of the template, also those of its policy filled
-// in with the default values.
+// in with the default values, or with a sample where there is no default.
 func (t Template) Check() finding.List {
 	var found finding.List
 	if t.Name == "" {
 		found.Add("name", "missing", "a name")
 	}
-	for _, p := range t.Parameters {
-		found.Within("parameters."+p.Name, p.check())
+	found = append(found, t.checkParameters()...)
+	return append(found, t.checkPolicy()...)
+}
+
+func (t Template) checkParameters() finding.List {
+	var found finding.List
+	seen := make(map[string]bool, len(t.Parameters))
+	for i, p := range t.Parameters {
+		place := "parameters." + cmp.Or(p.Name, strconv.Itoa(i))
+		found.Within(place, p.check())
+		if p.Name != "" && seen[p.Name] {
+			found.Add(place, "declared twice", "each name once")
+		}
+		seen[p.Name] = true
 	}
+	return found
+}
+
+func (t Template) checkPolicy() finding.List {
+	var found finding.List
 	if len(t.Policy) == 0 {
 		found.Add("policy", "missing", "an object")
+		return found
+	}
+	found.Within("policy", shape.Check[Policy](t.Policy, t.checkReference))
+	if len(found) > 0 {
+		return found
+	}
+	raw, err := substitute(t.Policy, t.samples())
+	if err != nil {
+		found.Add("policy", err.Error(), "values, or {\"parameter\": NAME} with a declared name")
+		return found
 	}
+	_, unfit := parsePolicy(raw)
+	found.Within("policy", unfit)
 	return found
 }
 
+// samples gives each parameter its default or, without one, a value that it
+// allows.
+func (t Template) samples() Values {
+	values := make(Values, len(t.Parameters))
+	for _, p := range t.Parameters {
+		values[p.Name] = p.sample()
+	}
+	return values
+}
+
 // Fill puts values into the policy and checks the result whole.
 func (t Template) Fill(values Values) (Policy, finding.List) {
 	filled, found := t.resolve(values)
@@ -108,7 +152,7 @@
 		found.Within("parameters."+p.Name, p.checkValue(v))
 		filled[p.Name] = v
 	}
-	for name := range values {
+	for _, name := range slices.Sorted(maps.Keys(values)) {
 		if !slices.ContainsFunc(t.Parameters, func(p Parameter) bool { return p.Name == name }) {
 			found.Add("parameters."+name, "the template has no such parameter", "a declared name")
 		}
@@ -123,6 +167,16 @@
 	}
 	if p.Type != Number && p.Type != Text && p.Type != List {
 		found.Add("type", "unknown type "+string(p.Type), "number, text, list")
+		return found
+	}
+	if p.Type != Number && (p.Min != nil || p.Max != nil) {
+		found.Add("min, max", "a "+string(p.Type)+" has no bounds", "min and max for a number only")
+	}
+	if p.Type == Number && len(p.Allowed) > 0 {
+		found.Add("allowed", "a number has no list of values", "min and max")
+	}
+	if p.Min != nil && p.Max != nil && *p.Min > *p.Max {
+		found.Add("min", "above max", "at most "+jsonText(*p.Max))
 	}
 	if len(p.Default) > 0 {
 		found.Within("default", p.checkValue(p.Default))
@@ -130,6 +184,26 @@
 	return found
 }
 
+func (p Parameter) sample() json.RawMessage {
+	if len(p.Default) > 0 {
+		return p.Default
+	}
+	switch p.Type {
+	case Number:
+		bound := cmp.Or(p.Min, p.Max)
+		if bound == nil {
+			return json.RawMessage("0")
+		}
+		return json.RawMessage(jsonText(*bound))
+	case List:
+		return json.RawMessage(jsonText(append([]string{}, p.Allowed...)))
+	}
+	if len(p.Allowed) > 0 {
+		return json.RawMessage(jsonText(p.Allowed[0]))
+	}
+	return json.RawMessage(jsonText(sampleText))
+}
+
 func (p Parameter) checkValue(raw json.RawMessage) finding.List {
 	switch p.Type {
 	case Number:
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -15,12 +15,13 @@
 
 // The program's exit codes.
 const (
-	exitOK       = 0
-	exitFailure  = 1
-	exitSettings = 2
-	exitRefused  = 3
-	exitConflict = 4
-	exitUnknown  = 5
+	exitOK         = 0
+	exitFailure    = 1
+	exitSettings   = 2
+	exitRefused    = 3
+	exitConflict   = 4
+	exitUnknown    = 5
+	exitNotInForce = 6
 )
 
 type (
--- a/internal/cmd/cmd_template.go
+++ b/internal/cmd/cmd_template.go
@@ -2,23 +2,31 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
+	"rosereach/core/audit"
 	"rosereach/core/change"
 	"rosereach/core/template"
 )
 
+// revisionField is the field that a document gets from the control.
+const revisionField = "revision"
+
 // cmdTemplate works with templates.
 func cmdTemplate() *command {
 	return &command{
-		name: "template", short: "check, set and show templates",
+		name: "template", short: "check, set, show and compare templates",
 		subs: []*command{
 			{name: "check", short: "check template files", args: "FILE…", action: checkTemplates},
 			{name: "set", short: "create or change a template", args: "FILE", flags: changeFlags(), action: setTemplate},
 			{name: "show", short: "show a template", args: "NAME", flags: operatorFlags(), action: showTemplate},
+			{name: "diff", short: "compare a file with the template in force", args: "FILE", flags: operatorFlags(), action: diffTemplate},
+			{name: "history", short: "list a template's changes", args: "NAME", flags: operatorFlags(), action: showTemplateHistory},
 		},
 	}
 }
@@ -26,12 +34,7 @@
 func checkTemplates(_ context.Context, c *cli.Command) error {
 	s := newSettings(c)
 	for place := range max(c.Args().Len(), 1) {
-		data := s.file(place, "FILE")
-		if data == nil {
-			continue
-		}
-		_, found := template.Parse(data)
-		s.found.Within(c.Args().Get(place), found)
+		s.template(place)
 	}
 	if err := s.err(); err != nil {
 		return err
@@ -42,8 +45,7 @@
 
 func setTemplate(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	t, found := template.Parse(s.file(0, "FILE"))
-	s.found.Within(c.Args().Get(0), found)
+	t := s.template(0)
 	return s.change(ctx, change.PutTemplate, t.Name, t)
 }
 
@@ -61,5 +63,88 @@
 	if !ok {
 		return errors.NotFoundf("template %q", name)
 	}
-	return printJSON(t)
+	return s.showDocument(t)
+}
+
+func diffTemplate(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	t, client := s.template(0), s.client()
+	if err := s.err(); err != nil {
+		return err
+	}
+	docs, err := client.Documents(ctx)
+	if err != nil {
+		return err
+	}
+	old := docs.Templates[t.Name]
+	t.Revision = old.Revision
+	before, err := json.Marshal(old)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	after, err := json.Marshal(t)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	list := audit.Differences(before, after)
+	out := newTable("FIELD", "IN FORCE", "FILE")
+	for _, d := range list {
+		out.add(d.Path, d.Before, d.After)
+	}
+	return s.show(list, out)
+}
+
+func showTemplateHistory(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	subject, client := string(change.PutTemplate)+" "+s.argument(0, "NAME"), s.client()
+	if err := s.err(); err != nil {
+		return err
+	}
+	trail, err := client.WholeTrail(ctx)
+	if err != nil {
+		return err
+	}
+	var history []audit.Event
+	out := newTable("REVISION", "AT", "ACTOR", "FROM", "CHANGE ID", "KIND", "DIFFERENCE")
+	for _, e := range trail {
+		if e.Subject != subject {
+			continue
+		}
+		history = append(history, e)
+		out.add(e.Revision, e.At.Format(timeLayout), e.Actor, e.From, e.ChangeID, e.Kind, differenceText(e))
+	}
+	return s.show(history, out)
+}
+
+// differenceText gives an event's differences on one line.
+func differenceText(e audit.Event) string {
+	if e.Detail != "" {
+		return strings.ReplaceAll(e.Detail, "\n", "; ")
+	}
+	var parts []string
+	for _, d := range audit.Differences(e.Before, e.After) {
+		if d.Path == revisionField {
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%s: %s → %s", d.Path, orNone(d.Before), orNone(d.After)))
+	}
+	return strings.Join(parts, "; ")
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+// template reads the template file that an argument names and checks it.
+func (s *settings) template(place int) template.Template {
+	data := s.file(place, "FILE")
+	if data == nil {
+		return template.Template{}
+	}
+	t, found := template.Parse(data)
+	s.found.Within(s.cmd.Args().Get(place), found)
+	return t
 }
--- a/internal/cmd/cmd_version.go
+++ b/internal/cmd/cmd_version.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
@@ -28,7 +30,7 @@
 			{name: "hold", short: "stop new work for a version for now", args: "MODEL@VERSION", flags: changeFlags(move...), action: moveVersion(version.ToHold)},
 			{name: "withdraw", short: "stop new work for a version", args: "MODEL@VERSION", flags: changeFlags(move...), action: moveVersion(version.ToWithdraw)},
 			{name: "restore", short: "undo a withdrawal", args: "MODEL@VERSION", flags: changeFlags(move...), action: moveVersion(version.ToRestore)},
-			{name: "show", short: "show a version", args: "MODEL@VERSION", flags: operatorFlags(), action: showVersion},
+			{name: "show", short: "show a version, or all", args: "[MODEL@VERSION]", flags: operatorFlags(), action: showVersion},
 		},
 	}
 }
@@ -52,7 +54,7 @@
 
 func showVersion(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	ref, client := s.ref(0), s.client()
+	client := s.client()
 	if err := s.err(); err != nil {
 		return err
 	}
@@ -60,11 +62,23 @@
 	if err != nil {
 		return err
 	}
-	v, ok := docs.Versions[ref.String()]
+	if !c.Args().Present() {
+		return s.showVersions(docs.Versions)
+	}
+	v, ok := docs.Versions[c.Args().First()]
 	if !ok {
-		return errors.NotFoundf("version %q", ref)
+		return errors.NotFoundf("version %q", c.Args().First())
+	}
+	return s.showDocument(v)
+}
+
+func (s *settings) showVersions(versions map[string]version.Version) error {
+	out := newTable("VERSION", "STATE", "SHARE", "QUALITY", "INPUT PRICE", "OUTPUT PRICE", "REVISION")
+	for _, name := range slices.Sorted(maps.Keys(versions)) {
+		v := versions[name]
+		out.add(name, v.State, v.Share, v.Quality, v.InputPrice, v.OutputPrice, v.Revision)
 	}
-	return printJSON(v)
+	return s.show(versions, out)
 }
 
 // ref reads the argument at the place as model@version.
--- a/internal/cmd/cmd_workspace.go
+++ b/internal/cmd/cmd_workspace.go
@@ -1,15 +1,19 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
+	"rosereach/core/catalog"
 	"rosereach/core/change"
 	"rosereach/core/template"
 	"rosereach/core/workspace"
@@ -19,6 +23,8 @@
 func cmdWorkspace() *command {
 	values := flag("values", "", "parameters as NAME=JSON, more than one with semicolons")
 	from := flag("template", "", "name of the template")
+	key := flag("caller-key", "", "key to store (a new random one, when empty)")
+	revoke := flag("revoke", "", "hash of the key to revoke, as workspace show lists it")
 	return &command{
 		name: "workspace", short: "create, set, show and list workspaces and make their keys",
 		subs: []*command{
@@ -26,7 +32,7 @@
 			{name: "set", short: "change a workspace's parameters", args: "NAME", flags: changeFlags(from, values), action: setWorkspace},
 			{name: "show", short: "show a workspace", args: "NAME", flags: operatorFlags(), action: showWorkspace},
 			{name: "list", short: "list workspaces", flags: operatorFlags(), action: listWorkspaces},
-			{name: "key", short: "make a new key for a workspace's callers", args: "NAME", flags: changeFlags(), action: keyWorkspace},
+			{name: "key", short: "make or revoke a key of a workspace's callers", args: "NAME", flags: changeFlags(key, revoke), action: keyWorkspace},
 		},
 	}
 }
@@ -62,7 +68,7 @@
 	if !ok {
 		return errors.NotFoundf("workspace %q", name)
 	}
-	return printJSON(w)
+	return s.showDocument(w)
 }
 
 func listWorkspaces(ctx context.Context, c *cli.Command) error {
@@ -75,19 +81,35 @@
 	if err != nil {
 		return err
 	}
-	return printJSON(docs.Workspaces)
+	out := newTable("WORKSPACE", "TEMPLATE", "KEYS", "CLOSED", "REVISION", "VERSIONS PERMITTED NOW")
+	permissions := catalog.New(docs.Catalog())
+	for _, name := range slices.Sorted(maps.Keys(docs.Workspaces)) {
+		w := docs.Workspaces[name]
+		versions := strings.Join(permissions.Permissions(name).Versions, ", ")
+		out.add(name, w.Template, len(w.KeyHashes), w.Closed, w.Revision, versions)
+	}
+	return s.show(docs.Workspaces, out)
 }
 
-// keyWorkspace makes a key, stores its hash and prints the key once.
+// keyWorkspace makes a key, stores its hash and prints the key once, also when
+// the outcome is unknown: the same key is then sent again.
 func keyWorkspace(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
 	name := s.argument(0, "NAME")
-	key := rand.Text()
-	if err := s.change(ctx, change.AddKey, name, change.Key{Hash: workspace.HashKey(key)}); err != nil {
+	if hash := s.optional("revoke"); hash != "" {
+		return s.change(ctx, change.RemoveKey, name, change.Key{Hash: hash})
+	}
+	given := s.optional("caller-key")
+	key := cmp.Or(given, rand.Text())
+	err := s.change(ctx, change.AddKey, name, change.Key{Hash: workspace.HashKey(key)})
+	if code := codeOf(err); given != "" || err != nil && code != exitUnknown && code != exitNotInForce {
 		return err
 	}
 	fmt.Println(key)
-	return nil
+	if codeOf(err) == exitUnknown {
+		return exit(exitUnknown, errors.Annotate(err, "give the printed key with --caller-key"))
+	}
+	return err
 }
 
 // values reads parameters given as NAME=JSON with semicolons.
--- a/internal/cmd/operate.go
+++ b/internal/cmd/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 
 	"github.com/juju/errors"
@@ -20,6 +21,7 @@
 		flag("control", "", "host:port of a control"),
 		flag("operator-key", "", "key to present"),
 		flag("actor", "operator", "name to write into the audit trail"),
+		boolFlag("json", "print JSON in place of a table"),
 	}, more...)
 }
 
@@ -28,6 +30,7 @@
 	return operatorFlags(append([]cli.Flag{
 		flag("expect", "", "revision that the document must have; 0 for a new one"),
 		flag("change-id", "", "id of the change; give the same one to send it again"),
+		boolFlag("dry-run", "show what would be permitted before and after, change nothing"),
 		boolFlag("no-wait", "return once the change is accepted, before it is in force"),
 	}, more...)...)
 }
@@ -36,11 +39,27 @@
 	return operator.Client{Address: s.address("control"), Key: s.text("operator-key")}
 }
 
-// change sends a change and prints the answer.
+// change sends a change, or previews it, and prints the answer.
 func (s *settings) change(ctx context.Context, kind change.Kind, name string, document any) error {
+	c, err := s.newChange(kind, name, document)
+	if err != nil {
+		return err
+	}
+	client := s.client()
+	if err := s.err(); err != nil {
+		return err
+	}
+	answer, err := s.send(ctx, client, c)
+	if err != nil {
+		return failureOf(err, c.ID)
+	}
+	return s.report(c, answer)
+}
+
+func (s *settings) newChange(kind change.Kind, name string, document any) (change.Change, error) {
 	data, err := json.Marshal(document)
 	if err != nil {
-		return errors.Trace(err)
+		return change.Change{}, errors.Trace(err)
 	}
 	c := change.Change{
 		ID: s.optional("change-id"), Kind: kind, Name: name, Document: data, Actor: s.optional("actor"),
@@ -52,28 +71,64 @@
 		expect := uint64(s.number("expect", 0, 1<<62))
 		c.Expect = &expect
 	}
-	client := s.client()
-	if err := s.err(); err != nil {
-		return err
+	return c, nil
+}
+
+func (s *settings) send(ctx context.Context, client operator.Client, c change.Change) (operator.Answer, error) {
+	if s.cmd.Bool("dry-run") {
+		return client.Preview(ctx, c)
 	}
-	answer, err := client.Change(ctx, c, !s.cmd.Bool("no-wait"))
-	if err != nil {
-		return exit(exitUnknown, errors.Annotatef(err, "outcome unknown; send it again with --change-id %s", c.ID))
+	return client.Change(ctx, c, !s.cmd.Bool("no-wait"))
+}
+
+// failureOf gives a request that the control refused another exit code than
+// one whose outcome is unknown.
+func failureOf(err error, changeID string) error {
+	var p *operator.Problem
+	if errors.As(err, &p) && p.Status < http.StatusInternalServerError {
+		return exit(exitRefused, err)
 	}
-	return report(c, answer)
+	return exit(exitUnknown, errors.Annotatef(err, "outcome unknown; send it again with --change-id %s", changeID))
 }
 
-func report(c change.Change, a operator.Answer) error {
+// report prints the answer and returns the error for its exit code.
+func (s *settings) report(c change.Change, a operator.Answer) error {
+	if s.cmd.Bool("json") {
+		if err := printJSON(a); err != nil {
+			return err
+		}
+	}
 	switch a.Status {
 	case change.Accepted:
-		fmt.Printf("accepted: %s %s, revision %d, in force everywhere: %t\n", c.Kind, c.Name, a.Revision, a.InForce)
-		return nil
+		return s.reportAccepted(c, a)
 	case change.Conflict:
 		return exit(exitConflict, errors.Errorf("conflict: the document is at revision %d; look at it and try again", a.Revision))
 	}
 	return exit(exitRefused, errors.Annotate(a.Findings, "refused"))
 }
 
+func (s *settings) reportAccepted(c change.Change, a operator.Answer) error {
+	if !s.cmd.Bool("json") {
+		printAccepted(c, a)
+	}
+	if a.DryRun || a.InForce || s.cmd.Bool("no-wait") {
+		return nil
+	}
+	return exit(exitNotInForce, errors.New("accepted, but not yet in force everywhere; it stays accepted: look at the status"))
+}
+
+func printAccepted(c change.Change, a operator.Answer) {
+	switch {
+	case a.DryRun:
+		fmt.Printf("would be accepted: %s %s\n", c.Kind, c.Name)
+		printEffects(a.Effects)
+		return
+	case a.Repeated:
+		fmt.Printf("known already, first answer: ")
+	}
+	fmt.Printf("accepted: %s %s, revision %d, change id %s, in force everywhere: %t\n", c.Kind, c.Name, a.Revision, c.ID, a.InForce)
+}
+
 // argument returns the command's argument at the place, or a finding.
 func (s *settings) argument(place int, name string) string {
 	v := s.cmd.Args().Get(place)
@@ -95,9 +150,3 @@
 	}
 	return data
 }
-
-func printJSON(v any) error {
-	e := json.NewEncoder(os.Stdout)
-	e.SetIndent("", "  ")
-	return errors.Trace(e.Encode(v))
-}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -33,6 +33,16 @@
 	return a, c.do(ctx, http.MethodPost, path, body, &a)
 }
 
+// Preview returns what the change would answer and do, without making it.
+func (c Client) Preview(ctx context.Context, ch change.Change) (Answer, error) {
+	body, err := json.Marshal(ch)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	var a Answer
+	return a, c.do(ctx, http.MethodPost, "/v1/changes?dry_run=true", body, &a)
+}
+
 // Documents returns the newest documents.
 func (c Client) Documents(ctx context.Context) (Documents, error) {
 	var d Documents
@@ -45,6 +55,22 @@
 	return bills, c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/bills?after=%d", after), nil, &bills)
 }
 
+// WholeTrail returns all audit events that the control keeps, in order.
+func (c Client) WholeTrail(ctx context.Context) ([]audit.Event, error) {
+	var (
+		all   []audit.Event
+		after uint64
+	)
+	for {
+		page, err := c.Trail(ctx, after)
+		if err != nil || len(page) == 0 {
+			return all, err
+		}
+		all = append(all, page...)
+		after = page[len(page)-1].Sequence
+	}
+}
+
 // Trail returns the audit events after the sequence, at most MaxPage.
 func (c Client) Trail(ctx context.Context, after uint64) ([]audit.Event, error) {
 	var events []audit.Event
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"rosereach/core/audit"
+	"rosereach/core/catalog"
 	"rosereach/core/change"
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
@@ -64,9 +65,12 @@
 
 	// Answer is the answer to a change: the result and, when the caller waited,
 	// whether it is in force everywhere.
+	// Effects are set for a dry run only.
 	Answer struct {
 		change.Result
-		InForce bool `json:"in_force"`
+		InForce bool             `json:"in_force"`
+		DryRun  bool             `json:"dry_run,omitempty"`
+		Effects []catalog.Effect `json:"effects,omitempty"`
 	}
 
 	// Problem is an error as application/problem+json.
@@ -95,6 +99,13 @@
 	})
 }
 
+// Catalog returns the documents in the form that decides on changes.
+func (d Documents) Catalog() catalog.Documents {
+	return catalog.Documents{
+		Revision: d.Revision, Templates: d.Templates, Workspaces: d.Workspaces, Versions: d.Versions, Services: d.Services,
+	}
+}
+
 func (s *server) authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given := r.Header.Get("Authorization")
@@ -113,6 +124,11 @@
 		return
 	}
 	c.From = r.RemoteAddr
+	if r.URL.Query().Get("dry_run") == "true" {
+		p := s.backend.Documents().Catalog().Preview(c)
+		writeJSON(w, statusOf(p.Result), Answer{Result: p.Result, DryRun: true, Effects: p.Effects})
+		return
+	}
 	result, err := s.backend.Change(r.Context(), c)
 	if err != nil {
 		writeProblem(w, Problem{Status: http.StatusServiceUnavailable, Code: "unknown", Detail: err.Error() + "; send the same change again"})
--- /dev/null
+++ b/test/operate_test.go
@@ -0,0 +1,77 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"rosereach/io/operator"
+)
+
+// operate runs an operator's command against the fleet's control.
+func (f *fleet) operate(args ...string) (int, string) {
+	f.t.Helper()
+	f.t.Setenv("ROSEREACH_CONTROL", f.operator.Address)
+	f.t.Setenv("ROSEREACH_OPERATOR_KEY", f.operator.Key)
+	return runProgram(f.t, args...)
+}
+
+// Changes by command: previews change nothing, a race has one winner, a resent
+// change shows its first answer, and each answer has its own exit code.
+func TestChangesByCommand(t *testing.T) {
+	f := startFleet(t, 1)
+	f.setUp("small@v1")
+	file := filepath.Join(t.TempDir(), "drafting.json")
+	if err := os.WriteFile(file, []byte(`{"name":"drafting","policy":{"allow":[],"services":[]}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	docs, err := f.operator.Documents(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	expect, err := json.Marshal(docs.Versions["small@v1"].Revision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision := string(expect)
+	for _, tc := range []struct {
+		name, args string
+		code       int
+		says       []string
+	}{
+		{"preview of a template", "template set --dry-run " + file, 0, []string{"would be accepted", "terminalna", "policy.allow.0", "versions.0"}},
+		{"preview of a withdrawal", "version withdraw --dry-run small@v1", 0, []string{"would be accepted", `"small@v1"`}},
+		{"difference of a file", "template diff " + file, 0, []string{"policy.allow.0", `"small@*"`}},
+		{"the preview changed nothing", "version show", 0, []string{"serving"}},
+		{"the first of two operators", "version hold --change-id one --expect " + revision + " small@v1", 0, []string{"accepted", "in force everywhere: true"}},
+		{"the second of two operators", "version withdraw --change-id two --expect " + revision + " small@v1", 4, []string{"conflict"}},
+		{"the first one resent", "version hold --change-id one --expect " + revision + " small@v1", 0, []string{"known already", "accepted"}},
+		{"a used id for another change", "version serve --change-id one small@v1", 3, []string{"change_id", "was used for another change"}},
+		{"a move that is refused", "version restore small@v1", 3, []string{"trigger"}},
+		{"unknown workspace", "workspace key nobody", 3, []string{"no workspace nobody"}},
+		{"a control that is not there", "version hold --control 127.0.0.1:1 small@v1", 5, []string{"outcome unknown", "--change-id"}},
+		{"a wrong key", "version hold --operator-key nonsense small@v1", 3, []string{"unauthorized"}},
+		{"history of a template", "template history drafting", 0, []string{"REVISION", "changed", "policy.allow.0: none"}},
+		{"list of workspaces", "workspace list", 0, []string{"terminalna", "drafting"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			code, out := f.operate(strings.Fields(tc.args)...)
+			if code != tc.code {
+				t.Errorf("exit code %d, want %d", code, tc.code)
+			}
+			for _, text := range tc.says {
+				if !strings.Contains(out, text) {
+					t.Errorf("%q is not in:\n%s", text, out)
+				}
+			}
+		})
+	}
+	code, out := f.operate("version", "hold", "--json", "--change-id", "one", "--expect", revision, "small@v1")
+	var answer operator.Answer
+	if err := json.Unmarshal([]byte(out), &answer); err != nil || code != 0 || !answer.Repeated || answer.Revision != docs.Revision+1 {
+		t.Errorf("exit code %d, %v\n%s", code, err, out)
+	}
+}
