--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -47,7 +47,7 @@
 	return []*command{
 		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
 		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(),
-		cmdBills(), cmdAudit(), cmdStatus(),
+		cmdBills(), cmdAudit(), cmdStatus(), cmdExperiment(),
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/table.go
@@ -0,0 +1,6 @@
+package experiment
+
+// All returns every experiment, in the order in which they are listed.
+func All() []Experiment {
+	return []Experiment{}
+}
