Add the load command with both firms' mixes

Latencies were measured from the sending of each request by a closed loop of callers, which hides the wait behind a slow answer. Arrivals are now a Poisson schedule fixed by its seed, every time counts from when the request was due, and callers keep addresses for their time to live, send again under the same id and wait as refusals say. The caller client got a hook for each piece of text, and its session refusals keep their problem, because token intervals and retry times could not be seen through it before. Found beside it: the HTTP transport repeats body-less calls by itself, so a lost GET may be sent once more than the caller counts.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -47,7 +47,8 @@
 	return []*command{
 		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
 		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(),
-		cmdBills(), cmdAudit(), cmdStatus(), cmdExperiment(),
+		cmdBills(), cmdAudit(), cmdStatus(),
+		cmdLoad(), cmdExperiment(),
 	}
 }
 
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -11,9 +11,20 @@
 	"text/tabwriter"
 
 	"github.com/juju/errors"
+
+	"rosereach/internal/graph"
 )
 
 type (
+	// Plot is a picture of lines that belongs to a result.
+	Plot = graph.Plot
+
+	// Line is a named line of a plot.
+	Line = graph.Line
+
+	// Point is one point of a line.
+	Point = graph.Point
+
 	// Bound is what a row must keep. Limit is in the row's unit.
 	Bound struct {
 		AtLeast bool    `json:"at_least"`
--- a/internal/experiment/result_test.go
+++ b/internal/experiment/result_test.go
@@ -37,7 +37,7 @@
 	r := Result{
 		Experiment: "sample", Seeds: 1,
 		Rows:  []Row{NewRow("first token", "ms", 7).WithAtMost(5), NewRow("cost", "EUR", 1234567)},
-		Plots: []Plot{{Name: "latency", Lines: []Line{{Name: "a", Points: []Point{{0, 1}, {1, 2}}}}}},
+		Plots: []Plot{{Name: "latency", Lines: []Line{{Name: "a", Points: []Point{{X: 0, Y: 1}, {X: 1, Y: 2}}}}}},
 	}
 	if err := r.Write(folder); err != nil {
 		t.Fatal(err)
--- a/internal/experiment/plot.go
+++ b/internal/graph/plot.go
@@ -1,4 +1,5 @@
-package experiment
+// Package graph draws lines as PNG pictures.
+package graph
 
 import (
 	"bytes"
--- /dev/null
+++ b/internal/load/profile.go
@@ -0,0 +1,92 @@
+// Package load sends requests as the callers of both firms do: at times that
+// do not wait for earlier answers, to the entries that the system names.
+package load
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// The kinds of a class.
+const (
+	Chat Kind = "chat"
+	Call Kind = "call"
+)
+
+type (
+	// Kind tells model requests from calls of a plain service.
+	Kind string
+
+	// Span is a range of whole numbers, both ends included.
+	Span struct{ Least, Most int64 }
+
+	// Class is one sort of request of a profile. Weight is its share of the
+	// profile's requests. Prompt and Answer count tokens. A class with Turns
+	// sends that many requests in each session.
+	Class struct {
+		Name       string
+		Weight     float64
+		Kind       Kind
+		Priority   string
+		Timeout    time.Duration
+		Prompt     Span
+		Answer     Span
+		Turns      int
+		Service    string
+		Method     string
+		Path       string
+		Idempotent bool
+	}
+
+	// Profile is the mix of one firm.
+	Profile struct {
+		Name    string
+		System  string
+		Classes []Class
+	}
+)
+
+// Vitrina is the mix of a register of empty shops: traders ask short questions
+// and read, officers draft dossiers, landlords file listings and withdraw them.
+func Vitrina() Profile {
+	return Profile{
+		Name:   "vitrina",
+		System: "You answer for a register of empty shops. Name the street, the number and the state of the lease.",
+		Classes: []Class{
+			{Name: "question", Weight: 0.40, Kind: Chat, Priority: "2", Timeout: 10 * time.Second, Prompt: Span{20, 60}, Answer: Span{8, 40}, Idempotent: true},
+			{Name: "conversation", Weight: 0.10, Kind: Chat, Priority: "2", Timeout: 10 * time.Second, Prompt: Span{20, 60}, Answer: Span{8, 40}, Turns: 4, Idempotent: true},
+			{Name: "dossier", Weight: 0.06, Kind: Chat, Timeout: 60 * time.Second, Prompt: Span{800, 2000}, Answer: Span{150, 300}, Idempotent: true},
+			{Name: "register_read", Weight: 0.30, Kind: Call, Priority: "2", Timeout: 5 * time.Second, Service: "register", Method: http.MethodGet, Path: "/shops/", Idempotent: true},
+			{Name: "listing", Weight: 0.09, Kind: Call, Priority: "1", Timeout: 10 * time.Second, Service: "register", Method: http.MethodPost, Path: "/listings/"},
+			{Name: "withdrawal", Weight: 0.05, Kind: Call, Priority: "1", Timeout: 10 * time.Second, Service: "register", Method: http.MethodDelete, Path: "/listings/"},
+		},
+	}
+}
+
+// Terminalna is the mix of a clearing house for tank terminals: statements and
+// explanations from the model, postings and balances from the ledger.
+func Terminalna() Profile {
+	return Profile{
+		Name:   "terminalna",
+		System: "You explain the throughput of tanks to accountants. Name every meter and every ledger that you used.",
+		Classes: []Class{
+			{Name: "statement", Weight: 0.08, Kind: Chat, Timeout: 60 * time.Second, Prompt: Span{600, 1500}, Answer: Span{120, 250}, Idempotent: true},
+			{Name: "explanation", Weight: 0.25, Kind: Chat, Priority: "1", Timeout: 20 * time.Second, Prompt: Span{100, 400}, Answer: Span{40, 120}, Idempotent: true},
+			{Name: "berth_log", Weight: 0.12, Kind: Chat, Timeout: 20 * time.Second, Prompt: Span{300, 900}, Answer: Span{20, 60}, Turns: 3, Idempotent: true},
+			{Name: "posting", Weight: 0.25, Kind: Call, Priority: "2", Timeout: 10 * time.Second, Service: "ledger", Method: http.MethodPost, Path: "/invoices/"},
+			{Name: "balance", Weight: 0.30, Kind: Call, Priority: "1", Timeout: 5 * time.Second, Service: "ledger", Method: http.MethodGet, Path: "/balances/", Idempotent: true},
+		},
+	}
+}
+
+// ProfileOf returns the profile of that name.
+func ProfileOf(name string) (Profile, error) {
+	for _, p := range []Profile{Vitrina(), Terminalna()} {
+		if p.Name == name {
+			return p, nil
+		}
+	}
+	return Profile{}, errors.NotFoundf("profile %q (vitrina and terminalna exist)", name)
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,208 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+
+	"rosereach/core/request"
+	"rosereach/io/caller"
+)
+
+const (
+	// maxIdleConns bounds the idle connections to one entry.
+	maxIdleConns = 1024
+
+	// grace is how long a caller waits past the timeout of its request.
+	grace = 5 * time.Second
+
+	progressInterval = time.Second
+
+	bytesPerToken = 4
+)
+
+type (
+	// Options are the settings of a run. Entries are the addresses that callers
+	// know before they ask for more. Progress may be nil.
+	Options struct {
+		Entries  []string
+		Sources  []Source
+		Length   time.Duration
+		Seed     uint64
+		Region   string
+		Zone     string
+		Progress io.Writer
+		Clock    clock.Clock
+	}
+
+	// Observation is what the caller of one arrival saw. Times count from the
+	// intended time of sending. Late is by how much the sending itself came too
+	// late. Gaps are the times between two tokens.
+	Observation struct {
+		Arrival    Arrival
+		Final      Final
+		Late       time.Duration
+		FirstToken time.Duration
+		Total      time.Duration
+		Gaps       []time.Duration
+	}
+
+	// Runner sends a schedule.
+	Runner struct {
+		opts     Options
+		callers  []*Caller
+		sessions []*sessions
+
+		mu   sync.Mutex
+		seen []Observation
+	}
+)
+
+// NewRunner returns a runner for the options' sources.
+func NewRunner(opts Options) *Runner {
+	r := &Runner{opts: opts}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}}
+	for i, s := range opts.Sources {
+		c := &Caller{Known: opts.Entries, Key: s.Key, Region: opts.Region, Zone: opts.Zone, HTTP: client, Clock: opts.Clock}
+		r.callers = append(r.callers, c)
+		r.sessions = append(r.sessions, newSessions(fmt.Sprintf("%s-%d-%d", s.Profile.Name, opts.Seed, i)))
+	}
+	return r
+}
+
+// Run sends all arrivals, each at its own time whether or not earlier ones
+// were answered, and returns what their callers saw.
+func (r *Runner) Run(ctx context.Context) []Observation {
+	schedule := Schedule(r.opts.Sources, r.opts.Length, r.opts.Seed)
+	began := r.opts.Clock.Now()
+	reporting, stop := context.WithCancel(ctx)
+	defer stop()
+	go r.report(reporting, began, len(schedule))
+	var sending sync.WaitGroup
+	for _, a := range schedule {
+		if !r.waitUntil(ctx, began.Add(a.At)) {
+			break
+		}
+		sending.Go(func() { r.observe(ctx, a, began.Add(a.At)) })
+	}
+	sending.Wait()
+	return r.seen
+}
+
+func (r *Runner) waitUntil(ctx context.Context, at time.Time) bool {
+	wait := at.Sub(r.opts.Clock.Now())
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-r.opts.Clock.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Runner) observe(ctx context.Context, a Arrival, intended time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, a.Class.Timeout+grace)
+	defer cancel()
+	o := Observation{Arrival: a, Late: r.opts.Clock.Now().Sub(intended)}
+	o.Final = r.callers[a.Source].Do(ctx, func(ctx context.Context, client caller.Client) (caller.Reply, error) {
+		return r.send(ctx, client, &o, intended)
+	})
+	o.Total = r.opts.Clock.Now().Sub(intended)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = append(r.seen, o)
+}
+
+// send sends the arrival's request once.
+func (r *Runner) send(ctx context.Context, client caller.Client, o *Observation, intended time.Time) (caller.Reply, error) {
+	a := o.Arrival
+	opts := caller.CallOptions{RequestID: a.ID, Priority: a.Class.Priority, Timeout: a.Class.Timeout}
+	if a.Class.Kind == Call {
+		path := fmt.Sprintf("%s%d", a.Class.Path, a.Item)
+		return client.Service(ctx, a.Class.Service, a.Class.Method, path, callBody(a), opts)
+	}
+	if a.Session > 0 {
+		token, err := r.sessions[a.Source].open(ctx, client, a.Session)
+		if err != nil {
+			return replyOf(a, err)
+		}
+		opts.Session = token
+	}
+	var last time.Time
+	opts.OnText = func(string) {
+		now := r.opts.Clock.Now()
+		if o.FirstToken == 0 {
+			o.FirstToken = now.Sub(intended)
+		}
+		if !last.IsZero() {
+			o.Gaps = append(o.Gaps, now.Sub(last))
+		}
+		last = now
+	}
+	reply, err := client.Chat(ctx, r.chatBody(a), opts)
+	if a.Session > 0 && reply.Problem != nil && reply.Problem.Code == request.CodeSessionEnded {
+		r.sessions[a.Source].end(a.Session, opts.Session)
+	}
+	return reply, err
+}
+
+// replyOf tells a refusal to open a session from a lost answer.
+func replyOf(a Arrival, err error) (caller.Reply, error) {
+	var refused *caller.Problem
+	if errors.As(err, &refused) {
+		return caller.Reply{RequestID: a.ID, Problem: refused}, nil
+	}
+	return caller.Reply{RequestID: a.ID}, err
+}
+
+func (r *Runner) chatBody(a Arrival) caller.ChatRequest {
+	question := fmt.Sprintf("Document %d. ", a.Item)
+	text := question + strings.Repeat("word", int(max(a.Prompt-int64(len(question)/bytesPerToken), 1)))
+	return caller.ChatRequest{
+		Model: request.AutoModel, MaxTokens: a.Answer, Stream: true,
+		Messages: []request.Message{
+			{Role: "system", Content: r.opts.Sources[a.Source].Profile.System},
+			{Role: "user", Content: text},
+		},
+	}
+}
+
+// callBody returns the body of a call; reading and withdrawing have none.
+func callBody(a Arrival) []byte {
+	if a.Class.Method != http.MethodPost {
+		return nil
+	}
+	return fmt.Appendf(nil, `{"item":%d,"amount":%d}`, a.Item, a.Answer)
+}
+
+func (r *Runner) report(ctx context.Context, began time.Time, planned int) {
+	if r.opts.Progress == nil {
+		return
+	}
+	for {
+		select {
+		case <-r.opts.Clock.After(progressInterval):
+		case <-ctx.Done():
+			return
+		}
+		counts := r.counts()
+		elapsed := r.opts.Clock.Now().Sub(began).Round(time.Second)
+		fmt.Fprintf(r.opts.Progress, "%v: %d of %d ended, done %d, not_run %d, unknown %d\n", //nolint:errcheck // progress is a help only
+			elapsed, counts.Ended, planned, counts.Done, counts.NotRun, counts.Unknown)
+	}
+}
+
+func (r *Runner) counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return countAll(r.seen)
+}
--- /dev/null
+++ b/internal/load/schedule.go
@@ -0,0 +1,95 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// items is how many shops, listings, balances or documents a profile knows.
+const items = 200
+
+type (
+	// Source is one workspace that sends a profile's requests at a mean rate
+	// per second.
+	Source struct {
+		Profile Profile
+		Key     string
+		Rate    float64
+	}
+
+	// Arrival is one request of a schedule. At counts from the start of the
+	// run. Session is 0 for a request outside sessions.
+	Arrival struct {
+		At      time.Duration
+		ID      string
+		Source  int
+		Class   Class
+		Prompt  int64
+		Answer  int64
+		Item    int
+		Session int
+	}
+)
+
+// Schedule returns the arrivals of all sources in order of time. Each source is
+// a Poisson process. The same seed gives the same schedule.
+func Schedule(sources []Source, length time.Duration, seed uint64) []Arrival {
+	var all []Arrival
+	for i, source := range sources {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		all = append(all, arrivals(source, i, length, seed, random)...)
+	}
+	slices.SortFunc(all, func(a, b Arrival) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.ID, b.ID)) })
+	return all
+}
+
+func arrivals(source Source, place int, length time.Duration, seed uint64, random *rand.Rand) []Arrival {
+	var (
+		list     []Arrival
+		at       time.Duration
+		turns    = make(map[string]int)
+		sessions = make(map[string]int)
+		opened   int
+	)
+	for {
+		at += time.Duration(random.ExpFloat64() / source.Rate * float64(time.Second))
+		if at >= length {
+			return list
+		}
+		class := pickClass(source.Profile.Classes, random)
+		a := Arrival{
+			At: at, ID: fmt.Sprintf("%s-%d-%d", source.Profile.Name, seed, len(list)), Source: place, Class: class,
+			Prompt: pickIn(class.Prompt, random), Answer: pickIn(class.Answer, random), Item: random.IntN(items),
+		}
+		if class.Turns > 0 {
+			if turns[class.Name] == 0 {
+				opened++
+				sessions[class.Name] = opened
+				turns[class.Name] = class.Turns
+			}
+			turns[class.Name]--
+			a.Session = sessions[class.Name]
+		}
+		list = append(list, a)
+	}
+}
+
+func pickClass(classes []Class, random *rand.Rand) Class {
+	var sum float64
+	for _, c := range classes {
+		sum += c.Weight
+	}
+	left := random.Float64() * sum
+	for _, c := range classes {
+		left -= c.Weight
+		if left < 0 {
+			return c
+		}
+	}
+	return classes[len(classes)-1]
+}
+
+func pickIn(s Span, random *rand.Rand) int64 { return s.Least + random.Int64N(s.Most-s.Least+1) }
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -30,12 +30,13 @@
 	}
 
 	// CallOptions are the parts of a request beside its body. Empty fields are
-	// left out.
+	// left out. OnText gets each piece of a streamed answer as it arrives.
 	CallOptions struct {
 		RequestID string
 		Session   string
 		Priority  string
 		Timeout   time.Duration
+		OnText    func(text string)
 	}
 
 	// Reply is what a caller saw. Problem is set when the request was refused
@@ -86,7 +87,8 @@
 	return c.send(ctx, method, "/v1/services/"+url.PathEscape(service)+path, body, opts, false)
 }
 
-// OpenSession opens a session for the model and returns its token.
+// OpenSession opens a session for the model and returns its token. A refusal
+// is an error with a *Problem as its cause.
 func (c Client) OpenSession(ctx context.Context, model string, opts CallOptions) (string, error) {
 	body, err := json.Marshal(sessionRequest{Model: model})
 	if err != nil {
@@ -97,7 +99,7 @@
 		return "", err
 	}
 	if reply.Problem != nil {
-		return "", errors.Errorf("%s: %s", reply.Problem.Code, reply.Problem.Detail)
+		return "", errors.Trace(reply.Problem)
 	}
 	var session SessionReply
 	return session.Session, errors.Trace(json.Unmarshal([]byte(reply.Text), &session))
@@ -136,7 +138,7 @@
 		Version: resp.Header.Get(HeaderVersion), Repeated: resp.Header.Get(HeaderRepeated) == "true",
 	}
 	if stream && resp.StatusCode == http.StatusOK {
-		err = reply.readEvents(resp.Body, began)
+		err = reply.readEvents(resp.Body, began, opts.OnText)
 	} else {
 		err = reply.readBody(resp)
 	}
@@ -176,7 +178,7 @@
 	return nil
 }
 
-func (r *Reply) readEvents(body io.Reader, began time.Time) error {
+func (r *Reply) readEvents(body io.Reader, began time.Time, onText func(string)) error {
 	var text strings.Builder
 	defer func() { r.Text = text.String() }()
 	scanner := bufio.NewScanner(body)
@@ -198,12 +200,12 @@
 			r.Problem = e.Error
 			return nil
 		}
-		r.takeChunk(e.Chunk, &text, began)
+		r.takeChunk(e.Chunk, &text, began, onText)
 	}
 	return errors.Annotate(scanner.Err(), "answer")
 }
 
-func (r *Reply) takeChunk(chunk iobackend.Chunk, text *strings.Builder, began time.Time) {
+func (r *Reply) takeChunk(chunk iobackend.Chunk, text *strings.Builder, began time.Time, onText func(string)) {
 	for _, choice := range chunk.Choices {
 		if choice.Delta.Content == "" {
 			continue
@@ -212,6 +214,9 @@
 			r.FirstToken = time.Since(began)
 		}
 		text.WriteString(choice.Delta.Content)
+		if onText != nil {
+			onText(choice.Delta.Content)
+		}
 	}
 	if chunk.Usage != nil {
 		r.Tokens = chunk.Usage.CompletionTokens
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -33,6 +33,9 @@
 	}
 )
 
+// Error gives code and detail.
+func (p *Problem) Error() string { return string(p.Code) + ": " + p.Detail }
+
 // statuses gives each code its HTTP status; codes that are not here get 503.
 var statuses = map[request.Code]int{
 	request.CodeBadRequest:       http.StatusBadRequest,
