--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -49,6 +49,7 @@
 		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
 		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(),
 		cmdBills(), cmdAudit(), cmdStatus(),
+		cmdLoad(), cmdExperiment(),
 	}
 }
 
