Add the client for engine orders, ratings and the weight store

Cause: the fakes took orders, samples and loads, but nothing of rosereach spoke to them, and ratings went to whoever asked first. Ratings now go to the collector that gave the sample, so that each entry gets its own. The wire types moved from the fakes to io/platform.

--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -14,6 +14,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/request"
 	"rosereach/core/version"
+	"rosereach/io/platform"
 )
 
 type (
@@ -48,7 +49,7 @@
 		byID     map[string]*sequence
 		cache    *prefixCache
 		versions []version.Ref
-		fence    Fence
+		fence    platform.Fence
 		reports  []backend.Load
 		leaving  bool
 		ordinal  uint64
--- a/internal/fake/engine_http.go
+++ b/internal/fake/engine_http.go
@@ -11,6 +11,7 @@
 	"rosereach/core/request"
 	"rosereach/core/version"
 	iobackend "rosereach/io/backend"
+	"rosereach/io/platform"
 )
 
 // Handler returns the engine's HTTP interface.
@@ -18,7 +19,7 @@
 	r := chi.NewRouter()
 	r.Post(iobackend.PathChat, e.postChat)
 	r.Get(iobackend.PathRequests+"{id}", e.getRequest)
-	r.Post(PathOrders, e.postOrder)
+	r.Post(platform.PathOrders, e.postOrder)
 	r.Get("/v1/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Log.Runs()) })
 	return r
 }
--- a/internal/fake/rater.go
+++ b/internal/fake/rater.go
@@ -10,12 +10,9 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/clock"
 
-	"rosereach/core/version"
+	"rosereach/io/platform"
 )
 
-// PathRatings is where the rating service takes answers and gives ratings.
-const PathRatings = "/v1/ratings"
-
 type (
 	// RaterConfig are the settings of a fake rating service. Quality is the true
 	// mean quality by version as model@version. Ratings are noisy and come late.
@@ -27,18 +24,6 @@
 		Clock   clock.Clock
 	}
 
-	// Sample is an answer to be rated.
-	Sample struct {
-		RequestID string      `json:"request_id"`
-		Version   version.Ref `json:"version"`
-	}
-
-	// Rating is the rating of one answer, 0 to 1.
-	Rating struct {
-		Sample
-		Quality float64 `json:"quality"`
-	}
-
 	// Rater is a fake rating service.
 	Rater struct {
 		cfg RaterConfig
@@ -49,8 +34,9 @@
 	}
 
 	pendingRating struct {
-		rating Rating
-		due    time.Time
+		rating    platform.Rating
+		collector string
+		due       time.Time
 	}
 )
 
@@ -60,26 +46,30 @@
 }
 
 // Submit gives the service an answer to rate.
-func (r *Rater) Submit(s Sample) {
+func (r *Rater) Submit(s platform.Sample) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	quality := r.cfg.Quality[s.Version.String()] + r.random.NormFloat64()*r.cfg.Noise
 	r.pending = append(r.pending, pendingRating{
-		rating: Rating{Sample: s, Quality: min(max(quality, 0), 1)}, due: r.cfg.Clock.Now().Add(r.cfg.Lag),
+		rating: platform.Rating{
+			RequestID: s.RequestID, Workspace: s.Workspace, Class: s.Class, Version: s.Version,
+			Quality: min(max(quality, 0), 1),
+		},
+		collector: s.Collector, due: r.cfg.Clock.Now().Add(r.cfg.Lag),
 	})
 }
 
-// Collect takes the ratings that are ready.
-func (r *Rater) Collect() []Rating {
+// Collect takes the collector's ratings that are ready.
+func (r *Rater) Collect(collector string) []platform.Rating {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock.Now()
 	var (
-		ready []Rating
+		ready []platform.Rating
 		later []pendingRating
 	)
 	for _, p := range r.pending {
-		if now.Before(p.due) {
+		if p.collector != collector || now.Before(p.due) {
 			later = append(later, p)
 			continue
 		}
@@ -93,8 +83,8 @@
 // collects the ratings that are ready.
 func (r *Rater) Handler() http.Handler {
 	router := chi.NewRouter()
-	router.Post(PathRatings, func(w http.ResponseWriter, req *http.Request) {
-		var s Sample
+	router.Post(platform.PathRatings, func(w http.ResponseWriter, req *http.Request) {
+		var s platform.Sample
 		if err := json.NewDecoder(req.Body).Decode(&s); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -102,6 +92,8 @@
 		r.Submit(s)
 		w.WriteHeader(http.StatusAccepted)
 	})
-	router.Get(PathRatings, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, r.Collect()) })
+	router.Get(platform.PathRatings, func(w http.ResponseWriter, req *http.Request) {
+		writeJSON(w, r.Collect(req.URL.Query().Get("collector")))
+	})
 	return router
 }
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -8,10 +8,9 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/clock"
 	"golang.org/x/time/rate"
-)
 
-// PathWeights is where the weight store serves the weights of a version.
-const PathWeights = "/v1/weights/"
+	"rosereach/io/platform"
+)
 
 type (
 	// StoreConfig are the settings of a fake weight store. It serves at most
@@ -39,7 +38,7 @@
 // Handler returns the store's HTTP interface.
 func (s *Store) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Get(PathWeights+"{ref}", s.getWeights)
+	r.Get(platform.PathWeights+"{ref}", s.getWeights)
 	return r
 }
 
--- /dev/null
+++ b/io/platform/platform.go
@@ -0,0 +1,180 @@
+// Package platform speaks to the platform around rosereach: orders to model
+// engines, the rating service and the weight store.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/version"
+)
+
+// The paths of the platform's services.
+const (
+	PathOrders  = "/v1/orders"
+	PathRatings = "/v1/ratings"
+	PathWeights = "/v1/weights/"
+)
+
+// maxReplyBytes bounds an answer of the platform.
+const maxReplyBytes = 4 << 20
+
+// The ways in which an engine or the weight store refuses.
+const (
+	// ErrFenced says that the engine has seen a newer fencing number.
+	ErrFenced = errors.ConstError("the engine refused an old fencing number")
+
+	// ErrRateLimited says that the weight store serves no more loads now.
+	ErrRateLimited = errors.ConstError("the weight store is at its rate limit")
+)
+
+type (
+	// Fence is the fencing number of an order: the leader's term and a
+	// sequence within it.
+	Fence struct {
+		Term     uint64 `json:"term"`
+		Sequence uint64 `json:"sequence"`
+	}
+
+	// Order sets the versions that an engine shall have loaded. It is
+	// declarative: the same order twice changes nothing.
+	Order struct {
+		Fence    Fence         `json:"fence"`
+		Versions []version.Ref `json:"versions"`
+	}
+
+	// Sample is an answer to be rated. Collector is who will ask for the rating.
+	Sample struct {
+		Collector string      `json:"collector"`
+		RequestID string      `json:"request_id"`
+		Workspace string      `json:"workspace"`
+		Class     string      `json:"class"`
+		Version   version.Ref `json:"version"`
+		Prompt    string      `json:"prompt"`
+		Answer    string      `json:"answer"`
+	}
+
+	// Rating is the rating of one answer, 0 to 1.
+	Rating struct {
+		RequestID string      `json:"request_id"`
+		Workspace string      `json:"workspace"`
+		Class     string      `json:"class"`
+		Version   version.Ref `json:"version"`
+		Quality   float64     `json:"quality"`
+	}
+
+	// Client calls the platform over HTTP. The zero HTTP client is
+	// http.DefaultClient.
+	Client struct {
+		HTTP *http.Client
+	}
+)
+
+// IsOlderThan reports whether an order with this number comes too late.
+func (f Fence) IsOlderThan(other Fence) bool {
+	if f.Term != other.Term {
+		return f.Term < other.Term
+	}
+	return f.Sequence < other.Sequence
+}
+
+// Order sends an order to the engine at the address. The error satisfies
+// ErrFenced when the engine refused the number. Any other error leaves open
+// whether the engine took the order.
+func (c Client) Order(ctx context.Context, address string, o Order) error {
+	resp, err := c.do(ctx, http.MethodPost, "http://"+address+PathOrders, o)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusPreconditionFailed:
+		return errors.Annotatef(ErrFenced, "engine at %s, order %d.%d", address, o.Fence.Term, o.Fence.Sequence)
+	}
+	return errors.Errorf("engine at %s: status %d", address, resp.StatusCode)
+}
+
+// Submit gives the rating service at the address an answer to rate.
+func (c Client) Submit(ctx context.Context, address string, s Sample) error {
+	resp, err := c.do(ctx, http.MethodPost, "http://"+address+PathRatings, s)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusAccepted {
+		return errors.Errorf("rating service at %s: status %d", address, resp.StatusCode)
+	}
+	return nil
+}
+
+// Collect returns the ratings that are ready for the collector. Each is given
+// once.
+func (c Client) Collect(ctx context.Context, address, collector string) ([]Rating, error) {
+	target := "http://" + address + PathRatings + "?collector=" + url.QueryEscape(collector)
+	resp, err := c.do(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("rating service at %s: status %d", address, resp.StatusCode)
+	}
+	var ratings []Rating
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&ratings)
+	return ratings, errors.Annotate(err, "ratings")
+}
+
+// Load asks the weight store for a version's weights. The wait is how long to
+// hold back when the error satisfies ErrRateLimited.
+func (c Client) Load(ctx context.Context, address string, ref version.Ref) (wait time.Duration, err error) {
+	resp, err := c.do(ctx, http.MethodGet, "http://"+address+PathWeights+url.PathEscape(ref.String()), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return 0, nil
+	case http.StatusTooManyRequests:
+		return retryAfter(resp.Header), errors.Annotatef(ErrRateLimited, "weights of %s", ref)
+	}
+	return 0, errors.Errorf("weight store at %s: status %d", address, resp.StatusCode)
+}
+
+func (c Client) do(ctx context.Context, method, target string, message any) (*http.Response, error) {
+	var body bytes.Buffer
+	if message != nil {
+		if err := json.NewEncoder(&body).Encode(message); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, &body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	return resp, errors.Annotatef(err, "platform at %s", target)
+}
+
+// retryAfter reads the header in seconds, 1 s when it is missing.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 1 {
+		seconds = 1
+	}
+	return time.Duration(seconds) * time.Second
+}
