--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -15,12 +15,13 @@
 
 // The program's exit codes.
 const (
-	exitOK       = 0
-	exitFailure  = 1
-	exitSettings = 2
-	exitRefused  = 3
-	exitConflict = 4
-	exitUnknown  = 5
+	exitOK         = 0
+	exitFailure    = 1
+	exitSettings   = 2
+	exitRefused    = 3
+	exitConflict   = 4
+	exitUnknown    = 5
+	exitNotInForce = 6
 )
 
 type (
@@ -48,6 +49,7 @@
 		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
 		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(),
 		cmdBills(), cmdAudit(), cmdStatus(),
+		cmdLoad(), cmdExperiment(),
 	}
 }
 
