--- /dev/null
+++ b/internal/entry/batch.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/ledger"
+	"rosereach/core/state"
+	"rosereach/io/member"
+)
+
+const (
+	// maxBatchCommands and maxBatchBytes bound one frame of records.
+	maxBatchCommands = 256
+	maxBatchBytes    = 4 << 20
+
+	// maxFrames bounds the frames that are on their way at once. While all are,
+	// records gather for the next one.
+	maxFrames = 4
+
+	// maxSubmitted bounds the records that wait for a frame.
+	maxSubmitted = 16_384
+
+	// commandBytes estimates a record's size without its answer.
+	commandBytes = 512
+)
+
+type (
+	// batcher carries begin and finish records to the ledger, many in a frame.
+	batcher struct {
+		propose func(context.Context, ...state.Command) ([]state.Result, error)
+		pause   func(ctx context.Context, failures int) error
+		queue   chan *submission
+	}
+
+	// submission is one record on its way. Reply and err count once done is
+	// closed.
+	submission struct {
+		command state.Command
+		done    chan struct{}
+		reply   ledger.Reply
+		err     error
+	}
+)
+
+// run sends frames until the context ends.
+func (b *batcher) run(ctx context.Context) error {
+	frames := make(chan struct{}, maxFrames)
+	for {
+		select {
+		case frames <- struct{}{}:
+		case <-ctx.Done():
+			return nil
+		}
+		select {
+		case first := <-b.queue:
+			batch := b.gather(first)
+			go func() {
+				defer func() { <-frames }()
+				b.send(ctx, batch)
+			}()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// deliver brings a record to the ledger, again after a failure, until the
+// context ends. The ledger takes a record that arrives twice once.
+func (b *batcher) deliver(ctx context.Context, c state.Command) (ledger.Reply, error) {
+	for failures := 1; ; failures++ {
+		reply, err := b.submit(ctx, c)
+		if err == nil || isRefused(err) {
+			return reply, err
+		}
+		if pauseErr := b.pause(ctx, failures); pauseErr != nil {
+			return reply, err
+		}
+	}
+}
+
+func (b *batcher) submit(ctx context.Context, c state.Command) (ledger.Reply, error) {
+	s := &submission{command: c, done: make(chan struct{})}
+	select {
+	case b.queue <- s:
+	case <-ctx.Done():
+		return ledger.Reply{}, errors.Trace(ctx.Err())
+	}
+	select {
+	case <-s.done:
+		return s.reply, s.err
+	case <-ctx.Done():
+		return ledger.Reply{}, errors.Trace(ctx.Err())
+	}
+}
+
+// gather adds the records that wait already.
+func (b *batcher) gather(first *submission) []*submission {
+	batch := []*submission{first}
+	size := sizeOf(first.command)
+	for len(batch) < maxBatchCommands && size < maxBatchBytes {
+		select {
+		case s := <-b.queue:
+			batch = append(batch, s)
+			size += sizeOf(s.command)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (b *batcher) send(ctx context.Context, batch []*submission) {
+	commands := make([]state.Command, 0, len(batch))
+	for _, s := range batch {
+		commands = append(commands, s.command)
+	}
+	results, err := b.propose(ctx, commands...)
+	for i, s := range batch {
+		s.err = err
+		if err == nil {
+			s.take(results[i])
+		}
+		close(s.done)
+	}
+}
+
+func (s *submission) take(r state.Result) {
+	if r.Ledger == nil {
+		s.err = errors.New("the control's result holds no ledger reply")
+		return
+	}
+	s.reply = *r.Ledger
+}
+
+func sizeOf(c state.Command) int {
+	if c.Finish == nil {
+		return commandBytes
+	}
+	return commandBytes + len(c.Finish.Answer.Body)
+}
+
+// isRefused reports whether the control will not take the record at any time.
+func isRefused(err error) bool {
+	var p *member.Problem
+	return errors.As(err, &p) && p.Code == member.CodeRefused
+}
--- a/internal/entry/begin.go
+++ b/internal/entry/begin.go
@@ -8,120 +8,95 @@
 
 	"rosereach/core/ledger"
 	"rosereach/core/request"
-	iobackend "rosereach/io/backend"
-	"rosereach/io/caller"
+	"rosereach/core/state"
 )
 
-// resendRetryAfter is when to ask again for a request that still runs.
-const resendRetryAfter = time.Second
+const (
+	// resendRetryAfter is when to ask again for a request that still runs.
+	resendRetryAfter = time.Second
 
-// beginning is a begin record on its way to the ledger.
+	// errNotOwned is the cause that ends an attempt of a request that the
+	// ledger gave to another entry, or that ended before.
+	errNotOwned = errors.ConstError("the ledger has the request elsewhere")
+)
+
+// beginning is a begin record on its way to the ledger. Reply and err count
+// once done is closed.
 type beginning struct {
+	owner ledger.Owner
 	done  chan struct{}
 	reply ledger.Reply
 	err   error
 }
 
-// beginBeside starts the begin record of a request that may be repeated; the
-// request is dispatched beside it.
-func (e *Entry) beginBeside(ctx context.Context, req request.Request) *beginning {
-	b := &beginning{done: make(chan struct{})}
-	record := e.beginRecord(req)
+// begin starts the begin record of a request. It is brought to the ledger even
+// when the request gives up, so that it can be closed.
+func (e *Entry) begin(x *execution, replied func(owned bool)) *beginning {
+	b := &beginning{owner: e.owner(), done: make(chan struct{})}
+	record := ledger.Begin{
+		Key: x.key(), BodyHash: x.hash, Owner: b.owner, Idempotent: x.req.Idempotent, Service: x.req.Service,
+		At: e.cfg.Clock.Now().UTC(),
+	}
 	go func() {
 		defer close(b.done)
-		b.reply, b.err = e.link.begin(context.WithoutCancel(ctx), record)
+		b.reply, b.err = e.ledger.deliver(e.ctx, state.Command{Begin: &record})
+		if replied != nil {
+			replied(b.isOwned())
+		}
 	}()
 	return b
 }
 
-// beginBefore waits for the begin record of a request that must not be
-// dispatched without it.
-func (e *Entry) beginBefore(ctx context.Context, req request.Request) (*beginning, error) {
-	b := e.beginBeside(ctx, req)
-	return b, b.wait(ctx)
-}
-
-// wait returns nil once the request is recorded as new.
-func (b *beginning) wait(ctx context.Context) error {
-	select {
-	case <-b.done:
-	case <-ctx.Done():
-		return request.NewUnknown(request.CodeLedger, "the deadline passed while the request was recorded")
-	}
-	if b.err != nil {
-		return request.NewUnknown(request.CodeLedger, b.err.Error()).WithRetryAfter(resendRetryAfter)
-	}
-	switch b.reply.Status {
-	case ledger.New:
-		return nil
-	case ledger.Mismatch:
-		return request.NewNotRun(request.CodeBodyMismatch, "the request id was used for another request")
-	case ledger.Expired:
-		return request.NewNotRun(request.CodeIDExpired, "the request id is older than the ledger's horizon")
-	case ledger.Finished:
-		return request.NewUnknown(request.CodeAnswerNotKept, "the request has ended before")
-	}
-	return request.NewUnknown(request.CodeRunningElsewhere, "the request runs at "+b.reply.Owner.Entry).
-		WithRetryAfter(resendRetryAfter)
-}
-
-// replay returns the recorded answer when the request had ended before.
-func (b *beginning) replay() *request.Answer {
-	<-b.done
-	if b.err == nil && b.reply.Status == ledger.Finished {
-		return b.reply.Answer
-	}
-	return nil
-}
-
-// isOwned reports whether the begin record was taken for this request.
+// isOwned reports whether the ledger gave the request to this entry. A record
+// whose first reply was lost is found running under the entry's own name. It
+// counts once done is closed.
 func (b *beginning) isOwned() bool {
-	<-b.done
-	return b.err == nil && b.reply.Status == ledger.New
-}
-
-// fail records how a request failed and returns its refusal.
-func (e *Entry) fail(ctx context.Context, req request.Request, b *beginning, cause error) error {
-	refusal := refusalFor(cause)
-	if !b.isOwned() {
-		return refusal
-	}
-	a := request.Answer{Outcome: refusal.Outcome, Code: refusal.Code}
-	if _, err := e.record(ctx, req, a, 0, true); err != nil {
-		e.cfg.Logger.Log("msg", "End of a request is not recorded.", "request", req.ID, "err", err)
+	if b.err != nil || b.reply.Owner != b.owner {
+		return false
 	}
-	return refusal
+	return b.reply.Status == ledger.New || b.reply.Status == ledger.Running
 }
 
-// refusalFor returns what to tell the caller about a failure.
-func refusalFor(cause error) *request.Refusal {
-	var refusal *request.Refusal
-	if errors.As(cause, &refusal) {
-		return refusal
-	}
-	var attempt *iobackend.AttemptError
-	if errors.As(cause, &attempt) && attempt.Outcome == request.NotRun {
-		return request.NewNotRun(request.CodeBackendFailed, cause.Error()).WithRetryAfter(resendRetryAfter)
-	}
-	if errors.Is(cause, context.DeadlineExceeded) {
-		return request.NewUnknown(request.CodeDeadline, "the deadline passed while the request ran")
+// own waits until the ledger gives the request to this entry. When the request
+// ended before, its recorded answer is returned. While it runs at another
+// entry, the ledger is asked again: it has the answer when the request ends,
+// and gives it to this entry when the other one is gone.
+func (e *Entry) own(ctx context.Context, x *execution, b *beginning) (*beginning, *request.Answer, error) {
+	for tries := 1; ; tries++ {
+		select {
+		case <-b.done:
+		case <-ctx.Done():
+			return b, nil, errors.Trace(ctx.Err())
+		}
+		switch {
+		case b.err != nil:
+			return b, nil, request.NewNotRun(request.CodeLedger, b.err.Error()).WithRetryAfter(resendRetryAfter)
+		case b.isOwned():
+			return b, nil, nil
+		case b.reply.Status == ledger.Finished:
+			return b, b.reply.Answer, nil
+		case b.reply.Status == ledger.Mismatch:
+			return b, nil, request.NewNotRun(request.CodeBodyMismatch, "the request id was used for another request; choose a new id")
+		case b.reply.Status == ledger.Expired:
+			return b, nil, request.NewNotRun(request.CodeIDExpired, "the request id is older than the ledger's horizon; choose a new id")
+		}
+		if err := e.pause(ctx, tries); err != nil {
+			return b, nil, request.NewUnknown(request.CodeRunningElsewhere, "the request runs at "+b.reply.Owner.Entry+"; ask again").
+				WithRetryAfter(resendRetryAfter)
+		}
+		b = e.begin(x, nil)
 	}
-	return request.NewUnknown(request.CodeBackendFailed, cause.Error())
 }
 
-// repeat gives a resend the answer that was recorded for the request.
-func (e *Entry) repeat(a request.Answer, sink caller.Sink) (request.Answer, error) {
-	a.Repeated = true
-	if a.Outcome != request.Done {
-		return a, request.NewUnknown(a.Code, "the request ended before with outcome "+string(a.Outcome))
-	}
-	if a.Code == request.CodeAnswerNotKept {
-		return a, &request.Refusal{Outcome: request.Done, Code: a.Code, Detail: "the request is done; its answer was too large to keep"}
-	}
-	if sink != nil && len(a.Body) > 0 {
-		if err := sink.Text(a.Version, 0, string(a.Body)); err != nil {
-			return a, errors.Trace(err)
-		}
+// pause waits before the next try, longer after each failure.
+func (e *Entry) pause(ctx context.Context, failures int) error {
+	e.mu.Lock()
+	wait := backoff.Delay(failures, e.random)
+	e.mu.Unlock()
+	select {
+	case <-e.cfg.Clock.After(wait):
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
 	}
-	return a, nil
 }
--- /dev/null
+++ b/internal/entry/end.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/ledger"
+	"rosereach/core/request"
+	"rosereach/core/state"
+	iobackend "rosereach/io/backend"
+)
+
+// minRecordWait is how long a caller waits at least for the end record of a
+// whole answer, also when its deadline is near.
+const minRecordWait = time.Second
+
+// finish makes the end of a request durable and then ends it for its callers.
+// The end record is the bill. One that cannot be delivered before the callers'
+// deadline is delivered later, while the entry lives.
+func (e *Entry) finish(x *execution, a request.Answer, price int64, free bool) {
+	now := e.cfg.Clock.Now()
+	wait := max(x.req.Deadline.Sub(now), minRecordWait)
+	late := e.cfg.Clock.AfterFunc(wait, func() {
+		x.end(a, request.NewUnknown(request.CodeLedger, "the end of the request is not recorded yet; ask again").
+			WithRetryAfter(resendRetryAfter))
+	})
+	defer late.Stop()
+	reply, err := e.recordEnd(x, a, price, free)
+	x.end(a, e.settled(x, a, reply, err))
+	e.table.remove(x)
+}
+
+// settled returns nil when the ledger recorded the answer as the request's end.
+func (e *Entry) settled(x *execution, a request.Answer, reply ledger.Reply, err error) error {
+	if err != nil {
+		return request.NewUnknown(request.CodeLedger, "the end of the request could not be recorded: "+err.Error())
+	}
+	if reply.Status != ledger.Finished || reply.Answer.Outcome != a.Outcome {
+		return request.NewUnknown(request.CodeLedger, "the request was settled while it ran")
+	}
+	return x.fire(request.Finish)
+}
+
+func (e *Entry) recordEnd(x *execution, a request.Answer, price int64, free bool) (ledger.Reply, error) {
+	f := ledger.Finish{
+		Key: x.key(), Owner: e.owner(), Answer: a, Price: price, Free: free, At: e.cfg.Clock.Now().UTC(),
+	}
+	reply, err := e.ledger.deliver(e.ctx, state.Command{Finish: &f})
+	if err != nil {
+		e.cfg.Logger.Log("msg", "End of a request is not recorded.", "request", x.req.ID, "err", err)
+	}
+	return reply, err
+}
+
+// fail ends the request without an answer, at once. Its state chart decides
+// whether it is not_run or unknown. The end record follows in the background;
+// b is nil when no begin record was sent.
+func (e *Entry) fail(x *execution, b *beginning, cause error) {
+	refusal := e.refusalFor(x, cause)
+	trigger := request.Lose
+	if refusal.Outcome == request.NotRun {
+		trigger = request.Refuse
+	}
+	if err := x.fire(trigger); err != nil && refusal.Code != request.CodeRunningElsewhere {
+		e.cfg.Logger.Log("msg", "Request ends out of order.", "request", x.req.ID, "err", err)
+	}
+	a := request.Answer{Outcome: refusal.Outcome, Code: refusal.Code}
+	x.end(a, refusal)
+	if b == nil {
+		e.table.remove(x)
+		return
+	}
+	go func() {
+		defer e.table.remove(x)
+		<-b.done
+		if b.isOwned() {
+			e.recordEnd(x, a, 0, true) //nolint:errcheck // it is logged
+		}
+	}()
+}
+
+// refusalFor returns what to tell the callers about a failure. A request that
+// runs at another entry has that one's outcome, which is not known here.
+func (e *Entry) refusalFor(x *execution, cause error) *request.Refusal {
+	outcome := x.outcome()
+	var refusal *request.Refusal
+	if errors.As(cause, &refusal) {
+		r := *refusal
+		if r.Code != request.CodeRunningElsewhere {
+			r.Outcome = outcome
+		}
+		return &r
+	}
+	r := request.Refusal{Outcome: outcome, Code: request.CodeBackendFailed, Detail: cause.Error(), RetryAfter: resendRetryAfter}
+	switch {
+	case errors.Is(context.Cause(x.ctx), errCallerGone):
+		r.Code, r.Detail = request.CodeCallerGone, "the caller left before the request ended"
+	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+		r.Code, r.Detail = request.CodeDeadline, "the deadline passed before the request ended"
+	case x.received() > 0:
+		r.Code = request.CodeAnswerCut
+	}
+	return &r
+}
+
+// repeat gives the answer that was recorded for the request to those who sent
+// it again.
+func (e *Entry) repeat(x *execution, a request.Answer) {
+	a.Repeated = true
+	x.replay(a)
+	switch {
+	case a.Outcome != request.Done:
+		x.end(a, request.NewUnknown(a.Code, "the request ended before with outcome "+string(a.Outcome)))
+	case a.Code == request.CodeAnswerNotKept:
+		x.end(a, &request.Refusal{Outcome: request.Done, Code: a.Code, Detail: "the request is done; its answer was not kept"})
+	default:
+		x.end(a, nil)
+	}
+	e.table.remove(x)
+}
+
+// isProven reports whether the attempt provably did not run.
+func isProven(err error) bool {
+	var attempt *iobackend.AttemptError
+	return errors.As(err, &attempt) && attempt.Outcome == request.NotRun
+}
+
+func isRefusal(err error) bool {
+	var r *request.Refusal
+	return errors.As(err, &r)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,13 +5,14 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/juju/clock"
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/backend"
 	"rosereach/core/cascade"
@@ -21,6 +22,7 @@
 	"rosereach/core/limit"
 	"rosereach/core/placement"
 	"rosereach/core/registry"
+	"rosereach/core/retry"
 	iobackend "rosereach/io/backend"
 )
 
@@ -28,6 +30,9 @@
 	// backendLease is how long an announcement counts.
 	backendLease = 3 * time.Second
 
+	// drainInterval is how often draining looks for requests that still run.
+	drainInterval = 20 * time.Millisecond
+
 	// maxIdleConns bounds the idle connections to one backend server.
 	maxIdleConns = 256
 )
@@ -57,12 +62,16 @@
 	// Entry is one entry process.
 	Entry struct {
 		cfg      Config
+		ctx      context.Context
+		stop     context.CancelFunc
 		link     *link
+		ledger   *batcher
+		table    *table
 		engines  *iobackend.Client
 		catalog  atomic.Pointer[catalog.Catalog]
 		draining atomic.Bool
 		closed   atomic.Bool
-		active   sync.WaitGroup
+		handling atomic.Int64
 
 		mu        sync.Mutex
 		registry  *registry.Registry
@@ -71,6 +80,7 @@
 		choice    cascade.Policy
 		placement placement.Policy
 		gate      *admission
+		budgets   *retry.Budgets
 		holder    lease.Holder
 		peers     []lease.Entry
 	}
@@ -78,10 +88,11 @@
 
 // New returns an entry, which Run connects to the controls.
 func New(cfg Config) *Entry {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
 	e := &Entry{
 		cfg:       cfg,
-		engines:   iobackend.NewClient(transport),
+		table:     newTable(),
+		engines:   iobackend.NewClient(cfg.Clock, maxIdleConns),
+		budgets:   retry.NewBudgets(entryBudget, workspaceBudget),
 		registry:  registry.New(backendLease),
 		inFlight:  make(map[string]int),
 		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
@@ -90,12 +101,21 @@
 		gate:      newAdmission(limit.NewFirstCome(cfg.MaxRunning, cfg.MaxWaiting)),
 	}
 	e.catalog.Store(catalog.New(catalog.Documents{}))
+	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.link = newLink(e)
+	e.ledger = &batcher{propose: e.link.propose, pause: e.pause, queue: make(chan *submission, maxSubmitted)}
 	return e
 }
 
-// Run keeps lease and documents until the context ends.
-func (e *Entry) Run(ctx context.Context) error { return e.link.run(ctx) }
+// Run keeps lease and documents, and brings records to the ledger, until the
+// context ends.
+func (e *Entry) Run(ctx context.Context) error {
+	defer e.stop()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return e.link.run(ctx) })
+	g.Go(func() error { return e.ledger.run(ctx) })
+	return g.Wait()
+}
 
 // Ready reports whether the entry may dispatch work.
 func (e *Entry) Ready() bool {
@@ -114,19 +134,20 @@
 	case <-ctx.Done():
 	}
 	e.closed.Store(true)
-	idle := make(chan struct{})
-	go func() {
-		e.active.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-	case <-ctx.Done():
-		return ctx.Err()
+	for e.isBusy() {
+		select {
+		case <-e.cfg.Clock.After(drainInterval):
+		case <-ctx.Done():
+			return errors.Annotate(ctx.Err(), "requests still run")
+		}
 	}
 	return e.link.release(ctx)
 }
 
+// isBusy reports whether a request runs, waits for its end record or is being
+// answered.
+func (e *Entry) isBusy() bool { return e.table.len() > 0 || e.handling.Load() > 0 }
+
 // observe records a backend server's announcement.
 func (e *Entry) observe(a backend.Announcement) {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/entry/execute.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosereach/core/limit"
+	"rosereach/core/request"
+	"rosereach/core/retry"
+	"rosereach/io/caller"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 3
+
+	// bytesPerToken estimates the tokens of a prompt from its length.
+	bytesPerToken = 4
+
+	// failureWait bounds the wait for the ledger's word on a request that has
+	// failed here, which may have ended elsewhere.
+	failureWait = 500 * time.Millisecond
+)
+
+var (
+	// backoff lies between two tries of the same work.
+	backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: time.Second}
+
+	// entryBudget and workspaceBudget bound the retries.
+	entryBudget     = retry.Terms{Share: 0.1, Limit: 100}
+	workspaceBudget = retry.Terms{Share: 0.2, Limit: 20}
+)
+
+// execute runs the request, or joins it when the same one runs already, and
+// follows it to its end. The error is a *request.Refusal.
+func (e *Entry) execute(ctx context.Context, req request.Request, sink caller.Sink, work func(*execution)) (request.Answer, error) {
+	if err := e.mayAdmit(); err != nil {
+		return request.Answer{}, err
+	}
+	x, isNew, err := e.table.join(e.ctx, req)
+	if err != nil {
+		return request.Answer{}, err
+	}
+	woken := x.join()
+	if isNew {
+		go e.run(x, work)
+		return x.follow(ctx, woken, sink)
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	return x.follow(ctx, woken, sink)
+}
+
+// mayAdmit refuses new requests of an entry that stops or that holds no lease.
+func (e *Entry) mayAdmit() error {
+	if e.closed.Load() {
+		return request.NewNotRun(request.CodeDraining, "this entry is stopping; use another entry").
+			WithAddresses(e.addresses(e.cfg.Region, e.cfg.Zone))
+	}
+	if !e.Ready() {
+		return request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
+			WithAddresses(e.addresses(e.cfg.Region, e.cfg.Zone))
+	}
+	return nil
+}
+
+// run takes the request into the entry, or refuses it, and does the work.
+func (e *Entry) run(x *execution, work func(*execution)) {
+	leave, err := e.admit(x)
+	if err != nil {
+		e.fail(x, nil, err)
+		return
+	}
+	defer leave()
+	work(x)
+}
+
+// admit waits for the request's turn.
+func (e *Entry) admit(x *execution) (func(), error) {
+	if err := x.fire(request.Enqueue); err != nil {
+		return nil, err
+	}
+	policy, err := e.catalog.Load().Policy(x.req.Workspace)
+	if err != nil {
+		return nil, refusalOf(err, x.req)
+	}
+	return e.gate.enter(x.ctx, e.cfg.Clock, limit.Ticket{
+		Workspace: x.req.Workspace, Weight: max(policy.Weight, 1), Priority: x.req.Priority, Deadline: x.req.Deadline,
+	})
+}
+
+// mayRetry takes a retry from the budgets and waits before it. It reports
+// false when the request has to be given up.
+func (e *Entry) mayRetry(ctx context.Context, x *execution, failures int) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	e.mu.Lock()
+	allowed := e.budgets.Take(x.req.Workspace)
+	e.mu.Unlock()
+	return allowed && e.pause(ctx, failures) == nil
+}
+
+// succeed earns a share of a retry.
+func (e *Entry) succeed(x *execution) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budgets.Succeed(x.req.Workspace)
+}
+
+// bodyHash identifies what the request asks for.
+func bodyHash(req request.Request) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{string(req.Kind), req.Service, req.Method, req.Path, req.Model, req.Session} {
+		d.WriteString(part) //nolint:errcheck // a hash takes all bytes
+		d.Write([]byte{0})  //nolint:errcheck // a hash takes all bytes
+	}
+	d.Write(req.Body) //nolint:errcheck // a hash takes all bytes
+	return d.Sum64()
+}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -10,7 +10,6 @@
 
 	"rosereach/core/catalog"
 	"rosereach/core/lease"
-	"rosereach/core/ledger"
 	"rosereach/core/state"
 	"rosereach/io/member"
 )
@@ -134,27 +133,6 @@
 	return reply.Results, nil
 }
 
-// begin records the start of a request.
-func (l *link) begin(ctx context.Context, b ledger.Begin) (ledger.Reply, error) {
-	return l.record(ctx, state.Command{Begin: &b})
-}
-
-// finish records the end of a request.
-func (l *link) finish(ctx context.Context, f ledger.Finish) (ledger.Reply, error) {
-	return l.record(ctx, state.Command{Finish: &f})
-}
-
-func (l *link) record(ctx context.Context, c state.Command) (ledger.Reply, error) {
-	results, err := l.propose(ctx, c)
-	if err != nil {
-		return ledger.Reply{}, err
-	}
-	if results[0].Ledger == nil {
-		return ledger.Reply{}, errors.New("the control's result holds no ledger reply")
-	}
-	return *results[0].Ledger, nil
-}
-
 // release gives the lease back, so that the control need not wait it out.
 func (l *link) release(ctx context.Context) error {
 	l.entry.mu.Lock()
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
-	"rosereach/core/ledger"
-	"rosereach/core/limit"
+	"rosereach/core/backend"
 	"rosereach/core/placement"
 	"rosereach/core/request"
 	"rosereach/core/version"
@@ -16,166 +13,202 @@
 	"rosereach/io/caller"
 )
 
-const (
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 3
-
-	// bytesPerToken estimates the tokens of a prompt from its length.
-	bytesPerToken = 4
-)
+// broken is where an answer stopped. Run is the engine's name for the run.
+type broken struct {
+	server backend.Announcement
+	run    string
+}
 
 // Complete runs a model request and passes its text to the sink. The answer is
 // returned once it is recorded; the error is a *request.Refusal.
 func (e *Entry) Complete(ctx context.Context, req request.Request, sink caller.Sink) (request.Answer, error) {
-	leave, err := e.admit(ctx, req)
-	if err != nil {
-		return request.Answer{}, err
-	}
-	defer leave()
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
-	ref, err := e.choose(req)
+	return e.execute(ctx, req, sink, e.runModel)
+}
+
+// runModel dispatches the request beside its begin record; nothing is shown
+// before that is durable.
+func (e *Entry) runModel(x *execution) {
+	ref, err := e.choose(x.req)
 	if err != nil {
-		return request.Answer{}, err
-	}
-	begun := e.beginBeside(ctx, req)
-	out := &output{sink: sink, begun: func(ctx context.Context) error { return begun.wait(ctx) }}
-	answer, err := e.attempts(ctx, req, ref, out)
-	if replay := begun.replay(); replay != nil {
-		return e.repeat(*replay, sink)
-	}
-	if err == nil {
-		err = begun.wait(ctx)
+		e.fail(x, nil, err)
+		return
+	}
+	ctx, stop := context.WithCancelCause(x.ctx)
+	defer stop(nil)
+	b := e.begin(x, func(owned bool) {
+		if owned {
+			x.show()
+			return
+		}
+		stop(errNotOwned)
+	})
+	answer, err := e.attempts(ctx, x, ref)
+	b, recorded, ownErr := e.ownAfter(x, b, err)
+	switch {
+	case recorded != nil:
+		e.repeat(x, *recorded)
+		return
+	case ownErr != nil:
+		e.fail(x, b, ownErr)
+		return
+	}
+	if err != nil && errors.Is(context.Cause(ctx), errNotOwned) && x.ctx.Err() == nil {
+		x.discard()
+		x.show()
+		answer, err = e.attempts(x.ctx, x, ref)
 	}
 	if err != nil {
-		return request.Answer{}, e.fail(ctx, req, begun, err)
+		e.fail(x, b, err)
+		return
 	}
-	return e.record(ctx, req, answer, e.priceOf(ref, answer.Usage), false)
+	e.succeed(x)
+	e.finish(x, answer, e.priceOf(ref, answer.Usage), false)
 }
 
-// admit takes the request into the entry or refuses it.
-func (e *Entry) admit(ctx context.Context, req request.Request) (func(), error) {
-	if e.closed.Load() {
-		return nil, request.NewNotRun(request.CodeDraining, "this entry is stopping; use another entry").
-			WithAddresses(e.addresses(e.cfg.Region, e.cfg.Zone))
+// ownAfter waits for the ledger's word after the attempts. Those that failed
+// for good are not held back for long: without a word, their failure counts.
+func (e *Entry) ownAfter(x *execution, b *beginning, failure error) (*beginning, *request.Answer, error) {
+	if failure == nil || errors.Is(failure, errNotOwned) {
+		return e.own(x.ctx, x, b)
 	}
-	policy, err := e.catalog.Load().Policy(req.Workspace)
-	if err != nil {
-		return nil, refusalOf(err, req)
-	}
-	leave, err := e.gate.enter(ctx, e.cfg.Clock, limit.Ticket{
-		Workspace: req.Workspace, Weight: max(policy.Weight, 1), Priority: req.Priority, Deadline: req.Deadline,
-	})
-	if err != nil {
-		return nil, err
+	ctx, cancel := context.WithTimeout(x.ctx, failureWait)
+	defer cancel()
+	b, recorded, err := e.own(ctx, x, b)
+	if err != nil && !isRefusal(err) {
+		err = failure
 	}
-	e.active.Add(1)
-	return func() {
-		leave()
-		e.active.Done()
-	}, nil
+	return b, recorded, err
 }
 
 // attempts sends the request until an answer is whole. An answer that broke
-// is resumed on its own engine, or continued behind its text on another.
-func (e *Entry) attempts(ctx context.Context, req request.Request, ref version.Ref, out *output) (request.Answer, error) {
+// is resumed at its engine, or continued behind its text at another.
+func (e *Entry) attempts(ctx context.Context, x *execution, ref version.Ref) (request.Answer, error) {
 	var (
+		at    broken
 		tried []string
 		last  error
 	)
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		demand := placement.Demand{InputTokens: int64(len(req.Body) / bytesPerToken), OutputTokens: req.MaxTokens, Priority: req.Priority}
-		c, err := e.dispatch(req, target{ref: ref}, tried, demand)
+		if attempt > 1 && !e.mayRetry(ctx, x, attempt-1) {
+			return request.Answer{}, last
+		}
+		c, call, err := e.place(x, ref, at, tried)
 		if err != nil {
-			return request.Answer{}, firstFailure(last, err)
+			return request.Answer{}, firstFailure(x, last, err)
 		}
-		end, err := e.stream(ctx, req, ref, c, attempt, out)
+		call.Attempt = attempt
+		end, err := e.stream(ctx, x, c, call)
 		if err == nil {
-			return out.answer(ref, c.server.ID, end.Usage), nil
+			return x.whole(ref, c.server.ID, end.Usage), nil
 		}
-		if ctx.Err() != nil || out.gone != nil || isRefusal(err) {
-			return request.Answer{}, err
+		last = failed(ctx, err)
+		at = broken{}
+		if call.Run == "" {
+			at = broken{server: c.server, run: end.Run}
 		}
-		last = err
 		tried = append(tried, c.server.ID)
 	}
 	return request.Answer{}, last
 }
 
-func (e *Entry) stream(ctx context.Context, req request.Request, ref version.Ref, c claim, attempt int, out *output) (iobackend.End, error) {
-	defer c.release()
+// place claims the engine for the next attempt: the one where the answer
+// broke, if it can go on, else another one.
+func (e *Entry) place(x *execution, ref version.Ref, at broken, tried []string) (claim, iobackend.Call, error) {
 	call := iobackend.Call{
-		Address: c.server.Address, RequestID: req.ID, Attempt: attempt, Deadline: req.Deadline, Priority: req.Priority,
-		Version: ref, Messages: req.Messages, MaxTokens: req.MaxTokens, Offset: out.next, Prefix: out.text.String(),
+		RequestID: x.req.ID, Deadline: x.req.Deadline, Priority: x.req.Priority, Version: ref,
+		Messages: x.req.Messages, MaxTokens: x.req.MaxTokens, Offset: x.received(),
 	}
-	end, err := e.engines.Stream(ctx, call, func(p iobackend.Piece) error { return out.take(ctx, ref, p) })
+	if at.run != "" && call.Offset > 0 {
+		if c, err := e.reclaim(x.req, target{ref: ref}, at.server); err == nil {
+			call.Address, call.Run = c.server.Address, at.run
+			return c, call, x.fire(request.Dispatch)
+		}
+	}
+	demand := placement.Demand{
+		InputTokens: int64(len(x.req.Body) / bytesPerToken), OutputTokens: x.req.MaxTokens, Priority: x.req.Priority,
+	}
+	c, err := e.dispatchAgain(x.req, target{ref: ref}, tried, demand)
 	if err != nil {
-		return end, err
+		return c, call, err
 	}
-	if end.Tokens != out.next {
-		return end, errors.Errorf("answer of %d tokens, its engine counted %d", out.next, end.Tokens)
+	call.Address = c.server.Address
+	if call.Offset > 0 {
+		call.Prefix = x.text()
 	}
-	return end, nil
+	return c, call, x.fire(request.Dispatch)
 }
 
-// firstFailure keeps the failure of an attempt that may have run over the
-// refusal of the next one.
-func firstFailure(last, refusal error) error {
-	if last == nil {
-		return refusal
-	}
-	var attempt *iobackend.AttemptError
-	if errors.As(last, &attempt) && attempt.Outcome == request.NotRun {
-		return refusal
+// dispatchAgain prefers servers that were not tried, but takes a tried one
+// when there is no other.
+func (e *Entry) dispatchAgain(req request.Request, t target, tried []string, demand placement.Demand) (claim, error) {
+	c, err := e.dispatch(req, t, tried, demand)
+	var refusal *request.Refusal
+	if len(tried) > 0 && errors.As(err, &refusal) && refusal.Code == request.CodeNoBackend {
+		return e.dispatch(req, t, nil, demand)
 	}
-	return last
+	return c, err
 }
 
-func isRefusal(err error) bool {
-	var r *request.Refusal
-	return errors.As(err, &r)
+// reclaim claims another place on a server, under the same checks as dispatch.
+func (e *Entry) reclaim(req request.Request, t target, server backend.Announcement) (claim, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.cfg.Clock.Now()
+	if !e.holder.IsLive(now) || !e.registry.MayServe(now, server.ID, server.Incarnation) {
+		return claim{}, request.NewNotRun(request.CodeNoBackend, "the backend server takes no work").WithRetryAfter(backendLease)
+	}
+	if err := e.permit(req, t); err != nil {
+		return claim{}, err
+	}
+	return e.claim(server), nil
 }
 
-func (e *Entry) priceOf(ref version.Ref, u request.Usage) int64 {
-	v := e.catalog.Load().Documents().Versions[ref.String()]
-	return v.Price(u.InputTokens, u.OutputTokens)
+func (e *Entry) stream(ctx context.Context, x *execution, c claim, call iobackend.Call) (iobackend.End, error) {
+	defer c.release()
+	end, err := e.engines.Stream(ctx, call, func(p iobackend.Piece) error { return x.take(call.Version, p) })
+	if err == nil && end.Tokens != x.received() {
+		err = errors.Errorf("answer of %d tokens, its engine counted %d", x.received(), end.Tokens)
+	}
+	if err == nil {
+		return end, nil
+	}
+	if ctx.Err() != nil {
+		go e.engines.Cancel(e.ctx, call.Address, call.RequestID) //nolint:errcheck // the engine ends it at the deadline
+	}
+	return end, x.lost(err)
 }
 
-func (e *Entry) beginRecord(req request.Request) ledger.Begin {
-	return ledger.Begin{
-		Key:      ledger.Key{Workspace: req.Workspace, RequestID: req.ID},
-		BodyHash: bodyHash(req), Owner: e.owner(), Idempotent: req.Idempotent, At: e.cfg.Clock.Now().UTC(),
+// lost notes the end of an attempt and returns its error.
+func (x *execution) lost(err error) error {
+	trigger := request.Retry
+	if isProven(err) {
+		trigger = request.Requeue
+	}
+	if fireErr := x.fire(trigger); fireErr != nil {
+		return fireErr
 	}
+	return err
 }
 
-// bodyHash identifies what the request asks for.
-func bodyHash(req request.Request) uint64 {
-	d := xxhash.New()
-	for _, part := range []string{string(req.Kind), req.Service, req.Method, req.Path, req.Model, req.Session} {
-		d.WriteString(part) //nolint:errcheck // a hash takes all bytes
-		d.Write([]byte{0})  //nolint:errcheck // a hash takes all bytes
+// failed returns the error of an attempt. One that was ended for a cause has
+// that cause.
+func failed(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errNotOwned) {
+		return cause
 	}
-	d.Write(req.Body) //nolint:errcheck // a hash takes all bytes
-	return d.Sum64()
+	return err
 }
 
-// recordTimeout bounds the wait for the end record after a caller's deadline.
-const recordTimeout = 10 * time.Second
-
-// record makes the end of a request durable. The end record is the bill.
-func (e *Entry) record(ctx context.Context, req request.Request, a request.Answer, price int64, free bool) (request.Answer, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
-	defer cancel()
-	f := ledger.Finish{
-		Key:   ledger.Key{Workspace: req.Workspace, RequestID: req.ID},
-		Owner: e.owner(), Answer: a, Price: price, Free: free, At: e.cfg.Clock.Now().UTC(),
-	}
-	reply, err := e.link.finish(ctx, f)
-	if err != nil {
-		return a, request.NewUnknown(request.CodeLedger, "the end of the request could not be recorded: "+err.Error())
-	}
-	if reply.Status != ledger.Finished || reply.Answer.Outcome != a.Outcome {
-		return a, request.NewUnknown(request.CodeLedger, "the request was settled while it ran")
+// firstFailure keeps the failure of an attempt that may have run over the
+// refusal of the next one.
+func firstFailure(x *execution, last, refusal error) error {
+	if last == nil || x.outcome() == request.NotRun {
+		return refusal
 	}
-	return a, nil
+	return last
+}
+
+func (e *Entry) priceOf(ref version.Ref, u request.Usage) int64 {
+	v := e.catalog.Load().Documents().Versions[ref.String()]
+	return v.Price(u.InputTokens, u.OutputTokens)
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -3,63 +3,61 @@
 import (
 	"context"
 
-	"github.com/juju/errors"
-
 	"rosereach/core/placement"
 	"rosereach/core/request"
 	iobackend "rosereach/io/backend"
 )
 
 // Call runs a call of a plain service. A call that may not be repeated is sent
-// at most once, after its begin record is durable.
+// at most once, after its begin record is durable, and runs to its end when
+// its caller leaves.
 func (e *Entry) Call(ctx context.Context, req request.Request) (request.Answer, error) {
 	service, err := e.catalog.Load().PermitService(req.Workspace, req.Service)
 	if err != nil {
 		return request.Answer{}, refusalOf(err, req)
 	}
 	req.Idempotent = service.IsIdempotent(req.Method)
-	leave, err := e.admit(ctx, req)
-	if err != nil {
-		return request.Answer{}, err
-	}
-	defer leave()
-	if !req.Idempotent {
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
-	begun, err := e.beginBefore(ctx, req)
-	if replay := begun.replay(); replay != nil {
-		return e.repeat(*replay, nil)
+	return e.execute(ctx, req, nil, e.runCall)
+}
+
+func (e *Entry) runCall(x *execution) {
+	b, recorded, err := e.own(x.ctx, x, e.begin(x, nil))
+	if recorded != nil {
+		e.repeat(x, *recorded)
+		return
 	}
 	if err != nil {
-		return request.Answer{}, err
+		e.fail(x, b, err)
+		return
 	}
-	answer, err := e.callAttempts(ctx, req)
+	answer, err := e.callAttempts(x)
 	if err != nil {
-		return request.Answer{}, e.fail(ctx, req, begun, err)
+		e.fail(x, b, err)
+		return
 	}
-	return e.record(ctx, req, answer, 0, false)
+	e.succeed(x)
+	e.finish(x, answer, 0, false)
 }
 
-func (e *Entry) callAttempts(ctx context.Context, req request.Request) (request.Answer, error) {
+func (e *Entry) callAttempts(x *execution) (request.Answer, error) {
 	var (
 		tried []string
 		last  error
 	)
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		c, err := e.dispatch(req, target{service: req.Service}, tried, placement.Demand{Priority: req.Priority})
+		if attempt > 1 && !e.mayRetry(x.ctx, x, attempt-1) {
+			return request.Answer{}, last
+		}
+		c, err := e.dispatchAgain(x.req, target{service: x.req.Service}, tried, placement.Demand{Priority: x.req.Priority})
 		if err != nil {
-			return request.Answer{}, firstFailure(last, err)
+			return request.Answer{}, firstFailure(x, last, err)
 		}
-		answer, err := e.callOnce(ctx, req, c, attempt)
+		answer, err := e.callOnce(x, c, attempt)
 		if err == nil {
 			return answer, nil
 		}
 		last = err
-		var failed *iobackend.AttemptError
-		proven := errors.As(err, &failed) && failed.Outcome == request.NotRun
-		if ctx.Err() != nil || (!req.Idempotent && !proven) {
+		if !x.req.Idempotent && !isProven(err) {
 			return request.Answer{}, err
 		}
 		tried = append(tried, c.server.ID)
@@ -67,14 +65,17 @@
 	return request.Answer{}, last
 }
 
-func (e *Entry) callOnce(ctx context.Context, req request.Request, c claim, attempt int) (request.Answer, error) {
+func (e *Entry) callOnce(x *execution, c claim, attempt int) (request.Answer, error) {
 	defer c.release()
-	got, err := e.engines.Plain(ctx, iobackend.PlainCall{
-		Address: c.server.Address, RequestID: req.ID, Attempt: attempt, Deadline: req.Deadline,
-		Method: req.Method, Path: req.Path, ContentType: req.ContentType, Body: req.Body,
+	if err := x.fire(request.Dispatch); err != nil {
+		return request.Answer{}, err
+	}
+	got, err := e.engines.Plain(x.ctx, iobackend.PlainCall{
+		Address: c.server.Address, RequestID: x.req.ID, Attempt: attempt, Deadline: x.req.Deadline, Idempotent: x.req.Idempotent,
+		Method: x.req.Method, Path: x.req.Path, ContentType: x.req.ContentType, Body: x.req.Body,
 	})
 	if err != nil {
-		return request.Answer{}, err
+		return request.Answer{}, x.lost(err)
 	}
 	a := request.Answer{
 		Outcome: request.Done, Status: got.Status, ContentType: got.ContentType, Body: got.Body, Backend: c.server.ID,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -13,6 +13,7 @@
 // Handler returns the HTTP handler for callers and backend servers.
 func (e *Entry) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(e.count)
 	caller.Mount(r, e, caller.Options{
 		MaxBody: e.cfg.MaxBody, Timeout: e.cfg.Timeout, AddressTTL: e.cfg.AddressTTL, Clock: e.cfg.Clock,
 	})
@@ -20,6 +21,16 @@
 	return r
 }
 
+// count counts the requests that are being answered, also those whose answer
+// is still on its way to a slow caller.
+func (e *Entry) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.handling.Add(1)
+		defer e.handling.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Owner returns the workspace of a caller's key.
 func (e *Entry) Owner(key string) (string, error) {
 	name, err := e.catalog.Load().Owner(key)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -12,25 +12,29 @@
 // OpenSession chooses a version for a new session and returns its token. A
 // resend with the same request id gets the first token.
 func (e *Entry) OpenSession(ctx context.Context, req request.Request) (string, error) {
-	leave, err := e.admit(ctx, req)
-	if err != nil {
-		return "", err
-	}
-	defer leave()
-	begun, err := e.beginBefore(ctx, req)
-	if replay := begun.replay(); replay != nil {
-		return string(replay.Body), nil
+	answer, err := e.execute(ctx, req, nil, e.runOpening)
+	return string(answer.Body), err
+}
+
+func (e *Entry) runOpening(x *execution) {
+	b, recorded, err := e.own(x.ctx, x, e.begin(x, nil))
+	if recorded != nil {
+		e.repeat(x, *recorded)
+		return
 	}
 	if err != nil {
-		return "", err
+		e.fail(x, b, err)
+		return
+	}
+	token, err := e.seal(x.req)
+	if err == nil {
+		err = x.fire(request.Dispatch)
 	}
-	token, err := e.seal(req)
 	if err != nil {
-		return "", e.fail(ctx, req, begun, err)
+		e.fail(x, b, err)
+		return
 	}
-	a := request.Answer{Outcome: request.Done, Status: 200, Body: []byte(token)}
-	_, err = e.record(ctx, req, a, 0, true)
-	return token, err
+	e.finish(x, request.Answer{Outcome: request.Done, Status: 200, Body: []byte(token)}, 0, true)
 }
 
 // Resume reads a session token and returns the request bound to its version.
--- a/io/backend/engine.go
+++ b/io/backend/engine.go
@@ -7,10 +7,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,21 +28,22 @@
 	eventDone   = "[DONE]"
 )
 
-// ErrCut is the cause of an answer that ended before its end was said.
-const ErrCut = errors.ConstError("the answer was cut")
+// The causes of a broken answer: it ended before its end was said, an engine
+// went on with another run than the one asked for, or no token came for long.
+const (
+	ErrCut      = errors.ConstError("the answer was cut")
+	ErrOtherRun = errors.ConstError("the engine has lost the run")
+	ErrStalled  = errors.ConstError("the answer stalled")
+)
 
 type (
-	// Client calls backend servers over HTTP.
-	Client struct {
-		http *http.Client
-	}
-
 	// PlainCall is one attempt of a call to a plain service.
 	PlainCall struct {
 		Address     string
 		RequestID   string
 		Attempt     int
 		Deadline    time.Time
+		Idempotent  bool
 		Method      string
 		Path        string
 		ContentType string
@@ -59,9 +58,6 @@
 	}
 )
 
-// NewClient returns a client whose connections come from the transport.
-func NewClient(t *http.Transport) *Client { return &Client{http: &http.Client{Transport: t}} }
-
 // Stream runs a chat completion and passes each piece to take, in the order
 // in which the engine sent them. The error is an *AttemptError.
 func (c *Client) Stream(ctx context.Context, call Call, take func(Piece) error) (End, error) {
@@ -79,12 +75,16 @@
 	setCommon(req.Header, call.RequestID, call.Attempt, call.Deadline)
 	req.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
 	req.Header.Set(HeaderVersion, call.Version.String())
-	if call.Prefix != "" {
-		req.Header.Set(HeaderPrefix, strconv.FormatInt(call.Offset, 10))
-	} else if call.Offset > 0 {
+	switch {
+	case call.Run != "":
+		req.Header.Set(HeaderRun, call.Run)
 		req.Header.Set(HeaderOffset, strconv.FormatInt(call.Offset, 10))
+	case call.Prefix != "":
+		req.Header.Set(HeaderPrefix, strconv.FormatInt(call.Offset, 10))
 	}
-	resp, err := c.do(ctx, req)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	resp, err := c.do(ctx, c.pooled, req)
 	if err != nil {
 		return End{}, err
 	}
@@ -92,7 +92,21 @@
 	if resp.StatusCode != http.StatusOK {
 		return End{}, failureOf(resp)
 	}
-	return readStream(resp.Body, call.RequestID, take)
+	run := resp.Header.Get(HeaderRun)
+	if call.Run != "" && run != call.Run {
+		return End{}, unknown(errors.Annotatef(ErrOtherRun, "run %q in place of %q", run, call.Run))
+	}
+	stalled := c.clock.AfterFunc(stallTimeout, func() { cancel(ErrStalled) })
+	defer stalled.Stop()
+	end, err := readStream(resp.Body, call.RequestID, func(p Piece) error {
+		stalled.Reset(stallTimeout)
+		return take(p)
+	})
+	end.Run = run
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, ErrStalled) {
+		err = unknown(cause)
+	}
+	return end, err
 }
 
 // Plain calls a plain service. The error is an *AttemptError.
@@ -101,11 +115,16 @@
 	if err != nil {
 		return PlainAnswer{}, notRun(err)
 	}
+	client := c.pooled
+	if !call.Idempotent {
+		client = c.single
+		req.Body, req.GetBody = onceOnly{req.Body}, nil
+	}
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
 	}
 	setCommon(req.Header, call.RequestID, call.Attempt, call.Deadline)
-	resp, err := c.do(ctx, req)
+	resp, err := c.do(ctx, client, req)
 	if err != nil {
 		return PlainAnswer{}, err
 	}
@@ -123,21 +142,6 @@
 	return PlainAnswer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// do sends the request. An error before a connection stood is not_run: no
-// byte of the attempt was written.
-func (c *Client) do(ctx context.Context, req *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	if err == nil {
-		return resp, nil
-	}
-	if !connected.Load() {
-		return nil, notRun(err)
-	}
-	return nil, unknown(err)
-}
-
 func setCommon(h http.Header, id string, attempt int, deadline time.Time) {
 	h.Set(HeaderRequestID, id)
 	h.Set(HeaderAttempt, strconv.Itoa(attempt))
--- a/io/backend/wire.go
+++ b/io/backend/wire.go
@@ -20,6 +20,7 @@
 	HeaderOffset    = "X-Resume-Offset"
 	HeaderPrefix    = "X-Prefix-Tokens"
 	HeaderOutcome   = "X-Outcome"
+	HeaderRun       = "X-Run-Id"
 )
 
 // The paths that backend servers and entries serve for each other.
@@ -73,8 +74,8 @@
 	}
 
 	// Call is one attempt of a request at one backend server. Offset is the
-	// number of tokens that have arrived already; with Prefix set, another
-	// engine goes on behind that text.
+	// number of tokens that have arrived already. With Run set, the engine goes
+	// on with that run; with Prefix set, it starts a run behind that text.
 	Call struct {
 		Address   string
 		RequestID string
@@ -85,6 +86,7 @@
 		Messages  []request.Message
 		MaxTokens int64
 		Offset    int64
+		Run       string
 		Prefix    string
 	}
 
@@ -95,8 +97,10 @@
 	}
 
 	// End is what an engine says when an answer is whole. Tokens is the number
-	// of tokens of the whole answer.
+	// of tokens of the whole answer. Run is the engine's name for its run,
+	// under which a broken answer can be resumed; it is set with an error too.
 	End struct {
+		Run    string
 		Usage  request.Usage
 		Tokens int64
 	}
--- a/io/caller/chat.go
+++ b/io/caller/chat.go
@@ -1,14 +1,10 @@
 package caller
 
 import (
-	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
 
-	"github.com/juju/clock"
-	"github.com/juju/errors"
-
 	"rosereach/core/request"
 	"rosereach/core/version"
 	iobackend "rosereach/io/backend"
@@ -53,14 +49,6 @@
 		Session string `json:"session"`
 	}
 
-	// eventSink streams text to the caller as server-sent events.
-	eventSink struct {
-		w       http.ResponseWriter
-		id      string
-		clock   clock.Clock
-		started bool
-	}
-
 	// textSink collects text.
 	textSink struct{ text strings.Builder }
 )
@@ -92,7 +80,7 @@
 }
 
 func (s *server) streamChat(w http.ResponseWriter, r *http.Request, req request.Request) {
-	sink := &eventSink{w: w, id: req.ID, clock: s.opts.Clock}
+	sink := newEventSink(w, req.ID, s.opts.Clock)
 	answer, err := s.router.Complete(r.Context(), req, sink)
 	if err != nil && !sink.started {
 		writeRefusal(w, err)
@@ -163,57 +151,10 @@
 	writeJSON(w, http.StatusOK, SessionReply{Session: token})
 }
 
-// Text sends one event.
-func (e *eventSink) Text(ref version.Ref, offset int64, text string) error {
-	if !e.started {
-		e.started = true
-		e.w.Header().Set("Content-Type", "text/event-stream")
-		e.w.Header().Set(HeaderVersion, ref.String())
-		e.w.WriteHeader(http.StatusOK)
-	}
-	return e.send(iobackend.NewChunk(e.id, ref, e.clock.Now(), offset, text))
-}
-
-// end says that the answer is whole.
-func (e *eventSink) end(a request.Answer) {
-	if !e.started {
-		e.w.Header().Set("Content-Type", "text/event-stream")
-		setAnswerHeaders(e.w.Header(), a)
-	}
-	if e.send(iobackend.NewEndChunk(e.id, a.Version, e.clock.Now(), a.Usage)) == nil {
-		e.write([]byte("[DONE]")) //nolint:errcheck // the caller has gone; the answer is recorded
-	}
-}
-
-// fail ends a started answer with an error event, so that a cut answer is
-// never taken for a whole one.
-func (e *eventSink) fail(err error) {
-	e.send(struct { //nolint:errcheck // the caller has gone
-		Error Problem `json:"error"`
-	}{problemOf(err)})
-}
-
-func (e *eventSink) send(event any) error {
-	data, err := json.Marshal(event)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	return e.write(data)
-}
-
-func (e *eventSink) write(data []byte) error {
-	var b bytes.Buffer
-	b.WriteString("data: ")
-	b.Write(data)
-	b.WriteString("\n\n")
-	if _, err := e.w.Write(b.Bytes()); err != nil {
-		return errors.Trace(err)
-	}
-	return errors.Trace(http.NewResponseController(e.w).Flush())
-}
-
 // Text keeps the text.
-func (t *textSink) Text(_ version.Ref, _ int64, text string) error {
-	t.text.WriteString(text)
+func (t *textSink) Text(_ version.Ref, _ int64, tokens []string) error {
+	for _, token := range tokens {
+		t.text.WriteString(token)
+	}
 	return nil
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -32,9 +32,10 @@
 const maxRequestID = 128
 
 type (
-	// Sink takes the text of an answer, in order and without gaps.
+	// Sink takes the tokens of an answer, in order and without gaps. Offset is
+	// the index of the first one.
 	Sink interface {
-		Text(ref version.Ref, offset int64, text string) error
+		Text(ref version.Ref, offset int64, tokens []string) error
 	}
 
 	// Router is what the interface needs of an entry. Errors that the caller
