--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -39,7 +39,7 @@
 	if err := e.mayAdmit(); err != nil {
 		return request.Answer{}, err
 	}
-	x, isNew, err := e.table.join(e.ctx, req)
+	x, isNew, err := e.table.join(e.ctx, req) //nolint:contextcheck // a request outlives the caller that sent it first
 	if err != nil {
 		return request.Answer{}, err
 	}
