Resume broken answers as the same run, and test requests under faults

Tests run control, entries and backend servers in one process behind proxies: the same id at three entries, resends that join, streams that break at an engine that stays or goes, callers that leave or read nothing, and an end record that the control takes late. With real processes: a rolling restart of two of three entries under load, a drain with an open stream, a killed entry, and an engine that leaves.

--- /dev/null
+++ b/internal/entry/request_test.go
@@ -0,0 +1,297 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rosereach/core/request"
+	"rosereach/internal/fault"
+	"rosereach/io/caller"
+)
+
+func chatOf(tokens int64) caller.ChatRequest {
+	return caller.ChatRequest{
+		Model: "small", MaxTokens: tokens, Stream: true, Messages: []request.Message{{Role: "user", Content: "Summarise the berth log."}},
+	}
+}
+
+// checkText fails unless the text has all tokens, each from one of the runs.
+func checkText(t *testing.T, text string, tokens, runs int) {
+	t.Helper()
+	from := make(map[string]bool)
+	words := strings.Fields(text)
+	for i, word := range words {
+		parts := strings.Split(word, ".")
+		if len(parts) != 3 || parts[0] != fmt.Sprintf("t%d", i) {
+			t.Fatalf("token %d is %q", i, word)
+		}
+		from[parts[2]] = true
+	}
+	if len(words) != tokens || len(from) != runs {
+		t.Errorf("%d tokens from %d runs, want %d from %d", len(words), len(from), tokens, runs)
+	}
+}
+
+// The same id sent at once to three entries runs once, is billed once, and
+// all three get its answer.
+func TestSameIDAtThreeEntries(t *testing.T) {
+	f := newFleet(t, 3)
+	f.startEngine("engine-1", time.Millisecond)
+	f.startService("ledger-1")
+	f.proxies["ledger-1"].Set(fault.Plan{Delay: 30 * time.Millisecond})
+	for _, tc := range []struct {
+		name string
+		send func(caller.Client, string) (caller.Reply, error)
+	}{
+		{"posting", func(c caller.Client, id string) (caller.Reply, error) {
+			return c.Service(f.ctx, "ledger", http.MethodPost, "/invoices", []byte(`{}`), caller.CallOptions{RequestID: id})
+		}},
+		{"chat", func(c caller.Client, id string) (caller.Reply, error) {
+			return c.Chat(f.ctx, chatOf(30), caller.CallOptions{RequestID: id})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var (
+				all     sync.WaitGroup
+				replies [3]caller.Reply
+				errs    [3]error
+			)
+			for i := range replies {
+				all.Go(func() { replies[i], errs[i] = tc.send(f.client(i), tc.name) })
+			}
+			all.Wait()
+			for i, r := range replies {
+				if errs[i] != nil || r.Outcome() != request.Done || r.Text != replies[0].Text {
+					t.Errorf("entry %d: %+v, %v", i+1, r, errs[i])
+				}
+			}
+			if n := f.bills()[tc.name]; n != 1 {
+				t.Errorf("%d bills", n)
+			}
+			if runs := f.services["ledger-1"].Log.Of("posting"); len(runs) != 1 {
+				t.Errorf("runs of the posting: %+v", runs)
+			}
+		})
+	}
+}
+
+// A resend at the same entry joins the running request and gets its whole
+// answer; the id with another body is refused, also after the end.
+func TestResendJoins(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startEngine("engine-1", 2*time.Millisecond)
+	var (
+		both    sync.WaitGroup
+		replies [2]caller.Reply
+	)
+	both.Go(func() { replies[0], _ = f.client(0).Chat(f.ctx, chatOf(100), caller.CallOptions{RequestID: "a"}) })
+	waitFor(t, "the first run", func() bool { return f.engines["engine-1"].Busy() == 1 })
+	other, err := f.client(0).Chat(f.ctx, chatOf(50), caller.CallOptions{RequestID: "a"})
+	if err != nil || other.Problem == nil || other.Problem.Code != request.CodeBodyMismatch || other.Problem.Outcome != request.NotRun {
+		t.Errorf("other body: %+v, %v", other, err)
+	}
+	both.Go(func() { replies[1], _ = f.client(0).Chat(f.ctx, chatOf(100), caller.CallOptions{RequestID: "a"}) })
+	both.Wait()
+	for _, r := range replies {
+		if !r.Whole {
+			t.Fatalf("reply: %+v", r)
+		}
+		checkText(t, r.Text, 100, 1)
+	}
+	if runs := f.engines["engine-1"].Log.Of("a"); len(runs) != 1 || f.bills()["a"] != 1 {
+		t.Errorf("runs %+v, bills %d", runs, f.bills()["a"])
+	}
+	again, err := f.client(0).Chat(f.ctx, chatOf(100), caller.CallOptions{RequestID: "a"})
+	if err != nil || !again.Whole || again.Text != replies[0].Text {
+		t.Errorf("resend after the end: %+v, %v", again, err)
+	}
+}
+
+// What callers see when the connection to the engine breaks, by what is left.
+func TestBrokenStream(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		engines int
+		gone    bool
+		whole   bool
+		runs    int
+	}{
+		{"resumed at its engine", 2, false, true, 1},
+		{"continued at another engine", 2, true, true, 2},
+		{"no other engine", 1, true, false, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			for i := range tc.engines {
+				f.startEngine(fmt.Sprintf("engine-%d", i+1), 2*time.Millisecond)
+			}
+			var (
+				reply caller.Reply
+				err   error
+				sent  sync.WaitGroup
+			)
+			sent.Go(func() { reply, err = f.client(0).Chat(f.ctx, chatOf(200), caller.CallOptions{RequestID: "a"}) })
+			var at string
+			waitFor(t, "some tokens", func() bool {
+				for id, e := range f.engines {
+					if e.Busy() == 1 && f.entries[0].tokensOf("a") > 20 {
+						at = id
+					}
+				}
+				return at != ""
+			})
+			f.proxies[at].Set(fault.Plan{Refuse: tc.gone})
+			f.proxies[at].Reset()
+			sent.Wait()
+			if err != nil || reply.Whole != tc.whole {
+				t.Fatalf("reply: %+v, %v", reply, err)
+			}
+			if !tc.whole {
+				if reply.Problem == nil || reply.Problem.Outcome != request.Unknown || f.bills()["a"] != 0 {
+					t.Errorf("cut answer: %+v, %d bills", reply.Problem, f.bills()["a"])
+				}
+				return
+			}
+			checkText(t, reply.Text, 200, tc.runs)
+			if f.bills()["a"] != 1 || reply.Tokens != 200 {
+				t.Errorf("%d bills, %d tokens", f.bills()["a"], reply.Tokens)
+			}
+		})
+	}
+}
+
+// tokensOf returns how far the request has come.
+func (e *Entry) tokensOf(id string) int64 {
+	e.table.mu.Lock()
+	defer e.table.mu.Unlock()
+	for key, x := range e.table.executions {
+		if key.RequestID == id {
+			return x.received()
+		}
+	}
+	return 0
+}
+
+// When its caller leaves, a model request is cancelled at the engine, and a
+// posting runs to its end and is billed.
+func TestCallerGone(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startEngine("engine-1", 2*time.Millisecond)
+	f.startService("ledger-1")
+	f.proxies["ledger-1"].Set(fault.Plan{Delay: 100 * time.Millisecond})
+	ctx, leave := context.WithCancel(f.ctx)
+	var gone sync.WaitGroup
+	gone.Go(func() { f.client(0).Chat(ctx, chatOf(100_000), caller.CallOptions{RequestID: "chat"}) })
+	gone.Go(func() {
+		f.client(0).Service(ctx, "ledger", http.MethodPost, "/invoices", []byte(`{}`), caller.CallOptions{RequestID: "posting"})
+	})
+	waitFor(t, "both begun", func() bool {
+		_, chat := f.record("chat")
+		_, posting := f.record("posting")
+		return chat && posting && f.entries[0].tokensOf("chat") > 0
+	})
+	leave()
+	gone.Wait()
+	waitFor(t, "both ended", func() bool {
+		chat, _ := f.record("chat")
+		posting, _ := f.record("posting")
+		return chat.Answer != nil && posting.Answer != nil
+	})
+	chat, _ := f.record("chat")
+	posting, _ := f.record("posting")
+	if chat.Answer.Outcome != request.Unknown || chat.Answer.Code != request.CodeCallerGone || posting.Answer.Outcome != request.Done {
+		t.Errorf("recorded: %+v, %+v", chat.Answer, posting.Answer)
+	}
+	waitFor(t, "the engine is idle", func() bool { return f.engines["engine-1"].Busy() == 0 })
+	if f.bills()["chat"] != 0 || f.bills()["posting"] != 1 {
+		t.Errorf("bills: %v", f.bills())
+	}
+}
+
+// A caller that reads nothing holds neither the engine nor the bill back.
+func TestSlowCaller(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startEngine("engine-1", 50*time.Microsecond)
+	slow := f.proxy(f.addrs[0])
+	var sent sync.WaitGroup
+	client := f.client(0)
+	client.Address = slow.Address()
+	var reply caller.Reply
+	sent.Go(func() { reply, _ = client.Chat(f.ctx, chatOf(20_000), caller.CallOptions{RequestID: "a"}) })
+	waitFor(t, "some tokens", func() bool { return f.entries[0].tokensOf("a") > 0 })
+	slow.Set(fault.Plan{Silent: true})
+	waitFor(t, "the bill", func() bool { return f.bills()["a"] == 1 })
+	slow.Set(fault.Plan{})
+	sent.Wait()
+	if !reply.Whole {
+		t.Fatalf("reply: %+v", reply.Problem)
+	}
+	checkText(t, reply.Text, 20_000, 1)
+}
+
+// An end record that cannot be delivered is delivered once the control is back.
+func TestBillAfterCutFromControl(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startService("ledger-1")
+	f.proxies["ledger-1"].Set(fault.Plan{Delay: 100 * time.Millisecond})
+	var (
+		reply caller.Reply
+		sent  sync.WaitGroup
+	)
+	sent.Go(func() {
+		reply, _ = f.client(0).Service(f.ctx, "ledger", http.MethodPost, "/x", nil, caller.CallOptions{RequestID: "a", Timeout: 300 * time.Millisecond})
+	})
+	waitFor(t, "the run", func() bool { return len(f.services["ledger-1"].Log.Of("a")) == 1 })
+	f.toNode.Set(fault.Plan{Refuse: true})
+	f.toNode.Reset()
+	sent.Wait()
+	if reply.Problem == nil || reply.Problem.Code != request.CodeLedger || reply.Problem.Outcome != request.Unknown {
+		t.Errorf("reply during the cut: %+v", reply)
+	}
+	f.toNode.Set(fault.Plan{})
+	waitFor(t, "the bill", func() bool { return f.bills()["a"] == 1 })
+	waitFor(t, "a lease", f.entries[0].Ready)
+	again, err := f.client(0).Service(f.ctx, "ledger", http.MethodPost, "/x", nil, caller.CallOptions{RequestID: "a"})
+	if err != nil || again.Outcome() != request.Done || !again.Repeated {
+		t.Errorf("resend: %+v, %v", again, err)
+	}
+	if runs := f.services["ledger-1"].Log.Of("a"); len(runs) != 1 {
+		t.Errorf("runs: %+v", runs)
+	}
+}
+
+// A request that is given up gets its final answer with a time to come back,
+// long before its deadline.
+func TestFinalAnswerAtOnce(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startEngine("engine-1", time.Millisecond)
+	f.proxies["engine-1"].Set(fault.Plan{ResetAfter: -1})
+	for _, tc := range []struct {
+		name    string
+		send    func() (caller.Reply, error)
+		code    request.Code
+		outcome request.Outcome
+	}{
+		{"no service", func() (caller.Reply, error) {
+			return f.client(0).Service(f.ctx, "ledger", http.MethodPost, "/x", nil, caller.CallOptions{RequestID: "a"})
+		}, request.CodeNoBackend, request.NotRun},
+		{"engine resets", func() (caller.Reply, error) {
+			return f.client(0).Chat(f.ctx, chatOf(10), caller.CallOptions{RequestID: "b"})
+		}, request.CodeBackendFailed, request.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			reply, err := tc.send()
+			if err != nil || reply.Problem == nil || reply.Problem.Code != tc.code || reply.Problem.Outcome != tc.outcome {
+				t.Fatalf("reply: %+v %+v, %v", reply, reply.Problem, err)
+			}
+			if reply.Problem.RetryAfterMs <= 0 {
+				t.Error("no time to come back")
+			}
+		})
+	}
+}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -17,6 +17,9 @@
 	"rosereach/io/platform"
 )
 
+// resumeWindow is how long a sequence goes on without a reader.
+const resumeWindow = 2 * time.Second
+
 type (
 	// EngineConfig are the settings of a fake engine. A step takes StepTime and
 	// StepPerSequence for each sequence in the batch, and makes one token for
@@ -56,8 +59,12 @@
 	}
 
 	// sequence is one answer in the making. Tokens grow until Want are there.
+	// Readers counts the streams that read it; one without a reader is kept for
+	// resumeWindow. Run is its name towards entries.
 	sequence struct {
 		id       string
+		run      string
+		readers  int
 		ref      version.Ref
 		priority int
 		arrival  uint64
@@ -156,20 +163,62 @@
 	e.running = still
 }
 
-// start puts a new sequence into the queue, or returns the known one with the
-// same request id, which a resumed call goes on with.
-func (e *Engine) start(s *sequence, attempt int, resume bool) (*sequence, bool) {
+// resume returns the sequence of a run that is still there.
+func (e *Engine) resume(id, run string) (*sequence, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leaving || !slices.Contains(e.versions, s.ref) {
+	s, ok := e.byID[id]
+	if !ok || s.run != run || s.canceled {
 		return nil, false
 	}
-	if old, ok := e.byID[s.id]; ok && resume && old.ref == s.ref && !old.canceled {
-		return old, true
+	s.readers++
+	return s, true
+}
+
+// detach ends a reader. A sequence that nobody reads is cancelled after the
+// resume window.
+func (e *Engine) detach(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.readers--
+	if s.readers > 0 || s.done {
+		return
+	}
+	e.cfg.Clock.AfterFunc(resumeWindow, func() {
+		if e.isUnread(s) {
+			e.cancel(s)
+		}
+	})
+}
+
+func (e *Engine) isUnread(s *sequence) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.readers == 0
+}
+
+// abandon cancels the request that its entry no longer wants.
+func (e *Engine) abandon(id string) {
+	e.mu.Lock()
+	s, ok := e.byID[id]
+	e.mu.Unlock()
+	if ok {
+		e.cancel(s)
+	}
+}
+
+// start puts a new sequence into the queue.
+func (e *Engine) start(s *sequence, attempt int) (*sequence, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving || !slices.Contains(e.versions, s.ref) {
+		return nil, false
 	}
 	e.ordinal++
 	s.arrival = e.ordinal
-	s.seed = xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", e.cfg.ID, e.cfg.Incarnation, e.ordinal))
+	s.readers = 1
+	s.run = fmt.Sprintf("%s/%d/%d", e.cfg.ID, e.cfg.Incarnation, e.ordinal)
+	s.seed = xxhash.Sum64String(s.run)
 	input := tokensOf(s.prompt)
 	cached := e.cache.use(s.ref, s.prompt)
 	s.prefill = time.Duration(input-cached) * e.cfg.PrefillPerToken
--- a/internal/fake/engine_http.go
+++ b/internal/fake/engine_http.go
@@ -19,6 +19,7 @@
 	r := chi.NewRouter()
 	r.Post(iobackend.PathChat, e.postChat)
 	r.Get(iobackend.PathRequests+"{id}", e.getRequest)
+	r.Delete(iobackend.PathRequests+"{id}", func(_ http.ResponseWriter, r *http.Request) { e.abandon(chi.URLParam(r, "id")) })
 	r.Post(platform.PathOrders, e.postOrder)
 	r.Get("/v1/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Log.Runs()) })
 	return r
@@ -37,26 +38,37 @@
 	}
 	prefix := numberIn(r, iobackend.HeaderPrefix)
 	offset := numberIn(r, iobackend.HeaderOffset)
+	id := r.Header.Get(iobackend.HeaderRequestID)
+	if run := r.Header.Get(iobackend.HeaderRun); run != "" {
+		s, ok := e.resume(id, run)
+		if !ok {
+			refuse(w, http.StatusGone, "the run is no longer here")
+			return
+		}
+		e.stream(w, r, s, offset)
+		return
+	}
 	s := &sequence{
-		id: r.Header.Get(iobackend.HeaderRequestID), ref: ref, priority: int(numberIn(r, iobackend.HeaderPriority)),
+		id: id, ref: ref, priority: int(numberIn(r, iobackend.HeaderPriority)),
 		prompt: body.Messages, skip: prefix, want: max(body.MaxTokens-prefix, 1), moved: make(chan struct{}),
 	}
-	s, ok := e.start(s, int(numberIn(r, iobackend.HeaderAttempt)), offset > 0)
+	s, ok := e.start(s, int(numberIn(r, iobackend.HeaderAttempt)))
 	if !ok {
 		refuse(w, http.StatusServiceUnavailable, "leaving, or version not loaded")
 		return
 	}
-	e.stream(w, r, s, max(offset, prefix))
+	e.stream(w, r, s, prefix)
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, offset int64) {
+	defer e.detach(s)
 	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(iobackend.HeaderRun, s.run)
 	for {
 		tokens, done, moved := e.after(s, offset)
 		for _, token := range tokens {
 			chunk := iobackend.NewChunk(s.id, s.ref, e.cfg.Clock.Now(), offset, token)
 			if !writeEvent(w, chunk) {
-				e.cancel(s)
 				return
 			}
 			offset++
@@ -69,7 +81,6 @@
 		select {
 		case <-moved:
 		case <-r.Context().Done():
-			e.cancel(s)
 			return
 		}
 	}
--- /dev/null
+++ b/test/requests_drain_test.go
@@ -0,0 +1,186 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/juju/clock"
+
+	"rosereach/core/request"
+	"rosereach/internal/load"
+	"rosereach/io/caller"
+)
+
+// traffic is the load of a test: chats and postings by callers that behave.
+type traffic struct {
+	f      *fleet
+	caller *load.Caller
+	stop   context.CancelFunc
+	all    sync.WaitGroup
+
+	mu    sync.Mutex
+	ended map[string]load.Final
+}
+
+// startTraffic starts the given number of senders; each sends one request
+// after the other.
+func startTraffic(f *fleet, key string, senders int) *traffic {
+	ctx, stop := context.WithCancel(context.Background())
+	tr := &traffic{f: f, stop: stop, ended: make(map[string]load.Final)}
+	tr.caller = &load.Caller{Key: key, Region: "central", Zone: "sanjose", HTTP: &http.Client{}, Clock: clock.WallClock}
+	for _, e := range f.entries {
+		tr.caller.Known = append(tr.caller.Known, e.address)
+	}
+	for i := range senders {
+		tr.all.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				tr.send(fmt.Sprintf("sender-%d-%d", i, n), (i+n)%2 == 0)
+			}
+		})
+	}
+	return tr
+}
+
+func (tr *traffic) send(id string, posting bool) {
+	opts := caller.CallOptions{RequestID: id}
+	final := tr.caller.Do(context.Background(), func(ctx context.Context, c caller.Client) (caller.Reply, error) {
+		if posting {
+			return c.Service(ctx, "ledger", http.MethodPost, "/invoices", []byte(`{}`), opts)
+		}
+		return c.Chat(ctx, chat("small", 100, true), opts)
+	})
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.ended[id] = final
+}
+
+// count returns how many requests have ended.
+func (tr *traffic) count() int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return len(tr.ended)
+}
+
+// finish ends the load and returns the requests by outcome.
+func (tr *traffic) finish() map[request.Outcome][]string {
+	tr.stop()
+	tr.all.Wait()
+	ended := make(map[request.Outcome][]string)
+	for id, final := range tr.ended {
+		ended[final.Outcome()] = append(ended[final.Outcome()], id)
+	}
+	return ended
+}
+
+// checkBooks compares answers with bills and run logs.
+func checkBooks(t *testing.T, f *fleet, tr *traffic) {
+	t.Helper()
+	billed := make(map[string]int)
+	for after := uint64(0); ; {
+		page, err := f.operator.Bills(context.Background(), after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(page) == 0 {
+			break
+		}
+		for _, b := range page {
+			billed[b.Key.RequestID]++
+		}
+		after = page[len(page)-1].Sequence
+	}
+	posted := make(map[string]int)
+	for id := range f.backends {
+		for _, r := range f.runs(id) {
+			if r.Method != "" {
+				posted[r.RequestID]++
+			}
+		}
+	}
+	for id, n := range posted {
+		if n > 1 {
+			t.Errorf("posting %s ran %d times", id, n)
+		}
+	}
+	for id, final := range tr.ended {
+		switch outcome := final.Outcome(); {
+		case outcome == request.Done && billed[id] != 1:
+			t.Errorf("%s is done with %d bills", id, billed[id])
+		case outcome == request.NotRun && posted[id] > 0:
+			t.Errorf("%s is not_run, but ran", id)
+		case final.IsCut():
+			t.Errorf("%s was cut without an error", id)
+		}
+	}
+}
+
+// A rolling restart of entries under load loses nothing: every request ends
+// done, and every entry exits with 0, also when it is told to stop twice.
+func TestRollingRestartUnderLoad(t *testing.T) {
+	f := startFleet(t, 3)
+	f.startEngine("engine-1", "small@v1", "--capacity", "64")
+	f.startService("ledger-1", "ledger")
+	key := f.setUp("small@v1")
+	tr := startTraffic(f, key, 12)
+	waitFor(t, "load", func() bool { return tr.count() > 50 })
+	for _, e := range f.entries[:2] {
+		e.cmd.Process.Signal(syscall.SIGTERM)
+		before := tr.count()
+		waitFor(t, "work during the drain", func() bool { return tr.count() > before+20 })
+		if code := e.terminate(); code != 0 {
+			t.Errorf("exit code %d\n%s", code, e.stderr)
+		}
+		waitFor(t, "work after the drain", func() bool { return tr.count() > before+50 })
+	}
+	ended := tr.finish()
+	if len(ended[request.NotRun])+len(ended[request.Unknown]) > 0 {
+		for _, id := range append(ended[request.NotRun], ended[request.Unknown]...) {
+			t.Errorf("%s: %+v %+v %v", id, tr.ended[id].Reply, tr.ended[id].Reply.Problem, tr.ended[id].Err)
+		}
+	}
+	checkBooks(t, f, tr)
+}
+
+// A stream that is open when its entry is told to stop comes to its end, and a
+// new request gets not_run with other addresses once the list has run out.
+func TestDrainFinishesStreams(t *testing.T) {
+	f := startFleet(t, 2)
+	f.startEngine("engine-1", "small@v1", "--step-time", "10ms")
+	key := f.setUp("small@v1")
+	var (
+		reply caller.Reply
+		err   error
+		sent  sync.WaitGroup
+	)
+	sent.Go(func() {
+		reply, err = f.client(0, key).Chat(context.Background(), chat("small", 1000, true), caller.CallOptions{RequestID: "long"})
+	})
+	waitFor(t, "the run", func() bool { return len(f.runs("engine-1")) == 1 })
+	f.entries[0].cmd.Process.Signal(syscall.SIGTERM)
+	var refused caller.Reply
+	waitFor(t, "a refusal", func() bool {
+		var err error
+		refused, err = f.client(0, key).Chat(context.Background(), chat("small", 1, true), caller.CallOptions{})
+		return err == nil && refused.Problem != nil
+	})
+	p := refused.Problem
+	if p.Outcome != request.NotRun || p.Code != request.CodeDraining || len(p.Addresses) != 1 || p.Addresses[0] != f.entries[1].address {
+		t.Errorf("refusal of a draining entry: %+v", p)
+	}
+	f.entries[0].cmd.Process.Signal(syscall.SIGTERM)
+	if code := f.entries[0].terminate(); code != 0 {
+		t.Errorf("exit code %d\n%s", code, f.entries[0].stderr)
+	}
+	sent.Wait()
+	if err != nil || !reply.Whole || reply.Tokens != 1000 {
+		t.Errorf("stream during the drain: whole %v, %d tokens, %+v, %v", reply.Whole, reply.Tokens, reply.Problem, err)
+	}
+	waitFor(t, "one entry with a lease", func() bool {
+		s, err := f.operator.Status(context.Background())
+		return err == nil && len(s.Entries) == 1
+	})
+}
--- /dev/null
+++ b/test/requests_kill_test.go
@@ -0,0 +1,147 @@
+package test
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/clock"
+
+	"rosereach/core/backend"
+	"rosereach/core/request"
+	"rosereach/core/version"
+	"rosereach/internal/fake"
+	"rosereach/internal/fault"
+	"rosereach/io/caller"
+)
+
+// leaveLimit is how long after its word a leaving server may get new work.
+const leaveLimit = 3 * time.Second
+
+// startLocalEngine runs a fake engine in this process, which announces itself.
+func startLocalEngine(t *testing.T, f *fleet, id string) *fake.Engine {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	e := fake.NewEngine(fake.EngineConfig{
+		ID: id, Incarnation: 1, Region: "central", Zone: "sanjose", Versions: []version.Ref{{Model: "small", Version: "v1"}},
+		Capacity: 64, StepTime: 5 * time.Millisecond, Clock: clock.WallClock,
+	})
+	go e.Run(ctx)
+	announceLocal(ctx, t, f, e.Handler(), fault.Plan{}, e.Announcement)
+	return e
+}
+
+// announceLocal serves the handler behind a proxy under the plan and announces it.
+func announceLocal(ctx context.Context, t *testing.T, f *fleet, h http.Handler, plan fault.Plan, describe func(string) backend.Announcement) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	p, err := fault.Start(ctx, server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Set(plan)
+	a := &fake.Announcer{Key: f.backendKey, Clock: clock.WallClock, Describe: func() backend.Announcement { return describe(p.Address()) }}
+	for _, e := range f.entries {
+		a.Entries = append(a.Entries, e.address)
+	}
+	a.Now(ctx)
+	go a.Run(ctx)
+}
+
+// When an entry is killed, a chat that is sent again elsewhere runs anew and is
+// billed once; a posting that was on its way never runs again, and its resend
+// hears that its outcome is unknown, or that it is done.
+func TestEntryKilled(t *testing.T) {
+	f := startFleet(t, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	startLocalEngine(t, f, "engine-1")
+	service := fake.NewService(fake.ServiceConfig{
+		ID: "ledger-1", Incarnation: 1, Region: "central", Zone: "sanjose", Service: "ledger", Capacity: 8, Clock: clock.WallClock,
+	})
+	announceLocal(ctx, t, f, service.Handler(), fault.Plan{Delay: 2 * time.Second}, service.Announcement)
+	key := f.setUp("small@v1")
+	send := func(entry int, posting bool) (caller.Reply, error) {
+		if posting {
+			return f.client(entry, key).Service(ctx, "ledger", http.MethodPost, "/x", nil, caller.CallOptions{RequestID: "posting"})
+		}
+		return f.client(entry, key).Chat(ctx, chat("small", 500, true), caller.CallOptions{RequestID: "chat"})
+	}
+	var first sync.WaitGroup
+	first.Go(func() { send(0, false) })
+	first.Go(func() { send(0, true) })
+	waitFor(t, "the posting's run", func() bool { return len(service.Log.Of("posting")) == 1 })
+	f.entries[0].kill()
+	first.Wait()
+	chatReply, err := send(1, false)
+	if err != nil || !chatReply.Whole || chatReply.Tokens != 500 {
+		t.Errorf("chat sent again: whole %v, %d tokens, %+v, %v", chatReply.Whole, chatReply.Tokens, chatReply.Problem, err)
+	}
+	posting, err := send(1, true)
+	if err != nil || posting.Outcome() == request.NotRun {
+		t.Errorf("posting sent again: %+v, %v", posting, err)
+	}
+	if runs := service.Log.Of("posting"); len(runs) != 1 {
+		t.Errorf("runs of the posting: %+v", runs)
+	}
+	bills, err := f.operator.Bills(ctx, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	billed := make(map[string]int)
+	for _, b := range bills {
+		billed[b.Key.RequestID]++
+	}
+	if billed["chat"] != 1 || billed["posting"] > 1 {
+		t.Errorf("bills: %v", billed)
+	}
+}
+
+// A backend server that said that it is leaving gets no new work later than
+// 3 s after its word, and what runs on it comes to its end.
+func TestBackendLeaves(t *testing.T) {
+	f := startFleet(t, 2)
+	leaving := startLocalEngine(t, f, "engine-1")
+	startLocalEngine(t, f, "engine-2")
+	key := f.setUp("small@v1")
+	tr := startTraffic(f, key, 0)
+	tr.stop()
+	ctx, stop := context.WithCancel(context.Background())
+	for range 8 {
+		tr.all.Go(func() {
+			for ctx.Err() == nil {
+				tr.send("chat-"+rand.Text(), false)
+			}
+		})
+	}
+	waitFor(t, "work on the engine", func() bool { return len(leaving.Log.Runs()) > 20 })
+	word := time.Now()
+	leaving.Leave()
+	waitFor(t, "work after it left", func() bool { return time.Since(word) > leaveLimit && leaving.Busy() == 0 })
+	after := tr.count()
+	waitFor(t, "more work elsewhere", func() bool { return tr.count() > after+50 })
+	stop()
+	tr.all.Wait()
+	for _, r := range leaving.Log.Runs() {
+		if r.StartedAt.Sub(word) > leaveLimit {
+			t.Errorf("run started %s after the word: %+v", r.StartedAt.Sub(word), r)
+		}
+		if !r.Whole {
+			t.Errorf("run was cut: %+v", r)
+		}
+	}
+	for id, final := range tr.ended {
+		if final.Outcome() != request.Done {
+			t.Errorf("%s: %+v, %v", id, final.Reply.Problem, final.Err)
+		}
+	}
+}
