Bound the audit trail and give operators keys with roles

The trail grew without end, its subjects could not be joined to documents, one shared key had every right and the actor was whatever the client said.

Operators have names, roles and hashed keys in the documents; the bootstrap key stays a setting.

--- a/core/audit/audit.go
+++ b/core/audit/audit.go
@@ -18,7 +18,9 @@
 	// Kind says what happened.
 	Kind string
 
-	// Event is one line of the trail. Before and After are documents as JSON.
+	// Event is one line of the trail. Subject names what it is about, such as
+	// version/small@v1; Action is the kind of change. Before and After are
+	// documents as JSON.
 	Event struct {
 		Sequence uint64          `json:"sequence"`
 		At       time.Time       `json:"at"`
@@ -26,6 +28,7 @@
 		Actor    string          `json:"actor"`
 		From     string          `json:"from"`
 		Subject  string          `json:"subject"`
+		Action   string          `json:"action,omitempty"`
 		ChangeID string          `json:"change_id,omitempty"`
 		Revision uint64          `json:"revision,omitempty"`
 		Detail   string          `json:"detail,omitempty"`
--- a/core/catalog/apply.go
+++ b/core/catalog/apply.go
@@ -44,6 +44,8 @@
 		return d.Services[c.Name].Revision
 	case change.PutVersion, change.MoveVersion:
 		return d.Versions[c.Name].Revision
+	case change.PutOperator, change.AddOperatorKey, change.RemoveOperatorKey:
+		return d.Operators[c.Name].Revision
 	}
 	return d.Revision
 }
@@ -65,6 +67,10 @@
 		return d.moveVersion(c, accepted)
 	case change.RotateSeal:
 		return d.rotateSeal(c, accepted)
+	case change.PutOperator:
+		return d.putOperator(c, accepted)
+	case change.AddOperatorKey, change.RemoveOperatorKey:
+		return d.writeOperatorKey(c, accepted)
 	}
 	return change.RefuseFor("kind", "unknown kind "+string(c.Kind), "a kind of change")
 }
@@ -126,21 +132,21 @@
 }
 
 func (d *Documents) writeKey(c change.Change, accepted change.Result) change.Result {
-	var key change.Key
-	if err := json.Unmarshal(c.Document, &key); err != nil || key.Hash == "" {
-		return change.RefuseFor("hash", "missing", "the hash of a key")
+	given, found := readKey(c)
+	if len(found) > 0 {
+		return change.Refuse(found)
 	}
 	w, ok := d.Workspaces[c.Name]
 	if !ok {
 		return change.RefuseFor("name", "no workspace "+c.Name, "the name of a workspace")
 	}
-	if c.Kind == change.AddKey && d.isForeignKey(c.Name, key.Hash) {
+	if c.Kind == change.AddKey && d.isForeignKey(c.Name, given.Hash) {
 		return change.RefuseFor("hash", "the key belongs to another workspace", "a new key")
 	}
 	if c.Kind == change.AddKey {
-		w = w.WithKey(key.Hash)
+		w = w.WithKey(given.Hash)
 	} else {
-		w = w.WithoutKey(key.Hash)
+		w = w.WithoutKey(given.Hash)
 	}
 	w.Revision = accepted.Revision
 	d.Workspaces[c.Name] = w
@@ -214,11 +220,11 @@
 }
 
 func (d *Documents) rotateSeal(c change.Change, accepted change.Result) change.Result {
-	var key SealKey
-	if err := json.Unmarshal(c.Document, &key); err != nil || key.ID == "" || len(key.Secret) == 0 {
+	var seal SealKey
+	if err := json.Unmarshal(c.Document, &seal); err != nil || seal.ID == "" || len(seal.Secret) == 0 {
 		return change.RefuseFor("seal_key", "missing id or secret", "an id and 32 random bytes")
 	}
-	d.SealKeys = append([]SealKey{key}, d.SealKeys...)
+	d.SealKeys = append([]SealKey{seal}, d.SealKeys...)
 	d.SealKeys = d.SealKeys[:min(len(d.SealKeys), maxSealKeys)]
 	return accepted
 }
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -8,6 +8,8 @@
 
 	"github.com/juju/errors"
 
+	"rosereach/core/key"
+	"rosereach/core/operator"
 	"rosereach/core/service"
 	"rosereach/core/template"
 	"rosereach/core/version"
@@ -21,6 +23,7 @@
 	ErrUnknownVersion   = errors.ConstError("no such version")
 	ErrNotAllowed       = errors.ConstError("the workspace's template does not allow it")
 	ErrNotServing       = errors.ConstError("the version takes no new work")
+	ErrUnknownOperator  = errors.ConstError("no such operator")
 	ErrUnknownService   = errors.ConstError("no such service")
 )
 
@@ -33,6 +36,7 @@
 		Workspaces map[string]workspace.Workspace `json:"workspaces"`
 		Versions   map[string]version.Version     `json:"versions"`
 		Services   map[string]service.Service     `json:"services"`
+		Operators  map[string]operator.Operator   `json:"operators,omitempty"`
 		SealKeys   []SealKey                      `json:"seal_keys"`
 	}
 
@@ -78,14 +82,33 @@
 func (c *Catalog) Documents() Documents { return c.docs }
 
 // Owner returns the name of the workspace that the key belongs to.
-func (c *Catalog) Owner(key string) (string, error) {
-	name, ok := c.owners[workspace.HashKey(key)]
+func (c *Catalog) Owner(text string) (string, error) {
+	name, ok := c.owners[key.Hash(text)]
 	if !ok {
 		return "", errors.Trace(ErrUnknownWorkspace)
 	}
 	return name, nil
 }
 
+// Operator returns the operator that the key belongs to. It looks at all
+// operators, so that the time does not tell which one it is.
+func (c *Catalog) Operator(text string) (operator.Operator, error) {
+	var (
+		owner operator.Operator
+		known bool
+		hash  = key.Hash(text)
+	)
+	for _, o := range c.docs.Operators {
+		if key.IsOneOf(o.KeyHashes, hash) && !o.Closed {
+			owner, known = o, true
+		}
+	}
+	if !known {
+		return operator.Operator{}, errors.Trace(ErrUnknownOperator)
+	}
+	return owner, nil
+}
+
 // Policy returns what the workspace's traffic is allowed to do.
 func (c *Catalog) Policy(name string) (template.Policy, error) {
 	w, ok := c.docs.Workspaces[name]
@@ -160,6 +183,7 @@
 	d.Workspaces = cloneMap(d.Workspaces)
 	d.Versions = cloneMap(d.Versions)
 	d.Services = cloneMap(d.Services)
+	d.Operators = cloneMap(d.Operators)
 	d.SealKeys = slices.Clone(d.SealKeys)
 	return d
 }
--- /dev/null
+++ b/core/catalog/record.go
@@ -0,0 +1,81 @@
+package catalog
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/change"
+)
+
+// Restore returns the documents of records: JSON by subject, as the audit
+// trail keeps them. Records of other subjects are passed over.
+func Restore(records map[string][]byte) (Documents, error) {
+	d := Documents{}.Clone()
+	for _, subject := range slices.Sorted(maps.Keys(records)) {
+		kind, name, _ := strings.Cut(subject, "/")
+		if err := d.restore(kind, name, records[subject]); err != nil {
+			return d, errors.Annotatef(err, "record of %s", subject)
+		}
+	}
+	return d, nil
+}
+
+func (d *Documents) restore(kind, name string, record []byte) error {
+	switch kind {
+	case change.Template:
+		return restoreInto(d.Templates, name, record)
+	case change.Workspace:
+		return restoreInto(d.Workspaces, name, record)
+	case change.Service:
+		return restoreInto(d.Services, name, record)
+	case change.Version:
+		return restoreInto(d.Versions, name, record)
+	case change.Operator:
+		return restoreInto(d.Operators, name, record)
+	}
+	return nil
+}
+
+func restoreInto[V any](documents map[string]V, name string, record []byte) error {
+	var v V
+	if err := json.Unmarshal(record, &v); err != nil {
+		return errors.Trace(err)
+	}
+	documents[name] = v
+	return nil
+}
+
+// Record returns the document that the change writes as JSON, nil when there
+// is none or when it holds a secret.
+func (d Documents) Record(c change.Change) json.RawMessage {
+	document, ok := d.find(c)
+	if !ok {
+		return nil
+	}
+	data, err := json.Marshal(document)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func (d Documents) find(c change.Change) (document any, ok bool) {
+	kind, _, _ := strings.Cut(c.Subject(), "/")
+	switch kind {
+	case change.Template:
+		document, ok = d.Templates[c.Name]
+	case change.Workspace:
+		document, ok = d.Workspaces[c.Name]
+	case change.Service:
+		document, ok = d.Services[c.Name]
+	case change.Version:
+		document, ok = d.Versions[c.Name]
+	case change.Operator:
+		document, ok = d.Operators[c.Name]
+	}
+	return document, ok
+}
--- a/core/change/change.go
+++ b/core/change/change.go
@@ -23,6 +23,9 @@
 	RotateSeal   Kind = "rotate_seal"
 	PutRollout   Kind = "put_rollout"
 	PutOperator  Kind = "put_operator"
+
+	AddOperatorKey    Kind = "add_operator_key"
+	RemoveOperatorKey Kind = "remove_operator_key"
 )
 
 // The answers to a change.
@@ -32,6 +35,23 @@
 	Refused  Status = "refused"
 )
 
+// The kinds of document, as they stand before the slash of a subject.
+const (
+	Template  = "template"
+	Workspace = "workspace"
+	Service   = "service"
+	Version   = "version"
+	Rollout   = "rollout"
+	Operator  = "operator"
+)
+
+// documentKinds gives the kind of document that each kind of change writes.
+var documentKinds = map[Kind]string{
+	PutTemplate: Template, PutWorkspace: Workspace, AddKey: Workspace, RemoveKey: Workspace, PutService: Service,
+	PutVersion: Version, MoveVersion: Version, PutRollout: Rollout, PutOperator: Operator,
+	AddOperatorKey: Operator, RemoveOperatorKey: Operator,
+}
+
 type (
 	// Kind says which document a change writes, and how.
 	Kind string
@@ -72,7 +92,7 @@
 		Reason  string  `json:"reason"`
 	}
 
-	// Key is the document of AddKey and RemoveKey.
+	// Key is the document of the changes that add and remove keys.
 	Key struct {
 		Hash string `json:"hash"`
 	}
@@ -89,6 +109,15 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// Subject names the document that the change writes, as KIND/NAME.
+func (c Change) Subject() string {
+	kind, ok := documentKinds[c.Kind]
+	if !ok {
+		kind = string(c.Kind)
+	}
+	return kind + "/" + c.Name
+}
+
 // WithAt returns the change with the leader's time.
 func (c Change) WithAt(at time.Time) Change {
 	c.At = at.UTC()
--- /dev/null
+++ b/core/operator/operator.go
@@ -0,0 +1,84 @@
+// Package operator holds the people and programs that read or change the
+// documents, their roles and the hashes of their keys.
+package operator
+
+import (
+	"slices"
+
+	"rosereach/core/finding"
+	"rosereach/core/key"
+)
+
+// The roles.
+const (
+	Reader  Role = "reader"
+	Monitor Role = "monitor"
+	Changer Role = "operator"
+)
+
+// The rights that routes ask for.
+const (
+	Read   Right = "read"
+	Audit  Right = "audit"
+	Change Right = "change"
+)
+
+// rights lists what each role may do.
+var rights = map[Role][]Right{
+	Reader:  {Read},
+	Monitor: {Read, Audit},
+	Changer: {Read, Audit, Change},
+}
+
+type (
+	// Role is a set of rights.
+	Role string
+
+	// Right is one thing that a role may do: read documents and status, read
+	// the audit trail and bills, or make changes.
+	Right string
+
+	// Operator is the document of one operator. A closed one has no rights.
+	Operator struct {
+		Name      string   `json:"name"`
+		Role      Role     `json:"role"`
+		KeyHashes []string `json:"key_hashes"`
+		Closed    bool     `json:"closed"`
+		Revision  uint64   `json:"revision"`
+	}
+)
+
+// May reports whether the operator has the right.
+func (o Operator) May(r Right) bool { return !o.Closed && slices.Contains(rights[o.Role], r) }
+
+// WithKey returns the operator with one more key hash.
+func (o Operator) WithKey(hash string) Operator {
+	if slices.Contains(o.KeyHashes, hash) {
+		return o
+	}
+	o.KeyHashes = append(slices.Clone(o.KeyHashes), hash)
+	return o
+}
+
+// WithoutKey returns the operator without the key hash.
+func (o Operator) WithoutKey(hash string) Operator {
+	o.KeyHashes = slices.DeleteFunc(slices.Clone(o.KeyHashes), func(h string) bool { return h == hash })
+	return o
+}
+
+// Check returns all findings of the document.
+func (o Operator) Check() finding.List {
+	var found finding.List
+	if o.Name == "" {
+		found.Add("name", "missing", "a name")
+	}
+	if _, ok := rights[o.Role]; !ok {
+		found.Add("role", "unknown role "+string(o.Role), "reader, monitor, operator")
+	}
+	for _, h := range o.KeyHashes {
+		if !key.IsHash(h) {
+			found.Add("key_hashes", "no hash of a key", "SHA-256 as 64 hexadecimal digits")
+		}
+	}
+	return found
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -14,6 +14,7 @@
 	"rosereach/core/catalog"
 	"rosereach/core/change"
 	"rosereach/core/ledger"
+	"rosereach/core/version"
 )
 
 type (
@@ -45,8 +46,7 @@
 		docs    catalog.Documents
 		catalog *catalog.Catalog
 		answers map[string]answer
-		chain   audit.Chain
-		trail   []audit.Event
+		trail   *audit.Trail
 		ledger  *ledger.Ledger
 	}
 
@@ -62,8 +62,7 @@
 		Index   uint64            `json:"index"`
 		Docs    catalog.Documents `json:"docs"`
 		Answers map[string]answer `json:"answers"`
-		Chain   audit.Chain       `json:"chain"`
-		Trail   []audit.Event     `json:"trail"`
+		Trail   audit.Snapshot    `json:"trail"`
 		Ledger  ledger.Snapshot   `json:"ledger"`
 	}
 )
@@ -75,6 +74,7 @@
 		docs:    docs,
 		catalog: catalog.New(docs),
 		answers: make(map[string]answer),
+		trail:   audit.NewTrail(),
 		ledger:  ledger.NewLedger(),
 	}
 }
@@ -110,18 +110,12 @@
 func (s *State) Ledger() *ledger.Ledger { return s.ledger }
 
 // Trail returns at most limit audit events after the sequence, in order.
-func (s *State) Trail(after uint64, limit int) []audit.Event {
-	if after >= uint64(len(s.trail)) {
-		return nil
-	}
-	rest := s.trail[after:]
-	return append([]audit.Event(nil), rest[:min(len(rest), limit)]...)
-}
+func (s *State) Trail(after uint64, limit int) audit.Page { return s.trail.Page(after, limit) }
 
 // Encode returns the whole state as a snapshot.
 func (s *State) Encode() ([]byte, error) {
 	return cbor.Marshal(snapshot{
-		Index: s.index, Docs: s.docs, Answers: s.answers, Chain: s.chain, Trail: s.trail,
+		Index: s.index, Docs: s.docs, Answers: s.answers, Trail: s.trail.Snapshot(),
 		Ledger: s.ledger.Snapshot(),
 	})
 }
@@ -139,8 +133,7 @@
 	if snap.Answers != nil {
 		s.answers = snap.Answers
 	}
-	s.chain = snap.Chain
-	s.trail = snap.Trail
+	s.trail = audit.RestoreTrail(snap.Trail)
 	s.ledger = ledger.Restore(snap.Ledger)
 	return s, nil
 }
@@ -153,7 +146,7 @@
 	if first, ok := s.answers[c.ID]; ok {
 		return first.repeat(hash)
 	}
-	before := s.subject(c)
+	before := s.docs.Record(c)
 	docs, result := s.docs.Apply(c, s.index)
 	s.answers[c.ID] = answer{Hash: hash, Index: s.index, Result: result}
 	if result.Status == change.Accepted {
@@ -167,7 +160,7 @@
 func (s *State) applySettle(c Settle) {
 	for _, key := range s.ledger.Settle(c.Owner, c.At) {
 		s.note(audit.Event{
-			At: c.At, Kind: audit.LeaseEnded, Actor: "system", Subject: key.Workspace + "/" + key.RequestID,
+			At: c.At, Kind: audit.LeaseEnded, Actor: "system", Subject: "request/" + key.Workspace + "/" + key.RequestID,
 			Detail: "open request of " + c.Owner.Entry + " settled as unknown",
 		})
 	}
@@ -175,45 +168,27 @@
 
 func (s *State) noteChange(c change.Change, r change.Result, before json.RawMessage) {
 	e := audit.Event{
-		At: c.At, Kind: audit.Changed, Actor: c.Actor, From: c.From, Subject: string(c.Kind) + " " + c.Name,
+		At: c.At, Kind: kindOf(c), Actor: c.Actor, From: c.From, Subject: c.Subject(), Action: string(c.Kind),
 		ChangeID: c.ID, Revision: r.Revision,
 	}
 	if r.Status == change.Accepted {
-		e.Before, e.After = before, s.subject(c)
+		e.Before, e.After = before, s.docs.Record(c)
 	} else {
 		e.Kind, e.Detail = audit.Refused, string(r.Status)+" "+r.Findings.Error()
 	}
 	s.note(e)
 }
 
-func (s *State) note(e audit.Event) {
-	s.trail = append(s.trail, s.chain.Append(e))
+// kindOf tells holds from other changes.
+func kindOf(c change.Change) audit.Kind {
+	var move change.Move
+	if c.Kind != change.MoveVersion || json.Unmarshal(c.Document, &move) != nil || move.Trigger != string(version.ToHold) {
+		return audit.Changed
+	}
+	return audit.Held
 }
 
-// subject returns the document that the change writes, as JSON, or nil.
-func (s *State) subject(c change.Change) json.RawMessage {
-	if s.docs.RevisionOf(c) == 0 {
-		return nil
-	}
-	var doc any
-	switch c.Kind {
-	case change.PutTemplate:
-		doc = s.docs.Templates[c.Name]
-	case change.PutWorkspace, change.AddKey, change.RemoveKey:
-		doc = s.docs.Workspaces[c.Name]
-	case change.PutService:
-		doc = s.docs.Services[c.Name]
-	case change.PutVersion, change.MoveVersion:
-		doc = s.docs.Versions[c.Name]
-	default:
-		return nil
-	}
-	data, err := json.Marshal(doc)
-	if err != nil {
-		return nil
-	}
-	return data
-}
+func (s *State) note(e audit.Event) { s.trail.Append(e) }
 
 func (a answer) repeat(hash string) change.Result {
 	if a.Hash != hash {
--- a/core/workspace/workspace.go
+++ b/core/workspace/workspace.go
@@ -3,11 +3,10 @@
 package workspace
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 
 	"rosereach/core/finding"
+	"rosereach/core/key"
 	"rosereach/core/template"
 )
 
@@ -21,12 +20,8 @@
 	Revision  uint64          `json:"revision"`
 }
 
-// HashKey returns the hash under which a caller's key is stored. Keys are
-// random and long, so that a plain hash is enough.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
+// HashKey returns the hash under which a caller's key is stored.
+func HashKey(text string) string { return key.Hash(text) }
 
 // WithKey returns the workspace with one more key hash.
 func (w Workspace) WithKey(hash string) Workspace {
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -47,7 +47,7 @@
 func commands() []*command {
 	return []*command{
 		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
-		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(),
+		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(), cmdOperator(),
 		cmdBills(), cmdAudit(), cmdStatus(),
 	}
 }
--- /dev/null
+++ b/internal/cmd/cmd_audit.go
@@ -0,0 +1,173 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"rosereach/core/audit"
+	"rosereach/core/catalog"
+	"rosereach/core/ledger"
+)
+
+// cmdAudit reads and verifies the audit trail.
+func cmdAudit() *command {
+	file := flag("file", "", "export to read in place of a control's trail")
+	return &command{
+		name: "audit", short: "export, verify and question the audit trail",
+		subs: []*command{
+			{
+				name: "export", short: "write the trail as JSON lines", action: exportAudit,
+				flags: operatorFlags(flag("after", "0", "sequence of the last event that is known")),
+			},
+			{
+				name: "verify", short: "check the chain of an export or of a control's trail", action: verifyAudit,
+				flags: operatorFlags(file, flag("known-hash", "", "hash of an event that must be in the chain")),
+			},
+			{
+				name: "permitted", short: "show what a workspace's traffic was allowed to do", args: "WORKSPACE", action: showPermitted,
+				flags: operatorFlags(file, flag("at", "", "time as RFC 3339 (now, when empty)")),
+			},
+			{
+				name: "request", short: "show why a request went where it went", args: "WORKSPACE ID", action: showRequest,
+				flags: operatorFlags(file),
+			},
+		},
+	}
+}
+
+func exportAudit(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	client, after := s.client(), uint64(s.number("after", 0, 1<<62))
+	if err := s.err(); err != nil {
+		return err
+	}
+	page, err := client.WholeTrail(ctx, after)
+	if err != nil {
+		return err
+	}
+	return page.Export(os.Stdout)
+}
+
+func verifyAudit(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	page, err := s.trail(ctx)
+	if err != nil {
+		return err
+	}
+	if known := s.optional("known-hash"); known != "" && !page.Has(known) {
+		return errors.Annotatef(audit.ErrBroken, "no event has the hash %s", known)
+	}
+	if len(page.Events) == 0 {
+		fmt.Println("chain whole: no events")
+		return nil
+	}
+	first, last := page.Events[0], page.Events[len(page.Events)-1]
+	fmt.Printf("chain whole: events %d to %d, head %s\n", first.Sequence, last.Sequence, last.Hash)
+	return nil
+}
+
+func showPermitted(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	name, at := s.argument(0, "WORKSPACE"), s.time("at")
+	page, err := s.trail(ctx)
+	if err != nil {
+		return err
+	}
+	permissions, sequence, err := permittedAt(page, name, at)
+	if err != nil {
+		return err
+	}
+	if !s.cmd.Bool("json") {
+		fmt.Printf("%s at %s, after event %d of the trail:\n", name, at.Format(time.RFC3339), sequence)
+	}
+	return s.showDocument(permissions)
+}
+
+// permittedAt rebuilds the documents of the time and returns what the
+// workspace was allowed then.
+func permittedAt(page audit.Page, workspace string, at time.Time) (catalog.Permissions, uint64, error) {
+	if len(page.Base) > 0 && len(page.Events) > 0 && at.Before(page.Events[0].At) {
+		return catalog.Permissions{}, 0, errors.NotFoundf(
+			"trail at %s: it starts at %s; give an older export with --file, the trail before", at, page.Events[0].At)
+	}
+	records, sequence := page.Documents(at)
+	docs, err := catalog.Restore(records)
+	if err != nil {
+		return catalog.Permissions{}, 0, err
+	}
+	return catalog.New(docs).Permissions(workspace), sequence, nil
+}
+
+// explanation is the answer to audit request.
+type explanation struct {
+	Request   ledger.Record       `json:"request"`
+	Permitted catalog.Permissions `json:"permitted"`
+	Event     uint64              `json:"event"`
+}
+
+func showRequest(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	key := ledger.Key{Workspace: s.argument(0, "WORKSPACE"), RequestID: s.argument(1, "ID")}
+	client := s.client()
+	if err := s.err(); err != nil {
+		return err
+	}
+	record, err := client.Request(ctx, key)
+	if err != nil {
+		return err
+	}
+	page, err := s.trail(ctx)
+	if err != nil {
+		return err
+	}
+	permissions, event, err := permittedAt(page, key.Workspace, record.BeganAt)
+	if err != nil {
+		return err
+	}
+	return s.showDocument(explanation{Request: record, Permitted: permissions, Event: event})
+}
+
+// trail returns the verified trail of --file or of the control.
+func (s *settings) trail(ctx context.Context) (audit.Page, error) {
+	path := s.optional("file")
+	if path == "" {
+		client := s.client()
+		if err := s.err(); err != nil {
+			return audit.Page{}, err
+		}
+		page, err := client.WholeTrail(ctx, 0)
+		if err != nil {
+			return page, err
+		}
+		return page, page.Verify()
+	}
+	if err := s.err(); err != nil {
+		return audit.Page{}, err
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return audit.Page{}, errors.Trace(err)
+	}
+	defer f.Close()
+	page, err := audit.ReadExport(f)
+	return page, errors.Annotate(err, path)
+}
+
+// time reads a time as RFC 3339; empty stands for now.
+func (s *settings) time(name string) time.Time {
+	text := strings.TrimSpace(s.optional(name))
+	if text == "" {
+		return time.Now().UTC()
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		s.found.Add("--"+name, "bad time "+text, "a time as 2026-12-03T10:00:00Z")
+	}
+	return at
+}
--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -20,7 +20,7 @@
 		flags: append(commonFlags(),
 			flag("data", "", "data folder, on a disk"),
 			flag("member-key", "", "key that rosereach's own processes share"),
-			flag("operator-key", "", "key that operators present"),
+			flag("operator-key", "", "bootstrap key with every right, until operators have keys of their own"),
 		),
 	}
 }
@@ -29,7 +29,7 @@
 	s := newSettings(c)
 	listen := s.address("listen")
 	cfg := control.Config{
-		ID: s.text("id"), Folder: s.text("data"), MemberKey: s.text("member-key"), OperatorKey: s.text("operator-key"),
+		ID: s.text("id"), Folder: s.text("data"), MemberKey: s.text("member-key"), OperatorKey: s.optional("operator-key"),
 		Terms: lease.DefaultTerms(), Clock: clock.WallClock, Logger: newLogger(s, "control"),
 	}
 	if err := s.err(); err != nil {
--- /dev/null
+++ b/internal/cmd/cmd_operator.go
@@ -0,0 +1,100 @@
+package cmd
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"rosereach/core/change"
+	"rosereach/core/key"
+	"rosereach/core/operator"
+)
+
+// cmdOperator works with operators and their keys.
+func cmdOperator() *command {
+	role := flag("role", "", "reader, monitor or operator")
+	given := flag("new-key", "", "key to store (a new random one, when empty)")
+	revoke := flag("revoke", "", "hash of the key to revoke, as operator list shows it")
+	return &command{
+		name: "operator", short: "create and close operators, make and revoke their keys",
+		subs: []*command{
+			{name: "set", short: "create an operator or change the role", args: "NAME", flags: changeFlags(role), action: setOperator},
+			{name: "close", short: "take all rights from an operator", args: "NAME", flags: changeFlags(), action: closeOperator},
+			{name: "key", short: "make or revoke a key of an operator", args: "NAME", flags: changeFlags(given, revoke), action: keyOperator},
+			{name: "list", short: "list operators", flags: operatorFlags(), action: listOperators},
+		},
+	}
+}
+
+func setOperator(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	o := operator.Operator{Name: s.argument(0, "NAME"), Role: operator.Role(s.text("role")), KeyHashes: []string{}}
+	return s.change(ctx, change.PutOperator, o.Name, o)
+}
+
+func closeOperator(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	name, client := s.argument(0, "NAME"), s.client()
+	if err := s.err(); err != nil {
+		return err
+	}
+	docs, err := client.Documents(ctx)
+	if err != nil {
+		return err
+	}
+	o := operator.Operator{Name: name, Role: docs.Operators[name].Role, KeyHashes: []string{}, Closed: true}
+	return s.change(ctx, change.PutOperator, name, o)
+}
+
+func keyOperator(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	name := s.argument(0, "NAME")
+	if hash := s.optional("revoke"); hash != "" {
+		return s.change(ctx, change.RemoveOperatorKey, name, change.Key{Hash: hash})
+	}
+	return s.makeKey("new-key", func(text string) error {
+		return s.change(ctx, change.AddOperatorKey, name, change.Key{Hash: key.Hash(text)})
+	})
+}
+
+// makeKey stores the key that the flag gives, or a new one. It prints a new
+// one unless it was refused, also when the outcome is unknown: the same key is
+// then sent again.
+func (s *settings) makeKey(flagName string, store func(text string) error) error {
+	given := s.optional(flagName)
+	text := cmp.Or(given, rand.Text())
+	err := store(text)
+	stored := err == nil || codeOf(err) == exitUnknown || codeOf(err) == exitNotInForce
+	if given != "" || !stored || s.cmd.Bool("dry-run") {
+		return err
+	}
+	fmt.Println(text)
+	if err != nil && codeOf(err) == exitUnknown {
+		return exit(exitUnknown, errors.Annotatef(err, "give the printed key with --%s", flagName))
+	}
+	return err
+}
+
+func listOperators(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	client := s.client()
+	if err := s.err(); err != nil {
+		return err
+	}
+	docs, err := client.Documents(ctx)
+	if err != nil {
+		return err
+	}
+	out := newTable("OPERATOR", "ROLE", "CLOSED", "REVISION", "KEY HASHES")
+	for _, name := range slices.Sorted(maps.Keys(docs.Operators)) {
+		o := docs.Operators[name]
+		out.add(name, o.Role, o.Closed, o.Revision, o.KeyHashes)
+	}
+	return s.show(docs.Operators, out)
+}
--- a/internal/cmd/cmd_read.go
+++ b/internal/cmd/cmd_read.go
@@ -19,17 +19,6 @@
 	}
 }
 
-// cmdAudit exports the audit trail.
-func cmdAudit() *command {
-	return &command{
-		name: "audit", short: "export the audit trail in order",
-		flags: operatorFlags(flag("after", "0", "sequence of the last event that is known")),
-		action: readAction(func(ctx context.Context, client operator.Client, after uint64) (any, error) {
-			return client.Trail(ctx, after)
-		}),
-	}
-}
-
 // cmdStatus shows the fleet.
 func cmdStatus() *command {
 	return &command{
--- a/internal/cmd/cmd_template.go
+++ b/internal/cmd/cmd_template.go
@@ -96,18 +96,18 @@
 
 func showTemplateHistory(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	subject, client := string(change.PutTemplate)+" "+s.argument(0, "NAME"), s.client()
+	written, client := change.Change{Kind: change.PutTemplate, Name: s.argument(0, "NAME")}, s.client()
 	if err := s.err(); err != nil {
 		return err
 	}
-	trail, err := client.WholeTrail(ctx)
+	trail, err := client.WholeTrail(ctx, 0)
 	if err != nil {
 		return err
 	}
 	var history []audit.Event
 	out := newTable("REVISION", "AT", "ACTOR", "FROM", "CHANGE ID", "KIND", "DIFFERENCE")
-	for _, e := range trail {
-		if e.Subject != subject {
+	for _, e := range trail.Events {
+		if e.Subject != written.Subject() {
 			continue
 		}
 		history = append(history, e)
--- a/internal/cmd/cmd_workspace.go
+++ b/internal/cmd/cmd_workspace.go
@@ -1,11 +1,8 @@
 package cmd
 
 import (
-	"cmp"
 	"context"
-	"crypto/rand"
 	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -91,25 +88,15 @@
 	return s.show(docs.Workspaces, out)
 }
 
-// keyWorkspace makes a key, stores its hash and prints the key once, also when
-// the outcome is unknown: the same key is then sent again.
 func keyWorkspace(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
 	name := s.argument(0, "NAME")
 	if hash := s.optional("revoke"); hash != "" {
 		return s.change(ctx, change.RemoveKey, name, change.Key{Hash: hash})
 	}
-	given := s.optional("caller-key")
-	key := cmp.Or(given, rand.Text())
-	err := s.change(ctx, change.AddKey, name, change.Key{Hash: workspace.HashKey(key)})
-	if code := codeOf(err); given != "" || err != nil && code != exitUnknown && code != exitNotInForce {
-		return err
-	}
-	fmt.Println(key)
-	if codeOf(err) == exitUnknown {
-		return exit(exitUnknown, errors.Annotate(err, "give the printed key with --caller-key"))
-	}
-	return err
+	return s.makeKey("caller-key", func(text string) error {
+		return s.change(ctx, change.AddKey, name, change.Key{Hash: workspace.HashKey(text)})
+	})
 }
 
 // values reads parameters given as NAME=JSON with semicolons.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -8,7 +8,6 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 
-	"rosereach/core/audit"
 	"rosereach/core/change"
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
@@ -23,7 +22,7 @@
 	r.Get(member.Path, func(w http.ResponseWriter, req *http.Request) {
 		member.Accept(w, req, n.cfg.MemberKey, n, n.watch)
 	})
-	operator.Mount(r, n.cfg.OperatorKey, n)
+	operator.Mount(r, operator.Options{BootstrapKey: n.cfg.OperatorKey, Clock: n.cfg.Clock}, n)
 	return r
 }
 
@@ -75,7 +74,7 @@
 	docs := n.Catalog().Documents()
 	return operator.Documents{
 		Revision: docs.Revision, Templates: docs.Templates, Workspaces: docs.Workspaces,
-		Versions: docs.Versions, Services: docs.Services,
+		Versions: docs.Versions, Services: docs.Services, Operators: docs.Operators,
 	}
 }
 
@@ -85,12 +84,6 @@
 	return bills
 }
 
-// Trail returns a page of the audit trail.
-func (n *Node) Trail(after uint64, limit int) (events []audit.Event) {
-	n.View(func(s *state.State) { events = s.Trail(after, limit) })
-	return events
-}
-
 // Status returns what the control knows of the entries.
 func (n *Node) Status() operator.Status {
 	n.mu.Lock()
@@ -106,6 +99,7 @@
 	if docs.Revision <= r.Have {
 		return member.DocumentsReply{}
 	}
+	docs.Operators = nil
 	return member.DocumentsReply{Documents: &docs}
 }
 
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 
 	"github.com/juju/errors"
 
@@ -55,26 +56,32 @@
 	return bills, c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/bills?after=%d", after), nil, &bills)
 }
 
-// WholeTrail returns all audit events that the control keeps, in order.
-func (c Client) WholeTrail(ctx context.Context) ([]audit.Event, error) {
-	var (
-		all   []audit.Event
-		after uint64
-	)
-	for {
-		page, err := c.Trail(ctx, after)
-		if err != nil || len(page) == 0 {
-			return all, err
+// WholeTrail returns all audit events that the control keeps, after the
+// sequence, as one page.
+func (c Client) WholeTrail(ctx context.Context, after uint64) (audit.Page, error) {
+	whole, err := c.Trail(ctx, after)
+	for err == nil && len(whole.Events) > 0 {
+		var next audit.Page
+		next, err = c.Trail(ctx, whole.Events[len(whole.Events)-1].Sequence)
+		if len(next.Events) == 0 {
+			break
 		}
-		all = append(all, page...)
-		after = page[len(page)-1].Sequence
+		whole.Events = append(whole.Events, next.Events...)
 	}
+	return whole, err
 }
 
 // Trail returns the audit events after the sequence, at most MaxPage.
-func (c Client) Trail(ctx context.Context, after uint64) ([]audit.Event, error) {
-	var events []audit.Event
-	return events, c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/audit?after=%d", after), nil, &events)
+func (c Client) Trail(ctx context.Context, after uint64) (audit.Page, error) {
+	var page audit.Page
+	return page, c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/audit?after=%d", after), nil, &page)
+}
+
+// Request returns what the ledger knows of a request, without its answer's text.
+func (c Client) Request(ctx context.Context, k ledger.Key) (ledger.Record, error) {
+	var r ledger.Record
+	q := url.Values{"workspace": {k.Workspace}, "id": {k.RequestID}}
+	return r, c.do(ctx, http.MethodGet, "/v1/requests?"+q.Encode(), nil, &r)
 }
 
 // Status returns what the control knows of the fleet.
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -15,8 +14,11 @@
 	"rosereach/core/audit"
 	"rosereach/core/catalog"
 	"rosereach/core/change"
+	"rosereach/core/key"
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
+	"rosereach/core/operator"
+	"rosereach/core/request"
 	"rosereach/core/service"
 	"rosereach/core/template"
 	"rosereach/core/version"
@@ -41,7 +43,10 @@
 		WaitInForce(ctx context.Context, revision uint64) error
 		Documents() Documents
 		Bills(after uint64, limit int) []ledger.Bill
-		Trail(after uint64, limit int) []audit.Event
+		Trail(after uint64, limit int) audit.Page
+		Request(key ledger.Key) (ledger.Record, bool)
+		Operator(key string) (operator.Operator, error)
+		Note(ctx context.Context, e audit.Event) error
 		Status() Status
 	}
 
@@ -52,6 +57,7 @@
 		Workspaces map[string]workspace.Workspace `json:"workspaces"`
 		Versions   map[string]version.Version     `json:"versions"`
 		Services   map[string]service.Service     `json:"services"`
+		Operators  map[string]operator.Operator   `json:"operators"`
 	}
 
 	// Status is what a control knows of the fleet.
@@ -81,49 +87,45 @@
 	}
 
 	server struct {
-		key     string
-		backend Backend
+		opts          Options
+		bootstrapHash string
+		backend       Backend
+		attempts      *attempts
 	}
 )
 
 // Mount adds the interface's routes to the router.
-func Mount(r chi.Router, key string, b Backend) {
-	s := &server{key: key, backend: b}
+func Mount(r chi.Router, opts Options, b Backend) {
+	s := &server{opts: opts, bootstrapHash: key.Hash(opts.BootstrapKey), backend: b, attempts: newAttempts(opts.Clock, b)}
+	r.With(s.authenticate(operator.Change)).Post("/v1/changes", s.postChange)
 	r.Group(func(r chi.Router) {
-		r.Use(s.authenticate)
-		r.Post("/v1/changes", s.postChange)
+		r.Use(s.authenticate(operator.Read))
 		r.Get("/v1/documents", s.getDocuments)
+		r.Get("/v1/status", s.getStatus)
+	})
+	r.Group(func(r chi.Router) {
+		r.Use(s.authenticate(operator.Audit))
 		r.Get("/v1/bills", s.getBills)
 		r.Get("/v1/audit", s.getTrail)
-		r.Get("/v1/status", s.getStatus)
+		r.Get("/v1/requests", s.getRequest)
 	})
 }
 
 // Catalog returns the documents in the form that decides on changes.
 func (d Documents) Catalog() catalog.Documents {
 	return catalog.Documents{
-		Revision: d.Revision, Templates: d.Templates, Workspaces: d.Workspaces, Versions: d.Versions, Services: d.Services,
+		Revision: d.Revision, Templates: d.Templates, Workspaces: d.Workspaces, Versions: d.Versions,
+		Services: d.Services, Operators: d.Operators,
 	}
 }
 
-func (s *server) authenticate(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given := r.Header.Get("Authorization")
-		if subtle.ConstantTimeCompare([]byte(given), []byte("Bearer "+s.key)) != 1 {
-			writeProblem(w, Problem{Status: http.StatusUnauthorized, Code: "unauthorized", Detail: "give an operator's key as bearer token"})
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (s *server) postChange(w http.ResponseWriter, r *http.Request) {
 	var c change.Change
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxChangeBytes)).Decode(&c); err != nil {
 		writeProblem(w, Problem{Status: http.StatusBadRequest, Code: "bad_request", Detail: err.Error()})
 		return
 	}
-	c.From = r.RemoteAddr
+	c.From, c.Actor = r.RemoteAddr, actorOf(r, c.Actor)
 	if r.URL.Query().Get("dry_run") == "true" {
 		p := s.backend.Documents().Catalog().Preview(c)
 		writeJSON(w, statusOf(p.Result), Answer{Result: p.Result, DryRun: true, Effects: p.Effects})
@@ -155,6 +157,27 @@
 	writeJSON(w, http.StatusOK, s.backend.Trail(afterOf(r), MaxPage))
 }
 
+func (s *server) getRequest(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	record, ok := s.backend.Request(ledger.Key{Workspace: q.Get("workspace"), RequestID: q.Get("id")})
+	if !ok {
+		writeProblem(w, Problem{Status: http.StatusNotFound, Code: "not_found", Detail: "the ledger has no such request; it may have passed its horizon"})
+		return
+	}
+	record.Answer = withoutText(record.Answer)
+	writeJSON(w, http.StatusOK, record)
+}
+
+// withoutText returns the answer without what the caller got to read.
+func withoutText(a *request.Answer) *request.Answer {
+	if a == nil {
+		return nil
+	}
+	bare := *a
+	bare.Body = nil
+	return &bare
+}
+
 func (s *server) getStatus(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, s.backend.Status())
 }
