--- a/internal/cmd/cmd_audit.go
+++ b/internal/cmd/cmd_audit.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -150,12 +151,11 @@
 	if err := s.err(); err != nil {
 		return audit.Page{}, err
 	}
-	f, err := os.Open(path)
+	data, err := os.ReadFile(path)
 	if err != nil {
 		return audit.Page{}, errors.Trace(err)
 	}
-	defer f.Close()
-	page, err := audit.ReadExport(f)
+	page, err := audit.ReadExport(bytes.NewReader(data))
 	return page, errors.Annotate(err, path)
 }
 
