Speak TLS on listeners and towards controls

Operators, members and callers met plain listeners only. Mutual TLS was ruled out for now: keys tell who calls. Backend servers and the model engines' side stay plain, since the platform sets those protocols.

--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -17,7 +17,7 @@
 func cmdControl() *command {
 	return &command{
 		name: "control", short: "keep the replicated state and grant leases", action: runControl,
-		flags: append(commonFlags(),
+		flags: append(append(commonFlags(), tlsFlags()...),
 			flag("data", "", "data folder, on a disk"),
 			flag("member-key", "", "key that rosereach's own processes share"),
 			flag("operator-key", "", "bootstrap key with every right, until operators have keys of their own"),
@@ -32,6 +32,7 @@
 		ID: s.text("id"), Folder: s.text("data"), MemberKey: s.text("member-key"), OperatorKey: s.optional("operator-key"),
 		Terms: lease.DefaultTerms(), Clock: clock.WallClock, Logger: newLogger(s, "control"),
 	}
+	files := s.tlsFiles()
 	if err := s.err(); err != nil {
 		return err
 	}
@@ -47,6 +48,6 @@
 	cfg.Logger.Log("msg", "Control serves.", "id", cfg.ID, "address", l.Addr())
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return node.Run(ctx) })
-	g.Go(func() error { return httpd.Serve(ctx, l, node.Handler()) })
+	g.Go(func() error { return httpd.Serve(ctx, files.Wrap(l, cfg.Clock), node.Handler()) })
 	return g.Wait()
 }
--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -23,7 +23,7 @@
 func cmdEntry() *command {
 	return &command{
 		name: "entry", short: "serve callers and backend servers", action: runEntry,
-		flags: append(commonFlags(),
+		flags: append(append(commonFlags(), tlsFlags()...),
 			flag("controls", "", "host:port of the controls, with commas"),
 			flag("member-key", "", "key that rosereach's own processes share"),
 			flag("backend-key", "", "key that backend servers present"),
@@ -39,14 +39,14 @@
 func runEntry(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
 	listen := s.address("listen")
-	started := incarnation()
+	files, started := s.tlsFiles(), incarnation()
 	cfg := entry.Config{
 		ID: s.text("id"), Incarnation: started, Region: s.text("region"), Zone: s.text("availability-zone"),
 		Controls: s.addresses("controls"), MemberKey: s.text("member-key"), BackendKey: s.text("backend-key"),
 		Terms: lease.DefaultTerms(), AddressTTL: s.duration("address-ttl"), Timeout: s.duration("request-timeout"),
 		MaxBody: s.number("max-body", 1, 1<<30), MaxRunning: int(s.number("max-running", 1, math.MaxInt32)),
 		MaxWaiting: int(s.number("max-waiting", 0, math.MaxInt32)), Seed: started,
-		Clock: clock.WallClock, Logger: newLogger(s, "entry"),
+		TLS: files.Client, Clock: clock.WallClock, Logger: newLogger(s, "entry"),
 	}
 	if err := s.err(); err != nil {
 		return err
@@ -59,7 +59,7 @@
 	fmt.Println(l.Addr())
 	cfg.Logger.Log("msg", "Entry serves.", "id", cfg.ID, "address", cfg.Address)
 	return serveEntry(ctx, cfg, func(ctx context.Context, e *entry.Entry) error {
-		return httpd.Serve(ctx, l, e.Handler())
+		return httpd.Serve(ctx, files.Wrap(l, cfg.Clock), e.Handler())
 	})
 }
 
--- a/internal/cmd/operate.go
+++ b/internal/cmd/operate.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"rosereach/core/change"
+	"rosereach/internal/httpd"
 	"rosereach/io/operator"
 )
 
@@ -21,6 +22,7 @@
 		flag("control", "", "host:port of a control"),
 		flag("operator-key", "", "key to present"),
 		flag("actor", "operator", "name to write into the audit trail"),
+		caFlag(),
 		boolFlag("json", "print JSON in place of a table"),
 	}, more...)
 }
@@ -36,7 +38,16 @@
 }
 
 func (s *settings) client() operator.Client {
-	return operator.Client{Address: s.address("control"), Key: s.text("operator-key")}
+	client := operator.Client{Address: s.address("control"), Key: s.text("operator-key")}
+	security, err := httpd.Files{CA: s.optional("tls-ca")}.Client()
+	if err != nil {
+		s.found.Add("--tls-ca", err.Error(), "a PEM file of certificates")
+	}
+	if security != nil {
+		client.TLS = true
+		client.HTTP = &http.Client{Transport: &http.Transport{TLSClientConfig: security}}
+	}
+	return client
 }
 
 // change sends a change, or previews it, and prints the answer.
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -8,6 +8,8 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/clock"
 	"github.com/urfave/cli/v3"
+
+	"rosereach/internal/httpd"
 )
 
 // commonFlags are the settings of every process that serves.
@@ -22,6 +24,26 @@
 	}
 }
 
+// tlsFlags are the settings for TLS of a process that serves.
+func tlsFlags() []cli.Flag {
+	return []cli.Flag{
+		flag("tls-cert", "", "PEM file of the listener's certificate (plain connections, when empty)"),
+		flag("tls-key", "", "PEM file of the certificate's key"),
+		caFlag(),
+	}
+}
+
+func caFlag() cli.Flag {
+	return flag("tls-ca", "", "PEM file of the authorities to trust (plain connections, when empty)")
+}
+
+// tlsFiles reads the settings for TLS.
+func (s *settings) tlsFiles() httpd.Files {
+	f := httpd.Files{Cert: s.optional("tls-cert"), Key: s.optional("tls-key"), CA: s.optional("tls-ca")}
+	s.found = append(s.found, f.Check()...)
+	return f
+}
+
 // newLogger returns a logger whose lines start with the part's name.
 func newLogger(s *settings, part string) log.Logger {
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -33,7 +34,8 @@
 )
 
 type (
-	// Config are the settings of an entry process.
+	// Config are the settings of an entry process. TLS gives the settings for
+	// connections to controls; without it, or when it gives nil, they are plain.
 	Config struct {
 		ID          string
 		Incarnation uint64
@@ -50,6 +52,7 @@
 		MaxRunning  int
 		MaxWaiting  int
 		Seed        uint64
+		TLS         func() (*tls.Config, error)
 		Clock       clock.Clock
 		Logger      log.Logger
 	}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -59,7 +59,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	cfg := l.entry.cfg
-	conn, err := member.Dial(ctx, address, cfg.MemberKey, member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}, l)
+	security, err := cfg.security()
+	if err != nil {
+		return err
+	}
+	self := member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}
+	conn, err := member.DialTLS(ctx, address, cfg.MemberKey, self, l, security)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/tls"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -41,3 +42,11 @@
 	}
 	return e.addresses(region, zone)
 }
+
+// security returns the settings for TLS towards controls, nil for none.
+func (c Config) security() (*tls.Config, error) {
+	if c.TLS == nil {
+		return nil, nil
+	}
+	return c.TLS()
+}
--- a/io/member/dial.go
+++ b/io/member/dial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"crypto/tls"
 	"net/http"
 	"time"
 
@@ -24,6 +25,11 @@
 // Dial connects to the member at address, host:port, and starts to answer its
 // messages until the context ends.
 func Dial(ctx context.Context, address, key string, self Peer, h Handler) (*Conn, error) {
+	return DialTLS(ctx, address, key, self, h, nil)
+}
+
+// DialTLS is Dial over TLS, unless the settings are nil.
+func DialTLS(ctx context.Context, address, key string, self Peer, h Handler, security *tls.Config) (*Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	header := http.Header{}
@@ -31,7 +37,13 @@
 	header.Set(headerID, self.ID)
 	header.Set(headerRegion, self.Region)
 	header.Set(headerZone, self.Zone)
-	ws, resp, err := websocket.Dial(dialCtx, "ws://"+address+Path, &websocket.DialOptions{HTTPHeader: header})
+	opts := &websocket.DialOptions{HTTPHeader: header}
+	target := "ws://" + address + Path
+	if security != nil {
+		target = "wss://" + address + Path
+		opts.HTTPClient = &http.Client{Transport: &http.Transport{TLSClientConfig: security}}
+	}
+	ws, resp, err := websocket.Dial(dialCtx, target, opts)
 	if resp != nil && resp.Body != nil {
 		defer resp.Body.Close()
 	}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -15,9 +15,11 @@
 	"rosereach/core/ledger"
 )
 
-// Client talks to a control. The zero HTTP client is http.DefaultClient.
+// Client talks to a control. The zero HTTP client is http.DefaultClient. With
+// TLS the HTTP client must trust the control's certificate.
 type Client struct {
 	Address string
+	TLS     bool
 	Key     string
 	HTTP    *http.Client
 }
@@ -94,7 +96,11 @@
 func (p *Problem) Error() string { return p.Code + ": " + p.Detail }
 
 func (c Client) do(ctx context.Context, method, path string, body []byte, into any) error {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, bytes.NewReader(body))
+	scheme := "http://"
+	if c.TLS {
+		scheme = "https://"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, scheme+c.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Trace(err)
 	}
--- /dev/null
+++ b/test/tls_test.go
@@ -0,0 +1,89 @@
+package test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// writeCertificate writes a self-signed certificate for loopback and its key.
+func writeCertificate(t *testing.T, serial int64, cert, key string) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	form := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotBefore: now.Add(-time.Hour), NotAfter: now.Add(time.Hour), IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, form, form, &private.PublicKey, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, block := range map[string]*pem.Block{cert: {Type: "CERTIFICATE", Bytes: der}, key: {Type: "PRIVATE KEY", Bytes: secret}} {
+		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// serialOf returns the serial number of the certificate that the address shows.
+func serialOf(address string) int64 {
+	conn, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
+	if err != nil {
+		return 0
+	}
+	defer conn.Close()
+	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+}
+
+// With TLS the entry gets its lease, plain operators get nothing, those who
+// trust the authority do, and a replaced certificate is shown without a restart.
+func TestTLS(t *testing.T) {
+	folder := t.TempDir()
+	cert, key := filepath.Join(folder, "cert.pem"), filepath.Join(folder, "key.pem")
+	writeCertificate(t, 1, cert, key)
+	memberKey, operatorKey := rand.Text(), rand.Text()
+	control := start(t, "control", "--id", "control-1", "--data", t.TempDir(), "--member-key", memberKey,
+		"--operator-key", operatorKey, "--tls-cert", cert, "--tls-key", key)
+	entry := start(t, "entry", "--id", "entry-1", "--region", "central", "--availability-zone", "sanjose",
+		"--controls", control.address, "--member-key", memberKey, "--backend-key", rand.Text(),
+		"--tls-cert", cert, "--tls-key", key, "--tls-ca", cert)
+	status := []string{"status", "--json", "--control", control.address, "--operator-key", operatorKey}
+	waitFor(t, "the entry's lease", func() bool {
+		code, out := runProgram(t, append(status, "--tls-ca", cert)...)
+		return code == 0 && strings.Contains(out, "entry-1")
+	})
+	if code, out := runProgram(t, status...); code == 0 {
+		t.Errorf("a plain operator got in:\n%s", out)
+	}
+	foreign, foreignKey := filepath.Join(folder, "foreign.pem"), filepath.Join(folder, "foreign-key.pem")
+	writeCertificate(t, 3, foreign, foreignKey)
+	if code, out := runProgram(t, append(status, "--tls-ca", foreign)...); code == 0 {
+		t.Errorf("an operator took a certificate of a foreign authority:\n%s", out)
+	}
+	writeCertificate(t, 2, cert, key)
+	for _, address := range []string{control.address, entry.address} {
+		waitFor(t, "the new certificate", func() bool { return serialOf(address) == 2 })
+	}
+	if code, out := runProgram(t, "control", "--tls-cert", cert, "--tls-ca", key); code != 2 || !strings.Contains(out, "--tls-cert, --tls-key: one without") || !strings.Contains(out, "--tls-ca: ") {
+		t.Errorf("bad settings: exit code %d\n%s", code, out)
+	}
+}
