Show metrics, and what needs a person

Nothing told how a process was doing. Each part now keeps its variables in an expvar map of its own, since global names clash when several parts run in one process, as in the demo. Entries show them on a loopback listener of their own: operators' hashes would otherwise have to travel to every entry; the control shows them to a reader's key. Percentiles look back five minutes. A debug line for each request names the route's pattern, never the path. rosereach status lists entries, leases, versions and what does not mend itself.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -114,6 +114,9 @@
 // Trail returns at most limit audit events after the sequence, in order.
 func (s *State) Trail(after uint64, limit int) audit.Page { return s.trail.Page(after, limit) }
 
+// AuditHead returns the end of the audit trail's chain.
+func (s *State) AuditHead() audit.Chain { return s.trail.Head() }
+
 // Encode returns the whole state as a snapshot.
 func (s *State) Encode() ([]byte, error) {
 	return cbor.Marshal(snapshot{
--- a/internal/cmd/cmd_read.go
+++ b/internal/cmd/cmd_bills.go
@@ -19,17 +19,6 @@
 	}
 }
 
-// cmdStatus shows the fleet.
-func cmdStatus() *command {
-	return &command{
-		name: "status", short: "show entries, leases and revisions",
-		flags: operatorFlags(flag("after", "0", "not used")),
-		action: readAction(func(ctx context.Context, client operator.Client, _ uint64) (any, error) {
-			return client.Status(ctx)
-		}),
-	}
-}
-
 func readAction(read func(context.Context, operator.Client, uint64) (any, error)) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
 		s := newSettings(c)
--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -24,6 +24,7 @@
 	return &command{
 		name: "entry", short: "serve callers and backend servers", action: runEntry,
 		flags: append(append(commonFlags(), tlsFlags()...),
+			metricsFlag(),
 			flag("controls", "", "host:port of the controls, with commas"),
 			flag("member-key", "", "key that rosereach's own processes share"),
 			flag("backend-key", "", "key that backend servers present"),
@@ -48,6 +49,7 @@
 		MaxWaiting: int(s.number("max-waiting", 0, math.MaxInt32)), Seed: started,
 		TLS: files.Client, Clock: clock.WallClock, Logger: newLogger(s, "entry"),
 	}
+	watched := s.metricsListener(ctx)
 	if err := s.err(); err != nil {
 		return err
 	}
@@ -58,8 +60,14 @@
 	cfg.Address = cmp.Or(s.optional("advertise"), l.Addr().String())
 	fmt.Println(l.Addr())
 	cfg.Logger.Log("msg", "Entry serves.", "id", cfg.ID, "address", cfg.Address)
+	if watched != nil {
+		cfg.Logger.Log("msg", "Metrics are shown.", "address", watched.Addr())
+	}
 	return serveEntry(ctx, cfg, func(ctx context.Context, e *entry.Entry) error {
-		return httpd.Serve(ctx, files.Wrap(l, cfg.Clock), e.Handler())
+		g, ctx := errgroup.WithContext(ctx)
+		g.Go(func() error { return serveMetrics(ctx, watched, e.Metrics()) })
+		g.Go(func() error { return httpd.Serve(ctx, files.Wrap(l, cfg.Clock), e.Handler()) })
+		return g.Wait()
 	})
 }
 
--- /dev/null
+++ b/internal/cmd/cmd_status.go
@@ -0,0 +1,138 @@
+package cmd
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/clock"
+	"github.com/urfave/cli/v3"
+
+	"rosereach/core/catalog"
+	"rosereach/core/lease"
+	"rosereach/core/version"
+	"rosereach/io/operator"
+)
+
+// overview is what status shows. Needs lists what a person has to look at.
+type overview struct {
+	Status   operator.Status            `json:"status"`
+	Versions map[string]version.Version `json:"versions"`
+	Needs    []string                   `json:"needs"`
+}
+
+// cmdStatus shows the fleet.
+func cmdStatus() *command {
+	return &command{
+		name: "status", short: "show instances, leases, revisions, versions and what needs a person", action: showStatus,
+		flags: operatorFlags(
+			boolFlag("watch", "show it again and again, until interrupted"),
+			flag("interval", "2s", "time between two looks"),
+		),
+	}
+}
+
+func showStatus(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	client, interval := s.client(), s.duration("interval")
+	if err := s.err(); err != nil {
+		return err
+	}
+	for {
+		err := s.look(ctx, client)
+		if !c.Bool("watch") {
+			return err
+		}
+		if err != nil {
+			fmt.Println("unreachable:", err)
+		}
+		select {
+		case <-clock.WallClock.After(interval):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *settings) look(ctx context.Context, client operator.Client) error {
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	docs, err := client.Documents(ctx)
+	if err != nil {
+		return err
+	}
+	o := overview{Status: status, Versions: docs.Versions, Needs: needs(status, docs)}
+	if s.cmd.Bool("json") {
+		return printJSON(o)
+	}
+	o.print(clock.WallClock.Now())
+	return nil
+}
+
+func (o overview) print(now time.Time) {
+	st := o.Status
+	fmt.Printf("control %s, leader %s, log index %d, revision %d\n\n", st.Control, cmp.Or(st.Leader, "none"), st.Index, st.Revision)
+	entries := newTable("ENTRY", "ADDRESS", "REGION", "AVAILABILITY ZONE", "REVISION", "LEASE FOR", "RUNNING", "DRAINS")
+	slices.SortFunc(st.Entries, func(a, b lease.Entry) int { return cmp.Compare(a.ID, b.ID) })
+	for _, e := range st.Entries {
+		left := e.Expires.Sub(now).Round(time.Millisecond)
+		entries.add(e.ID, e.Address, e.Region, e.Zone, e.Applied, left, e.Load, e.Draining)
+	}
+	entries.print()
+	fmt.Println()
+	versions := newTable("VERSION", "STATE", "SHARE", "REVISION")
+	for _, name := range slices.Sorted(maps.Keys(o.Versions)) {
+		v := o.Versions[name]
+		versions.add(name, v.State, v.Share, v.Revision)
+	}
+	versions.print()
+	fmt.Println()
+	if len(o.Needs) == 0 {
+		fmt.Println("nothing needs a person")
+		return
+	}
+	fmt.Println("needs a person:\n  " + strings.Join(o.Needs, "\n  "))
+}
+
+// needs lists what does not mend itself.
+func needs(st operator.Status, docs operator.Documents) []string {
+	list := []string{}
+	add := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
+	if st.Leader == "" {
+		add("no leader: changes and leases wait until most controls reach each other")
+	}
+	if len(st.Entries) == 0 {
+		add("no entry holds a lease: start entries, or look at their logs")
+	}
+	for _, e := range st.Entries {
+		if e.Applied < st.Revision {
+			add("entry %s applies revision %d, not %d: look again, then at its log", e.ID, e.Applied, st.Revision)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(docs.Versions)) {
+		if docs.Versions[name].State == version.Held {
+			add("version %s is held: serve or withdraw it", name)
+		}
+	}
+	permissions := catalog.New(docs.Catalog())
+	for _, name := range slices.Sorted(maps.Keys(docs.Workspaces)) {
+		w := docs.Workspaces[name]
+		p := permissions.Permissions(name)
+		switch {
+		case w.Closed:
+		case p.Reason != "":
+			add("workspace %s may do nothing: %s", name, p.Reason)
+		case len(p.Versions) == 0 && len(p.Policy.Allow) > 0:
+			add("workspace %s has no version that takes work: serve or restore one that it allows", name)
+		case len(w.KeyHashes) == 0:
+			add("workspace %s has no key: make one", name)
+		}
+	}
+	return list
+}
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -1,15 +1,20 @@
 package cmd
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"os"
 	"strings"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/juju/clock"
 	"github.com/urfave/cli/v3"
 
 	"rosereach/internal/httpd"
+	"rosereach/internal/metrics"
 )
 
 // commonFlags are the settings of every process that serves.
@@ -24,6 +29,41 @@
 	}
 }
 
+// metricsFlag is the setting of a process whose metrics are served on their
+// own, without keys and so on loopback only.
+func metricsFlag() cli.Flag {
+	return flag("metrics-listen", "", "loopback host:port to show metrics on (nowhere, when empty)")
+}
+
+// metricsListener opens the listener for metrics, nil when there is none.
+func (s *settings) metricsListener(ctx context.Context) net.Listener {
+	if s.optional("metrics-listen") == "" {
+		return nil
+	}
+	address := s.address("metrics-listen")
+	host, _, err := net.SplitHostPort(address)
+	if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+		s.found.Add("--metrics-listen", "not on loopback: "+address, "127.0.0.1:PORT or [::1]:PORT")
+		return nil
+	}
+	l, err := httpd.Listen(ctx, address)
+	if err != nil {
+		s.found.Add("--metrics-listen", err.Error(), "an address that is free")
+		return nil
+	}
+	return l
+}
+
+// serveMetrics serves metrics until the context ends.
+func serveMetrics(ctx context.Context, l net.Listener, h http.Handler) error {
+	if l == nil {
+		return nil
+	}
+	r := chi.NewRouter()
+	r.Get(metrics.Path, h.ServeHTTP)
+	return httpd.Serve(ctx, l, r)
+}
+
 // tlsFlags are the settings for TLS of a process that serves.
 func tlsFlags() []cli.Flag {
 	return []cli.Flag{
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,27 @@
+package control
+
+import (
+	"net/http"
+
+	"rosereach/core/state"
+	"rosereach/internal/metrics"
+	"rosereach/io/member"
+)
+
+// newMetrics returns the control's variables.
+func newMetrics(n *Node) *metrics.Set {
+	s := metrics.NewSet(n.cfg.Clock)
+	s.Gauge("log_index", func() any { return n.Status().Index })
+	s.Gauge("revision", func() any { return n.Status().Revision })
+	s.Gauge("entries", func() any { return n.Status().Entries })
+	s.Gauge("audit_sequence", func() (v any) {
+		n.View(func(s *state.State) { v = s.AuditHead().Sequence })
+		return v
+	})
+	s.Gauge("link_bytes_sent", func() any { return member.Traffic().Sent })
+	s.Gauge("link_bytes_received", func() any { return member.Traffic().Received })
+	return s
+}
+
+// Metrics returns the handler that shows the control's variables.
+func (n *Node) Metrics() http.Handler { return n.metrics }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -16,6 +16,7 @@
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
 	"rosereach/core/state"
+	"rosereach/internal/metrics"
 	"rosereach/io/disk"
 	"rosereach/io/member"
 )
@@ -46,6 +47,7 @@
 	// Node is one control. It stands alone: it is the leader of a group of one.
 	Node struct {
 		cfg       Config
+		metrics   *metrics.Set
 		store     *disk.Store
 		proposals chan proposal
 
@@ -90,6 +92,7 @@
 		watchers:  make(map[*member.Conn]bool),
 		inForce:   make(chan struct{}),
 	}
+	n.metrics = newMetrics(n)
 	if err := n.recover(); err != nil {
 		store.Close()
 		return nil, err
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -22,7 +22,7 @@
 	r.Get(member.Path, func(w http.ResponseWriter, req *http.Request) {
 		member.Accept(w, req, n.cfg.MemberKey, n, n.watch)
 	})
-	operator.Mount(r, operator.Options{BootstrapKey: n.cfg.OperatorKey, Clock: n.cfg.Clock}, n)
+	operator.Mount(r, operator.Options{BootstrapKey: n.cfg.OperatorKey, Clock: n.cfg.Clock, Metrics: n.metrics}, n)
 	return r
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,7 @@
 		choice    cascade.Policy
 		placement placement.Policy
 		gate      *admission
+		meter     *meter
 		holder    lease.Holder
 		peers     []lease.Entry
 	}
@@ -94,6 +95,7 @@
 	}
 	e.catalog.Store(catalog.New(catalog.Documents{}))
 	e.link = newLink(e)
+	e.meter = newMeter(e)
 	return e
 }
 
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -146,7 +146,12 @@
 
 // finish records the end of a request.
 func (l *link) finish(ctx context.Context, f ledger.Finish) (ledger.Reply, error) {
-	return l.record(ctx, state.Command{Finish: &f})
+	began := l.entry.cfg.Clock.Now()
+	reply, err := l.record(ctx, state.Command{Finish: &f})
+	if err == nil {
+		l.entry.meter.finish(f, l.entry.cfg.Clock.Now().Sub(began))
+	}
+	return reply, err
 }
 
 func (l *link) record(ctx context.Context, c state.Command) (ledger.Reply, error) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -14,6 +14,7 @@
 // Handler returns the HTTP handler for callers and backend servers.
 func (e *Entry) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(e.meter.requests.Measure)
 	caller.Mount(r, e, caller.Options{
 		MaxBody: e.cfg.MaxBody, Timeout: e.cfg.Timeout, AddressTTL: e.cfg.AddressTTL, Clock: e.cfg.Clock,
 	})
--- a/io/member/conn.go
+++ b/io/member/conn.go
@@ -111,6 +111,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "member %s", c.peer.ID)
 		}
+		received.Add(int64(len(data)))
 		var f frame
 		if err := cbor.Unmarshal(data, &f); err != nil {
 			return errors.Annotatef(err, "member %s: frame", c.peer.ID)
@@ -154,6 +155,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	sent.Add(int64(len(data)))
 	return errors.Trace(c.ws.Write(ctx, websocket.MessageBinary, data))
 }
 
--- a/io/operator/authenticate.go
+++ b/io/operator/authenticate.go
@@ -32,10 +32,11 @@
 
 type (
 	// Options are the settings of the interface. The bootstrap key has every
-	// right; an empty one is nobody's.
+	// right; an empty one is nobody's. Metrics shows the control's variables.
 	Options struct {
 		BootstrapKey string
 		Clock        clock.Clock
+		Metrics      http.Handler
 	}
 
 	// attempts records refused attempts, at a bounded rate.
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -102,6 +102,7 @@
 		r.Use(s.authenticate(operator.Read))
 		r.Get("/v1/documents", s.getDocuments)
 		r.Get("/v1/status", s.getStatus)
+		r.Get("/debug/vars", opts.Metrics.ServeHTTP)
 	})
 	r.Group(func(r chi.Router) {
 		r.Use(s.authenticate(operator.Audit))
--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -128,6 +128,7 @@
 		{"POST", control, "/v1/changes?dry_run=true", "{}", "bootstrap, operator's"},
 		{"GET", control, "/v1/documents", "", "bootstrap, reader's, monitor's, operator's"},
 		{"GET", control, "/v1/status", "", "bootstrap, reader's, monitor's, operator's"},
+		{"GET", control, "/debug/vars", "", "bootstrap, reader's, monitor's, operator's"},
 		{"GET", control, "/v1/bills", "", "bootstrap, monitor's, operator's"},
 		{"GET", control, "/v1/audit", "", "bootstrap, monitor's, operator's"},
 		{"GET", control, "/v1/requests", "", "bootstrap, monitor's, operator's"},
--- /dev/null
+++ b/test/metrics_test.go
@@ -0,0 +1,53 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+
+	"rosereach/internal/metrics"
+	"rosereach/io/caller"
+)
+
+// An entry's metrics count what ran and show lease, revision and link.
+func TestMetricsOfProcesses(t *testing.T) {
+	t.Setenv("ROSEREACH_METRICS_LISTEN", "127.0.0.1:0")
+	f := startFleet(t, 1)
+	f.startEngine("engine-1", "small@v1")
+	key := f.setUp("small@v1")
+	if _, err := f.client(0, key).Chat(context.Background(), chat("auto", 4, true), caller.CallOptions{RequestID: "c-1"}); err != nil {
+		t.Fatal(err)
+	}
+	shown := regexp.MustCompile(`Metrics are shown." address=(\S+)`).FindStringSubmatch(f.entries[0].stderr.String())
+	if shown == nil {
+		t.Fatalf("no address of metrics in:\n%s", f.entries[0].stderr)
+	}
+	status, body := attempt(t, http.MethodGet, shown[1], metrics.Path, "", "")
+	var vars struct {
+		Finished map[string]int      `json:"finished_by_outcome"`
+		Record   metrics.Percentiles `json:"ledger_record"`
+		Revision uint64              `json:"revision"`
+		Lease    int64               `json:"lease_remaining_ms"`
+		Sent     int64               `json:"link_bytes_sent"`
+		Servers  int                 `json:"backend_servers"`
+	}
+	if err := json.Unmarshal([]byte(body), &vars); err != nil || status != http.StatusOK {
+		t.Fatalf("status %d, %v\n%s", status, err, body)
+	}
+	if vars.Finished["done"] != 1 || vars.Record.Count != 1 || vars.Revision == 0 || vars.Lease <= 0 || vars.Sent == 0 || vars.Servers != 1 {
+		t.Errorf("%+v", vars)
+	}
+	status, body = attempt(t, http.MethodGet, f.controls[0].address, metrics.Path, f.operator.Key, "")
+	if status != http.StatusOK || !strings.Contains(body, `"audit_sequence"`) || !strings.Contains(body, `"entry-1"`) {
+		t.Errorf("control's metrics: status %d\n%s", status, body)
+	}
+	if code, out := runProgram(t, "entry", "--metrics-listen", "0.0.0.0:0"); code != 2 || !strings.Contains(out, "--metrics-listen: not on loopback") {
+		t.Errorf("exit code %d\n%s", code, out)
+	}
+	if code, out := f.operate("status"); code != 0 || !strings.Contains(out, "entry-1") || !strings.Contains(out, "nothing needs a person") {
+		t.Errorf("exit code %d\n%s", code, out)
+	}
+}
