--- a/internal/cmd/cmd_read.go
+++ b/internal/cmd/cmd_bills.go
@@ -19,28 +19,6 @@
 	}
 }
 
-// cmdAudit exports the audit trail.
-func cmdAudit() *command {
-	return &command{
-		name: "audit", short: "export the audit trail in order",
-		flags: operatorFlags(flag("after", "0", "sequence of the last event that is known")),
-		action: readAction(func(ctx context.Context, client operator.Client, after uint64) (any, error) {
-			return client.Trail(ctx, after)
-		}),
-	}
-}
-
-// cmdStatus shows the fleet.
-func cmdStatus() *command {
-	return &command{
-		name: "status", short: "show entries, leases and revisions",
-		flags: operatorFlags(flag("after", "0", "not used")),
-		action: readAction(func(ctx context.Context, client operator.Client, _ uint64) (any, error) {
-			return client.Status(ctx)
-		}),
-	}
-}
-
 func readAction(read func(context.Context, operator.Client, uint64) (any, error)) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
 		s := newSettings(c)
--- a/internal/entry/end.go
+++ b/internal/entry/end.go
@@ -47,11 +47,14 @@
 	f := ledger.Finish{
 		Key: x.key(), Owner: e.owner(), Answer: a, Price: price, Free: free, At: e.cfg.Clock.Now().UTC(),
 	}
+	began := e.cfg.Clock.Now()
 	reply, err := e.ledger.deliver(e.ctx, state.Command{Finish: &f})
 	if err != nil {
 		e.cfg.Logger.Log("msg", "End of a request is not recorded.", "request", x.req.ID, "err", err)
+		return reply, err
 	}
-	return reply, err
+	e.meter.finish(f, e.cfg.Clock.Now().Sub(began))
+	return reply, nil
 }
 
 // fail ends the request without an answer, at once. Its state chart decides
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -38,7 +39,8 @@
 )
 
 type (
-	// Config are the settings of an entry process.
+	// Config are the settings of an entry process. TLS gives the settings for
+	// connections to controls; without it, or when it gives nil, they are plain.
 	Config struct {
 		ID          string
 		Incarnation uint64
@@ -55,6 +57,7 @@
 		MaxRunning  int
 		MaxWaiting  int
 		Seed        uint64
+		TLS         func() (*tls.Config, error)
 		Clock       clock.Clock
 		Logger      log.Logger
 	}
@@ -81,6 +84,7 @@
 		placement placement.Policy
 		gate      *admission
 		budgets   *retry.Budgets
+		meter     *meter
 		holder    lease.Holder
 		peers     []lease.Entry
 	}
@@ -104,6 +108,7 @@
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.link = newLink(e)
 	e.ledger = &batcher{propose: e.link.propose, pause: e.pause, queue: make(chan *submission, maxSubmitted)}
+	e.meter = newMeter(e)
 	return e
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/tls"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -14,6 +15,7 @@
 func (e *Entry) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Use(e.count)
+	r.Use(e.meter.requests.Measure)
 	caller.Mount(r, e, caller.Options{
 		MaxBody: e.cfg.MaxBody, Timeout: e.cfg.Timeout, AddressTTL: e.cfg.AddressTTL, Clock: e.cfg.Clock,
 	})
@@ -52,3 +54,11 @@
 	}
 	return e.addresses(region, zone)
 }
+
+// security returns the settings for TLS towards controls, nil for none.
+func (c Config) security() (*tls.Config, error) {
+	if c.TLS == nil {
+		return nil, nil
+	}
+	return c.TLS()
+}
