Make the fake engine and service honest and lighter

A request counts as a run from when it joins the batch, an answer that nobody reads goes on for a resume window, and an offset of a run that is not kept is refused, since another run would say something else from there on. The prefix cache drops the ends of prompts before their beginnings. Services can answer slowly or past the deadline, and both take orders with or without a key.

--- a/internal/cmd/cmd_fake.go
+++ b/internal/cmd/cmd_fake.go
@@ -30,12 +30,16 @@
 					flag("prefill-per-token", "50us", "time of a prompt's token that is not cached"),
 					flag("cache-tokens", "100000", "memory for prefixes, in tokens"),
 					flag("load-lag", "1s", "age of load reports"),
-					boolFlag("ignore-fence", "take orders with old fencing numbers too"),
+					flag("resume-window", "500ms", "how long an answer that nobody reads goes on"),
 				),
 			},
 			{
 				name: "service", short: "a plain service", action: runFakeService,
-				flags: append(announceFlags(), flag("service", "", "name of the service")),
+				flags: append(announceFlags(),
+					flag("service", "", "name of the service"),
+					flag("answer-delay", "", "time between the work of a call and its answer (none, when empty)"),
+					boolFlag("past-deadline", "answer each call after its deadline"),
+				),
 			},
 			{
 				name: "rater", short: "a rating service", action: runFakeRater,
@@ -63,6 +67,8 @@
 		flag("entries", "", "host:port of the entries to announce to, with commas"),
 		flag("backend-key", "", "key to present to entries"),
 		flag("capacity", "16", "requests that it runs at once"),
+		flag("order-key", "", "key that orders must carry (anybody may give orders, when empty)"),
+		boolFlag("ignore-fence", "take orders with old fencing numbers too"),
 	)
 }
 
@@ -73,7 +79,8 @@
 		Versions: s.refs("versions"), Capacity: int(s.number("capacity", 1, 4096)),
 		CacheTokens: s.number("cache-tokens", 0, 1<<40), StepTime: s.duration("step-time"),
 		StepPerSequence: s.duration("step-per-sequence"), PrefillPerToken: s.duration("prefill-per-token"),
-		LoadLag: s.duration("load-lag"), HonoursFence: !c.Bool("ignore-fence"), Clock: clock.WallClock,
+		ResumeWindow: s.duration("resume-window"), LoadLag: s.duration("load-lag"),
+		HonoursFence: !c.Bool("ignore-fence"), OrderKey: s.optional("order-key"), Clock: clock.WallClock,
 	}
 	engine := fake.NewEngine(cfg)
 	return serveFake(ctx, s, engine.Handler(), engine.Announcement, engine.Run)
@@ -81,9 +88,14 @@
 
 func runFakeService(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
+	behaviour := fake.Behaviour{PastDeadline: c.Bool("past-deadline")}
+	if s.optional("answer-delay") != "" {
+		behaviour.Delay = s.duration("answer-delay")
+	}
 	svc := fake.NewService(fake.ServiceConfig{
 		ID: s.text("id"), Incarnation: incarnation(), Region: s.text("region"), Zone: s.text("availability-zone"),
-		Service: s.text("service"), Capacity: int(s.number("capacity", 1, 4096)), Clock: clock.WallClock,
+		Service: s.text("service"), Capacity: int(s.number("capacity", 1, 4096)), Behaviour: behaviour,
+		HonoursFence: !c.Bool("ignore-fence"), OrderKey: s.optional("order-key"), Clock: clock.WallClock,
 	})
 	idle := func(ctx context.Context) error {
 		<-ctx.Done()
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -130,7 +130,8 @@
 	engine := fake.NewEngine(fake.EngineConfig{
 		ID: id, Incarnation: 1, Region: p.region, Zone: p.zone, Versions: refs, Capacity: engineCapacity,
 		CacheTokens: cacheTokens, StepTime: time.Millisecond, StepPerSequence: 50 * time.Microsecond,
-		PrefillPerToken: 5 * time.Microsecond, LoadLag: 500 * time.Millisecond, HonoursFence: true, Clock: clock.WallClock,
+		PrefillPerToken: 5 * time.Microsecond, ResumeWindow: 500 * time.Millisecond, LoadLag: 500 * time.Millisecond,
+		HonoursFence: true, Clock: clock.WallClock,
 	})
 	c.engines = append(c.engines, engine)
 	c.group.Go(func() error { return engine.Run(ctx) })
--- a/internal/fake/cache.go
+++ b/internal/fake/cache.go
@@ -1,6 +1,9 @@
 package fake
 
 import (
+	"container/list"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"rosereach/core/request"
@@ -13,41 +16,37 @@
 	prefixCache struct {
 		limit   int64
 		held    int64
-		turn    uint64
-		entries map[uint64]cachedPrefix
+		entries map[uint64]*list.Element
+		recent  *list.List
 	}
 
 	cachedPrefix struct {
+		key    uint64
 		tokens int64
-		turn   uint64
 	}
 )
 
 func newPrefixCache(limit int64) *prefixCache {
-	return &prefixCache{limit: limit, entries: make(map[uint64]cachedPrefix)}
+	return &prefixCache{limit: limit, entries: make(map[uint64]*list.Element), recent: list.New()}
 }
 
 // use returns the number of tokens of the prompt's longest cached prefix, and
 // puts the whole prompt into the cache.
 func (c *prefixCache) use(ref version.Ref, prompt []request.Message) int64 {
-	c.turn++
 	digest := xxhash.New()
 	digest.WriteString(ref.String()) //nolint:errcheck // a hash takes all bytes
+	keys := make([]uint64, len(prompt))
+	for i, m := range prompt {
+		digest.WriteString(m.Role + "\x00" + m.Content) //nolint:errcheck // a hash takes all bytes
+		keys[i] = digest.Sum64()
+	}
 	var hit int64
-	intact := true
-	for i := range prompt {
-		digest.WriteString(prompt[i].Role + "\x00" + prompt[i].Content) //nolint:errcheck // a hash takes all bytes
-		key := digest.Sum64()
-		tokens := tokensOf(prompt[i : i+1])
-		_, known := c.entries[key]
-		intact = intact && known
-		if intact {
-			hit += tokens
-		}
-		if !known {
-			c.held += tokens
-		}
-		c.entries[key] = cachedPrefix{tokens: tokens, turn: c.turn}
+	for i := 0; i < len(keys) && c.entries[keys[i]] != nil; i++ {
+		hit += tokensOf(prompt[i : i+1])
+	}
+	// A prefix must outlast what follows it, so it is touched last.
+	for i, key := range slices.Backward(keys) {
+		c.touch(key, tokensOf(prompt[i:i+1]))
 	}
 	c.evict()
 	return hit
@@ -61,16 +60,23 @@
 	return float64(c.held) / float64(c.limit)
 }
 
+// touch makes a prefix the most recently used one.
+func (c *prefixCache) touch(key uint64, tokens int64) {
+	if e, ok := c.entries[key]; ok {
+		c.recent.MoveToFront(e)
+		return
+	}
+	c.entries[key] = c.recent.PushFront(cachedPrefix{key: key, tokens: tokens})
+	c.held += tokens
+}
+
 func (c *prefixCache) evict() {
-	for c.held > c.limit && len(c.entries) > 0 {
-		var oldest uint64
-		first := true
-		for key, e := range c.entries {
-			if first || e.turn < c.entries[oldest].turn {
-				oldest, first = key, false
-			}
+	for c.held > c.limit && c.recent.Len() > 0 {
+		last, ok := c.recent.Remove(c.recent.Back()).(cachedPrefix)
+		if !ok {
+			return
 		}
-		c.held -= c.entries[oldest].tokens
-		delete(c.entries, oldest)
+		c.held -= last.tokens
+		delete(c.entries, last.key)
 	}
 }
--- /dev/null
+++ b/internal/fake/cache_test.go
@@ -0,0 +1,53 @@
+package fake
+
+import (
+	"testing"
+
+	"rosereach/core/request"
+	"rosereach/core/version"
+)
+
+// words returns a message of that many tokens.
+func words(name string, tokens int) request.Message {
+	content := []byte(name)
+	for len(content) < (tokens-1)*4 {
+		content = append(content, '.')
+	}
+	return request.Message{Role: "user", Content: string(content)}
+}
+
+func TestPrefixCache(t *testing.T) {
+	ref := version.Ref{Model: "small", Version: "v1"}
+	other := version.Ref{Model: "small", Version: "v2"}
+	system := words("system", 10)
+	for _, tc := range []struct {
+		name   string
+		limit  int64
+		before [][]request.Message
+		ref    version.Ref
+		prompt []request.Message
+		hit    int64
+	}{
+		{"empty", 100, nil, ref, []request.Message{system}, 0},
+		{"whole prompt", 100, [][]request.Message{{system, words("a", 20)}}, ref, []request.Message{system, words("a", 20)}, 30},
+		{"shared prefix", 100, [][]request.Message{{system, words("a", 20)}}, ref, []request.Message{system, words("b", 20)}, 10},
+		{"no shared prefix", 100, [][]request.Message{{system, words("a", 20)}}, ref, []request.Message{words("a", 20)}, 0},
+		{"another version", 100, [][]request.Message{{system}}, other, []request.Message{system}, 0},
+		{"the prefix outlasts its end", 35, [][]request.Message{{system, words("a", 20)}, {system, words("b", 20)}}, ref, []request.Message{system, words("a", 20)}, 10},
+		{"memory is limited", 35, [][]request.Message{{words("a", 30)}, {words("b", 30)}}, ref, []request.Message{words("a", 30)}, 0},
+		{"larger than the memory", 5, [][]request.Message{{system}}, ref, []request.Message{system}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newPrefixCache(tc.limit)
+			for _, prompt := range tc.before {
+				c.use(ref, prompt)
+			}
+			if c.held > tc.limit {
+				t.Errorf("holds %d of %d tokens", c.held, tc.limit)
+			}
+			if hit := c.use(tc.ref, tc.prompt); hit != tc.hit {
+				t.Errorf("hit %d, want %d", hit, tc.hit)
+			}
+		})
+	}
+}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -1,7 +1,6 @@
 package fake
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -16,10 +15,15 @@
 	"rosereach/core/version"
 )
 
+// keepEnded is how long an answer that ended can still be resumed.
+const keepEnded = 10 * time.Second
+
 type (
 	// EngineConfig are the settings of a fake engine. A step takes StepTime and
 	// StepPerSequence for each sequence in the batch, and makes one token for
 	// each. A prompt costs PrefillPerToken for each token that is not cached.
+	// An answer that nobody reads is canceled after ResumeWindow. Orders need
+	// OrderKey unless it is empty.
 	EngineConfig struct {
 		ID              string
 		Incarnation     uint64
@@ -31,8 +35,10 @@
 		StepTime        time.Duration
 		StepPerSequence time.Duration
 		PrefillPerToken time.Duration
+		ResumeWindow    time.Duration
 		LoadLag         time.Duration
 		HonoursFence    bool
+		OrderKey        string
 		Clock           clock.Clock
 	}
 
@@ -46,32 +52,14 @@
 		waiting  []*sequence
 		running  []*sequence
 		byID     map[string]*sequence
+		ended    []*sequence
 		cache    *prefixCache
 		versions []version.Ref
-		fence    Fence
+		orders   orderGate
 		reports  []backend.Load
 		leaving  bool
 		ordinal  uint64
 	}
-
-	// sequence is one answer in the making. Tokens grow until Want are there.
-	sequence struct {
-		id       string
-		ref      version.Ref
-		priority int
-		arrival  uint64
-		prompt   []request.Message
-		skip     int64
-		want     int64
-		seed     uint64
-		prefill  time.Duration
-		tokens   []string
-		done     bool
-		canceled bool
-		moved    chan struct{}
-		logPlace int
-		usage    request.Usage
-	}
 )
 
 // NewEngine returns an engine, which Run sets to work.
@@ -79,23 +67,28 @@
 	return &Engine{
 		cfg: cfg, wake: make(chan struct{}, 1), byID: make(map[string]*sequence),
 		cache: newPrefixCache(cfg.CacheTokens), versions: slices.Clone(cfg.Versions),
+		orders: orderGate{key: cfg.OrderKey, honoursFence: cfg.HonoursFence},
 	}
 }
 
-// Run makes tokens until the context ends.
+// Run makes tokens until the context ends. A step that took longer than
+// planned does not delay the next one.
 func (e *Engine) Run(ctx context.Context) error {
+	next := e.cfg.Clock.Now()
 	for {
-		wait, busy := e.step()
+		length, busy := e.step()
 		if !busy {
 			select {
 			case <-e.wake:
+				next = e.cfg.Clock.Now()
 				continue
 			case <-ctx.Done():
 				return nil
 			}
 		}
+		next = next.Add(length)
 		select {
-		case <-e.cfg.Clock.After(wait):
+		case <-e.cfg.Clock.After(next.Sub(e.cfg.Clock.Now())):
 		case <-ctx.Done():
 			return nil
 		}
@@ -117,89 +110,144 @@
 	return len(e.running) + len(e.waiting)
 }
 
-// step fills the batch from the waiting sequences, the highest priority first,
-// and returns how long the next step takes.
+// step fills the batch from the waiting sequences and returns how long the
+// next step takes.
 func (e *Engine) step() (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	slices.SortStableFunc(e.waiting, func(a, b *sequence) int {
-		return cmp.Or(cmp.Compare(b.priority, a.priority), cmp.Compare(a.arrival, b.arrival))
-	})
-	wait := e.cfg.StepTime
+	now := e.cfg.Clock.Now()
+	e.dropAbandoned(now)
+	length := e.cfg.StepTime
 	for len(e.waiting) > 0 && len(e.running) < e.cfg.Capacity {
 		s := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		e.running = append(e.running, s)
-		wait += s.prefill
+		e.begin(s, now)
+		length += s.prefill
 	}
-	e.report()
-	wait += time.Duration(len(e.running)) * e.cfg.StepPerSequence
-	return wait, len(e.running) > 0
+	e.report(now)
+	length += time.Duration(len(e.running)) * e.cfg.StepPerSequence
+	return length, len(e.running) > 0
+}
+
+// begin moves a sequence into the batch, where it counts as a run.
+func (e *Engine) begin(s *sequence, now time.Time) {
+	input := tokensOf(s.prompt)
+	cached := e.cache.use(s.ref, s.prompt)
+	s.prefill = time.Duration(input-cached) * e.cfg.PrefillPerToken
+	s.logPlace = e.Log.Start(Run{Backend: e.cfg.ID, RequestID: s.id, Attempt: s.attempt, Version: s.ref, StartedAt: now})
+	s.state.Store(int32(running))
+	e.running = append(e.running, s)
 }
 
-// produce adds one token to every sequence in the batch.
+// produce makes one token for every sequence in the batch.
 func (e *Engine) produce() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var still []*sequence
+	still := e.running[:0]
 	for _, s := range e.running {
-		if !s.canceled {
-			s.grow()
-		}
-		if s.done || s.canceled {
-			e.Log.Finish(s.logPlace, int64(len(s.tokens)), s.done)
+		if !s.grow() {
+			still = append(still, s)
 			continue
 		}
-		still = append(still, s)
+		e.end(s)
 	}
+	clear(e.running[len(still):])
 	e.running = still
 }
 
-// start puts a new sequence into the queue, or returns the known one with the
-// same request id, which a resumed call goes on with.
-func (e *Engine) start(s *sequence, attempt int, resume bool) (*sequence, bool) {
+// end notes how far a run came. It can be resumed for a while.
+func (e *Engine) end(s *sequence) {
+	s.endedAt = e.cfg.Clock.Now()
+	e.Log.Finish(s.logPlace, s.made.Load(), s.is(whole))
+	e.ended = append(e.ended, s)
+}
+
+// dropAbandoned cancels the answers that nobody reads any more, and forgets
+// those that ended long ago.
+func (e *Engine) dropAbandoned(now time.Time) {
+	gone := func(s *sequence) bool {
+		if !s.isAbandoned(now, e.cfg.ResumeWindow) {
+			return false
+		}
+		if s.is(running) {
+			s.state.Store(int32(canceled))
+			e.end(s)
+			return true
+		}
+		s.state.Store(int32(canceled))
+		e.forget(s)
+		return true
+	}
+	e.running = slices.DeleteFunc(e.running, gone)
+	e.waiting = slices.DeleteFunc(e.waiting, gone)
+	for len(e.ended) > 0 && now.Sub(e.ended[0].endedAt) > keepEnded {
+		e.forget(e.ended[0])
+		e.ended = e.ended[1:]
+	}
+}
+
+func (e *Engine) forget(s *sequence) {
+	if e.byID[s.id] == s {
+		delete(e.byID, s.id)
+	}
+}
+
+// start puts a new sequence into the queue. It fails when the engine takes no
+// new work for the version.
+func (e *Engine) start(s *sequence) (chan struct{}, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving || !slices.Contains(e.versions, s.ref) {
 		return nil, false
 	}
-	if old, ok := e.byID[s.id]; ok && resume && old.ref == s.ref && !old.canceled {
-		return old, true
-	}
 	e.ordinal++
 	s.arrival = e.ordinal
 	s.seed = xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", e.cfg.ID, e.cfg.Incarnation, e.ordinal))
-	input := tokensOf(s.prompt)
-	cached := e.cache.use(s.ref, s.prompt)
-	s.prefill = time.Duration(input-cached) * e.cfg.PrefillPerToken
-	s.usage = request.Usage{InputTokens: input, OutputTokens: s.skip + s.want}
-	s.logPlace = e.Log.Start(Run{
-		Backend: e.cfg.ID, RequestID: s.id, Attempt: attempt, Version: s.ref, StartedAt: e.cfg.Clock.Now(),
-	})
+	s.usage = request.Usage{InputTokens: tokensOf(s.prompt), OutputTokens: s.skip + s.want}
 	e.byID[s.id] = s
-	e.waiting = append(e.waiting, s)
+	at, _ := slices.BinarySearchFunc(e.waiting, s, goesBefore)
+	e.waiting = slices.Insert(e.waiting, at, s)
 	e.nudge()
-	return s, true
+	return s.attach(), true
 }
 
-// cancel ends a sequence whose caller has gone.
-func (e *Engine) cancel(s *sequence) {
+// resume returns the run of a request that still goes on or ended shortly ago.
+func (e *Engine) resume(id string, ref version.Ref) (*sequence, chan struct{}, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s.done {
-		return
+	s, ok := e.byID[id]
+	if !ok || s.ref != ref || s.is(canceled) {
+		return nil, nil, false
 	}
-	s.canceled = true
-	e.waiting = slices.DeleteFunc(e.waiting, func(w *sequence) bool { return w == s })
+	return s, s.attach(), true
+}
+
+// leave ends a stream. The step loop cancels the answer when no other stream
+// comes within the resume window.
+func (e *Engine) leave(s *sequence, moved chan struct{}) {
+	s.detach(moved, e.cfg.Clock.Now())
+	e.nudge()
+}
+
+// isRunning reports whether the request waits or runs.
+func (e *Engine) isRunning(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.byID[id]
+	return ok && (s.is(waiting) || s.is(running))
 }
 
 // report keeps load reports for as long as they lag behind.
-func (e *Engine) report() {
-	now := e.cfg.Clock.Now()
+func (e *Engine) report(now time.Time) {
 	e.reports = append(e.reports, backend.Load{
 		At: now, Queued: len(e.waiting), Running: len(e.running), CacheUsed: e.cache.used(),
 		TokenInterval: e.cfg.StepTime + time.Duration(len(e.running))*e.cfg.StepPerSequence,
 	})
+	e.dropReports(now)
+}
+
+// dropReports drops the reports that a newer one of sufficient age replaces.
+func (e *Engine) dropReports(now time.Time) {
 	for len(e.reports) > 1 && now.Sub(e.reports[1].At) >= e.cfg.LoadLag {
 		e.reports = e.reports[1:]
 	}
@@ -218,6 +266,7 @@
 	if e.leaving {
 		a.State = backend.Leaving
 	}
+	e.dropReports(e.cfg.Clock.Now())
 	if len(e.reports) > 0 {
 		a.Load = e.reports[0]
 	}
@@ -231,29 +280,6 @@
 	}
 }
 
-// grow adds the next token. The text names token, version and run, so that an
-// answer put together from two runs can be told.
-func (s *sequence) grow() {
-	n := s.skip + int64(len(s.tokens))
-	s.tokens = append(s.tokens, fmt.Sprintf("t%d.%s.%x ", n, s.ref, uint16(s.seed)))
-	if int64(len(s.tokens)) >= s.want {
-		s.done = true
-	}
-	close(s.moved)
-	s.moved = make(chan struct{})
-}
-
-// after returns the tokens from the offset on, and a channel that is closed
-// when there are more.
-func (e *Engine) after(s *sequence, offset int64) (tokens []string, done bool, moved <-chan struct{}) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if at := offset - s.skip; at >= 0 && at < int64(len(s.tokens)) {
-		tokens = slices.Clone(s.tokens[at:])
-	}
-	return tokens, s.done, s.moved
-}
-
 func tokensOf(prompt []request.Message) int64 {
 	const bytesPerToken = 4
 	var n int64
--- a/internal/fake/engine_http.go
+++ b/internal/fake/engine_http.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
 
@@ -34,41 +33,59 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	id := r.Header.Get(iobackend.HeaderRequestID)
 	prefix := numberIn(r, iobackend.HeaderPrefix)
-	offset := numberIn(r, iobackend.HeaderOffset)
+	if offset := numberIn(r, iobackend.HeaderOffset); offset > 0 {
+		s, moved, ok := e.resume(id, ref)
+		if !ok {
+			refuse(w, http.StatusGone, "the run that the offset belongs to is not kept")
+			return
+		}
+		e.stream(w, r, s, moved, offset)
+		return
+	}
 	s := &sequence{
-		id: r.Header.Get(iobackend.HeaderRequestID), ref: ref, priority: int(numberIn(r, iobackend.HeaderPriority)),
-		prompt: body.Messages, skip: prefix, want: max(body.MaxTokens-prefix, 1), moved: make(chan struct{}),
+		id: id, ref: ref, attempt: int(numberIn(r, iobackend.HeaderAttempt)), priority: int(numberIn(r, iobackend.HeaderPriority)),
+		prompt: body.Messages, skip: prefix, want: max(body.MaxTokens-prefix, 1),
 	}
-	s, ok := e.start(s, int(numberIn(r, iobackend.HeaderAttempt)), offset > 0)
+	moved, ok := e.start(s)
 	if !ok {
 		refuse(w, http.StatusServiceUnavailable, "leaving, or version not loaded")
 		return
 	}
-	e.stream(w, r, s, max(offset, prefix))
+	e.stream(w, r, s, moved, prefix)
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, offset int64) {
+// stream sends the tokens from the offset on. Tokens that came up meanwhile go
+// out together.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, moved chan struct{}, offset int64) {
+	defer e.leave(s, moved)
 	w.Header().Set("Content-Type", "text/event-stream")
+	event, err := newEventWriter(s, e.cfg.Clock.Now())
+	if err != nil {
+		refuse(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	controller := http.NewResponseController(w)
+	var buffer []byte
 	for {
-		tokens, done, moved := e.after(s, offset)
-		for _, token := range tokens {
-			chunk := iobackend.NewChunk(s.id, s.ref, e.cfg.Clock.Now(), offset, token)
-			if !writeEvent(w, chunk) {
-				e.cancel(s)
-				return
-			}
-			offset++
+		ended := s.is(whole)
+		buffer = buffer[:0]
+		for end := s.end(); offset < end; offset++ {
+			buffer = event.append(buffer, offset)
 		}
-		if done {
-			writeEvent(w, iobackend.NewEndChunk(s.id, s.ref, e.cfg.Clock.Now(), s.usage))
-			fmt.Fprint(w, "data: [DONE]\n\n") //nolint:errcheck // the entry has gone
+		if ended {
+			w.Write(event.appendEnd(buffer, e.cfg.Clock.Now())) //nolint:errcheck // the entry has gone
 			return
 		}
+		if len(buffer) > 0 {
+			if _, err := w.Write(buffer); err != nil || controller.Flush() != nil {
+				return
+			}
+		}
 		select {
 		case <-moved:
 		case <-r.Context().Done():
-			e.cancel(s)
 			return
 		}
 	}
@@ -77,7 +94,12 @@
 // getRequest tells what became of a request.
 func (e *Engine) getRequest(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
-	writeJSON(w, lookup(id, e.Log.Of(id)))
+	answer := lookup(id, e.Log.Of(id))
+	answer.Running = e.isRunning(id)
+	if answer.Running {
+		answer.Outcome = request.Unknown
+	}
+	writeJSON(w, answer)
 }
 
 func lookup(id string, runs []Run) iobackend.Lookup {
@@ -98,17 +120,6 @@
 	http.Error(w, detail, status)
 }
 
-func writeEvent(w http.ResponseWriter, event any) bool {
-	data, err := json.Marshal(event)
-	if err != nil {
-		return false
-	}
-	if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
-		return false
-	}
-	return http.NewResponseController(w).Flush() == nil
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(v) //nolint:errcheck // the asker has gone
--- /dev/null
+++ b/internal/fake/engine_test.go
@@ -0,0 +1,268 @@
+package fake
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/clock"
+	"github.com/juju/clock/testclock"
+
+	"rosereach/core/request"
+	"rosereach/core/version"
+	iobackend "rosereach/io/backend"
+)
+
+var small1 = version.Ref{Model: "small", Version: "v1"}
+
+func newTestEngine(c clock.Clock, capacity int) *Engine {
+	return NewEngine(EngineConfig{
+		ID: "engine-1", Incarnation: 1, Versions: []version.Ref{small1}, Capacity: capacity, CacheTokens: 1000,
+		StepTime: 10 * time.Millisecond, StepPerSequence: time.Millisecond, PrefillPerToken: time.Millisecond,
+		ResumeWindow: time.Second, LoadLag: 3 * time.Second, HonoursFence: true, Clock: c,
+	})
+}
+
+func add(t *testing.T, e *Engine, id string, priority int, want int64) (*sequence, chan struct{}) {
+	t.Helper()
+	s := &sequence{id: id, ref: small1, priority: priority, prompt: []request.Message{{Content: "x"}}, want: want}
+	moved, ok := e.start(s)
+	if !ok {
+		t.Fatalf("%s was refused", id)
+	}
+	return s, moved
+}
+
+// The time of a step grows with the batch, and with the uncached prompt of a
+// sequence that joins it.
+func TestEngineBatches(t *testing.T) {
+	e := newTestEngine(testclock.NewClock(time.Unix(0, 0)), 100)
+	for i := range 4 {
+		add(t, e, fmt.Sprint(i), 0, 10)
+	}
+	for _, want := range []time.Duration{10 + 4 + 1, 10 + 4, 10 + 4} {
+		if length, busy := e.step(); length != want*time.Millisecond || !busy {
+			t.Errorf("step of %v, want %v ms", length, int64(want))
+		}
+		e.produce()
+	}
+	if e.Busy() != 4 {
+		t.Errorf("%d busy", e.Busy())
+	}
+	for range 7 {
+		e.step()
+		e.produce()
+	}
+	if length, busy := e.step(); busy || e.Busy() != 0 {
+		t.Errorf("still busy, step of %v", length)
+	}
+	for _, r := range e.Log.Runs() {
+		if !r.Whole || r.Tokens != 10 {
+			t.Errorf("run %+v", r)
+		}
+	}
+}
+
+func TestEngineHonoursPriority(t *testing.T) {
+	e := newTestEngine(testclock.NewClock(time.Unix(0, 0)), 1)
+	for i, priority := range []int{0, 2, 1, 2} {
+		add(t, e, fmt.Sprintf("%d-%d", priority, i), priority, 1)
+	}
+	for range 4 {
+		e.step()
+		e.produce()
+	}
+	var order []string
+	for _, r := range e.Log.Runs() {
+		order = append(order, r.RequestID)
+	}
+	if got := strings.Join(order, " "); got != "2-1 2-3 1-2 0-0" {
+		t.Errorf("order %s", got)
+	}
+}
+
+// An answer that nobody reads goes on for the resume window, then it is
+// canceled. One that waits then has not run at all.
+func TestEngineCancels(t *testing.T) {
+	c := testclock.NewClock(time.Unix(0, 0))
+	e := newTestEngine(c, 1)
+	first, moved := add(t, e, "first", 0, 100)
+	second, waits := add(t, e, "second", 0, 100)
+	e.step()
+	e.produce()
+	e.leave(first, moved)
+	e.leave(second, waits)
+	c.Advance(900 * time.Millisecond)
+	if e.step(); e.Busy() != 2 {
+		t.Errorf("%d busy within the resume window", e.Busy())
+	}
+	if _, again, ok := e.resume("first", small1); !ok {
+		t.Error("no resume within the window")
+	} else {
+		e.leave(first, again)
+	}
+	c.Advance(time.Second)
+	if e.step(); e.Busy() != 0 {
+		t.Errorf("%d busy after the resume window", e.Busy())
+	}
+	if _, _, ok := e.resume("first", small1); ok {
+		t.Error("resumed a canceled run")
+	}
+	runs := e.Log.Runs()
+	if len(runs) != 1 || runs[0].RequestID != "first" || runs[0].Whole || runs[0].Tokens != 1 {
+		t.Errorf("runs %+v", runs)
+	}
+}
+
+// Load reports are as old as the lag, also when the engine has become idle.
+func TestEngineReportsLoadLate(t *testing.T) {
+	c := testclock.NewClock(time.Unix(0, 0))
+	e := newTestEngine(c, 10)
+	e.step()
+	add(t, e, "a", 0, 1)
+	c.Advance(time.Second)
+	e.step()
+	e.produce()
+	c.Advance(time.Second)
+	e.step()
+	for _, want := range []struct {
+		advance time.Duration
+		running int
+	}{{0, 0}, {2 * time.Second, 1}, {time.Second, 0}} {
+		c.Advance(want.advance)
+		if got := e.Announcement("x").Load.Running; got != want.running {
+			t.Errorf("at %v: %d running, want %d", c.Now().Unix(), got, want.running)
+		}
+	}
+}
+
+func TestOrders(t *testing.T) {
+	for _, tc := range []struct {
+		name             string
+		honours          bool
+		required, key    string
+		first, second    Fence
+		status, versions int
+	}{
+		{"newer", true, "", "", Fence{1, 1}, Fence{1, 2}, 204, 2},
+		{"same again", true, "", "", Fence{1, 1}, Fence{1, 1}, 204, 2},
+		{"older term", true, "", "", Fence{2, 1}, Fence{1, 9}, 412, 1},
+		{"older sequence", true, "", "", Fence{1, 5}, Fence{1, 4}, 412, 1},
+		{"older term, unheeded", false, "", "", Fence{2, 1}, Fence{1, 9}, 204, 2},
+		{"right key", true, "k", "k", Fence{1, 1}, Fence{1, 2}, 204, 2},
+		{"wrong key", true, "k", "x", Fence{1, 1}, Fence{1, 2}, 403, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := NewEngine(EngineConfig{HonoursFence: tc.honours, OrderKey: tc.required, Clock: clock.WallClock})
+			e.obey(Order{Fence: tc.first, Versions: []version.Ref{small1}})
+			body := fmt.Sprintf(`{"fence":{"term":%d,"sequence":%d},"versions":[{"model":"small","version":"v1"},{"model":"small","version":"v2"}]}`, tc.second.Term, tc.second.Sequence)
+			r := httptest.NewRequest(http.MethodPost, PathOrders, strings.NewReader(body))
+			r.Header.Set("Authorization", "Bearer "+tc.key)
+			w := httptest.NewRecorder()
+			e.Handler().ServeHTTP(w, r)
+			if w.Code != tc.status || len(e.Announcement("").Versions) != tc.versions {
+				t.Errorf("status %d, %d versions", w.Code, len(e.Announcement("").Versions))
+			}
+		})
+	}
+}
+
+// startEngine runs an engine on wall time and returns its address.
+func startEngine(t *testing.T, cfg EngineConfig) (*Engine, string) {
+	t.Helper()
+	cfg.ID, cfg.Incarnation, cfg.Clock = "engine-1", 1, clock.WallClock
+	cfg.Versions, cfg.Capacity, cfg.CacheTokens = []version.Ref{small1}, 8, 1000
+	e := NewEngine(cfg)
+	go e.Run(t.Context())
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(server.Close)
+	return e, strings.TrimPrefix(server.URL, "http://")
+}
+
+func call(address, id string, tokens int64) iobackend.Call {
+	return iobackend.Call{
+		Address: address, RequestID: id, Attempt: 1, Version: small1, MaxTokens: tokens,
+		Messages: []request.Message{{Role: "user", Content: "x"}},
+	}
+}
+
+var errBreak = fmt.Errorf("the reader breaks off")
+
+// readSome reads that many tokens and breaks off.
+func readSome(t *testing.T, client *iobackend.Client, c iobackend.Call, tokens int) string {
+	t.Helper()
+	var text strings.Builder
+	_, err := client.Stream(t.Context(), c, func(p iobackend.Piece) error {
+		text.WriteString(p.Text)
+		if tokens--; tokens == 0 {
+			return errBreak
+		}
+		return nil
+	})
+	if err == nil {
+		t.Fatal("the stream ended before it was broken off")
+	}
+	return text.String()
+}
+
+// A resumed answer goes on at its offset on the same run; a continued one is
+// another run behind the given prefix; and the two can be told by their texts.
+func TestEngineResumesAndContinues(t *testing.T) {
+	const tokens, broken = 40, 5
+	e, address := startEngine(t, EngineConfig{StepTime: time.Millisecond, ResumeWindow: time.Minute, LoadLag: time.Second})
+	client := iobackend.NewClient(&http.Transport{})
+	for _, tc := range []struct {
+		name         string
+		prefix       bool
+		runs, voices int
+	}{
+		{"resumed", false, 1, 1},
+		{"continued", true, 2, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := call(address, tc.name, tokens)
+			text := readSome(t, client, c, broken)
+			c.Attempt, c.Offset = 2, broken
+			if tc.prefix {
+				c.Prefix = text
+			}
+			next := int64(broken)
+			end, err := client.Stream(t.Context(), c, func(p iobackend.Piece) error {
+				if p.Offset != next {
+					t.Errorf("offset %d, want %d", p.Offset, next)
+				}
+				next++
+				text += p.Text
+				return nil
+			})
+			if err != nil || end.Tokens != tokens || next != tokens {
+				t.Fatalf("end %+v after %d tokens, %v", end, next, err)
+			}
+			voices := make(map[string]bool)
+			for i, word := range strings.Fields(text) {
+				if !strings.HasPrefix(word, fmt.Sprintf("t%d.small@v1.", i)) {
+					t.Errorf("word %d is %s", i, word)
+				}
+				voices[word[strings.LastIndex(word, "."):]] = true
+			}
+			if runs := e.Log.Of(tc.name); len(runs) != tc.runs || len(voices) != tc.voices {
+				t.Errorf("%d voices in %d runs", len(voices), len(runs))
+			}
+		})
+	}
+}
+
+// An offset of a run that the engine does not keep is refused: any other run
+// would say something else from there on.
+func TestEngineRefusesUnknownResume(t *testing.T) {
+	e, address := startEngine(t, EngineConfig{StepTime: time.Millisecond, LoadLag: time.Second})
+	c := call(address, "lost", 10)
+	c.Offset = 5
+	_, err := iobackend.NewClient(&http.Transport{}).Stream(t.Context(), c, func(iobackend.Piece) error { return nil })
+	if err == nil || len(e.Log.Runs()) != 0 {
+		t.Errorf("error %v, runs %+v", err, e.Log.Runs())
+	}
+}
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/clock"
@@ -13,16 +14,30 @@
 	iobackend "rosereach/io/backend"
 )
 
+// pastDeadline is by how much an answer can come after its deadline.
+const pastDeadline = 200 * time.Millisecond
+
 type (
-	// ServiceConfig are the settings of a fake plain service.
+	// ServiceConfig are the settings of a fake plain service. Orders need
+	// OrderKey unless it is empty.
 	ServiceConfig struct {
-		ID          string
-		Incarnation uint64
-		Region      string
-		Zone        string
-		Service     string
-		Capacity    int
-		Clock       clock.Clock
+		ID           string
+		Incarnation  uint64
+		Region       string
+		Zone         string
+		Service      string
+		Capacity     int
+		Behaviour    Behaviour
+		HonoursFence bool
+		OrderKey     string
+		Clock        clock.Clock
+	}
+
+	// Behaviour is how a service answers. Every call is carried out at once;
+	// its answer waits for Delay, or until after the call's deadline.
+	Behaviour struct {
+		Delay        time.Duration
+		PastDeadline bool
 	}
 
 	// Service is a fake register or ledger. It answers every call with a
@@ -31,9 +46,11 @@
 		cfg ServiceConfig
 		Log RunLog
 
-		mu      sync.Mutex
-		leaving bool
-		busy    int
+		mu        sync.Mutex
+		behaviour Behaviour
+		orders    orderGate
+		leaving   bool
+		busy      int
 	}
 
 	// Receipt is the answer to a call.
@@ -47,7 +64,18 @@
 )
 
 // NewService returns a service.
-func NewService(cfg ServiceConfig) *Service { return &Service{cfg: cfg} }
+func NewService(cfg ServiceConfig) *Service {
+	return &Service{
+		cfg: cfg, behaviour: cfg.Behaviour, orders: orderGate{key: cfg.OrderKey, honoursFence: cfg.HonoursFence},
+	}
+}
+
+// Behave changes how the service answers the calls that come from now on.
+func (s *Service) Behave(b Behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behaviour = b
+}
 
 // Leave makes the service announce that it is leaving.
 func (s *Service) Leave() {
@@ -64,6 +92,7 @@
 		id := chi.URLParam(r, "id")
 		writeJSON(w, lookup(id, s.Log.Of(id)))
 	})
+	r.Post(PathOrders, func(w http.ResponseWriter, r *http.Request) { serveOrder(w, r, &s.orders, s.obey) })
 	r.HandleFunc("/*", s.call)
 	return r
 }
@@ -75,7 +104,7 @@
 	a := backend.Announcement{
 		ID: s.cfg.ID, Incarnation: s.cfg.Incarnation, Region: s.cfg.Region, Zone: s.cfg.Zone, Kind: backend.Plain,
 		Service: s.cfg.Service, Capacity: s.cfg.Capacity, State: backend.Serving, Address: address,
-		Load: backend.Load{At: s.cfg.Clock.Now(), Running: s.busy},
+		HonoursFence: s.cfg.HonoursFence, Load: backend.Load{At: s.cfg.Clock.Now(), Running: s.busy},
 	}
 	if s.leaving {
 		a.State = backend.Leaving
@@ -98,9 +127,43 @@
 	w.Header().Set("Content-Type", "application/json")
 	receipt := Receipt{Service: s.cfg.Service, RequestID: id, Method: r.Method, Path: r.URL.Path, Bytes: len(body)}
 	s.Log.Finish(place, 0, true)
+	if !s.hold(r) {
+		return
+	}
 	json.NewEncoder(w).Encode(receipt) //nolint:errcheck // the entry has gone
 }
 
+// hold delays an answer as the service's behaviour says, and reports whether
+// the entry still waits.
+func (s *Service) hold(r *http.Request) bool {
+	s.mu.Lock()
+	b := s.behaviour
+	s.mu.Unlock()
+	wait := b.Delay
+	if deadline := numberIn(r, iobackend.HeaderDeadline); b.PastDeadline && deadline > 0 {
+		wait = time.UnixMilli(deadline).Add(pastDeadline).Sub(s.cfg.Clock.Now())
+	}
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-s.cfg.Clock.After(wait):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Service) obey(o Order) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.orders.pass(o.Fence) {
+		return false
+	}
+	s.leaving = s.leaving || o.Leave
+	return true
+}
+
 func (s *Service) count(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/fake/service_test.go
@@ -0,0 +1,80 @@
+package fake
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/juju/clock/testclock"
+
+	"rosereach/core/backend"
+	iobackend "rosereach/io/backend"
+)
+
+// A slow answer comes late, but its call ran at once.
+func TestServiceBehaviour(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name      string
+		behaviour Behaviour
+		wait      time.Duration
+	}{
+		{"at once", Behaviour{}, 0},
+		{"slow", Behaviour{Delay: 2 * time.Second}, 2 * time.Second},
+		{"past the deadline", Behaviour{PastDeadline: true}, 5*time.Second + pastDeadline},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := testclock.NewClock(start)
+			s := NewService(ServiceConfig{ID: "ledger-1", Service: "ledger", Behaviour: tc.behaviour, Clock: c})
+			r := httptest.NewRequest(http.MethodPost, "/invoices", nil)
+			r.Header.Set(iobackend.HeaderRequestID, "p")
+			r.Header.Set(iobackend.HeaderDeadline, strconv.FormatInt(start.Add(5*time.Second).UnixMilli(), 10))
+			w := httptest.NewRecorder()
+			answered := make(chan struct{})
+			go func() {
+				s.Handler().ServeHTTP(w, r)
+				close(answered)
+			}()
+			if tc.wait > 0 {
+				if err := c.WaitAdvance(tc.wait-time.Millisecond, 10*time.Second, 1); err != nil {
+					t.Fatal(err)
+				}
+				if runs := s.Log.Of("p"); len(runs) != 1 || !runs[0].Whole || w.Body.Len() != 0 {
+					t.Errorf("before the answer: runs %+v, body %s", runs, w.Body)
+				}
+				c.Advance(time.Millisecond)
+			}
+			<-answered
+			if w.Body.Len() == 0 || c.Now().Sub(start) != tc.wait {
+				t.Errorf("body %q after %v", w.Body, c.Now().Sub(start))
+			}
+		})
+	}
+}
+
+// A call whose entry has gone is in the log, and no answer is made.
+func TestServiceCallerGone(t *testing.T) {
+	s := NewService(ServiceConfig{Behaviour: Behaviour{Delay: time.Hour}, Clock: testclock.NewClock(time.Unix(0, 0))})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r := httptest.NewRequest(http.MethodPost, "/x", nil).WithContext(ctx)
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, r)
+	if len(s.Log.Runs()) != 1 || w.Body.Len() != 0 {
+		t.Errorf("runs %+v, body %q", s.Log.Runs(), w.Body)
+	}
+}
+
+func TestServiceOrderToLeave(t *testing.T) {
+	s := NewService(ServiceConfig{HonoursFence: true, Clock: testclock.NewClock(time.Unix(0, 0))})
+	s.obey(Order{Fence: Fence{2, 1}})
+	if s.obey(Order{Fence: Fence{1, 1}, Leave: true}) || s.Announcement("").State != backend.Serving {
+		t.Error("an old order was carried out")
+	}
+	if !s.obey(Order{Fence: Fence{2, 2}, Leave: true}) || s.Announcement("").State != backend.Leaving {
+		t.Error("a new order was not carried out")
+	}
+}
