--- a/internal/cmd/cmd_fake.go
+++ b/internal/cmd/cmd_fake.go
@@ -30,6 +30,8 @@
 					flag("prefill-per-token", "50us", "time of a prompt's token that is not cached"),
 					flag("cache-tokens", "100000", "memory for prefixes, in tokens"),
 					flag("load-lag", "1s", "age of load reports"),
+					flag("order-key", "", "key that orders must carry (anybody may give orders, when empty)"),
+					boolFlag("ignore-fence", "take orders with old fencing numbers too"),
 					flag("resume-window", "500ms", "how long an answer that nobody reads goes on"),
 				),
 			},
@@ -67,8 +69,6 @@
 		flag("entries", "", "host:port of the entries to announce to, with commas"),
 		flag("backend-key", "", "key to present to entries"),
 		flag("capacity", "16", "requests that it runs at once"),
-		flag("order-key", "", "key that orders must carry (anybody may give orders, when empty)"),
-		boolFlag("ignore-fence", "take orders with old fencing numbers too"),
 	)
 }
 
@@ -95,7 +95,7 @@
 	svc := fake.NewService(fake.ServiceConfig{
 		ID: s.text("id"), Incarnation: incarnation(), Region: s.text("region"), Zone: s.text("availability-zone"),
 		Service: s.text("service"), Capacity: int(s.number("capacity", 1, 4096)), Behaviour: behaviour,
-		HonoursFence: !c.Bool("ignore-fence"), OrderKey: s.optional("order-key"), Clock: clock.WallClock,
+		Clock: clock.WallClock,
 	})
 	idle := func(ctx context.Context) error {
 		<-ctx.Done()
