Name the fake engine's runs and cancel them by request

An entry that resumes an answer must reach the very run that made its beginning, also when the engine has run the request again since. The engine names each run in a header, goes on only with the run that is asked for, and ends one at once on DELETE, as entries that gave an answer up will ask.

--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -202,7 +202,8 @@
 	}
 	e.ordinal++
 	s.arrival = e.ordinal
-	s.seed = xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", e.cfg.ID, e.cfg.Incarnation, e.ordinal))
+	s.run = fmt.Sprintf("%s/%d/%d", e.cfg.ID, e.cfg.Incarnation, e.ordinal)
+	s.seed = xxhash.Sum64String(s.run)
 	s.usage = request.Usage{InputTokens: tokensOf(s.prompt), OutputTokens: s.skip + s.want}
 	e.byID[s.id] = s
 	at, _ := slices.BinarySearchFunc(e.waiting, s, goesBefore)
@@ -212,16 +213,37 @@
 }
 
 // resume returns the run of a request that still goes on or ended shortly ago.
-func (e *Engine) resume(id string, ref version.Ref) (*sequence, chan struct{}, bool) {
+// An empty run stands for the request's newest.
+func (e *Engine) resume(id string, ref version.Ref, run string) (*sequence, chan struct{}, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s, ok := e.byID[id]
-	if !ok || s.ref != ref || s.is(canceled) {
+	if !ok || s.ref != ref || s.is(canceled) || (run != "" && run != s.run) {
 		return nil, nil, false
 	}
 	return s, s.attach(), true
 }
 
+// cancel ends the run of a request at once.
+func (e *Engine) cancel(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.byID[id]
+	if !ok || s.is(whole) || s.is(canceled) {
+		return
+	}
+	if s.is(running) {
+		e.running = slices.DeleteFunc(e.running, func(r *sequence) bool { return r == s })
+		s.state.Store(int32(canceled))
+		e.end(s)
+	} else {
+		e.waiting = slices.DeleteFunc(e.waiting, func(w *sequence) bool { return w == s })
+		s.state.Store(int32(canceled))
+		e.forget(s)
+	}
+	s.notify()
+}
+
 // leave ends a stream. The step loop cancels the answer when no other stream
 // comes within the resume window.
 func (e *Engine) leave(s *sequence, moved chan struct{}) {
--- a/internal/fake/engine_http.go
+++ b/internal/fake/engine_http.go
@@ -13,11 +13,18 @@
 	"rosereach/io/platform"
 )
 
+// headerRun carries the name of a run, so that only this run is resumed.
+const headerRun = "X-Run-Id"
+
 // Handler returns the engine's HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Post(iobackend.PathChat, e.postChat)
 	r.Get(iobackend.PathRequests+"{id}", e.getRequest)
+	r.Delete(iobackend.PathRequests+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		e.cancel(chi.URLParam(r, "id"))
+		w.WriteHeader(http.StatusNoContent)
+	})
 	r.Post(platform.PathOrders, e.postOrder)
 	r.Get("/v1/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Log.Runs()) })
 	return r
@@ -37,7 +44,7 @@
 	id := r.Header.Get(iobackend.HeaderRequestID)
 	prefix := numberIn(r, iobackend.HeaderPrefix)
 	if offset := numberIn(r, iobackend.HeaderOffset); offset > 0 {
-		s, moved, ok := e.resume(id, ref)
+		s, moved, ok := e.resume(id, ref, r.Header.Get(headerRun))
 		if !ok {
 			refuse(w, http.StatusGone, "the run that the offset belongs to is not kept")
 			return
@@ -62,6 +69,7 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, moved chan struct{}, offset int64) {
 	defer e.leave(s, moved)
 	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(headerRun, s.run)
 	event, err := newEventWriter(s, e.cfg.Clock.Now())
 	if err != nil {
 		refuse(w, http.StatusInternalServerError, err.Error())
@@ -79,6 +87,9 @@
 			w.Write(event.appendEnd(buffer, e.cfg.Clock.Now())) //nolint:errcheck // the entry has gone
 			return
 		}
+		if s.is(canceled) {
+			return
+		}
 		if len(buffer) > 0 {
 			if _, err := w.Write(buffer); err != nil || controller.Flush() != nil {
 				return
--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -100,7 +100,7 @@
 	if e.step(); e.Busy() != 2 {
 		t.Errorf("%d busy within the resume window", e.Busy())
 	}
-	if _, again, ok := e.resume("first", small1); !ok {
+	if _, again, ok := e.resume("first", small1, ""); !ok {
 		t.Error("no resume within the window")
 	} else {
 		e.leave(first, again)
@@ -109,7 +109,7 @@
 	if e.step(); e.Busy() != 0 {
 		t.Errorf("%d busy after the resume window", e.Busy())
 	}
-	if _, _, ok := e.resume("first", small1); ok {
+	if _, _, ok := e.resume("first", small1, ""); ok {
 		t.Error("resumed a canceled run")
 	}
 	runs := e.Log.Runs()
@@ -118,6 +118,26 @@
 	}
 }
 
+// A canceled answer ends at once, and only the run that is named is resumed.
+func TestEngineCancelsByName(t *testing.T) {
+	e := newTestEngine(testclock.NewClock(time.Unix(0, 0)), 1)
+	first, _ := add(t, e, "first", 0, 100)
+	add(t, e, "second", 0, 100)
+	e.step()
+	if _, _, ok := e.resume("first", small1, first.run); !ok {
+		t.Error("the run was not resumed under its name")
+	}
+	if _, _, ok := e.resume("first", small1, first.run+"0"); ok {
+		t.Error("another run was resumed")
+	}
+	e.cancel("first")
+	e.cancel("second")
+	e.cancel("unknown")
+	if runs := e.Log.Runs(); e.Busy() != 0 || len(runs) != 1 || runs[0].Whole {
+		t.Errorf("%d busy, runs %+v", e.Busy(), runs)
+	}
+}
+
 // Load reports are as old as the lag, also when the engine has become idle.
 func TestEngineReportsLoadLate(t *testing.T) {
 	c := testclock.NewClock(time.Unix(0, 0))
--- a/internal/fake/sequence.go
+++ b/internal/fake/sequence.go
@@ -28,6 +28,7 @@
 	// the prefix of another run.
 	sequence struct {
 		id       string
+		run      string
 		ref      version.Ref
 		attempt  int
 		priority int
