--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/clock"
@@ -13,6 +14,9 @@
 	iobackend "rosereach/io/backend"
 )
 
+// pastDeadline is by how much an answer can come after its deadline.
+const pastDeadline = 200 * time.Millisecond
+
 type (
 	// ServiceConfig are the settings of a fake plain service.
 	ServiceConfig struct {
@@ -22,18 +26,27 @@
 		Zone        string
 		Service     string
 		Capacity    int
+		Behaviour   Behaviour
 		Clock       clock.Clock
 	}
 
+	// Behaviour is how a service answers. Every call is carried out at once;
+	// its answer waits for Delay, or until after the call's deadline.
+	Behaviour struct {
+		Delay        time.Duration
+		PastDeadline bool
+	}
+
 	// Service is a fake register or ledger. It answers every call with a
 	// receipt and does not recognize repeated calls.
 	Service struct {
 		cfg ServiceConfig
 		Log RunLog
 
-		mu      sync.Mutex
-		leaving bool
-		busy    int
+		mu        sync.Mutex
+		behaviour Behaviour
+		leaving   bool
+		busy      int
 	}
 
 	// Receipt is the answer to a call.
@@ -47,7 +60,16 @@
 )
 
 // NewService returns a service.
-func NewService(cfg ServiceConfig) *Service { return &Service{cfg: cfg} }
+func NewService(cfg ServiceConfig) *Service {
+	return &Service{cfg: cfg, behaviour: cfg.Behaviour}
+}
+
+// Behave changes how the service answers the calls that come from now on.
+func (s *Service) Behave(b Behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behaviour = b
+}
 
 // Leave makes the service announce that it is leaving.
 func (s *Service) Leave() {
@@ -98,9 +120,33 @@
 	w.Header().Set("Content-Type", "application/json")
 	receipt := Receipt{Service: s.cfg.Service, RequestID: id, Method: r.Method, Path: r.URL.Path, Bytes: len(body)}
 	s.Log.Finish(place, 0, true)
+	if !s.hold(r) {
+		return
+	}
 	json.NewEncoder(w).Encode(receipt) //nolint:errcheck // the entry has gone
 }
 
+// hold delays an answer as the service's behaviour says, and reports whether
+// the entry still waits.
+func (s *Service) hold(r *http.Request) bool {
+	s.mu.Lock()
+	b := s.behaviour
+	s.mu.Unlock()
+	wait := b.Delay
+	if deadline := numberIn(r, iobackend.HeaderDeadline); b.PastDeadline && deadline > 0 {
+		wait = time.UnixMilli(deadline).Add(pastDeadline).Sub(s.cfg.Clock.Now())
+	}
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-s.cfg.Clock.After(wait):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
 func (s *Service) count(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
