--- a/core/audit/audit.go
+++ b/core/audit/audit.go
@@ -50,6 +50,7 @@
 	Held       Kind = "held"
 	LeaseEnded Kind = "lease_ended"
 	Membership Kind = "membership"
+	InForce    Kind = "in_force"
 )
 
 // Append puts the event at the chain's end and returns it with its hash.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -64,7 +64,15 @@
 	// Grantor is the leader's side. It is not safe for concurrent use.
 	Grantor struct {
 		terms   Terms
-		entries map[string]Entry
+		entries map[process]Entry
+		newest  map[string]uint64
+	}
+
+	// process is one run of an entry. An earlier run may still hold its lease
+	// when the next one asks.
+	process struct {
+		id          string
+		incarnation uint64
 	}
 )
 
@@ -106,35 +114,34 @@
 
 // NewGrantor returns a grantor without entries.
 func NewGrantor(terms Terms) *Grantor {
-	return &Grantor{terms: terms, entries: make(map[string]Entry)}
+	return &Grantor{terms: terms, entries: make(map[process]Entry), newest: make(map[string]uint64)}
 }
 
 // Grant decides on a request. Overdue is the newest revision that was
 // committed longer ago than the terms' lag: an entry behind it gets no lease.
 func (g *Grantor) Grant(now time.Time, term, overdue uint64, r Request) Grant {
 	grant := Grant{Sequence: r.Sequence, Term: term, Revision: r.Applied}
-	old, known := g.entries[r.Entry]
-	if known && old.Incarnation > r.Incarnation {
+	if g.newest[r.Entry] > r.Incarnation {
 		return grant
 	}
+	g.newest[r.Entry] = r.Incarnation
+	p := process{id: r.Entry, incarnation: r.Incarnation}
 	e := Entry{
 		ID: r.Entry, Incarnation: r.Incarnation, Address: r.Address, Region: r.Region, Zone: r.Zone,
-		Applied: r.Applied, Draining: r.Draining, Load: r.Load, Expires: old.Expires,
+		Applied: max(r.Applied, g.entries[p].Applied), Draining: r.Draining, Load: r.Load, Expires: g.entries[p].Expires,
 	}
 	if r.Applied >= overdue {
 		grant.Granted = true
 		grant.Duration = g.terms.Duration
 		e.Expires = now.Add(g.terms.Duration)
 	}
-	g.entries[r.Entry] = e
+	g.entries[p] = e
 	return grant
 }
 
 // Release ends an entry's lease at once, when the entry said that it stopped.
 func (g *Grantor) Release(id string, incarnation uint64) {
-	if e, ok := g.entries[id]; ok && e.Incarnation == incarnation {
-		delete(g.entries, id)
-	}
+	delete(g.entries, process{id: id, incarnation: incarnation})
 }
 
 // InForce reports whether every entry with a live lease applies the revision.
@@ -147,11 +154,17 @@
 	return true
 }
 
-// Live returns the entries with a live lease, in no order.
+// IsLive reports whether the entry's lease may still hold.
+func (g *Grantor) IsLive(now time.Time, id string, incarnation uint64) bool {
+	e, ok := g.entries[process{id: id, incarnation: incarnation}]
+	return ok && now.Before(e.Expires)
+}
+
+// Live returns the newest run of each entry with a live lease, in no order.
 func (g *Grantor) Live(now time.Time) []Entry {
 	var live []Entry
-	for _, e := range g.entries {
-		if now.Before(e.Expires) {
+	for p, e := range g.entries {
+		if now.Before(e.Expires) && g.newest[p.id] == p.incarnation {
 			live = append(live, e)
 		}
 	}
@@ -161,12 +174,12 @@
 // Expire forgets and returns the entries whose lease has ended.
 func (g *Grantor) Expire(now time.Time) []Entry {
 	var ended []Entry
-	for id, e := range g.entries {
+	for p, e := range g.entries {
 		if now.Before(e.Expires) {
 			continue
 		}
 		ended = append(ended, e)
-		delete(g.entries, id)
+		delete(g.entries, p)
 	}
 	return ended
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -212,11 +212,10 @@
 	return c
 }
 
-// Compact replaces the entries up to the last applied index by a snapshot.
-func (r *Replica) Compact(data []byte) {
-	index := r.applied
+// Compact replaces the entries up to an applied index by a snapshot.
+func (r *Replica) Compact(index uint64, data []byte) {
 	term, ok := r.log.term(index)
-	if !ok || index <= r.log.snapshot.Index {
+	if !ok || index <= r.log.snapshot.Index || index > r.applied {
 		return
 	}
 	s := Snapshot{Index: index, Term: term, Members: r.membersAt(index), Data: data}
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -273,7 +273,7 @@
 
 func (w *world) compact(id Identity) {
 	if n := w.nodes[id]; !n.down {
-		n.replica.Compact(fmt.Appendf(nil, "state with a length above one chunk at %d", n.applied))
+		n.replica.Compact(n.applied, fmt.Appendf(nil, "state with a length above one chunk at %d", n.applied))
 		w.collect(id)
 	}
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -121,11 +122,16 @@
 }
 
 // Encode returns the whole state as a snapshot.
-func (s *State) Encode() ([]byte, error) {
-	return cbor.Marshal(snapshot{
-		Index: s.index, Docs: s.docs, Answers: s.answers, Chain: s.chain, Trail: s.trail,
-		Ledger: s.ledger.Snapshot(),
-	})
+func (s *State) Encode() ([]byte, error) { return s.Freeze()() }
+
+// Freeze returns a function that encodes the state as it is now. It may be
+// called while later commands are applied.
+func (s *State) Freeze() func() ([]byte, error) {
+	snap := snapshot{
+		Index: s.index, Docs: s.docs.Clone(), Answers: maps.Clone(s.answers), Chain: s.chain,
+		Trail: s.trail[:len(s.trail):len(s.trail)], Ledger: s.ledger.Snapshot(),
+	}
+	return func() ([]byte, error) { return cbor.Marshal(snap) }
 }
 
 // Decode returns the state of a snapshot.
--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -1,8 +1,12 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"net"
+	"strconv"
+	"strings"
 
 	"github.com/juju/clock"
 	"github.com/urfave/cli/v3"
@@ -19,9 +23,13 @@
 		name: "control", short: "keep the replicated state and grant leases", action: runControl,
 		flags: append(commonFlags(),
 			flag("data", "", "data folder, on a disk"),
+			flag("peers", "", "first controls of a group as id=host:port, with commas; also how this one reaches them"),
+			flag("join", "", "host:port of controls of a group to join, with commas"),
+			boolFlag("standby", "wait with an empty folder until \"control add\" names this control"),
 			flag("member-key", "", "key that rosereach's own processes share"),
 			flag("operator-key", "", "key that operators present"),
 		),
+		subs: []*command{cmdControlList(), cmdControlAdd(), cmdControlRemove()},
 	}
 }
 
@@ -30,23 +38,63 @@
 	listen := s.address("listen")
 	cfg := control.Config{
 		ID: s.text("id"), Folder: s.text("data"), MemberKey: s.text("member-key"), OperatorKey: s.text("operator-key"),
+		Peers: s.peers("peers"), Join: s.optionalAddresses("join"), Standby: c.Bool("standby"),
 		Terms: lease.DefaultTerms(), Clock: clock.WallClock, Logger: newLogger(s, "control"),
 	}
 	if err := s.err(); err != nil {
 		return err
 	}
-	node, err := control.Open(cfg)
+	l, err := httpd.Listen(ctx, listen)
 	if err != nil {
 		return err
 	}
-	l, err := httpd.Listen(ctx, listen)
+	cfg.Address = cmp.Or(s.optional("advertise"), l.Addr().String())
+	node, err := control.Open(cfg)
 	if err != nil {
 		return err
 	}
 	fmt.Println(l.Addr())
-	cfg.Logger.Log("msg", "Control serves.", "id", cfg.ID, "address", l.Addr())
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return node.Run(ctx) })
-	g.Go(func() error { return httpd.Serve(ctx, l, node.Handler()) })
+	cfg.Logger.Log("msg", "Control serves.", "id", cfg.ID, "address", cfg.Address)
+	return serveControl(ctx, node, func(ctx context.Context) error {
+		return httpd.Serve(ctx, l, node.Handler())
+	})
+}
+
+// serveControl runs the control until the context ends. Its listener stays
+// open while it hands the leadership over.
+func serveControl(ctx context.Context, node *control.Node, serve func(context.Context) error) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, serving := errgroup.WithContext(serving)
+	g.Go(func() error { return serve(serving) })
+	g.Go(func() error {
+		defer stop()
+		return node.Run(ctx)
+	})
 	return g.Wait()
 }
+
+// peers reads a list of id=host:port.
+func (s *settings) peers(name string) map[string]string {
+	peers := make(map[string]string)
+	for _, v := range strings.Split(s.optional(name), ",") {
+		if v = strings.TrimSpace(v); v == "" {
+			continue
+		}
+		id, address, _ := strings.Cut(v, "=")
+		if _, _, err := net.SplitHostPort(address); err != nil || id == "" {
+			s.found.Add("--"+name, "bad peer "+strconv.Quote(v), "id=host:port, more than one with commas")
+			continue
+		}
+		peers[id] = address
+	}
+	return peers
+}
+
+// optionalAddresses reads a list of addresses that may be empty.
+func (s *settings) optionalAddresses(name string) []string {
+	if s.optional(name) == "" {
+		return nil
+	}
+	return s.addresses(name)
+}
--- /dev/null
+++ b/internal/cmd/cmd_control_members.go
@@ -0,0 +1,105 @@
+package cmd
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"rosereach/io/operator"
+)
+
+// membersPoll lies between two looks at the list of controls.
+const membersPoll = 200 * time.Millisecond
+
+func cmdControlList() *command {
+	return &command{name: "list", short: "show the controls that hold the state", action: listControls, flags: operatorFlags()}
+}
+
+func cmdControlAdd() *command {
+	return &command{
+		name: "add", short: "add a control that runs with --standby", args: "HOST:PORT", action: addControl,
+		flags: operatorFlags(boolFlag("wait", "return once it has a vote")),
+	}
+}
+
+func cmdControlRemove() *command {
+	return &command{
+		name: "remove", short: "take a control out of the group", args: "ID", action: removeControl,
+		flags: operatorFlags(boolFlag("wait", "return once it is out")),
+	}
+}
+
+func listControls(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	client := s.client()
+	if err := s.err(); err != nil {
+		return err
+	}
+	list, err := client.Controls(ctx)
+	if err != nil {
+		return err
+	}
+	return printJSON(list)
+}
+
+func addControl(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	client, address := s.client(), s.argument(0, "HOST:PORT")
+	if err := s.err(); err != nil {
+		return err
+	}
+	if err := client.AddControl(ctx, address); err != nil {
+		return exit(exitRefused, err)
+	}
+	if !c.Bool("wait") {
+		return nil
+	}
+	return awaitControls(ctx, client, func(m operator.Control) bool { return m.Address == address && m.Voter })
+}
+
+func removeControl(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	client, id := s.client(), s.argument(0, "ID")
+	if err := s.err(); err != nil {
+		return err
+	}
+	if err := client.RemoveControl(ctx, id); err != nil {
+		return exit(exitRefused, err)
+	}
+	for c.Bool("wait") {
+		list, err := client.Controls(ctx)
+		if err == nil && !slices.ContainsFunc(list.Controls, func(m operator.Control) bool { return m.ID == id }) {
+			return nil
+		}
+		if err := pause(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitControls waits until one of the controls fits.
+func awaitControls(ctx context.Context, client operator.Client, fits func(operator.Control) bool) error {
+	for {
+		list, err := client.Controls(ctx)
+		if err == nil && slices.ContainsFunc(list.Controls, fits) {
+			return nil
+		}
+		if err := pause(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func pause(ctx context.Context) error {
+	select {
+	case <-clock.WallClock.After(membersPoll):
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,237 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"rosereach/core/replica"
+	"rosereach/core/state"
+	"rosereach/io/disk"
+)
+
+const (
+	// snapshotEvery is how many entries lie between snapshots.
+	snapshotEvery = 50_000
+
+	// handOverTime bounds how long a planned stop waits for a successor.
+	handOverTime = 2 * electionTimeout
+
+	// fullRetry is how long to wait before a write to a full disk is repeated.
+	fullRetry = time.Second
+)
+
+// snapshot is the encoded state at an index.
+type snapshot struct {
+	index uint64
+	data  []byte
+	err   error
+}
+
+// loop feeds the replica and carries out what it asks for. When ctx ends it
+// hands the leadership over; running ends it at once.
+func (n *Node) loop(ctx, running context.Context) error {
+	tick := n.cfg.Clock.NewTimer(tickInterval)
+	defer tick.Stop()
+	stopping := ctx.Done()
+	var stopped <-chan time.Time
+	for {
+		select {
+		case <-running.Done():
+			return nil
+		case <-stopping:
+			stopping = nil
+			if !n.handOver() {
+				return nil
+			}
+			stopped = n.cfg.Clock.After(handOverTime)
+		case <-stopped:
+			return nil
+		case <-tick.Chan():
+			n.tick()
+			tick.Reset(tickInterval)
+		case batch := <-n.inbox:
+			n.receive(batch)
+		case p := <-n.proposals:
+			n.accept(p)
+		case sequence := <-n.synced:
+			n.completed(sequence)
+		case s := <-n.snapshots:
+			if err := n.compact(s); err != nil {
+				return err
+			}
+		case <-n.kick:
+		}
+		if err := n.flush(running); err != nil {
+			return err
+		}
+		if stopping == nil && n.group().Role != replica.Leader {
+			return nil
+		}
+	}
+}
+
+// handOver starts a planned stop and reports whether a successor is awaited.
+func (n *Node) handOver() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.replica != nil && n.replica.Transfer(n.cfg.Clock.Now())
+}
+
+func (n *Node) tick() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.replica != nil {
+		n.replica.Tick(n.cfg.Clock.Now())
+	}
+}
+
+func (n *Node) receive(batch []replica.Message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.replica == nil {
+		return
+	}
+	now := n.cfg.Clock.Now()
+	for _, m := range batch {
+		n.replica.Receive(now, m)
+	}
+}
+
+func (n *Node) completed(sequence uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.writing = false
+	n.replica.Synced(n.cfg.Clock.Now(), sequence)
+}
+
+// flush carries out what the replica asks for: messages, the next write, and
+// what was committed.
+func (n *Node) flush(ctx context.Context) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.replica == nil {
+		return nil
+	}
+	if err := n.apply(ctx, n.replica.TakeCommits()); err != nil {
+		return err
+	}
+	n.links.update(ctx, n.replica.Status().Members)
+	n.links.send(n.replica.TakeMessages())
+	if !n.writing {
+		if w, ok := n.replica.TakeWrite(); ok {
+			n.writing = true
+			n.writes <- w
+		}
+	}
+	n.follow(ctx)
+	n.startSnapshot(ctx)
+	return nil
+}
+
+// apply executes what was committed. Callers hold n.mu.
+func (n *Node) apply(ctx context.Context, c replica.Commits) error {
+	before := n.state.Catalog().Revision()
+	if c.Snapshot != nil {
+		if err := n.restore(*c.Snapshot); err != nil {
+			return err
+		}
+	}
+	for _, e := range c.Entries {
+		if err := n.applyEntry(e); err != nil {
+			return err
+		}
+	}
+	if revision := n.state.Catalog().Revision(); revision != before {
+		n.committed(ctx, revision)
+	}
+	return nil
+}
+
+func (n *Node) applyEntry(e replica.Entry) error {
+	n.applied = e.Index
+	var result state.Result
+	if e.Kind == replica.Command {
+		var c state.Command
+		if err := cbor.Unmarshal(e.Data, &c); err != nil {
+			return errors.Annotatef(err, "log entry %d in %s: use the program that wrote it, or repair this replica", e.Index, n.cfg.Folder)
+		}
+		result = n.state.Apply(e.Index, c)
+	}
+	n.answer(e, result)
+	return nil
+}
+
+// startSnapshot encodes the state beside the loop once enough was applied.
+// Callers hold n.mu.
+func (n *Node) startSnapshot(ctx context.Context) {
+	if n.saving || n.applied-n.saved < snapshotEvery {
+		return
+	}
+	n.saving = true
+	index, encode := n.applied, n.state.Freeze()
+	go func() {
+		data, err := encode()
+		select {
+		case n.snapshots <- snapshot{index: index, data: data, err: err}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (n *Node) compact(s snapshot) error {
+	if s.err != nil {
+		return errors.Annotate(s.err, "snapshot")
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.saving = false
+	n.saved = max(n.saved, s.index)
+	n.replica.Compact(s.index, s.data)
+	return nil
+}
+
+// write syncs the replica's writes in order. On a full disk it tries again
+// until there is space, while changes are refused.
+func (n *Node) write(ctx context.Context) error {
+	for {
+		var w replica.Write
+		select {
+		case w = <-n.writes:
+		case <-ctx.Done():
+			return nil
+		}
+		for {
+			err := n.store.Save(w)
+			n.noteFull(err)
+			if err == nil {
+				break
+			}
+			if !errors.Is(err, disk.ErrFull) {
+				return err
+			}
+			select {
+			case <-n.cfg.Clock.After(fullRetry):
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		select {
+		case n.synced <- w.Sequence:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// noteFull remembers whether the disk takes writes.
+func (n *Node) noteFull(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if (err == nil) != (n.full == nil) {
+		n.cfg.Logger.Log("msg", "Disk changes.", "full", err != nil, "err", err)
+	}
+	n.full = err
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,242 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/replica"
+	"rosereach/io/member"
+	"rosereach/io/operator"
+)
+
+const (
+	// enrolInterval lies between two attempts to get into a group.
+	enrolInterval = 200 * time.Millisecond
+
+	// callTimeout bounds a call to another control.
+	callTimeout = 2 * time.Second
+)
+
+// errHasGroup is the cause when a control is adopted that has a group.
+const errHasGroup = errors.ConstError("this control belongs to another group: give it an empty data folder first")
+
+// enrol gets a replica with an empty folder into a group, and returns once it
+// is a member.
+func (n *Node) enrol(ctx context.Context) error {
+	for !n.isEnrolled() {
+		founds, err := n.seekGroup(ctx)
+		if err != nil {
+			return err
+		}
+		if founds {
+			return n.foundAlone()
+		}
+		select {
+		case <-n.cfg.Clock.After(enrolInterval):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+// isEnrolled reports whether the replica has its place. One that was removed
+// from its group keeps its log and does not come back by itself.
+func (n *Node) isEnrolled() bool {
+	s := n.group()
+	return s.Last > 0 || s.Members.IsMember(n.self)
+}
+
+// seekGroup asks all known controls for a place. It reports whether this
+// control is the one to found the group: the first by id of peers that all
+// answered that they have none.
+func (n *Node) seekGroup(ctx context.Context) (founds bool, err error) {
+	peers := n.otherPeers()
+	founds = len(peers) > 0 && len(n.cfg.Join) == 0
+	for id := range peers {
+		founds = founds && n.cfg.ID < id
+	}
+	addresses := append([]string(nil), n.cfg.Join...)
+	for _, address := range peers {
+		addresses = append(addresses, address)
+	}
+	for len(addresses) > 0 {
+		address := addresses[0]
+		addresses = addresses[1:]
+		reply, err := n.askJoin(ctx, address)
+		var problem *member.Problem
+		switch {
+		case err == nil:
+			return false, n.takeGroup(reply.Group)
+		case errors.As(err, &problem) && problem.Code == member.CodeNoGroup:
+		default:
+			founds = false
+		}
+		if problem != nil && problem.Address != "" && len(addresses) == 0 {
+			addresses = append(addresses, problem.Address)
+			founds = false
+			if address == problem.Address {
+				return false, nil
+			}
+		}
+	}
+	return founds, nil
+}
+
+// foundAlone starts the group unless another has adopted this control.
+func (n *Node) foundAlone() error {
+	n.enrolling.Lock()
+	defer n.enrolling.Unlock()
+	if n.store.Meta().Group != "" {
+		return nil
+	}
+	return n.found()
+}
+
+func (n *Node) askJoin(ctx context.Context, address string) (member.JoinReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply member.JoinReply
+	conn, err := n.dial(ctx, address)
+	if err != nil {
+		return reply, err
+	}
+	defer conn.Close()
+	m := replica.Member{Identity: n.self, Address: n.cfg.Address}
+	return reply, conn.Call(ctx, member.KindJoin, member.JoinRequest{Member: m}, &reply)
+}
+
+// takeGroup makes an empty folder part of a group.
+func (n *Node) takeGroup(group string) error {
+	n.enrolling.Lock()
+	defer n.enrolling.Unlock()
+	switch n.store.Meta().Group {
+	case group:
+		return nil
+	case "":
+		n.cfg.Logger.Log("msg", "Joins a group as a learner.", "id", n.cfg.ID)
+		return n.begin(group, replica.Saved{})
+	}
+	return errors.Trace(errHasGroup)
+}
+
+// join takes a replica into the group as a learner; it becomes a voter once it
+// has caught up.
+func (n *Node) join(m replica.Member) (member.JoinReply, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	reply := member.JoinReply{Group: n.store.Meta().Group}
+	if reply.Group == "" {
+		return reply, &member.Problem{Code: member.CodeNoGroup, Detail: "this control has no group"}
+	}
+	if n.reign == nil || !n.reign.ready {
+		return reply, n.notLeader()
+	}
+	if err := n.replica.AddLearner(n.cfg.Clock.Now(), m); err != nil {
+		return reply, err
+	}
+	n.wake()
+	return reply, nil
+}
+
+// moveMembers makes the next change of the membership that is due: a learner
+// that caught up takes the place of the replica that lost its folder, or
+// becomes a voter. Callers hold n.mu.
+func (n *Node) moveMembers(now time.Time) {
+	members := n.groupLocked().Members
+	for _, l := range members.Learners {
+		if !n.replica.IsCaughtUp(l.Identity) {
+			continue
+		}
+		if old, ok := earlier(members, l.Identity); ok {
+			n.replica.Remove(now, old) //nolint:errcheck // done again at the next upkeep
+			return
+		}
+		n.replica.Promote(now, l.Identity) //nolint:errcheck // done again at the next upkeep
+		return
+	}
+}
+
+// earlier returns another incarnation of the same replica.
+func earlier(members replica.Membership, id replica.Identity) (replica.Identity, bool) {
+	for _, m := range members.All() {
+		if m.ID == id.ID && m.Incarnation != id.Incarnation {
+			return m.Identity, true
+		}
+	}
+	return replica.Identity{}, false
+}
+
+// AddControl makes a control that waits without a group a replica of this one.
+func (n *Node) AddControl(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	group := n.store.Meta().Group
+	if group == "" {
+		return &member.Problem{Code: member.CodeNoGroup, Detail: "this control has no group yet"}
+	}
+	conn, err := n.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	var reply member.AdoptReply
+	if err := conn.Call(ctx, member.KindAdopt, member.AdoptRequest{Group: group}, &reply); err != nil {
+		return err
+	}
+	m := replica.Member{Identity: reply.Identity, Address: address}
+	if n.IsLeader() {
+		_, err := n.join(m)
+		return err
+	}
+	return n.callLeader(ctx, member.KindJoin, member.JoinRequest{Member: m}, nil)
+}
+
+// RemoveControl takes the control with the id out of the group.
+func (n *Node) RemoveControl(ctx context.Context, id string) error {
+	if !n.IsLeader() {
+		return n.callLeader(ctx, member.KindRemove, member.RemoveRequest{ID: id}, nil)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	defer n.wake()
+	for _, m := range n.groupLocked().Members.All() {
+		if m.ID == id {
+			return n.replica.Remove(n.cfg.Clock.Now(), m.Identity)
+		}
+	}
+	return errors.NotFoundf("control %q in the group", id)
+}
+
+// Controls returns the group's replicas as this control knows them.
+func (n *Node) Controls() operator.Controls {
+	s := n.group()
+	c := operator.Controls{Leader: s.Leader.ID, Term: s.Term}
+	for _, m := range s.Members.All() {
+		c.Controls = append(c.Controls, operator.Control{
+			ID: m.ID, Incarnation: m.Incarnation, Address: m.Address, Voter: s.Members.IsVoter(m.Identity),
+		})
+	}
+	return c
+}
+
+// otherPeers returns the configured peers without this control.
+func (n *Node) otherPeers() map[string]string {
+	others := make(map[string]string)
+	for id, address := range n.cfg.Peers {
+		if id != n.cfg.ID {
+			others[id] = address
+		}
+	}
+	return others
+}
+
+// wake lets the loop carry out what the replica asks for.
+func (n *Node) wake() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -4,77 +4,91 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"github.com/juju/clock"
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/catalog"
 	"rosereach/core/lease"
-	"rosereach/core/ledger"
+	"rosereach/core/replica"
 	"rosereach/core/state"
 	"rosereach/io/disk"
 	"rosereach/io/member"
 )
 
 const (
-	// maxBatch bounds the commands that are synced together.
-	maxBatch = 4096
+	// tickInterval is how often the replica's clock moves.
+	tickInterval = 20 * time.Millisecond
 
-	// snapshotEvery is how many commands lie between snapshots.
-	snapshotEvery = 50_000
+	heartbeatInterval = 100 * time.Millisecond
+	electionTimeout   = time.Second
 
-	// expireInterval is how often ended leases are looked for.
-	expireInterval = 500 * time.Millisecond
+	// The bounds of one message between replicas, and of what is under way.
+	maxAppendEntries = 4096
+	maxAppendBytes   = 1 << 20
+	sendWindow       = 32_768
+
+	// maxQueued bounds what waits for the loop.
+	maxQueued = 1024
 )
 
 type (
-	// Config are the settings of a control process.
+	// Config are the settings of a control process. Address is the host:port at
+	// which others reach it. Peers are the first controls of a new group and,
+	// by id, the addresses at which this one reaches them. Join are addresses of
+	// a group to join; Standby waits until a group adopts this control. With
+	// none of the three an empty folder starts a group of one.
 	Config struct {
 		ID          string
 		Folder      string
+		Address     string
+		Peers       map[string]string
+		Join        []string
+		Standby     bool
 		MemberKey   string
 		OperatorKey string
 		Terms       lease.Terms
+		Security    *tls.Config
 		Clock       clock.Clock
 		Logger      log.Logger
 	}
 
-	// Node is one control. It stands alone: it is the leader of a group of one.
+	// Node is one control: a replica of the group's state and, while it leads,
+	// the grantor of leases.
 	Node struct {
 		cfg       Config
 		store     *disk.Store
-		proposals chan proposal
+		self      replica.Identity
+		proposals chan *proposal
+		inbox     chan []replica.Message
+		writes    chan replica.Write
+		synced    chan uint64
+		snapshots chan snapshot
+		kick      chan struct{}
+		links     *links
+		enrolling sync.Mutex
 
 		mu       sync.Mutex
+		replica  *replica.Replica
 		state    *state.State
-		grantor  *lease.Grantor
-		commits  []commit
+		applied  uint64
 		saved    uint64
+		writing  bool
+		saving   bool
+		full     error
+		waiting  map[uint64]waiter
 		watchers map[*member.Conn]bool
+		reign    *reign
 		inForce  chan struct{}
 	}
-
-	// proposal is a batch of commands on its way to the disk.
-	proposal struct {
-		commands []state.Command
-		done     chan outcome
-	}
-
-	// outcome answers a proposal.
-	outcome struct {
-		results []state.Result
-		err     error
-	}
-
-	// commit remembers when a revision of the documents was committed.
-	commit struct {
-		revision uint64
-		at       time.Time
-	}
 )
 
 // Open reads the data folder and returns the node, which Run sets to work.
@@ -85,53 +99,40 @@
 	}
 	n := &Node{
 		cfg: cfg, store: store,
-		proposals: make(chan proposal),
-		grantor:   lease.NewGrantor(cfg.Terms),
+		self:      replica.Identity{ID: cfg.ID, Incarnation: store.Meta().Incarnation},
+		proposals: make(chan *proposal, maxQueued),
+		inbox:     make(chan []replica.Message, maxQueued),
+		writes:    make(chan replica.Write, 1),
+		synced:    make(chan uint64, 1),
+		snapshots: make(chan snapshot, 1),
+		kick:      make(chan struct{}, 1),
+		state:     state.New(),
+		waiting:   make(map[uint64]waiter),
 		watchers:  make(map[*member.Conn]bool),
 		inForce:   make(chan struct{}),
 	}
-	if err := n.recover(); err != nil {
+	n.links = newLinks(n)
+	if err := n.load(); err != nil {
 		store.Close()
 		return nil, err
 	}
 	return n, nil
 }
 
-// Run commits proposals until the context ends, then closes the folder.
+// Run works until the context ends, hands the leadership over and closes the
+// folder.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.store.Close()
-	go n.ensureSealKey(ctx)
-	expire := n.cfg.Clock.NewTimer(expireInterval)
-	defer expire.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-expire.Chan():
-			n.expireLeases(ctx)
-			expire.Reset(expireInterval)
-		case p := <-n.proposals:
-			if err := n.commit(ctx, n.gather(p)); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-// Propose commits commands and returns their results, in order.
-func (n *Node) Propose(ctx context.Context, commands ...state.Command) ([]state.Result, error) {
-	p := proposal{commands: commands, done: make(chan outcome, 1)}
-	select {
-	case n.proposals <- p:
-	case <-ctx.Done():
-		return nil, errors.Trace(ctx.Err())
-	}
-	select {
-	case o := <-p.done:
-		return o.results, o.err
-	case <-ctx.Done():
-		return nil, errors.Trace(ctx.Err())
-	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, running := errgroup.WithContext(running)
+	g.Go(func() error { return n.write(running) })
+	g.Go(func() error { return n.enrol(running) })
+	g.Go(func() error {
+		defer stop()
+		return n.loop(ctx, running)
+	})
+	return g.Wait()
 }
 
 // Catalog returns the newest committed documents.
@@ -148,170 +149,95 @@
 	f(n.state)
 }
 
-// WaitInForce waits until every entry with a live lease applies the revision.
-func (n *Node) WaitInForce(ctx context.Context, revision uint64) error {
-	for {
-		n.mu.Lock()
-		done := n.grantor.InForce(n.cfg.Clock.Now(), revision)
-		moved := n.inForce
-		n.mu.Unlock()
-		if done {
-			return nil
-		}
-		select {
-		case <-moved:
-		case <-ctx.Done():
-			return errors.Trace(ctx.Err())
-		}
-	}
-}
+// IsLeader reports whether this control leads and has applied all that was
+// committed before its term.
+func (n *Node) IsLeader() bool { return n.group().Ready }
 
-func (n *Node) recover() error {
-	snapshot, entries, err := n.store.Load()
-	if err != nil {
-		return err
-	}
-	n.state = state.New()
-	if len(snapshot) > 0 {
-		if n.state, err = state.Decode(snapshot); err != nil {
-			return err
-		}
-	}
-	for _, e := range entries {
-		var c state.Command
-		if err := cbor.Unmarshal(e.Data, &c); err != nil {
-			return errors.Annotatef(err, "log entry %d in %s: repair this replica", e.Index, n.cfg.Folder)
-		}
-		n.state.Apply(e.Index, c)
-	}
-	n.saved = n.state.Index()
-	return nil
-}
-
-// gather adds the proposals that wait already, so that one sync serves all.
-func (n *Node) gather(first proposal) []proposal {
-	batch := []proposal{first}
-	size := len(first.commands)
-	for size < maxBatch {
-		select {
-		case p := <-n.proposals:
-			batch = append(batch, p)
-			size += len(p.commands)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
+// Term returns the term of the group, which grows with every election.
+func (n *Node) Term() uint64 { return n.group().Term }
 
-func (n *Node) commit(ctx context.Context, batch []proposal) error {
+// group returns what the replica knows of its group.
+func (n *Node) group() replica.Status {
 	n.mu.Lock()
-	next := n.state.Index()
-	n.mu.Unlock()
-	var entries []disk.Entry
-	for _, p := range batch {
-		for _, c := range p.commands {
-			next++
-			data, err := cbor.Marshal(c)
-			if err != nil {
-				return errors.Trace(err)
-			}
-			entries = append(entries, disk.Entry{Index: next, Data: data})
-		}
-	}
-	if err := n.store.Append(entries); err != nil {
-		return err
-	}
-	n.apply(ctx, batch)
-	return n.compact()
+	defer n.mu.Unlock()
+	return n.groupLocked()
 }
 
-func (n *Node) apply(ctx context.Context, batch []proposal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	before := n.state.Catalog().Revision()
-	for _, p := range batch {
-		var o outcome
-		for _, c := range p.commands {
-			o.results = append(o.results, n.state.Apply(n.state.Index()+1, c))
-		}
-		p.done <- o
-	}
-	if revision := n.state.Catalog().Revision(); revision != before {
-		n.commits = append(n.commits, commit{revision: revision, at: n.cfg.Clock.Now()})
-		n.tellWatchers(ctx, revision)
+func (n *Node) groupLocked() replica.Status {
+	if n.replica == nil {
+		return replica.Status{Self: n.self}
 	}
+	return n.replica.Status()
 }
 
-func (n *Node) compact() error {
-	n.mu.Lock()
-	index := n.state.Index()
-	if index-n.saved < snapshotEvery {
-		n.mu.Unlock()
-		return nil
+// load reads the folder. An empty one starts a group of one unless the
+// settings name others.
+func (n *Node) load() error {
+	if n.store.Meta().Group != "" {
+		return n.restart()
 	}
-	data, err := n.state.Encode()
-	n.mu.Unlock()
-	if err != nil {
-		return err
+	if len(n.cfg.Join) == 0 && len(n.otherPeers()) == 0 && !n.cfg.Standby {
+		return n.found()
 	}
-	n.saved = index
-	return n.store.SaveSnapshot(index, data)
+	return nil
 }
 
-// tellWatchers says that there are newer documents. Callers hold n.mu.
-func (n *Node) tellWatchers(ctx context.Context, revision uint64) {
-	for c := range n.watchers {
-		go c.Notify(ctx, member.KindChanged, member.Changed{Revision: revision}) //nolint:errcheck // a lost notice is made up by the next lease
+// found starts a new group with this control alone.
+func (n *Node) found() error {
+	n.cfg.Logger.Log("msg", "Starts a new group.", "id", n.cfg.ID)
+	first := replica.Bootstrap(replica.Member{Identity: n.self, Address: n.cfg.Address})
+	if err := n.begin(rand.Text(), first); err != nil {
+		return err
 	}
-}
-
-// grant decides on a lease request.
-func (n *Node) grant(r lease.Request) lease.Grant {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.cfg.Clock.Now()
-	g := n.grantor.Grant(now, 1, n.overdue(now), r)
-	g.Entries = n.grantor.Live(now)
-	n.wakeWaiters()
-	return g
+	n.reign = &reign{term: first.Hard.Term + 1, fresh: true}
+	return nil
 }
 
-// overdue returns the newest revision committed longer ago than the terms'
-// lag. Callers hold n.mu.
-func (n *Node) overdue(now time.Time) uint64 {
-	var revision uint64
-	for _, c := range n.commits {
-		if now.Sub(c.at) < n.cfg.Terms.Lag {
-			break
-		}
-		revision = c.revision
+// begin makes the folder part of a group and starts its replica.
+func (n *Node) begin(group string, first replica.Saved) error {
+	if err := n.store.Begin(group, first); err != nil {
+		return err
 	}
-	return revision
+	return n.restart()
 }
 
-func (n *Node) release(r member.Released) {
+// restart starts the replica from the folder.
+func (n *Node) restart() error {
+	saved, err := n.store.Load()
+	if err != nil {
+		return err
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.grantor.Release(r.Entry, r.Incarnation)
-	n.wakeWaiters()
+	if err := n.restore(saved.Snapshot); err != nil {
+		return err
+	}
+	n.replica = replica.New(replica.Config{
+		Group: n.store.Meta().Group, Self: n.self, Heartbeat: heartbeatInterval, Election: electionTimeout,
+		MaxAppend: maxAppendEntries, MaxBytes: maxAppendBytes, Window: sendWindow, Random: newRandom(),
+	}, n.cfg.Clock.Now(), saved)
+	return nil
 }
 
-func (n *Node) expireLeases(ctx context.Context) {
-	n.mu.Lock()
-	now := n.cfg.Clock.Now()
-	ended := n.grantor.Expire(now)
-	n.wakeWaiters()
-	n.mu.Unlock()
-	for _, e := range ended {
-		n.cfg.Logger.Log("msg", "Lease ended.", "entry", e.ID)
-		settle := state.Settle{Owner: ledger.Owner{Entry: e.ID, Incarnation: e.Incarnation}, At: now.UTC()}
-		go n.Propose(ctx, state.Command{Settle: &settle}) //nolint:errcheck // proposed again after a restart
+// restore takes the state of a snapshot. Callers hold n.mu.
+func (n *Node) restore(s replica.Snapshot) error {
+	n.state = state.New()
+	n.applied, n.saved = s.Index, s.Index
+	if len(s.Data) == 0 {
+		return nil
 	}
+	restored, err := state.Decode(s.Data)
+	if err != nil {
+		return errors.Annotatef(err, "snapshot %d in %s: repair this replica from the others", s.Index, n.cfg.Folder)
+	}
+	n.state = restored
+	return nil
 }
 
-// wakeWaiters lets those who wait for a revision look again. Callers hold n.mu.
-func (n *Node) wakeWaiters() {
-	close(n.inForce)
-	n.inForce = make(chan struct{})
+func newRandom() *mathrand.Rand {
+	var seed [16]byte
+	rand.Read(seed[:]) //nolint:errcheck // it never fails
+	return mathrand.New(mathrand.NewPCG(binary.BigEndian.Uint64(seed[:8]), binary.BigEndian.Uint64(seed[8:])))
 }
--- /dev/null
+++ b/internal/control/reign.go
@@ -0,0 +1,213 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/audit"
+	"rosereach/core/lease"
+	"rosereach/core/ledger"
+	"rosereach/core/replica"
+	"rosereach/core/state"
+	"rosereach/io/member"
+)
+
+// upkeepInterval is how often a leader looks for ended leases, replicas to
+// promote and changes that came into force.
+const upkeepInterval = 200 * time.Millisecond
+
+type (
+	// reign is what a control keeps in memory for one term in which it leads.
+	// Leases that an earlier leader granted have ended at clear; fresh says that
+	// there was none.
+	reign struct {
+		term     uint64
+		fresh    bool
+		ready    bool
+		clear    time.Time
+		cleared  bool
+		upkeep   time.Time
+		grantor  *lease.Grantor
+		commits  []commit
+		reported uint64
+	}
+
+	// commit remembers when a revision of the documents was committed.
+	commit struct {
+		revision uint64
+		at       time.Time
+	}
+)
+
+// follow begins and ends reigns as the replica's role changes, and does the
+// leader's upkeep. Callers hold n.mu.
+func (n *Node) follow(ctx context.Context) {
+	s := n.replica.Status()
+	if n.reign != nil && (s.Role != replica.Leader || s.Term != n.reign.term) && n.reign.grantor != nil {
+		n.cfg.Logger.Log("msg", "Leads no more.", "term", n.reign.term)
+		n.reign = nil
+		n.abandon()
+		n.wakeWaiters()
+	}
+	if s.Role != replica.Leader {
+		return
+	}
+	if n.reign == nil || n.reign.grantor == nil {
+		n.ascend(s.Term)
+	}
+	if s.Ready && !n.reign.ready {
+		n.reign.ready = true
+		n.reign.commits = []commit{{revision: n.state.Catalog().Revision()}}
+		n.reign.reported = n.state.Catalog().Revision()
+		go n.ensureSealKey(ctx)
+	}
+	if now := n.cfg.Clock.Now(); n.reign.ready && !now.Before(n.reign.upkeep) {
+		n.reign.upkeep = now.Add(upkeepInterval)
+		n.keepUp(ctx, now)
+	}
+}
+
+// ascend begins a reign. An earlier leader granted its last lease before this
+// control could be elected, so all have ended one lease time from now.
+func (n *Node) ascend(term uint64) {
+	fresh := n.reign != nil && n.reign.fresh && n.reign.term == term
+	now := n.cfg.Clock.Now()
+	n.reign = &reign{term: term, fresh: fresh, cleared: fresh, clear: now, grantor: lease.NewGrantor(n.cfg.Terms)}
+	if !fresh {
+		n.reign.clear = now.Add(n.cfg.Terms.Duration)
+	}
+	n.cfg.Logger.Log("msg", "Leads.", "term", term)
+}
+
+// keepUp ends what absent entries left open, changes the membership where
+// that is due and notes which revision came into force. Callers hold n.mu.
+func (n *Node) keepUp(ctx context.Context, now time.Time) {
+	r := n.reign
+	for _, e := range r.grantor.Expire(now) {
+		n.cfg.Logger.Log("msg", "Lease ended.", "entry", e.ID)
+		if !now.Before(r.clear) {
+			n.settle(ctx, ledger.Owner{Entry: e.ID, Incarnation: e.Incarnation})
+		}
+	}
+	if !r.cleared && !now.Before(r.clear) {
+		r.cleared = true
+		n.settleAbsent(ctx, now)
+	}
+	n.moveMembers(now)
+	n.reportInForce(ctx, now)
+	n.wakeWaiters()
+}
+
+// settleAbsent settles the open requests of entries that have not asked this
+// leader for a lease. Callers hold n.mu.
+func (n *Node) settleAbsent(ctx context.Context, now time.Time) {
+	for _, o := range n.state.Ledger().Owners() {
+		if !n.reign.grantor.IsLive(now, o.Entry, o.Incarnation) {
+			n.settle(ctx, o)
+		}
+	}
+}
+
+func (n *Node) settle(ctx context.Context, o ledger.Owner) {
+	s := state.Settle{Owner: o, At: n.cfg.Clock.Now().UTC()}
+	go n.Propose(ctx, state.Command{Settle: &s}) //nolint:errcheck // the next leader settles what is left
+}
+
+// reportInForce writes into the audit trail up to which revision changes are
+// in force. Callers hold n.mu.
+func (n *Node) reportInForce(ctx context.Context, now time.Time) {
+	revision := n.state.Catalog().Revision()
+	if revision <= n.reign.reported || !n.isInForce(now, revision) {
+		return
+	}
+	n.reign.reported = revision
+	e := audit.Event{At: now.UTC(), Kind: audit.InForce, Actor: "system", Subject: "documents", Revision: revision}
+	go n.Propose(ctx, state.Command{Note: &e}) //nolint:errcheck // the next note covers this revision
+}
+
+// isInForce reports whether every entry that may hold a lease applies the
+// revision. Callers hold n.mu.
+func (n *Node) isInForce(now time.Time, revision uint64) bool {
+	r := n.reign
+	return r != nil && r.ready && !now.Before(r.clear) && r.grantor.InForce(now, revision)
+}
+
+// committed notes a new revision and tells the entries. Callers hold n.mu.
+func (n *Node) committed(ctx context.Context, revision uint64) {
+	if n.reign != nil && n.reign.ready {
+		n.reign.commits = append(n.reign.commits, commit{revision: revision, at: n.cfg.Clock.Now()})
+	}
+	for c := range n.watchers {
+		go c.Notify(ctx, member.KindChanged, member.Changed{Revision: revision}) //nolint:errcheck // a lost notice is made up by the next lease
+	}
+}
+
+// overdue returns the newest revision committed longer ago than the terms'
+// lag, and forgets older ones. Callers hold n.mu.
+func (n *Node) overdue(now time.Time) uint64 {
+	c := n.reign.commits
+	for len(c) > 1 && now.Sub(c[1].at) >= n.cfg.Terms.Lag {
+		c = c[1:]
+	}
+	n.reign.commits = c
+	return c[0].revision
+}
+
+// grant decides on a lease request. The time is read after the lock is held,
+// and a leader that has lost its majority grants nothing.
+func (n *Node) grant(r lease.Request) (lease.Grant, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.cfg.Clock.Now()
+	if n.reign == nil || !n.reign.ready || !n.replica.MayGrant(now) {
+		return lease.Grant{}, n.notLeader()
+	}
+	g := n.reign.grantor.Grant(now, n.reign.term, n.overdue(now), r)
+	g.Entries = n.reign.grantor.Live(now)
+	n.wakeWaiters()
+	return g, nil
+}
+
+func (n *Node) release(r member.Released) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.reign == nil || !n.reign.ready {
+		return n.notLeader()
+	}
+	n.reign.grantor.Release(r.Entry, r.Incarnation)
+	n.wakeWaiters()
+	return nil
+}
+
+// WaitInForce waits until every entry that may hold a lease applies the
+// revision. A follower asks the leader.
+func (n *Node) WaitInForce(ctx context.Context, revision uint64) error {
+	if !n.IsLeader() {
+		return n.callLeader(ctx, member.KindInForce, member.InForceRequest{Revision: revision}, nil)
+	}
+	for {
+		n.mu.Lock()
+		done, leads := n.isInForce(n.cfg.Clock.Now(), revision), n.reign != nil
+		moved := n.inForce
+		n.mu.Unlock()
+		if done {
+			return nil
+		}
+		if !leads {
+			return errors.Trace(ErrLeadershipLost)
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		}
+	}
+}
+
+// wakeWaiters lets those who wait for a revision look again. Callers hold n.mu.
+func (n *Node) wakeWaiters() {
+	close(n.inForce)
+	n.inForce = make(chan struct{})
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -21,52 +21,58 @@
 func (n *Node) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(member.Path, func(w http.ResponseWriter, req *http.Request) {
-		member.Accept(w, req, n.cfg.MemberKey, n, n.watch)
+		member.Accept(w, req, n.cfg.MemberKey, member.Peer{ID: n.cfg.ID}, n, n.watch)
 	})
 	operator.Mount(r, n.cfg.OperatorKey, n)
+	operator.MountControls(r, n.cfg.OperatorKey, n)
 	return r
 }
 
 // Handle answers a member's message.
 func (n *Node) Handle(ctx context.Context, _ *member.Conn, kind member.Kind, body cbor.RawMessage) (any, error) {
 	switch kind {
+	case member.KindReplica:
+		return nil, handle(body, func(r member.ReplicaMessages) error { return n.enqueue(ctx, r) })
 	case member.KindLease:
-		var r lease.Request
-		if err := cbor.Unmarshal(body, &r); err != nil {
-			return nil, errors.Trace(err)
-		}
-		return n.grant(r), nil
+		return answer(body, n.grant)
 	case member.KindRelease:
-		var r member.Released
-		if err := cbor.Unmarshal(body, &r); err != nil {
-			return nil, errors.Trace(err)
-		}
-		n.release(r)
-		return nil, nil
+		return nil, handle(body, n.release)
 	case member.KindDocuments:
-		var r member.DocumentsRequest
-		if err := cbor.Unmarshal(body, &r); err != nil {
-			return nil, errors.Trace(err)
-		}
-		return n.documents(r), nil
+		return answer(body, n.documents)
 	case member.KindPropose:
-		var r member.ProposeRequest
-		if err := cbor.Unmarshal(body, &r); err != nil {
-			return nil, errors.Trace(err)
-		}
-		results, err := n.Propose(ctx, r.Commands...)
-		return member.ProposeReply{Results: results}, err
+		return answer(body, func(r member.ProposeRequest) (member.ProposeReply, error) { return n.commit(ctx, r) })
+	case member.KindInForce:
+		return nil, handle(body, func(r member.InForceRequest) error { return n.waitAsLeader(ctx, r) })
+	case member.KindJoin:
+		return answer(body, func(r member.JoinRequest) (member.JoinReply, error) { return n.join(r.Member) })
+	case member.KindAdopt:
+		return answer(body, func(r member.AdoptRequest) (member.AdoptReply, error) {
+			return member.AdoptReply{Identity: n.self}, n.takeGroup(r.Group)
+		})
+	case member.KindRemove:
+		return nil, handle(body, func(r member.RemoveRequest) error { return n.removeAsLeader(ctx, r) })
+	case member.KindEntries:
+		return n.entries()
 	}
 	return nil, &member.Problem{Code: member.CodeRefused, Detail: "unknown message " + string(kind)}
 }
 
-// Change commits an operator's change.
+// Change commits an operator's change. A follower passes it on to the leader.
 func (n *Node) Change(ctx context.Context, c change.Change) (change.Result, error) {
-	c = c.WithAt(n.cfg.Clock.Now())
-	results, err := n.Propose(ctx, state.Command{Change: &c})
+	command := state.Command{Change: &c}
+	results, err := n.proposeHere(ctx, []state.Command{command})
+	var problem *member.Problem
+	if errors.As(err, &problem) && problem.Code == member.CodeNotLeader && problem.Leader != "" {
+		var reply member.ProposeReply
+		err = n.callLeader(ctx, member.KindPropose, member.ProposeRequest{Commands: []state.Command{command}}, &reply)
+		results = reply.Results
+	}
 	if err != nil {
 		return change.Result{}, err
 	}
+	if len(results) != 1 || results[0].Change == nil {
+		return change.Result{}, errors.New("the leader's answer holds no result of the change")
+	}
 	return *results[0].Change, nil
 }
 
@@ -91,22 +97,92 @@
 	return events
 }
 
-// Status returns what the control knows of the entries.
+// Status returns what the control knows of the fleet. A follower asks the
+// leader for the entries.
 func (n *Node) Status() operator.Status {
+	s := n.group()
+	status := operator.Status{Control: n.cfg.ID, Leader: s.Leader.ID, Index: s.Applied, Revision: n.Catalog().Revision()}
+	if entries, err := n.entries(); err == nil {
+		status.Entries = entries
+		return status
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := n.callLeader(ctx, member.KindEntries, nil, &status.Entries); err != nil {
+		n.cfg.Logger.Log("msg", "Entries are not known.", "err", err)
+	}
+	return status
+}
+
+func (n *Node) enqueue(ctx context.Context, r member.ReplicaMessages) error {
+	select {
+	case n.inbox <- r.Messages:
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
+
+// commit proposes commands of an entry or of another control.
+func (n *Node) commit(ctx context.Context, r member.ProposeRequest) (member.ProposeReply, error) {
+	results, err := n.proposeHere(ctx, r.Commands)
+	return member.ProposeReply{Results: results}, err
+}
+
+// proposeHere gives changes the leader's time and proposes them.
+func (n *Node) proposeHere(ctx context.Context, commands []state.Command) ([]state.Result, error) {
+	now := n.cfg.Clock.Now()
+	for i, c := range commands {
+		if c.Change != nil {
+			stamped := c.Change.WithAt(now)
+			commands[i].Change = &stamped
+		}
+	}
+	return n.Propose(ctx, commands...)
+}
+
+// waitAsLeader serves a follower that waits for its operator.
+func (n *Node) waitAsLeader(ctx context.Context, r member.InForceRequest) error {
+	if !n.IsLeader() {
+		return n.redirect()
+	}
+	return n.WaitInForce(ctx, r.Revision)
+}
+
+func (n *Node) removeAsLeader(ctx context.Context, r member.RemoveRequest) error {
+	if !n.IsLeader() {
+		return n.redirect()
+	}
+	return n.RemoveControl(ctx, r.ID)
+}
+
+func (n *Node) redirect() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.notLeader()
+}
+
+// entries returns the entries with a live lease.
+func (n *Node) entries() ([]lease.Entry, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return operator.Status{
-		Control: n.cfg.ID, Leader: n.cfg.ID, Index: n.state.Index(),
-		Revision: n.state.Catalog().Revision(), Entries: n.grantor.Live(n.cfg.Clock.Now()),
+	if n.reign == nil || !n.reign.ready {
+		return nil, n.notLeader()
 	}
+	return n.reign.grantor.Live(n.cfg.Clock.Now()), nil
 }
 
-func (n *Node) documents(r member.DocumentsRequest) member.DocumentsReply {
+// documents returns the documents when they are newer than an entry's. Only
+// the leader does, so that an entry never goes back to an older revision.
+func (n *Node) documents(r member.DocumentsRequest) (member.DocumentsReply, error) {
+	if !n.IsLeader() {
+		return member.DocumentsReply{}, n.redirect()
+	}
 	docs := n.Catalog().Documents()
 	if docs.Revision <= r.Have {
-		return member.DocumentsReply{}
+		return member.DocumentsReply{}, nil
 	}
-	return member.DocumentsReply{Documents: &docs}
+	return member.DocumentsReply{Documents: &docs}, nil
 }
 
 // watch adds a connection to those that hear of changes.
@@ -120,3 +196,21 @@
 		delete(n.watchers, c)
 	}
 }
+
+// answer decodes a message and answers it.
+func answer[Request, Reply any](body cbor.RawMessage, f func(Request) (Reply, error)) (any, error) {
+	var r Request
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return f(r)
+}
+
+// handle decodes a message that has no answer but an error.
+func handle[Request any](body cbor.RawMessage, f func(Request) error) error {
+	var r Request
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		return errors.Trace(err)
+	}
+	return f(r)
+}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -22,6 +22,9 @@
 	// redialDelay lies between two attempts to reach a control.
 	redialDelay = 100 * time.Millisecond
 
+	// nextDelay lies between two attempts after a control that does not lead.
+	nextDelay = 20 * time.Millisecond
+
 	// proposeTimeout bounds the wait for the ledger.
 	proposeTimeout = 5 * time.Second
 )
@@ -40,15 +43,32 @@
 
 func newLink(e *Entry) *link { return &link{entry: e, wake: make(chan struct{}, 1)} }
 
-// run keeps a connection and renews the lease over it until the context ends.
+// run keeps a connection to the leader and renews the lease over it until the
+// context ends. It asks its controls in turn; when none of them leads, it goes
+// where the last one says that the leader is.
 func (l *link) run(ctx context.Context) error {
+	controls := l.entry.cfg.Controls
+	hint := ""
 	for next := 0; ctx.Err() == nil; next++ {
-		address := l.entry.cfg.Controls[next%len(l.entry.cfg.Controls)]
-		if err := l.serve(ctx, address); err != nil && ctx.Err() == nil {
+		address := controls[next%len(controls)]
+		if hint != "" {
+			address, hint = hint, ""
+			next--
+		}
+		err := l.serve(ctx, address)
+		delay := redialDelay
+		var problem *member.Problem
+		switch {
+		case errors.As(err, &problem) && problem.Code == member.CodeNotLeader:
+			delay = nextDelay
+			if next%len(controls) == len(controls)-1 && problem.Address != address {
+				hint = problem.Address
+			}
+		case err != nil && ctx.Err() == nil:
 			l.entry.cfg.Logger.Log("msg", "Control is out of reach.", "control", address, "err", err)
 		}
 		select {
-		case <-l.entry.cfg.Clock.After(redialDelay):
+		case <-l.entry.cfg.Clock.After(delay):
 		case <-ctx.Done():
 		}
 	}
--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -1,62 +1,87 @@
-// Package disk keeps a control's durable state in one folder: a log of
-// commands and the newest snapshot. Nothing counts before it is synced.
+// Package disk keeps a control's durable state in one folder: hard state, log
+// and the newest snapshot, each record with a checksum. Nothing counts before
+// it is synced, and a damaged or foreign folder is never started afresh.
 package disk
 
 import (
+	"crypto/rand"
 	"encoding/binary"
 	"os"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
+
+	"rosereach/core/replica"
 )
 
 const (
 	fileName = "rosereach.db"
 
 	// formatVersion is the version of the folder's format.
-	formatVersion = 1
+	formatVersion = 2
 
 	lockTimeout = time.Second
 	fileMode    = 0o600
 	folderMode  = 0o700
+
+	// systemFolder stands at the root of a freshly made file system.
+	systemFolder = "lost+found"
 )
 
-var (
-	bucketMeta  = []byte("meta")
-	bucketLog   = []byte("log")
-	keyFormat   = []byte("format")
-	keySnapshot = []byte("snapshot")
+// The causes of errors that callers tell apart.
+const (
+	ErrDamaged = errors.ConstError("the data folder is damaged")
+	ErrForeign = errors.ConstError("the data folder is not rosereach's")
+	ErrFull    = errors.ConstError("the disk is full")
 )
 
 type (
 	// Store is an open data folder. It is safe for concurrent use.
 	Store struct {
-		db *bbolt.DB
+		db   *bbolt.DB
+		path string
+
+		mu   sync.Mutex
+		meta Meta
 	}
 
-	// Entry is one entry of the log.
-	Entry struct {
-		Index uint64
-		Data  []byte
+	// Meta is what a folder says of itself. Incarnation is drawn when the folder
+	// is made. Group is empty until the replica has joined a group.
+	Meta struct {
+		Incarnation uint64 `json:"incarnation"`
+		Group       string `json:"group"`
 	}
 )
 
-// Open opens the data folder and makes it when it is missing. It fails when
-// another process has it open, or when it has another format.
+// Open opens the data folder and makes it when it is missing or empty. It
+// fails when another process has it open and when it is damaged or foreign.
 func Open(folder string) (*Store, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, errors.Annotatef(err, "data folder %s", folder)
 	}
 	path := filepath.Join(folder, fileName)
-	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout})
+	if err := checkFolder(folder, path); err != nil {
+		return nil, err
+	}
+	s := &Store{path: path}
+	err := s.guard("file header", func() error {
+		db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType})
+		s.db = db
+		return err
+	})
+	if errors.Is(err, bbolterrors.ErrTimeout) {
+		return nil, errors.Errorf("data file %s is open in another process: stop that process first", path)
+	}
 	if err != nil {
-		return nil, errors.Annotatef(err, "data file %s: stop the other process, or move a damaged file away and repair the replica; open", path)
+		return nil, err
 	}
-	s := &Store{db: db}
-	if err := s.prepare(path); err != nil {
-		db.Close()
+	if err := s.prepare(); err != nil {
+		s.db.Close()
 		return nil, err
 	}
 	return s, nil
@@ -65,69 +90,158 @@
 // Close ends the use of the folder.
 func (s *Store) Close() error { return errors.Trace(s.db.Close()) }
 
-// Append writes entries and returns once they are synced.
-func (s *Store) Append(entries []Entry) error {
+// Meta returns what the folder says of itself.
+func (s *Store) Meta() Meta {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meta
+}
+
+// Begin makes the folder part of a group, with its first state.
+func (s *Store) Begin(group string, first replica.Saved) error {
+	meta := s.Meta()
+	meta.Group = group
 	err := s.db.Update(func(tx *bbolt.Tx) error {
-		b := tx.Bucket(bucketLog)
-		b.FillPercent = 1
-		for _, e := range entries {
-			if err := b.Put(indexKey(e.Index), e.Data); err != nil {
+		b := tx.Bucket(bucketMeta)
+		if err := putRecord(b, keyMeta, meta); err != nil {
+			return err
+		}
+		if err := putRecord(b, keyHard, first.Hard); err != nil {
+			return err
+		}
+		return putRecord(b, keySnapshot, first.Snapshot)
+	})
+	if err != nil {
+		return s.failed(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meta = meta
+	return nil
+}
+
+// Save writes what a replica wants to have synced, all or nothing, and returns
+// once it is synced.
+func (s *Store) Save(w replica.Write) error {
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
+		log.FillPercent = 1
+		if w.Hard != nil {
+			if err := putRecord(meta, keyHard, *w.Hard); err != nil {
 				return err
 			}
 		}
-		return nil
+		if w.Snapshot != nil {
+			if err := saveSnapshot(meta, log, w); err != nil {
+				return err
+			}
+		}
+		return saveEntries(log, w.Entries)
 	})
-	return errors.Annotate(err, "log")
+	return s.failed(err)
 }
 
-// Load returns the newest snapshot, nil when there is none, and the entries
-// after the index of that snapshot.
-func (s *Store) Load() (snapshot []byte, entries []Entry, err error) {
-	err = s.db.View(func(tx *bbolt.Tx) error {
-		snapshot = append([]byte(nil), tx.Bucket(bucketMeta).Get(keySnapshot)...)
-		return tx.Bucket(bucketLog).ForEach(func(k, v []byte) error {
-			entries = append(entries, Entry{Index: binary.BigEndian.Uint64(k), Data: append([]byte(nil), v...)})
-			return nil
+// Load returns what the folder holds, after every record's checksum is
+// compared.
+func (s *Store) Load() (replica.Saved, error) {
+	var saved replica.Saved
+	err := s.guard("log", func() error {
+		return s.db.View(func(tx *bbolt.Tx) error {
+			meta := tx.Bucket(bucketMeta)
+			if err := s.getRecord(meta, keyHard, &saved.Hard); err != nil {
+				return err
+			}
+			if err := s.getRecord(meta, keySnapshot, &saved.Snapshot); err != nil {
+				return err
+			}
+			return s.loadEntries(tx.Bucket(bucketLog), &saved)
 		})
 	})
-	return snapshot, entries, errors.Annotate(err, "log")
+	return saved, err
 }
 
-// SaveSnapshot replaces the snapshot and drops the entries up to index.
-func (s *Store) SaveSnapshot(index uint64, snapshot []byte) error {
-	err := s.db.Update(func(tx *bbolt.Tx) error {
-		if err := tx.Bucket(bucketMeta).Put(keySnapshot, snapshot); err != nil {
-			return err
+// checkFolder keeps a file that is lost or emptied, or a folder of another
+// program, from being taken for a new folder.
+func checkFolder(folder, path string) error {
+	info, err := os.Stat(path)
+	if err == nil && info.Size() > 0 {
+		return nil
+	}
+	if err == nil {
+		return errors.Annotatef(ErrDamaged, "data file %s has no bytes: move it away and repair this replica, or restore it; cause", path)
+	}
+	if !os.IsNotExist(err) {
+		return errors.Annotatef(err, "data file %s", path)
+	}
+	list, err := os.ReadDir(folder)
+	if err != nil {
+		return errors.Annotatef(err, "data folder %s", folder)
+	}
+	for _, f := range list {
+		if f.Name() != systemFolder {
+			return errors.Annotatef(ErrForeign, "data folder %s holds %s but no %s: give an empty folder or rosereach's own; cause", folder, f.Name(), fileName)
 		}
-		c := tx.Bucket(bucketLog).Cursor()
-		for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) <= index; k, _ = c.Next() {
-			if err := c.Delete(); err != nil {
-				return err
+	}
+	return nil
+}
+
+func (s *Store) prepare() error {
+	return s.guard("meta", func() error {
+		return s.db.Update(func(tx *bbolt.Tx) error {
+			if tx.Bucket(bucketMeta) == nil {
+				return s.create(tx)
 			}
-		}
-		return nil
+			if tx.Bucket(bucketLog) == nil {
+				return s.damaged("bucket log", "it is missing")
+			}
+			format := tx.Bucket(bucketMeta).Get(keyFormat)
+			if len(format) != len(indexKey(0)) {
+				return s.damaged("record meta/format", "it is missing")
+			}
+			if v := binary.BigEndian.Uint64(format); v != formatVersion {
+				return errors.Errorf("data file %s has format %d, this program reads %d: use the program that wrote it", s.path, v, formatVersion)
+			}
+			return s.getRecord(tx.Bucket(bucketMeta), keyMeta, &s.meta)
+		})
 	})
-	return errors.Annotate(err, "snapshot")
 }
 
-func (s *Store) prepare(path string) error {
-	return s.db.Update(func(tx *bbolt.Tx) error {
-		meta, err := tx.CreateBucketIfNotExists(bucketMeta)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		if _, err := tx.CreateBucketIfNotExists(bucketLog); err != nil {
-			return errors.Trace(err)
-		}
-		format := meta.Get(keyFormat)
-		if format == nil {
-			return meta.Put(keyFormat, indexKey(formatVersion))
-		}
-		if v := binary.BigEndian.Uint64(format); v != formatVersion {
-			return errors.Errorf("data file %s has format %d, this program reads %d: use the program that wrote it", path, v, formatVersion)
+func (s *Store) create(tx *bbolt.Tx) error {
+	meta, err := tx.CreateBucket(bucketMeta)
+	if err != nil {
+		return err
+	}
+	if _, err := tx.CreateBucket(bucketLog); err != nil {
+		return err
+	}
+	if err := meta.Put(keyFormat, indexKey(formatVersion)); err != nil {
+		return err
+	}
+	s.meta = Meta{Incarnation: newIncarnation()}
+	for key, record := range map[string]any{
+		string(keyMeta): s.meta, string(keyHard): replica.HardState{}, string(keySnapshot): replica.Snapshot{},
+	} {
+		if err := putRecord(meta, []byte(key), record); err != nil {
+			return err
 		}
+	}
+	return nil
+}
+
+// failed sorts out what a caller can wait for from what it cannot.
+func (s *Store) failed(err error) error {
+	switch {
+	case err == nil:
 		return nil
-	})
+	case errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EDQUOT), errors.Is(err, syscall.EFBIG):
+		return errors.Annotatef(ErrFull, "data file %s: %v: free space on the disk; cause", s.path, err)
+	}
+	return errors.Annotatef(err, "data file %s", s.path)
 }
 
-func indexKey(i uint64) []byte { return binary.BigEndian.AppendUint64(nil, i) }
+// newIncarnation returns a number that no other folder has.
+func newIncarnation() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) //nolint:errcheck // it never fails
+	return binary.BigEndian.Uint64(b[:]) >> 1
+}
--- /dev/null
+++ b/io/disk/record.go
@@ -0,0 +1,136 @@
+package disk
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
+
+	"rosereach/core/replica"
+)
+
+// sumBytes is the length of the checksum before each record.
+const sumBytes = 8
+
+var (
+	bucketMeta  = []byte("meta")
+	bucketLog   = []byte("log")
+	keyFormat   = []byte("format")
+	keyMeta     = []byte("folder")
+	keyHard     = []byte("hard_state")
+	keySnapshot = []byte("snapshot")
+)
+
+// putRecord writes a record behind the checksum of its key and bytes.
+func putRecord(b *bbolt.Bucket, key []byte, record any) error {
+	data, err := cbor.Marshal(record)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	sealed := binary.BigEndian.AppendUint64(make([]byte, 0, sumBytes+len(data)), sumOf(key, data))
+	return b.Put(key, append(sealed, data...))
+}
+
+// getRecord reads a record and compares its checksum.
+func (s *Store) getRecord(b *bbolt.Bucket, key []byte, record any) error {
+	return s.open("meta/"+string(key), key, b.Get(key), record)
+}
+
+func (s *Store) open(place string, key, sealed []byte, record any) error {
+	if len(sealed) < sumBytes {
+		return s.damaged("record "+place, "it is missing or too short")
+	}
+	data := sealed[sumBytes:]
+	if binary.BigEndian.Uint64(sealed) != sumOf(key, data) {
+		return s.damaged("record "+place, "its checksum differs")
+	}
+	if err := cbor.Unmarshal(data, record); err != nil {
+		return s.damaged("record "+place, err.Error())
+	}
+	return nil
+}
+
+func saveEntries(log *bbolt.Bucket, entries []replica.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	c := log.Cursor()
+	for k, _ := c.Seek(indexKey(entries[0].Index)); k != nil; k, _ = c.Seek(indexKey(entries[0].Index)) {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	for _, e := range entries {
+		if err := putRecord(log, indexKey(e.Index), e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// saveSnapshot replaces the snapshot and drops the entries that it stands for.
+func saveSnapshot(meta, log *bbolt.Bucket, w replica.Write) error {
+	if err := putRecord(meta, keySnapshot, *w.Snapshot); err != nil {
+		return err
+	}
+	c := log.Cursor()
+	for k, _ := c.First(); k != nil && (w.Reset || binary.BigEndian.Uint64(k) <= w.Snapshot.Index); k, _ = c.First() {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) loadEntries(log *bbolt.Bucket, saved *replica.Saved) error {
+	next := saved.Snapshot.Index + 1
+	return log.ForEach(func(k, v []byte) error {
+		var e replica.Entry
+		place := fmt.Sprintf("log/%x", k)
+		if err := s.open(place, k, v, &e); err != nil {
+			return err
+		}
+		if e.Index != next || binary.BigEndian.Uint64(k) != next {
+			return s.damaged("record "+place, fmt.Sprintf("entry %d is missing before it", next))
+		}
+		next++
+		saved.Entries = append(saved.Entries, e)
+		return nil
+	})
+}
+
+// guard turns what the file library says about a damaged file, also when it
+// panics, into an error with file and place.
+func (s *Store) guard(place string, f func() error) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = s.damaged(place, fmt.Sprint(r))
+		}
+	}()
+	err = f()
+	for _, cause := range []error{bbolterrors.ErrInvalid, bbolterrors.ErrChecksum, bbolterrors.ErrVersionMismatch} {
+		if errors.Is(err, cause) {
+			return s.damaged(place, err.Error())
+		}
+	}
+	return err
+}
+
+func (s *Store) damaged(place, problem string) error {
+	return errors.Annotatef(ErrDamaged,
+		"data file %s, %s: %s: move the folder away and start this control with an empty one and --join, so that it is repaired from the others; cause",
+		s.path, place, problem)
+}
+
+func sumOf(key, data []byte) uint64 {
+	d := xxhash.New()
+	d.Write(key)  //nolint:errcheck // it never fails
+	d.Write(data) //nolint:errcheck // it never fails
+	return d.Sum64()
+}
+
+func indexKey(i uint64) []byte { return binary.BigEndian.AppendUint64(nil, i) }
--- a/io/member/conn.go
+++ b/io/member/conn.go
@@ -29,12 +29,14 @@
 type (
 	// Peer says who is at the other end.
 	Peer struct {
-		ID     string
-		Region string
-		Zone   string
+		ID     string `json:"id"`
+		Region string `json:"region"`
+		Zone   string `json:"availability_zone"`
 	}
 
 	// Handler answers the messages of a peer. The reply to a notice is dropped.
+	// Messages of KindReplica are handed over one by one, in order, so they must
+	// not be held up; all others come concurrently.
 	Handler interface {
 		Handle(ctx context.Context, c *Conn, kind Kind, body cbor.RawMessage) (any, error)
 	}
@@ -45,6 +47,7 @@
 		ws      *websocket.Conn
 		handler Handler
 		slots   chan struct{}
+		done    chan struct{}
 
 		mu      sync.Mutex
 		last    uint64
@@ -67,6 +70,7 @@
 	return &Conn{
 		peer: peer, ws: ws, handler: h,
 		slots:   make(chan struct{}, handlersPerConn),
+		done:    make(chan struct{}),
 		waiting: make(map[uint64]chan frame),
 	}
 }
@@ -101,6 +105,12 @@
 	return c.send(ctx, frame{Kind: kind}, message)
 }
 
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Close ends the connection at once.
+func (c *Conn) Close() { c.ws.CloseNow() } //nolint:errcheck // nothing is left to do with it
+
 // Run reads and answers messages until the connection or the context ends.
 func (c *Conn) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -120,6 +130,10 @@
 			continue
 		}
 		c.slots <- struct{}{}
+		if f.Kind == KindReplica {
+			c.answer(ctx, f)
+			continue
+		}
 		go c.answer(ctx, f)
 	}
 }
@@ -190,6 +204,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	close(c.done)
 	for id, answer := range c.waiting {
 		close(answer)
 		delete(c.waiting, id)
--- /dev/null
+++ b/io/member/member_test.go
@@ -0,0 +1,79 @@
+package member
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// echo answers every message with its body.
+type echo struct{}
+
+func (echo) Handle(_ context.Context, _ *Conn, _ Kind, body cbor.RawMessage) (any, error) {
+	return body, nil
+}
+
+func listen(t *testing.T, key string) (string, chan Peer) {
+	t.Helper()
+	joined := make(chan Peer, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Accept(w, r, key, Peer{ID: "control-1"}, echo{}, func(c *Conn) func() {
+			joined <- c.Peer()
+			return func() {}
+		})
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), joined
+}
+
+// Both sides learn who the other is, and calls are answered.
+func TestDial(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	address, joined := listen(t, "key")
+	c, err := Dial(ctx, address, "key", Peer{ID: "entry-1", Zone: "heredia"}, echo{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Peer().ID != "control-1" {
+		t.Errorf("peer %+v", c.Peer())
+	}
+	if p := <-joined; p.ID != "entry-1" || p.Zone != "heredia" {
+		t.Errorf("joined %+v", p)
+	}
+	var reply string
+	if err := c.Call(ctx, KindLease, "hello", &reply); err != nil || reply != "hello" {
+		t.Errorf("reply %q, %v", reply, err)
+	}
+}
+
+// A peer without the key gets nothing, whichever side it is on.
+func TestDialWithWrongKey(t *testing.T) {
+	address, joined := listen(t, "key")
+	_, err := Dial(context.Background(), address, "other", Peer{ID: "entry-1"}, echo{})
+	if !errors.Is(err, ErrWrongKey) {
+		t.Errorf("dialled with error %v", err)
+	}
+	select {
+	case p := <-joined:
+		t.Errorf("%+v joined", p)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+// A proof cannot be sent back: each side's is its own.
+func TestProofSides(t *testing.T) {
+	a, b := greeting{Nonce: newNonce()}, greeting{Nonce: newNonce()}
+	if string(proofOf("key", dialingSide, a, b)) == string(proofOf("key", acceptingSide, a, b)) {
+		t.Error("both sides have the same proof")
+	}
+	if string(proofOf("key", dialingSide, a, b)) == string(proofOf("key", dialingSide, b, a)) {
+		t.Error("the proof does not tell the nonces apart")
+	}
+}
--- a/io/member/message.go
+++ b/io/member/message.go
@@ -4,6 +4,7 @@
 	"rosereach/core/audit"
 	"rosereach/core/catalog"
 	"rosereach/core/ledger"
+	"rosereach/core/replica"
 	"rosereach/core/state"
 )
 
@@ -14,6 +15,12 @@
 	KindDocuments Kind = "documents"
 	KindPropose   Kind = "propose"
 	KindChanged   Kind = "changed"
+	KindReplica   Kind = "replica"
+	KindJoin      Kind = "join"
+	KindAdopt     Kind = "adopt"
+	KindInForce   Kind = "in_force"
+	KindRemove    Kind = "remove"
+	KindEntries   Kind = "entries"
 )
 
 // The codes of a Problem.
@@ -21,6 +28,7 @@
 	CodeNotLeader Code = "not_leader"
 	CodeRefused   Code = "refused"
 	CodeInternal  Code = "internal"
+	CodeNoGroup   Code = "no_group"
 )
 
 type (
@@ -30,12 +38,50 @@
 	// Code is the stable cause of a problem.
 	Code string
 
-	// Problem is the error that a peer answered. Leader is the id of the
-	// control that may know better, when Code is CodeNotLeader.
+	// Problem is the error that a peer answered. When Code is CodeNotLeader,
+	// nothing was done; Leader is the id of the control that may know better and
+	// Address, host:port, where it is reached. Both are empty while there is none.
 	Problem struct {
-		Code   Code   `json:"code"`
-		Detail string `json:"detail"`
-		Leader string `json:"leader,omitempty"`
+		Code    Code   `json:"code"`
+		Detail  string `json:"detail"`
+		Leader  string `json:"leader,omitempty"`
+		Address string `json:"address,omitempty"`
+	}
+
+	// ReplicaMessages are messages between replicas, in order. There is no answer.
+	ReplicaMessages struct {
+		Messages []replica.Message `json:"messages"`
+	}
+
+	// JoinRequest asks to become a replica of the peer's group. A control that
+	// has no group answers CodeNoGroup.
+	JoinRequest struct {
+		Member replica.Member `json:"member"`
+	}
+
+	// JoinReply names the group that has taken the replica as a learner.
+	JoinReply struct {
+		Group string `json:"group"`
+	}
+
+	// AdoptRequest tells a control without a group to join one.
+	AdoptRequest struct {
+		Group string `json:"group"`
+	}
+
+	// AdoptReply says who the adopted control is.
+	AdoptReply struct {
+		Identity replica.Identity `json:"identity"`
+	}
+
+	// InForceRequest waits at the leader until a revision is in force.
+	InForceRequest struct {
+		Revision uint64 `json:"revision"`
+	}
+
+	// RemoveRequest takes the replica with the id out of the group.
+	RemoveRequest struct {
+		ID string `json:"id"`
 	}
 
 	// DocumentsRequest asks for the documents when they are newer than Have.
--- /dev/null
+++ b/io/operator/controls.go
@@ -0,0 +1,98 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
+)
+
+type (
+	// ControlsBackend changes which controls hold the replicated state.
+	ControlsBackend interface {
+		AddControl(ctx context.Context, address string) error
+		RemoveControl(ctx context.Context, id string) error
+		Controls() Controls
+	}
+
+	// Controls are the replicas of the state.
+	Controls struct {
+		Leader   string    `json:"leader"`
+		Term     uint64    `json:"term"`
+		Controls []Control `json:"controls"`
+	}
+
+	// Control is one replica. One without a vote is catching up.
+	Control struct {
+		ID          string `json:"id"`
+		Incarnation uint64 `json:"incarnation"`
+		Address     string `json:"address"`
+		Voter       bool   `json:"voter"`
+	}
+
+	// AddControl asks to add the control at the address, host:port.
+	AddControl struct {
+		Address string `json:"address"`
+	}
+
+	controls struct{ backend ControlsBackend }
+)
+
+// MountControls adds the routes that change which controls there are.
+func MountControls(r chi.Router, key string, b ControlsBackend) {
+	s, c := &server{key: key}, &controls{backend: b}
+	r.Group(func(r chi.Router) {
+		r.Use(s.authenticate)
+		r.Get("/v1/controls", c.get)
+		r.Post("/v1/controls", c.add)
+		r.Delete("/v1/controls/{id}", c.remove)
+	})
+}
+
+// Controls returns the replicas of the state.
+func (c Client) Controls(ctx context.Context) (Controls, error) {
+	var list Controls
+	return list, c.do(ctx, http.MethodGet, "/v1/controls", nil, &list)
+}
+
+// AddControl adds the control at the address and returns before it votes.
+func (c Client) AddControl(ctx context.Context, address string) error {
+	body, err := json.Marshal(AddControl{Address: address})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return c.do(ctx, http.MethodPost, "/v1/controls", body, &Controls{})
+}
+
+// RemoveControl takes the control out of the group.
+func (c Client) RemoveControl(ctx context.Context, id string) error {
+	return c.do(ctx, http.MethodDelete, "/v1/controls/"+url.PathEscape(id), nil, &Controls{})
+}
+
+func (c *controls) get(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, c.backend.Controls())
+}
+
+func (c *controls) add(w http.ResponseWriter, r *http.Request) {
+	var add AddControl
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxChangeBytes)).Decode(&add); err != nil {
+		writeProblem(w, Problem{Status: http.StatusBadRequest, Code: "bad_request", Detail: err.Error()})
+		return
+	}
+	c.reply(w, c.backend.AddControl(r.Context(), add.Address))
+}
+
+func (c *controls) remove(w http.ResponseWriter, r *http.Request) {
+	c.reply(w, c.backend.RemoveControl(r.Context(), chi.URLParam(r, "id")))
+}
+
+func (c *controls) reply(w http.ResponseWriter, err error) {
+	if err != nil {
+		writeProblem(w, Problem{Status: http.StatusConflict, Code: "refused", Detail: err.Error() + "; look at the list and ask again"})
+		return
+	}
+	writeJSON(w, http.StatusOK, c.backend.Controls())
+}
