--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -39,6 +39,7 @@
 type (
 	// Backend is what the interface needs of a control.
 	Backend interface {
+		ControlsBackend
 		Change(ctx context.Context, c change.Change) (change.Result, error)
 		WaitInForce(ctx context.Context, revision uint64) error
 		Documents() Documents
@@ -97,11 +98,18 @@
 // Mount adds the interface's routes to the router.
 func Mount(r chi.Router, opts Options, b Backend) {
 	s := &server{opts: opts, bootstrapHash: key.Hash(opts.BootstrapKey), backend: b, attempts: newAttempts(opts.Clock, b)}
-	r.With(s.authenticate(operator.Change)).Post("/v1/changes", s.postChange)
+	c := &controls{backend: b}
+	r.Group(func(r chi.Router) {
+		r.Use(s.authenticate(operator.Change))
+		r.Post("/v1/changes", s.postChange)
+		r.Post("/v1/controls", c.add)
+		r.Delete("/v1/controls/{id}", c.remove)
+	})
 	r.Group(func(r chi.Router) {
 		r.Use(s.authenticate(operator.Read))
 		r.Get("/v1/documents", s.getDocuments)
 		r.Get("/v1/status", s.getStatus)
+		r.Get("/v1/controls", c.get)
 		r.Get("/debug/vars", opts.Metrics.ServeHTTP)
 	})
 	r.Group(func(r chi.Router) {
