Relay announcements between entries, and route to a subset of the fleet

A backend server had to announce itself to every entry, and an entry routed to all servers: at 360 entries and 5,200 servers 1.9 million announcements a second. A server now announces itself to one entry. The others ask that one each second, over the member protocol, for the lease and load of the servers they route to: of each version the 8 with the highest hash of entry and server. Directories travel only when they change. Ages count from when an ask was sent, so a late answer lengthens no lease, and leaving stays final.

Relaying everything to all entries was ruled out at 5,200 announcements a second each, and so was a route through the control, whose leader would send the subsets of all entries. io/member got the kind of message; nothing else there changed.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,5 +1,6 @@
 // Package registry keeps the backend servers that announced themselves, each
-// under a lease that ends unless it announces itself again.
+// under a lease that ends unless it announces itself again. A server announces
+// itself to one entry, its home; the others ask the home about it.
 package registry
 
 import (
@@ -17,6 +18,9 @@
 	Registry struct {
 		lease   time.Duration
 		servers map[string]member
+		subset  subset
+		own     directory
+		homes   map[string]directory
 	}
 
 	member struct {
@@ -25,19 +29,33 @@
 	}
 )
 
-// New returns a registry whose leases last for the given time.
+// New returns a registry whose leases last for the given time and which routes
+// to all servers.
 func New(lease time.Duration) *Registry {
-	return &Registry{lease: lease, servers: make(map[string]member)}
+	return &Registry{
+		lease: lease, servers: make(map[string]member), own: newDirectory(0), homes: make(map[string]directory),
+	}
+}
+
+// WithSubset returns the registry of the named entry, which routes to at most
+// size servers of each version and each plain service. Its own directory is
+// counted from the incarnation on, so that it grows with each start.
+func (r *Registry) WithSubset(self string, incarnation uint64, size int) *Registry {
+	again := *r
+	again.subset = subset{self: self, size: size}
+	again.own = newDirectory(incarnation)
+	return &again
 }
 
-// Observe records an announcement that was made age ago, and reports whether
-// it was news. An older or repeated one changes nothing.
+// Observe records an announcement that a server made to this entry age ago,
+// and reports whether it was news. An older or repeated one changes nothing.
 func (r *Registry) Observe(now time.Time, age time.Duration, a backend.Announcement) bool {
-	old, ok := r.servers[a.ID]
-	if ok && !a.IsNewerThan(old.said) {
+	if !r.observe(now, age, a) {
 		return false
 	}
-	r.servers[a.ID] = member{said: a, expires: now.Add(r.lease - age)}
+	if r.own.put(a) {
+		r.subset.stale()
+	}
 	return true
 }
 
@@ -48,14 +66,16 @@
 	return ok && m.said.Incarnation == incarnation && m.isServing(now)
 }
 
-// Engines returns the engines that may get new work for the version.
+// Engines returns the engines of the subset that may get new work for the
+// version.
 func (r *Registry) Engines(now time.Time, ref version.Ref) []backend.Announcement {
-	return r.filter(now, func(a backend.Announcement) bool { return a.Serves(ref) })
+	return r.find(now, engineGroup(ref), func(a backend.Announcement) bool { return a.Serves(ref) })
 }
 
-// Services returns the backend servers of a plain service that may get new work.
+// Services returns the backend servers of the subset for a plain service that
+// may get new work.
 func (r *Registry) Services(now time.Time, name string) []backend.Announcement {
-	return r.filter(now, func(a backend.Announcement) bool {
+	return r.find(now, serviceGroup(name), func(a backend.Announcement) bool {
 		return a.Kind == backend.Plain && a.Service == name
 	})
 }
@@ -72,15 +92,46 @@
 	return all
 }
 
-// Expire forgets the servers whose lease ended at least keep ago.
+// Expire takes servers whose lease ended out of this entry's directory, and
+// forgets those whose lease ended at least keep ago.
 func (r *Registry) Expire(now time.Time, keep time.Duration) {
 	for id, m := range r.servers {
+		if now.Before(m.expires) {
+			continue
+		}
+		if r.own.remove(id) {
+			r.subset.stale()
+		}
 		if now.Sub(m.expires) > keep {
 			delete(r.servers, id)
 		}
 	}
 }
 
+func (r *Registry) observe(now time.Time, age time.Duration, a backend.Announcement) bool {
+	old, ok := r.servers[a.ID]
+	if ok && !a.IsNewerThan(old.said) {
+		return false
+	}
+	r.servers[a.ID] = member{said: a, expires: now.Add(r.lease - age)}
+	return true
+}
+
+// find returns the servers of a group that may get new work, ordered by id.
+func (r *Registry) find(now time.Time, g group, fits func(backend.Announcement) bool) []backend.Announcement {
+	if r.subset.size == 0 {
+		return r.filter(now, fits)
+	}
+	r.refresh()
+	var found []backend.Announcement
+	for _, id := range r.subset.groups[g] {
+		if m, ok := r.servers[id]; ok && m.isServing(now) && fits(m.said) {
+			found = append(found, m.said)
+		}
+	}
+	return found
+}
+
 func (r *Registry) filter(now time.Time, fits func(backend.Announcement) bool) []backend.Announcement {
 	var found []backend.Announcement
 	for _, m := range r.servers {
--- /dev/null
+++ b/core/registry/subset.go
@@ -0,0 +1,95 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosereach/core/backend"
+	"rosereach/core/version"
+)
+
+type (
+	// group is a set of servers that can stand in for each other: those of a
+	// version, or those of a plain service.
+	group string
+
+	// subset is the part of the fleet that one entry routes to: of each group,
+	// the servers with the highest hash of entry and server, at most size. A
+	// server that comes or goes moves only its own place. Wants are the places
+	// of those that other entries are to be asked about, by entry.
+	subset struct {
+		self   string
+		size   int
+		fresh  bool
+		groups map[group][]string
+		wants  map[string][]uint16
+	}
+
+	// ranked is a server with its rank for one entry.
+	ranked struct {
+		id   string
+		rank uint64
+	}
+)
+
+func engineGroup(ref version.Ref) group { return group("version " + ref.String()) }
+func serviceGroup(name string) group    { return group("service " + name) }
+
+func groupsOf(a backend.Announcement) []group {
+	if a.Kind == backend.Plain {
+		return []group{serviceGroup(a.Service)}
+	}
+	groups := make([]group, 0, len(a.Versions))
+	for _, ref := range a.Versions {
+		groups = append(groups, engineGroup(ref))
+	}
+	return groups
+}
+
+// stale makes the next use choose the subset again.
+func (s *subset) stale() { s.fresh = false }
+
+// refresh chooses the subset again after the directories changed.
+func (r *Registry) refresh() {
+	if r.subset.fresh {
+		return
+	}
+	ids := make(map[group]map[string]bool)
+	add := func(a backend.Announcement) {
+		if a.State == backend.Leaving {
+			return
+		}
+		for _, g := range groupsOf(a) {
+			if ids[g] == nil {
+				ids[g] = make(map[string]bool)
+			}
+			ids[g][a.ID] = true
+		}
+	}
+	r.eachKnown(add)
+	r.subset.groups = make(map[group][]string, len(ids))
+	for g, members := range ids {
+		r.subset.groups[g] = r.subset.choose(members)
+	}
+	r.subset.wants = r.wants()
+	r.subset.fresh = true
+}
+
+// choose returns the ids of the highest rank, ordered by id.
+func (s *subset) choose(ids map[string]bool) []string {
+	all := make([]ranked, 0, len(ids))
+	for id := range ids {
+		all = append(all, ranked{id: id, rank: xxhash.Sum64String(s.self + "\x00" + id)})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
+	})
+	chosen := make([]string, 0, s.size)
+	for _, one := range all[:min(len(all), s.size)] {
+		chosen = append(chosen, one.id)
+	}
+	slices.Sort(chosen)
+	return chosen
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,6 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
-	"rosereach/core/backend"
 	"rosereach/core/cascade"
 	"rosereach/core/catalog"
 	"rosereach/core/lease"
@@ -66,6 +65,7 @@
 		stop     context.CancelFunc
 		link     *link
 		ledger   *batcher
+		relay    *relay
 		table    *table
 		engines  *iobackend.Client
 		catalog  atomic.Pointer[catalog.Catalog]
@@ -93,7 +93,7 @@
 		table:     newTable(),
 		engines:   iobackend.NewClient(cfg.Clock, maxIdleConns),
 		budgets:   retry.NewBudgets(entryBudget, workspaceBudget),
-		registry:  registry.New(backendLease),
+		registry:  registry.New(backendLease).WithSubset(cfg.ID, cfg.Incarnation, subsetSize),
 		inFlight:  make(map[string]int),
 		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 		choice:    cascade.Cheapest{},
@@ -103,17 +103,19 @@
 	e.catalog.Store(catalog.New(catalog.Documents{}))
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.link = newLink(e)
+	e.relay = newRelay(e)
 	e.ledger = &batcher{propose: e.link.propose, pause: e.pause, queue: make(chan *submission, maxSubmitted)}
 	return e
 }
 
-// Run keeps lease and documents, and brings records to the ledger, until the
-// context ends.
+// Run keeps lease and documents, brings records to the ledger and learns of
+// backend servers from other entries, until the context ends.
 func (e *Entry) Run(ctx context.Context) error {
 	defer e.stop()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return e.link.run(ctx) })
 	g.Go(func() error { return e.ledger.run(ctx) })
+	g.Go(func() error { return e.relay.run(ctx) })
 	return g.Wait()
 }
 
@@ -148,13 +150,6 @@
 // answered.
 func (e *Entry) isBusy() bool { return e.table.len() > 0 || e.handling.Load() > 0 }
 
-// observe records a backend server's announcement.
-func (e *Entry) observe(a backend.Announcement) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.registry.Observe(e.cfg.Clock.Now(), 0, a)
-}
-
 func (e *Entry) owner() ledger.Owner {
 	return ledger.Owner{Entry: e.cfg.ID, Incarnation: e.cfg.Incarnation}
 }
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -105,15 +105,23 @@
 
 func (f *fleet) startEntry(id string) *Entry {
 	f.t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	address := server.Listener.Addr().String()
 	e := New(Config{
-		ID: id, Incarnation: uint64(time.Now().UnixNano()), Region: "central", Zone: "sanjose", Address: id,
+		ID: id, Incarnation: uint64(time.Now().UnixNano()), Region: "central", Zone: "sanjose", Address: address,
 		Controls: []string{f.toNode.Address()}, MemberKey: "m", BackendKey: "b", Terms: lease.DefaultTerms(),
 		AddressTTL: time.Millisecond, Timeout: 30 * time.Second, MaxBody: 1 << 20, MaxRunning: 1024, MaxWaiting: 1024,
 		Clock: clock.WallClock, Logger: log.NewNopLogger(),
 	})
+	server.Config.Handler = e.Handler()
+	server.Start()
+	f.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
 	go e.Run(f.ctx)
 	f.entries = append(f.entries, e)
-	f.addrs = append(f.addrs, serveHTTP(f.t, e.Handler()))
+	f.addrs = append(f.addrs, address)
 	waitFor(f.t, "lease of "+id, e.Ready)
 	return e
 }
@@ -169,10 +177,24 @@
 	f.announce(func() backend.Announcement { return s.Announcement(p.Address()) })
 }
 
+// announce lets a backend server announce itself to the first entry; the
+// others hear of it from there.
 func (f *fleet) announce(describe func() backend.Announcement) {
-	a := &fake.Announcer{Entries: f.addrs, Key: "b", Clock: clock.WallClock, Describe: describe}
+	f.t.Helper()
+	a := &fake.Announcer{Entries: f.addrs[:1], Key: "b", Clock: clock.WallClock, Describe: describe}
 	a.Now(f.ctx)
 	go a.Run(f.ctx)
+	said := describe()
+	for _, e := range f.entries {
+		waitFor(f.t, said.ID+" at "+e.cfg.ID, func() bool { return e.knows(said.ID) })
+	}
+}
+
+// knows reports whether the entry may send work to the backend server.
+func (e *Entry) knows(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.registry.MayServe(e.cfg.Clock.Now(), id, 1)
 }
 
 func (f *fleet) client(entry int) caller.Client {
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"rosereach/core/backend"
+	"rosereach/core/registry"
+	"rosereach/io/member"
+)
+
+const (
+	// subsetSize is how many servers of a version or a plain service an entry
+	// routes to.
+	subsetSize = 8
+
+	// relayInterval is how often other entries are asked about servers of the
+	// subset. The lease of a server outlasts two rounds less its own interval.
+	relayInterval = time.Second
+
+	// idleRounds is how many rounds lie between two asks to an entry that none
+	// of the subset's servers announces itself to.
+	idleRounds = 5
+
+	// maxAsks bounds the asks that are on their way at once.
+	maxAsks = 32
+
+	// forgetAfter is how long a server that is gone is remembered, so that a
+	// late announcement does not revive it.
+	forgetAfter = 10 * time.Minute
+)
+
+type (
+	// relay learns from other entries about the backend servers that announce
+	// themselves there, and tells them about its own.
+	relay struct {
+		entry *Entry
+
+		mu    sync.Mutex
+		conns map[string]peerConn
+	}
+
+	// peerConn is the connection to another entry; end ends it.
+	peerConn struct {
+		*member.Conn
+		end context.CancelFunc
+	}
+)
+
+func newRelay(e *Entry) *relay { return &relay{entry: e, conns: make(map[string]peerConn)} }
+
+// run asks the other entries in rounds until the context ends.
+func (r *relay) run(ctx context.Context) error {
+	for round := 0; ; round++ {
+		r.round(ctx, round)
+		select {
+		case <-r.entry.cfg.Clock.After(relayInterval):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// round asks each entry that holds servers of the subset, and some of the
+// others in turn.
+func (r *relay) round(ctx context.Context, round int) {
+	peers, asks := r.plan()
+	r.drop(peers)
+	ctx, cancel := context.WithTimeout(ctx, relayInterval)
+	defer cancel()
+	var g errgroup.Group
+	g.SetLimit(maxAsks)
+	place := 0
+	for id, ask := range asks {
+		place++
+		if len(ask.Want) == 0 && ask.Have != 0 && (place+round)%idleRounds != 0 {
+			continue
+		}
+		g.Go(func() error {
+			if err := r.ask(ctx, id, peers[id], ask); err != nil {
+				r.close(id)
+			}
+			return nil
+		})
+	}
+	g.Wait() //nolint:errcheck // an entry out of reach is asked again in the next round
+}
+
+// plan returns the addresses of the other entries and what to ask each.
+func (r *relay) plan() (map[string]string, map[string]registry.Ask) {
+	e := r.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	peers := make(map[string]string, len(e.peers))
+	homes := make([]string, 0, len(e.peers))
+	for _, p := range e.peers {
+		if p.ID == e.cfg.ID {
+			continue
+		}
+		peers[p.ID] = p.Address
+		homes = append(homes, p.ID)
+	}
+	e.registry.Expire(e.cfg.Clock.Now(), forgetAfter)
+	e.registry.Keep(homes)
+	return peers, e.registry.Asks(homes)
+}
+
+func (r *relay) ask(ctx context.Context, id, address string, ask registry.Ask) error {
+	conn, err := r.connect(id, address) //nolint:contextcheck // a connection outlives the round that opens it
+	if err != nil {
+		return err
+	}
+	sent := r.entry.cfg.Clock.Now()
+	var told registry.Told
+	if err := conn.Call(ctx, member.KindServers, ask, &told); err != nil {
+		return err
+	}
+	r.entry.mu.Lock()
+	defer r.entry.mu.Unlock()
+	r.entry.registry.Learn(sent, id, told)
+	return nil
+}
+
+// connect returns the connection to an entry, a new one if there is none.
+func (r *relay) connect(id, address string) (peerConn, error) {
+	r.mu.Lock()
+	conn, ok := r.conns[id]
+	r.mu.Unlock()
+	if ok {
+		return conn, nil
+	}
+	cfg := r.entry.cfg
+	ctx, end := context.WithCancel(r.entry.ctx)
+	opened, err := member.Dial(ctx, address, cfg.MemberKey, member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}, r)
+	if err != nil {
+		end()
+		return conn, err
+	}
+	conn = peerConn{Conn: opened, end: end}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns[id] = conn
+	return conn, nil
+}
+
+// drop ends the connections to entries that hold no lease any more.
+func (r *relay) drop(peers map[string]string) {
+	r.mu.Lock()
+	var gone []string
+	for id := range r.conns {
+		if _, ok := peers[id]; !ok {
+			gone = append(gone, id)
+		}
+	}
+	r.mu.Unlock()
+	for _, id := range gone {
+		r.close(id)
+	}
+}
+
+func (r *relay) close(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if conn, ok := r.conns[id]; ok {
+		conn.end()
+		delete(r.conns, id)
+	}
+}
+
+// serve takes the connections of other entries.
+func (r *relay) serve(w http.ResponseWriter, req *http.Request) {
+	member.Accept(w, req, r.entry.cfg.MemberKey, r, func(*member.Conn) func() { return func() {} })
+}
+
+// Handle answers another entry's ask.
+func (r *relay) Handle(_ context.Context, _ *member.Conn, kind member.Kind, body cbor.RawMessage) (any, error) {
+	if kind != member.KindServers {
+		return nil, &member.Problem{Code: member.CodeRefused, Detail: "unknown message " + string(kind)}
+	}
+	var ask registry.Ask
+	if err := cbor.Unmarshal(body, &ask); err != nil {
+		return nil, &member.Problem{Code: member.CodeRefused, Detail: err.Error()}
+	}
+	e := r.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.registry.Answer(e.cfg.Clock.Now(), ask), nil
+}
+
+// observe records a backend server's announcement.
+func (e *Entry) observe(a backend.Announcement) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.registry.Observe(e.cfg.Clock.Now(), 0, a)
+}
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -295,3 +295,30 @@
 		})
 	}
 }
+
+// A backend server that announces itself to one entry is used by all, and its
+// leaving stops new work at all of them within its lease.
+func TestAnnouncementsAreRelayed(t *testing.T) {
+	f := newFleet(t, 3)
+	f.startEngine("engine-1", time.Millisecond)
+	for i := range f.entries {
+		reply, err := f.client(i).Chat(f.ctx, chatOf(5), caller.CallOptions{})
+		if err != nil || !reply.Whole {
+			t.Errorf("entry %d: %+v, %v", i+1, reply.Problem, err)
+		}
+	}
+	f.engines["engine-1"].Leave()
+	for _, e := range f.entries {
+		waitFor(t, "the end of work at "+e.cfg.ID, func() bool { return !e.knows("engine-1") })
+	}
+	runs := len(f.engines["engine-1"].Log.Runs())
+	for i := range f.entries {
+		reply, err := f.client(i).Chat(f.ctx, chatOf(5), caller.CallOptions{})
+		if err != nil || reply.Problem == nil || reply.Problem.Outcome != request.NotRun {
+			t.Errorf("entry %d after leaving: %+v, %v", i+1, reply, err)
+		}
+	}
+	if n := len(f.engines["engine-1"].Log.Runs()); n != runs {
+		t.Errorf("%d runs after leaving", n-runs)
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -8,15 +8,20 @@
 	"rosereach/core/request"
 	iobackend "rosereach/io/backend"
 	"rosereach/io/caller"
+	"rosereach/io/member"
 )
 
-// Handler returns the HTTP handler for callers and backend servers.
+// Handler returns the HTTP handler for callers, backend servers and other
+// entries.
 func (e *Entry) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Use(e.count)
-	caller.Mount(r, e, caller.Options{
-		MaxBody: e.cfg.MaxBody, Timeout: e.cfg.Timeout, AddressTTL: e.cfg.AddressTTL, Clock: e.cfg.Clock,
+	r.Group(func(r chi.Router) {
+		r.Use(e.count)
+		caller.Mount(r, e, caller.Options{
+			MaxBody: e.cfg.MaxBody, Timeout: e.cfg.Timeout, AddressTTL: e.cfg.AddressTTL, Clock: e.cfg.Clock,
+		})
 	})
+	r.Get(member.Path, e.relay.serve)
 	r.Post(iobackend.PathAnnounce, iobackend.AnnounceHandler(e.cfg.BackendKey, e.observe))
 	return r
 }
--- a/io/member/message.go
+++ b/io/member/message.go
@@ -14,6 +14,7 @@
 	KindDocuments Kind = "documents"
 	KindPropose   Kind = "propose"
 	KindChanged   Kind = "changed"
+	KindServers   Kind = "servers"
 )
 
 // The codes of a Problem.
