--- a/core/session/session.go
+++ b/core/session/session.go
@@ -70,12 +70,12 @@
 	if !ok {
 		return Token{}, errors.Trace(ErrOldKey)
 	}
-	content, contentErr := base64.RawURLEncoding.DecodeString(parts[1])
-	seal, sealErr := base64.RawURLEncoding.DecodeString(parts[2])
-	if contentErr != nil || sealErr != nil {
+	seal := encode(sealOf(key, parts[0]+partSeparator+parts[1]))
+	if !hmac.Equal([]byte(parts[2]), []byte(seal)) {
 		return Token{}, errors.Trace(ErrBadToken)
 	}
-	if !hmac.Equal(seal, sealOf(key, parts[0]+partSeparator+parts[1])) {
+	content, err := base64.RawURLEncoding.DecodeString(parts[1])
+	if err != nil {
 		return Token{}, errors.Trace(ErrBadToken)
 	}
 	var t Token
