--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -135,8 +135,13 @@
 		return conn, nil
 	}
 	cfg := r.entry.cfg
+	security, err := cfg.security()
+	if err != nil {
+		return conn, err
+	}
 	ctx, end := context.WithCancel(r.entry.ctx)
-	opened, err := member.Dial(ctx, address, cfg.MemberKey, member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}, r)
+	self := member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}
+	opened, err := member.DialTLS(ctx, address, cfg.MemberKey, self, r, security)
 	if err != nil {
 		end()
 		return conn, err
