Let a resend wait for an end that is on its way to the ledger

A resend that met a request which had ended but was not recorded yet got that request's refusal again, although the record was a moment away; TestBillAfterCutFromControl failed by it in one run of three. It now waits for the record, until its own deadline, and finds the answer in the ledger.

Ran: go test -race ./internal/entry -count=3 passes (59.8 s).

--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -36,21 +36,34 @@
 // execute runs the request, or joins it when the same one runs already, and
 // follows it to its end. The error is a *request.Refusal.
 func (e *Entry) execute(ctx context.Context, req request.Request, sink caller.Sink, work func(*execution)) (request.Answer, error) {
-	if err := e.mayAdmit(); err != nil {
-		return request.Answer{}, err
+	for {
+		if err := e.mayAdmit(); err != nil {
+			return request.Answer{}, err
+		}
+		x, isNew, err := e.table.join(e.ctx, req) //nolint:contextcheck // a request outlives the caller that sent it first
+		if err != nil {
+			return request.Answer{}, err
+		}
+		if isNew {
+			woken := x.join()
+			go e.run(x, work)
+			return x.follow(ctx, woken, sink)
+		}
+		if !x.isEnded() {
+			return e.followUntil(ctx, x, req.Deadline, sink)
+		}
+		if err := x.waitRecorded(ctx, req.Deadline); err != nil {
+			return request.Answer{}, err
+		}
 	}
-	x, isNew, err := e.table.join(e.ctx, req) //nolint:contextcheck // a request outlives the caller that sent it first
-	if err != nil {
-		return request.Answer{}, err
-	}
-	woken := x.join()
-	if isNew {
-		go e.run(x, work)
-		return x.follow(ctx, woken, sink)
-	}
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+}
+
+// followUntil follows a request that runs for another sender too, until this
+// one's deadline.
+func (e *Entry) followUntil(ctx context.Context, x *execution, deadline time.Time, sink caller.Sink) (request.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	return x.follow(ctx, woken, sink)
+	return x.follow(ctx, x.join(), sink)
 }
 
 // mayAdmit refuses new requests of an entry that stops or that holds no lease.
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -27,13 +28,15 @@
 
 type (
 	// execution is one request that this entry runs. Callers that sent the
-	// request, once or more often, follow it, each at its own speed.
+	// request, once or more often, follow it, each at its own speed. Gone is
+	// closed once nothing is left to record of it.
 	execution struct {
 		req    request.Request
 		hash   uint64
 		ctx    context.Context
 		cancel context.CancelCauseFunc
 		stop   context.CancelFunc
+		gone   chan struct{}
 
 		mu        sync.Mutex
 		state     request.State
@@ -60,6 +63,7 @@
 func newExecution(ctx context.Context, req request.Request, hash uint64) *execution {
 	x := &execution{
 		req: req, hash: hash, state: request.Chart.Initial(), followers: make(map[chan struct{}]bool),
+		gone: make(chan struct{}),
 	}
 	ctx, x.stop = context.WithDeadline(ctx, req.Deadline)
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
@@ -177,6 +181,26 @@
 	x.stop()
 }
 
+func (x *execution) isEnded() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.ended
+}
+
+// waitRecorded waits until the end of a request is recorded, so that a resend
+// finds it in the ledger.
+func (x *execution) waitRecorded(ctx context.Context, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	select {
+	case <-x.gone:
+		return nil
+	case <-ctx.Done():
+		return request.NewUnknown(request.CodeLedger, "the end of the request is not recorded yet; ask again").
+			WithRetryAfter(resendRetryAfter)
+	}
+}
+
 // wake tells the followers that there is more. Callers hold x.mu.
 func (x *execution) wake() {
 	for f := range x.followers {
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -39,6 +39,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.executions, x.key())
+	close(x.gone)
 }
 
 func (t *table) len() int {
