--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -82,8 +82,7 @@
 	if err != nil {
 		return err
 	}
-	self := member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}
-	conn, err := member.DialTLS(ctx, address, cfg.MemberKey, self, l, security)
+	conn, err := member.DialTLS(ctx, address, cfg.MemberKey, cfg.peer(), l, security)
 	if err != nil {
 		return err
 	}
