--- /dev/null
+++ b/test/page_test.go
@@ -0,0 +1,90 @@
+package test
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// fences returns the fenced blocks of a page whose language is lang.
+func fences(page, lang string) []string {
+	var (
+		blocks []string
+		open   *strings.Builder
+	)
+	for _, line := range strings.SplitAfter(page, "\n") {
+		switch {
+		case open == nil && strings.TrimSpace(line) == "```"+lang:
+			open = &strings.Builder{}
+		case open != nil && strings.TrimSpace(line) == "```":
+			blocks = append(blocks, open.String())
+			open = nil
+		case open != nil:
+			open.WriteString(line)
+		}
+	}
+	return blocks
+}
+
+// freeAddresses returns loopback addresses whose ports the kernel chose.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
+// The commands of the page for newcomers run, and print what the page shows.
+func TestFirstStartPage(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("..", "docs", "operate", "first-start.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	script := "set -eu\n" + strings.Join(fences(string(data), "sh"), "\n")
+	cmd := exec.Command("sh", "-c", script)
+	cmd.Dir = ".."
+	cmd.Env = append(os.Environ(), "FOLDER="+t.TempDir())
+	names := []string{"CONTROL_1", "CONTROL_2", "CONTROL_3", "ENTRY_1", "ENTRY_2", "ENTRY_3"}
+	for i, address := range freeAddresses(t, len(names)) {
+		cmd.Env = append(cmd.Env, names[i]+"="+address)
+	}
+	out := &lockedBuffer{}
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) })
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Fatalf("%v\n%s", err, out)
+		}
+	case <-time.After(2 * waitLimit):
+		t.Fatalf("the page's commands did not end\n%s", out)
+	}
+	rest := out.String()
+	for _, block := range fences(string(data), "text") {
+		for _, line := range strings.Split(strings.TrimSpace(block), "\n") {
+			_, after, ok := strings.Cut(rest, line)
+			if !ok {
+				t.Fatalf("%q does not follow in:\n%s", line, out)
+			}
+			rest = after
+		}
+	}
+}
