--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -48,7 +48,7 @@
 	return []*command{
 		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
 		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(), cmdOperator(),
-		cmdBills(), cmdAudit(), cmdStatus(),
+		cmdBills(), cmdAudit(), cmdStatus(), cmdMan(),
 		cmdLoad(), cmdExperiment(),
 	}
 }
