--- /dev/null
+++ b/core/lease/example_test.go
@@ -0,0 +1,32 @@
+package lease_test
+
+import (
+	"fmt"
+	"time"
+
+	"rosereach/core/lease"
+)
+
+// An entry counts its lease from when it sent the request, and somewhat less
+// than the grantor does.
+func Example() {
+	var (
+		terms   = lease.DefaultTerms()
+		grantor = lease.NewGrantor(terms)
+		holder  lease.Holder
+		now     = time.Unix(1000, 0)
+	)
+	request := lease.Request{Entry: "entry-1", Incarnation: 1, Applied: 4, Sequence: holder.Send(now)}
+	later := now.Add(500 * time.Millisecond)
+	holder.Receive(terms, grantor.Grant(later, 1, 0, request))
+	fmt.Println("held for", holder.Expires().Sub(now))
+	fmt.Println("revision 4 in force:", grantor.InForce(later, 4))
+	fmt.Println("revision 5 in force:", grantor.InForce(later, 5))
+	ended := later.Add(terms.Duration)
+	fmt.Println("held:", holder.IsLive(ended), "revision 5 in force:", grantor.InForce(ended, 5))
+	// Output:
+	// held for 2.97s
+	// revision 4 in force: true
+	// revision 5 in force: false
+	// held: false revision 5 in force: true
+}
