Tell entry's routes from control's in the table of keys

The table counted a route as covered when the other process had one of the same name: method and path were compared, not the part. Entries are about to get a member route like the control's. Run: TestKeysAtEveryRoute passes, 2.9 s.

--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -54,15 +54,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	handlers := []http.Handler{entry.New(entry.Config{Clock: clock.WallClock}).Handler(), node.Handler()}
+	handlers := map[string]http.Handler{
+		"entry": entry.New(entry.Config{Clock: clock.WallClock}).Handler(), "control": node.Handler(),
+	}
 	shown := strings.NewReplacer("{service}/*", "ledger/x", "{service}", "ledger")
 	seen := make(map[string]bool)
-	for _, h := range handlers {
+	for part, h := range handlers {
 		err := chi.Walk(h.(chi.Routes), func(method, route string, _ http.Handler, _ ...func(http.Handler) http.Handler) error {
 			open := route == "/v1/addresses"
 			service := strings.Contains(route, "{service}")
 			if !open && (!service || method == http.MethodGet && strings.HasSuffix(route, "*") || method == http.MethodPost && !strings.HasSuffix(route, "*")) {
-				seen[method+" "+shown.Replace(route)] = true
+				seen[part+" "+method+" "+shown.Replace(route)] = true
 			}
 			return nil
 		})
@@ -114,6 +116,7 @@
 	}
 	backendServers := map[string]string{"backend server's": f.backendKey}
 	covered := make(map[string]bool)
+	parts := map[string]string{entry: "entry", control: "control"}
 	for _, tc := range []struct {
 		method, address, path, body string
 		allowed                     string
@@ -135,7 +138,7 @@
 	} {
 		allowed := strings.Split(tc.allowed, ", ")
 		path, _, _ := strings.Cut(tc.path, "?")
-		covered[tc.method+" "+path] = true
+		covered[parts[tc.address]+" "+tc.method+" "+path] = true
 		for _, keys := range []map[string]string{nobody, callers, operators, backendServers} {
 			for name, key := range keys {
 				status, body := attempt(t, tc.method, tc.address, tc.path, key, tc.body)
