List bills as a table, all pages of them

The command printed the first 10,000 bills as JSON only, against the rule that output is a table or JSON, and a longer export needed a loop around it.

--- a/internal/cmd/cmd_bills.go
+++ b/internal/cmd/cmd_bills.go
@@ -5,31 +5,43 @@
 
 	"github.com/urfave/cli/v3"
 
-	"rosereach/io/operator"
+	"rosereach/core/ledger"
 )
 
 // cmdBills exports bills.
 func cmdBills() *command {
 	return &command{
-		name: "bills", short: "export bills in order",
+		name: "bills", short: "export bills in order", action: listBills,
 		flags: operatorFlags(flag("after", "0", "sequence of the last bill that is known")),
-		action: readAction(func(ctx context.Context, client operator.Client, after uint64) (any, error) {
-			return client.Bills(ctx, after)
-		}),
 	}
 }
 
-func readAction(read func(context.Context, operator.Client, uint64) (any, error)) cli.ActionFunc {
-	return func(ctx context.Context, c *cli.Command) error {
-		s := newSettings(c)
-		client, after := s.client(), uint64(s.number("after", 0, 1<<62))
-		if err := s.err(); err != nil {
-			return err
-		}
-		v, err := read(ctx, client, after)
+func listBills(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	client, after := s.client(), uint64(s.number("after", 0, 1<<62))
+	if err := s.err(); err != nil {
+		return err
+	}
+	bills := []ledger.Bill{}
+	for {
+		page, err := client.Bills(ctx, after)
 		if err != nil {
 			return err
 		}
-		return printJSON(v)
+		if len(page) == 0 {
+			break
+		}
+		bills = append(bills, page...)
+		after = page[len(page)-1].Sequence
+	}
+	out := newTable("BILL", "WORKSPACE", "REQUEST", "VERSION", "BACKEND SERVER", "INPUT TOKENS", "OUTPUT TOKENS", "PRICE", "AT")
+	for _, b := range bills {
+		served := b.Version.String()
+		if b.Version.Model == "" {
+			served = "none"
+		}
+		out.add(b.Sequence, b.Key.Workspace, b.Key.RequestID, served, b.Backend, b.Usage.InputTokens,
+			b.Usage.OutputTokens, b.Price, b.At.UTC().Format(timeLayout))
 	}
+	return s.show(bills, out)
 }
