Test that a change whose answer was lost is made once

A resend was tested with an answer that had arrived. The new test loses the answer with the fault proxy, gets exit code 5, sends the command again with the same change id and finds the first answer and one event in the trail. Upgraded connections are kept out of the request histograms: they last for hours.

--- a/internal/metrics/http.go
+++ b/internal/metrics/http.go
@@ -43,10 +43,15 @@
 	}
 }
 
-// Measure wraps the routes of a handler. Neither paths nor keys nor bodies
-// are logged: a path may hold what a caller wrote.
+// Measure wraps the routes of a handler. Connections that are upgraded, such
+// as members', are not measured. Neither paths nor keys nor bodies are logged:
+// a path may hold what a caller wrote.
 func (m *Requests) Measure(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Upgrade") != "" {
+			next.ServeHTTP(w, r)
+			return
+		}
 		began := m.clock.Now()
 		rec := &recorder{ResponseWriter: w, clock: m.clock}
 		next.ServeHTTP(rec, r)
--- a/test/operate_test.go
+++ b/test/operate_test.go
@@ -8,6 +8,9 @@
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
+	"rosereach/internal/fault"
 	"rosereach/io/operator"
 )
 
@@ -75,3 +78,38 @@
 		t.Errorf("exit code %d, %v\n%s", code, err, out)
 	}
 }
+
+// An operator whose answer was lost sends the change again and sees the first
+// answer; it is made once.
+func TestLostAnswerResent(t *testing.T) {
+	f := startFleet(t, 1)
+	f.setUp("small@v1")
+	p, err := fault.Start(t.Context(), f.operator.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	through := []string{"version", "withdraw", "--control", p.Address(), "--change-id", "lost", "--json", "small@v1"}
+	p.Set(fault.Plan{ResetAfter: -1})
+	if code, out := f.operate(through...); code != 5 {
+		t.Errorf("exit code %d after the answer was lost, want 5\n%s", code, out)
+	}
+	p.Set(fault.Plan{})
+	code, out := f.operate(through...)
+	var answer operator.Answer
+	if err := json.Unmarshal([]byte(out), &answer); err != nil || code != 0 || !answer.Repeated {
+		t.Errorf("exit code %d, %v\n%s", code, err, out)
+	}
+	trail, err := f.operator.WholeTrail(context.Background(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var made []uint64
+	for _, e := range trail.Events {
+		if e.ChangeID == "lost" {
+			made = append(made, e.Revision)
+		}
+	}
+	if diff := cmp.Diff([]uint64{answer.Revision}, made); diff != "" {
+		t.Error(diff)
+	}
+}
