Name the file before a finding's path

Findings of files were joined with a dot, which read as a path through the file name. A process test checks that the findings of two bad templates come at once with file, path and what is allowed. Run: TestBadTemplateFiles passes.

--- a/core/finding/finding.go
+++ b/core/finding/finding.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// In appends the findings of a file, with its name before each place.
+func (l *List) In(file string, other List) {
+	for _, f := range other {
+		f.Place = strings.TrimSuffix(file+": "+f.Place, ": ")
+		*l = append(*l, f)
+	}
+}
+
 // Err returns the list as an error, or nil when it is empty.
 func (l List) Err() error {
 	if len(l) == 0 {
--- a/internal/cmd/cmd_template.go
+++ b/internal/cmd/cmd_template.go
@@ -145,6 +145,6 @@
 		return template.Template{}
 	}
 	t, found := template.Parse(data)
-	s.found.Within(s.cmd.Args().Get(place), found)
+	s.found.In(s.cmd.Args().Get(place), found)
 	return t
 }
--- a/test/operate_test.go
+++ b/test/operate_test.go
@@ -113,3 +113,35 @@
 		t.Error(diff)
 	}
 }
+
+// All findings of all bad template files are reported at once, each with file,
+// path and what is allowed.
+func TestBadTemplateFiles(t *testing.T) {
+	folder := t.TempDir()
+	one, two := filepath.Join(folder, "one.json"), filepath.Join(folder, "two.json")
+	for path, text := range map[string]string{
+		one: `{"name":"one","colour":1,"policy":{"allow":"small@*","weight":{"parameter":"none"}}}`,
+		two: `{"name":"two","parameters":[{"name":"n","type":"number","min":3,"default":2}],"policy":{"allow":["small"]}}`,
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	code, out := runProgram(t, "template", "check", one, two)
+	want := []string{
+		one + ": colour: unknown field; allowed: ",
+		one + `: policy.allow: wrong type: "small@*"; allowed: a list`,
+		one + ": policy.weight: no parameter none; allowed: ",
+		two + ": parameters.n.default: too small; allowed: at least 3",
+		two + ": policy.allow: bad pattern small; allowed: model@version or model@*",
+	}
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	if code != 2 || len(lines) != len(want) {
+		t.Fatalf("exit code %d, %d findings\n%s", code, len(lines), out)
+	}
+	for i, text := range want {
+		if !strings.Contains(lines[i], text) {
+			t.Errorf("finding %d is %q, want %q", i, lines[i], text)
+		}
+	}
+}
