--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,161 @@
+// Package cluster runs all parts of rosereach in one process on loopback, with
+// stand-ins for the systems around it. A proxy stands before every part, so
+// that a test or an experiment can cause failures of the network.
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"rosereach/core/ledger"
+	"rosereach/core/version"
+	"rosereach/internal/fake"
+	"rosereach/io/operator"
+)
+
+const (
+	pollInterval = 10 * time.Millisecond
+
+	// The regions of the default places.
+	central  = "central"
+	pacifico = "pacifico"
+)
+
+type (
+	// Place is where a process runs.
+	Place struct{ Region, Zone string }
+
+	// Options are the settings of a cluster. Folder is for the controls' data.
+	Options struct {
+		Folder         string
+		AddressTTL     time.Duration
+		RequestTimeout time.Duration
+		EngineCapacity int
+		ServiceSlots   int
+		StepTime       time.Duration
+		StepPerToken   time.Duration
+	}
+
+	// Cluster is everything that runs. Wait on the group for its end after the
+	// context ended.
+	Cluster struct {
+		Operator operator.Client
+		Controls []*Control
+		Entries  []*Entry
+		Engines  []*Engine
+		Services []*Service
+
+		opts    Options
+		group   *errgroup.Group
+		member  string
+		backend string
+	}
+)
+
+// The versions that the cluster serves.
+var (
+	Small1 = version.Ref{Model: "small", Version: "v1"}
+	Small2 = version.Ref{Model: "small", Version: "v2"}
+	Large1 = version.Ref{Model: "large", Version: "v1"}
+
+	places = []Place{{central, "sanjose"}, {central, "heredia"}, {pacifico, "puntarenas"}}
+)
+
+// DefaultOptions returns the settings of a small, quick cluster.
+func DefaultOptions(folder string) Options {
+	return Options{
+		Folder: folder, AddressTTL: time.Second, RequestTimeout: 20 * time.Second, EngineCapacity: 16, ServiceSlots: 8,
+		StepTime: time.Millisecond, StepPerToken: 50 * time.Microsecond,
+	}
+}
+
+// Start starts all parts and waits until every entry holds a lease. The parts
+// run until the context ends.
+func Start(ctx context.Context, opts Options) (*Cluster, error) {
+	g, ctx := errgroup.WithContext(ctx)
+	c := &Cluster{opts: opts, group: g, member: rand.Text(), backend: rand.Text()}
+	if err := c.startControl(ctx, "control-1", filepath.Join(opts.Folder, "control-1")); err != nil {
+		return nil, err
+	}
+	for i, p := range places {
+		if err := c.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), p); err != nil {
+			return nil, err
+		}
+	}
+	for i, refs := range [][]version.Ref{{Small1, Small2}, {Small1, Small2}, {Large1, Small1}, {Large1, Small2}} {
+		if err := c.startEngine(ctx, fmt.Sprintf("engine-%d", i+1), places[i%len(places)], refs); err != nil {
+			return nil, err
+		}
+	}
+	for i, name := range []string{"register", "ledger", "register", "ledger"} {
+		if err := c.startService(ctx, fmt.Sprintf("%s-%d", name, i/2+1), places[i%2], name); err != nil {
+			return nil, err
+		}
+	}
+	return c, c.waitReady(ctx)
+}
+
+// Wait returns once all parts have ended.
+func (c *Cluster) Wait() error { return c.group.Wait() }
+
+// Addresses returns the addresses at which callers reach the entries.
+func (c *Cluster) Addresses() []string {
+	list := make([]string, 0, len(c.Entries))
+	for _, e := range c.Entries {
+		list = append(list, e.Proxy.Address())
+	}
+	return list
+}
+
+// Runs returns the run logs of all backend servers.
+func (c *Cluster) Runs() []fake.Run {
+	var runs []fake.Run
+	for _, e := range c.Engines {
+		runs = append(runs, e.Fake.Log.Runs()...)
+	}
+	for _, s := range c.Services {
+		runs = append(runs, s.Fake.Log.Runs()...)
+	}
+	return runs
+}
+
+// Bills returns all bills.
+func (c *Cluster) Bills(ctx context.Context) ([]ledger.Bill, error) {
+	var all []ledger.Bill
+	for {
+		page, err := c.Operator.Bills(ctx, uint64(len(all)))
+		if err != nil || len(page) == 0 {
+			return all, errors.Trace(err)
+		}
+		all = append(all, page...)
+	}
+}
+
+// waitReady waits until every entry holds a lease.
+func (c *Cluster) waitReady(ctx context.Context) error {
+	for _, e := range c.Entries {
+		if err := waitUntil(ctx, e.Entry.Ready); err != nil {
+			return errors.Annotate(err, "wait for the entries' leases")
+		}
+	}
+	return nil
+}
+
+// waitUntil waits until the condition holds.
+func waitUntil(ctx context.Context, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-clock.WallClock.After(pollInterval):
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cluster/part.go
@@ -0,0 +1,241 @@
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+
+	"rosereach/core/backend"
+	"rosereach/core/lease"
+	"rosereach/core/version"
+	"rosereach/internal/control"
+	"rosereach/internal/entry"
+	"rosereach/internal/fake"
+	"rosereach/internal/fault"
+	"rosereach/internal/httpd"
+	"rosereach/io/operator"
+)
+
+// The limits of an entry.
+const (
+	maxBody     = 1 << 20
+	maxRunning  = 512
+	cacheTokens = 50_000
+)
+
+type (
+	// Control is a control and the proxy before its operators.
+	Control struct {
+		Node    *control.Node
+		address string
+		stop    context.CancelFunc
+	}
+
+	// Entry is an entry, the proxy before its callers and the proxies of its
+	// links to the controls.
+	Entry struct {
+		ID    string
+		Place Place
+		Entry *entry.Entry
+		Proxy *fault.Proxy
+		Links []*fault.Proxy
+
+		address string
+		server  *http.Server
+		stop    context.CancelFunc
+	}
+
+	// Server is what engines and services have in common: a proxy for the
+	// entries of its own region and one for those of others.
+	Server struct {
+		ID    string
+		Place Place
+		Near  *fault.Proxy
+		Far   *fault.Proxy
+
+		server *http.Server
+		stop   context.CancelFunc
+	}
+
+	// Engine is a fake engine.
+	Engine struct {
+		Server
+		Fake *fake.Engine
+	}
+
+	// Service is a fake plain service.
+	Service struct {
+		Server
+		Fake *fake.Service
+	}
+)
+
+func (c *Cluster) startControl(ctx context.Context, id, folder string) error {
+	ctx, stop := context.WithCancel(ctx)
+	key := rand.Text()
+	node, err := control.Open(control.Config{
+		ID: id, Folder: folder, MemberKey: c.member, OperatorKey: key, Terms: lease.DefaultTerms(),
+		Clock: clock.WallClock, Logger: log.NewNopLogger(),
+	})
+	if err != nil {
+		stop()
+		return err
+	}
+	l, err := httpd.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		stop()
+		return err
+	}
+	c.group.Go(func() error { return httpd.Serve(ctx, l, node.Handler()) })
+	c.group.Go(func() error { return node.Run(ctx) })
+	c.Controls = append(c.Controls, &Control{Node: node, address: l.Addr().String(), stop: stop})
+	c.Operator = operator.Client{Address: l.Addr().String(), Key: key}
+	return nil
+}
+
+// StartEntry starts an entry behind proxies of its own.
+func (c *Cluster) StartEntry(ctx context.Context, id string, p Place) error {
+	ctx, stop := context.WithCancel(ctx)
+	e := &Entry{ID: id, Place: p, stop: stop}
+	l, err := httpd.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		stop()
+		return err
+	}
+	e.address = l.Addr().String()
+	if e.Proxy, err = fault.Start(ctx, e.address); err != nil {
+		stop()
+		return errors.Trace(err)
+	}
+	var controls []string
+	for _, control := range c.Controls {
+		link, err := fault.Start(ctx, control.address)
+		if err != nil {
+			stop()
+			return errors.Trace(err)
+		}
+		e.Links = append(e.Links, link)
+		controls = append(controls, link.Address())
+	}
+	e.Entry = entry.New(entry.Config{
+		ID: id, Incarnation: uint64(clock.WallClock.Now().UnixNano()), Region: p.Region, Zone: p.Zone,
+		Address: e.Proxy.Address(), Controls: controls, MemberKey: c.member, BackendKey: c.backend,
+		Terms: lease.DefaultTerms(), AddressTTL: c.opts.AddressTTL, Timeout: c.opts.RequestTimeout, MaxBody: maxBody,
+		MaxRunning: maxRunning, MaxWaiting: maxRunning, Clock: clock.WallClock, Logger: log.NewNopLogger(),
+	})
+	e.server = serveUntilClosed(l, e.Entry.Handler())
+	context.AfterFunc(ctx, func() { e.server.Close() }) //nolint:errcheck // it is gone
+	c.group.Go(func() error { return e.Entry.Run(ctx) })
+	c.Entries = append(c.Entries, e)
+	return nil
+}
+
+func (c *Cluster) startEngine(ctx context.Context, id string, p Place, refs []version.Ref) error {
+	ctx, stop := context.WithCancel(ctx)
+	engine := fake.NewEngine(fake.EngineConfig{
+		ID: id, Incarnation: 1, Region: p.Region, Zone: p.Zone, Versions: refs, Capacity: c.opts.EngineCapacity,
+		CacheTokens: cacheTokens, StepTime: c.opts.StepTime, StepPerSequence: c.opts.StepPerToken,
+		PrefillPerToken: c.opts.StepTime / 200, ResumeWindow: c.opts.RequestTimeout / 40, LoadLag: c.opts.RequestTimeout / 40,
+		HonoursFence: true, Clock: clock.WallClock,
+	})
+	c.group.Go(func() error { return engine.Run(ctx) })
+	server, err := c.startServer(ctx, stop, id, p, engine.Handler(), engine.Announcement)
+	if err != nil {
+		stop()
+		return err
+	}
+	c.Engines = append(c.Engines, &Engine{Server: server, Fake: engine})
+	return nil
+}
+
+func (c *Cluster) startService(ctx context.Context, id string, p Place, name string) error {
+	ctx, stop := context.WithCancel(ctx)
+	svc := fake.NewService(fake.ServiceConfig{
+		ID: id, Incarnation: 1, Region: p.Region, Zone: p.Zone, Service: name, Capacity: c.opts.ServiceSlots, Clock: clock.WallClock,
+	})
+	server, err := c.startServer(ctx, stop, id, p, svc.Handler(), svc.Announcement)
+	if err != nil {
+		stop()
+		return err
+	}
+	c.Services = append(c.Services, &Service{Server: server, Fake: svc})
+	return nil
+}
+
+// startServer serves a backend server behind two proxies and announces each to
+// the entries that shall use it.
+func (c *Cluster) startServer(ctx context.Context, stop context.CancelFunc, id string, p Place, h http.Handler, describe func(string) backend.Announcement) (Server, error) {
+	s := Server{ID: id, Place: p, stop: stop}
+	l, err := httpd.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		return s, err
+	}
+	s.server = serveUntilClosed(l, h)
+	context.AfterFunc(ctx, func() { s.server.Close() }) //nolint:errcheck // it is gone
+	for _, proxy := range []**fault.Proxy{&s.Near, &s.Far} {
+		if *proxy, err = fault.Start(ctx, l.Addr().String()); err != nil {
+			return s, errors.Trace(err)
+		}
+	}
+	regions := make(map[string]string)
+	var entries []string
+	for _, e := range c.Entries {
+		entries = append(entries, e.address)
+		regions[e.address] = e.Place.Region
+	}
+	announcer := &fake.Announcer{
+		Entries: entries, Key: c.backend, Clock: clock.WallClock,
+		Describe: func(entry string) backend.Announcement {
+			if regions[entry] == p.Region {
+				return describe(s.Near.Address())
+			}
+			return describe(s.Far.Address())
+		},
+	}
+	announcer.Now(ctx)
+	c.group.Go(func() error { return announcer.Run(ctx) })
+	return s, nil
+}
+
+// serveUntilClosed serves until the server is closed, which cuts off whatever
+// is in progress.
+func serveUntilClosed(l net.Listener, h http.Handler) *http.Server {
+	server := &http.Server{Handler: h} //nolint:gosec // loopback only
+	go server.Serve(l)                 //nolint:errcheck // it ends with ErrServerClosed
+	return server
+}
+
+// Kill ends the entry as a lost machine would: callers and controls see resets,
+// and nothing more comes from it.
+func (e *Entry) Kill() {
+	for _, link := range e.Links {
+		cut(link)
+	}
+	cut(e.Proxy)
+	e.stop()
+	e.server.Close() //nolint:errcheck // it is gone
+}
+
+// Kill ends the backend server as a lost machine would.
+func (s *Server) Kill() {
+	cut(s.Near)
+	cut(s.Far)
+	s.stop()
+	s.server.Close() //nolint:errcheck // it is gone
+}
+
+// SetPlan puts a plan in force for the calls of all entries.
+func (s *Server) SetPlan(p fault.Plan) {
+	s.Near.Set(p)
+	s.Far.Set(p)
+}
+
+func cut(p *fault.Proxy) {
+	p.Set(fault.Plan{Refuse: true})
+	p.Reset()
+}
--- /dev/null
+++ b/internal/cluster/setup.go
@@ -0,0 +1,131 @@
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+
+	"rosereach/core/change"
+	"rosereach/core/service"
+	"rosereach/core/template"
+	"rosereach/core/version"
+	"rosereach/core/workspace"
+	"rosereach/internal/load"
+)
+
+// draftingTemplate is the template of the workspaces.
+const draftingTemplate = `{
+  "name": "drafting",
+  "parameters": [
+    {"name": "models", "type": "list", "allowed": ["small@*", "large@*"], "default": ["small@*"]},
+    {"name": "services", "type": "list", "default": []},
+    {"name": "quality_target", "type": "number", "min": 0, "max": 1, "default": 0.7}
+  ],
+  "policy": {
+    "allow": {"parameter": "models"},
+    "services": {"parameter": "services"},
+    "quality_target": {"parameter": "quality_target"},
+    "priorities": {"cost": 1, "latency": 1, "exposure": 1},
+    "weight": 1,
+    "retention_days": 30
+  }
+}`
+
+// Customer is a workspace and the key of its callers.
+type Customer struct {
+	Name, Key, Service string
+}
+
+// SetUp writes the documents: a template, versions, services and workspaces.
+func (c *Cluster) SetUp(ctx context.Context) ([]Customer, error) {
+	if err := c.Change(ctx, change.PutTemplate, "drafting", json.RawMessage(draftingTemplate)); err != nil {
+		return nil, err
+	}
+	versions := []version.Version{
+		{Ref: Small1, Quality: 0.72, InputPrice: 100, OutputPrice: 400},
+		{Ref: Small2, Quality: 0.75, InputPrice: 90, OutputPrice: 360},
+		{Ref: Large1, Quality: 0.92, InputPrice: 900, OutputPrice: 3600},
+	}
+	for _, v := range versions {
+		if err := c.addVersion(ctx, v); err != nil {
+			return nil, err
+		}
+	}
+	services := []service.Service{
+		{Name: "register", Unrepeatable: []string{"DELETE", "PUT"}},
+		{Name: "ledger"},
+	}
+	for _, s := range services {
+		if err := c.Change(ctx, change.PutService, s.Name, s); err != nil {
+			return nil, err
+		}
+	}
+	return c.addCustomers(ctx)
+}
+
+func (c *Cluster) addVersion(ctx context.Context, v version.Version) error {
+	if err := c.Change(ctx, change.PutVersion, v.Ref.String(), v); err != nil {
+		return err
+	}
+	return c.Change(ctx, change.MoveVersion, v.Ref.String(), change.Move{Trigger: string(version.ToServe)})
+}
+
+func (c *Cluster) addCustomers(ctx context.Context) ([]Customer, error) {
+	customers := []Customer{
+		{Name: "vitrina", Key: rand.Text(), Service: "register"},
+		{Name: "terminalna", Key: rand.Text(), Service: "ledger"},
+	}
+	for _, cu := range customers {
+		w := workspace.Workspace{Name: cu.Name, Template: "drafting", Values: template.Values{
+			"models":   json.RawMessage(`["small@*", "large@*"]`),
+			"services": json.RawMessage(`["` + cu.Service + `"]`),
+		}}
+		if err := c.Change(ctx, change.PutWorkspace, w.Name, w); err != nil {
+			return nil, err
+		}
+		if err := c.Change(ctx, change.AddKey, w.Name, change.Key{Hash: workspace.HashKey(cu.Key)}); err != nil {
+			return nil, err
+		}
+	}
+	return customers, nil
+}
+
+// Change makes a change and waits until it is in force everywhere.
+func (c *Cluster) Change(ctx context.Context, kind change.Kind, name string, document any) error {
+	data, err := json.Marshal(document)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ch := change.Change{ID: rand.Text(), Kind: kind, Name: name, Document: data, Actor: "cluster"}
+	answer, err := c.Operator.Change(ctx, ch, true)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if answer.Status != change.Accepted || !answer.InForce {
+		return errors.Errorf("%s %s: %s, in force %t: %v", kind, name, answer.Status, answer.InForce, answer.Findings)
+	}
+	return nil
+}
+
+// Withdraw withdraws a version and returns when this was in force everywhere.
+func (c *Cluster) Withdraw(ctx context.Context, ref version.Ref) (time.Time, error) {
+	err := c.Change(ctx, change.MoveVersion, ref.String(), change.Move{Trigger: string(version.ToWithdraw)})
+	return clock.WallClock.Now(), err
+}
+
+// Sources returns the load of each customer, which share the rate evenly.
+func Sources(customers []Customer, rate float64) ([]load.Source, error) {
+	sources := make([]load.Source, 0, len(customers))
+	for _, cu := range customers {
+		p, err := load.ProfileOf(cu.Name)
+		if err != nil {
+			return nil, err
+		}
+		sources = append(sources, load.Source{Profile: p, Key: cu.Key, Rate: rate / float64(len(customers))})
+	}
+	return sources, nil
+}
--- a/internal/cmd/cmd_fake.go
+++ b/internal/cmd/cmd_fake.go
@@ -146,7 +146,7 @@
 		return err
 	}
 	fmt.Println(l.Addr())
-	announcer.Describe = func() backend.Announcement { return describe(l.Addr().String()) }
+	announcer.Describe = func(string) backend.Announcement { return describe(l.Addr().String()) }
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return run(ctx) })
 	g.Go(func() error { return announcer.Run(ctx) })
--- a/internal/demo/summary.go
+++ b/internal/demo/summary.go
@@ -3,98 +3,73 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 
-	"rosereach/core/ledger"
 	"rosereach/core/request"
 	"rosereach/core/version"
-	"rosereach/internal/fake"
+	"rosereach/internal/load"
 )
 
 // Summary is what a run counted from run logs, bills and answers.
 type Summary struct {
-	Sent, Done, NotRun, Unknown, Billed, Runs, Resent int
+	Sent, Done, NotRun, Unknown, Billed, Runs int
 
-	// What follows must be 0.
-	RanTwice         int
-	RanWithdrawn     int
-	NotRunButRan     int
-	DoneWithoutBill  int
-	BilledTwice      int
-	CutWithoutError  int
-	ForeignAnswers   int
-	WithdrawalFailed int
+	// Resent requests were sent again, Sessions were used by more than one
+	// request, and RunsBefore ran on the withdrawn version while it served.
+	// None of them may be 0, else the checks that they stand for are empty.
+	Resent, Sessions, RunsBefore int
+
+	Breaches []load.Breach
 }
 
-// count compares what callers saw with the bills and the run logs.
-func count(all []sent, bills []ledger.Bill, runs []fake.Run, withdrawn version.Ref, inForceAt time.Time) Summary {
-	s := Summary{Sent: len(all), Billed: len(bills), Runs: len(runs)}
-	if inForceAt.IsZero() {
-		s.WithdrawalFailed++
-	}
-	billed := make(map[string]int)
-	for _, b := range bills {
-		billed[b.Key.RequestID]++
+// newSummary counts the evidence of a run that withdrew a version.
+func newSummary(e load.Evidence, withdrawn version.Ref) Summary {
+	s := Summary{Sent: len(e.Seen), Billed: len(e.Bills), Runs: len(e.Runs), Breaches: e.Breaches()}
+	turns := make(map[string]int)
+	for _, o := range e.Seen {
+		s.add(o)
+		if o.Session != "" {
+			turns[o.Session]++
+		}
 	}
-	ran := make(map[string]int)
-	for _, r := range runs {
-		ran[r.RequestID]++
-		if r.Version == withdrawn && !inForceAt.IsZero() && r.StartedAt.After(inForceAt) {
-			s.RanWithdrawn++
+	for _, n := range turns {
+		if n > 1 {
+			s.Sessions++
 		}
 	}
-	for _, one := range all {
-		s.add(one, ran[one.id], billed[one.id])
+	for _, r := range e.Runs {
+		if r.Version == withdrawn && r.ReceivedAt.Before(e.Withdrawn[withdrawn]) {
+			s.RunsBefore++
+		}
 	}
 	return s
 }
 
-func (s *Summary) add(one sent, ran, billed int) {
-	outcome := one.reply.Outcome()
-	if one.err != nil {
-		outcome = request.Unknown
-	}
-	if one.resent {
-		s.Resent++
-	}
-	if !one.idempotent && ran > 1 {
-		s.RanTwice++
-	}
-	if billed > 1 {
-		s.BilledTwice++
-	}
-	switch outcome {
+func (s *Summary) add(o load.Observation) {
+	switch o.Final.Outcome() {
 	case request.Done:
 		s.Done++
-		s.addDone(one, billed)
 	case request.NotRun:
 		s.NotRun++
-		if ran > 0 {
-			s.NotRunButRan++
-		}
-	case request.Unknown:
+	default:
 		s.Unknown++
-		if one.err == nil && one.reply.Problem == nil {
-			s.CutWithoutError++
-		}
 	}
-}
-
-func (s *Summary) addDone(one sent, billed int) {
-	if billed == 0 {
-		s.DoneWithoutBill++
-	}
-	if one.plain && !strings.Contains(one.reply.Text, `"request_id":"`+one.id+`"`) {
-		s.ForeignAnswers++
+	if o.Final.Sends > 1 {
+		s.Resent++
 	}
 }
 
-// Broken names the promises that did not hold.
+// Broken names the promises that did not hold and the checks that were empty.
 func (s Summary) Broken() []string {
 	var broken []string
-	for _, c := range s.checks() {
-		if c.n > 0 {
-			broken = append(broken, c.name)
+	counts := load.Count(s.Breaches)
+	for _, p := range load.Promises() {
+		if counts[p] > 0 {
+			broken = append(broken, string(p))
+		}
+	}
+	for _, c := range s.needed() {
+		if c.n == 0 {
+			broken = append(broken, "nothing was checked: "+c.name)
 		}
 	}
 	return broken
@@ -103,28 +78,31 @@
 // String gives the counts, one a line.
 func (s Summary) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "sent %d (%d of them twice): done %d, not_run %d, unknown %d\n", s.Sent, s.Resent, s.Done, s.NotRun, s.Unknown)
+	fmt.Fprintf(&b, "sent %d: done %d, not_run %d, unknown %d\n", s.Sent, s.Done, s.NotRun, s.Unknown)
 	fmt.Fprintf(&b, "bills %d, runs at backend servers %d\n", s.Billed, s.Runs)
-	for _, c := range s.checks() {
+	for _, c := range s.needed() {
 		fmt.Fprintf(&b, "  %-52s %d\n", c.name, c.n)
 	}
+	fmt.Fprintln(&b, "promises broken:")
+	counts := load.Count(s.Breaches)
+	for _, p := range load.Promises() {
+		fmt.Fprintf(&b, "  %-52s %d\n", p, counts[p])
+	}
+	for _, breach := range s.Breaches {
+		fmt.Fprintln(&b, breach)
+	}
 	return b.String()
 }
 
-type check struct {
+type count struct {
 	name string
 	n    int
 }
 
-func (s Summary) checks() []check {
-	return []check{
-		{"non-idempotent requests run twice", s.RanTwice},
-		{"runs on a withdrawn version after it was in force", s.RanWithdrawn},
-		{"not_run requests that ran", s.NotRunButRan},
-		{"done requests without a bill", s.DoneWithoutBill},
-		{"requests billed twice", s.BilledTwice},
-		{"answers cut without an error", s.CutWithoutError},
-		{"answers of another request", s.ForeignAnswers},
-		{"withdrawals that failed", s.WithdrawalFailed},
+func (s Summary) needed() []count {
+	return []count{
+		{"requests that were sent again", s.Resent},
+		{"sessions with more than one request", s.Sessions},
+		{"runs on the version before its withdrawal", s.RunsBefore},
 	}
 }
--- a/internal/fake/announcer.go
+++ b/internal/fake/announcer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,11 +17,12 @@
 const AnnounceInterval = time.Second
 
 // Announcer announces a backend server to entries, again every second.
+// Describe returns what it says to the entry at an address.
 type Announcer struct {
 	Entries  []string
 	Key      string
 	Clock    clock.Clock
-	Describe func() backend.Announcement
+	Describe func(entry string) backend.Announcement
 
 	sequence atomic.Uint64
 }
@@ -40,11 +42,16 @@
 // Now announces once to every entry. An entry out of reach is passed over: the
 // next announcement tries it again.
 func (a *Announcer) Now(ctx context.Context) {
-	said := a.Describe()
-	said.Sequence = a.sequence.Add(1)
+	sequence := a.sequence.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, AnnounceInterval)
 	defer cancel()
+	var all sync.WaitGroup
 	for _, entry := range a.Entries {
-		iobackend.Announce(ctx, http.DefaultClient, entry, a.Key, said) //nolint:errcheck // tried again each second
+		said := a.Describe(entry)
+		said.Sequence = sequence
+		all.Go(func() {
+			iobackend.Announce(ctx, http.DefaultClient, entry, a.Key, said) //nolint:errcheck // tried again each second
+		})
 	}
+	all.Wait()
 }
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -134,7 +134,7 @@
 	input := tokensOf(s.prompt)
 	cached := e.cache.use(s.ref, s.prompt)
 	s.prefill = time.Duration(input-cached) * e.cfg.PrefillPerToken
-	s.logPlace = e.Log.Start(Run{Backend: e.cfg.ID, RequestID: s.id, Attempt: s.attempt, Version: s.ref, StartedAt: now})
+	s.logPlace = e.Log.Start(Run{Backend: e.cfg.ID, RequestID: s.id, Attempt: s.attempt, Version: s.ref, ReceivedAt: s.received, StartedAt: now})
 	s.state.Store(int32(running))
 	e.running = append(e.running, s)
 }
@@ -202,6 +202,7 @@
 	}
 	e.ordinal++
 	s.arrival = e.ordinal
+	s.received = e.cfg.Clock.Now()
 	s.run = fmt.Sprintf("%s/%d/%d", e.cfg.ID, e.cfg.Incarnation, e.ordinal)
 	s.seed = xxhash.Sum64String(s.run)
 	s.usage = request.Usage{InputTokens: tokensOf(s.prompt), OutputTokens: s.skip + s.want}
--- a/internal/fake/runlog.go
+++ b/internal/fake/runlog.go
@@ -11,18 +11,19 @@
 )
 
 type (
-	// Run is one run of a request at a backend server. Whole is set when it
-	// ran to its end.
+	// Run is one run of a request at a backend server, which received it at one
+	// time and began with it at another. Whole is set when it ran to its end.
 	Run struct {
-		Backend   string      `json:"backend"`
-		RequestID string      `json:"request_id"`
-		Attempt   int         `json:"attempt"`
-		Version   version.Ref `json:"version"`
-		Method    string      `json:"method,omitempty"`
-		Path      string      `json:"path,omitempty"`
-		StartedAt time.Time   `json:"started_at"`
-		Tokens    int64       `json:"tokens"`
-		Whole     bool        `json:"whole"`
+		Backend    string      `json:"backend"`
+		RequestID  string      `json:"request_id"`
+		Attempt    int         `json:"attempt"`
+		Version    version.Ref `json:"version"`
+		Method     string      `json:"method,omitempty"`
+		Path       string      `json:"path,omitempty"`
+		ReceivedAt time.Time   `json:"received_at"`
+		StartedAt  time.Time   `json:"started_at"`
+		Tokens     int64       `json:"tokens"`
+		Whole      bool        `json:"whole"`
 	}
 
 	// RunLog is a list of runs. It is safe for concurrent use.
--- a/internal/fake/sequence.go
+++ b/internal/fake/sequence.go
@@ -40,6 +40,7 @@
 		prefill  time.Duration
 		usage    request.Usage
 		logPlace int
+		received time.Time
 		endedAt  time.Time
 
 		made  atomic.Int64
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -106,6 +106,7 @@
 }
 
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	received := s.cfg.Clock.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -113,7 +114,7 @@
 	id := r.Header.Get(iobackend.HeaderRequestID)
 	place := s.Log.Start(Run{
 		Backend: s.cfg.ID, RequestID: id, Attempt: int(numberIn(r, iobackend.HeaderAttempt)),
-		Method: r.Method, Path: r.URL.Path, StartedAt: s.cfg.Clock.Now(),
+		Method: r.Method, Path: r.URL.Path, ReceivedAt: received, StartedAt: s.cfg.Clock.Now(),
 	})
 	s.count(1)
 	defer s.count(-1)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -94,7 +94,7 @@
 func NewReport(name string, opts Options, seen []Observation) Report {
 	r := Report{
 		Name: name, Seed: opts.Seed, LengthMs: opts.Length.Milliseconds(), Counts: countAll(seen),
-		Planned: len(Schedule(opts.Sources, opts.Length, opts.Seed)), Codes: make(map[string]int),
+		Planned: len(opts.Schedule()), Codes: make(map[string]int),
 	}
 	all := make(histograms)
 	for _, o := range seen {
@@ -196,9 +196,7 @@
 	if o.Final.Sends > 1 {
 		c.Resent++
 	}
-	if o.Final.IsCut() {
-		c.Cut++
-	}
+	c.Cut += o.Cuts
 	c.Tokens += int(o.Final.Reply.Tokens)
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -28,30 +28,41 @@
 	bytesPerToken = 4
 )
 
+// errLost stands for an answer that was thrown away.
+const errLost = errors.ConstError("the answer was lost")
+
 type (
 	// Options are the settings of a run. Entries are the addresses that callers
-	// know before they ask for more. Progress may be nil.
+	// know before they ask for more. Most bounds the number of requests; 0 is no
+	// bound. The first answer of every LoseEvery-th request is thrown away, so
+	// that it is sent again; 0 loses none. Progress may be nil.
 	Options struct {
-		Entries  []string
-		Sources  []Source
-		Length   time.Duration
-		Seed     uint64
-		Region   string
-		Zone     string
-		Progress io.Writer
-		Clock    clock.Clock
+		Entries   []string
+		Sources   []Source
+		Length    time.Duration
+		Most      int
+		LoseEvery int
+		Seed      uint64
+		Region    string
+		Zone      string
+		Progress  io.Writer
+		Clock     clock.Clock
 	}
 
 	// Observation is what the caller of one arrival saw. Times count from the
 	// intended time of sending. Late is by how much the sending itself came too
-	// late. Gaps are the times between two tokens.
+	// late. Gaps are the times between two tokens. Cuts are sendings whose
+	// answer ended without its end and without an error. Session is the token
+	// of the session that the request was sent in.
 	Observation struct {
 		Arrival    Arrival
+		Session    string
 		Final      Final
 		Late       time.Duration
 		FirstToken time.Duration
 		Total      time.Duration
 		Gaps       []time.Duration
+		Cuts       int
 	}
 
 	// Runner sends a schedule.
@@ -80,22 +91,32 @@
 // Run sends all arrivals, each at its own time whether or not earlier ones
 // were answered, and returns what their callers saw.
 func (r *Runner) Run(ctx context.Context) []Observation {
-	schedule := Schedule(r.opts.Sources, r.opts.Length, r.opts.Seed)
+	schedule := r.opts.Schedule()
 	began := r.opts.Clock.Now()
 	reporting, stop := context.WithCancel(ctx)
 	defer stop()
 	go r.report(reporting, began, len(schedule))
 	var sending sync.WaitGroup
-	for _, a := range schedule {
+	for i, a := range schedule {
 		if !r.waitUntil(ctx, began.Add(a.At)) {
 			break
 		}
-		sending.Go(func() { r.observe(ctx, a, began.Add(a.At)) })
+		lose := r.opts.LoseEvery > 0 && i%r.opts.LoseEvery == 0
+		sending.Go(func() { r.observe(ctx, a, began.Add(a.At), lose) })
 	}
 	sending.Wait()
 	return r.seen
 }
 
+// Schedule returns the arrivals of a run with these options.
+func (o Options) Schedule() []Arrival {
+	all := Schedule(o.Sources, o.Length, o.Seed)
+	if o.Most > 0 && len(all) > o.Most {
+		return all[:o.Most]
+	}
+	return all
+}
+
 func (r *Runner) waitUntil(ctx context.Context, at time.Time) bool {
 	wait := at.Sub(r.opts.Clock.Now())
 	if wait <= 0 {
@@ -109,12 +130,20 @@
 	}
 }
 
-func (r *Runner) observe(ctx context.Context, a Arrival, intended time.Time) {
+func (r *Runner) observe(ctx context.Context, a Arrival, intended time.Time, lose bool) {
 	ctx, cancel := context.WithTimeout(ctx, a.Class.Timeout+grace)
 	defer cancel()
 	o := Observation{Arrival: a, Late: r.opts.Clock.Now().Sub(intended)}
 	o.Final = r.callers[a.Source].Do(ctx, func(ctx context.Context, client caller.Client) (caller.Reply, error) {
-		return r.send(ctx, client, &o, intended)
+		reply, err := r.send(ctx, client, &o, intended)
+		if (Final{Reply: reply, Err: err}).IsCut() {
+			o.Cuts++
+		}
+		if lose {
+			lose = false
+			err = errLost
+		}
+		return reply, err
 	})
 	o.Total = r.opts.Clock.Now().Sub(intended)
 	r.mu.Lock()
@@ -136,6 +165,7 @@
 			return replyOf(a, err)
 		}
 		opts.Session = token
+		o.Session = token
 	}
 	var last time.Time
 	opts.OnText = func(string) {
