--- a/internal/cluster/part.go
+++ b/internal/cluster/part.go
@@ -190,11 +190,12 @@
 	}
 	announcer := &fake.Announcer{
 		Entries: entries, Key: c.backend, Clock: clock.WallClock,
-		Describe: func(entry string) backend.Announcement {
+		Describe: func() backend.Announcement { return describe(s.Near.Address()) },
+		Reach: func(entry string) string {
 			if regions[entry] == p.Region {
-				return describe(s.Near.Address())
+				return s.Near.Address()
 			}
-			return describe(s.Far.Address())
+			return s.Far.Address()
 		},
 	}
 	announcer.Now(ctx)
--- a/internal/fake/announcer.go
+++ b/internal/fake/announcer.go
@@ -17,12 +17,14 @@
 const AnnounceInterval = time.Second
 
 // Announcer announces a backend server to entries, again every second.
-// Describe returns what it says to the entry at an address.
+// Describe returns what it says. Reach, if set, returns the address that it
+// names to the entry at the given one.
 type Announcer struct {
 	Entries  []string
 	Key      string
 	Clock    clock.Clock
-	Describe func(entry string) backend.Announcement
+	Describe func() backend.Announcement
+	Reach    func(entry string) string
 
 	sequence atomic.Uint64
 }
@@ -47,8 +49,11 @@
 	defer cancel()
 	var all sync.WaitGroup
 	for _, entry := range a.Entries {
-		said := a.Describe(entry)
+		said := a.Describe()
 		said.Sequence = sequence
+		if a.Reach != nil {
+			said.Address = a.Reach(entry)
+		}
 		all.Go(func() {
 			iobackend.Announce(ctx, http.DefaultClient, entry, a.Key, said) //nolint:errcheck // tried again each second
 		})
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -15,15 +16,20 @@
 	"rosereach/core/version"
 )
 
-// keepEnded is how long an answer that ended can still be resumed.
-const keepEnded = 10 * time.Second
+const (
+	// keepEnded is how long an answer that ended can still be resumed.
+	keepEnded = 10 * time.Second
+
+	// defaultResumeWindow counts when the settings name no resume window.
+	defaultResumeWindow = 2 * time.Second
+)
 
 type (
 	// EngineConfig are the settings of a fake engine. A step takes StepTime and
 	// StepPerSequence for each sequence in the batch, and makes one token for
 	// each. A prompt costs PrefillPerToken for each token that is not cached.
-	// An answer that nobody reads is canceled after ResumeWindow. Orders need
-	// OrderKey unless it is empty.
+	// An answer that nobody reads is canceled after ResumeWindow, 0 for the
+	// default. Orders need OrderKey unless it is empty.
 	EngineConfig struct {
 		ID              string
 		Incarnation     uint64
@@ -64,6 +70,7 @@
 
 // NewEngine returns an engine, which Run sets to work.
 func NewEngine(cfg EngineConfig) *Engine {
+	cfg.ResumeWindow = cmp.Or(cfg.ResumeWindow, defaultResumeWindow)
 	return &Engine{
 		cfg: cfg, wake: make(chan struct{}, 1), byID: make(map[string]*sequence),
 		cache: newPrefixCache(cfg.CacheTokens), versions: slices.Clone(cfg.Versions),
@@ -213,13 +220,13 @@
 	return s.attach(), true
 }
 
-// resume returns the run of a request that still goes on or ended shortly ago.
-// An empty run stands for the request's newest.
+// resume returns the run of that name when it still goes on or ended shortly
+// ago.
 func (e *Engine) resume(id string, ref version.Ref, run string) (*sequence, chan struct{}, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s, ok := e.byID[id]
-	if !ok || s.ref != ref || s.is(canceled) || (run != "" && run != s.run) {
+	if !ok || s.ref != ref || s.is(canceled) || s.run != run {
 		return nil, nil, false
 	}
 	return s, s.attach(), true
--- a/internal/fake/engine_http.go
+++ b/internal/fake/engine_http.go
@@ -13,9 +13,6 @@
 	"rosereach/io/platform"
 )
 
-// headerRun carries the name of a run, so that only this run is resumed.
-const headerRun = "X-Run-Id"
-
 // Handler returns the engine's HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	r := chi.NewRouter()
@@ -43,13 +40,13 @@
 	}
 	id := r.Header.Get(iobackend.HeaderRequestID)
 	prefix := numberIn(r, iobackend.HeaderPrefix)
-	if offset := numberIn(r, iobackend.HeaderOffset); offset > 0 {
-		s, moved, ok := e.resume(id, ref, r.Header.Get(headerRun))
+	if run := r.Header.Get(iobackend.HeaderRun); run != "" {
+		s, moved, ok := e.resume(id, ref, run)
 		if !ok {
-			refuse(w, http.StatusGone, "the run that the offset belongs to is not kept")
+			refuse(w, http.StatusGone, "the run is not kept")
 			return
 		}
-		e.stream(w, r, s, moved, offset)
+		e.stream(w, r, s, moved, numberIn(r, iobackend.HeaderOffset))
 		return
 	}
 	s := &sequence{
@@ -69,7 +66,7 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, moved chan struct{}, offset int64) {
 	defer e.leave(s, moved)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(headerRun, s.run)
+	w.Header().Set(iobackend.HeaderRun, s.run)
 	event, err := newEventWriter(s, e.cfg.Clock.Now())
 	if err != nil {
 		refuse(w, http.StatusInternalServerError, err.Error())
