--- a/internal/fake/engine_http.go
+++ b/internal/fake/engine_http.go
@@ -40,14 +40,13 @@
 	}
 	id := r.Header.Get(iobackend.HeaderRequestID)
 	prefix := numberIn(r, iobackend.HeaderPrefix)
-	offset, run := numberIn(r, iobackend.HeaderOffset), r.Header.Get(iobackend.HeaderRun)
-	if offset > 0 || run != "" {
+	if run := r.Header.Get(iobackend.HeaderRun); run != "" {
 		s, moved, ok := e.resume(id, ref, run)
 		if !ok {
-			refuse(w, http.StatusGone, "the run that the offset belongs to is not kept")
+			refuse(w, http.StatusGone, "the run is not kept")
 			return
 		}
-		e.stream(w, r, s, moved, offset)
+		e.stream(w, r, s, moved, numberIn(r, iobackend.HeaderOffset))
 		return
 	}
 	s := &sequence{
