Share slots fairly between workspaces and refuse early

The queue in order of arrival let one workspace fill all slots and all waiting places, and refused only when full. FairShare is start-time fair queueing by weight with priorities inside a workspace; a ticket predicted to miss its deadline is refused when it arrives, with a time to come back. Adaptive limits, a retry budget and a byte budget come with it.

--- /dev/null
+++ b/core/limit/fair_test.go
@@ -0,0 +1,216 @@
+package limit
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// Shares follow the weights while all workspaces have work waiting.
+func TestFairShareByWeight(t *testing.T) {
+	q := NewFairShare(FairConfig{Slots: 1, Waiting: 100})
+	q.Offer(start, Ticket{ID: 1000, Workspace: "a"})
+	for i := range 30 {
+		q.Offer(start, Ticket{ID: uint64(i), Workspace: "a", Weight: 1})
+		q.Offer(start, Ticket{ID: uint64(100 + i), Workspace: "b", Weight: 3})
+	}
+	running, served := uint64(1000), map[bool]int{}
+	for range 20 {
+		next := q.Finish(start, running)
+		if len(next) != 1 {
+			t.Fatalf("started %v", next)
+		}
+		running = next[0]
+		served[running >= 100]++
+	}
+	if served[true] < 14 || served[true] > 16 {
+		t.Errorf("of 20 starts %d went to the weight of 3", served[true])
+	}
+}
+
+// Within a workspace a higher priority goes first, equal ones in order.
+func TestFairSharePriority(t *testing.T) {
+	q := NewFairShare(FairConfig{Slots: 1, Waiting: 10})
+	q.Offer(start, Ticket{ID: 1})
+	for id, priority := range []int{2: 0, 3: 5, 4: 0, 5: 5} {
+		if id > 1 {
+			q.Offer(start, Ticket{ID: uint64(id), Priority: priority})
+		}
+	}
+	var order []uint64
+	for last := uint64(1); ; last = order[len(order)-1] {
+		next := q.Finish(start, last)
+		if len(next) == 0 {
+			break
+		}
+		order = append(order, next...)
+	}
+	if diff := cmp.Diff([]uint64{3, 5, 2, 4}, order); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A ticket that cannot be served before its deadline is refused when it
+// arrives, with the time after which a like one would be served.
+func TestFairShareRefusesEarly(t *testing.T) {
+	q := NewFairShare(FairConfig{Slots: 1, Waiting: 100})
+	now := start
+	for i := range 5 {
+		q.Offer(now, Ticket{ID: uint64(i)})
+		now = now.Add(time.Second)
+		q.Finish(now, uint64(i))
+	}
+	deadline := now.Add(3500 * time.Millisecond)
+	var verdicts []Verdict
+	var last Decision
+	for i := range 5 {
+		last = q.Offer(now, Ticket{ID: uint64(10 + i), Deadline: deadline})
+		verdicts = append(verdicts, last.Verdict)
+	}
+	if diff := cmp.Diff([]Verdict{Run, Wait, Wait, Refuse, Refuse}, verdicts); diff != "" {
+		t.Error(diff)
+	}
+	if last.RetryAfter != 500*time.Millisecond {
+		t.Errorf("retry after %v", last.RetryAfter)
+	}
+}
+
+// A full queue makes room for a workspace below its share by pushing out the
+// last ticket of the longest one, which is refused at once.
+func TestFairShareMakesRoom(t *testing.T) {
+	q := NewFairShare(FairConfig{Slots: 1, Waiting: 2})
+	q.Offer(start, Ticket{ID: 1, Workspace: "flood"})
+	q.Offer(start, Ticket{ID: 2, Workspace: "flood"})
+	q.Offer(start, Ticket{ID: 3, Workspace: "flood"})
+	if d := q.Offer(start, Ticket{ID: 4, Workspace: "flood"}); d.Verdict != Refuse || d.RetryAfter <= 0 {
+		t.Errorf("the flood's next ticket: %+v", d)
+	}
+	if d := q.Offer(start, Ticket{ID: 5, Workspace: "small"}); d.Verdict != Wait {
+		t.Errorf("the small workspace's ticket: %+v", d)
+	}
+	if diff := cmp.Diff([]uint64{3}, q.Expire(start)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// After a pause the queue does not take the empty pace for a slow one.
+func TestFairShareAfterPause(t *testing.T) {
+	q := NewFairShare(FairConfig{Slots: 2, Waiting: 10})
+	q.Offer(start, Ticket{ID: 1})
+	q.Finish(start.Add(time.Second), 1)
+	now := start.Add(time.Hour)
+	for i := range 3 {
+		if d := q.Offer(now, Ticket{ID: uint64(10 + i), Deadline: now.Add(5 * time.Second)}); d.Verdict == Refuse {
+			t.Errorf("ticket %d refused: %+v", i, d)
+		}
+	}
+}
+
+// For any calls, no more run than there are slots, no more wait than allowed,
+// and every ticket ends exactly once.
+func TestFairShareKeepsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := FairConfig{Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Waiting: rapid.IntRange(0, 5).Draw(t, "waiting")}
+		q, now := NewFairShare(cfg), start
+		var running, waiting []uint64
+		drop := func(list *[]uint64, id uint64) {
+			at := slices.Index(*list, id)
+			if at < 0 {
+				t.Fatalf("ticket %d ended twice", id)
+			}
+			*list = slices.Delete(*list, at, at+1)
+		}
+		for id := uint64(1); id < 60; id++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			switch action := rapid.IntRange(0, 3).Draw(t, "action"); {
+			case action <= 1:
+				d := q.Offer(now, Ticket{
+					ID: id, Workspace: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "workspace")), Weight: rapid.IntRange(0, 3).Draw(t, "weight"),
+					Priority: rapid.IntRange(0, 1).Draw(t, "priority"), Deadline: now.Add(2 * time.Second),
+				})
+				if d.Verdict == Run {
+					running = append(running, id)
+				}
+				if d.Verdict == Wait {
+					waiting = append(waiting, id)
+				}
+				if d.Verdict == Refuse && d.RetryAfter <= 0 {
+					t.Fatal("refused without a time to come back")
+				}
+			case action == 2 && len(running) > 0:
+				ended := running[0]
+				drop(&running, ended)
+				for _, next := range q.Finish(now, ended) {
+					drop(&waiting, next)
+					running = append(running, next)
+				}
+			case len(waiting) > 0:
+				q.Leave(now, waiting[0])
+				waiting = waiting[1:]
+			}
+			for _, gone := range q.Expire(now) {
+				drop(&waiting, gone)
+			}
+			if len(running) > cfg.Slots || len(waiting) > cfg.Waiting || q.Running() != len(running) || q.Waiting() != len(waiting) {
+				t.Fatalf("running %v, waiting %v, queue %d and %d", running, waiting, q.Running(), q.Waiting())
+			}
+		}
+	})
+}
+
+// The limit grows while delays stay low and the limit is in use, and shrinks
+// under delay, once for a burst.
+func TestAdaptive(t *testing.T) {
+	a := NewAdaptive(10, 2, 20, 100*time.Millisecond)
+	for i := range 200 {
+		a.Observe(start.Add(time.Duration(i)*time.Second), 10*time.Millisecond, a.Limit())
+	}
+	if a.Limit() != 20 {
+		t.Errorf("limit %d after short delays", a.Limit())
+	}
+	for range 50 {
+		a.Observe(start.Add(time.Hour), time.Second, 20)
+	}
+	if a.Limit() != 18 {
+		t.Errorf("limit %d after one burst", a.Limit())
+	}
+	for i := range 100 {
+		a.Cut(start.Add(time.Hour + time.Duration(i)*time.Second))
+	}
+	if a.Limit() != 2 {
+		t.Errorf("limit %d after many refusals", a.Limit())
+	}
+}
+
+// Retries are at most the share of the first attempts, plus what was saved.
+func TestBudget(t *testing.T) {
+	b := NewBudget(0.1, 3)
+	retries := 0
+	for range 1000 {
+		b.Earn()
+		for b.Spend() {
+			retries++
+		}
+	}
+	if retries < 99 || retries > 100 {
+		t.Errorf("%d retries for 1000 attempts", retries)
+	}
+}
+
+// Bytes refill at the rate, and what was overdrawn is paid back first.
+func TestBytes(t *testing.T) {
+	b := NewBytes(1000, 500)
+	if !b.Has(start, 500) || b.Has(start, 501) {
+		t.Error("a new budget does not hold its burst")
+	}
+	b.Spend(start, 1500)
+	if b.Has(start.Add(900*time.Millisecond), 1) || !b.Has(start.Add(1100*time.Millisecond), 90) {
+		t.Error("overdrawn bytes are not paid back at the rate")
+	}
+}
