Place by predicted finish, and measure it on a virtual clock

Least in-flight sees only an entry's own requests: it is blind to caches and to other entries. Experiments gain a default number of seeds (internal/experiment, internal/cmd/cmd_experiment.go).

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -10,15 +10,20 @@
 
 type (
 	// Candidate is a backend server as one entry sees it. InFlight counts the
-	// entry's own requests on it. Prefix is the share of the prompt that its
-	// cache is thought to hold, 0 to 1. Distance is the time one way; SameRegion
-	// is false when the link between regions lies between.
+	// entry's own requests on it, and InFlightAtReport those that it had there
+	// when the server's load report was measured. Backlog is the entry's own
+	// prompt tokens that the server has still to read. Prefix is the share of
+	// the prompt that its cache is thought to hold, 0 to 1. Distance is the
+	// time one way; SameRegion is false when the link between regions lies
+	// between.
 	Candidate struct {
-		Server     backend.Announcement
-		InFlight   int
-		Prefix     float64
-		Distance   time.Duration
-		SameRegion bool
+		Server           backend.Announcement
+		InFlight         int
+		InFlightAtReport int
+		Backlog          int64
+		Prefix           float64
+		Distance         time.Duration
+		SameRegion       bool
 	}
 
 	// Demand is what a request asks of a backend server.
@@ -38,6 +43,12 @@
 	// LeastInFlight picks the candidate with the fewest of the entry's own
 	// requests per unit of capacity, ties broken at random.
 	LeastInFlight struct{}
+
+	// RoundRobin picks the candidates in turn.
+	RoundRobin struct{ last int }
+
+	// Random picks each candidate with the same chance.
+	Random struct{}
 )
 
 // Name returns the policy's name.
@@ -60,4 +71,21 @@
 	return best
 }
 
+// Name returns the policy's name.
+func (*RoundRobin) Name() string { return "round_robin" }
+
+// Pick returns the index after the last one.
+func (p *RoundRobin) Pick(_ time.Time, _ Demand, candidates []Candidate, _ *rand.Rand) int {
+	p.last++
+	return p.last % len(candidates)
+}
+
+// Name returns the policy's name.
+func (Random) Name() string { return "uniform_random" }
+
+// Pick returns any index.
+func (Random) Pick(_ time.Time, _ Demand, candidates []Candidate, random *rand.Rand) int {
+	return random.IntN(len(candidates))
+}
+
 func (c Candidate) use() float64 { return float64(c.InFlight) / float64(max(c.Server.Capacity, 1)) }
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,128 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"rosereach/core/backend"
+)
+
+var start = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+func server(id string, queued, running int) backend.Announcement {
+	return backend.Announcement{ID: id, Capacity: 16, Load: backend.Load{At: start, Queued: queued, Running: running}}
+}
+
+// The predicted finish prefers a cached prefix while it pays, and leaves it
+// when the server that holds it is too busy or too far.
+func TestPredictedPick(t *testing.T) {
+	d := Demand{InputTokens: 5000, OutputTokens: 100}
+	p := NewPredicted()
+	p.Choices = 20
+	for _, tc := range []struct {
+		name       string
+		candidates []Candidate
+		want       int
+	}{
+		{"prefix", []Candidate{{Server: server("a", 0, 0), SameRegion: true}, {Server: server("b", 0, 2), Prefix: 0.9, SameRegion: true}}, 1},
+		{"prefix behind a queue", []Candidate{{Server: server("a", 0, 0), SameRegion: true}, {Server: server("b", 30, 16), Prefix: 0.9, SameRegion: true}}, 0},
+		{"prefix behind own prompts", []Candidate{{Server: server("a", 0, 0), SameRegion: true}, {Server: server("b", 0, 2), Prefix: 0.9, Backlog: 9000, SameRegion: true}}, 0},
+		{"nearer", []Candidate{{Server: server("a", 0, 0), Distance: 30 * time.Millisecond}, {Server: server("b", 0, 0), SameRegion: true}}, 1},
+		{"own requests are not counted twice", []Candidate{{Server: server("a", 0, 8), InFlight: 8, InFlightAtReport: 8, SameRegion: true}, {Server: server("b", 0, 12), SameRegion: true}}, 0},
+	} {
+		if got := p.Pick(start, d, tc.candidates, rand.New(rand.NewPCG(1, 1))); got != tc.want {
+			t.Errorf("%s: picked %d", tc.name, got)
+		}
+	}
+}
+
+// Counts are known now and at the time of a late report; the backlog of
+// prompts drains as the server reads.
+func TestTracker(t *testing.T) {
+	k := NewTracker(time.Millisecond)
+	k.Start(start, "a", 1000)
+	k.Start(start.Add(time.Second/2), "a", 1000)
+	k.End(start.Add(2*time.Second), "a")
+	if got := k.InFlight("a"); got != 1 {
+		t.Errorf("in flight %d", got)
+	}
+	if got := k.InFlightAt("a", start.Add(time.Second)); got != 2 {
+		t.Errorf("in flight at the report %d", got)
+	}
+	if got := k.Backlog(start.Add(time.Second), "a"); got != 1000 {
+		t.Errorf("backlog %d", got)
+	}
+	if got := k.InFlight("b"); got != 0 {
+		t.Errorf("in flight on an unknown server %d", got)
+	}
+}
+
+// Hints follow own prompts and cache events and end with their life.
+func TestPrefixes(t *testing.T) {
+	p := NewPrefixes(3, time.Minute)
+	prompt := []Chunk{{1, 60}, {2, 20}, {3, 20}}
+	p.StoreAll(start, "a", prompt[:2])
+	for _, tc := range []struct {
+		name string
+		do   func()
+		at   time.Time
+		want float64
+	}{
+		{"stored", func() {}, start, 0.8},
+		{"event", func() { p.Store(start, "a", 3) }, start, 1},
+		{"out of memory", func() { p.Store(start, "a", 9) }, start, 0},
+		{"stored again", func() { p.StoreAll(start.Add(time.Second), "a", prompt) }, start.Add(time.Second), 1},
+		{"evicted", func() { p.Evict("a", 2) }, start.Add(time.Second), 0.6},
+		{"old", func() {}, start.Add(2 * time.Minute), 0},
+	} {
+		tc.do()
+		if got := p.Share(tc.at, "a", prompt); got != tc.want {
+			t.Errorf("%s: share %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Subsets keep their size, are the same each time, differ between entries and
+// lose only the server that leaves.
+func TestSubset(t *testing.T) {
+	var servers []backend.Announcement
+	for i := range 40 {
+		servers = append(servers, backend.Announcement{ID: fmt.Sprintf("s%02d", i)})
+	}
+	first := ids(Subset("entry-1", servers, 8))
+	if diff := cmp.Diff(first, ids(Subset("entry-1", servers, 8))); diff != "" || len(first) != 8 {
+		t.Errorf("subset of %d: %s", len(first), diff)
+	}
+	if cmp.Equal(first, ids(Subset("entry-2", servers, 8))) {
+		t.Error("two entries have the same subset")
+	}
+	var rest []backend.Announcement
+	for _, s := range servers {
+		if s.ID != first[3] {
+			rest = append(rest, s)
+		}
+	}
+	kept := 0
+	for _, id := range ids(Subset("entry-1", rest, 8)) {
+		for _, old := range first {
+			if id == old {
+				kept++
+			}
+		}
+	}
+	if kept != 7 {
+		t.Errorf("%d of 7 servers kept", kept)
+	}
+}
+
+func ids(servers []backend.Announcement) []string {
+	var list []string
+	for _, s := range servers {
+		list = append(list, s.ID)
+	}
+	return list
+}
--- a/internal/cmd/cmd_experiment.go
+++ b/internal/cmd/cmd_experiment.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strconv"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
@@ -18,7 +19,7 @@
 		c.subs = append(c.subs, &command{
 			name: e.Name(), short: e.Short(), action: runExperiment(e),
 			flags: []cli.Flag{
-				flag("seeds", "3", "repetitions, each with a seed of its own"),
+				flag("seeds", strconv.Itoa(e.Seeds()), "repetitions, each with a seed of its own"),
 				flag("report", "", "folder for tables and plots"),
 			},
 		})
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -9,6 +9,13 @@
 	"github.com/juju/errors"
 )
 
+const (
+	// defaultSeeds is for experiments with real processes, decisionSeeds for
+	// those on the virtual clock.
+	defaultSeeds  = 3
+	decisionSeeds = 20
+)
+
 type (
 	// Options are the settings of a run. Each seed is one repetition. Report is
 	// the folder for tables and plots; an empty one writes none. Progress gets
@@ -25,6 +32,8 @@
 		Name() string
 		// Short says in one line what is measured.
 		Short() string
+		// Seeds is the number of repetitions by default.
+		Seeds() int
 		// Run measures; a missed bound is no error but a row that is not held.
 		Run(ctx context.Context, opts Options) (Result, error)
 	}
@@ -35,12 +44,19 @@
 	// simple is an experiment made of a name and a function.
 	simple struct {
 		name, short string
+		seeds       int
 		run         RunFunc
 	}
 )
 
 // New returns an experiment that calls run.
-func New(name, short string, run RunFunc) Experiment { return simple{name, short, run} }
+func New(name, short string, run RunFunc) Experiment {
+	return newSeeded(name, short, defaultSeeds, run)
+}
+
+func newSeeded(name, short string, seeds int, run RunFunc) Experiment {
+	return simple{name, short, seeds, run}
+}
 
 // Name returns the experiment's name.
 func (s simple) Name() string { return s.name }
@@ -48,6 +64,9 @@
 // Short returns the experiment's description.
 func (s simple) Short() string { return s.short }
 
+// Seeds returns the number of repetitions by default.
+func (s simple) Seeds() int { return s.seeds }
+
 // Run calls the experiment's function.
 func (s simple) Run(ctx context.Context, opts Options) (Result, error) { return s.run(ctx, opts) }
 
--- /dev/null
+++ b/internal/experiment/placement.go
@@ -0,0 +1,136 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rosereach/core/placement"
+	"rosereach/internal/model"
+)
+
+const (
+	// placementWarmUp lets caches fill and sessions reach their mean age.
+	placementWarmUp = 60 * time.Second
+	placementRun    = 60 * time.Second
+
+	// saturation is the number of callers for each place in a batch that keeps
+	// all engines busy.
+	saturation = 2
+)
+
+type (
+	placementPolicy struct {
+		name string
+		make func() placement.Policy
+	}
+
+	// placementRunResult is what one policy did at one load.
+	placementRunResult struct {
+		p95, swing, hitRate, bestRate, linkBytes float64
+	}
+)
+
+var (
+	placementLoads = []float64{0.5, 0.8, 0.95}
+
+	placementPolicies = []placementPolicy{
+		{"round_robin", func() placement.Policy { return &placement.RoundRobin{} }},
+		{"uniform_random", func() placement.Policy { return placement.Random{} }},
+		{"least_in_flight", func() placement.Policy { return placement.LeastInFlight{} }},
+		{"predicted_finish", func() placement.Policy { return placement.NewPredicted() }},
+	}
+)
+
+func placementExperiment() Experiment {
+	return newSeeded("placement", "choose backend servers: first token, herding, prefix hits, link bytes", decisionSeeds,
+		func(ctx context.Context, opts Options) (Result, error) {
+			return measurePlacement(ctx, opts, []model.Workload{model.VitrinaVacia(), model.Terminalna(), model.TwoYears()})
+		})
+}
+
+// measurePlacement compares the placement policies at shares of the capacity.
+func measurePlacement(ctx context.Context, opts Options, workloads []model.Workload) (Result, error) {
+	capacity := make(map[string]float64)
+	result := Result{Experiment: "placement", Seeds: opts.Seeds}
+	for _, w := range workloads {
+		capacity[w.Name] = capacityOf(w)
+		result.Notes = append(result.Notes, fmt.Sprintf("capacity of %s: %.1f requests/s", w.Name, capacity[w.Name]))
+	}
+	seeds, err := overSeeds(ctx, opts.Seeds, opts.Progress, func(seed uint64) samples {
+		var s samples
+		for _, w := range workloads {
+			for _, load := range placementLoads {
+				s = append(s, comparePlacement(w, load, load*capacity[w.Name], seed)...)
+			}
+		}
+		return s
+	})
+	result.Rows = rowsOf(seeds)
+	for _, w := range workloads {
+		result.Plots = append(result.Plots, plotPlacement(w, seeds))
+	}
+	return result, err
+}
+
+// plotPlacement draws the p95 of the first token over the load.
+func plotPlacement(w model.Workload, seeds []samples) Plot {
+	p := Plot{Name: w.Name, Title: "First token, p95, " + w.Name, X: "share of capacity", Y: "s"}
+	for _, policy := range placementPolicies {
+		line := Line{Name: policy.name}
+		for _, load := range placementLoads {
+			values := valuesOf(seeds, placementLabel(w, load, "p95 "+policy.name))
+			line.Points = append(line.Points, Point{X: load, Y: model.Quantile(0.5, values)})
+		}
+		p.Lines = append(p.Lines, line)
+	}
+	return p
+}
+
+func placementLabel(w model.Workload, load float64, name string) string {
+	return fmt.Sprintf("%s %.2f %s", w.Name, load, name)
+}
+
+// capacityOf returns the requests a second that the saturated fleet finishes
+// under the policy that was in use before.
+func capacityOf(w model.Workload) float64 {
+	f := model.NewFleet(model.FleetConfig{Workload: w, Seed: 1, Policy: func() placement.Policy { return placement.LeastInFlight{} }})
+	f.Saturate(saturation * w.Engines * model.DefaultEngine("", "", "").Batch)
+	f.Clock.Run(placementWarmUp)
+	f.Reset()
+	f.Clock.Run(placementRun)
+	return float64(f.Stats.Done) / placementRun.Seconds()
+}
+
+func comparePlacement(w model.Workload, load, rate float64, seed uint64) samples {
+	var s samples
+	add := func(name, unit string, value float64, b *Bound) { s.add(placementLabel(w, load, name), unit, value, b) }
+	results := make(map[string]placementRunResult)
+	for _, p := range placementPolicies {
+		results[p.name] = runPlacement(w, p, rate, seed)
+		add("p95 "+p.name, "s", results[p.name].p95, nil)
+	}
+	ours, robin := results["predicted_finish"], results["round_robin"]
+	add("p95 to round robin's", "ratio", ours.p95/robin.p95, atMost(0.7))
+	add("p95 to least in-flight's", "ratio", ours.p95/results["least_in_flight"].p95, atMost(1))
+	add("swing to uniform random's", "ratio", ours.swing/results["uniform_random"].swing, atMost(1))
+	add("prefix hits to the best possible", "ratio", ours.hitRate/ours.bestRate, nil)
+	add("round robin's hits to the best", "ratio", robin.hitRate/robin.bestRate, nil)
+	add("link bytes", "B/request", ours.linkBytes, nil)
+	add("round robin's link bytes", "B/request", robin.linkBytes, nil)
+	return s
+}
+
+func runPlacement(w model.Workload, p placementPolicy, rate float64, seed uint64) placementRunResult {
+	f := model.NewFleet(model.FleetConfig{Workload: w, Seed: seed, Policy: p.make})
+	f.Offer(rate, placementWarmUp+placementRun)
+	f.Clock.Run(placementWarmUp)
+	f.Reset()
+	var swing model.Swing
+	f.WatchSwing(&swing)
+	f.Clock.Run(placementRun)
+	return placementRunResult{
+		p95: model.Quantile(0.95, f.Stats.First), swing: swing.Mean(), hitRate: f.HitRate(), bestRate: f.BestHitRate(),
+		linkBytes: float64(f.LinkBytes()) / float64(max(f.Stats.Done, 1)),
+	}
+}
