Weigh later tokens more when placing, which calms the load

With a weight of 0.1 the policy kept sending to a holder of the prefix while its batch grew, so that load swung more than under random placement. With 0.5 a full batch costs enough to go elsewhere. A weight of 0.7 was ruled out: no lower p95.

--- a/core/placement/predicted.go
+++ b/core/placement/predicted.go
@@ -33,7 +33,7 @@
 func DefaultCosts() Costs {
 	return Costs{
 		PrefillPerToken: 100 * time.Microsecond, StepTime: 12 * time.Millisecond, StepPerSequence: 300 * time.Microsecond,
-		Link: 5 * time.Millisecond, Decode: 0.1, Memory: 2 * time.Second,
+		Link: 5 * time.Millisecond, Decode: 0.5, Memory: 2 * time.Second,
 	}
 }
 
