--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -91,14 +91,14 @@
 
 // Status returns what the control knows of the fleet. A follower asks the
 // leader for the entries.
-func (n *Node) Status() operator.Status {
+func (n *Node) Status(ctx context.Context) operator.Status {
 	s := n.group()
 	status := operator.Status{Control: n.cfg.ID, Leader: s.Leader.ID, Index: s.Applied, Revision: n.Catalog().Revision()}
 	if entries, err := n.entries(); err == nil {
 		status.Entries = entries
 		return status
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := n.callLeader(ctx, member.KindEntries, nil, &status.Entries); err != nil {
 		n.cfg.Logger.Log("msg", "Entries are not known.", "err", err)
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -48,7 +48,7 @@
 		Request(key ledger.Key) (ledger.Record, bool)
 		Operator(key string) (operator.Operator, error)
 		Note(ctx context.Context, e audit.Event) error
-		Status() Status
+		Status(ctx context.Context) Status
 	}
 
 	// Documents are the documents at one revision, without secrets.
@@ -187,8 +187,8 @@
 	return &bare
 }
 
-func (s *server) getStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.backend.Status())
+func (s *server) getStatus(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, s.backend.Status(r.Context()))
 }
 
 func afterOf(r *http.Request) uint64 {
