Check an attempt again before its first byte, and hold the revision back

Cause: the demo's test saw one run on a withdrawn version after the change was reported in force. An attempt was checked at dispatch and written later, when its connection stood; meanwhile the entry named the new revision as applied. Ruled out: the fake's clock (the run was received, not only started, late). Now the connection asks the attempt's gate before its first byte, and an entry names a revision as applied only when no attempt checked against an older one is still to be written. A denied attempt is provably not_run. What remains: bytes that the kernel or the network hold back longer than the report of being in force.

--- /dev/null
+++ b/internal/entry/claim_test.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"testing"
+
+	"rosereach/core/backend"
+	"rosereach/core/catalog"
+	"rosereach/core/request"
+)
+
+// An entry names a new revision as applied only once no attempt is left that
+// was checked against an older one and is still to be written.
+func TestAppliedWaitsForClaims(t *testing.T) {
+	f := newFleet(t, 1)
+	e := f.entries[0]
+	waitFor(t, "documents", func() bool { return e.catalog.Load().Revision() > 0 })
+	old := e.catalog.Load().Revision()
+	e.mu.Lock()
+	first := e.claim(request.Request{}, target{}, backend.Announcement{ID: "a"})
+	second := e.claim(request.Request{}, target{}, backend.Announcement{ID: "a"})
+	e.catalog.Store(catalog.New(catalog.Documents{Revision: old + 5}))
+	e.mu.Unlock()
+	if applied := e.leaseRequest().Applied; applied != old {
+		t.Errorf("applied %d with two attempts on their way, want %d", applied, old)
+	}
+	first.Written()
+	first.release()
+	if applied := e.leaseRequest().Applied; applied != old {
+		t.Errorf("applied %d with one attempt on its way, want %d", applied, old)
+	}
+	second.release()
+	if applied := e.leaseRequest().Applied; applied != old+5 {
+		t.Errorf("applied %d, want %d", applied, old+5)
+	}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -18,25 +18,19 @@
 	service string
 }
 
-// claim is the right to send one attempt to one backend server.
-type claim struct {
-	server  backend.Announcement
-	release func()
-}
-
 // dispatch checks lease, permission, version and backend server at this moment
 // and claims a place on the server. Tried servers are passed over. Queued,
 // retried, resumed and escalated attempts come through here like first ones.
-func (e *Entry) dispatch(req request.Request, t target, tried []string, demand placement.Demand) (claim, error) {
+func (e *Entry) dispatch(req request.Request, t target, tried []string, demand placement.Demand) (*claim, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.cfg.Clock.Now()
 	if !e.holder.IsLive(now) {
-		return claim{}, request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
+		return nil, request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
 			WithAddresses(orderAddresses(e.peers, e.cfg.Region, e.cfg.Zone))
 	}
 	if err := e.permit(req, t); err != nil {
-		return claim{}, err
+		return nil, err
 	}
 	var servers []backend.Announcement
 	if t.service != "" {
@@ -46,15 +40,15 @@
 	}
 	servers = slices.DeleteFunc(servers, func(a backend.Announcement) bool { return slices.Contains(tried, a.ID) })
 	if len(servers) == 0 {
-		return claim{}, request.NewNotRun(request.CodeNoBackend, "no backend server can take the request").
+		return nil, request.NewNotRun(request.CodeNoBackend, "no backend server can take the request").
 			WithRetryAfter(backendLease)
 	}
 	candidates := e.candidates(servers)
 	picked := e.placement.Pick(now, demand, candidates, e.random)
 	if picked < 0 {
-		return claim{}, request.NewNotRun(request.CodeOverloaded, "all backend servers are full").WithRetryAfter(backendLease)
+		return nil, request.NewNotRun(request.CodeOverloaded, "all backend servers are full").WithRetryAfter(backendLease)
 	}
-	return e.claim(candidates[picked].Server), nil
+	return e.claim(req, t, candidates[picked].Server), nil
 }
 
 func (e *Entry) permit(req request.Request, t target) error {
@@ -76,19 +70,6 @@
 	return candidates
 }
 
-// claim counts an attempt on the server. Callers hold e.mu.
-func (e *Entry) claim(a backend.Announcement) claim {
-	e.inFlight[a.ID]++
-	return claim{server: a, release: func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.inFlight[a.ID]--
-		if e.inFlight[a.ID] == 0 {
-			delete(e.inFlight, a.ID)
-		}
-	}}
-}
-
 // refusalOf turns the catalog's reasons into refusals that are not_run.
 func refusalOf(err error, req request.Request) error {
 	switch {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,7 @@
 		mu        sync.Mutex
 		registry  *registry.Registry
 		inFlight  map[string]int
+		sending   sending
 		random    *rand.Rand
 		choice    cascade.Policy
 		placement placement.Policy
@@ -100,6 +101,7 @@
 		budgets:   retry.NewBudgets(entryBudget, workspaceBudget),
 		registry:  registry.New(backendLease).WithSubset(cfg.ID, cfg.Incarnation, subsetSize),
 		inFlight:  make(map[string]int),
+		sending:   make(sending),
 		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 		choice:    cascade.Cheapest{},
 		placement: placement.LeastInFlight{},
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -188,7 +188,7 @@
 	defer e.mu.Unlock()
 	return lease.Request{
 		Entry: e.cfg.ID, Incarnation: e.cfg.Incarnation, Sequence: e.holder.Send(e.cfg.Clock.Now()),
-		Applied: e.catalog.Load().Revision(), Address: e.cfg.Address, Region: e.cfg.Region, Zone: e.cfg.Zone,
+		Applied: e.sending.applied(e.catalog.Load().Revision()), Address: e.cfg.Address, Region: e.cfg.Region, Zone: e.cfg.Zone,
 		Draining: e.draining.Load(), Load: e.running(),
 	}
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -65,14 +65,14 @@
 	return request.Answer{}, last
 }
 
-func (e *Entry) callOnce(x *execution, c claim, attempt int) (request.Answer, error) {
+func (e *Entry) callOnce(x *execution, c *claim, attempt int) (request.Answer, error) {
 	defer c.release()
 	if err := x.fire(request.Dispatch); err != nil {
 		return request.Answer{}, err
 	}
 	got, err := e.engines.Plain(x.ctx, iobackend.PlainCall{
 		Address: c.server.Address, RequestID: x.req.ID, Attempt: attempt, Deadline: x.req.Deadline, Idempotent: x.req.Idempotent,
-		Method: x.req.Method, Path: x.req.Path, ContentType: x.req.ContentType, Body: x.req.Body,
+		Method: x.req.Method, Path: x.req.Path, ContentType: x.req.ContentType, Body: x.req.Body, Gate: c,
 	})
 	if err != nil {
 		return request.Answer{}, x.lost(err)
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/clock"
@@ -46,7 +45,7 @@
 // NewClient returns a client that keeps at most idle connections to each
 // backend server.
 func NewClient(c clock.Clock, idle int) *Client {
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	dial := dialGated((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &Client{
 		pooled: newHTTP(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: idle, DisableCompression: true}),
 		single: newHTTP(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}),
@@ -98,17 +97,16 @@
 	return body, errors.Annotatef(err, "backend server at %s", address)
 }
 
-// do sends the request. An error before a connection stood is not_run: no
-// byte of the attempt was written.
-func (c *Client) do(ctx context.Context, client *http.Client, req *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+// do sends the request. An error before a connection stood is not_run, and so
+// is one of the gate: no byte of the attempt was written.
+func (c *Client) do(ctx context.Context, client *http.Client, req *http.Request, gate Gate) (*http.Response, error) {
+	p := &passage{gate: gate}
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(ctx, p.trace())))
 	if err == nil {
 		return resp, nil
 	}
-	if !connected.Load() {
-		return nil, notRun(err)
+	if proof := p.proof(err); proof != nil {
+		return nil, notRun(proof)
 	}
 	return nil, unknown(err)
 }
--- a/io/backend/engine.go
+++ b/io/backend/engine.go
@@ -48,6 +48,7 @@
 		Path        string
 		ContentType string
 		Body        []byte
+		Gate        Gate
 	}
 
 	// PlainAnswer is the answer of a plain service.
@@ -84,7 +85,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	resp, err := c.do(ctx, c.pooled, req)
+	resp, err := c.do(ctx, c.pooled, req, call.Gate)
 	if err != nil {
 		return End{}, err
 	}
@@ -124,7 +125,7 @@
 		req.Header.Set("Content-Type", call.ContentType)
 	}
 	setCommon(req.Header, call.RequestID, call.Attempt, call.Deadline)
-	resp, err := c.do(ctx, client, req)
+	resp, err := c.do(ctx, client, req, call.Gate)
 	if err != nil {
 		return PlainAnswer{}, err
 	}
--- /dev/null
+++ b/io/backend/gate_test.go
@@ -0,0 +1,121 @@
+package backend
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+
+	"rosereach/core/request"
+)
+
+var errShut = errors.New("the gate is shut")
+
+// testGate is shut when err is set, and counts what it is told.
+type testGate struct {
+	err     error
+	checked atomic.Int64
+	written chan struct{}
+}
+
+func (g *testGate) Check() error {
+	g.checked.Add(1)
+	return g.err
+}
+
+func (g *testGate) Written() {
+	select {
+	case g.written <- struct{}{}:
+	default:
+	}
+}
+
+// bytesOf accepts one connection and returns what arrives on it.
+func bytesOf(t *testing.T) (address string, got <-chan string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	all := make(chan string, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		data, _ := io.ReadAll(conn)
+		all <- string(data)
+	}()
+	return l.Addr().String(), all
+}
+
+// An attempt whose gate is shut once the connection stands writes no byte, and
+// says so.
+func TestShutGate(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		idempotent bool
+		path, body string
+	}{
+		{"with a body", false, "/x", "{}"},
+		{"idempotent", true, "/x", "{}"},
+		{"without a body", false, "/x", ""},
+		{"large head", false, "/" + strings.Repeat("x", 64<<10), "{}"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address, got := bytesOf(t)
+			gate := &testGate{err: errShut}
+			_, err := NewClient(clock.WallClock, 1).Plain(t.Context(), PlainCall{
+				Address: address, RequestID: "a", Idempotent: tc.idempotent, Method: http.MethodPost, Path: tc.path,
+				Body: []byte(tc.body), Gate: gate,
+			})
+			var attempt *AttemptError
+			if !errors.As(err, &attempt) || attempt.Outcome != request.NotRun {
+				t.Errorf("error %v, want not_run", err)
+			}
+			if data := <-got; data != "" {
+				t.Errorf("written: %q", data)
+			}
+			if gate.checked.Load() == 0 {
+				t.Error("the gate was not asked")
+			}
+		})
+	}
+}
+
+// An open gate is told when the attempt's bytes are written, and not before
+// the connection stands.
+func TestOpenGate(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		gate := &testGate{written: make(chan struct{}, 1)}
+		_, err := NewClient(clock.WallClock, 1).Plain(t.Context(), PlainCall{
+			Address: server.Listener.Addr().String(), RequestID: "a", Method: method, Path: "/x", Body: []byte("{}"), Gate: gate,
+		})
+		if err != nil || gate.checked.Load() != 1 {
+			t.Errorf("%s: %v, asked %d times", method, err, gate.checked.Load())
+		}
+		<-gate.written
+	}
+}
+
+// A gate that shuts after a first sending says nothing of that one.
+func TestProofOfPassage(t *testing.T) {
+	p := &passage{gate: &testGate{}, stands: true}
+	if err := p.ask(); err != nil {
+		t.Fatal(err)
+	}
+	p.gate = &testGate{err: errShut}
+	if err := p.ask(); err == nil || p.proof(err) != nil {
+		t.Errorf("error %v, proof %v", err, p.proof(err))
+	}
+}
--- a/io/backend/wire.go
+++ b/io/backend/wire.go
@@ -88,6 +88,15 @@
 		Offset    int64
 		Run       string
 		Prefix    string
+		Gate      Gate
+	}
+
+	// Gate stands before the first byte of an attempt. Check is asked when the
+	// connection stands; its error keeps the attempt from being sent. Written is
+	// told when the attempt's bytes are written, or cannot be. A nil Gate is open.
+	Gate interface {
+		Check() error
+		Written()
 	}
 
 	// Piece is text of an answer. Offset is the index of its first token.
