--- a/test/requests_cost_test.go
+++ b/test/requests_cost_test.go
@@ -104,3 +104,43 @@
 		})
 	}
 }
+
+// BenchmarkEntryMemory reports the resident memory of an entry for one open
+// stream, with 9,000 of them: each takes two of the 20,000 sockets that a
+// process may open on the machine.
+func BenchmarkEntryMemory(b *testing.B) {
+	const (
+		streams = 9_000
+		tokens  = 20
+	)
+	f := startFleet(b, 0)
+	f.entries = append(f.entries, start(b, "entry", "--id", "entry-1", "--region", "central", "--availability-zone", "sanjose",
+		"--controls", f.controls[0].address, "--member-key", f.memberKey, "--backend-key", f.backendKey,
+		"--address-ttl", "1s", "--max-running", "20000", "--request-timeout", "5m"))
+	startWideEngine(b, f, time.Second)
+	key := f.setUp("small@v1")
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
+	for b.Loop() {
+		_, idle := usageOf(b, f.entries[0])
+		var all sync.WaitGroup
+		for range streams {
+			all.Go(func() { readStream(b, client, f.entries[0].address, key, tokens) })
+		}
+		peak := idle
+		done := make(chan struct{})
+		go func() {
+			all.Wait()
+			close(done)
+		}()
+		for waiting := true; waiting; {
+			select {
+			case <-done:
+				waiting = false
+			case <-time.After(100 * time.Millisecond):
+				_, now := usageOf(b, f.entries[0])
+				peak = max(peak, now)
+			}
+		}
+		b.ReportMetric(float64(peak-idle)/streams, "bytes/stream")
+	}
+}
