--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"rosereach/core/registry"
 	"rosereach/core/retry"
 	iobackend "rosereach/io/backend"
+	"rosereach/io/member"
 )
 
 const (
@@ -165,3 +166,6 @@
 	defer e.mu.Unlock()
 	return orderAddresses(e.peers, region, zone)
 }
+
+// peer says who the entry is towards other members.
+func (c Config) peer() member.Peer { return member.Peer{ID: c.ID, Region: c.Region, Zone: c.Zone} }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -140,8 +140,7 @@
 		return conn, err
 	}
 	ctx, end := context.WithCancel(r.entry.ctx)
-	self := member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}
-	opened, err := member.DialTLS(ctx, address, cfg.MemberKey, self, r, security)
+	opened, err := member.DialTLS(ctx, address, cfg.MemberKey, cfg.peer(), r, security)
 	if err != nil {
 		end()
 		return conn, err
@@ -179,7 +178,7 @@
 
 // serve takes the connections of other entries.
 func (r *relay) serve(w http.ResponseWriter, req *http.Request) {
-	member.Accept(w, req, r.entry.cfg.MemberKey, r, func(*member.Conn) func() { return func() {} })
+	member.Accept(w, req, r.entry.cfg.MemberKey, r.entry.cfg.peer(), r, func(*member.Conn) func() { return func() {} })
 }
 
 // Handle answers another entry's ask.
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -20,7 +20,7 @@
 	// keepEnded is how long an answer that ended can still be resumed.
 	keepEnded = 10 * time.Second
 
-	// defaultResumeWindow stands for a resume window of 0.
+	// defaultResumeWindow counts when the settings name no resume window.
 	defaultResumeWindow = 2 * time.Second
 )
 
@@ -28,8 +28,8 @@
 	// EngineConfig are the settings of a fake engine. A step takes StepTime and
 	// StepPerSequence for each sequence in the batch, and makes one token for
 	// each. A prompt costs PrefillPerToken for each token that is not cached.
-	// An answer that nobody reads is canceled after ResumeWindow. Orders need
-	// OrderKey unless it is empty.
+	// An answer that nobody reads is canceled after ResumeWindow, 0 for the
+	// default. Orders need OrderKey unless it is empty.
 	EngineConfig struct {
 		ID              string
 		Incarnation     uint64
@@ -141,7 +141,7 @@
 	input := tokensOf(s.prompt)
 	cached := e.cache.use(s.ref, s.prompt)
 	s.prefill = time.Duration(input-cached) * e.cfg.PrefillPerToken
-	s.logPlace = e.Log.Start(Run{Backend: e.cfg.ID, RequestID: s.id, Attempt: s.attempt, Version: s.ref, StartedAt: now})
+	s.logPlace = e.Log.Start(Run{Backend: e.cfg.ID, RequestID: s.id, Attempt: s.attempt, Version: s.ref, ReceivedAt: s.received, StartedAt: now})
 	s.state.Store(int32(running))
 	e.running = append(e.running, s)
 }
@@ -209,6 +209,7 @@
 	}
 	e.ordinal++
 	s.arrival = e.ordinal
+	s.received = e.cfg.Clock.Now()
 	s.run = fmt.Sprintf("%s/%d/%d", e.cfg.ID, e.cfg.Incarnation, e.ordinal)
 	s.seed = xxhash.Sum64String(s.run)
 	s.usage = request.Usage{InputTokens: tokensOf(s.prompt), OutputTokens: s.skip + s.want}
@@ -219,13 +220,13 @@
 	return s.attach(), true
 }
 
-// resume returns the run of a request that still goes on or ended shortly ago.
-// An empty run stands for the request's newest.
+// resume returns the run of that name when it still goes on or ended shortly
+// ago.
 func (e *Engine) resume(id string, ref version.Ref, run string) (*sequence, chan struct{}, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s, ok := e.byID[id]
-	if !ok || s.ref != ref || s.is(canceled) || (run != "" && run != s.run) {
+	if !ok || s.ref != ref || s.is(canceled) || s.run != run {
 		return nil, nil, false
 	}
 	return s, s.attach(), true
--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -14,6 +14,7 @@
 	"testing"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/go-kit/log"
 	"github.com/juju/clock"
 
 	"rosereach/core/change"
@@ -22,6 +23,7 @@
 	"rosereach/internal/entry"
 	"rosereach/io/backend"
 	"rosereach/io/caller"
+	"rosereach/io/member"
 )
 
 // attempt sends one request and returns status and body.
@@ -46,23 +48,37 @@
 	return resp.StatusCode, string(data)
 }
 
+// getsIn reports whether the key opens the route. Members prove their key once
+// the WebSocket stands.
+func getsIn(t *testing.T, method, address, path, key, body string) bool {
+	t.Helper()
+	if path == member.Path {
+		_, err := member.Dial(t.Context(), address, key, member.Peer{ID: "stranger"}, nil)
+		return err == nil
+	}
+	status, _ := attempt(t, method, address, path, key, body)
+	return status != http.StatusUnauthorized && status != http.StatusForbidden
+}
+
 // routes lists all routes of entry and control that need a key, as the table
 // of keys writes them.
 func routes(t *testing.T) []string {
 	t.Helper()
-	node, err := control.Open(control.Config{ID: "control-1", Folder: t.TempDir(), Clock: clock.WallClock})
+	node, err := control.Open(control.Config{ID: "control-1", Folder: t.TempDir(), Clock: clock.WallClock, Logger: log.NewNopLogger()})
 	if err != nil {
 		t.Fatal(err)
 	}
-	handlers := []http.Handler{entry.New(entry.Config{Clock: clock.WallClock}).Handler(), node.Handler()}
-	shown := strings.NewReplacer("{service}/*", "ledger/x", "{service}", "ledger")
+	handlers := map[string]http.Handler{
+		"entry": entry.New(entry.Config{Clock: clock.WallClock}).Handler(), "control": node.Handler(),
+	}
+	shown := strings.NewReplacer("{id}", "nobody", "{service}/*", "ledger/x", "{service}", "ledger")
 	seen := make(map[string]bool)
-	for _, h := range handlers {
+	for part, h := range handlers {
 		err := chi.Walk(h.(chi.Routes), func(method, route string, _ http.Handler, _ ...func(http.Handler) http.Handler) error {
 			open := route == "/v1/addresses"
 			service := strings.Contains(route, "{service}")
 			if !open && (!service || method == http.MethodGet && strings.HasSuffix(route, "*") || method == http.MethodPost && !strings.HasSuffix(route, "*")) {
-				seen[method+" "+shown.Replace(route)] = true
+				seen[part+" "+method+" "+shown.Replace(route)] = true
 			}
 			return nil
 		})
@@ -114,6 +130,7 @@
 	}
 	backendServers := map[string]string{"backend server's": f.backendKey}
 	covered := make(map[string]bool)
+	parts := map[string]string{entry: "entry", control: "control"}
 	for _, tc := range []struct {
 		method, address, path, body string
 		allowed                     string
@@ -123,7 +140,11 @@
 		{"GET", entry, "/v1/services/ledger/x", "", "caller's"},
 		{"POST", entry, "/v1/services/ledger", "{}", "caller's"},
 		{"POST", entry, backend.PathAnnounce, "{}", "backend server's"},
-		{"GET", control, "/v1/member", "", "member's"},
+		{"GET", entry, member.Path, "", "member's"},
+		{"GET", control, member.Path, "", "member's"},
+		{"GET", control, "/v1/controls", "", "bootstrap, reader's, monitor's, operator's"},
+		{"POST", control, "/v1/controls", "{", "bootstrap, operator's"},
+		{"DELETE", control, "/v1/controls/nobody", "", "bootstrap, operator's"},
 		{"POST", control, "/v1/changes", "{}", "bootstrap, operator's"},
 		{"POST", control, "/v1/changes?dry_run=true", "{}", "bootstrap, operator's"},
 		{"GET", control, "/v1/documents", "", "bootstrap, reader's, monitor's, operator's"},
@@ -135,17 +156,15 @@
 	} {
 		allowed := strings.Split(tc.allowed, ", ")
 		path, _, _ := strings.Cut(tc.path, "?")
-		covered[tc.method+" "+path] = true
+		covered[parts[tc.address]+" "+tc.method+" "+path] = true
 		for _, keys := range []map[string]string{nobody, callers, operators, backendServers} {
 			for name, key := range keys {
-				status, body := attempt(t, tc.method, tc.address, tc.path, key, tc.body)
-				in := status != http.StatusUnauthorized && status != http.StatusForbidden
-				want := false
+				in, want := getsIn(t, tc.method, tc.address, tc.path, key, tc.body), false
 				for _, a := range allowed {
 					want = want || a == name
 				}
 				if in != want {
-					t.Errorf("%s %s with %s key: status %d, %s", tc.method, tc.path, name, status, body)
+					t.Errorf("%s %s with %s key: gets in %t", tc.method, tc.path, name, in)
 				}
 			}
 		}
--- a/test/operate_test.go
+++ b/test/operate_test.go
@@ -8,6 +8,9 @@
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
+	"rosereach/internal/fault"
 	"rosereach/io/operator"
 )
 
@@ -75,3 +78,70 @@
 		t.Errorf("exit code %d, %v\n%s", code, err, out)
 	}
 }
+
+// An operator whose answer was lost sends the change again and sees the first
+// answer; it is made once.
+func TestLostAnswerResent(t *testing.T) {
+	f := startFleet(t, 1)
+	f.setUp("small@v1")
+	p, err := fault.Start(t.Context(), f.operator.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	through := []string{"version", "withdraw", "--control", p.Address(), "--change-id", "lost", "--json", "small@v1"}
+	p.Set(fault.Plan{ResetAfter: -1})
+	if code, out := f.operate(through...); code != 5 {
+		t.Errorf("exit code %d after the answer was lost, want 5\n%s", code, out)
+	}
+	p.Set(fault.Plan{})
+	code, out := f.operate(through...)
+	var answer operator.Answer
+	if err := json.Unmarshal([]byte(out), &answer); err != nil || code != 0 || !answer.Repeated {
+		t.Errorf("exit code %d, %v\n%s", code, err, out)
+	}
+	trail, err := f.operator.WholeTrail(context.Background(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var made []uint64
+	for _, e := range trail.Events {
+		if e.ChangeID == "lost" {
+			made = append(made, e.Revision)
+		}
+	}
+	if diff := cmp.Diff([]uint64{answer.Revision}, made); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// All findings of all bad template files are reported at once, each with file,
+// path and what is allowed.
+func TestBadTemplateFiles(t *testing.T) {
+	folder := t.TempDir()
+	one, two := filepath.Join(folder, "one.json"), filepath.Join(folder, "two.json")
+	for path, text := range map[string]string{
+		one: `{"name":"one","colour":1,"policy":{"allow":"small@*","weight":{"parameter":"none"}}}`,
+		two: `{"name":"two","parameters":[{"name":"n","type":"number","min":3,"default":2}],"policy":{"allow":["small"]}}`,
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	code, out := runProgram(t, "template", "check", one, two)
+	want := []string{
+		one + ": colour: unknown field; allowed: ",
+		one + `: policy.allow: wrong type: "small@*"; allowed: a list`,
+		one + ": policy.weight: no parameter none; allowed: ",
+		two + ": parameters.n.default: too small; allowed: at least 3",
+		two + ": policy.allow: bad pattern small; allowed: model@version or model@*",
+	}
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	if code != 2 || len(lines) != len(want) {
+		t.Fatalf("exit code %d, %d findings\n%s", code, len(lines), out)
+	}
+	for i, text := range want {
+		if !strings.Contains(lines[i], text) {
+			t.Errorf("finding %d is %q, want %q", i, lines[i], text)
+		}
+	}
+}
