Join as a member in the table of keys

A plain GET cannot tell whether a member's key is taken once the key is proved after the connection stands. The table now dials as a member and asks for documents, which is stricter.

--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -13,7 +13,9 @@
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-chi/chi/v5"
+	"github.com/go-kit/log"
 	"github.com/juju/clock"
 
 	"rosereach/core/change"
@@ -22,6 +24,7 @@
 	"rosereach/internal/entry"
 	"rosereach/io/backend"
 	"rosereach/io/caller"
+	"rosereach/io/member"
 )
 
 // attempt sends one request and returns status and body.
@@ -50,7 +53,7 @@
 // of keys writes them.
 func routes(t *testing.T) []string {
 	t.Helper()
-	node, err := control.Open(control.Config{ID: "control-1", Folder: t.TempDir(), Clock: clock.WallClock})
+	node, err := control.Open(control.Config{ID: "control-1", Folder: t.TempDir(), Clock: clock.WallClock, Logger: log.NewNopLogger()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,6 +78,26 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
+// silent is a member that answers nothing.
+type silent struct{}
+
+func (silent) Handle(context.Context, *member.Conn, member.Kind, cbor.RawMessage) (any, error) {
+	return nil, nil
+}
+
+// joins reports whether a member with the key gets documents of the address.
+func joins(t *testing.T, address, key string) bool {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	conn, err := member.Dial(ctx, address, key, member.Peer{ID: "stranger"}, silent{})
+	if err != nil {
+		return false
+	}
+	var reply member.DocumentsReply
+	return conn.Call(ctx, member.KindDocuments, member.DocumentsRequest{}, &reply) == nil
+}
+
 // addOperator creates an operator with a role and returns a new key.
 func (f *fleet) addOperator(name, role string) string {
 	f.t.Helper()
@@ -143,6 +166,9 @@
 			for name, key := range keys {
 				status, body := attempt(t, tc.method, tc.address, tc.path, key, tc.body)
 				in := status != http.StatusUnauthorized && status != http.StatusForbidden
+				if tc.path == member.Path {
+					in = joins(t, tc.address, key)
+				}
 				want := false
 				for _, a := range allowed {
 					want = want || a == name
