Record ended leases and the controls in the audit trail

The trail knew changes only: a lease that ended showed up when requests were open, one event for each, and a change of the controls not at all. A settled owner gives one event now, and each reign and each change of the membership one with before and after. A refused attempt at a follower reached no leader; notes take the way of changes now.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -169,12 +171,24 @@
 }
 
 func (s *State) applySettle(c Settle) {
-	for _, key := range s.ledger.Settle(c.Owner, c.At, c.Learnt) {
-		s.note(audit.Event{
-			At: c.At, Kind: audit.LeaseEnded, Actor: "system", Subject: "request/" + key.Workspace + "/" + key.RequestID,
-			Detail: "open request of " + c.Owner.Entry + " settled as unknown",
-		})
+	settled := s.ledger.Settle(c.Owner, c.At, c.Learnt)
+	s.note(audit.Event{
+		At: c.At, Kind: audit.LeaseEnded, Actor: "system", Subject: "entry/" + c.Owner.Entry,
+		Detail: fmt.Sprintf("incarnation %d, %d open requests settled%s", c.Owner.Incarnation, len(settled), listOf(settled)),
+	})
+}
+
+// listOf names the first of the requests, after a colon.
+func listOf(keys []ledger.Key) string {
+	const most = 32
+	var names []string
+	for _, k := range keys[:min(len(keys), most)] {
+		names = append(names, k.Workspace+"/"+k.RequestID)
+	}
+	if len(names) == 0 {
+		return ""
 	}
+	return ": " + strings.Join(names, ", ")
 }
 
 func (s *State) noteChange(c change.Change, r change.Result, before json.RawMessage) {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -212,7 +212,14 @@
 
 // Controls returns the group's replicas as this control knows them.
 func (n *Node) Controls() operator.Controls {
-	s := n.group()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.controlsLocked()
+}
+
+// controlsLocked is Controls for callers that hold n.mu.
+func (n *Node) controlsLocked() operator.Controls {
+	s := n.groupLocked()
 	c := operator.Controls{Leader: s.Leader.ID, Term: s.Term}
 	for _, m := range s.Members.All() {
 		c.Controls = append(c.Controls, operator.Control{
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -11,9 +11,17 @@
 // newMetrics returns the control's variables.
 func newMetrics(n *Node) *metrics.Set {
 	s := metrics.NewSet(n.cfg.Clock)
-	s.Gauge("log_index", func() any { return n.Status().Index })
-	s.Gauge("revision", func() any { return n.Status().Revision })
-	s.Gauge("entries", func() any { return n.Status().Entries })
+	s.Gauge("log_index", func() any { return n.group().Applied })
+	s.Gauge("term", func() any { return n.group().Term })
+	s.Gauge("leads", func() any { return n.IsLeader() })
+	s.Gauge("revision", func() any { return n.Catalog().Revision() })
+	s.Gauge("entries", func() any {
+		entries, err := n.entries()
+		if err != nil {
+			return nil
+		}
+		return entries
+	})
 	s.Gauge("audit_sequence", func() (v any) {
 		n.View(func(s *state.State) { v = s.AuditHead().Sequence })
 		return v
--- a/internal/control/operate.go
+++ b/internal/control/operate.go
@@ -27,6 +27,6 @@
 // Note adds an event that is no change to the audit trail.
 func (n *Node) Note(ctx context.Context, e audit.Event) error {
 	e.At = n.cfg.Clock.Now()
-	_, err := n.Propose(ctx, state.Command{Note: &e})
+	_, err := n.proposeAnywhere(ctx, state.Command{Note: &e})
 	return err
 }
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -21,7 +21,7 @@
 type (
 	// reign is what a control keeps in memory for one term in which it leads.
 	// Leases that an earlier leader granted have ended at clear; fresh says that
-	// there was none.
+	// there was none. Members is what the audit trail was told of them.
 	reign struct {
 		term     uint64
 		fresh    bool
@@ -32,6 +32,7 @@
 		grantor  *lease.Grantor
 		commits  []commit
 		reported uint64
+		members  []byte
 	}
 
 	// commit remembers when a revision of the documents was committed.
@@ -96,6 +97,7 @@
 		n.settleAbsent(ctx, now)
 	}
 	n.moveMembers(now)
+	n.reportMembers(ctx, now)
 	n.reportInForce(ctx, now)
 	n.wakeWaiters()
 }
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -57,14 +57,7 @@
 
 // Change commits an operator's change. A follower passes it on to the leader.
 func (n *Node) Change(ctx context.Context, c change.Change) (change.Result, error) {
-	command := state.Command{Change: &c}
-	results, err := n.proposeHere(ctx, []state.Command{command})
-	var problem *member.Problem
-	if errors.As(err, &problem) && problem.Code == member.CodeNotLeader && problem.Leader != "" {
-		var reply member.ProposeReply
-		err = n.callLeader(ctx, member.KindPropose, member.ProposeRequest{Commands: []state.Command{command}}, &reply)
-		results = reply.Results
-	}
+	results, err := n.proposeAnywhere(ctx, state.Command{Change: &c})
 	if err != nil {
 		return change.Result{}, err
 	}
@@ -74,6 +67,18 @@
 	return *results[0].Change, nil
 }
 
+// proposeAnywhere proposes a command here, or at the leader.
+func (n *Node) proposeAnywhere(ctx context.Context, command state.Command) ([]state.Result, error) {
+	results, err := n.proposeHere(ctx, []state.Command{command})
+	var problem *member.Problem
+	if !errors.As(err, &problem) || problem.Code != member.CodeNotLeader || problem.Leader == "" {
+		return results, err
+	}
+	var reply member.ProposeReply
+	err = n.callLeader(ctx, member.KindPropose, member.ProposeRequest{Commands: []state.Command{command}}, &reply)
+	return reply.Results, err
+}
+
 // Documents returns the newest documents as operators see them.
 func (n *Node) Documents() operator.Documents {
 	docs := n.Catalog().Documents()
--- a/test/audit_test.go
+++ b/test/audit_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
+	"rosereach/core/audit"
 	"rosereach/io/caller"
 )
 
@@ -66,3 +68,26 @@
 		})
 	}
 }
+
+// What the system does by itself is in the trail too: who holds the state, and
+// which leases ended.
+func TestSystemEventsInTrail(t *testing.T) {
+	f := startFleet(t, 2)
+	f.entries[1].kill()
+	var page audit.Page
+	waitFor(t, "the event of the ended lease", func() bool {
+		var err error
+		page, err = f.operator.WholeTrail(context.Background(), 0)
+		return err == nil && slices.ContainsFunc(page.Events, func(e audit.Event) bool {
+			return e.Kind == audit.LeaseEnded && e.Subject == "entry/entry-2"
+		})
+	})
+	if err := page.Verify(); err != nil {
+		t.Error(err)
+	}
+	if !slices.ContainsFunc(page.Events, func(e audit.Event) bool {
+		return e.Kind == audit.Membership && bytes.Contains(e.After, []byte(`"control-1"`))
+	}) {
+		t.Errorf("no event of the controls in %+v", page.Events)
+	}
+}
