--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -100,7 +100,7 @@
 	if e.step(); e.Busy() != 2 {
 		t.Errorf("%d busy within the resume window", e.Busy())
 	}
-	if _, again, ok := e.resume("first", small1, ""); !ok {
+	if _, again, ok := e.resume("first", small1, first.run); !ok {
 		t.Error("no resume within the window")
 	} else {
 		e.leave(first, again)
@@ -109,7 +109,7 @@
 	if e.step(); e.Busy() != 0 {
 		t.Errorf("%d busy after the resume window", e.Busy())
 	}
-	if _, _, ok := e.resume("first", small1, ""); ok {
+	if _, _, ok := e.resume("first", small1, first.run); ok {
 		t.Error("resumed a canceled run")
 	}
 	runs := e.Log.Runs()
@@ -217,10 +217,11 @@
 var errBreak = fmt.Errorf("the reader breaks off")
 
 // readSome reads that many tokens and breaks off.
-func readSome(t *testing.T, client *iobackend.Client, c iobackend.Call, tokens int) (text, run string) {
+func readSome(t *testing.T, client *iobackend.Client, c iobackend.Call, tokens int) (string, string) {
 	t.Helper()
+	var text strings.Builder
 	end, err := client.Stream(t.Context(), c, func(p iobackend.Piece) error {
-		text += p.Text
+		text.WriteString(p.Text)
 		if tokens--; tokens == 0 {
 			return errBreak
 		}
@@ -229,7 +230,7 @@
 	if err == nil {
 		t.Fatal("the stream ended before it was broken off")
 	}
-	return text, end.Run
+	return text.String(), end.Run
 }
 
 // A resumed answer goes on at its offset on the same run; a continued one is
@@ -237,7 +238,7 @@
 func TestEngineResumesAndContinues(t *testing.T) {
 	const tokens, broken = 40, 5
 	e, address := startEngine(t, EngineConfig{StepTime: time.Millisecond, ResumeWindow: time.Minute, LoadLag: time.Second})
-	client := iobackend.NewClient(clock.WallClock, 4)
+	client := iobackend.NewClient(clock.WallClock, 8)
 	for _, tc := range []struct {
 		name         string
 		prefix       bool
@@ -249,11 +250,9 @@
 		t.Run(tc.name, func(t *testing.T) {
 			c := call(address, tc.name, tokens)
 			text, run := readSome(t, client, c, broken)
-			c.Attempt, c.Offset = 2, broken
+			c.Attempt, c.Offset, c.Run = 2, broken, run
 			if tc.prefix {
-				c.Prefix = text
-			} else {
-				c.Run = run
+				c.Run, c.Prefix = "", text
 			}
 			next := int64(broken)
 			end, err := client.Stream(t.Context(), c, func(p iobackend.Piece) error {
@@ -286,8 +285,8 @@
 func TestEngineRefusesUnknownResume(t *testing.T) {
 	e, address := startEngine(t, EngineConfig{StepTime: time.Millisecond, LoadLag: time.Second})
 	c := call(address, "lost", 10)
-	c.Offset, c.Run = 5, "engine-1/1/7"
-	_, err := iobackend.NewClient(clock.WallClock, 4).Stream(t.Context(), c, func(iobackend.Piece) error { return nil })
+	c.Offset, c.Run = 5, "engine-1/0/7"
+	_, err := iobackend.NewClient(clock.WallClock, 8).Stream(t.Context(), c, func(iobackend.Piece) error { return nil })
 	if err == nil || len(e.Log.Runs()) != 0 {
 		t.Errorf("error %v, runs %+v", err, e.Log.Runs())
 	}
