--- a/internal/cmd/cmd_control_members.go
+++ b/internal/cmd/cmd_control_members.go
@@ -43,7 +43,11 @@
 	if err != nil {
 		return err
 	}
-	return printJSON(list)
+	out := newTable("CONTROL", "ADDRESS", "VOTER", "LEADS", "INCARNATION")
+	for _, m := range list.Controls {
+		out.add(m.ID, m.Address, m.Voter, m.ID == list.Leader, m.Incarnation)
+	}
+	return s.show(list, out)
 }
 
 func addControl(ctx context.Context, c *cli.Command) error {
