--- a/test/metrics_test.go
+++ b/test/metrics_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -40,10 +42,26 @@
 	if vars.Finished["done"] != 1 || vars.Record.Count != 1 || vars.Revision == 0 || vars.Lease <= 0 || vars.Sent == 0 || vars.Servers != 1 {
 		t.Errorf("%+v", vars)
 	}
+	entryVars := body
 	status, body = attempt(t, http.MethodGet, f.controls[0].address, metrics.Path, f.operator.Key, "")
 	if status != http.StatusOK || !strings.Contains(body, `"audit_sequence"`) || !strings.Contains(body, `"entry-1"`) {
 		t.Errorf("control's metrics: status %d\n%s", status, body)
 	}
+	page, err := os.ReadFile(filepath.Join("..", "docs", "operate", "watching.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{entryVars, body} {
+		var all map[string]json.RawMessage
+		if err := json.Unmarshal([]byte(text), &all); err != nil {
+			t.Fatal(err)
+		}
+		for name := range all {
+			if !strings.Contains(string(page), "| `"+name+"` |") {
+				t.Errorf("variable %s is not on the page", name)
+			}
+		}
+	}
 	if code, out := runProgram(t, "entry", "--metrics-listen", "0.0.0.0:0"); code != 2 || !strings.Contains(out, "--metrics-listen: not on loopback") {
 		t.Errorf("exit code %d\n%s", code, out)
 	}
