Tell accepted from in force when asked what was permitted

audit permitted named the permissions of the accepted revision only, while entries may have applied it seconds later. It now gives the newest accepted revision and the newest one that the trail knows to be in force everywhere, so that a monitor sees where they differ.

--- a/core/audit/audit_test.go
+++ b/core/audit/audit_test.go
@@ -73,6 +73,25 @@
 	}
 }
 
+// A revision that was accepted is in force only once the trail says so.
+func TestRevisions(t *testing.T) {
+	trail := audit.NewTrail()
+	for i, e := range []audit.Event{
+		{Kind: audit.Changed, Revision: 4}, {Kind: audit.InForce, Revision: 4}, {Kind: audit.Held, Revision: 7},
+		{Kind: audit.Refused, Revision: 9}, {Kind: audit.InForce, Revision: 7},
+	} {
+		e.At = start.Add(time.Duration(i) * time.Second)
+		trail.Append(e)
+	}
+	want := [][2]uint64{{4, 0}, {4, 4}, {7, 4}, {7, 4}, {7, 7}}
+	for i, w := range want {
+		accepted, inForce := trail.Page(0, 9).Revisions(start.Add(time.Duration(i) * time.Second))
+		if got := [2]uint64{accepted, inForce}; got != w {
+			t.Errorf("after event %d: %v, want %v", i+1, got, w)
+		}
+	}
+}
+
 func TestMissingEventsAreFound(t *testing.T) {
 	trail := audit.NewTrail()
 	fill(trail, 5)
--- a/core/audit/trail.go
+++ b/core/audit/trail.go
@@ -150,6 +150,21 @@
 	return documents, sequence
 }
 
+// Revisions returns the newest revision that was accepted by the time, and the
+// newest one that the trail says was in force everywhere by then.
+func (p Page) Revisions(at time.Time) (accepted, inForce uint64) {
+	for _, e := range slices.Concat(p.Base, p.Events) {
+		switch {
+		case e.At.After(at):
+		case e.Kind == InForce:
+			inForce = max(inForce, e.Revision)
+		case e.Kind == Changed || e.Kind == Held:
+			accepted = max(accepted, e.Revision)
+		}
+	}
+	return accepted, inForce
+}
+
 // Has reports whether an event of the page has the hash.
 func (p Page) Has(hash string) bool {
 	return slices.ContainsFunc(p.Events, func(e Event) bool { return e.Hash == hash })
--- a/internal/cmd/cmd_audit.go
+++ b/internal/cmd/cmd_audit.go
@@ -84,10 +84,9 @@
 	if err != nil {
 		return err
 	}
-	if !s.cmd.Bool("json") {
-		fmt.Printf("%s at %s, after event %d of the trail:\n", name, at.Format(time.RFC3339), sequence)
-	}
-	return s.showDocument(permissions)
+	answer := permitted{Workspace: name, At: at, Event: sequence, Permitted: permissions}
+	answer.Accepted, answer.InForce = page.Revisions(at)
+	return s.showDocument(answer)
 }
 
 // permittedAt rebuilds the documents of the time and returns what the
@@ -105,6 +104,18 @@
 	return catalog.New(docs).Permissions(workspace), sequence, nil
 }
 
+// permitted is the answer to audit permitted. Accepted is the revision that
+// the permissions are those of; InForce is the newest one that was known to be
+// in force at every entry.
+type permitted struct {
+	Workspace string              `json:"workspace"`
+	At        time.Time           `json:"at"`
+	Event     uint64              `json:"event"`
+	Accepted  uint64              `json:"accepted_revision"`
+	InForce   uint64              `json:"in_force_revision"`
+	Permitted catalog.Permissions `json:"permitted"`
+}
+
 // explanation is the answer to audit request.
 type explanation struct {
 	Request   ledger.Record       `json:"request"`
--- a/test/audit_test.go
+++ b/test/audit_test.go
@@ -48,7 +48,7 @@
 		{"verify an export", "audit verify --file " + whole, 0, []string{"chain whole", head}},
 		{"verify with a foreign hash", "audit verify --known-hash 00 --file " + whole, 1, []string{"no event has the hash"}},
 		{"verify a changed export", "audit verify --file " + changed, 1, []string{"was changed"}},
-		{"permitted now", "audit permitted terminalna", 0, []string{"versions.0", `"small@v1"`, "policy.quality_target"}},
+		{"permitted now", "audit permitted terminalna", 0, []string{"versions.0", `"small@v1"`, "policy.quality_target", "accepted_revision", "in_force_revision"}},
 		{"permitted by an export", "audit permitted --file " + whole + " terminalna", 0, []string{`"small@v1"`}},
 		{"permitted before it was made", "audit permitted --at 2020-01-01T00:00:00Z terminalna", 0, []string{"no such workspace"}},
 		{"a bad time", "audit permitted --at noon terminalna", 2, []string{"--at"}},
