Check every promise under a table of faults

The promises were tested fault by fault, each with its own few requests. The experiment now sends both firms' load from both regions into a cluster with a proxy before every part, causes one of 21 faults in the middle, and compares answers, bills and run logs; a fault that touched no request misses its bound, because its row would be empty. Fake backend servers now announce the address they are told to advertise.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"path/filepath"
 	"time"
 
 	"github.com/juju/clock"
@@ -65,7 +64,8 @@
 	Small2 = version.Ref{Model: "small", Version: "v2"}
 	Large1 = version.Ref{Model: "large", Version: "v1"}
 
-	places = []Place{{central, "sanjose"}, {central, "heredia"}, {pacifico, "puntarenas"}}
+	places       = []Place{{central, "sanjose"}, {central, "heredia"}, {pacifico, "puntarenas"}}
+	callerPlaces = []Place{places[0], places[2]}
 )
 
 // DefaultOptions returns the settings of a small, quick cluster.
@@ -81,9 +81,11 @@
 func Start(ctx context.Context, opts Options) (*Cluster, error) {
 	g, ctx := errgroup.WithContext(ctx)
 	c := &Cluster{opts: opts, group: g, member: rand.Text(), backend: rand.Text()}
-	if err := c.startControl(ctx, "control-1", filepath.Join(opts.Folder, "control-1")); err != nil {
+	ctl, err := c.startControl(ctx, "control-1")
+	if err != nil {
 		return nil, err
 	}
+	c.Controls = append(c.Controls, ctl)
 	for i, p := range places {
 		if err := c.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), p); err != nil {
 			return nil, err
--- a/internal/cluster/part.go
+++ b/internal/cluster/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"net"
 	"net/http"
 
@@ -13,12 +12,10 @@
 	"rosereach/core/backend"
 	"rosereach/core/lease"
 	"rosereach/core/version"
-	"rosereach/internal/control"
 	"rosereach/internal/entry"
 	"rosereach/internal/fake"
 	"rosereach/internal/fault"
 	"rosereach/internal/httpd"
-	"rosereach/io/operator"
 )
 
 // The limits of an entry.
@@ -29,13 +26,6 @@
 )
 
 type (
-	// Control is a control and the proxy before its operators.
-	Control struct {
-		Node    *control.Node
-		address string
-		stop    context.CancelFunc
-	}
-
 	// Entry is an entry, the proxy before its callers and the proxies of its
 	// links to the controls.
 	Entry struct {
@@ -75,29 +65,6 @@
 	}
 )
 
-func (c *Cluster) startControl(ctx context.Context, id, folder string) error {
-	ctx, stop := context.WithCancel(ctx)
-	key := rand.Text()
-	node, err := control.Open(control.Config{
-		ID: id, Folder: folder, MemberKey: c.member, OperatorKey: key, Terms: lease.DefaultTerms(),
-		Clock: clock.WallClock, Logger: log.NewNopLogger(),
-	})
-	if err != nil {
-		stop()
-		return err
-	}
-	l, err := httpd.Listen(ctx, "127.0.0.1:0")
-	if err != nil {
-		stop()
-		return err
-	}
-	c.group.Go(func() error { return httpd.Serve(ctx, l, node.Handler()) })
-	c.group.Go(func() error { return node.Run(ctx) })
-	c.Controls = append(c.Controls, &Control{Node: node, address: l.Addr().String(), stop: stop})
-	c.Operator = operator.Client{Address: l.Addr().String(), Key: key}
-	return nil
-}
-
 // StartEntry starts an entry behind proxies of its own.
 func (c *Cluster) StartEntry(ctx context.Context, id string, p Place) error {
 	ctx, stop := context.WithCancel(ctx)
@@ -222,6 +189,14 @@
 	e.server.Close() //nolint:errcheck // it is gone
 }
 
+// Drain stops the entry as a planned stop does, and ends it afterwards.
+func (e *Entry) Drain(ctx context.Context) error {
+	err := e.Entry.Drain(ctx)
+	e.server.Shutdown(ctx) //nolint:errcheck // the context bounds it
+	e.stop()
+	return err
+}
+
 // Kill ends the backend server as a lost machine would.
 func (s *Server) Kill() {
 	cut(s.Near)
--- a/internal/cluster/setup.go
+++ b/internal/cluster/setup.go
@@ -117,7 +117,8 @@
 	return clock.WallClock.Now(), err
 }
 
-// Sources returns the load of each customer, which share the rate evenly.
+// Sources returns the load of each customer's callers in both regions, which
+// share the rate evenly.
 func Sources(customers []Customer, rate float64) ([]load.Source, error) {
 	sources := make([]load.Source, 0, len(customers))
 	for _, cu := range customers {
@@ -125,7 +126,11 @@
 		if err != nil {
 			return nil, err
 		}
-		sources = append(sources, load.Source{Profile: p, Key: cu.Key, Rate: rate / float64(len(customers))})
+		for _, place := range callerPlaces {
+			sources = append(sources, load.Source{
+				Profile: p, Key: cu.Key, Rate: rate / float64(len(customers)*len(callerPlaces)), Region: place.Region, Zone: place.Zone,
+			})
+		}
 	}
 	return sources, nil
 }
--- a/internal/cmd/cmd_fake.go
+++ b/internal/cmd/cmd_fake.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -146,7 +147,8 @@
 		return err
 	}
 	fmt.Println(l.Addr())
-	announcer.Describe = func() backend.Announcement { return describe(l.Addr().String()) }
+	reached := cmp.Or(s.optional("advertise"), l.Addr().String())
+	announcer.Describe = func() backend.Announcement { return describe(reached) }
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return run(ctx) })
 	g.Go(func() error { return announcer.Run(ctx) })
--- a/internal/cmd/cmd_load.go
+++ b/internal/cmd/cmd_load.go
@@ -38,7 +38,7 @@
 	s := newSettings(c)
 	opts := load.Options{
 		Entries: s.addresses("entries"), Length: s.duration("duration"), Seed: uint64(s.number("seed", 0, 1<<62)),
-		Region: s.optional("region"), Zone: s.optional("availability-zone"), Progress: os.Stderr, Clock: clock.WallClock,
+		Progress: os.Stderr, Clock: clock.WallClock,
 	}
 	opts.Sources = s.sources("keys", float64(s.number("rate", 1, 1_000_000)))
 	if err := s.err(); err != nil {
@@ -79,7 +79,9 @@
 			s.found.Add("--"+name, "bad profile or key in "+profile, "vitrina=KEY or terminalna=KEY, with commas")
 			continue
 		}
-		sources = append(sources, load.Source{Profile: p, Key: key})
+		sources = append(sources, load.Source{
+			Profile: p, Key: key, Region: s.optional("region"), Zone: s.optional("availability-zone"),
+		})
 	}
 	for i := range sources {
 		sources[i].Rate = rate / float64(len(sources))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -76,7 +76,7 @@
 	// A Poisson schedule of twice the mean time holds enough requests.
 	length := time.Duration(2 * float64(opts.Requests) / rate * float64(time.Second))
 	r := &run{cluster: c, opts: load.Options{
-		Entries: c.Addresses(), Sources: sources, Length: length, Most: opts.Requests, LoseEvery: loseEvery,
+		Entries: c.Addresses(), Sources: sources, Length: length, Most: opts.Requests, Manner: load.Manner{LoseEvery: loseEvery},
 		Seed: opts.Seed, Clock: clock.WallClock,
 	}}
 	evidence, err := r.send(ctx)
--- /dev/null
+++ b/internal/experiment/faults_table.go
@@ -0,0 +1,171 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"rosereach/internal/cluster"
+	"rosereach/internal/fake"
+	"rosereach/internal/fault"
+	"rosereach/internal/load"
+)
+
+const (
+	// shortFault is how long resets go on.
+	shortFault = 500 * time.Millisecond
+
+	// longFault is how long silent cuts last, longer than a serving lease.
+	longFault = 4 * time.Second
+
+	// controlOutage is how long the control is away, less than a serving lease.
+	controlOutage = time.Second
+
+	// someBytes is where an answer is cut that has begun.
+	someBytes = 700
+
+	// quietTime is the pause after which an answer counts as sent.
+	quietTime = 30 * time.Millisecond
+)
+
+// faultTable returns every fault.
+func faultTable() []faultCase {
+	return []faultCase{
+		{name: "none", allDone: true, inject: func(context.Context, *faultTrial) error { return nil }},
+		{name: "entry killed", touches: true, inject: killEntry},
+		{name: "engine killed", touches: true, inject: killEngine},
+		{name: "backend reset before the first byte", touches: true, inject: atBackends(fault.Plan{ResetAfter: -1}, shortFault)},
+		{name: "backend reset after some", touches: true, inject: atBackends(fault.Plan{ResetAfter: someBytes}, shortFault)},
+		{name: "backend reset after all", inject: atBackends(fault.Plan{ResetQuiet: quietTime}, shortFault)},
+		{name: "caller reset before the first byte", touches: true, inject: atEntries(fault.Plan{ResetAfter: -1}, shortFault)},
+		{name: "caller reset after some", touches: true, inject: atEntries(fault.Plan{ResetAfter: someBytes}, shortFault)},
+		{name: "caller reset after all", inject: atEntries(fault.Plan{ResetQuiet: quietTime}, shortFault)},
+		{name: "answer past the deadline", touches: true, timeout: time.Second, inject: answerLate},
+		{name: "entry cut from control", touches: true, inject: cutEntryFromControl},
+		{name: "entry cut from backend servers", touches: true, inject: cutBackends},
+		{name: "regions cut", touches: true, inject: cutRegions},
+		{name: "control restarted", touches: true, inject: restartControl},
+		{name: "entry drained", allDone: true, inject: drainEntry},
+		{name: "backend servers leave", allDone: true, inject: leaveBackends},
+		{name: "version withdrawn", touches: true, inject: withdrawVersion},
+		{name: "same id at three entries", manner: load.Manner{Twins: 3}, inject: func(context.Context, *faultTrial) error { return nil }},
+		{name: "answers lost", touches: true, manner: load.Manner{LoseEvery: 2}, inject: func(context.Context, *faultTrial) error { return nil }},
+		{name: "callers gone", touches: true, manner: load.Manner{LeaveAfter: 25 * time.Millisecond}, inject: func(context.Context, *faultTrial) error { return nil }},
+		{name: "slow callers", allDone: true, manner: load.Manner{ReadPause: 5 * time.Millisecond}, inject: func(context.Context, *faultTrial) error { return nil }},
+	}
+}
+
+func killEntry(_ context.Context, t *faultTrial) error {
+	t.cluster.Entries[0].Kill()
+	return nil
+}
+
+func killEngine(_ context.Context, t *faultTrial) error {
+	t.cluster.Engines[0].Kill()
+	return nil
+}
+
+func (t *faultTrial) servers() []*cluster.Server {
+	var all []*cluster.Server
+	for _, e := range t.cluster.Engines {
+		all = append(all, &e.Server)
+	}
+	for _, s := range t.cluster.Services {
+		all = append(all, &s.Server)
+	}
+	return all
+}
+
+// atBackends puts a plan in force between entries and backend servers.
+func atBackends(p fault.Plan, length time.Duration) func(context.Context, *faultTrial) error {
+	return func(ctx context.Context, t *faultTrial) error {
+		for _, s := range t.servers() {
+			s.SetPlan(p)
+			defer s.SetPlan(fault.Plan{})
+		}
+		return pause(ctx, length)
+	}
+}
+
+// atEntries puts a plan in force between callers and entries.
+func atEntries(p fault.Plan, length time.Duration) func(context.Context, *faultTrial) error {
+	return func(ctx context.Context, t *faultTrial) error {
+		return during(ctx, length, p, t.callerProxies())
+	}
+}
+
+func (t *faultTrial) callerProxies() []*fault.Proxy {
+	var all []*fault.Proxy
+	for _, e := range t.cluster.Entries {
+		all = append(all, e.Proxy)
+	}
+	return all
+}
+
+// during puts a plan in force at the proxies for a time.
+func during(ctx context.Context, length time.Duration, p fault.Plan, at []*fault.Proxy) error {
+	for _, proxy := range at {
+		proxy.Set(p)
+		defer proxy.Set(fault.Plan{})
+	}
+	return pause(ctx, length)
+}
+
+func answerLate(ctx context.Context, t *faultTrial) error {
+	for _, s := range t.cluster.Services {
+		s.Fake.Behave(fake.Behaviour{PastDeadline: true})
+		defer s.Fake.Behave(fake.Behaviour{})
+	}
+	return pause(ctx, shortFault)
+}
+
+func cutEntryFromControl(ctx context.Context, t *faultTrial) error {
+	return during(ctx, longFault, fault.Plan{Silent: true}, t.cluster.Entries[0].Links)
+}
+
+func cutBackends(ctx context.Context, t *faultTrial) error {
+	engine, service := t.cluster.Engines[0], t.cluster.Services[0]
+	return during(ctx, longFault, fault.Plan{Silent: true}, []*fault.Proxy{engine.Near, engine.Far, service.Near, service.Far})
+}
+
+// cutRegions cuts the entries outside the first entry's region from the
+// controls, and all entries from the backend servers of other regions.
+func cutRegions(ctx context.Context, t *faultTrial) error {
+	var links []*fault.Proxy
+	for _, e := range t.cluster.Entries {
+		if e.Place.Region != t.cluster.Entries[0].Place.Region {
+			links = append(links, e.Links...)
+		}
+	}
+	for _, s := range t.servers() {
+		links = append(links, s.Far)
+	}
+	return during(ctx, longFault, fault.Plan{Silent: true}, links)
+}
+
+func restartControl(ctx context.Context, t *faultTrial) error {
+	t.cluster.KillControl(0)
+	if err := pause(ctx, controlOutage); err != nil {
+		return err
+	}
+	return t.cluster.StartControl(t.running, 0) //nolint:contextcheck // the control outlives the load
+}
+
+func drainEntry(ctx context.Context, t *faultTrial) error {
+	return t.cluster.Entries[0].Drain(ctx)
+}
+
+func leaveBackends(_ context.Context, t *faultTrial) error {
+	engine, service := t.cluster.Engines[0], t.cluster.Services[0]
+	engine.Fake.Leave()
+	service.Fake.Leave()
+	now := time.Now()
+	t.evidence.Leaving[engine.ID] = now
+	t.evidence.Leaving[service.ID] = now
+	return nil
+}
+
+func withdrawVersion(ctx context.Context, t *faultTrial) error {
+	at, err := t.cluster.Withdraw(ctx, cluster.Small2)
+	t.evidence.Withdrawn[cluster.Small2] = at
+	return err
+}
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -2,5 +2,7 @@
 
 // All returns every experiment, in the order in which they are listed.
 func All() []Experiment {
-	return []Experiment{}
+	return []Experiment{
+		faults(),
+	}
 }
--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -35,6 +35,9 @@
 		// ResetAfter resets the connection after that many bytes of the
 		// answer; -1 resets before the first one, 0 never.
 		ResetAfter int64
+		// ResetQuiet resets the connection once an answer has paused for that
+		// long, as a peer does that dies after its last byte; 0 never.
+		ResetQuiet time.Duration
 	}
 
 	// Proxy passes connections on to a target under a plan.
@@ -58,6 +61,7 @@
 		from, to net.Conn
 		answer   bool
 		passed   int64
+		quiet    *time.Timer
 	}
 )
 
@@ -210,8 +214,21 @@
 	}
 	d.passed += int64(len(chunk))
 	p.count(len(chunk))
-	_, err := d.to.Write(chunk)
-	return err == nil
+	if _, err := d.to.Write(chunk); err != nil {
+		return false
+	}
+	p.watchQuiet(pr, d, plan.ResetQuiet)
+	return true
+}
+
+// watchQuiet resets the connection unless its answer goes on in time.
+func (p *Proxy) watchQuiet(pr *pair, d *pipe, quiet time.Duration) {
+	if d.quiet != nil {
+		d.quiet.Stop()
+	}
+	if d.answer && quiet > 0 {
+		d.quiet = time.AfterFunc(quiet, pr.reset)
+	}
 }
 
 // shutWrite passes the end of a direction on, unless a silent cut hides it.
--- a/internal/fault/proxy_test.go
+++ b/internal/fault/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -51,6 +52,7 @@
 		{"refuse", Plan{Refuse: true}, ""},
 		{"reset before the first byte", Plan{ResetAfter: -1}, ""},
 		{"reset after some", Plan{ResetAfter: 2}, "he"},
+		{"reset after all", Plan{ResetQuiet: time.Millisecond}, "hello"},
 		{"delay", Plan{Delay: time.Millisecond, BytesPerSecond: 10_000}, "hello"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -97,3 +99,21 @@
 		t.Errorf("after the cut: %q, %v, %d bytes", got, err, p.Bytes())
 	}
 }
+
+// A connection is reset only after its answer has paused.
+func TestProxyResetsQuietConnections(t *testing.T) {
+	p, err := Start(t.Context(), echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Set(Plan{ResetQuiet: 20 * time.Millisecond})
+	c := dial(t, p)
+	got := make([]byte, 5)
+	c.Write([]byte("hello"))
+	if _, err := io.ReadFull(c, got); err != nil {
+		t.Fatalf("the answer was cut: %v", err)
+	}
+	if _, err := c.Read(got); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("no reset after the answer: %v", err)
+	}
+}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -65,11 +65,14 @@
 
 // Do sends a request until its answer is final, its context ends or it was
 // sent too often.
-func (c *Caller) Do(ctx context.Context, send Send) Final {
+func (c *Caller) Do(ctx context.Context, send Send) Final { return c.DoFrom(ctx, 0, send) }
+
+// DoFrom is Do, beginning with the entry at a place in the list of addresses.
+func (c *Caller) DoFrom(ctx context.Context, first int, send Send) Final {
 	var f Final
 	delay := lostRetryDelay
 	for f.Sends = 1; ; f.Sends++ {
-		address := c.address(ctx, f.Sends-1)
+		address := c.address(ctx, first+f.Sends-1)
 		f.Reply, f.Err = send(ctx, caller.Client{Address: address, Key: c.Key, HTTP: c.HTTP})
 		wait, again := c.next(address, f)
 		if !again || f.Sends >= maxSends {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -34,19 +34,28 @@
 type (
 	// Options are the settings of a run. Entries are the addresses that callers
 	// know before they ask for more. Most bounds the number of requests; 0 is no
-	// bound. The first answer of every LoseEvery-th request is thrown away, so
-	// that it is sent again; 0 loses none. Progress may be nil.
+	// bound. Progress may be nil.
 	Options struct {
-		Entries   []string
-		Sources   []Source
-		Length    time.Duration
-		Most      int
-		LoseEvery int
-		Seed      uint64
-		Region    string
-		Zone      string
-		Progress  io.Writer
-		Clock     clock.Clock
+		Entries  []string
+		Sources  []Source
+		Length   time.Duration
+		Most     int
+		Manner   Manner
+		Seed     uint64
+		Progress io.Writer
+		Clock    clock.Clock
+	}
+
+	// Manner is how callers differ from well-behaved ones. The first answer of
+	// every LoseEvery-th request is thrown away, so that it is sent again. Each
+	// request is sent by Twins callers at once, to another entry by each.
+	// Callers leave after LeaveAfter, and read with ReadPause between tokens.
+	// A zero field changes nothing.
+	Manner struct {
+		LoseEvery  int
+		Twins      int
+		LeaveAfter time.Duration
+		ReadPause  time.Duration
 	}
 
 	// Observation is what the caller of one arrival saw. Times count from the
@@ -81,7 +90,7 @@
 	r := &Runner{opts: opts}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}}
 	for i, s := range opts.Sources {
-		c := &Caller{Known: opts.Entries, Key: s.Key, Region: opts.Region, Zone: opts.Zone, HTTP: client, Clock: opts.Clock}
+		c := &Caller{Known: opts.Entries, Key: s.Key, Region: s.Region, Zone: s.Zone, HTTP: client, Clock: opts.Clock}
 		r.callers = append(r.callers, c)
 		r.sessions = append(r.sessions, newSessions(fmt.Sprintf("%s-%d-%d", s.Profile.Name, opts.Seed, i)))
 	}
@@ -101,8 +110,11 @@
 		if !r.waitUntil(ctx, began.Add(a.At)) {
 			break
 		}
-		lose := r.opts.LoseEvery > 0 && i%r.opts.LoseEvery == 0
-		sending.Go(func() { r.observe(ctx, a, began.Add(a.At), lose) })
+		every := r.opts.Manner.LoseEvery
+		lose := every > 0 && i%every == 0
+		for twin := range max(r.opts.Manner.Twins, 1) {
+			sending.Go(func() { r.observe(ctx, a, began.Add(a.At), twin, lose) })
+		}
 	}
 	sending.Wait()
 	return r.seen
@@ -130,11 +142,15 @@
 	}
 }
 
-func (r *Runner) observe(ctx context.Context, a Arrival, intended time.Time, lose bool) {
-	ctx, cancel := context.WithTimeout(ctx, a.Class.Timeout+grace)
+func (r *Runner) observe(ctx context.Context, a Arrival, intended time.Time, twin int, lose bool) {
+	patience := a.Class.Timeout + grace
+	if r.opts.Manner.LeaveAfter > 0 {
+		patience = r.opts.Manner.LeaveAfter
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	o := Observation{Arrival: a, Late: r.opts.Clock.Now().Sub(intended)}
-	o.Final = r.callers[a.Source].Do(ctx, func(ctx context.Context, client caller.Client) (caller.Reply, error) {
+	o.Final = r.callers[a.Source].DoFrom(ctx, twin, func(ctx context.Context, client caller.Client) (caller.Reply, error) {
 		reply, err := r.send(ctx, client, &o, intended)
 		if (Final{Reply: reply, Err: err}).IsCut() {
 			o.Cuts++
@@ -177,6 +193,9 @@
 			o.Gaps = append(o.Gaps, now.Sub(last))
 		}
 		last = now
+		if pause := r.opts.Manner.ReadPause; pause > 0 {
+			<-r.opts.Clock.After(pause)
+		}
 	}
 	reply, err := client.Chat(ctx, r.chatBody(a), opts)
 	if a.Session > 0 && reply.Problem != nil && reply.Problem.Code == request.CodeSessionEnded {
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -12,12 +12,14 @@
 const items = 200
 
 type (
-	// Source is one workspace that sends a profile's requests at a mean rate
-	// per second.
+	// Source is callers of one workspace and place that send a profile's
+	// requests at a mean rate per second.
 	Source struct {
 		Profile Profile
 		Key     string
 		Rate    float64
+		Region  string
+		Zone    string
 	}
 
 	// Arrival is one request of a schedule. At counts from the start of the
@@ -61,7 +63,7 @@
 		}
 		class := pickClass(source.Profile.Classes, random)
 		a := Arrival{
-			At: at, ID: fmt.Sprintf("%s-%d-%d", source.Profile.Name, seed, len(list)), Source: place, Class: class,
+			At: at, ID: fmt.Sprintf("%s-%d-%d-%d", source.Profile.Name, seed, place, len(list)), Source: place, Class: class,
 			Prompt: pickIn(class.Prompt, random), Answer: pickIn(class.Answer, random), Item: random.IntN(items),
 		}
 		if class.Turns > 0 {
