--- a/internal/cluster/part.go
+++ b/internal/cluster/part.go
@@ -21,7 +21,6 @@
 // The limits of an entry.
 const (
 	maxBody     = 1 << 20
-	maxRunning  = 512
 	cacheTokens = 50_000
 )
 
@@ -93,7 +92,7 @@
 		ID: id, Incarnation: uint64(clock.WallClock.Now().UnixNano()), Region: p.Region, Zone: p.Zone,
 		Address: e.Proxy.Address(), Controls: controls, MemberKey: c.member, BackendKey: c.backend,
 		Terms: lease.DefaultTerms(), AddressTTL: c.opts.AddressTTL, Timeout: c.opts.RequestTimeout, MaxBody: maxBody,
-		MaxRunning: maxRunning, MaxWaiting: maxRunning, Clock: clock.WallClock, Logger: log.NewNopLogger(),
+		MaxRunning: c.opts.MaxRunning, MaxWaiting: c.opts.MaxWaiting, Clock: clock.WallClock, Logger: log.NewNopLogger(),
 	})
 	e.server = serveUntilClosed(l, e.Entry.Handler())
 	context.AfterFunc(ctx, func() { e.server.Close() }) //nolint:errcheck // it is gone
--- a/internal/cluster/setup.go
+++ b/internal/cluster/setup.go
@@ -94,7 +94,8 @@
 	return customers, nil
 }
 
-// Change makes a change and waits until it is in force everywhere.
+// Change makes a change and waits until it is in force everywhere. One whose
+// answer was lost is sent again under the same id.
 func (c *Cluster) Change(ctx context.Context, kind change.Kind, name string, document any) error {
 	data, err := json.Marshal(document)
 	if err != nil {
@@ -102,6 +103,12 @@
 	}
 	ch := change.Change{ID: rand.Text(), Kind: kind, Name: name, Document: data, Actor: "cluster"}
 	answer, err := c.Operator.Change(ctx, ch, true)
+	for err != nil && ctx.Err() == nil {
+		if pauseErr := wait(ctx, resendPause); pauseErr != nil {
+			break
+		}
+		answer, err = c.Operator.Change(ctx, ch, true)
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -44,14 +44,16 @@
 type (
 	// faultCase is a fault and how callers behave beside it. With allDone set,
 	// every request must be done. With touches set, some request must have been
-	// sent again, have failed or have waited, else the fault hit nothing. A
-	// timeout replaces those of the classes.
+	// sent again, have failed or have waited, else the fault hit nothing. Tight
+	// entries run few requests at once and refuse the others. A timeout replaces
+	// those of the classes.
 	faultCase struct {
 		name    string
 		manner  load.Manner
 		timeout time.Duration
 		allDone bool
 		touches bool
+		tight   bool
 		inject  func(ctx context.Context, t *faultTrial) error
 	}
 
@@ -114,7 +116,7 @@
 	defer os.RemoveAll(folder) //nolint:errcheck // a leftover folder does no harm
 	running, stop := context.WithCancel(ctx)
 	defer stop()
-	c, err := cluster.Start(running, faultCluster(folder))
+	c, err := cluster.Start(running, faultCluster(fc, folder))
 	if err != nil {
 		return faultCount{}, err
 	}
@@ -129,9 +131,12 @@
 
 // faultCluster returns the settings of a cluster whose answers take long enough
 // to be hit while they are on their way.
-func faultCluster(folder string) cluster.Options {
+func faultCluster(fc faultCase, folder string) cluster.Options {
 	opts := cluster.DefaultOptions(folder)
 	opts.StepTime = 4 * time.Millisecond
+	if fc.tight {
+		opts.MaxRunning, opts.MaxWaiting = 1, 0
+	}
 	return opts
 }
 
--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -66,7 +66,8 @@
 )
 
 // Start listens on a port of loopback that the kernel chooses and passes
-// connections on to the target, host:port, until the context ends.
+// connections on to the target, host:port, until the context ends. An empty
+// target closes them until SetTarget names one.
 func Start(ctx context.Context, target string) (*Proxy, error) {
 	var config net.ListenConfig
 	l, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -39,6 +39,7 @@
 type (
 	// Backend is what the interface needs of a control.
 	Backend interface {
+		ControlsBackend
 		Change(ctx context.Context, c change.Change) (change.Result, error)
 		WaitInForce(ctx context.Context, revision uint64) error
 		Documents() Documents
@@ -47,7 +48,7 @@
 		Request(key ledger.Key) (ledger.Record, bool)
 		Operator(key string) (operator.Operator, error)
 		Note(ctx context.Context, e audit.Event) error
-		Status() Status
+		Status(ctx context.Context) Status
 	}
 
 	// Documents are the documents at one revision, without secrets.
@@ -97,11 +98,18 @@
 // Mount adds the interface's routes to the router.
 func Mount(r chi.Router, opts Options, b Backend) {
 	s := &server{opts: opts, bootstrapHash: key.Hash(opts.BootstrapKey), backend: b, attempts: newAttempts(opts.Clock, b)}
-	r.With(s.authenticate(operator.Change)).Post("/v1/changes", s.postChange)
+	c := &controls{backend: b}
+	r.Group(func(r chi.Router) {
+		r.Use(s.authenticate(operator.Change))
+		r.Post("/v1/changes", s.postChange)
+		r.Post("/v1/controls", c.add)
+		r.Delete("/v1/controls/{id}", c.remove)
+	})
 	r.Group(func(r chi.Router) {
 		r.Use(s.authenticate(operator.Read))
 		r.Get("/v1/documents", s.getDocuments)
 		r.Get("/v1/status", s.getStatus)
+		r.Get("/v1/controls", c.get)
 		r.Get("/debug/vars", opts.Metrics.ServeHTTP)
 	})
 	r.Group(func(r chi.Router) {
@@ -179,8 +187,8 @@
 	return &bare
 }
 
-func (s *server) getStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.backend.Status())
+func (s *server) getStatus(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, s.backend.Status(r.Context()))
 }
 
 func afterOf(r *http.Request) uint64 {
