--- a/internal/cluster/setup.go
+++ b/internal/cluster/setup.go
@@ -94,7 +94,8 @@
 	return customers, nil
 }
 
-// Change makes a change and waits until it is in force everywhere.
+// Change makes a change and waits until it is in force everywhere. One whose
+// answer was lost is sent again under the same id.
 func (c *Cluster) Change(ctx context.Context, kind change.Kind, name string, document any) error {
 	data, err := json.Marshal(document)
 	if err != nil {
@@ -102,6 +103,12 @@
 	}
 	ch := change.Change{ID: rand.Text(), Kind: kind, Name: name, Document: data, Actor: "cluster"}
 	answer, err := c.Operator.Change(ctx, ch, true)
+	for err != nil && ctx.Err() == nil {
+		if pauseErr := wait(ctx, resendPause); pauseErr != nil {
+			break
+		}
+		answer, err = c.Operator.Change(ctx, ch, true)
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -117,7 +124,8 @@
 	return clock.WallClock.Now(), err
 }
 
-// Sources returns the load of each customer, which share the rate evenly.
+// Sources returns the load of each customer's callers in both regions, which
+// share the rate evenly.
 func Sources(customers []Customer, rate float64) ([]load.Source, error) {
 	sources := make([]load.Source, 0, len(customers))
 	for _, cu := range customers {
@@ -125,7 +133,11 @@
 		if err != nil {
 			return nil, err
 		}
-		sources = append(sources, load.Source{Profile: p, Key: cu.Key, Rate: rate / float64(len(customers))})
+		for _, place := range callerPlaces {
+			sources = append(sources, load.Source{
+				Profile: p, Key: cu.Key, Rate: rate / float64(len(customers)*len(callerPlaces)), Region: place.Region, Zone: place.Zone,
+			})
+		}
 	}
 	return sources, nil
 }
