--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -28,7 +28,7 @@
 }
 
 // proxy starts a proxy whose target comes later.
-func proxy(t *testing.T) *fault.Proxy {
+func proxy(t testing.TB) *fault.Proxy {
 	t.Helper()
 	p, err := fault.Start(t.Context(), "127.0.0.1:1")
 	if err != nil {
