--- a/core/limit/adaptive.go
+++ b/core/limit/adaptive.go
@@ -3,27 +3,29 @@
 import "time"
 
 const (
-	// adaptiveCut is the factor by which a limit shrinks, and adaptivePause
-	// the least time between two cuts, so that one burst counts once.
-	adaptiveCut   = 0.9
+	// adaptivePause is the least time between two changes of a limit, so that
+	// a change can show before the next one.
 	adaptivePause = 500 * time.Millisecond
+
+	// refusalCut is the factor by which a refusal shrinks a limit.
+	refusalCut = 0.9
 )
 
-// Adaptive bounds the requests of one entry on one backend server: it adds
-// while the delay stays under the target, and cuts by a factor when it does
-// not.
+// Adaptive bounds the requests in flight towards backend servers by the delay
+// that they meet there. While the delay stays under the target and the limit
+// is in use, it grows by one at a time. Beyond, it shrinks to the share of the
+// requests in flight that would have met no more than the target.
 type Adaptive struct {
-	limit    float64
-	least    float64
-	most     float64
-	target   time.Duration
-	lastCut  time.Time
-	smoothed float64
+	limit   float64
+	least   float64
+	most    float64
+	target  time.Duration
+	changed time.Time
 }
 
 // NewAdaptive returns a limit that starts at the given value and stays between
-// least and most. Target is the delay, beyond the time of an idle server, that
-// is taken for the start of a queue.
+// least and most. Target is the delay in a server's queue that keeps it busy
+// without making requests wait long.
 func NewAdaptive(start, least, most int, target time.Duration) *Adaptive {
 	return &Adaptive{limit: float64(start), least: float64(least), most: float64(most), target: target}
 }
@@ -31,26 +33,30 @@
 // Limit returns how many requests may be in flight.
 func (a *Adaptive) Limit() int { return int(a.limit) }
 
-// Observe learns from a request that was delayed by the given time while
-// inFlight requests were on the server.
-func (a *Adaptive) Observe(now time.Time, delay time.Duration, inFlight int) {
-	const memory = 0.2
-	a.smoothed += memory * (max(delay, 0).Seconds() - a.smoothed)
-	if a.smoothed > a.target.Seconds() {
-		a.Cut(now)
+// Observe learns from the delay in the queue and the time of service after it,
+// seen while inFlight requests were on their way.
+func (a *Adaptive) Observe(now time.Time, delay, service time.Duration, inFlight int) {
+	if now.Sub(a.changed) < adaptivePause {
 		return
 	}
-	if float64(inFlight) >= a.limit-1 {
-		a.limit = min(a.limit+1/a.limit, a.most)
+	excess := delay - a.target
+	switch {
+	case excess > 0:
+		share := service.Seconds() / (service + excess).Seconds()
+		a.limit = max(min(a.limit, float64(inFlight)*share), a.least)
+	case float64(inFlight) >= a.limit-1:
+		a.limit = min(a.limit+1, a.most)
+	default:
+		return
 	}
+	a.changed = now
 }
 
-// Cut shrinks the limit, at most once in a short time, as when the server
-// refused a request.
+// Cut shrinks the limit after a server refused a request.
 func (a *Adaptive) Cut(now time.Time) {
-	if now.Sub(a.lastCut) < adaptivePause {
+	if now.Sub(a.changed) < adaptivePause {
 		return
 	}
-	a.lastCut = now
-	a.limit = max(a.limit*adaptiveCut, a.least)
+	a.changed = now
+	a.limit = max(a.limit*refusalCut, a.least)
 }
--- a/core/limit/budget.go
+++ b/core/limit/budget.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// Retries are a twentieth of the first attempts, and at most ten at once.
+const (
+	retryShare = 0.05
+	retryBurst = 10
+)
+
 type (
 	// Budget pays for retries: every first attempt adds a share of a retry.
 	// When it is empty, failures are passed on instead of repeated.
@@ -25,6 +31,9 @@
 // and saves up at most most of them.
 func NewBudget(share, most float64) *Budget { return &Budget{share: share, most: most} }
 
+// DefaultBudget returns an empty budget with the shares of an entry.
+func DefaultBudget() *Budget { return NewBudget(retryShare, retryBurst) }
+
 // Earn adds the share of a first attempt.
 func (b *Budget) Earn() { b.held = min(b.held+b.share, b.most) }
 
--- a/core/limit/fair.go
+++ b/core/limit/fair.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -11,15 +12,31 @@
 	// told to come back.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 30 * time.Second
+
+	// usageMemory is how far back the use of a workspace is averaged.
+	usageMemory = 10 * time.Second
+
+	// DefaultMaxWait keeps queues short: what waits longer than that does not
+	// make the backend servers busier.
+	DefaultMaxWait = 1 * time.Second
+
+	// WaitingPerSlot is how many tickets may wait for each slot.
+	WaitingPerSlot = 4
+
+	// DefaultReserve is the share of the slots kept for workspaces below their
+	// fair share.
+	DefaultReserve = 0.25
 )
 
 type (
 	// FairConfig are the settings of a FairShare. Slots bounds what runs and
-	// Waiting what waits. Reserve is the share of the slots that only
-	// workspaces below their fair share may take.
+	// Waiting what waits; a ticket of no raised priority that is predicted to
+	// wait longer than MaxWait, if that is set, is refused. Reserve is the share of the slots
+	// that only workspaces below their fair share may take.
 	FairConfig struct {
 		Slots   int
 		Waiting int
+		MaxWait time.Duration
 		Reserve float64
 	}
 
@@ -38,13 +55,15 @@
 	}
 
 	// flow is one workspace's tickets. Finish is the virtual time at which its
-	// last started ticket ends.
+	// last started ticket ends, usage the mean number of running tickets.
 	flow struct {
 		name    string
 		weight  float64
 		finish  float64
 		running int
 		tickets []Ticket
+		usage   float64
+		at      time.Time
 	}
 
 	started struct {
@@ -65,7 +84,10 @@
 // Slots returns how many tickets may run at once.
 func (q *FairShare) Slots() int { return q.cfg.Slots }
 
-// Running and Waiting return the numbers of tickets.
+// Service returns how long a mean ticket takes once it runs.
+func (q *FairShare) Service() time.Duration { return q.pace.mean() }
+
+// Running returns the number of tickets that run.
 func (q *FairShare) Running() int { return len(q.running) }
 
 // Waiting returns the number of tickets that wait.
@@ -75,14 +97,14 @@
 // it would be served.
 func (q *FairShare) Offer(now time.Time, t Ticket) Decision {
 	f := q.flowOf(t)
-	if len(f.tickets) == 0 && q.mayStart(f) {
+	if len(f.tickets) == 0 && q.mayStart(now, f) {
 		q.start(now, f, t)
 		return Decision{Verdict: Run}
 	}
 	wait := q.predict(f, t)
-	if q.misses(now, t, wait) {
+	if excess := q.excess(now, t, wait); excess > 0 {
 		q.dropIdle(f)
-		return Decision{Verdict: Refuse, RetryAfter: q.retryAfter(now, t, wait)}
+		return Decision{Verdict: Refuse, RetryAfter: bounded(excess)}
 	}
 	if q.waiting >= q.cfg.Waiting && !q.makeRoom(f, t) {
 		q.dropIdle(f)
@@ -97,6 +119,7 @@
 func (q *FairShare) Finish(now time.Time, id uint64) []uint64 {
 	if s, ok := q.running[id]; ok {
 		delete(q.running, id)
+		s.flow.average(now)
 		s.flow.running--
 		q.pace.finished(now, s.cost, now.Sub(s.at))
 		q.dropIdle(s.flow)
@@ -135,7 +158,7 @@
 func (q *FairShare) startNext(now time.Time) []uint64 {
 	var ids []uint64
 	for {
-		f := q.nextFlow()
+		f := q.nextFlow(now)
 		if f == nil {
 			return ids
 		}
@@ -147,10 +170,10 @@
 
 // nextFlow returns the waiting flow with the earliest virtual start that may
 // start now, or nil.
-func (q *FairShare) nextFlow() *flow {
+func (q *FairShare) nextFlow(now time.Time) *flow {
 	var next *flow
 	for _, f := range q.flows {
-		if len(f.tickets) == 0 || !q.mayStart(f) {
+		if len(f.tickets) == 0 || !q.mayStart(now, f) {
 			continue
 		}
 		if next == nil || cmp.Or(cmp.Compare(f.finish, next.finish), cmp.Compare(f.name, next.name)) < 0 {
@@ -160,18 +183,28 @@
 	return next
 }
 
-func (q *FairShare) mayStart(f *flow) bool {
+func (q *FairShare) mayStart(now time.Time, f *flow) bool {
 	if len(q.running) >= q.cfg.Slots {
 		return false
 	}
 	reserve := int(q.cfg.Reserve * float64(q.cfg.Slots))
-	return len(q.running) < q.cfg.Slots-reserve || float64(f.running) < q.fairSlots(f)
+	return len(q.running) < q.cfg.Slots-reserve || q.isBelowShare(now, f)
 }
 
-// fairSlots returns the slots that the flow could hold if all active flows
-// took their share.
-func (q *FairShare) fairSlots(f *flow) float64 {
-	return float64(q.cfg.Slots) * f.weight / q.activeWeight(f)
+// isBelowShare reports whether the flow's mean use is below its share of the
+// slots, by weight among the flows that have work, and one slot. The mean lets
+// a workspace have its bursts, and the slot lets a small one run at all, but
+// neither lets in a flood.
+func (q *FairShare) isBelowShare(now time.Time, f *flow) bool {
+	f.average(now)
+	return f.usage < float64(q.cfg.Slots)*f.weight/q.activeWeight(f)+1
+}
+
+// IsBelowShare reports whether the workspace uses less than its share.
+// Backend servers can serve such a workspace first.
+func (q *FairShare) IsBelowShare(now time.Time, workspace string) bool {
+	f, ok := q.flows[workspace]
+	return !ok || q.isBelowShare(now, f)
 }
 
 func (q *FairShare) activeWeight(f *flow) float64 {
@@ -188,14 +221,21 @@
 	begin := max(q.virtual, f.finish)
 	q.virtual = begin
 	f.finish = begin + t.cost()/f.weight
+	f.average(now)
 	f.running++
 	q.running[t.ID] = started{flow: f, cost: t.cost(), at: now}
 }
 
-// predict returns how long the ticket would wait: the work ahead of it in its
-// own flow at the flow's share of the pace, or all work at the whole pace.
+// predict returns how long the ticket would wait: until the next slot is free,
+// and then until its own flow's turn comes and what is ahead of it there is
+// started, at the flow's share of the pace, or until all that waits is started
+// at the whole pace.
 func (q *FairShare) predict(f *flow, t Ticket) time.Duration {
-	ahead, all := t.cost(), t.cost()
+	perSecond := q.pace.perSecond(q.cfg.Slots)
+	if perSecond <= 0 {
+		return 0
+	}
+	ahead, all := max(f.finish-q.virtual, 0)*f.weight, 0.0
 	for _, other := range q.flows {
 		for _, w := range other.tickets {
 			all += w.cost()
@@ -204,22 +244,22 @@
 			}
 		}
 	}
-	perSecond := q.pace.perSecond(q.cfg.Slots)
-	if perSecond <= 0 {
-		return 0
-	}
 	own := ahead * q.activeWeight(f) / f.weight
-	return time.Duration(min(own, all) / perSecond * float64(time.Second))
-}
-
-func (q *FairShare) misses(now time.Time, t Ticket, wait time.Duration) bool {
-	return !t.Deadline.IsZero() && now.Add(wait+q.pace.service(t.cost())).After(t.Deadline)
+	next := q.pace.mean() / time.Duration(max(q.cfg.Slots, 1))
+	return next + time.Duration(min(own, all)/perSecond*float64(time.Second))
 }
 
-// retryAfter returns when the queue will have shrunk so far that a ticket with
-// the same time to its deadline would be served.
-func (q *FairShare) retryAfter(now time.Time, t Ticket, wait time.Duration) time.Duration {
-	return bounded(wait + q.pace.service(t.cost()) - t.Deadline.Sub(now))
+// excess returns by how much the predicted wait is too long for the ticket's
+// deadline or for the queue: after that time a like ticket would be served.
+func (q *FairShare) excess(now time.Time, t Ticket, wait time.Duration) time.Duration {
+	var excess time.Duration
+	if !t.Deadline.IsZero() {
+		excess = wait + q.pace.service(t.cost()) - t.Deadline.Sub(now)
+	}
+	if q.cfg.MaxWait > 0 && t.Priority <= 0 {
+		excess = max(excess, wait-q.cfg.MaxWait)
+	}
+	return excess
 }
 
 // makeRoom pushes the last ticket of the flow with the most work for its
@@ -280,6 +320,15 @@
 	return flows
 }
 
+// average brings the mean use up to now.
+func (f *flow) average(now time.Time) {
+	if !f.at.IsZero() {
+		keep := math.Exp(-now.Sub(f.at).Seconds() / usageMemory.Seconds())
+		f.usage = f.usage*keep + float64(f.running)*(1-keep)
+	}
+	f.at = now
+}
+
 // insert puts the ticket behind those with the same or a higher priority.
 func (f *flow) insert(t Ticket) {
 	at := len(f.tickets)
--- a/core/limit/pace.go
+++ b/core/limit/pace.go
@@ -14,12 +14,14 @@
 	at   time.Time
 	busy float64
 	done float64
+	ends float64
 }
 
 func (p *pace) finished(now time.Time, cost float64, took time.Duration) {
 	fade := math.Exp(-now.Sub(p.at).Seconds() / paceMemory.Seconds())
 	p.busy = p.busy*fade + took.Seconds()
 	p.done = p.done*fade + cost
+	p.ends = p.ends*fade + 1
 	p.at = now
 }
 
@@ -39,3 +41,11 @@
 	}
 	return time.Duration(p.busy / p.done * cost * float64(time.Second))
 }
+
+// mean returns how long a piece of work takes on the average.
+func (p *pace) mean() time.Duration {
+	if p.ends == 0 {
+		return 0
+	}
+	return time.Duration(p.busy / p.ends * float64(time.Second))
+}
--- /dev/null
+++ b/internal/experiment/overload.go
@@ -0,0 +1,195 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rosereach/core/limit"
+	"rosereach/core/placement"
+	"rosereach/internal/model"
+)
+
+const (
+	overloadDeadline = 30 * time.Second
+	overloadWarmUp   = 40 * time.Second
+	overloadRun      = 80 * time.Second
+	overloadRetries  = 3
+	overloadUrgent   = 0.1
+
+	// normalLoad is the share of capacity around an overload, floodLoad the
+	// one of the other workspaces while one floods.
+	normalLoad = 0.5
+	floodLoad  = 0.8
+	floodTotal = 2.0
+
+	// flooder is the number of the workspace that floods.
+	flooder = 2
+
+	// recoveryLimit is the time after the load's end within which everything
+	// has to be as before.
+	recoveryLimit = 10 * time.Second
+)
+
+// gatePolicy is a queue at each entry, with what its waiting places are.
+type gatePolicy struct {
+	name   string
+	gate   func(slots int) limit.Queue
+	budget func() *limit.Budget
+}
+
+var (
+	fairGate = gatePolicy{
+		"fair_share",
+		func(slots int) limit.Queue {
+			return limit.NewFairShare(limit.FairConfig{
+				Slots: slots, Waiting: limit.WaitingPerSlot * slots, MaxWait: limit.DefaultMaxWait, Reserve: limit.DefaultReserve,
+			})
+		},
+		limit.DefaultBudget,
+	}
+	firstComeGate = gatePolicy{"first_come", func(int) limit.Queue { return limit.NewFirstCome(256, 256) }, nil}
+)
+
+func overloadExperiment() Experiment {
+	return newSeeded("overload", "twice the capacity, a flood, a pool that runs out, and the time after", decisionSeeds,
+		func(ctx context.Context, opts Options) (Result, error) {
+			return measureOverload(ctx, opts, []model.Workload{model.VitrinaVacia().Single(), model.Terminalna().Single()})
+		})
+}
+
+// measureOverload loads the entries' queues beyond the capacity.
+func measureOverload(ctx context.Context, opts Options, workloads []model.Workload) (Result, error) {
+	seeds, err := overSeeds(ctx, opts.Seeds, opts.Progress, func(seed uint64) samples {
+		var s samples
+		for _, w := range workloads {
+			capacity := capacityUnder(w, seed, func() placement.Policy { return placement.NewPredicted() })
+			s.add(w.Name+" capacity", "requests/s", capacity.requests, nil)
+			s = append(s, overload(w, capacity, seed, fairGate)...)
+			s = append(s, overload(w, capacity, seed, firstComeGate)...)
+			s = append(s, flood(w, capacity, seed)...)
+			s = append(s, emptyPool(w, capacity, seed)...)
+		}
+		return s
+	})
+	return Result{Experiment: "overload", Seeds: opts.Seeds, Rows: rowsOf(seeds)}, err
+}
+
+func gatedFleet(w model.Workload, seed uint64, g gatePolicy) *model.Fleet {
+	return model.NewFleet(model.FleetConfig{
+		Workload: w, Seed: seed, Policy: func() placement.Policy { return placement.NewPredicted() },
+		Gate: g.gate, Budget: g.budget, Deadline: overloadDeadline, Retries: overloadRetries, Urgent: overloadUrgent,
+	})
+}
+
+// overload offers half the capacity, then twice, then half again.
+func overload(w model.Workload, capacity throughput, seed uint64, g gatePolicy) samples {
+	f := gatedFleet(w, seed, g)
+	f.Offer(normalLoad*capacity.requests, overloadWarmUp+3*overloadRun)
+	f.Clock.Run(overloadWarmUp)
+	before := p95Of(f, overloadRun/2)
+	f.Offer((2-normalLoad)*capacity.requests, overloadRun)
+	f.Clock.Run(overloadRun / 4)
+	f.Reset()
+	f.Clock.Run(overloadRun * 3 / 4)
+	during := f.Stats
+	end := f.Clock.Now()
+	f.Reset()
+	f.Clock.Run(recoveryLimit)
+	after := f.Stats
+	again := p95Of(f, overloadRun/2)
+
+	var s samples
+	ours := g.name == fairGate.name
+	add := func(name, unit string, value float64, b *Bound) {
+		if !ours {
+			b = nil
+		}
+		s.add(w.Name+" "+g.name+" "+name, unit, value, b)
+	}
+	seconds := (overloadRun * 3 / 4).Seconds()
+	add("goodput in requests at 2x to capacity", "ratio", float64(during.InTime)/seconds/capacity.requests, atLeast(0.95))
+	add("goodput in tokens at 2x to capacity", "ratio", float64(during.Tokens)/seconds/capacity.tokens, atLeast(0.95))
+	add("refused at arrival", "share", float64(during.Early)/float64(max(during.Refused, 1)), atLeast(0.95))
+	add("late answers", "share", float64(during.Done-during.InTime)/float64(max(during.Done, 1)), nil)
+	add("urgent done in time", "share", urgentInTime(during), atLeast(0.99))
+	add("last refusal after the end", "s", lastRefusal(after, f.Stats, end).Seconds(), atMost(recoveryLimit.Seconds()))
+	add("p95 after recovery to before", "ratio", again/before, atMost(1.2))
+	return s
+}
+
+// flood compares the other workspaces' p95 without and with one that floods.
+func flood(w model.Workload, capacity throughput, seed uint64) samples {
+	run := func(extra float64) float64 {
+		f := gatedFleet(w, seed, fairGate)
+		f.Count(func(c *model.Call) bool { return c.Workspace != fmt.Sprintf("w%d", flooder) })
+		f.Offer(floodLoad*capacity.requests, overloadWarmUp+overloadRun)
+		if extra > 0 {
+			f.OfferFrom(model.NewSource(w.Only(flooder), seed+1_000_000), extra*capacity.requests, overloadWarmUp+overloadRun)
+		}
+		f.Clock.Run(overloadWarmUp)
+		return p95Of(f, overloadRun)
+	}
+	calm, flooded := run(0), run(floodTotal-floodLoad)
+	var s samples
+	s.add(w.Name+" p95 of the others without a flood", "s", calm, nil)
+	s.add(w.Name+" p95 of the others in a flood to without", "ratio", flooded/calm, atMost(1.2))
+	return s
+}
+
+// emptyPool lets all engines refuse for a while.
+func emptyPool(w model.Workload, capacity throughput, seed uint64) samples {
+	var s samples
+	for _, g := range []gatePolicy{fairGate, firstComeGate} {
+		f := gatedFleet(w, seed, g)
+		f.Offer(floodLoad*capacity.requests, overloadWarmUp+overloadRun)
+		f.Clock.Run(overloadWarmUp)
+		f.SetFailing(true)
+		f.Reset()
+		f.Clock.Run(overloadRun / 2)
+		f.SetFailing(false)
+		attempts := float64(f.Stats.Attempts) / float64(max(f.Stats.Sent, 1))
+		var b *Bound
+		if g.name == fairGate.name {
+			b = atMost(1.1)
+		}
+		s.add(w.Name+" "+g.name+" attempts per request, empty pool", "ratio", attempts, b)
+	}
+	return s
+}
+
+// p95Of runs the fleet on and returns the p95 of the first tokens meanwhile.
+func p95Of(f *model.Fleet, d time.Duration) float64 {
+	f.Reset()
+	f.Clock.Run(d)
+	return model.Quantile(0.95, f.Stats.First)
+}
+
+// urgentInTime returns the share of the urgent requests that ended in time.
+func urgentInTime(s model.Stats) float64 {
+	var all, good float64
+	for _, e := range s.Ends {
+		if e.Priority == 0 {
+			continue
+		}
+		all++
+		if e.InTime {
+			good++
+		}
+	}
+	return good / max(all, 1)
+}
+
+// lastRefusal returns when, after the end of the load, the last request that
+// came after the end was refused.
+func lastRefusal(first, second model.Stats, end time.Time) time.Duration {
+	var last time.Duration
+	for _, s := range []model.Stats{first, second} {
+		for _, e := range s.Ends {
+			if e.Refused && e.Came.After(end) {
+				last = max(last, e.At.Sub(end))
+			}
+		}
+	}
+	return last
+}
--- a/internal/experiment/samples.go
+++ b/internal/experiment/samples.go
@@ -25,6 +25,8 @@
 
 func atMost(limit float64) *Bound { return &Bound{Limit: limit} }
 
+func atLeast(limit float64) *Bound { return &Bound{AtLeast: true, Limit: limit} }
+
 func (s *samples) add(name, unit string, value float64, b *Bound) {
 	*s = append(*s, sample{name: name, unit: unit, value: value, bound: b})
 }
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -4,5 +4,6 @@
 func All() []Experiment {
 	return []Experiment{
 		placementExperiment(),
+		overloadExperiment(),
 	}
 }
--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -118,8 +118,9 @@
 	for _, j := range e.running {
 		if j.prefill == 0 {
 			d += e.cfg.StepPerSequence
-			continue
 		}
+	}
+	for _, j := range e.reading() {
 		chunk := min(budget, j.prefill)
 		j.prefill -= chunk
 		budget -= chunk
@@ -128,6 +129,19 @@
 	e.clock.After(d, e.produce)
 }
 
+// reading returns the jobs whose prompt is still being read, the highest
+// priority first.
+func (e *Engine) reading() []*Job {
+	var jobs []*Job
+	for _, j := range e.running {
+		if j.prefill > 0 {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b *Job) int { return b.Priority - a.Priority })
+	return jobs
+}
+
 func (e *Engine) admit() {
 	for len(e.waiting) > 0 && len(e.running) < e.cfg.Batch {
 		j := e.waiting[0]
--- a/internal/model/fleet.go
+++ b/internal/model/fleet.go
@@ -29,20 +29,35 @@
 	// stickiness is the chance that a session's next request comes to the same
 	// entry: callers keep an address for a while.
 	stickiness = 0.7
+
+	// queueTarget is the delay in the engines' queues under which an entry
+	// lets more requests run.
+	queueTarget = 200 * time.Millisecond
+
+	// leastShare is, in eighths, how much of its share of the engines' places
+	// an entry always uses.
+	leastShare = 7
+
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 3
 )
 
 type (
-	// FleetConfig are the settings of a run. Rate is in requests a second.
-	// Policy makes the placement policy of one entry, Gate its queue; without
-	// Gate every request is sent on at once. Costs are in seconds of an
-	// engine's slot.
+	// FleetConfig are the settings of a run. Policy makes the placement policy
+	// of one entry, Gate its queue for its share of the engines' places;
+	// without Gate every request is sent on at once. Budget makes an entry's
+	// budget for repeated attempts; without it each failed attempt is repeated.
+	// Callers repeat a refused request at most Retries times. Urgent is the
+	// share of sessions with a higher priority.
 	FleetConfig struct {
 		Workload Workload
 		Seed     uint64
 		Policy   func() placement.Policy
 		Gate     func(slots int) limit.Queue
+		Budget   func() *limit.Budget
 		Deadline time.Duration
 		Retries  int
+		Urgent   float64
 	}
 
 	// Fleet is entries and engines with callers around them.
@@ -60,6 +75,7 @@
 		counted func(*Call) bool
 		last    uint64
 		asks    bool
+		failing bool
 		known   map[uint64]bool
 		asked   int64
 		repeats int64
@@ -74,6 +90,8 @@
 		hints   *placement.Prefixes
 		load    map[string]backend.Load
 		gate    limit.Queue
+		adapt   *limit.Adaptive
+		budget  *limit.Budget
 		held    map[uint64]*Call
 	}
 
@@ -85,9 +103,10 @@
 		At       time.Time
 		Deadline time.Time
 		tries    int
+		attempts int
+		rank     int
 		entry    *entry
 		engine   int
-		open     bool
 	}
 )
 
@@ -99,6 +118,7 @@
 		counted: func(*Call) bool { return true }, known: make(map[uint64]bool),
 	}
 	f.source = NewSource(cfg.Workload, cfg.Seed)
+	f.source.Urgent = cfg.Urgent
 	places := cfg.Workload.places()
 	for i := range cfg.Workload.Engines {
 		f.addEngine(i, places[i%len(places)])
@@ -131,13 +151,21 @@
 	if f.cfg.Gate != nil {
 		slots := len(f.engines) * f.servers[0].Capacity / f.cfg.Workload.Entries
 		e.gate = f.cfg.Gate(slots)
+		least := slots * leastShare / 8
+		e.adapt = limit.NewAdaptive(slots, least, len(f.engines)*f.servers[0].Capacity, queueTarget)
+	}
+	if f.cfg.Budget != nil {
+		e.budget = f.cfg.Budget()
 	}
 	f.entries = append(f.entries, e)
 }
 
 // Offer lets sessions arrive at the given rate of requests a second, until the
 // duration has passed.
-func (f *Fleet) Offer(rate float64, d time.Duration) {
+func (f *Fleet) Offer(rate float64, d time.Duration) { f.OfferFrom(f.source, rate, d) }
+
+// OfferFrom lets sessions of another source arrive.
+func (f *Fleet) OfferFrom(source *Source, rate float64, d time.Duration) {
 	end := f.Clock.Now().Add(d)
 	sessions := rate / f.cfg.Workload.MeanTurns()
 	var arrive func()
@@ -145,7 +173,7 @@
 		if f.Clock.Now().After(end) {
 			return
 		}
-		f.arrive(f.source.Open())
+		f.arrive(source.Open())
 		f.Clock.After(time.Duration(f.pause.ExpFloat64()/sessions*float64(time.Second)), arrive)
 	}
 	f.Clock.After(time.Duration(f.pause.ExpFloat64()/sessions*float64(time.Second)), arrive)
@@ -166,6 +194,9 @@
 	f.last++
 	f.remember(a.Prompt)
 	c := &Call{Arrival: a, ID: f.last, At: f.Clock.Now(), entry: e}
+	if a.Urgent {
+		c.Priority = 1
+	}
 	if f.cfg.Deadline > 0 {
 		c.Deadline = c.At.Add(f.cfg.Deadline)
 	}
@@ -195,13 +226,26 @@
 	missing := int64((1 - candidates[c.engine].Prefix) * float64(d.InputTokens))
 	c.entry.tracker.Start(now, server.ID, missing)
 	c.entry.hints.StoreAll(now, server.ID, prompt)
+	c.rank = c.rankNow(now)
+	if f.counted(c) {
+		f.Stats.Waits = append(f.Stats.Waits, now.Sub(c.At).Seconds())
+	}
+	c.attempts++
+	f.Stats.Attempts++
+	if c.attempts == 1 {
+		f.Stats.Sent++
+	}
 	f.travel(c.entry.region, server, d.InputTokens*bytesPerToken, func() { f.submit(c) })
 }
 
 func (f *Fleet) submit(c *Call) {
 	server := f.servers[c.engine]
+	if f.failing {
+		f.travelBack(c.entry.region, server, bytesPerOutput, func() { f.fail(c) })
+		return
+	}
 	f.engines[c.engine].Submit(&Job{
-		Priority: c.Priority, Prompt: c.Prompt, Output: c.Output,
+		Priority: c.rank, Prompt: c.Prompt, Output: c.Output,
 		OnFirst: func() {
 			f.travelBack(c.entry.region, server, bytesPerOutput, func() { f.first(c) })
 		},
@@ -284,6 +328,7 @@
 func (f *Fleet) reported(server string, l backend.Load) {
 	for _, e := range f.entries {
 		e.load[server] = l
+		f.adapt(e)
 	}
 }
 
--- a/internal/model/stats.go
+++ b/internal/model/stats.go
@@ -12,21 +12,26 @@
 	// Stats are what callers saw. Times are in seconds.
 	Stats struct {
 		First    []float64
+		Waits    []float64
 		ByFlow   map[string][]float64
-		Arrived  int
+		Sent     int
+		Attempts int
 		Done     int
 		InTime   int
+		Tokens   int
 		Refused  int
 		Early    int
-		Finishes []Finish
+		// Ends are the ends of all requests, in order of time.
+		Ends []End
 	}
 
-	// Finish is the end of one request, InTime when before its deadline.
-	Finish struct {
-		At        time.Duration
-		Workspace string
-		Priority  int
-		InTime    bool
+	// End is the end of one request: done in time, done late or refused.
+	End struct {
+		At       time.Time
+		Came     time.Time
+		Priority int
+		InTime   bool
+		Refused  bool
 	}
 
 	// Swing follows the spread of load over engines.
@@ -127,13 +132,15 @@
 	inTime := c.Deadline.IsZero() || !now.After(c.Deadline)
 	if inTime {
 		s.InTime++
+		s.Tokens += c.Output
 	}
-	s.Finishes = append(s.Finishes, Finish{At: now.Sub(Epoch), Workspace: c.Workspace, Priority: c.Priority, InTime: inTime})
+	s.Ends = append(s.Ends, End{At: now, Came: c.At, Priority: c.Priority, InTime: inTime})
 }
 
-func (s *Stats) refuse(_ *Call, early bool) {
+func (s *Stats) refuse(c *Call, now time.Time, early bool) {
 	s.Refused++
 	if early {
 		s.Early++
 	}
+	s.Ends = append(s.Ends, End{At: now, Came: c.At, Priority: c.Priority, Refused: true})
 }
--- a/internal/model/workload.go
+++ b/internal/model/workload.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -29,13 +30,15 @@
 		Think    time.Duration
 	}
 
-	// Workload is a mix of traffic. Workspaces holds their shares.
+	// Workload is a mix of traffic. Workspaces holds their shares of it, which
+	// are their weights too; Weights overrides these.
 	Workload struct {
 		Name       string
 		Regions    []Region
 		Entries    int
 		Engines    int
 		Workspaces []float64
+		Weights    []float64
 		Classes    []Class
 		Documents  int
 	}
@@ -51,18 +54,22 @@
 	// session before it.
 	Arrival struct {
 		Workspace string
+		Weight    int
 		Class     Class
 		Session   uint64
 		Region    string
 		Prompt    []Segment
 		Output    int
 		Turn      int
+		Urgent    bool
 		random    *rand.Rand
 	}
 
-	// Source makes the arrivals of a workload. What a session does follows from
+	// Source makes the arrivals of a workload. Urgent is the share of sessions
+	// with a higher priority. What a session does follows from
 	// the seed and its number alone, so that all policies see the same traffic.
 	Source struct {
+		Urgent   float64
 		workload Workload
 		seed     uint64
 		last     uint64
@@ -129,6 +136,27 @@
 	return turns
 }
 
+// Only returns the workload with all traffic in one workspace.
+func (w Workload) Only(workspace int) Workload {
+	w.Weights = w.Workspaces
+	shares := make([]float64, len(w.Workspaces))
+	shares[workspace] = 1
+	w.Workspaces = shares
+	return w
+}
+
+// Single returns the workload with the same mix of requests, each a session of
+// its own, so that a change of the rate changes the load at once.
+func (w Workload) Single() Workload {
+	turns := w.MeanTurns()
+	w.Classes = slices.Clone(w.Classes)
+	for i, c := range w.Classes {
+		w.Classes[i].Share = c.Share * c.Turns / turns
+		w.Classes[i].Turns = 1
+	}
+	return w
+}
+
 // NewSource returns a source of arrivals.
 func NewSource(w Workload, seed uint64) *Source { return &Source{workload: w, seed: seed} }
 
@@ -139,9 +167,10 @@
 	ws := pick(random, s.workload.Workspaces)
 	class := s.workload.class(random)
 	a := Arrival{
-		Workspace: fmt.Sprintf("w%d", ws), Class: class, Session: s.last, Region: s.workload.region(random),
+		Workspace: fmt.Sprintf("w%d", ws), Weight: s.workload.weight(ws), Class: class, Session: s.last, Region: s.workload.region(random),
 		Prompt: []Segment{{Key: key(uint64(ws), 1), Tokens: class.Common}}, random: random,
 	}
+	a.Urgent = random.Float64() < s.Urgent
 	if class.Document > 0 {
 		a.Prompt = append(a.Prompt, s.document(random, ws, class))
 	}
@@ -180,6 +209,15 @@
 	return Segment{Key: k, Tokens: int64(float64(class.Document) * spread)}
 }
 
+func (w Workload) weight(workspace int) int {
+	const scale = 100
+	weights := w.Weights
+	if weights == nil {
+		weights = w.Workspaces
+	}
+	return max(int(weights[workspace]*scale), 1)
+}
+
 func (w Workload) class(random *rand.Rand) Class {
 	shares := make([]float64, len(w.Classes))
 	for i, c := range w.Classes {
