--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -47,8 +47,8 @@
 func commands() []*command {
 	return []*command{
 		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
-		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(),
-		cmdBills(), cmdAudit(), cmdStatus(),
+		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(), cmdOperator(),
+		cmdBills(), cmdAudit(), cmdStatus(), cmdMan(),
 		cmdLoad(), cmdExperiment(),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,16 +4,17 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/juju/clock"
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
-	"rosereach/core/backend"
 	"rosereach/core/cascade"
 	"rosereach/core/catalog"
 	"rosereach/core/lease"
@@ -21,19 +22,25 @@
 	"rosereach/core/limit"
 	"rosereach/core/placement"
 	"rosereach/core/registry"
+	"rosereach/core/retry"
 	iobackend "rosereach/io/backend"
+	"rosereach/io/member"
 )
 
 const (
 	// backendLease is how long an announcement counts.
 	backendLease = 3 * time.Second
 
+	// drainInterval is how often draining looks for requests that still run.
+	drainInterval = 20 * time.Millisecond
+
 	// maxIdleConns bounds the idle connections to one backend server.
 	maxIdleConns = 256
 )
 
 type (
-	// Config are the settings of an entry process.
+	// Config are the settings of an entry process. TLS gives the settings for
+	// connections to controls; without it, or when it gives nil, they are plain.
 	Config struct {
 		ID          string
 		Incarnation uint64
@@ -50,6 +57,7 @@
 		MaxRunning  int
 		MaxWaiting  int
 		Seed        uint64
+		TLS         func() (*tls.Config, error)
 		Clock       clock.Clock
 		Logger      log.Logger
 	}
@@ -57,12 +65,17 @@
 	// Entry is one entry process.
 	Entry struct {
 		cfg      Config
+		ctx      context.Context
+		stop     context.CancelFunc
 		link     *link
+		ledger   *batcher
+		relay    *relay
+		table    *table
 		engines  *iobackend.Client
 		catalog  atomic.Pointer[catalog.Catalog]
 		draining atomic.Bool
 		closed   atomic.Bool
-		active   sync.WaitGroup
+		handling atomic.Int64
 
 		mu        sync.Mutex
 		registry  *registry.Registry
@@ -71,6 +84,8 @@
 		choice    cascade.Policy
 		placement placement.Policy
 		gate      *admission
+		budgets   *retry.Budgets
+		meter     *meter
 		holder    lease.Holder
 		peers     []lease.Entry
 	}
@@ -78,11 +93,12 @@
 
 // New returns an entry, which Run connects to the controls.
 func New(cfg Config) *Entry {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
 	e := &Entry{
 		cfg:       cfg,
-		engines:   iobackend.NewClient(transport),
-		registry:  registry.New(backendLease),
+		table:     newTable(),
+		engines:   iobackend.NewClient(cfg.Clock, maxIdleConns),
+		budgets:   retry.NewBudgets(entryBudget, workspaceBudget),
+		registry:  registry.New(backendLease).WithSubset(cfg.ID, cfg.Incarnation, subsetSize),
 		inFlight:  make(map[string]int),
 		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 		choice:    cascade.Cheapest{},
@@ -90,12 +106,24 @@
 		gate:      newAdmission(limit.NewFirstCome(cfg.MaxRunning, cfg.MaxWaiting)),
 	}
 	e.catalog.Store(catalog.New(catalog.Documents{}))
+	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.link = newLink(e)
+	e.relay = newRelay(e)
+	e.ledger = &batcher{propose: e.link.propose, pause: e.pause, queue: make(chan *submission, maxSubmitted)}
+	e.meter = newMeter(e)
 	return e
 }
 
-// Run keeps lease and documents until the context ends.
-func (e *Entry) Run(ctx context.Context) error { return e.link.run(ctx) }
+// Run keeps lease and documents, brings records to the ledger and learns of
+// backend servers from other entries, until the context ends.
+func (e *Entry) Run(ctx context.Context) error {
+	defer e.stop()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return e.link.run(ctx) })
+	g.Go(func() error { return e.ledger.run(ctx) })
+	g.Go(func() error { return e.relay.run(ctx) })
+	return g.Wait()
+}
 
 // Ready reports whether the entry may dispatch work.
 func (e *Entry) Ready() bool {
@@ -114,25 +142,19 @@
 	case <-ctx.Done():
 	}
 	e.closed.Store(true)
-	idle := make(chan struct{})
-	go func() {
-		e.active.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-	case <-ctx.Done():
-		return ctx.Err()
+	for e.isBusy() {
+		select {
+		case <-e.cfg.Clock.After(drainInterval):
+		case <-ctx.Done():
+			return errors.Annotate(ctx.Err(), "requests still run")
+		}
 	}
 	return e.link.release(ctx)
 }
 
-// observe records a backend server's announcement.
-func (e *Entry) observe(a backend.Announcement) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.registry.Observe(e.cfg.Clock.Now(), 0, a)
-}
+// isBusy reports whether a request runs, waits for its end record or is being
+// answered.
+func (e *Entry) isBusy() bool { return e.table.len() > 0 || e.handling.Load() > 0 }
 
 func (e *Entry) owner() ledger.Owner {
 	return ledger.Owner{Entry: e.cfg.ID, Incarnation: e.cfg.Incarnation}
@@ -144,3 +166,6 @@
 	defer e.mu.Unlock()
 	return orderAddresses(e.peers, region, zone)
 }
+
+// peer says who the entry is towards other members.
+func (c Config) peer() member.Peer { return member.Peer{ID: c.ID, Region: c.Region, Zone: c.Zone} }
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -10,7 +10,6 @@
 
 	"rosereach/core/catalog"
 	"rosereach/core/lease"
-	"rosereach/core/ledger"
 	"rosereach/core/state"
 	"rosereach/io/member"
 )
@@ -22,6 +21,9 @@
 	// redialDelay lies between two attempts to reach a control.
 	redialDelay = 100 * time.Millisecond
 
+	// nextDelay lies between two attempts after a control that does not lead.
+	nextDelay = 20 * time.Millisecond
+
 	// proposeTimeout bounds the wait for the ledger.
 	proposeTimeout = 5 * time.Second
 )
@@ -40,15 +42,32 @@
 
 func newLink(e *Entry) *link { return &link{entry: e, wake: make(chan struct{}, 1)} }
 
-// run keeps a connection and renews the lease over it until the context ends.
+// run keeps a connection to the leader and renews the lease over it until the
+// context ends. It asks its controls in turn; when none of them leads, it goes
+// where the last one says that the leader is.
 func (l *link) run(ctx context.Context) error {
+	controls := l.entry.cfg.Controls
+	hint := ""
 	for next := 0; ctx.Err() == nil; next++ {
-		address := l.entry.cfg.Controls[next%len(l.entry.cfg.Controls)]
-		if err := l.serve(ctx, address); err != nil && ctx.Err() == nil {
+		address := controls[next%len(controls)]
+		if hint != "" {
+			address, hint = hint, ""
+			next--
+		}
+		err := l.serve(ctx, address)
+		delay := redialDelay
+		var problem *member.Problem
+		switch {
+		case errors.As(err, &problem) && problem.Code == member.CodeNotLeader:
+			delay = nextDelay
+			if next%len(controls) == len(controls)-1 && problem.Address != address {
+				hint = problem.Address
+			}
+		case err != nil && ctx.Err() == nil:
 			l.entry.cfg.Logger.Log("msg", "Control is out of reach.", "control", address, "err", err)
 		}
 		select {
-		case <-l.entry.cfg.Clock.After(redialDelay):
+		case <-l.entry.cfg.Clock.After(delay):
 		case <-ctx.Done():
 		}
 	}
@@ -59,7 +78,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	cfg := l.entry.cfg
-	conn, err := member.Dial(ctx, address, cfg.MemberKey, member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}, l)
+	security, err := cfg.security()
+	if err != nil {
+		return err
+	}
+	conn, err := member.DialTLS(ctx, address, cfg.MemberKey, cfg.peer(), l, security)
 	if err != nil {
 		return err
 	}
@@ -134,27 +157,6 @@
 	return reply.Results, nil
 }
 
-// begin records the start of a request.
-func (l *link) begin(ctx context.Context, b ledger.Begin) (ledger.Reply, error) {
-	return l.record(ctx, state.Command{Begin: &b})
-}
-
-// finish records the end of a request.
-func (l *link) finish(ctx context.Context, f ledger.Finish) (ledger.Reply, error) {
-	return l.record(ctx, state.Command{Finish: &f})
-}
-
-func (l *link) record(ctx context.Context, c state.Command) (ledger.Reply, error) {
-	results, err := l.propose(ctx, c)
-	if err != nil {
-		return ledger.Reply{}, err
-	}
-	if results[0].Ledger == nil {
-		return ledger.Reply{}, errors.New("the control's result holds no ledger reply")
-	}
-	return *results[0].Ledger, nil
-}
-
 // release gives the lease back, so that the control need not wait it out.
 func (l *link) release(ctx context.Context) error {
 	l.entry.mu.Lock()
