Wire predicted placement and fair shares into the entry

The entry placed by its own requests only and admitted in order of arrival. It now keeps a tracker and prefix hints for placement by predicted finish, and a fair queue each for model requests and plain calls; load reports move the slots for models. A request pushed out of a full queue is refused at that moment (new test). The model uses core/retry in place of a second budget in core/limit.

--- a/core/limit/adaptive.go
+++ b/core/limit/adaptive.go
@@ -33,6 +33,12 @@
 // Limit returns how many requests may be in flight.
 func (a *Adaptive) Limit() int { return int(a.limit) }
 
+// SetLeast changes the least limit, as when servers come or go.
+func (a *Adaptive) SetLeast(least int) {
+	a.least = min(max(float64(least), 1), a.most)
+	a.limit = max(a.limit, a.least)
+}
+
 // Observe learns from the delay in the queue and the time of service after it,
 // seen while inFlight requests were on their way.
 func (a *Adaptive) Observe(now time.Time, delay, service time.Duration, inFlight int) {
--- /dev/null
+++ b/core/limit/bytes.go
@@ -0,0 +1,39 @@
+package limit
+
+import "time"
+
+// Bytes is the budget of bytes for the link between regions: it refills at a
+// rate and holds at most a burst.
+type Bytes struct {
+	perSecond float64
+	burst     float64
+	held      float64
+	at        time.Time
+}
+
+// NewBytes returns a full budget.
+func NewBytes(perSecond, burst float64) *Bytes {
+	return &Bytes{perSecond: perSecond, burst: burst, held: burst}
+}
+
+// Has reports whether n bytes may be sent over the link now.
+func (b *Bytes) Has(now time.Time, n int64) bool {
+	b.refill(now)
+	return b.held >= float64(n)
+}
+
+// Spend takes n bytes. What is sent in spite of an empty budget is taken from
+// what refills later.
+func (b *Bytes) Spend(now time.Time, n int64) {
+	b.refill(now)
+	b.held -= float64(n)
+}
+
+func (b *Bytes) refill(now time.Time) {
+	if !b.at.IsZero() && now.After(b.at) {
+		b.held = min(b.held+now.Sub(b.at).Seconds()*b.perSecond, b.burst)
+	}
+	if now.After(b.at) {
+		b.at = now
+	}
+}
--- a/core/limit/fair_test.go
+++ b/core/limit/fair_test.go
@@ -218,21 +218,6 @@
 	}
 }
 
-// Retries are at most the share of the first attempts, plus what was saved.
-func TestBudget(t *testing.T) {
-	b := NewBudget(0.1, 3)
-	retries := 0
-	for range 1000 {
-		b.Earn()
-		for b.Spend() {
-			retries++
-		}
-	}
-	if retries < 99 || retries > 100 {
-		t.Errorf("%d retries for 1000 attempts", retries)
-	}
-}
-
 // Bytes refill at the rate, and what was overdrawn is paid back first.
 func TestBytes(t *testing.T) {
 	b := NewBytes(1000, 500)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -88,4 +88,7 @@
 	return random.IntN(len(candidates))
 }
 
+// Missing returns the tokens of the prompt that the server has to read.
+func (c Candidate) Missing(d Demand) int64 { return int64((1 - c.Prefix) * float64(d.InputTokens)) }
+
 func (c Candidate) use() float64 { return float64(c.InFlight) / float64(max(c.Server.Capacity, 1)) }
--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -21,6 +21,7 @@
 		keys    int
 		life    time.Duration
 		servers map[string]*seen
+		expired time.Time
 	}
 
 	seen struct {
@@ -76,8 +77,20 @@
 	}
 }
 
-// Forget drops all that is known of the server, when it left or restarted.
-func (p *Prefixes) Forget(server string) { delete(p.servers, server) }
+// Expire forgets, from time to time, the servers of which nothing was seen for
+// a life.
+func (p *Prefixes) Expire(now time.Time) {
+	if now.Sub(p.expired) < p.life {
+		return
+	}
+	p.expired = now
+	for id, s := range p.servers {
+		newest := s.recent.Front()
+		if newest == nil || !s.holds(now, newest.Value.(sighting).key, p.life) { //nolint:errcheck,forcetypeassert // the list holds sightings
+			delete(p.servers, id)
+		}
+	}
+}
 
 // Share returns the share of the prompt's tokens, 0 to 1, that the server's
 // cache is thought to hold.
--- a/core/placement/tracker.go
+++ b/core/placement/tracker.go
@@ -38,6 +38,7 @@
 func (t *Tracker) Start(now time.Time, server string, tokens int64) {
 	s, ok := t.servers[server]
 	if !ok {
+		t.forget(now)
 		s = &tracked{at: now}
 		t.servers[server] = s
 	}
@@ -58,13 +59,13 @@
 	}
 }
 
-// Forget drops the servers that have no request and had none for a while.
-func (t *Tracker) Forget(now time.Time) {
-	for id, s := range t.servers {
-		if s.inFlight == 0 && now.Sub(s.history[len(s.history)-1].at) > historyKept {
-			delete(t.servers, id)
-		}
+// Total returns the requests on all servers.
+func (t *Tracker) Total() int {
+	sum := 0
+	for _, s := range t.servers {
+		sum += s.inFlight
 	}
+	return sum
 }
 
 // InFlight returns the requests on the server now.
@@ -102,6 +103,15 @@
 	return int64(t.drained(now, s))
 }
 
+// forget drops the servers that have no request and had none for a while.
+func (t *Tracker) forget(now time.Time) {
+	for id, s := range t.servers {
+		if s.inFlight == 0 && now.Sub(s.history[len(s.history)-1].at) > historyKept {
+			delete(t.servers, id)
+		}
+	}
+}
+
 func (t *Tracker) drained(now time.Time, s *tracked) float64 {
 	read := now.Sub(s.at).Seconds() / max(t.prefill.Seconds(), 1e-9)
 	return max(s.backlog-read, 0)
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -37,6 +37,13 @@
 	}
 )
 
+// The terms of an entry and of each workspace there. The limits are small, so
+// that a pool that runs out is not asked many times for each request.
+var (
+	EntryTerms     = Terms{Share: 0.1, Limit: 10}
+	WorkspaceTerms = Terms{Share: 0.2, Limit: 10}
+)
+
 // NewBudget returns a full budget.
 func NewBudget(t Terms) *Budget { return &Budget{terms: t, left: t.Limit} }
 
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -35,7 +35,10 @@
 		return func() { a.finish(c.Now(), id) }, nil
 	}
 	select {
-	case <-start:
+	case started := <-start:
+		if !started {
+			return nil, request.NewNotRun(request.CodeOverloaded, "too many requests are waiting").WithRetryAfter(time.Second)
+		}
 		return func() { a.finish(c.Now(), id) }, nil
 	case <-ctx.Done():
 		a.leave(c.Now(), id, start)
@@ -54,18 +57,39 @@
 	if decision.Verdict == limit.Wait {
 		a.waiting[t.ID] = start
 	}
+	a.tell(a.queue.Expire(now), false)
 	return t.ID, decision, start
 }
 
-func (a *admission) finish(now time.Time, id uint64) {
+// tell ends the wait of the tickets: they were started, or are refused at
+// once. Callers hold a.mu.
+func (a *admission) tell(ids []uint64, started bool) {
+	for _, id := range ids {
+		if start, ok := a.waiting[id]; ok {
+			delete(a.waiting, id)
+			start <- started
+		}
+	}
+}
+
+// adapt changes the slots of a fair queue after the load of the engines.
+func (a *admission) adapt(now time.Time, to *limit.Adaptive, queued, running int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, next := range a.queue.Finish(now, id) {
-		if start, ok := a.waiting[next]; ok {
-			delete(a.waiting, next)
-			start <- true
-		}
+	q, ok := a.queue.(*limit.FairShare)
+	if !ok {
+		return
 	}
+	service := q.Service()
+	delay := service * time.Duration(queued) / time.Duration(max(running, 1))
+	to.Observe(now, delay, service, q.Running())
+	q.SetSlots(to.Limit())
+}
+
+func (a *admission) finish(now time.Time, id uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tell(a.queue.Finish(now, id), true)
 }
 
 // leave ends a ticket whose caller stopped waiting, also when it was started
@@ -78,8 +102,30 @@
 		a.queue.Leave(now, id)
 	}
 	a.mu.Unlock()
-	if !waits {
-		<-start
+	if !waits && <-start {
 		a.finish(now, id)
 	}
 }
+
+// fairShare returns the queue of an entry with these settings.
+func (c Config) fairShare() *limit.FairShare {
+	return limit.NewFairShare(limit.FairConfig{
+		Slots: c.MaxRunning, Waiting: c.MaxWaiting, MaxWait: limit.DefaultMaxWait, Reserve: limit.DefaultReserve,
+	})
+}
+
+// gateFor returns the queue for the kind of request: calls of plain services
+// do not wait for engines.
+func (e *Entry) gateFor(kind request.Kind) *admission {
+	if kind == request.Plain {
+		return e.plainGate
+	}
+	return e.gate
+}
+
+// expectedWork estimates the work of a request in prompt tokens; a token of
+// the answer is worth several of the prompt.
+func expectedWork(req request.Request) float64 {
+	const perOutput = 10
+	return float64(max(int64(len(req.Body)/bytesPerToken)+req.MaxTokens*perOutput, 1))
+}
--- /dev/null
+++ b/internal/entry/admission_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+
+	"rosereach/core/limit"
+	"rosereach/core/request"
+)
+
+// A request that has to make room for a workspace below its share is refused
+// at once, as not_run and with a time to come back, not at its deadline.
+func TestPushedOutIsRefusedAtOnce(t *testing.T) {
+	a := newAdmission(limit.NewFairShare(limit.FairConfig{Slots: 1, Waiting: 1}))
+	ticket := func(workspace string) limit.Ticket {
+		return limit.Ticket{Workspace: workspace, Weight: 1, Deadline: time.Now().Add(time.Hour)}
+	}
+	leave, err := a.enter(t.Context(), clock.WallClock, ticket("flood"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	flooded := make(chan error, 1)
+	go func() {
+		_, err := a.enter(t.Context(), clock.WallClock, ticket("flood"))
+		flooded <- err
+	}()
+	for a.waits() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	small := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		_, err := a.enter(ctx, clock.WallClock, ticket("small"))
+		small <- err
+	}()
+	var refusal *request.Refusal
+	if err := <-flooded; !errors.As(err, &refusal) || refusal.Outcome != request.NotRun || refusal.RetryAfter <= 0 {
+		t.Errorf("pushed out with %v", err)
+	}
+	leave()
+	if err := <-small; err != nil {
+		t.Errorf("the small workspace's request: %v", err)
+	}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -2,7 +2,10 @@
 
 import (
 	"slices"
+	"strconv"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"rosereach/core/backend"
@@ -12,6 +15,25 @@
 	"rosereach/core/version"
 )
 
+const (
+	// hintKeys and hintLife bound what is remembered of a server's cache.
+	hintKeys = 2000
+	hintLife = 5 * time.Minute
+
+	// zoneDistance and regionDistance are one way, within a region and between
+	// regions.
+	zoneDistance   = 1500 * time.Microsecond
+	regionDistance = 30 * time.Millisecond
+
+	// queueTarget is the delay in the engines' queues under which more requests
+	// may run.
+	queueTarget = 200 * time.Millisecond
+
+	// leastShare is, in eighths, how much of its share of the engines' places
+	// an entry always uses.
+	leastShare = 7
+)
+
 // target is what an attempt needs: a version of a model, or a plain service.
 type target struct {
 	ref     version.Ref
@@ -28,6 +50,7 @@
 // and claims a place on the server. Tried servers are passed over. Queued,
 // retried, resumed and escalated attempts come through here like first ones.
 func (e *Entry) dispatch(req request.Request, t target, tried []string, demand placement.Demand) (claim, error) {
+	prompt := chunksOf(req, t.ref)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.cfg.Clock.Now()
@@ -49,12 +72,14 @@
 		return claim{}, request.NewNotRun(request.CodeNoBackend, "no backend server can take the request").
 			WithRetryAfter(backendLease)
 	}
-	candidates := e.candidates(servers)
+	candidates := e.candidates(now, servers, prompt)
+	e.adapt(now, candidates)
 	picked := e.placement.Pick(now, demand, candidates, e.random)
 	if picked < 0 {
 		return claim{}, request.NewNotRun(request.CodeOverloaded, "all backend servers are full").WithRetryAfter(backendLease)
 	}
-	return e.claim(candidates[picked].Server), nil
+	e.hints.StoreAll(now, hintID(candidates[picked].Server), prompt)
+	return e.claim(candidates[picked].Server, candidates[picked].Missing(demand)), nil
 }
 
 func (e *Entry) permit(req request.Request, t target) error {
@@ -66,29 +91,69 @@
 	return refusalOf(c.Permit(req.Workspace, t.ref), req)
 }
 
-func (e *Entry) candidates(servers []backend.Announcement) []placement.Candidate {
+func (e *Entry) candidates(now time.Time, servers []backend.Announcement, prompt []placement.Chunk) []placement.Candidate {
+	e.hints.Expire(now)
 	candidates := make([]placement.Candidate, 0, len(servers))
 	for _, s := range servers {
-		candidates = append(candidates, placement.Candidate{
-			Server: s, InFlight: e.inFlight[s.ID], SameRegion: s.Region == e.cfg.Region,
-		})
+		c := placement.Candidate{
+			Server: s, InFlight: e.tracker.InFlight(s.ID), InFlightAtReport: e.tracker.InFlightAt(s.ID, s.Load.At),
+			Backlog: e.tracker.Backlog(now, s.ID), Prefix: e.hints.Share(now, hintID(s), prompt),
+			Distance: zoneDistance, SameRegion: s.Region == e.cfg.Region,
+		}
+		if !c.SameRegion {
+			c.Distance = regionDistance
+		}
+		candidates = append(candidates, c)
 	}
 	return candidates
 }
 
-// claim counts an attempt on the server. Callers hold e.mu.
-func (e *Entry) claim(a backend.Announcement) claim {
-	e.inFlight[a.ID]++
+// claim counts an attempt on the server, which has the tokens to read. Callers
+// hold e.mu.
+func (e *Entry) claim(a backend.Announcement, tokens int64) claim {
+	e.tracker.Start(e.cfg.Clock.Now(), a.ID, tokens)
 	return claim{server: a, release: func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.inFlight[a.ID]--
-		if e.inFlight[a.ID] == 0 {
-			delete(e.inFlight, a.ID)
-		}
+		e.tracker.End(e.cfg.Clock.Now(), a.ID)
 	}}
 }
 
+// adapt lets more or fewer model requests run, after the delay that the load
+// reports of the engines show. Callers hold e.mu.
+func (e *Entry) adapt(now time.Time, candidates []placement.Candidate) {
+	if candidates[0].Server.Kind != backend.Engine {
+		return
+	}
+	var queued, running, capacity int
+	for _, c := range candidates {
+		queued += c.Server.Load.Queued
+		running += c.Server.Load.Running
+		capacity += c.Server.Capacity
+	}
+	e.concurrent.SetLeast(capacity * leastShare / 8 / max(len(e.peers), 1))
+	e.gate.adapt(now, e.concurrent, queued, running)
+}
+
+// hintID names one incarnation of a server, whose cache began empty.
+func hintID(a backend.Announcement) string { return a.ID + "/" + strconv.FormatUint(a.Incarnation, 10) }
+
+// chunksOf returns the prompt's messages as pieces, each with a key for the
+// prompt up to and with it.
+func chunksOf(req request.Request, ref version.Ref) []placement.Chunk {
+	if len(req.Messages) == 0 {
+		return nil
+	}
+	digest := xxhash.New()
+	digest.WriteString(ref.String()) //nolint:errcheck // a hash takes all bytes
+	chunks := make([]placement.Chunk, 0, len(req.Messages))
+	for _, m := range req.Messages {
+		digest.WriteString(m.Role + "\x00" + m.Content) //nolint:errcheck // a hash takes all bytes
+		chunks = append(chunks, placement.Chunk{Key: digest.Sum64(), Tokens: int64(len(m.Content)/bytesPerToken) + 1})
+	}
+	return chunks
+}
+
 // refusalOf turns the catalog's reasons into refusals that are not_run.
 func refusalOf(err error, req request.Request) error {
 	switch {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,33 +77,39 @@
 		closed   atomic.Bool
 		handling atomic.Int64
 
-		mu        sync.Mutex
-		registry  *registry.Registry
-		inFlight  map[string]int
-		random    *rand.Rand
-		choice    cascade.Policy
-		placement placement.Policy
-		gate      *admission
-		budgets   *retry.Budgets
-		meter     *meter
-		holder    lease.Holder
-		peers     []lease.Entry
+		mu         sync.Mutex
+		registry   *registry.Registry
+		tracker    *placement.Tracker
+		hints      *placement.Prefixes
+		random     *rand.Rand
+		choice     cascade.Policy
+		placement  placement.Policy
+		gate       *admission
+		plainGate  *admission
+		concurrent *limit.Adaptive
+		budgets    *retry.Budgets
+		meter      *meter
+		holder     lease.Holder
+		peers      []lease.Entry
 	}
 )
 
 // New returns an entry, which Run connects to the controls.
 func New(cfg Config) *Entry {
 	e := &Entry{
-		cfg:       cfg,
-		table:     newTable(),
-		engines:   iobackend.NewClient(cfg.Clock, maxIdleConns),
-		budgets:   retry.NewBudgets(entryBudget, workspaceBudget),
-		registry:  registry.New(backendLease).WithSubset(cfg.ID, cfg.Incarnation, subsetSize),
-		inFlight:  make(map[string]int),
-		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
-		choice:    cascade.Cheapest{},
-		placement: placement.LeastInFlight{},
-		gate:      newAdmission(limit.NewFirstCome(cfg.MaxRunning, cfg.MaxWaiting)),
+		cfg:        cfg,
+		table:      newTable(),
+		engines:    iobackend.NewClient(cfg.Clock, maxIdleConns),
+		budgets:    retry.NewBudgets(retry.EntryTerms, retry.WorkspaceTerms),
+		registry:   registry.New(backendLease).WithSubset(cfg.ID, cfg.Incarnation, subsetSize),
+		tracker:    placement.NewTracker(placement.DefaultCosts().PrefillPerToken),
+		hints:      placement.NewPrefixes(hintKeys, hintLife),
+		random:     rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
+		choice:     cascade.Cheapest{},
+		placement:  placement.NewPredicted(),
+		gate:       newAdmission(cfg.fairShare()),
+		plainGate:  newAdmission(cfg.fairShare()),
+		concurrent: limit.NewAdaptive(cfg.MaxRunning, 1, cfg.MaxRunning, queueTarget),
 	}
 	e.catalog.Store(catalog.New(catalog.Documents{}))
 	e.ctx, e.stop = context.WithCancel(context.Background())
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -24,14 +24,8 @@
 	failureWait = 500 * time.Millisecond
 )
 
-var (
-	// backoff lies between two tries of the same work.
-	backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: time.Second}
-
-	// entryBudget and workspaceBudget bound the retries.
-	entryBudget     = retry.Terms{Share: 0.1, Limit: 100}
-	workspaceBudget = retry.Terms{Share: 0.2, Limit: 20}
-)
+// backoff lies between two tries of the same work.
+var backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: time.Second}
 
 // execute runs the request, or joins it when the same one runs already, and
 // follows it to its end. The error is a *request.Refusal.
@@ -99,8 +93,9 @@
 	if err != nil {
 		return nil, refusalOf(err, x.req)
 	}
-	return e.gate.enter(x.ctx, e.cfg.Clock, limit.Ticket{
+	return e.gateFor(x.req.Kind).enter(x.ctx, e.cfg.Clock, limit.Ticket{
 		Workspace: x.req.Workspace, Weight: max(policy.Weight, 1), Priority: x.req.Priority, Deadline: x.req.Deadline,
+		Cost: expectedWork(x.req),
 	})
 }
 
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -202,10 +202,4 @@
 
 // running returns the number of the entry's requests at backend servers.
 // Callers hold e.mu.
-func (e *Entry) running() int {
-	sum := 0
-	for _, n := range e.inFlight {
-		sum += n
-	}
-	return sum
-}
+func (e *Entry) running() int { return e.tracker.Total() }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -33,7 +33,7 @@
 		defer e.mu.Unlock()
 		return e.running()
 	})
-	s.Gauge("waiting", func() any { return e.gate.waits() })
+	s.Gauge("waiting", func() any { return e.gate.waits() + e.plainGate.waits() })
 	s.Gauge("backend_servers", func() any {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -160,7 +160,7 @@
 	if err := e.permit(req, t); err != nil {
 		return claim{}, err
 	}
-	return e.claim(server), nil
+	return e.claim(server, 0), nil
 }
 
 func (e *Entry) stream(ctx context.Context, x *execution, c claim, call iobackend.Call) (iobackend.End, error) {
--- a/internal/experiment/overload.go
+++ b/internal/experiment/overload.go
@@ -7,6 +7,7 @@
 
 	"rosereach/core/limit"
 	"rosereach/core/placement"
+	"rosereach/core/retry"
 	"rosereach/internal/model"
 )
 
@@ -35,10 +36,13 @@
 type gatePolicy struct {
 	name   string
 	gate   func(slots int) limit.Queue
-	budget func() *limit.Budget
+	budget func() *retry.Budget
 }
 
 var (
+	// retryTerms are those of an entry.
+	retryTerms = retry.EntryTerms
+
 	fairGate = gatePolicy{
 		"fair_share",
 		func(slots int) limit.Queue {
@@ -46,7 +50,7 @@
 				Slots: slots, Waiting: limit.WaitingPerSlot * slots, MaxWait: limit.DefaultMaxWait, Reserve: limit.DefaultReserve,
 			})
 		},
-		limit.DefaultBudget,
+		func() *retry.Budget { return retry.NewBudget(retryTerms) },
 	}
 	firstComeGate = gatePolicy{"first_come", func(int) limit.Queue { return limit.NewFirstCome(256, 256) }, nil}
 )
--- a/internal/model/fleet.go
+++ b/internal/model/fleet.go
@@ -8,6 +8,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/limit"
 	"rosereach/core/placement"
+	"rosereach/core/retry"
 )
 
 const (
@@ -54,7 +55,7 @@
 		Seed     uint64
 		Policy   func() placement.Policy
 		Gate     func(slots int) limit.Queue
-		Budget   func() *limit.Budget
+		Budget   func() *retry.Budget
 		Deadline time.Duration
 		Retries  int
 		Urgent   float64
@@ -91,7 +92,7 @@
 		load    map[string]backend.Load
 		gate    limit.Queue
 		adapt   *limit.Adaptive
-		budget  *limit.Budget
+		budget  *retry.Budget
 		held    map[uint64]*Call
 	}
 
@@ -223,8 +224,7 @@
 	d := placement.Demand{InputTokens: promptTokens(c.Prompt), OutputTokens: c.Class.Output, Priority: c.Priority}
 	c.engine = c.entry.policy.Pick(now, d, candidates, f.random)
 	server := f.servers[c.engine]
-	missing := int64((1 - candidates[c.engine].Prefix) * float64(d.InputTokens))
-	c.entry.tracker.Start(now, server.ID, missing)
+	c.entry.tracker.Start(now, server.ID, candidates[c.engine].Missing(d))
 	c.entry.hints.StoreAll(now, server.ID, prompt)
 	c.rank = c.rankNow(now)
 	if f.counted(c) {
@@ -267,6 +267,9 @@
 	if f.counted(c) {
 		f.Stats.end(c, now)
 	}
+	if c.entry.budget != nil {
+		c.entry.budget.Succeed()
+	}
 	f.leave(c)
 	f.followUp(c)
 }
--- a/internal/model/gate.go
+++ b/internal/model/gate.go
@@ -10,9 +10,6 @@
 // after the time that it was told, a few times.
 func (f *Fleet) admit(c *Call) {
 	c.tries++
-	if c.entry.budget != nil {
-		c.entry.budget.Earn()
-	}
 	if c.entry.gate == nil {
 		f.send(c)
 		return
@@ -47,7 +44,7 @@
 // the prompt and the usual length of the answer, in prompt tokens.
 func (f *Fleet) cost(c *Call) float64 {
 	const perOutput = 10
-	return float64(promptTokens(c.Prompt) + int64(c.Class.Output)*perOutput)
+	return float64(promptTokens(c.Prompt) + c.Class.Output*perOutput)
 }
 
 func (f *Fleet) expireAtDeadline(c *Call) {
@@ -121,7 +118,7 @@
 // and the budget last; then the caller gets its final answer.
 func (f *Fleet) fail(c *Call) {
 	c.entry.tracker.End(f.Clock.Now(), f.servers[c.engine].ID)
-	if c.attempts < maxAttempts && (c.entry.budget == nil || c.entry.budget.Spend()) {
+	if c.attempts < maxAttempts && (c.entry.budget == nil || c.entry.budget.Take()) {
 		f.send(c)
 		return
 	}
