--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -23,10 +23,11 @@
 	sending map[uint64]int
 )
 
-// claim counts an attempt on the server. Callers hold e.mu.
-func (e *Entry) claim(req request.Request, t target, server backend.Announcement) *claim {
+// claim counts an attempt on the server, which has the tokens to read. Callers
+// hold e.mu.
+func (e *Entry) claim(req request.Request, t target, server backend.Announcement, tokens int64) *claim {
 	c := &claim{entry: e, req: req, target: t, server: server, revision: e.catalog.Load().Revision()}
-	e.inFlight[server.ID]++
+	e.tracker.Start(e.cfg.Clock.Now(), server.ID, tokens)
 	e.sending[c.revision]++
 	return c
 }
@@ -51,10 +52,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c.settle()
-	e.inFlight[c.server.ID]--
-	if e.inFlight[c.server.ID] == 0 {
-		delete(e.inFlight, c.server.ID)
-	}
+	e.tracker.End(e.cfg.Clock.Now(), c.server.ID)
 }
 
 // settle ends the time in which the attempt holds the entry's applied revision
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -156,7 +156,7 @@
 	if err := e.recheck(req, t, server); err != nil {
 		return nil, err
 	}
-	return e.claim(req, t, server), nil
+	return e.claim(req, t, server, 0), nil
 }
 
 func (e *Entry) stream(ctx context.Context, x *execution, c *claim, call iobackend.Call) (iobackend.End, error) {
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -5,5 +5,6 @@
 	return []Experiment{
 		placementExperiment(),
 		faults(),
+		overloadExperiment(),
 	}
 }
