--- a/core/audit/audit_test.go
+++ b/core/audit/audit_test.go
@@ -77,8 +77,11 @@
 func TestRevisions(t *testing.T) {
 	trail := audit.NewTrail()
 	for i, e := range []audit.Event{
-		{Kind: audit.Changed, Revision: 4}, {Kind: audit.InForce, Revision: 4}, {Kind: audit.Held, Revision: 7},
-		{Kind: audit.Refused, Revision: 9}, {Kind: audit.InForce, Revision: 7},
+		{Kind: audit.Changed, Revision: 4},
+		{Kind: audit.InForce, Revision: 4},
+		{Kind: audit.Held, Revision: 7},
+		{Kind: audit.Refused, Revision: 9},
+		{Kind: audit.InForce, Revision: 7},
 	} {
 		e.At = start.Add(time.Duration(i) * time.Second)
 		trail.Append(e)
