Ask the backend servers about calls whose entry is gone

Settling made every open request of a lost entry unknown, also a posting that its service had done, whose bill was lost with that. The leader now asks an entry, which asks all servers of the call's service; a done one is billed and never runs again. A server that does not know a request proves nothing about the others, so not_run is never concluded.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -67,7 +67,8 @@
 
 	// Record is a request as the ledger knows it. Answer is nil while it runs.
 	// Ended orders the records by their end; Timed says that the request id
-	// tells when it was made.
+	// tells when it was made; Settled that its outcome is unknown only because
+	// its owner was gone.
 	Record struct {
 		Key        Key             `json:"key"`
 		BodyHash   uint64          `json:"body_hash"`
@@ -78,6 +79,7 @@
 		EndedAt    time.Time       `json:"ended_at"`
 		Ended      uint64          `json:"ended,omitempty"`
 		Timed      bool            `json:"timed,omitempty"`
+		Settled    bool            `json:"settled,omitempty"`
 		Answer     *request.Answer `json:"answer,omitempty"`
 	}
 
@@ -146,17 +148,20 @@
 }
 
 // Finish ends a request that its owner runs, and returns its bill when it is
-// done. A second finish gets the first one's answer and no bill.
+// done. A second finish gets the first one's answer and no bill. An owner that
+// was taken for gone still ends its request, unless that began anew.
 func (l *Ledger) Finish(f Finish) (Reply, *Bill) {
 	f.At = l.advance(f.At)
 	r, known := l.records[f.Key]
 	if !known || r.Owner != f.Owner {
 		return Reply{Status: Mismatch, Owner: r.Owner}, nil
 	}
-	if r.Answer != nil {
+	if r.Answer != nil && !r.Settled {
 		return Reply{Status: Finished, Owner: r.Owner, Answer: r.Answer}, nil
 	}
 	answer := f.Answer
+	l.release(r)
+	r.Settled = false
 	l.end(r, &answer, f.At)
 	reply := Reply{Status: Finished, Owner: r.Owner, Answer: &answer}
 	if answer.Outcome != request.Done || f.Free {
@@ -183,6 +188,7 @@
 		e, ok := known[r.Key]
 		if !ok {
 			e.Answer = request.Answer{Outcome: request.Unknown, Code: request.CodeAnswerCut}
+			r.Settled = true
 		}
 		l.end(r, &e.Answer, at)
 		if e.Answer.Outcome == request.Done {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -87,6 +87,21 @@
 	}
 }
 
+// An entry that was taken for gone still ends its request, and is billed once.
+func TestFinishAfterSettling(t *testing.T) {
+	l := NewSharded(1, DefaultLimits())
+	l.Begin(begin("a", one, start))
+	l.Settle(one, start, nil)
+	for range 2 {
+		if r := l.Finish(finish("a", one, request.Done, start)); r.Status != Finished || r.Answer.Outcome != request.Done {
+			t.Errorf("finish: %+v", r)
+		}
+	}
+	if bills := l.Bills(0, 10); len(bills) != 1 {
+		t.Errorf("bills: %+v", bills)
+	}
+}
+
 // Settling keeps what a backend server said and bills what is done; all else
 // is unknown and never runs again.
 func TestSettle(t *testing.T) {
--- a/core/ledger/property_test.go
+++ b/core/ledger/property_test.go
@@ -40,7 +40,7 @@
 			case "finish":
 				outcome := rapid.SampledFrom([]request.Outcome{request.Done, request.NotRun, request.Unknown}).Draw(t, "outcome")
 				before, known := l.Find(Key{"terminalna", id})
-				ends := known && before.Answer == nil && before.Owner == o
+				ends := known && (before.Answer == nil || before.Settled) && before.Owner == o
 				if l.Finish(finish(id, o, outcome, at)); ends && outcome == request.NotRun {
 					seen.runs[before.Key]--
 				}
--- a/core/registry/relay.go
+++ b/core/registry/relay.go
@@ -200,6 +200,21 @@
 	return wants
 }
 
+// Known returns every server of a plain service that is in a directory, also
+// beyond the subset and after its lease.
+func (r *Registry) Known(service string) []backend.Announcement {
+	seen := make(map[string]bool)
+	var known []backend.Announcement
+	r.eachKnown(func(a backend.Announcement) {
+		if a.Kind == backend.Plain && a.Service == service && !seen[a.ID] {
+			seen[a.ID] = true
+			known = append(known, a)
+		}
+	})
+	sortByID(known)
+	return known
+}
+
 func (r *Registry) eachKnown(f func(backend.Announcement)) {
 	for _, a := range r.own.members {
 		f(a)
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -110,11 +110,6 @@
 	}
 }
 
-func (n *Node) settle(ctx context.Context, o ledger.Owner) {
-	s := state.Settle{Owner: o, At: n.cfg.Clock.Now().UTC()}
-	go n.Propose(ctx, state.Command{Settle: &s}) //nolint:errcheck // the next leader settles what is left
-}
-
 // reportInForce writes into the audit trail up to which revision changes are
 // in force. Callers hold n.mu.
 func (n *Node) reportInForce(ctx context.Context, now time.Time) {
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -102,13 +102,20 @@
 	}
 }
 
-// Handle takes the control's notices.
-func (l *link) Handle(_ context.Context, _ *member.Conn, kind member.Kind, _ cbor.RawMessage) (any, error) {
-	if kind != member.KindChanged {
-		return nil, &member.Problem{Code: member.CodeRefused, Detail: "unknown message " + string(kind)}
+// Handle takes the control's notices and answers its questions.
+func (l *link) Handle(ctx context.Context, _ *member.Conn, kind member.Kind, body cbor.RawMessage) (any, error) {
+	switch kind {
+	case member.KindChanged:
+		l.renewNow()
+		return nil, nil
+	case member.KindInquire:
+		var r member.InquireRequest
+		if err := cbor.Unmarshal(body, &r); err != nil {
+			return nil, errors.Trace(err)
+		}
+		return l.entry.inquire(ctx, r), nil
 	}
-	l.renewNow()
-	return nil, nil
+	return nil, &member.Problem{Code: member.CodeRefused, Detail: "unknown message " + string(kind)}
 }
 
 // renewNow asks for documents and lease without waiting for the next turn.
--- a/io/member/fuzz_test.go
+++ b/io/member/fuzz_test.go
@@ -46,7 +46,7 @@
 			t.Errorf("frame %+v became %+v, %v", in, out, err)
 		}
 		for _, message := range []any{
-			&lease.Request{}, &ProposeRequest{}, &DocumentsRequest{}, &registry.Ask{}, &registry.Told{}, &Released{},
+			&lease.Request{}, &ProposeRequest{}, &DocumentsRequest{}, &registry.Ask{}, &registry.Told{}, &Released{}, &InquireRequest{}, &InquireReply{},
 		} {
 			if in.read(message) != nil {
 				continue
--- a/test/requests_kill_test.go
+++ b/test/requests_kill_test.go
@@ -62,8 +62,8 @@
 }
 
 // When an entry is killed, a chat that is sent again elsewhere runs anew and is
-// billed once; a posting that was on its way never runs again, and its resend
-// hears that its outcome is unknown, or that it is done.
+// billed once. A posting that was on its way never runs again: the service is
+// asked about it, it is billed, and its resend hears that it is done.
 func TestEntryKilled(t *testing.T) {
 	f := startFleet(t, 2)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -90,13 +90,14 @@
 	first.Go(func() { send(0, true) })
 	waitFor(t, "the posting's run", func() bool { return len(service.Log.Of("posting")) == 1 })
 	f.entries[0].kill()
+	slow.Set(fault.Plan{})
 	first.Wait()
 	chatReply, err := send(1, false)
 	if err != nil || !chatReply.Whole || chatReply.Tokens != 500 {
 		t.Errorf("chat sent again: whole %v, %d tokens, %+v, %v", chatReply.Whole, chatReply.Tokens, chatReply.Problem, err)
 	}
 	posting, err := send(1, true)
-	if err != nil || posting.Outcome() == request.NotRun {
+	if err != nil || posting.Outcome() != request.Done || posting.Problem == nil || posting.Problem.Code != request.CodeAnswerNotKept {
 		t.Errorf("posting sent again: %+v, %v", posting, err)
 	}
 	if runs := service.Log.Of("posting"); len(runs) != 1 {
@@ -110,7 +111,7 @@
 	for _, b := range bills {
 		billed[b.Key.RequestID]++
 	}
-	if billed["chat"] != 1 || billed["posting"] > 1 {
+	if billed["chat"] != 1 || billed["posting"] != 1 {
 		t.Errorf("bills: %v", billed)
 	}
 }
