--- a/internal/entry/begin.go
+++ b/internal/entry/begin.go
@@ -8,6 +8,7 @@
 
 	"rosereach/core/ledger"
 	"rosereach/core/request"
+	"rosereach/core/retry"
 	"rosereach/core/state"
 )
 
@@ -80,7 +81,7 @@
 		case b.reply.Status == ledger.Expired:
 			return b, nil, request.NewNotRun(request.CodeIDExpired, "the request id is older than the ledger's horizon; choose a new id")
 		}
-		if err := e.pause(ctx, tries); err != nil {
+		if err := e.pause(ctx, resendBackoff, tries); err != nil {
 			return b, nil, request.NewUnknown(request.CodeRunningElsewhere, "the request runs at "+b.reply.Owner.Entry+"; ask again").
 				WithRetryAfter(resendRetryAfter)
 		}
@@ -89,9 +90,9 @@
 }
 
 // pause waits before the next try, longer after each failure.
-func (e *Entry) pause(ctx context.Context, failures int) error {
+func (e *Entry) pause(ctx context.Context, b retry.Backoff, failures int) error {
 	e.mu.Lock()
-	wait := backoff.Delay(failures, e.random)
+	wait := b.Delay(failures, e.random)
 	e.mu.Unlock()
 	select {
 	case <-e.cfg.Clock.After(wait):
@@ -100,3 +101,8 @@
 		return errors.Trace(ctx.Err())
 	}
 }
+
+// backOff is pause for work that failed.
+func (e *Entry) backOff(ctx context.Context, failures int) error {
+	return e.pause(ctx, backoff, failures)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,7 +109,7 @@
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.link = newLink(e)
 	e.relay = newRelay(e)
-	e.ledger = &batcher{propose: e.link.propose, pause: e.pause, queue: make(chan *submission, maxSubmitted)}
+	e.ledger = &batcher{propose: e.link.propose, pause: e.backOff, queue: make(chan *submission, maxSubmitted)}
 	e.meter = newMeter(e)
 	return e
 }
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -28,6 +28,10 @@
 	// backoff lies between two tries of the same work.
 	backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: time.Second}
 
+	// resendBackoff lies between two questions to the ledger about a request
+	// that runs at another entry.
+	resendBackoff = retry.Backoff{Base: 20 * time.Millisecond, Max: 250 * time.Millisecond}
+
 	// entryBudget and workspaceBudget bound the retries.
 	entryBudget     = retry.Terms{Share: 0.1, Limit: 100}
 	workspaceBudget = retry.Terms{Share: 0.2, Limit: 20}
@@ -113,7 +117,7 @@
 	e.mu.Lock()
 	allowed := e.budgets.Take(x.req.Workspace)
 	e.mu.Unlock()
-	return allowed && e.pause(ctx, failures) == nil
+	return allowed && e.pause(ctx, backoff, failures) == nil
 }
 
 // succeed earns a share of a retry.
