Ask the ledger before a refused resend hears not_run

Requests whose id the caller chose are now looked up at the leader when they are refused: done ones get their recorded answer, running ones and those past the horizon are unknown, fresh ones are still not_run. Ruled out: asking before admission, which would cost a question for every request. Before: TestRefusedResend failed (429, not_run). After: it passes, the full entry repeats the recorded answer, and a fresh posting there is not_run. The test fills the gate of plain calls now, which the model requests no longer share. An expired id is unknown and no longer called not_run.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -18,6 +18,7 @@
 	Finished Status = "finished"
 	Mismatch Status = "mismatch"
 	Expired  Status = "expired"
+	Absent   Status = "absent"
 )
 
 type (
@@ -83,7 +84,13 @@
 		Answer     *request.Answer `json:"answer,omitempty"`
 	}
 
-	// Reply answers a begin or a finish record. Owner is who runs the request;
+	// Question asks what became of a request, without beginning it.
+	Question struct {
+		Key      Key    `json:"key"`
+		BodyHash uint64 `json:"body_hash"`
+	}
+
+	// Reply answers a begin or a finish record, or a question. Owner is who runs the request;
 	// Answer is set when Status is Finished.
 	Reply struct {
 		Status Status          `json:"status"`
@@ -261,3 +268,22 @@
 func (k Key) compare(other Key) int {
 	return cmp.Or(cmp.Compare(k.Workspace, other.Workspace), cmp.Compare(k.RequestID, other.RequestID))
 }
+
+// Look tells what became of a request. One that provably did not run is as
+// good as absent.
+func (l *Ledger) Look(q Question) Reply {
+	r, known := l.records[q.Key]
+	switch {
+	case !known && l.isExpired(q.Key):
+		return Reply{Status: Expired}
+	case !known:
+		return Reply{Status: Absent}
+	case r.BodyHash != q.BodyHash:
+		return Reply{Status: Mismatch, Owner: r.Owner}
+	case r.Answer == nil:
+		return Reply{Status: Running, Owner: r.Owner}
+	case r.Answer.Outcome == request.NotRun:
+		return Reply{Status: Absent}
+	}
+	return Reply{Status: Finished, Owner: r.Owner, Answer: r.Answer}
+}
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -191,3 +191,39 @@
 		t.Error(diff)
 	}
 }
+
+// What a question about a request gets, by what became of it.
+func TestLook(t *testing.T) {
+	limits := DefaultLimits()
+	limits.Horizon = time.Minute
+	for _, tc := range []struct {
+		name    string
+		outcome request.Outcome
+		hash    uint64
+		pass    time.Duration
+		want    Status
+	}{
+		{"it runs", "", 1, 0, Running},
+		{"done", request.Done, 1, 0, Finished},
+		{"unknown", request.Unknown, 1, 0, Finished},
+		{"not run", request.NotRun, 1, 0, Absent},
+		{"other body", request.Done, 2, 0, Mismatch},
+		{"past the horizon", request.Done, 1, time.Hour, Expired},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := NewSharded(1, limits)
+			l.Begin(begin("a", one, start))
+			if tc.outcome != "" {
+				l.Finish(finish("a", one, tc.outcome, start))
+			}
+			l.Begin(begin("b", one, start.Add(tc.pass)))
+			l.Finish(finish("b", one, request.Done, start.Add(tc.pass)))
+			if r := l.Look(Question{Key: Key{"terminalna", "a"}, BodyHash: tc.hash}); r.Status != tc.want {
+				t.Errorf("status %s, want %s", r.Status, tc.want)
+			}
+			if r := l.Look(Question{Key: Key{"terminalna", "c"}}); r.Status != Absent {
+				t.Errorf("never seen: %s", r.Status)
+			}
+		})
+	}
+}
--- a/core/ledger/sharded.go
+++ b/core/ledger/sharded.go
@@ -154,3 +154,6 @@
 	}
 	return l
 }
+
+// Look tells what became of a request.
+func (s *Sharded) Look(q Question) Reply { return s.shard(q.Key).Look(q) }
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -76,9 +76,11 @@
 	// Request is one admitted request. Body is the body as the caller sent it;
 	// it is never logged. Service, Method and Path are set for plain calls,
 	// Model, Version, Messages and MaxTokens for model requests. Version is
-	// set when a session or the caller fixes it.
+	// set when a session or the caller fixes it. Named says that the caller chose
+	// the id, and so may have sent the request before.
 	Request struct {
 		ID         string
+		Named      bool
 		Workspace  string
 		Kind       Kind
 		Idempotent bool
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -39,6 +39,8 @@
 		return answer(body, n.documents)
 	case member.KindPropose:
 		return answer(body, func(r member.ProposeRequest) (member.ProposeReply, error) { return n.commit(ctx, r) })
+	case member.KindLook:
+		return answer(body, n.look)
 	case member.KindInForce:
 		return nil, handle(body, func(r member.InForceRequest) error { return n.waitAsLeader(ctx, r) })
 	case member.KindJoin:
@@ -138,6 +140,15 @@
 	return n.Propose(ctx, commands...)
 }
 
+// look tells an entry what became of a request. Only the leader knows.
+func (n *Node) look(q ledger.Question) (reply ledger.Reply, err error) {
+	if !n.IsLeader() {
+		return reply, n.redirect()
+	}
+	n.View(func(s *state.State) { reply = s.Ledger().Look(q) })
+	return reply, nil
+}
+
 // waitAsLeader serves a follower that waits for its operator.
 func (n *Node) waitAsLeader(ctx context.Context, r member.InForceRequest) error {
 	if !n.IsLeader() {
--- a/internal/entry/begin.go
+++ b/internal/entry/begin.go
@@ -79,7 +79,7 @@
 		case b.reply.Status == ledger.Mismatch:
 			return b, nil, request.NewNotRun(request.CodeBodyMismatch, "the request id was used for another request; choose a new id")
 		case b.reply.Status == ledger.Expired:
-			return b, nil, request.NewNotRun(request.CodeIDExpired, "the request id is older than the ledger's horizon; choose a new id")
+			return b, nil, request.NewUnknown(request.CodeIDExpired, "the request id is older than the ledger's horizon; choose a new id")
 		}
 		if err := e.pause(ctx, resendBackoff, tries); err != nil {
 			return b, nil, request.NewUnknown(request.CodeRunningElsewhere, "the request runs at "+b.reply.Owner.Entry+"; ask again").
--- a/internal/entry/end.go
+++ b/internal/entry/end.go
@@ -66,7 +66,7 @@
 	if refusal.Outcome == request.NotRun {
 		trigger = request.Refuse
 	}
-	if err := x.fire(trigger); err != nil && refusal.Code != request.CodeRunningElsewhere {
+	if err := x.fire(trigger); err != nil && !isOpenElsewhere(refusal) {
 		e.cfg.Logger.Log("msg", "Request ends out of order.", "request", x.req.ID, "err", err)
 	}
 	a := request.Answer{Outcome: refusal.Outcome, Code: refusal.Code}
@@ -91,7 +91,7 @@
 	var refusal *request.Refusal
 	if errors.As(cause, &refusal) {
 		r := *refusal
-		if r.Code != request.CodeRunningElsewhere {
+		if !isOpenElsewhere(refusal) {
 			r.Outcome = outcome
 		}
 		return &r
@@ -124,6 +124,12 @@
 	e.table.remove(x)
 }
 
+// isOpenElsewhere reports whether the request may have run before, or at another
+// entry, so that its course here does not tell its outcome.
+func isOpenElsewhere(r *request.Refusal) bool {
+	return r.Code == request.CodeRunningElsewhere || r.Code == request.CodeIDExpired
+}
+
 // isProven reports whether the attempt provably did not run.
 func isProven(err error) bool {
 	var attempt *iobackend.AttemptError
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -46,7 +46,7 @@
 		}
 		if isNew {
 			woken := x.join()
-			go e.run(x, work)
+			go e.run(x, work) //nolint:contextcheck // a request outlives the caller that sent it first
 			return x.follow(ctx, woken, sink)
 		}
 		if !x.isEnded() {
@@ -83,7 +83,7 @@
 func (e *Entry) run(x *execution, work func(*execution)) {
 	leave, err := e.admit(x)
 	if err != nil {
-		e.fail(x, nil, err)
+		e.refuse(x, err)
 		return
 	}
 	defer leave()
--- /dev/null
+++ b/internal/entry/refuse.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"rosereach/core/ledger"
+	"rosereach/core/request"
+	"rosereach/io/member"
+)
+
+// lookTimeout bounds the wait for the ledger's word on a refused request.
+const lookTimeout = 500 * time.Millisecond
+
+// refuse ends a request that is not admitted. One whose id its caller chose may
+// have run before, so the ledger is asked before the caller hears not_run.
+func (e *Entry) refuse(x *execution, cause error) {
+	if !x.req.Named {
+		e.fail(x, nil, cause)
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, lookTimeout)
+	defer cancel()
+	reply, err := e.link.look(ctx, ledger.Question{Key: x.key(), BodyHash: x.hash})
+	switch {
+	case err != nil:
+		e.leaveOpen(x, request.NewUnknown(request.CodeLedger, "the request is refused, and the ledger does not tell whether it ran before; ask again"))
+	case reply.Status == ledger.Finished:
+		e.repeat(x, *reply.Answer)
+	case reply.Status == ledger.Running:
+		e.leaveOpen(x, request.NewUnknown(request.CodeRunningElsewhere, "the request runs at "+reply.Owner.Entry+"; ask again"))
+	case reply.Status == ledger.Expired:
+		e.leaveOpen(x, request.NewUnknown(request.CodeIDExpired, "the request id is older than the ledger's horizon; choose a new id"))
+	default:
+		e.fail(x, nil, cause)
+	}
+}
+
+// leaveOpen ends a request here whose outcome is not known here.
+func (e *Entry) leaveOpen(x *execution, refusal *request.Refusal) {
+	refusal.RetryAfter = resendRetryAfter
+	x.end(request.Answer{Outcome: request.Unknown, Code: refusal.Code}, refusal)
+	e.table.remove(x)
+}
+
+// look asks the leader what became of a request.
+func (l *link) look(ctx context.Context, q ledger.Question) (ledger.Reply, error) {
+	var reply ledger.Reply
+	conn := l.current()
+	if conn == nil {
+		return reply, errNoControl
+	}
+	return reply, conn.Call(ctx, member.KindLook, q, &reply)
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -104,7 +104,8 @@
 	if len(id) > maxRequestID || !isVisible(id) {
 		return request.Request{}, request.NewNotRun(request.CodeBadRequest, "Idempotency-Key: give at most 128 visible ASCII characters")
 	}
-	if id == "" {
+	named := id != ""
+	if !named {
 		id = ulid.Make().String()
 	}
 	w.Header().Set(HeaderRequestID, id)
@@ -122,7 +123,7 @@
 	}
 	deadline := s.opts.Clock.Now().Add(min(time.Duration(timeout)*time.Millisecond, s.opts.Timeout))
 	return request.Request{
-		ID: id, Workspace: workspace, Priority: int(priority), Deadline: deadline, Body: body,
+		ID: id, Named: named, Workspace: workspace, Priority: int(priority), Deadline: deadline, Body: body,
 	}, nil
 }
 
--- a/io/member/message.go
+++ b/io/member/message.go
@@ -22,6 +22,7 @@
 	KindRemove    Kind = "remove"
 	KindEntries   Kind = "entries"
 	KindServers   Kind = "servers"
+	KindLook      Kind = "look"
 )
 
 // The codes of a Problem.
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -187,10 +187,13 @@
 	return f.backends[id]
 }
 
-func (f *fleet) startService(id, name string) *process {
+func (f *fleet) startService(id, name string, more ...string) *process {
 	f.t.Helper()
-	f.backends[id] = start(f.t, "fake", "service", "--id", id, "--service", name, "--region", "central",
-		"--availability-zone", "sanjose", "--entries", f.entryAddresses(), "--backend-key", f.backendKey)
+	args := append([]string{
+		"fake", "service", "--id", id, "--service", name, "--region", "central",
+		"--availability-zone", "sanjose", "--entries", f.entryAddresses(), "--backend-key", f.backendKey,
+	}, more...)
+	f.backends[id] = start(f.t, args...)
 	return f.backends[id]
 }
 
--- a/test/refused_resend_test.go
+++ b/test/refused_resend_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -20,27 +19,30 @@
 		"--controls", f.controls[0].address, "--member-key", f.memberKey, "--backend-key", f.backendKey,
 		"--max-running", "1", "--max-waiting", "0")
 	f.entries = append(f.entries, entry)
-	f.startEngine("engine-1", "small@v1", "--step-time", "20ms")
-	f.startService("ledger-1", "ledger")
+	f.startService("ledger-1", "ledger", "--answer-delay", "1s")
 	key := f.setUp("small@v1")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	post := func(entry int) (caller.Reply, error) {
-		return f.client(entry, key).Service(ctx, "ledger", http.MethodPost, "/x", []byte(`{}`), caller.CallOptions{RequestID: "posting"})
+	post := func(entry int, id string) (caller.Reply, error) {
+		return f.client(entry, key).Service(ctx, "ledger", http.MethodPost, "/x", []byte(`{}`), caller.CallOptions{RequestID: id})
 	}
-	if first, err := post(0); err != nil || first.Outcome() != request.Done {
+	if first, err := post(0, "posting"); err != nil || first.Outcome() != request.Done {
 		t.Fatalf("posting: %+v, %v", first, err)
 	}
 	var busy sync.WaitGroup
 	defer busy.Wait()
 	defer cancel()
-	busy.Go(func() { f.client(1, key).Chat(ctx, chat("small", 1000, true), caller.CallOptions{RequestID: "long"}) })
-	waitFor(t, "the full entry", func() bool { return len(f.runs("engine-1")) == 1 })
-	again, err := post(1)
+	busy.Go(func() { post(1, "long") })
+	waitFor(t, "the full entry", func() bool { return len(f.runs("ledger-1")) == 2 })
+	again, err := post(1, "posting")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if again.Outcome() == request.NotRun {
-		t.Errorf("the resend of a done posting: %s", fmt.Sprint(again.Problem))
+	if again.Outcome() != request.Done || !again.Repeated {
+		t.Errorf("the resend of a done posting: %+v", again)
+	}
+	fresh, err := post(1, "fresh")
+	if err != nil || fresh.Outcome() != request.NotRun || fresh.Problem.Code != request.CodeOverloaded {
+		t.Errorf("a fresh posting at the full entry: %+v, %v", fresh, err)
 	}
 }
