Test the group of controls with real processes and faults

Three controls found a group over fault-injecting proxies, one for each pair and one before each control. The first run failed: a new replica knows no members, so it had no connection over which to answer the leader and stayed a learner for ever; it now answers over the leader's own. A follower that passed a change on to a stopped leader waited for the client's whole limit (16.9 s for three changes); it now gives up after two election times.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -25,11 +25,13 @@
 	links struct {
 		node *Node
 
-		mu    sync.Mutex
-		peers map[replica.Identity]*link
+		mu      sync.Mutex
+		peers   map[replica.Identity]*link
+		callers map[replica.Identity]*link
 	}
 
-	// link sends to one replica over a connection that it dials itself.
+	// link sends to one replica over a connection that it dials itself or, to a
+	// caller that is not in the membership known here, over the caller's.
 	link struct {
 		member replica.Member
 		queue  chan []replica.Message
@@ -40,7 +42,22 @@
 	}
 )
 
-func newLinks(n *Node) *links { return &links{node: n, peers: make(map[replica.Identity]*link)} }
+func newLinks(n *Node) *links {
+	return &links{node: n, peers: make(map[replica.Identity]*link), callers: make(map[replica.Identity]*link)}
+}
+
+// called notes who sends over a connection. A new replica, which knows no
+// members yet, answers the leader over it.
+func (l *links) called(ctx context.Context, id replica.Identity, conn *member.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if old := l.callers[id]; old != nil && old.current() == conn {
+		return
+	}
+	p := &link{queue: make(chan []replica.Message, linkQueue), conn: conn}
+	l.callers[id] = p
+	go p.serve(ctx, conn)
+}
 
 // update starts and ends links as the membership changes.
 func (l *links) update(ctx context.Context, members replica.Membership) {
@@ -76,6 +93,9 @@
 	}
 	for to, batch := range batches {
 		p := l.peers[to]
+		if p == nil {
+			p = l.callers[to]
+		}
 		if p == nil {
 			continue
 		}
@@ -94,9 +114,7 @@
 	if p == nil {
 		return nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.conn
+	return p.current()
 }
 
 func (p *link) run(ctx context.Context, n *Node) {
@@ -143,6 +161,12 @@
 	}
 }
 
+func (p *link) current() *member.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn
+}
+
 func (p *link) set(c *member.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -17,6 +17,10 @@
 	"rosereach/io/operator"
 )
 
+// forwardTimeout bounds how long a follower waits for the leader to accept a
+// change; a silent leader has been replaced by then.
+const forwardTimeout = 2 * electionTimeout
+
 // Handler returns the HTTP handler for members and operators.
 func (n *Node) Handler() http.Handler {
 	r := chi.NewRouter()
@@ -29,10 +33,10 @@
 }
 
 // Handle answers a member's message.
-func (n *Node) Handle(ctx context.Context, _ *member.Conn, kind member.Kind, body cbor.RawMessage) (any, error) {
+func (n *Node) Handle(ctx context.Context, c *member.Conn, kind member.Kind, body cbor.RawMessage) (any, error) {
 	switch kind {
 	case member.KindReplica:
-		return nil, handle(body, func(r member.ReplicaMessages) error { return n.enqueue(ctx, r) })
+		return nil, handle(body, func(r member.ReplicaMessages) error { return n.enqueue(ctx, c, r) })
 	case member.KindLease:
 		return answer(body, n.grant)
 	case member.KindRelease:
@@ -64,6 +68,8 @@
 	var problem *member.Problem
 	if errors.As(err, &problem) && problem.Code == member.CodeNotLeader && problem.Leader != "" {
 		var reply member.ProposeReply
+		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		defer cancel()
 		err = n.callLeader(ctx, member.KindPropose, member.ProposeRequest{Commands: []state.Command{command}}, &reply)
 		results = reply.Results
 	}
@@ -114,7 +120,11 @@
 	return status
 }
 
-func (n *Node) enqueue(ctx context.Context, r member.ReplicaMessages) error {
+func (n *Node) enqueue(ctx context.Context, c *member.Conn, r member.ReplicaMessages) error {
+	if len(r.Messages) == 0 {
+		return nil
+	}
+	n.links.called(ctx, r.Messages[0].From, c)
 	select {
 	case n.inbox <- r.Messages:
 		return nil
--- /dev/null
+++ b/test/group_test.go
@@ -0,0 +1,210 @@
+package test
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"rosereach/core/change"
+	"rosereach/internal/fault"
+	"rosereach/io/operator"
+)
+
+// callLimit bounds one attempt to make a change.
+const callLimit = 15 * time.Second
+
+type (
+	// group is a fleet whose controls and entries reach each other only over
+	// proxies that cause faults.
+	group struct {
+		*fleet
+		replicas []*replicaProcess
+	}
+
+	// replicaProcess is one control. Front passes entries and operators on to
+	// it, links the other controls.
+	replicaProcess struct {
+		*process
+		id     string
+		folder string
+		front  *fault.Proxy
+		links  []*fault.Proxy
+	}
+)
+
+// startGroup starts controls that found a group together, and entries.
+func startGroup(t *testing.T, controls, entries int) *group {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	g := &group{fleet: &fleet{t: t, memberKey: rand.Text(), backendKey: rand.Text(), backends: make(map[string]*process)}}
+	g.operator.Key = rand.Text()
+	for i := range controls {
+		r := &replicaProcess{id: fmt.Sprintf("control-%d", i+1), folder: t.TempDir(), front: startProxy(ctx, t)}
+		for range controls {
+			r.links = append(r.links, startProxy(ctx, t))
+		}
+		g.replicas = append(g.replicas, r)
+	}
+	for i := range controls {
+		g.startReplica(i)
+	}
+	g.leader()
+	for i := range entries {
+		g.startBehindProxies(fmt.Sprintf("entry-%d", i+1))
+	}
+	g.waitEntries(entries)
+	return g
+}
+
+func startProxy(ctx context.Context, t *testing.T) *fault.Proxy {
+	t.Helper()
+	p, err := fault.Start(ctx, "127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// startReplica starts a control; a place in a group is in its folder, else it
+// founds one with its peers.
+func (g *group) startReplica(i int) {
+	g.t.Helper()
+	r := g.replicas[i]
+	var peers []string
+	for j, other := range g.replicas {
+		if j != i {
+			peers = append(peers, other.id+"="+other.links[i].Address())
+		}
+	}
+	r.process = start(g.t, "control", "--id", r.id, "--data", r.folder, "--advertise", r.front.Address(),
+		"--peers", strings.Join(peers, ","), "--member-key", g.memberKey, "--operator-key", g.operator.Key)
+	r.front.SetTarget(r.address)
+	for _, l := range r.links {
+		l.SetTarget(r.address)
+	}
+}
+
+func (g *group) startBehindProxies(id string) *process {
+	g.t.Helper()
+	var fronts []string
+	for _, r := range g.replicas {
+		fronts = append(fronts, r.front.Address())
+	}
+	p := start(g.t, "entry", "--id", id, "--region", "central", "--availability-zone", "sanjose",
+		"--controls", strings.Join(fronts, ","), "--member-key", g.memberKey, "--backend-key", g.backendKey, "--address-ttl", "1s")
+	g.entries = append(g.entries, p)
+	return p
+}
+
+// at returns an operator who talks to one control, past the proxies.
+func (g *group) at(i int) operator.Client {
+	return operator.Client{Address: g.replicas[i].address, Key: g.operator.Key}
+}
+
+// leaderOf returns the control that another one takes for the leader, or -1.
+func (g *group) leaderOf(i int) int {
+	list, err := g.at(i).Controls(context.Background())
+	if err != nil {
+		return -1
+	}
+	for j, r := range g.replicas {
+		if r.id == list.Leader {
+			return j
+		}
+	}
+	return -1
+}
+
+// leader waits until all controls have one leader, and sends operators to it.
+func (g *group) leader() int {
+	g.t.Helper()
+	leader := -1
+	waitFor(g.t, "one leader and a vote for every control", func() bool {
+		leader = g.leaderOf(0)
+		for i := range g.replicas {
+			list, err := g.at(i).Controls(context.Background())
+			if err != nil || voters(list) != len(g.replicas) || len(list.Controls) != len(g.replicas) || g.leaderOf(i) != leader {
+				return false
+			}
+		}
+		return leader >= 0
+	})
+	g.operator.Address = g.replicas[leader].address
+	return leader
+}
+
+func voters(list operator.Controls) int {
+	n := 0
+	for _, c := range list.Controls {
+		if c.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *group) waitEntries(n int) {
+	g.t.Helper()
+	waitFor(g.t, "leases of all entries", func() bool {
+		s, err := g.operator.Status(context.Background())
+		return err == nil && len(s.Entries) == n
+	})
+}
+
+// cut loses all packets to and from a control while connections stay open.
+func (g *group) cut(i int, silent bool) {
+	plan := fault.Plan{Silent: silent}
+	g.replicas[i].front.Set(plan)
+	for j, r := range g.replicas {
+		r.links[i].Set(plan)
+		g.replicas[i].links[j].Set(plan)
+	}
+}
+
+// template returns a change of a template; note makes each one different.
+func templateChange(id, name, note string, expect *uint64) change.Change {
+	doc := fmt.Sprintf(`{"name":%q,"parameters":[],"policy":{"allow":["small@%s*"],"quality_target":0.5,"services":[],"limits":{}}}`, name, note)
+	return change.Change{ID: id, Kind: change.PutTemplate, Name: name, Document: json.RawMessage(doc), Actor: "test", Expect: expect}
+}
+
+// submit sends a change until it is answered, to any control in turn.
+func (g *group) submit(ctx context.Context, c change.Change, wait bool, controls ...int) (operator.Answer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, waitLimit)
+	defer cancel()
+	for i := 0; ctx.Err() == nil; i++ {
+		call, done := context.WithTimeout(ctx, callLimit)
+		answer, err := g.at(controls[i%len(controls)]).Change(call, c, wait)
+		done()
+		if err == nil {
+			return answer, true
+		}
+	}
+	return operator.Answer{}, false
+}
+
+// changesOf returns the ids of accepted changes in the trail of a control, in
+// order, that start with the prefix.
+func (g *group) changesOf(i int, prefix string) []string {
+	var ids []string
+	var after uint64
+	for {
+		events, err := g.at(i).Trail(context.Background(), after)
+		if err != nil {
+			return nil
+		}
+		if len(events) == 0 {
+			return ids
+		}
+		for _, e := range events {
+			after = e.Sequence
+			if e.Kind == "changed" && strings.HasPrefix(e.ChangeID, prefix) {
+				ids = append(ids, e.ChangeID)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/test/state_test.go
@@ -0,0 +1,371 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"rosereach/core/change"
+	"rosereach/core/lease"
+	"rosereach/io/member"
+	"rosereach/io/operator"
+)
+
+// shortCut is longer than all leases and elections together.
+const shortCut = 8 * time.Second
+
+func cutTime(t *testing.T) time.Duration {
+	text := os.Getenv("ROSEREACH_TEST_CUT")
+	if text == "" {
+		return shortCut
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// A leader is cut off silently while changes go on: its side grants nothing
+// once its time is over, the majority's changes come into force, and after
+// healing no revision goes back anywhere.
+func TestLeaderCutOff(t *testing.T) {
+	g := startGroup(t, 3, 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	leader := g.leader()
+	others := without(leader, 3)
+	watched := g.watchRevisions(ctx)
+	if a, ok := g.submit(ctx, templateChange("cut-0", "t", "0", nil), true, leader); !ok || !a.InForce {
+		t.Fatalf("first change: %+v", a)
+	}
+	g.cut(leader, true)
+	cutAt := time.Now()
+	go g.overtake(ctx, leader)
+	accepted := []string{"cut-0"}
+	for i := 1; time.Since(cutAt) < cutTime(t) || i < 5; i++ {
+		id := fmt.Sprintf("cut-%d", i)
+		a, ok := g.submit(ctx, templateChange(id, "t", fmt.Sprint(i), nil), true, others...)
+		if !ok || a.Status != change.Accepted || !a.InForce {
+			t.Fatalf("change %s: %+v", id, a)
+		}
+		accepted = append(accepted, id)
+	}
+	if grants := g.grantsOf(leader); grants > 0 {
+		t.Errorf("the leader that was cut off granted %d leases after its time", grants)
+	}
+	g.cut(leader, false)
+	g.leader()
+	if a, ok := g.submit(ctx, templateChange("cut-last", "t", "last", nil), true, leader); !ok || !a.InForce {
+		t.Fatalf("last change: %+v", a)
+	}
+	accepted = append(accepted, "cut-last")
+	for i := range g.replicas {
+		waitFor(t, "the last change everywhere", func() bool { return slices.Contains(g.changesOf(i, "cut-"), "cut-last") })
+		if diff := cmp.Diff(accepted, g.changesOf(i, "cut-")); diff != "" {
+			t.Errorf("changes of %s: %s", g.replicas[i].id, diff)
+		}
+	}
+	cancel()
+	if back := <-watched; back != "" {
+		t.Error(back)
+	}
+}
+
+// overtake makes changes at the control that was cut off; they must not be
+// accepted there.
+func (g *group) overtake(ctx context.Context, i int) {
+	ctx, cancel := context.WithTimeout(ctx, shortCut/2)
+	defer cancel()
+	a, err := g.at(i).Change(ctx, templateChange("overtake", "t", "x", nil), false)
+	if err == nil && a.Status == change.Accepted {
+		g.t.Errorf("the leader that was cut off accepted a change: %+v", a)
+	}
+}
+
+// noNotices drops a control's notices.
+type noNotices struct{}
+
+func (noNotices) Handle(context.Context, *member.Conn, member.Kind, cbor.RawMessage) (any, error) {
+	return nil, nil
+}
+
+// grantsOf asks a control directly for leases for a second.
+func (g *group) grantsOf(i int) int {
+	g.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	conn, err := member.Dial(ctx, g.replicas[i].address, g.memberKey, member.Peer{ID: "entry-9"}, noNotices{})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	granted := 0
+	for range 20 {
+		var grant lease.Grant
+		err := conn.Call(ctx, member.KindLease, lease.Request{Entry: "entry-9", Applied: 1 << 40}, &grant)
+		var problem *member.Problem
+		switch {
+		case err == nil && grant.Granted:
+			granted++
+		case !errors.As(err, &problem) || problem.Code != member.CodeNotLeader:
+			g.t.Errorf("lease request at %s: %+v, %v", g.replicas[i].id, grant, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return granted
+}
+
+// watchRevisions looks at the revision of every control until the context
+// ends, and then says whether one went back.
+func (g *group) watchRevisions(ctx context.Context) chan string {
+	result := make(chan string, 1)
+	go func() {
+		newest := make([]uint64, len(g.replicas))
+		back := ""
+		for ctx.Err() == nil {
+			for i := range g.replicas {
+				docs, err := g.at(i).Documents(ctx)
+				if err != nil {
+					continue
+				}
+				if docs.Revision < newest[i] {
+					back = fmt.Sprintf("%s went back from revision %d to %d", g.replicas[i].id, newest[i], docs.Revision)
+				}
+				newest[i] = docs.Revision
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		result <- back
+	}()
+	return result
+}
+
+// All controls are killed at random points, twice, while 300 changes go on:
+// all accepted changes are there, in order, and a resend of each gets its
+// first answer.
+func TestKillAllTwice(t *testing.T) {
+	const changes = 300
+	g := startGroup(t, 3, 0)
+	random := rand.New(rand.NewPCG(4, 1))
+	kills := map[int]bool{50 + random.IntN(100): true, 160 + random.IntN(100): true}
+	ctx := context.Background()
+	first := make(map[string]operator.Answer)
+	var order []string
+	for i := range changes {
+		if kills[i] {
+			go g.killAll(time.Duration(random.IntN(20)) * time.Millisecond)
+			time.Sleep(40 * time.Millisecond)
+			for j := range g.replicas {
+				<-g.replicas[j].exited
+				g.startReplica(j)
+			}
+		}
+		id := fmt.Sprintf("kill-%d", i)
+		a, ok := g.submit(ctx, templateChange(id, fmt.Sprintf("t%d", i%7), fmt.Sprint(i), nil), false, 0, 1, 2)
+		if !ok || a.Status != change.Accepted {
+			t.Fatalf("change %s: %+v", id, a)
+		}
+		first[id] = a
+		order = append(order, id)
+	}
+	for i := range g.replicas {
+		waitFor(t, "all changes at every control", func() bool { return len(g.changesOf(i, "kill-")) >= changes })
+		if diff := cmp.Diff(order, g.changesOf(i, "kill-")); diff != "" {
+			t.Errorf("changes of %s: %s", g.replicas[i].id, diff)
+		}
+	}
+	for i := range changes {
+		id := order[i]
+		again, ok := g.submit(ctx, templateChange(id, fmt.Sprintf("t%d", i%7), fmt.Sprint(i), nil), false, i%3)
+		if !ok || again.Revision != first[id].Revision || again.Status != change.Accepted || !again.Repeated {
+			t.Errorf("resend of %s: %+v, first %+v", id, again, first[id])
+		}
+	}
+}
+
+func (g *group) killAll(after time.Duration) {
+	time.Sleep(after)
+	for _, r := range g.replicas {
+		r.cmd.Process.Kill()
+	}
+}
+
+// A control loses its folder, comes back as a new member, and right after its
+// repair another control is lost with its folder: no accepted change is
+// missing.
+func TestLossAfterRepair(t *testing.T) {
+	g := startGroup(t, 3, 0)
+	ctx := context.Background()
+	var order []string
+	accept := func(from, to int, controls ...int) {
+		for i := from; i < to; i++ {
+			id := fmt.Sprintf("loss-%d", i)
+			if a, ok := g.submit(ctx, templateChange(id, "t", fmt.Sprint(i), nil), false, controls...); !ok || a.Status != change.Accepted {
+				t.Fatalf("change %s: %+v", id, a)
+			}
+			order = append(order, id)
+		}
+	}
+	accept(0, 40, 0, 1, 2)
+	lost := g.leader()
+	before := g.incarnations()
+	g.loseFolder(lost)
+	g.startReplica(lost)
+	accept(40, 60, without(lost, 3)...)
+	g.leader()
+	if after := g.incarnations(); after[lost] == before[lost] {
+		t.Fatalf("%s came back under its old identity", g.replicas[lost].id)
+	}
+	second := without(lost, 3)[0]
+	g.loseFolder(second)
+	left := without(second, 3)
+	accept(60, 80, left...)
+	for _, i := range left {
+		waitFor(t, "all changes at the controls that are left", func() bool { return len(g.changesOf(i, "loss-")) >= len(order) })
+		if diff := cmp.Diff(order, g.changesOf(i, "loss-")); diff != "" {
+			t.Errorf("changes of %s: %s", g.replicas[i].id, diff)
+		}
+	}
+}
+
+func (g *group) loseFolder(i int) {
+	g.replicas[i].kill()
+	g.replicas[i].folder = g.t.TempDir()
+}
+
+func (g *group) incarnations() []uint64 {
+	g.t.Helper()
+	list, err := g.operator.Controls(context.Background())
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	found := make([]uint64, len(g.replicas))
+	for i, r := range g.replicas {
+		for _, c := range list.Controls {
+			if c.ID == r.id {
+				found[i] = c.Incarnation
+			}
+		}
+	}
+	return found
+}
+
+// Of 50 operators with equal expected revision exactly one is accepted; the
+// others get the revision that it made.
+func TestRacingOperators(t *testing.T) {
+	g := startGroup(t, 3, 0)
+	ctx := context.Background()
+	base, ok := g.submit(ctx, templateChange("race-base", "t", "base", nil), false, 0)
+	if !ok {
+		t.Fatal("no base")
+	}
+	answers := make([]operator.Answer, 50)
+	var all errgroup.Group
+	for i := range answers {
+		all.Go(func() error {
+			answers[i], _ = g.submit(ctx, templateChange(fmt.Sprintf("race-%d", i), "t", fmt.Sprint(i), &base.Revision), false, i%3)
+			return nil
+		})
+	}
+	all.Wait()
+	var won []uint64
+	for _, a := range answers {
+		if a.Status == change.Accepted {
+			won = append(won, a.Revision)
+		}
+	}
+	if len(won) != 1 {
+		t.Fatalf("%d of 50 were accepted", len(won))
+	}
+	for i, a := range answers {
+		if a.Status != change.Accepted && (a.Status != change.Conflict || a.Revision != won[0]) {
+			t.Errorf("operator %d: %+v", i, a)
+		}
+	}
+}
+
+// 200 changes are resent after their answers were lost, across a failover:
+// each is applied once.
+func TestResendsAcrossFailover(t *testing.T) {
+	const changes = 200
+	g := startGroup(t, 3, 0)
+	leader := g.leader()
+	ctx := context.Background()
+	lost := operator.Client{Address: g.replicas[leader].front.Address(), Key: g.operator.Key}
+	var sent sync.WaitGroup
+	for i := range changes {
+		sent.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, time.Duration(1+i%40)*time.Millisecond)
+			defer cancel()
+			lost.Change(ctx, templateChange(fmt.Sprintf("resend-%d", i), fmt.Sprintf("t%d", i), "x", nil), false)
+		})
+	}
+	sent.Wait()
+	g.replicas[leader].kill()
+	var all errgroup.Group
+	for i := range changes {
+		all.Go(func() error {
+			c := templateChange(fmt.Sprintf("resend-%d", i), fmt.Sprintf("t%d", i), "x", nil)
+			a, ok := g.submit(ctx, c, false, without(leader, 3)...)
+			if !ok || a.Status != change.Accepted {
+				return errors.Errorf("%s: %+v", c.ID, a)
+			}
+			return nil
+		})
+	}
+	if err := all.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for _, i := range without(leader, 3) {
+		waitFor(t, "all changes", func() bool { return len(g.changesOf(i, "resend-")) >= changes })
+		ids := g.changesOf(i, "resend-")
+		slices.Sort(ids)
+		if once := slices.Compact(slices.Clone(ids)); len(ids) != changes || len(once) != changes {
+			t.Errorf("%d changes applied, %d different ones", len(ids), len(once))
+		}
+	}
+}
+
+// A leader that is stopped for longer than its leases grants none when it goes
+// on, and steps down for the one that was elected meanwhile.
+func TestStoppedLeader(t *testing.T) {
+	g := startGroup(t, 3, 1)
+	leader := g.leader()
+	ctx := context.Background()
+	g.replicas[leader].cmd.Process.Signal(syscall.SIGSTOP)
+	for i := range 3 {
+		a, ok := g.submit(ctx, templateChange(fmt.Sprintf("stop-%d", i), "t", fmt.Sprint(i), nil), true, without(leader, 3)...)
+		if !ok || !a.InForce {
+			t.Fatalf("change %d: %+v", i, a)
+		}
+	}
+	g.replicas[leader].cmd.Process.Signal(syscall.SIGCONT)
+	if grants := g.grantsOf(leader); grants > 0 {
+		t.Errorf("the leader that was stopped granted %d leases", grants)
+	}
+	if now := g.leader(); now == leader {
+		t.Error("the leader that was stopped leads again without an election")
+	}
+}
+
+// without returns the numbers below n except one.
+func without(i, n int) []int {
+	var others []int
+	for j := range n {
+		if j != i {
+			others = append(others, j)
+		}
+	}
+	return others
+}
