--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -21,13 +21,13 @@
 func cmdControl() *command {
 	return &command{
 		name: "control", short: "keep the replicated state and grant leases", action: runControl,
-		flags: append(commonFlags(),
+		flags: append(append(commonFlags(), tlsFlags()...),
 			flag("data", "", "data folder, on a disk"),
 			flag("peers", "", "first controls of a group as id=host:port, with commas; also how this one reaches them"),
 			flag("join", "", "host:port of controls of a group to join, with commas"),
 			boolFlag("standby", "wait with an empty folder until \"control add\" names this control"),
 			flag("member-key", "", "key that rosereach's own processes share"),
-			flag("operator-key", "", "key that operators present"),
+			flag("operator-key", "", "bootstrap key with every right, until operators have keys of their own"),
 		),
 		subs: []*command{cmdControlList(), cmdControlAdd(), cmdControlRemove()},
 	}
@@ -37,10 +37,11 @@
 	s := newSettings(c)
 	listen := s.address("listen")
 	cfg := control.Config{
-		ID: s.text("id"), Folder: s.text("data"), MemberKey: s.text("member-key"), OperatorKey: s.text("operator-key"),
+		ID: s.text("id"), Folder: s.text("data"), MemberKey: s.text("member-key"), OperatorKey: s.optional("operator-key"),
 		Peers: s.peers("peers"), Join: s.optionalAddresses("join"), Standby: c.Bool("standby"),
 		Terms: lease.DefaultTerms(), Clock: clock.WallClock, Logger: newLogger(s, "control"),
 	}
+	files := s.tlsFiles()
 	if err := s.err(); err != nil {
 		return err
 	}
@@ -56,7 +57,7 @@
 	fmt.Println(l.Addr())
 	cfg.Logger.Log("msg", "Control serves.", "id", cfg.ID, "address", cfg.Address)
 	return serveControl(ctx, node, func(ctx context.Context) error {
-		return httpd.Serve(ctx, l, node.Handler())
+		return httpd.Serve(ctx, files.Wrap(l, cfg.Clock), node.Handler())
 	})
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -20,6 +20,7 @@
 	"rosereach/core/lease"
 	"rosereach/core/replica"
 	"rosereach/core/state"
+	"rosereach/internal/metrics"
 	"rosereach/io/disk"
 	"rosereach/io/member"
 )
@@ -65,6 +66,7 @@
 	// the grantor of leases.
 	Node struct {
 		cfg       Config
+		metrics   *metrics.Set
 		store     *disk.Store
 		self      replica.Identity
 		proposals chan *proposal
@@ -111,6 +113,7 @@
 		watchers:  make(map[*member.Conn]bool),
 		inForce:   make(chan struct{}),
 	}
+	n.metrics = newMetrics(n)
 	n.links = newLinks(n)
 	if err := n.load(); err != nil {
 		store.Close()
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -8,7 +8,6 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 
-	"rosereach/core/audit"
 	"rosereach/core/change"
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
@@ -27,8 +26,7 @@
 	r.Get(member.Path, func(w http.ResponseWriter, req *http.Request) {
 		member.Accept(w, req, n.cfg.MemberKey, member.Peer{ID: n.cfg.ID}, n, n.watch)
 	})
-	operator.Mount(r, n.cfg.OperatorKey, n)
-	operator.MountControls(r, n.cfg.OperatorKey, n)
+	operator.Mount(r, operator.Options{BootstrapKey: n.cfg.OperatorKey, Clock: n.cfg.Clock, Metrics: n.metrics}, n)
 	return r
 }
 
@@ -63,16 +61,7 @@
 
 // Change commits an operator's change. A follower passes it on to the leader.
 func (n *Node) Change(ctx context.Context, c change.Change) (change.Result, error) {
-	command := state.Command{Change: &c}
-	results, err := n.proposeHere(ctx, []state.Command{command})
-	var problem *member.Problem
-	if errors.As(err, &problem) && problem.Code == member.CodeNotLeader && problem.Leader != "" {
-		var reply member.ProposeReply
-		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-		defer cancel()
-		err = n.callLeader(ctx, member.KindPropose, member.ProposeRequest{Commands: []state.Command{command}}, &reply)
-		results = reply.Results
-	}
+	results, err := n.proposeAnywhere(ctx, state.Command{Change: &c})
 	if err != nil {
 		return change.Result{}, err
 	}
@@ -82,12 +71,26 @@
 	return *results[0].Change, nil
 }
 
+// proposeAnywhere proposes a command here, or at the leader.
+func (n *Node) proposeAnywhere(ctx context.Context, command state.Command) ([]state.Result, error) {
+	results, err := n.proposeHere(ctx, []state.Command{command})
+	var problem *member.Problem
+	if !errors.As(err, &problem) || problem.Code != member.CodeNotLeader || problem.Leader == "" {
+		return results, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	var reply member.ProposeReply
+	err = n.callLeader(ctx, member.KindPropose, member.ProposeRequest{Commands: []state.Command{command}}, &reply)
+	return reply.Results, err
+}
+
 // Documents returns the newest documents as operators see them.
 func (n *Node) Documents() operator.Documents {
 	docs := n.Catalog().Documents()
 	return operator.Documents{
 		Revision: docs.Revision, Templates: docs.Templates, Workspaces: docs.Workspaces,
-		Versions: docs.Versions, Services: docs.Services,
+		Versions: docs.Versions, Services: docs.Services, Operators: docs.Operators,
 	}
 }
 
@@ -97,22 +100,16 @@
 	return bills
 }
 
-// Trail returns a page of the audit trail.
-func (n *Node) Trail(after uint64, limit int) (events []audit.Event) {
-	n.View(func(s *state.State) { events = s.Trail(after, limit) })
-	return events
-}
-
 // Status returns what the control knows of the fleet. A follower asks the
 // leader for the entries.
-func (n *Node) Status() operator.Status {
+func (n *Node) Status(ctx context.Context) operator.Status {
 	s := n.group()
 	status := operator.Status{Control: n.cfg.ID, Leader: s.Leader.ID, Index: s.Applied, Revision: n.Catalog().Revision()}
 	if entries, err := n.entries(); err == nil {
 		status.Entries = entries
 		return status
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := n.callLeader(ctx, member.KindEntries, nil, &status.Entries); err != nil {
 		n.cfg.Logger.Log("msg", "Entries are not known.", "err", err)
@@ -192,6 +189,7 @@
 	if docs.Revision <= r.Have {
 		return member.DocumentsReply{}, nil
 	}
+	docs.Operators = nil
 	return member.DocumentsReply{Documents: &docs}, nil
 }
 
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -10,7 +10,6 @@
 
 	"rosereach/core/catalog"
 	"rosereach/core/lease"
-	"rosereach/core/ledger"
 	"rosereach/core/state"
 	"rosereach/io/member"
 )
@@ -79,7 +78,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	cfg := l.entry.cfg
-	conn, err := member.Dial(ctx, address, cfg.MemberKey, member.Peer{ID: cfg.ID, Region: cfg.Region, Zone: cfg.Zone}, l)
+	security, err := cfg.security()
+	if err != nil {
+		return err
+	}
+	conn, err := member.DialTLS(ctx, address, cfg.MemberKey, cfg.peer(), l, security)
 	if err != nil {
 		return err
 	}
@@ -154,27 +157,6 @@
 	return reply.Results, nil
 }
 
-// begin records the start of a request.
-func (l *link) begin(ctx context.Context, b ledger.Begin) (ledger.Reply, error) {
-	return l.record(ctx, state.Command{Begin: &b})
-}
-
-// finish records the end of a request.
-func (l *link) finish(ctx context.Context, f ledger.Finish) (ledger.Reply, error) {
-	return l.record(ctx, state.Command{Finish: &f})
-}
-
-func (l *link) record(ctx context.Context, c state.Command) (ledger.Reply, error) {
-	results, err := l.propose(ctx, c)
-	if err != nil {
-		return ledger.Reply{}, err
-	}
-	if results[0].Ledger == nil {
-		return ledger.Reply{}, errors.New("the control's result holds no ledger reply")
-	}
-	return *results[0].Ledger, nil
-}
-
 // release gives the lease back, so that the control need not wait it out.
 func (l *link) release(ctx context.Context) error {
 	l.entry.mu.Lock()
@@ -206,7 +188,7 @@
 	defer e.mu.Unlock()
 	return lease.Request{
 		Entry: e.cfg.ID, Incarnation: e.cfg.Incarnation, Sequence: e.holder.Send(e.cfg.Clock.Now()),
-		Applied: e.catalog.Load().Revision(), Address: e.cfg.Address, Region: e.cfg.Region, Zone: e.cfg.Zone,
+		Applied: e.sending.applied(e.catalog.Load().Revision()), Address: e.cfg.Address, Region: e.cfg.Region, Zone: e.cfg.Zone,
 		Draining: e.draining.Load(), Load: e.running(),
 	}
 }
@@ -220,10 +202,4 @@
 
 // running returns the number of the entry's requests at backend servers.
 // Callers hold e.mu.
-func (e *Entry) running() int {
-	sum := 0
-	for _, n := range e.inFlight {
-		sum += n
-	}
-	return sum
-}
+func (e *Entry) running() int { return e.tracker.Total() }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/tls"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -8,18 +9,35 @@
 	"rosereach/core/request"
 	iobackend "rosereach/io/backend"
 	"rosereach/io/caller"
+	"rosereach/io/member"
 )
 
-// Handler returns the HTTP handler for callers and backend servers.
+// Handler returns the HTTP handler for callers, backend servers and other
+// entries.
 func (e *Entry) Handler() http.Handler {
 	r := chi.NewRouter()
-	caller.Mount(r, e, caller.Options{
-		MaxBody: e.cfg.MaxBody, Timeout: e.cfg.Timeout, AddressTTL: e.cfg.AddressTTL, Clock: e.cfg.Clock,
+	r.Group(func(r chi.Router) {
+		r.Use(e.count)
+		r.Use(e.meter.requests.Measure)
+		caller.Mount(r, e, caller.Options{
+			MaxBody: e.cfg.MaxBody, Timeout: e.cfg.Timeout, AddressTTL: e.cfg.AddressTTL, Clock: e.cfg.Clock,
+		})
 	})
+	r.Get(member.Path, e.relay.serve)
 	r.Post(iobackend.PathAnnounce, iobackend.AnnounceHandler(e.cfg.BackendKey, e.observe))
 	return r
 }
 
+// count counts the requests that are being answered, also those whose answer
+// is still on its way to a slow caller.
+func (e *Entry) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.handling.Add(1)
+		defer e.handling.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Owner returns the workspace of a caller's key.
 func (e *Entry) Owner(key string) (string, error) {
 	name, err := e.catalog.Load().Owner(key)
@@ -41,3 +59,11 @@
 	}
 	return e.addresses(region, zone)
 }
+
+// security returns the settings for TLS towards controls, nil for none.
+func (c Config) security() (*tls.Config, error) {
+	if c.TLS == nil {
+		return nil, nil
+	}
+	return c.TLS()
+}
--- a/io/member/conn.go
+++ b/io/member/conn.go
@@ -121,6 +121,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "member %s", c.peer.ID)
 		}
+		received.Add(int64(len(data)))
 		var f frame
 		if err := cbor.Unmarshal(data, &f); err != nil {
 			return errors.Annotatef(err, "member %s: frame", c.peer.ID)
@@ -168,6 +169,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	sent.Add(int64(len(data)))
 	return errors.Trace(c.ws.Write(ctx, websocket.MessageBinary, data))
 }
 
--- a/io/member/message.go
+++ b/io/member/message.go
@@ -21,6 +21,7 @@
 	KindInForce   Kind = "in_force"
 	KindRemove    Kind = "remove"
 	KindEntries   Kind = "entries"
+	KindServers   Kind = "servers"
 )
 
 // The codes of a Problem.
--- a/io/operator/controls.go
+++ b/io/operator/controls.go
@@ -41,17 +41,6 @@
 	controls struct{ backend ControlsBackend }
 )
 
-// MountControls adds the routes that change which controls there are.
-func MountControls(r chi.Router, key string, b ControlsBackend) {
-	s, c := &server{key: key}, &controls{backend: b}
-	r.Group(func(r chi.Router) {
-		r.Use(s.authenticate)
-		r.Get("/v1/controls", c.get)
-		r.Post("/v1/controls", c.add)
-		r.Delete("/v1/controls/{id}", c.remove)
-	})
-}
-
 // Controls returns the replicas of the state.
 func (c Client) Controls(ctx context.Context) (Controls, error) {
 	var list Controls
--- a/test/group_test.go
+++ b/test/group_test.go
@@ -193,14 +193,14 @@
 	var ids []string
 	var after uint64
 	for {
-		events, err := g.at(i).Trail(context.Background(), after)
+		page, err := g.at(i).Trail(context.Background(), after)
 		if err != nil {
 			return nil
 		}
-		if len(events) == 0 {
+		if len(page.Events) == 0 {
 			return ids
 		}
-		for _, e := range events {
+		for _, e := range page.Events {
 			after = e.Sequence
 			if e.Kind == "changed" && strings.HasPrefix(e.ChangeID, prefix) {
 				ids = append(ids, e.ChangeID)
