Bound the answers kept for resends, and test a full disk

A test fills the disk: changes are refused with the cause, leases are granted on, and what waited is written once there is space.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -50,18 +50,11 @@
 		index   uint64
 		docs    catalog.Documents
 		catalog *catalog.Catalog
-		answers map[string]answer
+		answers *answers
 		trail   *audit.Trail
 		ledger  *ledger.Sharded
 	}
 
-	// answer is the first answer to a change, kept for resends.
-	answer struct {
-		Hash   string        `json:"hash"`
-		Index  uint64        `json:"index"`
-		Result change.Result `json:"result"`
-	}
-
 	// snapshot is the encoded form of the whole state.
 	snapshot struct {
 		Index   uint64            `json:"index"`
@@ -78,7 +71,7 @@
 	return &State{
 		docs:    docs,
 		catalog: catalog.New(docs),
-		answers: make(map[string]answer),
+		answers: newAnswers(),
 		trail:   audit.NewTrail(),
 		ledger:  ledger.NewSharded(ledger.DefaultShards, ledger.DefaultLimits()),
 	}
@@ -127,7 +120,7 @@
 // called while later commands are applied.
 func (s *State) Freeze() func() ([]byte, error) {
 	snap := snapshot{
-		Index: s.index, Docs: s.docs.Clone(), Answers: maps.Clone(s.answers), Trail: s.trail.Snapshot(),
+		Index: s.index, Docs: s.docs.Clone(), Answers: maps.Clone(s.answers.known), Trail: s.trail.Snapshot(),
 		Ledger: s.ledger.Snapshot(),
 	}
 	return func() ([]byte, error) { return cbor.Marshal(snap) }
@@ -143,9 +136,7 @@
 	s.index = snap.Index
 	s.docs = snap.Docs.Clone()
 	s.catalog = catalog.New(s.docs)
-	if snap.Answers != nil {
-		s.answers = snap.Answers
-	}
+	s.answers = restoreAnswers(snap.Answers)
 	s.trail = audit.RestoreTrail(snap.Trail)
 	s.ledger = ledger.RestoreSharded(snap.Ledger, ledger.DefaultLimits())
 	return s, nil
@@ -156,12 +147,12 @@
 		return change.RefuseFor("change_id", "missing", "an id that is new for each change")
 	}
 	hash := c.Hash()
-	if first, ok := s.answers[c.ID]; ok {
+	if first, ok := s.answers.find(c.ID); ok {
 		return first.repeat(hash)
 	}
 	before := s.docs.Record(c)
 	docs, result := s.docs.Apply(c, s.index)
-	s.answers[c.ID] = answer{Hash: hash, Index: s.index, Result: result}
+	s.answers.add(c.ID, answer{Hash: hash, Index: s.index, At: c.At, Result: result})
 	if result.Status == change.Accepted {
 		s.docs = docs
 		s.catalog = catalog.New(docs)
@@ -214,12 +205,3 @@
 }
 
 func (s *State) note(e audit.Event) { s.trail.Append(e) }
-
-func (a answer) repeat(hash string) change.Result {
-	if a.Hash != hash {
-		return change.RefuseFor("change_id", "was used for another change", "a new id")
-	}
-	r := a.Result
-	r.Repeated = true
-	return r
-}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -204,7 +204,7 @@
 			return nil
 		}
 		for {
-			err := n.store.Save(w)
+			err := n.save(w)
 			n.noteFull(err)
 			if err == nil {
 				break
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -68,6 +68,7 @@
 		cfg       Config
 		metrics   *metrics.Set
 		store     *disk.Store
+		save      func(replica.Write) error
 		self      replica.Identity
 		proposals chan *proposal
 		inbox     chan []replica.Message
@@ -100,7 +101,7 @@
 		return nil, err
 	}
 	n := &Node{
-		cfg: cfg, store: store,
+		cfg: cfg, store: store, save: store.Save,
 		self:      replica.Identity{ID: cfg.ID, Incarnation: store.Meta().Incarnation},
 		proposals: make(chan *proposal, maxQueued),
 		inbox:     make(chan []replica.Message, maxQueued),
--- /dev/null
+++ b/internal/control/node_test.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+
+	"rosereach/core/audit"
+	"rosereach/core/lease"
+	"rosereach/core/replica"
+	"rosereach/core/state"
+	"rosereach/io/disk"
+	"rosereach/io/member"
+)
+
+// waitLimit ends a wait for a condition that never comes.
+const waitLimit = 30 * time.Second
+
+func note(subject string) state.Command {
+	return state.Command{Note: &audit.Event{Kind: audit.Ordered, Subject: subject}}
+}
+
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
+
+// A full disk refuses changes and goes on granting leases; once there is space,
+// what waited is written and changes are taken again.
+func TestFullDisk(t *testing.T) {
+	n, err := Open(Config{
+		ID: "control-1", Folder: t.TempDir(), MemberKey: "key", Terms: lease.DefaultTerms(),
+		Clock: clock.WallClock, Logger: log.NewNopLogger(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var full atomic.Bool
+	n.save = func(w replica.Write) error {
+		if full.Load() {
+			return errors.Annotate(disk.ErrFull, "test")
+		}
+		return n.store.Save(w)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	waitFor(t, "the leader", n.IsLeader)
+	if _, err := n.Propose(ctx, note("before")); err != nil {
+		t.Fatal(err)
+	}
+	full.Store(true)
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := n.Propose(ctx, note("waits"))
+		waiting <- err
+	}()
+	waitFor(t, "a refused change", func() bool {
+		call, done := context.WithTimeout(ctx, time.Second)
+		defer done()
+		_, err := n.Propose(call, note("refused"))
+		var problem *member.Problem
+		return errors.As(err, &problem) && problem.Code == member.CodeRefused && strings.Contains(problem.Detail, "full")
+	})
+	if g, err := n.grant(lease.Request{Entry: "entry-1", Sequence: 1, Applied: 1 << 40}); err != nil || !g.Granted {
+		t.Errorf("lease on a full disk: %+v, %v", g, err)
+	}
+	full.Store(false)
+	if err := <-waiting; err != nil {
+		t.Errorf("what waited for space: %v", err)
+	}
+	waitFor(t, "changes again", func() bool {
+		_, err := n.Propose(ctx, note("after"))
+		return err == nil
+	})
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
