--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -31,10 +31,6 @@
 	// resendBackoff lies between two questions to the ledger about a request
 	// that runs at another entry.
 	resendBackoff = retry.Backoff{Base: 20 * time.Millisecond, Max: 250 * time.Millisecond}
-
-	// entryBudget and workspaceBudget bound the retries.
-	entryBudget     = retry.Terms{Share: 0.1, Limit: 100}
-	workspaceBudget = retry.Terms{Share: 0.2, Limit: 20}
 )
 
 // execute runs the request, or joins it when the same one runs already, and
@@ -103,8 +99,9 @@
 	if err != nil {
 		return nil, refusalOf(err, x.req)
 	}
-	return e.gate.enter(x.ctx, e.cfg.Clock, limit.Ticket{
+	return e.gateFor(x.req.Kind).enter(x.ctx, e.cfg.Clock, limit.Ticket{
 		Workspace: x.req.Workspace, Weight: max(policy.Weight, 1), Priority: x.req.Priority, Deadline: x.req.Deadline,
+		Cost: expectedWork(x.req),
 	})
 }
 
