Refuse to list addresses without a lease

An entry cut off from the controls went on to vouch for the list of entries that it last knew, with a full time to live, also when those had drained or gone. It refuses now with no_lease and not_run, a time to come back, and the entries that it last knew, without a time to live.

--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -326,3 +326,32 @@
 		t.Errorf("%d runs after leaving", n-runs)
 	}
 }
+
+// An entry that has lost its lease refuses work and does not vouch for a list
+// of addresses.
+func TestNoLease(t *testing.T) {
+	f := newFleet(t, 2)
+	f.startService("ledger-1")
+	list, err := f.client(0).FindAddresses(f.ctx, "", "")
+	if err != nil || list.TTLMs == 0 || len(list.Addresses) == 0 {
+		t.Fatalf("addresses with a lease: %+v, %v", list, err)
+	}
+	f.toNode.Set(fault.Plan{Refuse: true})
+	f.toNode.Reset()
+	waitFor(t, "the end of the lease", func() bool { return !f.entries[0].Ready() })
+	resp, err := http.Get("http://" + f.addrs[0] + "/v1/addresses")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(caller.HeaderOutcome) != string(request.NotRun) {
+		t.Errorf("addresses without a lease: status %d", resp.StatusCode)
+	}
+	reply, err := f.client(0).Service(f.ctx, "ledger", http.MethodPost, "/x", nil, caller.CallOptions{RequestID: "a"})
+	if err != nil || reply.Problem == nil || reply.Problem.Code != request.CodeNoLease || reply.Problem.Outcome != request.NotRun {
+		t.Errorf("call without a lease: %+v, %v", reply.Problem, err)
+	}
+	if runs := f.services["ledger-1"].Log.Of("a"); len(runs) != 0 {
+		t.Errorf("runs: %+v", runs)
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -52,12 +52,18 @@
 }
 
 // Addresses returns the entries to use, nearest first. An empty region or
-// zone stands for the entry's own.
-func (e *Entry) Addresses(region, zone string) []string {
+// zone stands for the entry's own. An entry without a lease does not know who
+// serves: it refuses, with those that it last knew.
+func (e *Entry) Addresses(region, zone string) ([]string, error) {
 	if zone == "" {
 		region, zone = e.cfg.Region, e.cfg.Zone
 	}
-	return e.addresses(region, zone)
+	list := e.addresses(region, zone)
+	if !e.Ready() {
+		return nil, request.NewNotRun(request.CodeNoLease, "this entry holds no lease; ask another entry").
+			WithRetryAfter(resendRetryAfter).WithAddresses(list)
+	}
+	return list, nil
 }
 
 // security returns the settings for TLS towards controls, nil for none.
--- a/io/caller/fuzz_test.go
+++ b/io/caller/fuzz_test.go
@@ -38,7 +38,7 @@
 
 func (stubRouter) Resume(req request.Request, _ string) (request.Request, error) { return req, nil }
 
-func (stubRouter) Addresses(string, string) []string { return []string{"127.0.0.1:1"} }
+func (stubRouter) Addresses(string, string) ([]string, error) { return []string{"127.0.0.1:1"}, nil }
 
 // Whatever a caller sends as a chat: the answer is whole, or a problem that
 // says not_run.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -46,7 +46,7 @@
 		Call(ctx context.Context, req request.Request) (request.Answer, error)
 		OpenSession(ctx context.Context, req request.Request) (string, error)
 		Resume(req request.Request, token string) (request.Request, error)
-		Addresses(region, zone string) []string
+		Addresses(region, zone string) ([]string, error)
 	}
 
 	// Options are the settings of the interface.
@@ -155,10 +155,12 @@
 
 func (s *server) getAddresses(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	writeJSON(w, http.StatusOK, Addresses{
-		Addresses: s.router.Addresses(q.Get("region"), q.Get("availability_zone")),
-		TTLMs:     s.opts.AddressTTL.Milliseconds(),
-	})
+	list, err := s.router.Addresses(q.Get("region"), q.Get("availability_zone"))
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Addresses{Addresses: list, TTLMs: s.opts.AddressTTL.Milliseconds()})
 }
 
 func setAnswerHeaders(h http.Header, a request.Answer) {
