--- a/io/operator/authenticate.go
+++ b/io/operator/authenticate.go
@@ -19,10 +19,11 @@
 	// BootstrapName is the name of whoever presents the bootstrap key.
 	BootstrapName = "bootstrap"
 
-	// notesPerSecond and noteBurst bound the refused attempts that go into the
-	// audit trail; the others are counted in the next note.
-	notesPerSecond = 1
-	noteBurst      = 32
+	// noteInterval and noteBurst bound the refused attempts that go into the
+	// audit trail, so that strangers cannot push changes out of it; the others
+	// are counted in the next note.
+	noteInterval = time.Minute
+	noteBurst    = 32
 
 	// noteTimeout bounds the wait until a refused attempt is recorded.
 	noteTimeout = 2 * time.Second
@@ -51,7 +52,7 @@
 )
 
 func newAttempts(c clock.Clock, b Backend) *attempts {
-	a := &attempts{clock: c, limit: rate.NewLimiter(notesPerSecond, noteBurst), backend: b, skipped: make(chan int, 1)}
+	a := &attempts{clock: c, limit: rate.NewLimiter(rate.Every(noteInterval), noteBurst), backend: b, skipped: make(chan int, 1)}
 	a.skipped <- 0
 	return a
 }
