Show the controls in the status, and what their group lacks

The status told nothing of the replicas, so that a control without a vote went unseen until the next one failed. It lists them now, and names learners and a group of two as needing a person.

--- a/internal/cmd/cmd_control_members.go
+++ b/internal/cmd/cmd_control_members.go
@@ -43,11 +43,16 @@
 	if err != nil {
 		return err
 	}
+	return s.show(list, controlTable(list.Controls, list.Leader))
+}
+
+// controlTable shows the controls that hold the state.
+func controlTable(controls []operator.Control, leader string) *table {
 	out := newTable("CONTROL", "ADDRESS", "VOTER", "LEADS", "INCARNATION")
-	for _, m := range list.Controls {
-		out.add(m.ID, m.Address, m.Voter, m.ID == list.Leader, m.Incarnation)
+	for _, m := range controls {
+		out.add(m.ID, m.Address, m.Voter, m.ID == leader, m.Incarnation)
 	}
-	return s.show(list, out)
+	return out
 }
 
 func addControl(ctx context.Context, c *cli.Command) error {
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -21,6 +21,7 @@
 // overview is what status shows. Needs lists what a person has to look at.
 type overview struct {
 	Status   operator.Status            `json:"status"`
+	Controls []operator.Control         `json:"controls"`
 	Versions map[string]version.Version `json:"versions"`
 	Needs    []string                   `json:"needs"`
 }
@@ -67,7 +68,14 @@
 	if err != nil {
 		return err
 	}
-	o := overview{Status: status, Versions: docs.Versions, Needs: needs(status, docs)}
+	group, err := client.Controls(ctx)
+	if err != nil {
+		return err
+	}
+	o := overview{
+		Status: status, Controls: group.Controls, Versions: docs.Versions,
+		Needs: append(controlNeeds(group.Controls), needs(status, docs)...),
+	}
 	if s.cmd.Bool("json") {
 		return printJSON(o)
 	}
@@ -78,6 +86,8 @@
 func (o overview) print(now time.Time) {
 	st := o.Status
 	fmt.Printf("control %s, leader %s, log index %d, revision %d\n\n", st.Control, cmp.Or(st.Leader, "none"), st.Index, st.Revision)
+	controlTable(o.Controls, st.Leader).print()
+	fmt.Println()
 	entries := newTable("ENTRY", "ADDRESS", "REGION", "AVAILABILITY ZONE", "REVISION", "LEASE FOR", "RUNNING", "DRAINS")
 	slices.SortFunc(st.Entries, func(a, b lease.Entry) int { return cmp.Compare(a.ID, b.ID) })
 	for _, e := range st.Entries {
@@ -100,6 +110,23 @@
 	fmt.Println("needs a person:\n  " + strings.Join(o.Needs, "\n  "))
 }
 
+// controlNeeds lists what the group of controls lacks.
+func controlNeeds(controls []operator.Control) []string {
+	list := []string{}
+	voters := 0
+	for _, c := range controls {
+		if c.Voter {
+			voters++
+			continue
+		}
+		list = append(list, fmt.Sprintf("control %s has no vote: wait until it has caught up, or look at its log", c.ID))
+	}
+	if voters == 2 {
+		list = append(list, "two controls have a vote: the loss of one stops changes and leases; add a third")
+	}
+	return list
+}
+
 // needs lists what does not mend itself.
 func needs(st operator.Status, docs operator.Documents) []string {
 	list := []string{}
--- a/internal/cmd/cmd_status_test.go
+++ b/internal/cmd/cmd_status_test.go
@@ -13,6 +13,24 @@
 	"rosereach/io/operator"
 )
 
+func TestControlNeeds(t *testing.T) {
+	control := func(id string, voter bool) operator.Control { return operator.Control{ID: id, Voter: voter} }
+	for _, tc := range []struct {
+		name     string
+		controls []operator.Control
+		want     int
+	}{
+		{"one alone", []operator.Control{control("a", true)}, 0},
+		{"three", []operator.Control{control("a", true), control("b", true), control("c", true)}, 0},
+		{"a learner and two", []operator.Control{control("a", true), control("b", true), control("c", false)}, 2},
+		{"a learner of four", []operator.Control{control("a", true), control("b", true), control("c", true), control("d", false)}, 1},
+	} {
+		if got := controlNeeds(tc.controls); len(got) != tc.want {
+			t.Errorf("%s: %q, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
 func TestNeeds(t *testing.T) {
 	docs := operator.Documents{
 		Revision: 9,
