--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -4,5 +4,7 @@
 func All() []Experiment {
 	return []Experiment{
 		placementExperiment(),
+		faults(),
+		overloadExperiment(),
 	}
 }
