Log lost leases and links as warnings, lost records as errors

Every line was at level info, so that an operator who asks for warnings saw none. Ended leases, a lost leadership and a control out of reach are warnings; a full disk, a missing seal key and a request's end that is not recorded are errors. The files belong to the state and requests parts; only the calls' level changed.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"rosereach/core/replica"
@@ -231,7 +232,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if (err == nil) != (n.full == nil) {
-		n.cfg.Logger.Log("msg", "Disk changes.", "full", err != nil, "err", err)
+		level.Error(n.cfg.Logger).Log("msg", "Disk changes.", "full", err != nil, "err", err)
 	}
 	n.full = err
 }
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"rosereach/core/audit"
@@ -47,7 +48,7 @@
 func (n *Node) follow(ctx context.Context) {
 	s := n.replica.Status()
 	if n.reign != nil && (s.Role != replica.Leader || s.Term != n.reign.term) && n.reign.grantor != nil {
-		n.cfg.Logger.Log("msg", "Leads no more.", "term", n.reign.term)
+		level.Warn(n.cfg.Logger).Log("msg", "Leads no more.", "term", n.reign.term)
 		n.reign = nil
 		n.abandon()
 		n.wakeWaiters()
@@ -87,7 +88,7 @@
 func (n *Node) keepUp(ctx context.Context, now time.Time) {
 	r := n.reign
 	for _, e := range r.grantor.Expire(now) {
-		n.cfg.Logger.Log("msg", "Lease ended.", "entry", e.ID)
+		level.Warn(n.cfg.Logger).Log("msg", "Lease ended.", "entry", e.ID)
 		if !now.Before(r.clear) {
 			n.settle(ctx, ledger.Owner{Entry: e.ID, Incarnation: e.Incarnation})
 		}
--- a/internal/control/seal.go
+++ b/internal/control/seal.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"encoding/json"
 
+	"github.com/go-kit/log/level"
+
 	"rosereach/core/catalog"
 	"rosereach/core/change"
 	"rosereach/core/state"
@@ -34,6 +36,6 @@
 		At: n.cfg.Clock.Now().UTC(),
 	}
 	if _, err := n.Propose(ctx, state.Command{Change: &c}); err != nil {
-		n.cfg.Logger.Log("msg", "First seal key is not made.", "err", err)
+		level.Error(n.cfg.Logger).Log("msg", "First seal key is not made.", "err", err)
 	}
 }
--- a/internal/entry/end.go
+++ b/internal/entry/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"rosereach/core/ledger"
@@ -50,7 +51,7 @@
 	began := e.cfg.Clock.Now()
 	reply, err := e.ledger.deliver(e.ctx, state.Command{Finish: &f})
 	if err != nil {
-		e.cfg.Logger.Log("msg", "End of a request is not recorded.", "request", x.req.ID, "err", err)
+		level.Error(e.cfg.Logger).Log("msg", "End of a request is not recorded.", "request", x.req.ID, "err", err)
 		return reply, err
 	}
 	e.meter.finish(f, e.cfg.Clock.Now().Sub(began))
@@ -67,7 +68,7 @@
 		trigger = request.Refuse
 	}
 	if err := x.fire(trigger); err != nil && refusal.Code != request.CodeRunningElsewhere {
-		e.cfg.Logger.Log("msg", "Request ends out of order.", "request", x.req.ID, "err", err)
+		level.Error(e.cfg.Logger).Log("msg", "Request ends out of order.", "request", x.req.ID, "err", err)
 	}
 	a := request.Answer{Outcome: refusal.Outcome, Code: refusal.Code}
 	x.end(a, refusal)
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"rosereach/core/catalog"
@@ -64,7 +65,7 @@
 				hint = problem.Address
 			}
 		case err != nil && ctx.Err() == nil:
-			l.entry.cfg.Logger.Log("msg", "Control is out of reach.", "control", address, "err", err)
+			level.Warn(l.entry.cfg.Logger).Log("msg", "Control is out of reach.", "control", address, "err", err)
 		}
 		select {
 		case <-l.entry.cfg.Clock.After(delay):
