--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -24,8 +24,14 @@
 	failureWait = 500 * time.Millisecond
 )
 
-// backoff lies between two tries of the same work.
-var backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: time.Second}
+var (
+	// backoff lies between two tries of the same work.
+	backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: time.Second}
+
+	// resendBackoff lies between two questions to the ledger about a request
+	// that runs at another entry.
+	resendBackoff = retry.Backoff{Base: 20 * time.Millisecond, Max: 250 * time.Millisecond}
+)
 
 // execute runs the request, or joins it when the same one runs already, and
 // follows it to its end. The error is a *request.Refusal.
@@ -108,7 +114,7 @@
 	e.mu.Lock()
 	allowed := e.budgets.Take(x.req.Workspace)
 	e.mu.Unlock()
-	return allowed && e.pause(ctx, failures) == nil
+	return allowed && e.pause(ctx, backoff, failures) == nil
 }
 
 // succeed earns a share of a retry.
