Add the experiments of overhead and capacity

An entry's cost could not be told from that of the fakes and the client, which share its process. Clusters can run without proxies for this.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -35,7 +35,12 @@
 	Place struct{ Region, Zone string }
 
 	// Options are the settings of a cluster. Folder is for the controls' data.
+	// Each place gets an entry, each list of versions an engine. A Direct
+	// cluster has no proxies, for measurements; nothing in it can be killed.
 	Options struct {
+		Direct         bool
+		Places         []Place
+		Engines        [][]version.Ref
 		Folder         string
 		Controls       int
 		AddressTTL     time.Duration
@@ -77,6 +82,7 @@
 // DefaultOptions returns the settings of a small, quick cluster.
 func DefaultOptions(folder string) Options {
 	return Options{
+		Places: places, Engines: [][]version.Ref{{Small1, Small2}, {Small1, Small2}, {Large1, Small1}, {Large1, Small2}},
 		Folder: folder, Controls: 1, AddressTTL: time.Second, RequestTimeout: 20 * time.Second, EngineCapacity: 16, ServiceSlots: 8,
 		MaxRunning: 512, MaxWaiting: 512,
 		StepTime: time.Millisecond, StepPerToken: 50 * time.Microsecond,
@@ -91,12 +97,12 @@
 	if err := c.startControls(ctx, opts.Controls); err != nil {
 		return nil, err
 	}
-	for i, p := range places {
+	for i, p := range opts.Places {
 		if err := c.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), p); err != nil {
 			return nil, err
 		}
 	}
-	for i, refs := range [][]version.Ref{{Small1, Small2}, {Small1, Small2}, {Large1, Small1}, {Large1, Small2}} {
+	for i, refs := range opts.Engines {
 		if err := c.startEngine(ctx, fmt.Sprintf("engine-%d", i+1), places[i%len(places)], refs); err != nil {
 			return nil, err
 		}
@@ -116,11 +122,14 @@
 func (c *Cluster) Addresses() []string {
 	list := make([]string, 0, len(c.Entries))
 	for _, e := range c.Entries {
-		list = append(list, e.Proxy.Address())
+		list = append(list, e.Address())
 	}
 	return list
 }
 
+// BackendKey returns the key that backend servers present to entries.
+func (c *Cluster) BackendKey() string { return c.backend }
+
 // Runs returns the run logs of all backend servers.
 func (c *Cluster) Runs() []fake.Run {
 	var runs []fake.Run
--- a/internal/cluster/part.go
+++ b/internal/cluster/part.go
@@ -47,8 +47,9 @@
 		Near  *fault.Proxy
 		Far   *fault.Proxy
 
-		server *http.Server
-		stop   context.CancelFunc
+		address string
+		server  *http.Server
+		stop    context.CancelFunc
 	}
 
 	// Engine is a fake engine.
@@ -74,23 +75,14 @@
 		return err
 	}
 	e.address = l.Addr().String()
-	if e.Proxy, err = fault.Start(ctx, e.address); err != nil {
+	controls, err := c.proxiesOf(ctx, e)
+	if err != nil {
 		stop()
-		return errors.Trace(err)
-	}
-	var controls []string
-	for _, control := range c.Controls {
-		link, err := fault.Start(ctx, control.address)
-		if err != nil {
-			stop()
-			return errors.Trace(err)
-		}
-		e.Links = append(e.Links, link)
-		controls = append(controls, link.Address())
+		return err
 	}
 	e.Entry = entry.New(entry.Config{
 		ID: id, Incarnation: uint64(clock.WallClock.Now().UnixNano()), Region: p.Region, Zone: p.Zone,
-		Address: e.Proxy.Address(), Controls: controls, MemberKey: c.member, BackendKey: c.backend,
+		Address: e.Address(), Controls: controls, MemberKey: c.member, BackendKey: c.backend,
 		Terms: lease.DefaultTerms(), AddressTTL: c.opts.AddressTTL, Timeout: c.opts.RequestTimeout, MaxBody: maxBody,
 		MaxRunning: c.opts.MaxRunning, MaxWaiting: c.opts.MaxWaiting, Clock: clock.WallClock, Logger: log.NewNopLogger(),
 	})
@@ -101,6 +93,35 @@
 	return nil
 }
 
+// Address returns where callers reach the entry.
+func (e *Entry) Address() string {
+	if e.Proxy == nil {
+		return e.address
+	}
+	return e.Proxy.Address()
+}
+
+// proxiesOf starts the entry's proxies and returns where it reaches the
+// controls.
+func (c *Cluster) proxiesOf(ctx context.Context, e *Entry) (controls []string, err error) {
+	for _, control := range c.Controls {
+		if c.opts.Direct {
+			controls = append(controls, control.address)
+			continue
+		}
+		link, err := fault.Start(ctx, control.address)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		e.Links = append(e.Links, link)
+		controls = append(controls, link.Address())
+	}
+	if !c.opts.Direct {
+		e.Proxy, err = fault.Start(ctx, e.address)
+	}
+	return controls, errors.Trace(err)
+}
+
 func (c *Cluster) startEngine(ctx context.Context, id string, p Place, refs []version.Ref) error {
 	ctx, stop := context.WithCancel(ctx)
 	engine := fake.NewEngine(fake.EngineConfig{
@@ -143,8 +164,12 @@
 	}
 	s.server = serveUntilClosed(l, h)
 	context.AfterFunc(ctx, func() { s.server.Close() }) //nolint:errcheck // it is gone
+	s.address = l.Addr().String()
 	for _, proxy := range []**fault.Proxy{&s.Near, &s.Far} {
-		if *proxy, err = fault.Start(ctx, l.Addr().String()); err != nil {
+		if c.opts.Direct {
+			break
+		}
+		if *proxy, err = fault.Start(ctx, s.address); err != nil {
 			return s, errors.Trace(err)
 		}
 	}
@@ -156,8 +181,11 @@
 	}
 	announcer := &fake.Announcer{
 		Entries: entries, Key: c.backend, Clock: clock.WallClock,
-		Describe: func() backend.Announcement { return describe(s.Near.Address()) },
+		Describe: func() backend.Announcement { return describe(s.address) },
 		Reach: func(entry string) string {
+			if c.opts.Direct {
+				return s.address
+			}
 			if regions[entry] == p.Region {
 				return s.Near.Address()
 			}
@@ -196,6 +224,9 @@
 	return err
 }
 
+// Address returns where the backend server listens itself.
+func (s *Server) Address() string { return s.address }
+
 // Kill ends the backend server as a lost machine would.
 func (s *Server) Kill() {
 	cut(s.Near)
--- /dev/null
+++ b/internal/experiment/overhead_test.go
@@ -0,0 +1,34 @@
+package experiment
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// The cost of a token follows from rounds that differ only in their tokens,
+// and the rest of a short round is the cost of its requests.
+func TestOverheadSplitsTokensFromRequests(t *testing.T) {
+	const perToken, perRequest = 4.0, 300.0
+	requests := overheadRounds * longAnswers.streams
+	round := func(tokens int64, entry bool) benchSample {
+		cost := 20 * float64(tokens)
+		if entry {
+			cost += perToken*float64(tokens) + perRequest
+		}
+		return benchSample{
+			processor: time.Duration(cost * float64(requests) * float64(time.Microsecond)),
+			tokens:    tokens * int64(requests),
+		}
+	}
+	s := overheadSamples{
+		straight: round(longAnswers.tokens, false), via: round(longAnswers.tokens, true),
+		shortStraight: round(shortAnswers.tokens, false), shortVia: round(shortAnswers.tokens, true),
+	}
+	if got := s.perToken(); math.Abs(got-perToken) > 0.01 {
+		t.Errorf("%g us a token, want %g", got, perToken)
+	}
+	if got := s.perRequest(); math.Abs(got-perRequest) > 0.1 {
+		t.Errorf("%g us a request, want %g", got, perRequest)
+	}
+}
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -4,6 +4,6 @@
 func All() []Experiment {
 	return []Experiment{
 		placementExperiment(),
-		faults(),
+		faults(), overhead(), capacity(),
 	}
 }
