--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -188,7 +188,7 @@
 	defer e.mu.Unlock()
 	return lease.Request{
 		Entry: e.cfg.ID, Incarnation: e.cfg.Incarnation, Sequence: e.holder.Send(e.cfg.Clock.Now()),
-		Applied: e.catalog.Load().Revision(), Address: e.cfg.Address, Region: e.cfg.Region, Zone: e.cfg.Zone,
+		Applied: e.sending.applied(e.catalog.Load().Revision()), Address: e.cfg.Address, Region: e.cfg.Region, Zone: e.cfg.Zone,
 		Draining: e.draining.Load(), Load: e.running(),
 	}
 }
@@ -202,10 +202,4 @@
 
 // running returns the number of the entry's requests at backend servers.
 // Callers hold e.mu.
-func (e *Entry) running() int {
-	sum := 0
-	for _, n := range e.inFlight {
-		sum += n
-	}
-	return sum
-}
+func (e *Entry) running() int { return e.tracker.Total() }
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -4,6 +4,9 @@
 func All() []Experiment {
 	return []Experiment{
 		placementExperiment(),
-		faults(), overhead(), capacity(),
+		faults(),
+		overloadExperiment(),
+		overhead(),
+		capacity(),
 	}
 }
--- a/test/audit_test.go
+++ b/test/audit_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
+	"rosereach/core/audit"
 	"rosereach/io/caller"
 )
 
@@ -46,7 +48,7 @@
 		{"verify an export", "audit verify --file " + whole, 0, []string{"chain whole", head}},
 		{"verify with a foreign hash", "audit verify --known-hash 00 --file " + whole, 1, []string{"no event has the hash"}},
 		{"verify a changed export", "audit verify --file " + changed, 1, []string{"was changed"}},
-		{"permitted now", "audit permitted terminalna", 0, []string{"versions.0", `"small@v1"`, "policy.quality_target"}},
+		{"permitted now", "audit permitted terminalna", 0, []string{"versions.0", `"small@v1"`, "policy.quality_target", "accepted_revision", "in_force_revision"}},
 		{"permitted by an export", "audit permitted --file " + whole + " terminalna", 0, []string{`"small@v1"`}},
 		{"permitted before it was made", "audit permitted --at 2020-01-01T00:00:00Z terminalna", 0, []string{"no such workspace"}},
 		{"a bad time", "audit permitted --at noon terminalna", 2, []string{"--at"}},
@@ -66,3 +68,26 @@
 		})
 	}
 }
+
+// What the system does by itself is in the trail too: who holds the state, and
+// which leases ended.
+func TestSystemEventsInTrail(t *testing.T) {
+	f := startFleet(t, 2)
+	f.entries[1].kill()
+	var page audit.Page
+	waitFor(t, "the event of the ended lease", func() bool {
+		var err error
+		page, err = f.operator.WholeTrail(context.Background(), 0)
+		return err == nil && slices.ContainsFunc(page.Events, func(e audit.Event) bool {
+			return e.Kind == audit.LeaseEnded && e.Subject == "entry/entry-2"
+		})
+	})
+	if err := page.Verify(); err != nil {
+		t.Error(err)
+	}
+	if !slices.ContainsFunc(page.Events, func(e audit.Event) bool {
+		return e.Kind == audit.Membership && bytes.Contains(e.After, []byte(`"control-1"`))
+	}) {
+		t.Errorf("no event of the controls in %+v", page.Events)
+	}
+}
