--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -6,5 +6,7 @@
 		placementExperiment(),
 		faults(),
 		overloadExperiment(),
+		overhead(),
+		capacity(),
 	}
 }
