--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -83,7 +83,7 @@
 func DefaultOptions(folder string) Options {
 	return Options{
 		Places: places, Engines: [][]version.Ref{{Small1, Small2}, {Small1, Small2}, {Large1, Small1}, {Large1, Small2}},
-		Folder: folder, Controls: 1, AddressTTL: time.Second, RequestTimeout: 20 * time.Second, EngineCapacity: 16, ServiceSlots: 8,
+		Folder: folder, Controls: 3, AddressTTL: time.Second, RequestTimeout: 20 * time.Second, EngineCapacity: 16, ServiceSlots: 8,
 		MaxRunning: 512, MaxWaiting: 512,
 		StepTime: time.Millisecond, StepPerToken: 50 * time.Microsecond,
 	}
@@ -142,11 +142,18 @@
 	return runs
 }
 
-// Bills returns all bills.
+// Bills returns all bills that the leader knows; a follower may trail.
 func (c *Cluster) Bills(ctx context.Context) ([]ledger.Bill, error) {
+	if err := c.waitLeader(ctx); err != nil {
+		return nil, err
+	}
+	client := c.Operator
+	if leader := c.Leader(); leader >= 0 {
+		client.Address = c.Controls[leader].address
+	}
 	var all []ledger.Bill
 	for {
-		page, err := c.Operator.Bills(ctx, uint64(len(all)))
+		page, err := client.Bills(ctx, uint64(len(all)))
 		if err != nil || len(page) == 0 {
 			return all, errors.Trace(err)
 		}
