Say not_run of a resend only where the ledger can be asked

An entry that drained or had lost its lease called every request not_run, also a posting that was done and sent again. Both refusals now go the way of a full entry: the id is looked up, and a done one gets its recorded answer. Without a lease the ledger cannot be asked; such a refusal of an id that the caller chose is unknown and still names other entries.

--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -37,9 +37,6 @@
 // follows it to its end. The error is a *request.Refusal.
 func (e *Entry) execute(ctx context.Context, req request.Request, sink caller.Sink, work func(*execution)) (request.Answer, error) {
 	for {
-		if err := e.mayAdmit(); err != nil {
-			return request.Answer{}, err
-		}
 		x, isNew, err := e.table.join(e.ctx, req) //nolint:contextcheck // a request outlives the caller that sent it first
 		if err != nil {
 			return request.Answer{}, err
@@ -92,6 +89,9 @@
 
 // admit waits for the request's turn.
 func (e *Entry) admit(x *execution) (func(), error) {
+	if err := e.mayAdmit(); err != nil {
+		return nil, err
+	}
 	if err := x.fire(request.Enqueue); err != nil {
 		return nil, err
 	}
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"rosereach/core/ledger"
 	"rosereach/core/request"
 	"rosereach/io/member"
@@ -24,7 +26,7 @@
 	reply, err := e.link.look(ctx, ledger.Question{Key: x.key(), BodyHash: x.hash})
 	switch {
 	case err != nil:
-		e.leaveOpen(x, request.NewUnknown(request.CodeLedger, "the request is refused, and the ledger does not tell whether it ran before; ask again"))
+		e.leaveOpen(x, unprovenOf(cause))
 	case reply.Status == ledger.Finished:
 		e.repeat(x, *reply.Answer)
 	case reply.Status == ledger.Running:
@@ -36,6 +38,19 @@
 	}
 }
 
+// unprovenOf returns the refusal of a request that did not run here, when the
+// ledger does not tell whether it ran before.
+func unprovenOf(cause error) *request.Refusal {
+	var refusal *request.Refusal
+	if !errors.As(cause, &refusal) {
+		return request.NewUnknown(request.CodeLedger, cause.Error())
+	}
+	unproven := *refusal
+	unproven.Outcome = request.Unknown
+	unproven.Detail += "; the ledger does not tell whether the request ran before"
+	return &unproven
+}
+
 // leaveOpen ends a request here whose outcome is not known here.
 func (e *Entry) leaveOpen(x *execution, refusal *request.Refusal) {
 	refusal.RetryAfter = resendRetryAfter
