--- a/internal/load/promise.go
+++ b/internal/load/promise.go
@@ -112,6 +112,9 @@
 	check(NoSilentCut, o.Cuts > 0)
 	if reason := foreign(o); outcome == request.Done && reason != "" {
 		detail += ", " + reason
+		if o.Final.Reply.Problem != nil {
+			detail += ", " + string(o.Final.Reply.Problem.Code)
+		}
 		check(OwnAnswer, true)
 	}
 	return found
