--- a/test/state_test.go
+++ b/test/state_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
-	"math/rand/v2"
+	mathrand "math/rand/v2"
 	"os"
 	"slices"
 	"sync"
@@ -18,6 +19,9 @@
 
 	"rosereach/core/change"
 	"rosereach/core/lease"
+	"rosereach/core/request"
+	"rosereach/core/version"
+	"rosereach/io/caller"
 	"rosereach/io/member"
 	"rosereach/io/operator"
 )
@@ -157,7 +161,7 @@
 func TestKillAllTwice(t *testing.T) {
 	const changes = 300
 	g := startGroup(t, 3, 0)
-	random := rand.New(rand.NewPCG(4, 1))
+	random := mathrand.New(mathrand.NewPCG(4, 1))
 	kills := map[int]bool{50 + random.IntN(100): true, 160 + random.IntN(100): true}
 	ctx := context.Background()
 	first := make(map[string]operator.Answer)
@@ -369,3 +373,54 @@
 	}
 	return others
 }
+
+// An entry that is stopped for longer than its lease dispatches nothing to a
+// version that was withdrawn meanwhile, though requests wait in its sockets.
+func TestStoppedEntry(t *testing.T) {
+	g := startGroup(t, 3, 2)
+	g.leader()
+	g.startEngine("engine-1", "small@v1")
+	key := g.setUp("small@v1")
+	ask := func(id string) (caller.Reply, error) {
+		body := caller.ChatRequest{Model: "auto", MaxTokens: 4, Messages: []request.Message{{Role: "user", Content: "x"}}}
+		return g.client(0, key).Chat(context.Background(), body, caller.CallOptions{RequestID: id})
+	}
+	waitFor(t, "a first answer", func() bool {
+		reply, err := ask(rand.Text())
+		return err == nil && reply.Outcome() == request.Done
+	})
+	before := len(g.runs("engine-1"))
+	g.entries[0].cmd.Process.Signal(syscall.SIGSTOP)
+	var waiting sync.WaitGroup
+	for i := range 20 {
+		waiting.Go(func() {
+			if reply, err := ask(fmt.Sprintf("stopped-%d", i)); err == nil && reply.Outcome() == request.Done {
+				t.Errorf("request %d: %+v", i, reply)
+			}
+		})
+	}
+	g.change(change.MoveVersion, "small@v1", fmt.Sprintf(`{"trigger":%q}`, version.ToWithdraw))
+	g.entries[0].cmd.Process.Signal(syscall.SIGCONT)
+	waiting.Wait()
+	if after := len(g.runs("engine-1")); after != before {
+		t.Errorf("%d runs on the withdrawn version after it was in force", after-before)
+	}
+}
+
+// A leader that is asked to stop hands over before it goes: the next change is
+// accepted sooner than an election could start, and it exits with 0.
+func TestPlannedStop(t *testing.T) {
+	g := startGroup(t, 3, 0)
+	leader := g.leader()
+	if code := g.replicas[leader].terminate(); code != 0 {
+		t.Errorf("exit code %d:\n%s", code, g.replicas[leader].stderr)
+	}
+	for _, i := range without(leader, 3) {
+		if now := g.leaderOf(i); now == leader || now < 0 {
+			t.Errorf("%s has no new leader when the old one has stopped", g.replicas[i].id)
+		}
+	}
+	if a, ok := g.submit(context.Background(), templateChange("planned", "t", "x", nil), false, without(leader, 3)...); !ok || a.Status != change.Accepted {
+		t.Errorf("change after the stop: %+v", a)
+	}
+}
