Test that a member without the key is turned away

The accepting side's check had no test of its own: the test's dialler found the wrong key first. A peer that ignores the other side's proof and invents its own, or sends none, must get nothing.

--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 )
@@ -77,3 +78,37 @@
 		t.Error("the proof does not tell the nonces apart")
 	}
 }
+
+// A dialling peer that ignores the other's proof and invents its own is turned
+// away, and one that says nothing is not waited for.
+func TestAcceptWithoutProof(t *testing.T) {
+	address, joined := listen(t, "key")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for name, proof := range map[string][]byte{"an invented proof": newNonce(), "no proof": nil} {
+		ws, _, err := websocket.Dial(ctx, "ws://"+address+Path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := writeGreeting(ctx, ws, greeting{Peer: Peer{ID: "entry-1"}, Nonce: newNonce()}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := readGreeting(ctx, ws); err != nil {
+			t.Fatal(err)
+		}
+		if proof != nil {
+			if err := writeGreeting(ctx, ws, greeting{Proof: proof}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, _, err := ws.Read(ctx); err == nil || ctx.Err() != nil {
+			t.Errorf("%s: read error %v", name, err)
+		}
+		ws.CloseNow()
+	}
+	select {
+	case p := <-joined:
+		t.Errorf("%+v joined", p)
+	default:
+	}
+}
