--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -6,5 +6,6 @@
 		placementExperiment(),
 		faults(),
 		overloadExperiment(),
+		stateExperiment(),
 	}
 }
--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -124,18 +124,18 @@
 // once it is synced.
 func (s *Store) Save(w replica.Write) error {
 	err := s.db.Update(func(tx *bbolt.Tx) error {
-		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
-		log.FillPercent = 1
 		if w.Hard != nil {
-			if err := putRecord(meta, keyHard, *w.Hard); err != nil {
+			if err := putRecord(tx.Bucket(bucketMeta), keyHard, *w.Hard); err != nil {
 				return err
 			}
 		}
 		if w.Snapshot != nil {
-			if err := saveSnapshot(meta, log, w); err != nil {
+			if err := saveSnapshot(tx, w); err != nil {
 				return err
 			}
 		}
+		log := tx.Bucket(bucketLog)
+		log.FillPercent = 1
 		return saveEntries(log, w.Entries)
 	})
 	return s.failed(err)
--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -73,13 +75,26 @@
 }
 
 // saveSnapshot replaces the snapshot and drops the entries that it stands for.
-func saveSnapshot(meta, log *bbolt.Bucket, w replica.Write) error {
-	if err := putRecord(meta, keySnapshot, *w.Snapshot); err != nil {
+// The log is made anew from the few entries behind the snapshot, as deleting
+// many entries one by one costs more for each one that is gone already.
+func saveSnapshot(tx *bbolt.Tx, w replica.Write) error {
+	if err := putRecord(tx.Bucket(bucketMeta), keySnapshot, *w.Snapshot); err != nil {
 		return err
 	}
-	c := log.Cursor()
-	for k, _ := c.First(); k != nil && (w.Reset || binary.BigEndian.Uint64(k) <= w.Snapshot.Index); k, _ = c.First() {
-		if err := c.Delete(); err != nil {
+	kept := make(map[string][]byte)
+	c := tx.Bucket(bucketLog).Cursor()
+	for k, v := c.Seek(indexKey(w.Snapshot.Index + 1)); k != nil && !w.Reset; k, v = c.Next() {
+		kept[string(k)] = append([]byte(nil), v...)
+	}
+	if err := tx.DeleteBucket(bucketLog); err != nil {
+		return err
+	}
+	log, err := tx.CreateBucket(bucketLog)
+	if err != nil {
+		return err
+	}
+	for _, k := range slices.Sorted(maps.Keys(kept)) {
+		if err := log.Put([]byte(k), kept[k]); err != nil {
 			return err
 		}
 	}
