--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -8,5 +8,6 @@
 		overloadExperiment(),
 		overhead(),
 		capacity(),
+		stateExperiment(),
 	}
 }
