--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -46,7 +46,7 @@
 		Call(ctx context.Context, req request.Request) (request.Answer, error)
 		OpenSession(ctx context.Context, req request.Request) (string, error)
 		Resume(req request.Request, token string) (request.Request, error)
-		Addresses(region, zone string) []string
+		Addresses(region, zone string) ([]string, error)
 	}
 
 	// Options are the settings of the interface.
@@ -104,7 +104,8 @@
 	if len(id) > maxRequestID || !isVisible(id) {
 		return request.Request{}, request.NewNotRun(request.CodeBadRequest, "Idempotency-Key: give at most 128 visible ASCII characters")
 	}
-	if id == "" {
+	named := id != ""
+	if !named {
 		id = ulid.Make().String()
 	}
 	w.Header().Set(HeaderRequestID, id)
@@ -122,7 +123,7 @@
 	}
 	deadline := s.opts.Clock.Now().Add(min(time.Duration(timeout)*time.Millisecond, s.opts.Timeout))
 	return request.Request{
-		ID: id, Workspace: workspace, Priority: int(priority), Deadline: deadline, Body: body,
+		ID: id, Named: named, Workspace: workspace, Priority: int(priority), Deadline: deadline, Body: body,
 	}, nil
 }
 
@@ -155,10 +156,12 @@
 
 func (s *server) getAddresses(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	writeJSON(w, http.StatusOK, Addresses{
-		Addresses: s.router.Addresses(q.Get("region"), q.Get("availability_zone")),
-		TTLMs:     s.opts.AddressTTL.Milliseconds(),
-	})
+	list, err := s.router.Addresses(q.Get("region"), q.Get("availability_zone"))
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Addresses{Addresses: list, TTLMs: s.opts.AddressTTL.Milliseconds()})
 }
 
 func setAnswerHeaders(h http.Header, a request.Answer) {
