--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -42,6 +42,7 @@
 		Terms: lease.DefaultTerms(), Clock: clock.WallClock, Logger: newLogger(s, "control"),
 	}
 	files := s.tlsFiles()
+	cfg.Security = s.security(files)
 	if err := s.err(); err != nil {
 		return err
 	}
--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -41,6 +41,7 @@
 	s := newSettings(c)
 	listen := s.address("listen")
 	files, started := s.tlsFiles(), incarnation()
+	s.security(files)
 	cfg := entry.Config{
 		ID: s.text("id"), Incarnation: started, Region: s.text("region"), Zone: s.text("availability-zone"),
 		Controls: s.addresses("controls"), MemberKey: s.text("member-key"), BackendKey: s.text("backend-key"),
--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -53,7 +53,7 @@
 		s.ref(0)
 		s.file(1, "FILE")
 		s.values("values")
-		s.tlsFiles()
+		s.security(s.tlsFiles())
 	}
 	var found finding.List
 	names := []string{"id", "listen", "controls", "ttl", "most", "share", "at", "values", "tls-cert", "tls-key", "tls-ca"}
--- a/internal/cmd/operate.go
+++ b/internal/cmd/operate.go
@@ -39,11 +39,7 @@
 
 func (s *settings) client() operator.Client {
 	client := operator.Client{Address: s.address("control"), Key: s.text("operator-key")}
-	security, err := httpd.Files{CA: s.optional("tls-ca")}.Client()
-	if err != nil {
-		s.found.Add("--tls-ca", err.Error(), "a PEM file of certificates")
-	}
-	if security != nil {
+	if security := s.security(httpd.Files{CA: s.optional("tls-ca")}); security != nil {
 		client.TLS = true
 		client.HTTP = &http.Client{Transport: &http.Transport{TLSClientConfig: security}}
 	}
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
@@ -77,6 +78,15 @@
 	return flag("tls-ca", "", "PEM file of the authorities to trust (plain connections, when empty)")
 }
 
+// security returns the settings of a client that trusts the files' authorities.
+func (s *settings) security(files httpd.Files) *tls.Config {
+	security, err := files.Client()
+	if err != nil {
+		s.found.Add("--tls-ca", err.Error(), "a PEM file of certificates")
+	}
+	return security
+}
+
 // tlsFiles reads the settings for TLS.
 func (s *settings) tlsFiles() httpd.Files {
 	f := httpd.Files{Cert: s.optional("tls-cert"), Key: s.optional("tls-key"), CA: s.optional("tls-ca")}
--- a/internal/httpd/tls.go
+++ b/internal/httpd/tls.go
@@ -40,7 +40,7 @@
 	}
 )
 
-// Check returns all findings of the files.
+// Check returns the findings of the certificate and its key.
 func (f Files) Check() finding.List {
 	var found finding.List
 	if (f.Cert == "") != (f.Key == "") {
@@ -51,9 +51,6 @@
 			found.Add("--tls-cert, --tls-key", err.Error(), "PEM files of a certificate and its key")
 		}
 	}
-	if _, err := f.Client(); err != nil {
-		found.Add("--tls-ca", err.Error(), "a PEM file of certificates")
-	}
 	return found
 }
 
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
+	"fmt"
 	"math/big"
 	"net"
 	"os"
@@ -54,6 +55,28 @@
 	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
 }
 
+// Controls that speak TLS to each other form a group.
+func TestTLSBetweenControls(t *testing.T) {
+	folder := t.TempDir()
+	cert, key := filepath.Join(folder, "cert.pem"), filepath.Join(folder, "key.pem")
+	writeCertificate(t, 1, cert, key)
+	memberKey, operatorKey := rand.Text(), rand.Text()
+	addresses := freeAddresses(t, 3)
+	var peers []string
+	for i, a := range addresses {
+		peers = append(peers, fmt.Sprintf("control-%d=%s", i+1, a))
+	}
+	for i, a := range addresses {
+		start(t, "control", "--id", fmt.Sprintf("control-%d", i+1), "--listen", a, "--peers", strings.Join(peers, ","),
+			"--data", t.TempDir(), "--member-key", memberKey, "--operator-key", operatorKey,
+			"--tls-cert", cert, "--tls-key", key, "--tls-ca", cert)
+	}
+	waitFor(t, "three votes", func() bool {
+		code, out := runProgram(t, "control", "list", "--json", "--tls-ca", cert, "--control", addresses[0], "--operator-key", operatorKey)
+		return code == 0 && strings.Count(out, `"voter": true`) == len(addresses)
+	})
+}
+
 // With TLS the entry gets its lease, plain operators get nothing, those who
 // trust the authority do, and a replaced certificate is shown without a restart.
 func TestTLS(t *testing.T) {
