Choose versions by learned estimates, and roll out by anytime-valid tests

The choice trusted declared quality, and no roll-out was decided. core/cascade now learns quality, cost and time for each workspace, class and plan, explores with 5% of the requests and plans cascades where a judge exists; core/rollout holds, promotes and watches, and entries can hold by themselves.

--- a/core/cascade/cascade.go
+++ b/core/cascade/cascade.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"rosereach/core/template"
@@ -23,24 +24,31 @@
 	}
 
 	// Plan is the versions to try, in order. A plan of one step has no judge.
-	// An answer with a judged quality of at least Threshold ends the plan.
+	// An answer with a judged quality of at least Threshold ends the plan. The
+	// answer of a plan that Explores should be rated whatever the sample is.
 	Plan struct {
 		Steps     []version.Ref
 		Threshold float64
+		Explores  bool
 		Reason    string
 	}
 
-	// Observation is what became known of one finished attempt. Quality is nil
-	// for an answer that was not rated.
+	// Observation is what became known of one finished request or, later, of
+	// its rating. Quality is nil for an answer that was not rated. Plan is the
+	// key of its plan, empty for a plan of one step; Ref made the answer, after
+	// Escalated when it was not the plan's first step.
 	Observation struct {
 		At            time.Time
 		Workspace     string
 		Class         string
+		Plan          string
 		Ref           version.Ref
+		Escalated     bool
 		Quality       *float64
 		Failed        bool
 		FirstToken    time.Duration
 		TokenInterval time.Duration
+		OutputTokens  int64
 		Price         int64
 	}
 
@@ -51,39 +59,15 @@
 		Choose(now time.Time, d Demand, random *rand.Rand) (Plan, bool)
 		Observe(o Observation)
 	}
-
-	// Cheapest always takes the permitted version with the lowest price whose
-	// declared quality meets the target, or else the best one.
-	Cheapest struct{}
 )
 
-// Name returns the policy's name.
-func (Cheapest) Name() string { return "cheapest_declared" }
-
-// Observe does nothing: the policy trusts the declared quality.
-func (Cheapest) Observe(Observation) {}
+// Key names the plan by its steps.
+func (p Plan) Key() string { return keyOf(p.Steps) }
 
-// Choose returns a plan of one step.
-func (Cheapest) Choose(_ time.Time, d Demand, _ *rand.Rand) (Plan, bool) {
-	if len(d.Permitted) == 0 {
-		return Plan{}, false
-	}
-	best := d.Permitted[0]
-	for _, v := range d.Permitted[1:] {
-		if isBetter(v, best, d.Policy.QualityTarget) {
-			best = v
-		}
-	}
-	return Plan{Steps: []version.Ref{best.Ref}, Reason: "lowest declared price at the quality target"}, true
-}
-
-func isBetter(a, b version.Version, target float64) bool {
-	aMeets, bMeets := a.Quality >= target, b.Quality >= target
-	if aMeets != bMeets {
-		return aMeets
-	}
-	if !aMeets {
-		return a.Quality > b.Quality
+func keyOf(steps []version.Ref) string {
+	names := make([]string, len(steps))
+	for i, ref := range steps {
+		names[i] = ref.String()
 	}
-	return a.OutputPrice < b.OutputPrice
+	return strings.Join(names, ">")
 }
--- /dev/null
+++ b/core/cascade/option.go
@@ -0,0 +1,94 @@
+package cascade
+
+import (
+	"math"
+
+	"rosereach/core/version"
+)
+
+// The priors of times, in seconds, while nothing was seen.
+const (
+	usualFirst    = 0.3
+	usualInterval = 0.02
+)
+
+// hope is the number of standard errors by which a plan may be better than its
+// ratings say, when it is worth an exploration.
+const hope = 1.5
+
+// options returns all plans with what is expected of them.
+func (l *Learned) options(d Demand, versions []version.Version) []option {
+	var options []option
+	for _, v := range versions {
+		options = append(options, l.single(d, v))
+	}
+	if d.InSession || l.cfg.Judge == nil {
+		return options
+	}
+	for _, cheap := range versions {
+		for _, strong := range versions {
+			if cheap.OutputPrice < strong.OutputPrice && cheap.Ref != strong.Ref {
+				options = append(options, l.pair(d, cheap, strong))
+			}
+		}
+	}
+	return options
+}
+
+func (l *Learned) single(d Demand, v version.Version) option {
+	key := v.Ref.String()
+	o := l.rated(d, key, v.Quality)
+	o.plan = Plan{Steps: []version.Ref{v.Ref}}
+	o.cost = float64(v.Price(d.InputTokens, l.outputOf(d)))
+	o.latency = at(l.paces, cellKey{"", d.Class, key}).mean(usualFirst)
+	return o
+}
+
+// pair is the plan that asks the cheap version first and the strong one when
+// the judge finds the answer below the target.
+func (l *Learned) pair(d Demand, cheap, strong version.Version) option {
+	steps := []version.Ref{cheap.Ref, strong.Ref}
+	key := keyOf(steps)
+	first, second := l.rated(d, cheap.Ref.String(), cheap.Quality), l.rated(d, strong.Ref.String(), strong.Quality)
+	spread := at(l.pooled, cellKey{"", d.Class, cheap.Ref.String()}).deviation()
+	guess, quality := accepted(first.mean, spread, l.cfg.Judge.Noise, d.Policy.QualityTarget)
+	share := at(l.accepted, cellKey{d.Workspace, d.Class, key}).mean(guess, l.cfg.Prior)
+	output := l.outputOf(d)
+	o := l.rated(d, key, guess*quality+(1-guess)*second.mean)
+	o.plan = Plan{Steps: steps, Threshold: d.Policy.QualityTarget}
+	o.cost = float64(cheap.Price(d.InputTokens, output)) + float64(l.cfg.Judge.Price*(d.InputTokens+output))/1000 +
+		(1-share)*float64(strong.Price(d.InputTokens, output))
+	o.latency = at(l.paces, cellKey{"", d.Class, key}).mean(
+		usualFirst + float64(output)*usualInterval + l.cfg.Judge.Delay.Seconds() + (1-share)*usualFirst)
+	return o
+}
+
+// rated returns the bounds of a plan's quality: its ratings in the workspace,
+// drawn towards those of all workspaces, and these towards the prior.
+func (l *Learned) rated(d Demand, key string, prior float64) option {
+	const priorWeight = 10
+	pooled := at(l.pooled, cellKey{"", d.Class, key})
+	own := at(l.own, cellKey{d.Workspace, d.Class, key})
+	weight := l.cfg.Prior
+	mean := own.mean(pooled.mean(prior, priorWeight), weight)
+	known := own.n + min(weight, pooled.n+priorWeight)
+	err := pooled.deviation() / math.Sqrt(known)
+	return option{mean: mean, lower: mean - l.cfg.Margin*err, upper: mean + hope*err, ratings: own.n}
+}
+
+func (l *Learned) outputOf(d Demand) int64 {
+	return int64(at(l.output, d.Class).mean(usualOutput, 1))
+}
+
+// accepted returns the share of answers that a judge puts at the threshold or
+// above, and their mean quality, for normally distributed quality and verdict.
+func accepted(mean, spread, noise, threshold float64) (share, quality float64) {
+	total := math.Hypot(spread, noise)
+	z := (mean - threshold) / total
+	share = 0.5 * math.Erfc(-z/math.Sqrt2)
+	if share < 1e-6 {
+		return 0, mean
+	}
+	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+	return share, mean + spread*spread/total*density/share
+}
--- /dev/null
+++ b/core/rollout/rollout.go
@@ -0,0 +1,252 @@
+// Package rollout decides how much traffic a new version gets: it promotes,
+// holds and watches by tests that may be looked at after every rating.
+package rollout
+
+import (
+	_ "embed"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/chart"
+	"rosereach/core/finding"
+	"rosereach/core/version"
+)
+
+// The states of a roll-out.
+const (
+	Canary    State = "canary"
+	Ramping   State = "ramping"
+	Held      State = "held"
+	Done      State = "done"
+	Withdrawn State = "withdrawn"
+)
+
+// The triggers that move a roll-out between states.
+const (
+	ToRamp     Trigger = "ramp"
+	ToFinish   Trigger = "finish"
+	ToHold     Trigger = "hold"
+	ToResume   Trigger = "resume"
+	ToWithdraw Trigger = "withdraw"
+)
+
+// What is to be done after a decision.
+const (
+	Keep    Kind = "keep"
+	Promote Kind = "promote"
+	Hold    Kind = "hold"
+	Finish  Kind = "finish"
+)
+
+// leastBase is how many ratings of the old version have to be known.
+const leastBase = 50
+
+var (
+	//go:embed rollout.json
+	chartFile []byte
+
+	states = chart.MustLoad[State, Trigger](chartFile)
+)
+
+type (
+	// State is a state of the embedded chart.
+	State string
+
+	// Trigger is a trigger of the embedded chart.
+	Trigger string
+
+	// Kind says what an action is.
+	Kind string
+
+	// Plan is what operators write: the version that comes, the one that it
+	// replaces, the shares of traffic of the stages, 0 to 1, and the least time
+	// in each. Tolerance is how much lower the new version's mean quality may
+	// be; Error is the chance of holding one that is no worse.
+	Plan struct {
+		Ref       version.Ref   `json:"ref"`
+		Baseline  version.Ref   `json:"baseline"`
+		Shares    []float64     `json:"shares"`
+		StageTime time.Duration `json:"stage_time"`
+		Tolerance float64       `json:"tolerance"`
+		Error     float64       `json:"error"`
+	}
+
+	// Rollout is a roll-out under way. It holds all that the next decision
+	// needs, so that any control instance goes on from it. Cursor is the
+	// sequence of the last evidence that was counted.
+	Rollout struct {
+		Plan    Plan      `json:"plan"`
+		State   State     `json:"state"`
+		Stage   int       `json:"stage"`
+		Since   time.Time `json:"since"`
+		Cursor  uint64    `json:"cursor"`
+		Worse   Bet       `json:"worse"`
+		NoWorse Bet       `json:"no_worse"`
+		Later   Detector  `json:"later"`
+		Base    Pool      `json:"base"`
+		Reason  string    `json:"reason"`
+	}
+
+	// Rating is one rated answer, or one failure, of either version. Sequence
+	// grows by one with each.
+	Rating struct {
+		Sequence uint64      `json:"sequence"`
+		Ref      version.Ref `json:"ref"`
+		Quality  float64     `json:"quality"`
+	}
+
+	// Evidence is what came in since some earlier decision, in the order of the
+	// sequence. What was counted before is passed over. HeldBy names an entry
+	// that holds the version by itself, if any.
+	Evidence struct {
+		Ratings []Rating
+		HeldBy  string
+	}
+
+	// Action is what the decision asks for: the share of traffic from now on,
+	// and the trigger for the version's own chart.
+	Action struct {
+		Kind    Kind
+		Share   float64
+		Trigger version.Trigger
+		Reason  string
+	}
+)
+
+// DefaultPlan returns a plan with usual stages for the two versions.
+func DefaultPlan(ref, baseline version.Ref) Plan {
+	return Plan{
+		Ref: ref, Baseline: baseline, Shares: []float64{0.02, 0.1, 0.3, 1}, StageTime: 5 * time.Minute,
+		Tolerance: 0.05, Error: 0.005,
+	}
+}
+
+// Check returns all findings of the plan.
+func (p Plan) Check() finding.List {
+	var found finding.List
+	if p.Ref == p.Baseline {
+		found.Add("baseline", "the same version", "another version than ref")
+	}
+	if len(p.Shares) == 0 {
+		found.Add("shares", "missing", "one share or more")
+	}
+	last := 0.0
+	for _, share := range p.Shares {
+		if share <= last || share > 1 {
+			found.Add("shares", "not growing, or out of range", "growing numbers above 0, up to 1")
+			break
+		}
+		last = share
+	}
+	if p.Tolerance <= 0 || p.Tolerance >= 1 {
+		found.Add("tolerance", "out of range", "above 0, below 1")
+	}
+	if p.Error <= 0 || p.Error >= 1 {
+		found.Add("error", "out of range", "above 0, below 1")
+	}
+	return found
+}
+
+// Start returns the roll-out of the plan in its first stage.
+func Start(now time.Time, p Plan) Rollout {
+	return Rollout{Plan: p, State: states.Initial(), Since: now}
+}
+
+// Share returns the share of traffic that the new version gets.
+func (r Rollout) Share() float64 {
+	if r.State == Canary || r.State == Ramping || r.State == Done {
+		return r.Plan.Shares[r.Stage]
+	}
+	return 0
+}
+
+// WithTrigger returns the roll-out in the state that the trigger leads to.
+func (r Rollout) WithTrigger(now time.Time, t Trigger) (Rollout, error) {
+	next, err := states.Next(r.State, t)
+	if err != nil {
+		return r, errors.Trace(err)
+	}
+	r.State, r.Since = next, now
+	if t == ToResume {
+		r.Stage, r.Worse, r.NoWorse = 0, Bet{}, Bet{}
+	}
+	return r, nil
+}
+
+// Next decides on the evidence. It depends on its arguments alone, and the
+// same evidence given twice counts once: a control instance that takes over
+// neither repeats nor loses a step.
+func Next(now time.Time, r Rollout, e Evidence) (Rollout, Action) {
+	for _, rating := range e.Ratings {
+		r = r.withRating(rating)
+	}
+	switch {
+	case r.State == Held || r.State == Withdrawn:
+		return r, r.keep()
+	case e.HeldBy != "":
+		return r.hold(now, e.HeldBy+" holds the version")
+	case r.State == Done && r.Later.Alarm(r.Plan.Error):
+		return r.hold(now, "the version turned worse at full traffic")
+	case r.State != Done && r.Worse.Rejects(r.Plan.Error):
+		return r.hold(now, "the version is worse than the one it replaces")
+	case r.State == Done || !r.NoWorse.Rejects(r.Plan.Error) || now.Sub(r.Since) < r.Plan.StageTime:
+		return r, r.keep()
+	}
+	return r.promote(now)
+}
+
+func (r Rollout) keep() Action { return Action{Kind: Keep, Share: r.Share(), Reason: r.Reason} }
+
+func (r Rollout) hold(now time.Time, reason string) (Rollout, Action) {
+	next, err := r.WithTrigger(now, ToHold)
+	if err != nil {
+		return r, r.keep()
+	}
+	next.Reason = reason
+	return next, Action{Kind: Hold, Trigger: version.ToHold, Reason: reason}
+}
+
+// promote moves to the next stage, whose test begins anew: its ratings have to
+// show by themselves that the version is no worse.
+func (r Rollout) promote(now time.Time) (Rollout, Action) {
+	trigger, action := ToRamp, Action{Kind: Promote, Trigger: version.ToRamp}
+	if r.Stage == len(r.Plan.Shares)-1 {
+		trigger, action = ToFinish, Action{Kind: Finish, Trigger: version.ToServe}
+	}
+	next, err := r.WithTrigger(now, trigger)
+	if err != nil {
+		return r, r.keep()
+	}
+	if trigger == ToRamp {
+		next.Stage++
+	}
+	next.NoWorse = Bet{}
+	next.Reason = "the version is no worse by more than the tolerance"
+	action.Share, action.Reason = next.Share(), next.Reason
+	return next, action
+}
+
+// withRating counts a rating that is new. Each rating of the new version is
+// compared with the mean of the latest ones of the old.
+func (r Rollout) withRating(rating Rating) Rollout {
+	if rating.Sequence <= r.Cursor {
+		return r
+	}
+	r.Cursor = rating.Sequence
+	if rating.Ref == r.Plan.Baseline && r.State != Done {
+		r.Base = r.Base.With(rating.Quality)
+		return r
+	}
+	if rating.Ref != r.Plan.Ref || r.Base.N < leastBase {
+		return r
+	}
+	loss := r.Base.Mean() - rating.Quality
+	if r.State == Done {
+		r.Later = r.Later.With(loss-r.Plan.Tolerance, r.Plan.Tolerance)
+		return r
+	}
+	r.Worse = r.Worse.With(loss - r.Plan.Tolerance)
+	r.NoWorse = r.NoWorse.With(2*r.Plan.Tolerance - loss)
+	return r
+}
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -5,5 +5,7 @@
 	return []Experiment{
 		placementExperiment(),
 		overloadExperiment(),
+		choiceExperiment(),
+		exposureExperiment(),
 	}
 }
