--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -18,6 +18,7 @@
 	Finished Status = "finished"
 	Mismatch Status = "mismatch"
 	Expired  Status = "expired"
+	Absent   Status = "absent"
 )
 
 type (
@@ -67,7 +68,8 @@
 
 	// Record is a request as the ledger knows it. Answer is nil while it runs.
 	// Ended orders the records by their end; Timed says that the request id
-	// tells when it was made.
+	// tells when it was made; Settled that its outcome is unknown only because
+	// its owner was gone.
 	Record struct {
 		Key        Key             `json:"key"`
 		BodyHash   uint64          `json:"body_hash"`
@@ -78,10 +80,17 @@
 		EndedAt    time.Time       `json:"ended_at"`
 		Ended      uint64          `json:"ended,omitempty"`
 		Timed      bool            `json:"timed,omitempty"`
+		Settled    bool            `json:"settled,omitempty"`
 		Answer     *request.Answer `json:"answer,omitempty"`
 	}
 
-	// Reply answers a begin or a finish record. Owner is who runs the request;
+	// Question asks what became of a request, without beginning it.
+	Question struct {
+		Key      Key    `json:"key"`
+		BodyHash uint64 `json:"body_hash"`
+	}
+
+	// Reply answers a begin or a finish record, or a question. Owner is who runs the request;
 	// Answer is set when Status is Finished.
 	Reply struct {
 		Status Status          `json:"status"`
@@ -146,17 +155,20 @@
 }
 
 // Finish ends a request that its owner runs, and returns its bill when it is
-// done. A second finish gets the first one's answer and no bill.
+// done. A second finish gets the first one's answer and no bill. An owner that
+// was taken for gone still ends its request, unless that began anew.
 func (l *Ledger) Finish(f Finish) (Reply, *Bill) {
 	f.At = l.advance(f.At)
 	r, known := l.records[f.Key]
 	if !known || r.Owner != f.Owner {
 		return Reply{Status: Mismatch, Owner: r.Owner}, nil
 	}
-	if r.Answer != nil {
+	if r.Answer != nil && !r.Settled {
 		return Reply{Status: Finished, Owner: r.Owner, Answer: r.Answer}, nil
 	}
 	answer := f.Answer
+	l.release(r)
+	r.Settled = false
 	l.end(r, &answer, f.At)
 	reply := Reply{Status: Finished, Owner: r.Owner, Answer: &answer}
 	if answer.Outcome != request.Done || f.Free {
@@ -183,6 +195,7 @@
 		e, ok := known[r.Key]
 		if !ok {
 			e.Answer = request.Answer{Outcome: request.Unknown, Code: request.CodeAnswerCut}
+			r.Settled = true
 		}
 		l.end(r, &e.Answer, at)
 		if e.Answer.Outcome == request.Done {
@@ -255,3 +268,22 @@
 func (k Key) compare(other Key) int {
 	return cmp.Or(cmp.Compare(k.Workspace, other.Workspace), cmp.Compare(k.RequestID, other.RequestID))
 }
+
+// Look tells what became of a request. One that provably did not run is as
+// good as absent.
+func (l *Ledger) Look(q Question) Reply {
+	r, known := l.records[q.Key]
+	switch {
+	case !known && l.isExpired(q.Key):
+		return Reply{Status: Expired}
+	case !known:
+		return Reply{Status: Absent}
+	case r.BodyHash != q.BodyHash:
+		return Reply{Status: Mismatch, Owner: r.Owner}
+	case r.Answer == nil:
+		return Reply{Status: Running, Owner: r.Owner}
+	case r.Answer.Outcome == request.NotRun:
+		return Reply{Status: Absent}
+	}
+	return Reply{Status: Finished, Owner: r.Owner, Answer: r.Answer}
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"path/filepath"
 	"time"
 
 	"github.com/juju/clock"
@@ -23,6 +22,9 @@
 const (
 	pollInterval = 10 * time.Millisecond
 
+	// resendPause lies between two sendings of the same change.
+	resendPause = 100 * time.Millisecond
+
 	// The regions of the default places.
 	central  = "central"
 	pacifico = "pacifico"
@@ -33,12 +35,20 @@
 	Place struct{ Region, Zone string }
 
 	// Options are the settings of a cluster. Folder is for the controls' data.
+	// Each place gets an entry, each list of versions an engine. A Direct
+	// cluster has no proxies, for measurements; nothing in it can be killed.
 	Options struct {
+		Direct         bool
+		Places         []Place
+		Engines        [][]version.Ref
 		Folder         string
+		Controls       int
 		AddressTTL     time.Duration
 		RequestTimeout time.Duration
 		EngineCapacity int
 		ServiceSlots   int
+		MaxRunning     int
+		MaxWaiting     int
 		StepTime       time.Duration
 		StepPerToken   time.Duration
 	}
@@ -65,13 +75,16 @@
 	Small2 = version.Ref{Model: "small", Version: "v2"}
 	Large1 = version.Ref{Model: "large", Version: "v1"}
 
-	places = []Place{{central, "sanjose"}, {central, "heredia"}, {pacifico, "puntarenas"}}
+	places       = []Place{{central, "sanjose"}, {central, "heredia"}, {pacifico, "puntarenas"}}
+	callerPlaces = []Place{places[0], places[2]}
 )
 
 // DefaultOptions returns the settings of a small, quick cluster.
 func DefaultOptions(folder string) Options {
 	return Options{
-		Folder: folder, AddressTTL: time.Second, RequestTimeout: 20 * time.Second, EngineCapacity: 16, ServiceSlots: 8,
+		Places: places, Engines: [][]version.Ref{{Small1, Small2}, {Small1, Small2}, {Large1, Small1}, {Large1, Small2}},
+		Folder: folder, Controls: 1, AddressTTL: time.Second, RequestTimeout: 20 * time.Second, EngineCapacity: 16, ServiceSlots: 8,
+		MaxRunning: 512, MaxWaiting: 512,
 		StepTime: time.Millisecond, StepPerToken: 50 * time.Microsecond,
 	}
 }
@@ -81,15 +94,15 @@
 func Start(ctx context.Context, opts Options) (*Cluster, error) {
 	g, ctx := errgroup.WithContext(ctx)
 	c := &Cluster{opts: opts, group: g, member: rand.Text(), backend: rand.Text()}
-	if err := c.startControl(ctx, "control-1", filepath.Join(opts.Folder, "control-1")); err != nil {
+	if err := c.startControls(ctx, opts.Controls); err != nil {
 		return nil, err
 	}
-	for i, p := range places {
+	for i, p := range opts.Places {
 		if err := c.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), p); err != nil {
 			return nil, err
 		}
 	}
-	for i, refs := range [][]version.Ref{{Small1, Small2}, {Small1, Small2}, {Large1, Small1}, {Large1, Small2}} {
+	for i, refs := range opts.Engines {
 		if err := c.startEngine(ctx, fmt.Sprintf("engine-%d", i+1), places[i%len(places)], refs); err != nil {
 			return nil, err
 		}
@@ -109,11 +122,14 @@
 func (c *Cluster) Addresses() []string {
 	list := make([]string, 0, len(c.Entries))
 	for _, e := range c.Entries {
-		list = append(list, e.Proxy.Address())
+		list = append(list, e.Address())
 	}
 	return list
 }
 
+// BackendKey returns the key that backend servers present to entries.
+func (c *Cluster) BackendKey() string { return c.backend }
+
 // Runs returns the run logs of all backend servers.
 func (c *Cluster) Runs() []fake.Run {
 	var runs []fake.Run
@@ -151,11 +167,18 @@
 // waitUntil waits until the condition holds.
 func waitUntil(ctx context.Context, holds func() bool) error {
 	for !holds() {
-		select {
-		case <-clock.WallClock.After(pollInterval):
-		case <-ctx.Done():
-			return errors.Trace(ctx.Err())
+		if err := wait(ctx, pollInterval); err != nil {
+			return err
 		}
 	}
 	return nil
 }
+
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-clock.WallClock.After(d):
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
--- a/internal/cluster/part.go
+++ b/internal/cluster/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"net"
 	"net/http"
 
@@ -13,29 +12,19 @@
 	"rosereach/core/backend"
 	"rosereach/core/lease"
 	"rosereach/core/version"
-	"rosereach/internal/control"
 	"rosereach/internal/entry"
 	"rosereach/internal/fake"
 	"rosereach/internal/fault"
 	"rosereach/internal/httpd"
-	"rosereach/io/operator"
 )
 
 // The limits of an entry.
 const (
 	maxBody     = 1 << 20
-	maxRunning  = 512
 	cacheTokens = 50_000
 )
 
 type (
-	// Control is a control and the proxy before its operators.
-	Control struct {
-		Node    *control.Node
-		address string
-		stop    context.CancelFunc
-	}
-
 	// Entry is an entry, the proxy before its callers and the proxies of its
 	// links to the controls.
 	Entry struct {
@@ -58,8 +47,9 @@
 		Near  *fault.Proxy
 		Far   *fault.Proxy
 
-		server *http.Server
-		stop   context.CancelFunc
+		address string
+		server  *http.Server
+		stop    context.CancelFunc
 	}
 
 	// Engine is a fake engine.
@@ -75,29 +65,6 @@
 	}
 )
 
-func (c *Cluster) startControl(ctx context.Context, id, folder string) error {
-	ctx, stop := context.WithCancel(ctx)
-	key := rand.Text()
-	node, err := control.Open(control.Config{
-		ID: id, Folder: folder, MemberKey: c.member, OperatorKey: key, Terms: lease.DefaultTerms(),
-		Clock: clock.WallClock, Logger: log.NewNopLogger(),
-	})
-	if err != nil {
-		stop()
-		return err
-	}
-	l, err := httpd.Listen(ctx, "127.0.0.1:0")
-	if err != nil {
-		stop()
-		return err
-	}
-	c.group.Go(func() error { return httpd.Serve(ctx, l, node.Handler()) })
-	c.group.Go(func() error { return node.Run(ctx) })
-	c.Controls = append(c.Controls, &Control{Node: node, address: l.Addr().String(), stop: stop})
-	c.Operator = operator.Client{Address: l.Addr().String(), Key: key}
-	return nil
-}
-
 // StartEntry starts an entry behind proxies of its own.
 func (c *Cluster) StartEntry(ctx context.Context, id string, p Place) error {
 	ctx, stop := context.WithCancel(ctx)
@@ -108,25 +75,16 @@
 		return err
 	}
 	e.address = l.Addr().String()
-	if e.Proxy, err = fault.Start(ctx, e.address); err != nil {
+	controls, err := c.proxiesOf(ctx, e)
+	if err != nil {
 		stop()
-		return errors.Trace(err)
-	}
-	var controls []string
-	for _, control := range c.Controls {
-		link, err := fault.Start(ctx, control.address)
-		if err != nil {
-			stop()
-			return errors.Trace(err)
-		}
-		e.Links = append(e.Links, link)
-		controls = append(controls, link.Address())
+		return err
 	}
 	e.Entry = entry.New(entry.Config{
 		ID: id, Incarnation: uint64(clock.WallClock.Now().UnixNano()), Region: p.Region, Zone: p.Zone,
-		Address: e.Proxy.Address(), Controls: controls, MemberKey: c.member, BackendKey: c.backend,
+		Address: e.Address(), Controls: controls, MemberKey: c.member, BackendKey: c.backend,
 		Terms: lease.DefaultTerms(), AddressTTL: c.opts.AddressTTL, Timeout: c.opts.RequestTimeout, MaxBody: maxBody,
-		MaxRunning: maxRunning, MaxWaiting: maxRunning, Clock: clock.WallClock, Logger: log.NewNopLogger(),
+		MaxRunning: c.opts.MaxRunning, MaxWaiting: c.opts.MaxWaiting, Clock: clock.WallClock, Logger: log.NewNopLogger(),
 	})
 	e.server = serveUntilClosed(l, e.Entry.Handler())
 	context.AfterFunc(ctx, func() { e.server.Close() }) //nolint:errcheck // it is gone
@@ -135,6 +93,35 @@
 	return nil
 }
 
+// Address returns where callers reach the entry.
+func (e *Entry) Address() string {
+	if e.Proxy == nil {
+		return e.address
+	}
+	return e.Proxy.Address()
+}
+
+// proxiesOf starts the entry's proxies and returns where it reaches the
+// controls.
+func (c *Cluster) proxiesOf(ctx context.Context, e *Entry) (controls []string, err error) {
+	for _, control := range c.Controls {
+		if c.opts.Direct {
+			controls = append(controls, control.address)
+			continue
+		}
+		link, err := fault.Start(ctx, control.address)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		e.Links = append(e.Links, link)
+		controls = append(controls, link.Address())
+	}
+	if !c.opts.Direct {
+		e.Proxy, err = fault.Start(ctx, e.address)
+	}
+	return controls, errors.Trace(err)
+}
+
 func (c *Cluster) startEngine(ctx context.Context, id string, p Place, refs []version.Ref) error {
 	ctx, stop := context.WithCancel(ctx)
 	engine := fake.NewEngine(fake.EngineConfig{
@@ -177,8 +164,12 @@
 	}
 	s.server = serveUntilClosed(l, h)
 	context.AfterFunc(ctx, func() { s.server.Close() }) //nolint:errcheck // it is gone
+	s.address = l.Addr().String()
 	for _, proxy := range []**fault.Proxy{&s.Near, &s.Far} {
-		if *proxy, err = fault.Start(ctx, l.Addr().String()); err != nil {
+		if c.opts.Direct {
+			break
+		}
+		if *proxy, err = fault.Start(ctx, s.address); err != nil {
 			return s, errors.Trace(err)
 		}
 	}
@@ -190,8 +181,11 @@
 	}
 	announcer := &fake.Announcer{
 		Entries: entries, Key: c.backend, Clock: clock.WallClock,
-		Describe: func() backend.Announcement { return describe(s.Near.Address()) },
+		Describe: func() backend.Announcement { return describe(s.address) },
 		Reach: func(entry string) string {
+			if c.opts.Direct {
+				return s.address
+			}
 			if regions[entry] == p.Region {
 				return s.Near.Address()
 			}
@@ -222,6 +216,17 @@
 	e.server.Close() //nolint:errcheck // it is gone
 }
 
+// Drain stops the entry as a planned stop does, and ends it afterwards.
+func (e *Entry) Drain(ctx context.Context) error {
+	err := e.Entry.Drain(ctx)
+	e.server.Shutdown(ctx) //nolint:errcheck // the context bounds it
+	e.stop()
+	return err
+}
+
+// Address returns where the backend server listens itself.
+func (s *Server) Address() string { return s.address }
+
 // Kill ends the backend server as a lost machine would.
 func (s *Server) Kill() {
 	cut(s.Near)
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -16,6 +16,10 @@
 	"rosereach/io/operator"
 )
 
+// forwardTimeout bounds how long a follower waits for the leader to accept a
+// change; a silent leader has been replaced by then.
+const forwardTimeout = 2 * electionTimeout
+
 // Handler returns the HTTP handler for members and operators.
 func (n *Node) Handler() http.Handler {
 	r := chi.NewRouter()
@@ -27,10 +31,10 @@
 }
 
 // Handle answers a member's message.
-func (n *Node) Handle(ctx context.Context, _ *member.Conn, kind member.Kind, body cbor.RawMessage) (any, error) {
+func (n *Node) Handle(ctx context.Context, c *member.Conn, kind member.Kind, body cbor.RawMessage) (any, error) {
 	switch kind {
 	case member.KindReplica:
-		return nil, handle(body, func(r member.ReplicaMessages) error { return n.enqueue(ctx, r) })
+		return nil, handle(body, func(r member.ReplicaMessages) error { return n.enqueue(ctx, c, r) })
 	case member.KindLease:
 		return answer(body, n.grant)
 	case member.KindRelease:
@@ -39,6 +43,8 @@
 		return answer(body, n.documents)
 	case member.KindPropose:
 		return answer(body, func(r member.ProposeRequest) (member.ProposeReply, error) { return n.commit(ctx, r) })
+	case member.KindLook:
+		return answer(body, n.look)
 	case member.KindInForce:
 		return nil, handle(body, func(r member.InForceRequest) error { return n.waitAsLeader(ctx, r) })
 	case member.KindJoin:
@@ -57,14 +63,7 @@
 
 // Change commits an operator's change. A follower passes it on to the leader.
 func (n *Node) Change(ctx context.Context, c change.Change) (change.Result, error) {
-	command := state.Command{Change: &c}
-	results, err := n.proposeHere(ctx, []state.Command{command})
-	var problem *member.Problem
-	if errors.As(err, &problem) && problem.Code == member.CodeNotLeader && problem.Leader != "" {
-		var reply member.ProposeReply
-		err = n.callLeader(ctx, member.KindPropose, member.ProposeRequest{Commands: []state.Command{command}}, &reply)
-		results = reply.Results
-	}
+	results, err := n.proposeAnywhere(ctx, state.Command{Change: &c})
 	if err != nil {
 		return change.Result{}, err
 	}
@@ -74,6 +73,20 @@
 	return *results[0].Change, nil
 }
 
+// proposeAnywhere proposes a command here, or at the leader.
+func (n *Node) proposeAnywhere(ctx context.Context, command state.Command) ([]state.Result, error) {
+	results, err := n.proposeHere(ctx, []state.Command{command})
+	var problem *member.Problem
+	if !errors.As(err, &problem) || problem.Code != member.CodeNotLeader || problem.Leader == "" {
+		return results, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	var reply member.ProposeReply
+	err = n.callLeader(ctx, member.KindPropose, member.ProposeRequest{Commands: []state.Command{command}}, &reply)
+	return reply.Results, err
+}
+
 // Documents returns the newest documents as operators see them.
 func (n *Node) Documents() operator.Documents {
 	docs := n.Catalog().Documents()
@@ -106,7 +119,11 @@
 	return status
 }
 
-func (n *Node) enqueue(ctx context.Context, r member.ReplicaMessages) error {
+func (n *Node) enqueue(ctx context.Context, c *member.Conn, r member.ReplicaMessages) error {
+	if len(r.Messages) == 0 {
+		return nil
+	}
+	n.links.called(ctx, r.Messages[0].From, c)
 	select {
 	case n.inbox <- r.Messages:
 		return nil
@@ -133,6 +150,15 @@
 	return n.Propose(ctx, commands...)
 }
 
+// look tells an entry what became of a request. Only the leader knows.
+func (n *Node) look(q ledger.Question) (reply ledger.Reply, err error) {
+	if !n.IsLeader() {
+		return reply, n.redirect()
+	}
+	n.View(func(s *state.State) { reply = s.Ledger().Look(q) })
+	return reply, nil
+}
+
 // waitAsLeader serves a follower that waits for its operator.
 func (n *Node) waitAsLeader(ctx context.Context, r member.InForceRequest) error {
 	if !n.IsLeader() {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -40,26 +40,20 @@
 	service string
 }
 
-// claim is the right to send one attempt to one backend server.
-type claim struct {
-	server  backend.Announcement
-	release func()
-}
-
 // dispatch checks lease, permission, version and backend server at this moment
 // and claims a place on the server. Tried servers are passed over. Queued,
 // retried, resumed and escalated attempts come through here like first ones.
-func (e *Entry) dispatch(req request.Request, t target, tried []string, demand placement.Demand) (claim, error) {
+func (e *Entry) dispatch(req request.Request, t target, tried []string, demand placement.Demand) (*claim, error) {
 	prompt := chunksOf(req, t.ref)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.cfg.Clock.Now()
 	if !e.holder.IsLive(now) {
-		return claim{}, request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
+		return nil, request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
 			WithAddresses(orderAddresses(e.peers, e.cfg.Region, e.cfg.Zone))
 	}
 	if err := e.permit(req, t); err != nil {
-		return claim{}, err
+		return nil, err
 	}
 	var servers []backend.Announcement
 	if t.service != "" {
@@ -69,17 +63,17 @@
 	}
 	servers = slices.DeleteFunc(servers, func(a backend.Announcement) bool { return slices.Contains(tried, a.ID) })
 	if len(servers) == 0 {
-		return claim{}, request.NewNotRun(request.CodeNoBackend, "no backend server can take the request").
+		return nil, request.NewNotRun(request.CodeNoBackend, "no backend server can take the request").
 			WithRetryAfter(backendLease)
 	}
 	candidates := e.candidates(now, servers, prompt)
 	e.adapt(now, candidates)
 	picked := e.placement.Pick(now, demand, candidates, e.random)
 	if picked < 0 {
-		return claim{}, request.NewNotRun(request.CodeOverloaded, "all backend servers are full").WithRetryAfter(backendLease)
+		return nil, request.NewNotRun(request.CodeOverloaded, "all backend servers are full").WithRetryAfter(backendLease)
 	}
 	e.hints.StoreAll(now, hintID(candidates[picked].Server), prompt)
-	return e.claim(candidates[picked].Server, candidates[picked].Missing(demand)), nil
+	return e.claim(req, t, candidates[picked].Server, candidates[picked].Missing(demand)), nil
 }
 
 func (e *Entry) permit(req request.Request, t target) error {
@@ -108,17 +102,6 @@
 	return candidates
 }
 
-// claim counts an attempt on the server, which has the tokens to read. Callers
-// hold e.mu.
-func (e *Entry) claim(a backend.Announcement, tokens int64) claim {
-	e.tracker.Start(e.cfg.Clock.Now(), a.ID, tokens)
-	return claim{server: a, release: func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.tracker.End(e.cfg.Clock.Now(), a.ID)
-	}}
-}
-
 // adapt lets more or fewer model requests run, after the delay that the load
 // reports of the engines show. Callers hold e.mu.
 func (e *Entry) adapt(now time.Time, candidates []placement.Candidate) {
--- a/internal/entry/end.go
+++ b/internal/entry/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"rosereach/core/ledger"
@@ -50,7 +51,7 @@
 	began := e.cfg.Clock.Now()
 	reply, err := e.ledger.deliver(e.ctx, state.Command{Finish: &f})
 	if err != nil {
-		e.cfg.Logger.Log("msg", "End of a request is not recorded.", "request", x.req.ID, "err", err)
+		level.Error(e.cfg.Logger).Log("msg", "End of a request is not recorded.", "request", x.req.ID, "err", err)
 		return reply, err
 	}
 	e.meter.finish(f, e.cfg.Clock.Now().Sub(began))
@@ -66,8 +67,8 @@
 	if refusal.Outcome == request.NotRun {
 		trigger = request.Refuse
 	}
-	if err := x.fire(trigger); err != nil && refusal.Code != request.CodeRunningElsewhere {
-		e.cfg.Logger.Log("msg", "Request ends out of order.", "request", x.req.ID, "err", err)
+	if err := x.fire(trigger); err != nil && !isOpenElsewhere(refusal) {
+		level.Error(e.cfg.Logger).Log("msg", "Request ends out of order.", "request", x.req.ID, "err", err)
 	}
 	a := request.Answer{Outcome: refusal.Outcome, Code: refusal.Code}
 	x.end(a, refusal)
@@ -91,7 +92,7 @@
 	var refusal *request.Refusal
 	if errors.As(cause, &refusal) {
 		r := *refusal
-		if r.Code != request.CodeRunningElsewhere {
+		if !isOpenElsewhere(refusal) {
 			r.Outcome = outcome
 		}
 		return &r
@@ -124,6 +125,12 @@
 	e.table.remove(x)
 }
 
+// isOpenElsewhere reports whether the request may have run before, or at another
+// entry, so that its course here does not tell its outcome.
+func isOpenElsewhere(r *request.Refusal) bool {
+	return r.Code == request.CodeRunningElsewhere || r.Code == request.CodeIDExpired
+}
+
 // isProven reports whether the attempt provably did not run.
 func isProven(err error) bool {
 	var attempt *iobackend.AttemptError
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,7 @@
 		mu         sync.Mutex
 		registry   *registry.Registry
 		tracker    *placement.Tracker
+		sending    sending
 		hints      *placement.Prefixes
 		random     *rand.Rand
 		choice     cascade.Policy
@@ -104,6 +105,7 @@
 		registry:   registry.New(backendLease).WithSubset(cfg.ID, cfg.Incarnation, subsetSize),
 		tracker:    placement.NewTracker(placement.DefaultCosts().PrefillPerToken),
 		hints:      placement.NewPrefixes(hintKeys, hintLife),
+		sending:    make(sending),
 		random:     rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 		choice:     cascade.Cheapest{},
 		placement:  placement.NewPredicted(),
@@ -115,7 +117,7 @@
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.link = newLink(e)
 	e.relay = newRelay(e)
-	e.ledger = &batcher{propose: e.link.propose, pause: e.pause, queue: make(chan *submission, maxSubmitted)}
+	e.ledger = &batcher{propose: e.link.propose, pause: e.backOff, queue: make(chan *submission, maxSubmitted)}
 	e.meter = newMeter(e)
 	return e
 }
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -3,9 +3,12 @@
 // All returns every experiment, in the order in which they are listed.
 func All() []Experiment {
 	return []Experiment{
-		placementExperiment(),
-		overloadExperiment(),
 		choiceExperiment(),
 		exposureExperiment(),
+		placementExperiment(),
+		overloadExperiment(),
+		faults(),
+		overhead(),
+		capacity(),
 	}
 }
--- /dev/null
+++ b/test/refused_resend_test.go
@@ -0,0 +1,48 @@
+package test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+
+	"rosereach/core/request"
+	"rosereach/io/caller"
+)
+
+// A posting that was done is sent again to an entry that is full. Its refusal
+// must not say that the posting did not run: a caller who believes it would
+// post anew under another id.
+func TestRefusedResend(t *testing.T) {
+	f := startFleet(t, 1)
+	entry := start(t, "entry", "--id", "entry-2", "--region", "central", "--availability-zone", "sanjose",
+		"--controls", f.controls[0].address, "--member-key", f.memberKey, "--backend-key", f.backendKey,
+		"--max-running", "1", "--max-waiting", "0")
+	f.entries = append(f.entries, entry)
+	f.startService("ledger-1", "ledger", "--answer-delay", "1s")
+	key := f.setUp("small@v1")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	post := func(entry int, id string) (caller.Reply, error) {
+		return f.client(entry, key).Service(ctx, "ledger", http.MethodPost, "/x", []byte(`{}`), caller.CallOptions{RequestID: id})
+	}
+	if first, err := post(0, "posting"); err != nil || first.Outcome() != request.Done {
+		t.Fatalf("posting: %+v, %v", first, err)
+	}
+	var busy sync.WaitGroup
+	defer busy.Wait()
+	defer cancel()
+	busy.Go(func() { post(1, "long") })
+	waitFor(t, "the full entry", func() bool { return len(f.runs("ledger-1")) == 2 })
+	again, err := post(1, "posting")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again.Outcome() != request.Done || !again.Repeated {
+		t.Errorf("the resend of a done posting: %+v", again)
+	}
+	fresh, err := post(1, "fresh")
+	if err != nil || fresh.Outcome() != request.NotRun || fresh.Problem.Code != request.CodeOverloaded {
+		t.Errorf("a fresh posting at the full entry: %+v, %v", fresh, err)
+	}
+}
--- a/test/requests_kill_test.go
+++ b/test/requests_kill_test.go
@@ -32,24 +32,28 @@
 		Capacity: 64, StepTime: 5 * time.Millisecond, Clock: clock.WallClock,
 	})
 	go e.Run(ctx)
-	announceLocal(ctx, t, f, e.Handler(), fault.Plan{}, e.Announcement)
+	announceLocal(ctx, t, f, e.Handler(), e.Announcement)
 	return e
 }
 
-// announceLocal serves the handler behind a proxy under the plan and announces it.
-func announceLocal(ctx context.Context, t *testing.T, f *fleet, h http.Handler, plan fault.Plan, describe func(string) backend.Announcement) {
+// announceLocal serves the handler and announces it.
+func announceLocal(ctx context.Context, t testing.TB, f *fleet, h http.Handler, describe func(string) backend.Announcement) {
+	t.Helper()
+	announceAt(ctx, f, serveLocal(t, h), describe)
+}
+
+func serveLocal(t testing.TB, h http.Handler) string {
 	t.Helper()
 	server := httptest.NewServer(h)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
-	p, err := fault.Start(ctx, server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.Set(plan)
-	a := &fake.Announcer{Key: f.backendKey, Clock: clock.WallClock, Describe: func() backend.Announcement { return describe(p.Address()) }}
+	return server.Listener.Addr().String()
+}
+
+func announceAt(ctx context.Context, f *fleet, address string, describe func(string) backend.Announcement) {
+	a := &fake.Announcer{Key: f.backendKey, Clock: clock.WallClock, Describe: func() backend.Announcement { return describe(address) }}
 	for _, e := range f.entries {
 		a.Entries = append(a.Entries, e.address)
 	}
@@ -58,8 +62,8 @@
 }
 
 // When an entry is killed, a chat that is sent again elsewhere runs anew and is
-// billed once; a posting that was on its way never runs again, and its resend
-// hears that its outcome is unknown, or that it is done.
+// billed once. A posting that was on its way never runs again: the service is
+// asked about it, it is billed, and its resend hears that it is done.
 func TestEntryKilled(t *testing.T) {
 	f := startFleet(t, 2)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -68,7 +72,12 @@
 	service := fake.NewService(fake.ServiceConfig{
 		ID: "ledger-1", Incarnation: 1, Region: "central", Zone: "sanjose", Service: "ledger", Capacity: 8, Clock: clock.WallClock,
 	})
-	announceLocal(ctx, t, f, service.Handler(), fault.Plan{Delay: 2 * time.Second}, service.Announcement)
+	slow, err := fault.Start(ctx, serveLocal(t, service.Handler()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow.Set(fault.Plan{Delay: 2 * time.Second})
+	announceAt(ctx, f, slow.Address(), service.Announcement)
 	key := f.setUp("small@v1")
 	send := func(entry int, posting bool) (caller.Reply, error) {
 		if posting {
@@ -81,13 +90,14 @@
 	first.Go(func() { send(0, true) })
 	waitFor(t, "the posting's run", func() bool { return len(service.Log.Of("posting")) == 1 })
 	f.entries[0].kill()
+	slow.Set(fault.Plan{})
 	first.Wait()
 	chatReply, err := send(1, false)
 	if err != nil || !chatReply.Whole || chatReply.Tokens != 500 {
 		t.Errorf("chat sent again: whole %v, %d tokens, %+v, %v", chatReply.Whole, chatReply.Tokens, chatReply.Problem, err)
 	}
 	posting, err := send(1, true)
-	if err != nil || posting.Outcome() == request.NotRun {
+	if err != nil || posting.Outcome() != request.Done || posting.Problem == nil || posting.Problem.Code != request.CodeAnswerNotKept {
 		t.Errorf("posting sent again: %+v, %v", posting, err)
 	}
 	if runs := service.Log.Of("posting"); len(runs) != 1 {
@@ -101,7 +111,7 @@
 	for _, b := range bills {
 		billed[b.Key.RequestID]++
 	}
-	if billed["chat"] != 1 || billed["posting"] > 1 {
+	if billed["chat"] != 1 || billed["posting"] != 1 {
 		t.Errorf("bills: %v", billed)
 	}
 }
