--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -7,6 +7,7 @@
 		exposureExperiment(),
 		placementExperiment(),
 		overloadExperiment(),
+		ordersExperiment(),
 		faults(),
 		overhead(),
 		capacity(),
