--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	for name, proof := range map[string][]byte{"an invented proof": newNonce(), "no proof": nil} {
-		ws, _, err := websocket.Dial(ctx, "ws://"+address+Path, nil)
+		ws, _, err := websocket.Dial(ctx, "ws://"+address+Path, nil) //nolint:bodyclose // the library closes it
 		if err != nil {
 			t.Fatal(err)
 		}
