Tell a request whose answer is not kept from a wrong answer

The check of own answers was wrong in one case: when an entry is killed, the control asks the backend server, records the request as done, and a resend is told so with the problem answer_not_kept. It now asks for exactly that code and still fails on done with any other problem, which two new rows of its table show.

--- a/internal/load/promise.go
+++ b/internal/load/promise.go
@@ -120,9 +120,16 @@
 	return found
 }
 
-// foreign says why an answer is not the request's own and whole, or nothing.
+// foreign says why an answer is not the request's own and whole, or nothing. A
+// caller may be told that its request is done and the answer not kept.
 func foreign(o Observation) string {
 	reply := o.Final.Reply
+	if p := reply.Problem; p != nil {
+		if p.Code == request.CodeAnswerNotKept {
+			return ""
+		}
+		return "done with problem " + string(p.Code)
+	}
 	if o.Arrival.Class.Kind == Call {
 		var receipt fake.Receipt
 		if err := json.Unmarshal([]byte(reply.Text), &receipt); err != nil || receipt.RequestID != o.Arrival.ID {
--- a/internal/load/promise_test.go
+++ b/internal/load/promise_test.go
@@ -30,6 +30,14 @@
 	return o
 }
 
+// toldDone is a request that is done by the word of a problem.
+func toldDone(code request.Code) Observation {
+	o := seenAs(posting, request.Done, "")
+	o.Final.Reply.Whole = false
+	o.Final.Reply.Problem = &caller.Problem{Outcome: request.Done, Code: code}
+	return o
+}
+
 func withCut(o Observation) Observation {
 	o.Cuts = 1
 	return o
@@ -66,6 +74,8 @@
 		{"another's receipt", seenAs(posting, request.Done, `{"request_id":"q"}`), []fake.Run{run}, 1, []Promise{OwnAnswer}},
 		{"a token is missing", seenAs(question, request.Done, "t0.a "), []fake.Run{run}, 1, []Promise{OwnAnswer}},
 		{"tokens out of order", seenAs(question, request.Done, "t1.a t0.a "), []fake.Run{run}, 1, []Promise{OwnAnswer}},
+		{"done, answer not kept", toldDone(request.CodeAnswerNotKept), []fake.Run{run}, 1, nil},
+		{"done, another problem", toldDone(request.CodeBackendFailed), []fake.Run{run}, 1, []Promise{OwnAnswer}},
 		{"late run", seenAs(question, request.Done, "t0.a t1.a "), []fake.Run{late}, 1, []Promise{NotLeaving, NotWithdrawn}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
