Show an answer that was whole before the ledger gave the request over

A model request whose attempt ended before the ledger said that another entry had begun it was kept, and finished as done once that entry was gone, but its text was never shown: the caller got an end without a token. TestPromisesUnderFaults/same_id_at_three_entries found it under load (done with 0 of 63 and 0 of 25 tokens). The text is shown in every case where this entry comes to own the request. TestAnswerBeforeOwnership fails without the mend, with 0 tokens, and passes three times of three with it.

Ran: go test -race ./internal/entry passes.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -52,9 +52,12 @@
 		e.fail(x, b, ownErr)
 		return
 	}
-	if err != nil && errors.Is(context.Cause(ctx), errNotOwned) && x.ctx.Err() == nil {
+	rerun := err != nil && errors.Is(context.Cause(ctx), errNotOwned) && x.ctx.Err() == nil
+	if rerun {
 		x.discard()
-		x.show()
+	}
+	x.show()
+	if rerun {
 		answer, err = e.attempts(x.ctx, x, ref)
 	}
 	if err != nil {
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -9,7 +10,9 @@
 	"testing"
 	"time"
 
+	"rosereach/core/ledger"
 	"rosereach/core/request"
+	"rosereach/core/state"
 	"rosereach/internal/fault"
 	"rosereach/io/caller"
 )
@@ -388,3 +391,47 @@
 		t.Errorf("runs: %+v", runs)
 	}
 }
+
+// An answer that was whole before the ledger gave the request to this entry is
+// shown whole: another entry had begun it, and is gone without an answer.
+func TestAnswerBeforeOwnership(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startEngine("engine-1", time.Millisecond)
+	body, err := json.Marshal(chatOf(5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ghost := ledger.Owner{Entry: "ghost", Incarnation: 1}
+	begin := ledger.Begin{
+		Key: ledger.Key{Workspace: "terminalna", RequestID: "a"}, Owner: ghost, Idempotent: true, At: time.Now(),
+		BodyHash: bodyHash(request.Request{Kind: request.Model, Model: "small", Body: body}),
+	}
+	if _, err := f.control.Propose(f.ctx, state.Command{Begin: &begin}); err != nil {
+		t.Fatal(err)
+	}
+	index := func() (i uint64) {
+		f.control.View(func(s *state.State) { i = s.Index() })
+		return i
+	}
+	before := index()
+	f.toNode.Set(fault.Plan{Delay: 50 * time.Millisecond})
+	var (
+		reply caller.Reply
+		sent  sync.WaitGroup
+	)
+	sent.Go(func() { reply, err = f.client(0).Chat(f.ctx, chatOf(5), caller.CallOptions{RequestID: "a"}) })
+	waitFor(t, "the whole run", func() bool {
+		runs := f.engines["engine-1"].Log.Of("a")
+		return len(runs) == 1 && runs[0].Whole
+	})
+	waitFor(t, "the begin record", func() bool { return index() > before })
+	settle := state.Settle{Owner: ghost, At: time.Now()}
+	if _, err := f.control.Propose(f.ctx, state.Command{Settle: &settle}); err != nil {
+		t.Fatal(err)
+	}
+	sent.Wait()
+	if err != nil || !reply.Whole || reply.Tokens != 5 || f.bills()["a"] != 1 {
+		t.Fatalf("reply: %+v, %v", reply, err)
+	}
+	checkText(t, reply.Text, 5, 1)
+}
