Wait until a change is in the log before the disk is asked again

TestFullDisk failed once: the change that should wait for space could come after the disk was known to be full, and was then rightly refused. The test now waits until it is in the log, which is as strict.

--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -65,6 +65,11 @@
 		_, err := n.Propose(ctx, note("waits"))
 		waiting <- err
 	}()
+	waitFor(t, "a change in the log that waits for the disk", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.waiting) > 0
+	})
 	waitFor(t, "a refused change", func() bool {
 		call, done := context.WithTimeout(ctx, time.Second)
 		defer done()
