--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// snapshotEvery is how many entries lie between snapshots.
-	snapshotEvery = 50_000
+	// snapshotEvery is how many entries lie between snapshots. Changes cost far
+	// more to execute again than other commands, so fewer of them do.
+	snapshotEvery        = 50_000
+	snapshotEveryChanges = 2_000
 
 	// handOverTime bounds how long a planned stop waits for a successor.
 	handOverTime = 2 * electionTimeout
@@ -159,6 +161,9 @@
 			return errors.Annotatef(err, "log entry %d in %s: use the program that wrote it, or repair this replica", e.Index, n.cfg.Folder)
 		}
 		result = n.state.Apply(e.Index, c)
+		if c.Change != nil {
+			n.changes++
+		}
 	}
 	n.answer(e, result)
 	return nil
@@ -167,10 +172,10 @@
 // startSnapshot encodes the state beside the loop once enough was applied.
 // Callers hold n.mu.
 func (n *Node) startSnapshot(ctx context.Context) {
-	if n.saving || n.applied-n.saved < snapshotEvery {
+	if n.saving || (n.applied-n.saved < snapshotEvery && n.changes < snapshotEveryChanges) {
 		return
 	}
-	n.saving = true
+	n.saving, n.changes = true, 0
 	index, encode := n.applied, n.state.Freeze()
 	go func() {
 		data, err := encode()
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -84,6 +84,7 @@
 		state    *state.State
 		applied  uint64
 		saved    uint64
+		changes  int
 		writing  bool
 		saving   bool
 		full     error
@@ -228,7 +229,7 @@
 // restore takes the state of a snapshot. Callers hold n.mu.
 func (n *Node) restore(s replica.Snapshot) error {
 	n.state = state.New()
-	n.applied, n.saved = s.Index, s.Index
+	n.applied, n.saved, n.changes = s.Index, s.Index, 0
 	if len(s.Data) == 0 {
 		return nil
 	}
