--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,7 +107,7 @@
 		hints:      placement.NewPrefixes(hintKeys, hintLife),
 		sending:    make(sending),
 		random:     rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
-		choice:     cascade.Cheapest{},
+		choice:     cascade.NewLearned(cascade.DefaultConfig()),
 		placement:  placement.NewPredicted(),
 		gate:       newAdmission(cfg.fairShare()),
 		plainGate:  newAdmission(cfg.fairShare()),
@@ -117,7 +117,7 @@
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.link = newLink(e)
 	e.relay = newRelay(e)
-	e.ledger = &batcher{propose: e.link.propose, pause: e.pause, queue: make(chan *submission, maxSubmitted)}
+	e.ledger = &batcher{propose: e.link.propose, pause: e.backOff, queue: make(chan *submission, maxSubmitted)}
 	e.meter = newMeter(e)
 	return e
 }
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -24,23 +24,26 @@
 	failureWait = 500 * time.Millisecond
 )
 
-// backoff lies between two tries of the same work.
-var backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: time.Second}
+var (
+	// backoff lies between two tries of the same work.
+	backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: time.Second}
+
+	// resendBackoff lies between two questions to the ledger about a request
+	// that runs at another entry.
+	resendBackoff = retry.Backoff{Base: 20 * time.Millisecond, Max: 250 * time.Millisecond}
+)
 
 // execute runs the request, or joins it when the same one runs already, and
 // follows it to its end. The error is a *request.Refusal.
 func (e *Entry) execute(ctx context.Context, req request.Request, sink caller.Sink, work func(*execution)) (request.Answer, error) {
 	for {
-		if err := e.mayAdmit(); err != nil {
-			return request.Answer{}, err
-		}
 		x, isNew, err := e.table.join(e.ctx, req) //nolint:contextcheck // a request outlives the caller that sent it first
 		if err != nil {
 			return request.Answer{}, err
 		}
 		if isNew {
 			woken := x.join()
-			go e.run(x, work)
+			go e.run(x, work) //nolint:contextcheck // a request outlives the caller that sent it first
 			return x.follow(ctx, woken, sink)
 		}
 		if !x.isEnded() {
@@ -77,7 +80,7 @@
 func (e *Entry) run(x *execution, work func(*execution)) {
 	leave, err := e.admit(x)
 	if err != nil {
-		e.fail(x, nil, err)
+		e.refuse(x, err)
 		return
 	}
 	defer leave()
@@ -86,6 +89,9 @@
 
 // admit waits for the request's turn.
 func (e *Entry) admit(x *execution) (func(), error) {
+	if err := e.mayAdmit(); err != nil {
+		return nil, err
+	}
 	if err := x.fire(request.Enqueue); err != nil {
 		return nil, err
 	}
@@ -108,7 +114,7 @@
 	e.mu.Lock()
 	allowed := e.budgets.Take(x.req.Workspace)
 	e.mu.Unlock()
-	return allowed && e.pause(ctx, failures) == nil
+	return allowed && e.pause(ctx, backoff, failures) == nil
 }
 
 // succeed earns a share of a retry.
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"rosereach/core/catalog"
@@ -64,7 +65,7 @@
 				hint = problem.Address
 			}
 		case err != nil && ctx.Err() == nil:
-			l.entry.cfg.Logger.Log("msg", "Control is out of reach.", "control", address, "err", err)
+			level.Warn(l.entry.cfg.Logger).Log("msg", "Control is out of reach.", "control", address, "err", err)
 		}
 		select {
 		case <-l.entry.cfg.Clock.After(delay):
@@ -102,13 +103,20 @@
 	}
 }
 
-// Handle takes the control's notices.
-func (l *link) Handle(_ context.Context, _ *member.Conn, kind member.Kind, _ cbor.RawMessage) (any, error) {
-	if kind != member.KindChanged {
-		return nil, &member.Problem{Code: member.CodeRefused, Detail: "unknown message " + string(kind)}
+// Handle takes the control's notices and answers its questions.
+func (l *link) Handle(ctx context.Context, _ *member.Conn, kind member.Kind, body cbor.RawMessage) (any, error) {
+	switch kind {
+	case member.KindChanged:
+		l.renewNow()
+		return nil, nil
+	case member.KindInquire:
+		var r member.InquireRequest
+		if err := cbor.Unmarshal(body, &r); err != nil {
+			return nil, errors.Trace(err)
+		}
+		return l.entry.inquire(ctx, r), nil
 	}
-	l.renewNow()
-	return nil, nil
+	return nil, &member.Problem{Code: member.CodeRefused, Detail: "unknown message " + string(kind)}
 }
 
 // renewNow asks for documents and lease without waiting for the next turn.
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -326,3 +326,65 @@
 		t.Errorf("%d runs after leaving", n-runs)
 	}
 }
+
+// An entry that has lost its lease refuses work and does not vouch for a list
+// of addresses. It says not_run only of a request whose id is new, as it cannot
+// ask the ledger about others.
+func TestNoLease(t *testing.T) {
+	f := newFleet(t, 2)
+	f.startService("ledger-1")
+	list, err := f.client(0).FindAddresses(f.ctx, "", "")
+	if err != nil || list.TTLMs == 0 || len(list.Addresses) == 0 {
+		t.Fatalf("addresses with a lease: %+v, %v", list, err)
+	}
+	f.toNode.Set(fault.Plan{Refuse: true})
+	f.toNode.Reset()
+	waitFor(t, "the end of the lease", func() bool { return !f.entries[0].Ready() })
+	resp, err := http.Get("http://" + f.addrs[0] + "/v1/addresses")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(caller.HeaderOutcome) != string(request.NotRun) {
+		t.Errorf("addresses without a lease: status %d", resp.StatusCode)
+	}
+	for id, want := range map[string]request.Outcome{"": request.NotRun, "a": request.Unknown} {
+		reply, err := f.client(0).Service(f.ctx, "ledger", http.MethodPost, "/x", nil, caller.CallOptions{RequestID: id})
+		if err != nil || reply.Problem == nil || reply.Problem.Code != request.CodeNoLease || reply.Problem.Outcome != want {
+			t.Errorf("call %q without a lease: %+v, %v", id, reply.Problem, err)
+		}
+		if reply.Problem != nil && len(reply.Problem.Addresses) == 0 {
+			t.Errorf("call %q without a lease: no addresses", id)
+		}
+	}
+	if runs := f.services["ledger-1"].Log.Runs(); len(runs) != 0 {
+		t.Errorf("runs: %+v", runs)
+	}
+}
+
+// A posting that is done is not called not_run when it is sent again to an
+// entry that drains: the recorded answer is given.
+func TestResendWhileDraining(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startService("ledger-1")
+	send := func(id string) caller.Reply {
+		reply, err := f.client(0).Service(f.ctx, "ledger", http.MethodPost, "/x", nil, caller.CallOptions{RequestID: id})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+	if first := send("a"); first.Outcome() != request.Done {
+		t.Fatalf("posting: %+v", first.Problem)
+	}
+	f.entries[0].closed.Store(true)
+	if again := send("a"); again.Outcome() != request.Done || !again.Repeated {
+		t.Errorf("resend: %+v, %+v", again, again.Problem)
+	}
+	if other := send("b"); other.Problem == nil || other.Problem.Code != request.CodeDraining || other.Problem.Outcome != request.NotRun {
+		t.Errorf("new posting: %+v", other.Problem)
+	}
+	if runs := f.services["ledger-1"].Log.Runs(); len(runs) != 1 {
+		t.Errorf("runs: %+v", runs)
+	}
+}
