Let the test of a full disk wait for the write that it is about

Whichever came first met the disk, and the others were refused, as is right. The test waits for the system's events, then for the first write that met the full disk, and checks what it checked before; no bound changed. The file is the state part's.

--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -45,9 +45,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var full atomic.Bool
+	var full, tried atomic.Bool
 	n.save = func(w replica.Write) error {
 		if full.Load() {
+			tried.Store(true)
 			return errors.Annotate(disk.ErrFull, "test")
 		}
 		return n.store.Save(w)
@@ -59,12 +60,20 @@
 	if _, err := n.Propose(ctx, note("before")); err != nil {
 		t.Fatal(err)
 	}
+	waitFor(t, "the system's own events", func() bool {
+		kinds := make(map[audit.Kind]bool)
+		for _, e := range n.Trail(0, 100).Events {
+			kinds[e.Kind] = true
+		}
+		return kinds[audit.Membership] && kinds[audit.InForce]
+	})
 	full.Store(true)
 	waiting := make(chan error, 1)
 	go func() {
 		_, err := n.Propose(ctx, note("waits"))
 		waiting <- err
 	}()
+	waitFor(t, "a write that waits for space", tried.Load)
 	waitFor(t, "a refused change", func() bool {
 		call, done := context.WithTimeout(ctx, time.Second)
 		defer done()
