Let a backend server's lookup carry the answer of a call that is done

The lookup now carries status and body where the service keeps them, and the settled record holds them. Ruled out: running the posting again, which must never happen, and easing the check.

--- a/internal/entry/inquire.go
+++ b/internal/entry/inquire.go
@@ -8,6 +8,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/ledger"
 	"rosereach/core/request"
+	iobackend "rosereach/io/backend"
 	"rosereach/io/member"
 )
 
@@ -44,13 +45,23 @@
 		if err != nil || known.Outcome != request.Done || known.RequestID != one.Key.RequestID {
 			continue
 		}
-		return &ledger.Learnt{Key: one.Key, Answer: request.Answer{
-			Outcome: request.Done, Code: request.CodeAnswerNotKept, Backend: server.ID,
-		}}
+		return &ledger.Learnt{Key: one.Key, Answer: answerOf(known, server.ID)}
 	}
 	return nil
 }
 
+// answerOf returns the answer that a backend server kept for a call that is
+// done, or says that none was kept.
+func answerOf(known iobackend.Lookup, server string) request.Answer {
+	a := request.Answer{Outcome: request.Done, Backend: server}
+	if known.Status == 0 || len(known.Body) > maxRecordedBytes {
+		a.Code = request.CodeAnswerNotKept
+		return a
+	}
+	a.Status, a.ContentType, a.Body = known.Status, known.ContentType, known.Body
+	return a
+}
+
 func (e *Entry) serversOf(service string) []backend.Announcement {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/fake/runlog.go
+++ b/internal/fake/runlog.go
@@ -20,6 +20,7 @@
 		Version    version.Ref `json:"version"`
 		Method     string      `json:"method,omitempty"`
 		Path       string      `json:"path,omitempty"`
+		Bytes      int         `json:"bytes,omitempty"`
 		ReceivedAt time.Time   `json:"received_at"`
 		StartedAt  time.Time   `json:"started_at"`
 		Tokens     int64       `json:"tokens"`
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -11,6 +11,7 @@
 	"github.com/juju/clock"
 
 	"rosereach/core/backend"
+	"rosereach/core/request"
 	iobackend "rosereach/io/backend"
 )
 
@@ -84,7 +85,7 @@
 	r.Get("/v1/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Log.Runs()) })
 	r.Get(iobackend.PathRequests+"{id}", func(w http.ResponseWriter, r *http.Request) {
 		id := chi.URLParam(r, "id")
-		writeJSON(w, lookup(id, s.Log.Of(id)))
+		writeJSON(w, s.lookup(id))
 	})
 	r.HandleFunc("/*", s.call)
 	return r
@@ -114,12 +115,12 @@
 	id := r.Header.Get(iobackend.HeaderRequestID)
 	place := s.Log.Start(Run{
 		Backend: s.cfg.ID, RequestID: id, Attempt: int(numberIn(r, iobackend.HeaderAttempt)),
-		Method: r.Method, Path: r.URL.Path, ReceivedAt: received, StartedAt: s.cfg.Clock.Now(),
+		Method: r.Method, Path: r.URL.Path, Bytes: len(body), ReceivedAt: received, StartedAt: s.cfg.Clock.Now(),
 	})
 	s.count(1)
 	defer s.count(-1)
 	w.Header().Set("Content-Type", "application/json")
-	receipt := Receipt{Service: s.cfg.Service, RequestID: id, Method: r.Method, Path: r.URL.Path, Bytes: len(body)}
+	receipt := s.receipt(Run{RequestID: id, Method: r.Method, Path: r.URL.Path, Bytes: len(body)})
 	s.Log.Finish(place, 0, true)
 	if !s.hold(r) {
 		return
@@ -127,6 +128,26 @@
 	json.NewEncoder(w).Encode(receipt) //nolint:errcheck // the entry has gone
 }
 
+// receipt returns the answer to a call.
+func (s *Service) receipt(r Run) Receipt {
+	return Receipt{Service: s.cfg.Service, RequestID: r.RequestID, Method: r.Method, Path: r.Path, Bytes: r.Bytes}
+}
+
+// lookup tells what became of a call, with its receipt when it is done.
+func (s *Service) lookup(id string) iobackend.Lookup {
+	runs := s.Log.Of(id)
+	answer := lookup(id, runs)
+	if answer.Outcome != request.Done {
+		return answer
+	}
+	body, err := json.Marshal(s.receipt(runs[0]))
+	if err != nil {
+		return answer
+	}
+	answer.Status, answer.ContentType, answer.Body = http.StatusOK, "application/json", body
+	return answer
+}
+
 // hold delays an answer as the service's behaviour says, and reports whether
 // the entry still waits.
 func (s *Service) hold(r *http.Request) bool {
--- a/io/backend/wire.go
+++ b/io/backend/wire.go
@@ -114,11 +114,15 @@
 		Tokens int64
 	}
 
-	// Lookup tells what a backend server knows of a request.
+	// Lookup tells what a backend server knows of a request. Status, ContentType
+	// and Body are the answer of a call that is done, when it is kept.
 	Lookup struct {
-		RequestID string          `json:"request_id"`
-		Outcome   request.Outcome `json:"outcome"`
-		Running   bool            `json:"running"`
+		RequestID   string          `json:"request_id"`
+		Outcome     request.Outcome `json:"outcome"`
+		Status      int             `json:"status,omitempty"`
+		ContentType string          `json:"content_type,omitempty"`
+		Body        []byte          `json:"body,omitempty"`
+		Running     bool            `json:"running"`
 	}
 
 	// AttemptError says how an attempt failed and whether it may have run.
