Send an entry the list of entries only when it changed

The list has a name now, which the entry sends along; it changes at once when an entry comes, goes, restarts or drains, and now and then for the loads, more seldom in larger fleets. Ruled out: differences of lists, which need a history at the leader.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -17,7 +17,8 @@
 		Lag      time.Duration
 	}
 
-	// Request asks for a lease. Applied is the revision that the entry applies.
+	// Request asks for a lease. Applied is the revision that the entry applies,
+	// List names the list of entries that it has.
 	Request struct {
 		Entry       string `json:"entry"`
 		Incarnation uint64 `json:"incarnation"`
@@ -28,16 +29,19 @@
 		Zone        string `json:"availability_zone"`
 		Draining    bool   `json:"draining"`
 		Load        int    `json:"load"`
+		List        uint64 `json:"list,omitempty"`
 	}
 
 	// Grant answers a request. Duration counts from when the request was sent.
+	// Entries is left out when the request named List as the one it has.
 	Grant struct {
 		Sequence uint64        `json:"sequence"`
 		Granted  bool          `json:"granted"`
 		Duration time.Duration `json:"duration"`
 		Term     uint64        `json:"term"`
 		Revision uint64        `json:"revision"`
-		Entries  []Entry       `json:"entries"`
+		List     uint64        `json:"list"`
+		Entries  []Entry       `json:"entries,omitempty"`
 	}
 
 	// Entry is one entry as the grantor knows it.
--- /dev/null
+++ b/core/lease/list_test.go
@@ -0,0 +1,58 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// An entry gets the list again when an entry comes, drains or goes, and when
+// loads are due, but not with every grant.
+func TestList(t *testing.T) {
+	start := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	asks := Request{Entry: "entry-0", Incarnation: 1}
+	for _, tc := range []struct {
+		name  string
+		after time.Duration
+		do    func(g *Grantor, now time.Time)
+		sent  bool
+	}{
+		{"nothing changed", 0, func(*Grantor, time.Time) {}, false},
+		{"only a load changed", 0, func(g *Grantor, now time.Time) {
+			g.Grant(now, 1, 0, Request{Entry: "entry-1", Incarnation: 1, Load: 9})
+		}, false},
+		{"an entry came", 0, func(g *Grantor, now time.Time) {
+			g.Grant(now, 1, 0, Request{Entry: "entry-new", Incarnation: 1})
+		}, true},
+		{"an entry restarted", 0, func(g *Grantor, now time.Time) {
+			g.Grant(now, 1, 0, Request{Entry: "entry-1", Incarnation: 2})
+		}, true},
+		{"an entry drains", 0, func(g *Grantor, now time.Time) {
+			g.Grant(now, 1, 0, Request{Entry: "entry-1", Incarnation: 1, Draining: true})
+		}, true},
+		{"an entry went", 0, func(g *Grantor, _ time.Time) { g.Release("entry-1", 1) }, true},
+		{"loads are due", 360 * refreshPerEntry, func(g *Grantor, now time.Time) {
+			for i := range 360 {
+				g.Grant(now, 1, 0, Request{Entry: fmt.Sprintf("entry-%d", i), Incarnation: 1})
+			}
+		}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewGrantor(DefaultTerms())
+			for i := range 360 {
+				g.Grant(start, 1, 0, Request{Entry: fmt.Sprintf("entry-%d", i), Incarnation: 1})
+			}
+			name, list := g.List(start, asks)
+			if len(list) != 360 {
+				t.Fatalf("first list of %d entries", len(list))
+			}
+			now := start.Add(tc.after)
+			tc.do(g, now)
+			again := asks
+			again.List = name
+			if _, list := g.List(now, again); (len(list) > 0) != tc.sent {
+				t.Errorf("%d entries sent, want some: %t", len(list), tc.sent)
+			}
+		})
+	}
+}
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -163,7 +163,7 @@
 		return lease.Grant{}, n.notLeader()
 	}
 	g := n.reign.grantor.Grant(now, n.reign.term, n.overdue(now), r)
-	g.Entries = n.reign.grantor.Live(now)
+	g.List, g.Entries = n.reign.grantor.List(now, r)
 	n.wakeWaiters()
 	return g, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,6 +92,7 @@
 		meter      *meter
 		holder     lease.Holder
 		peers      []lease.Entry
+		list       uint64
 	}
 )
 
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -197,7 +197,7 @@
 	return lease.Request{
 		Entry: e.cfg.ID, Incarnation: e.cfg.Incarnation, Sequence: e.holder.Send(e.cfg.Clock.Now()),
 		Applied: e.sending.applied(e.catalog.Load().Revision()), Address: e.cfg.Address, Region: e.cfg.Region, Zone: e.cfg.Zone,
-		Draining: e.draining.Load(), Load: e.running(),
+		Draining: e.draining.Load(), Load: e.running(), List: e.list,
 	}
 }
 
@@ -205,7 +205,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.holder.Receive(e.cfg.Terms, g)
-	e.peers = g.Entries
+	if g.List != e.list {
+		e.list, e.peers = g.List, g.Entries
+	}
 }
 
 // running returns the number of the entry's requests at backend servers.
