--- a/core/catalog/apply.go
+++ b/core/catalog/apply.go
@@ -163,14 +163,7 @@
 }
 
 func (d *Documents) putService(c change.Change, accepted change.Result) change.Result {
-	s, found := shape.Decode[service.Service](c.Document)
-	if len(found) > 0 {
-		return change.Refuse(found)
-	}
-	found = s.Check()
-	if s.Name != c.Name {
-		found.Add("name", "differs from the change's name", c.Name)
-	}
+	s, found := read(c, "name", func(s service.Service) string { return s.Name })
 	if len(found) > 0 {
 		return change.Refuse(found)
 	}
@@ -180,14 +173,7 @@
 }
 
 func (d *Documents) putVersion(c change.Change, accepted change.Result) change.Result {
-	v, found := shape.Decode[version.Version](c.Document)
-	if len(found) > 0 {
-		return change.Refuse(found)
-	}
-	found = v.Check()
-	if v.Ref.String() != c.Name {
-		found.Add("ref", "differs from the change's name", c.Name)
-	}
+	v, found := read(c, "ref", func(v version.Version) string { return v.Ref.String() })
 	if len(found) > 0 {
 		return change.Refuse(found)
 	}
@@ -228,3 +214,20 @@
 	d.SealKeys = d.SealKeys[:min(len(d.SealKeys), maxSealKeys)]
 	return accepted
 }
+
+// checked is a document that tells what is wrong with it.
+type checked interface{ Check() finding.List }
+
+// read decodes the change's document and checks it and its name, which stands
+// at the place.
+func read[D checked](c change.Change, place string, nameOf func(D) string) (D, finding.List) {
+	document, found := shape.Decode[D](c.Document)
+	if len(found) > 0 {
+		return document, found
+	}
+	found = document.Check()
+	if nameOf(document) != c.Name {
+		found.Add(place, "differs from the change's name", c.Name)
+	}
+	return document, found
+}
--- a/core/catalog/operator.go
+++ b/core/catalog/operator.go
@@ -14,14 +14,7 @@
 // putOperator writes name, role and whether the operator is closed. Keys have
 // changes of their own.
 func (d *Documents) putOperator(c change.Change, accepted change.Result) change.Result {
-	o, found := shape.Decode[operator.Operator](c.Document)
-	if len(found) > 0 {
-		return change.Refuse(found)
-	}
-	found = o.Check()
-	if o.Name != c.Name {
-		found.Add("name", "differs from the change's name", c.Name)
-	}
+	o, found := read(c, "name", func(o operator.Operator) string { return o.Name })
 	if len(found) > 0 {
 		return change.Refuse(found)
 	}
--- a/internal/cmd/cmd_operator.go
+++ b/internal/cmd/cmd_operator.go
@@ -40,11 +40,8 @@
 
 func closeOperator(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	name, client := s.argument(0, "NAME"), s.client()
-	if err := s.err(); err != nil {
-		return err
-	}
-	docs, err := client.Documents(ctx)
+	name := s.argument(0, "NAME")
+	docs, err := s.documents(ctx)
 	if err != nil {
 		return err
 	}
@@ -83,11 +80,7 @@
 
 func listOperators(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	client := s.client()
-	if err := s.err(); err != nil {
-		return err
-	}
-	docs, err := client.Documents(ctx)
+	docs, err := s.documents(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/cmd_template.go
+++ b/internal/cmd/cmd_template.go
@@ -12,6 +12,7 @@
 	"rosereach/core/audit"
 	"rosereach/core/change"
 	"rosereach/core/template"
+	"rosereach/io/operator"
 )
 
 // revisionField is the field that a document gets from the control.
@@ -24,7 +25,7 @@
 		subs: []*command{
 			{name: "check", short: "check template files", args: "FILE…", action: checkTemplates},
 			{name: "set", short: "create or change a template", args: "FILE", flags: changeFlags(), action: setTemplate},
-			{name: "show", short: "show a template", args: "NAME", flags: operatorFlags(), action: showTemplate},
+			{name: "show", short: "show a template", args: "NAME", flags: operatorFlags(), action: showNamed("template", func(d operator.Documents) map[string]template.Template { return d.Templates })},
 			{name: "diff", short: "compare a file with the template in force", args: "FILE", flags: operatorFlags(), action: diffTemplate},
 			{name: "history", short: "list a template's changes", args: "NAME", flags: operatorFlags(), action: showTemplateHistory},
 		},
@@ -49,30 +50,10 @@
 	return s.change(ctx, change.PutTemplate, t.Name, t)
 }
 
-func showTemplate(ctx context.Context, c *cli.Command) error {
-	s := newSettings(c)
-	name, client := s.argument(0, "NAME"), s.client()
-	if err := s.err(); err != nil {
-		return err
-	}
-	docs, err := client.Documents(ctx)
-	if err != nil {
-		return err
-	}
-	t, ok := docs.Templates[name]
-	if !ok {
-		return errors.NotFoundf("template %q", name)
-	}
-	return s.showDocument(t)
-}
-
 func diffTemplate(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	t, client := s.template(0), s.client()
-	if err := s.err(); err != nil {
-		return err
-	}
-	docs, err := client.Documents(ctx)
+	t := s.template(0)
+	docs, err := s.documents(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/cmd_version.go
+++ b/internal/cmd/cmd_version.go
@@ -54,11 +54,7 @@
 
 func showVersion(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	client := s.client()
-	if err := s.err(); err != nil {
-		return err
-	}
-	docs, err := client.Documents(ctx)
+	docs, err := s.documents(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/cmd_workspace.go
+++ b/internal/cmd/cmd_workspace.go
@@ -14,6 +14,7 @@
 	"rosereach/core/change"
 	"rosereach/core/template"
 	"rosereach/core/workspace"
+	"rosereach/io/operator"
 )
 
 // cmdWorkspace works with workspaces.
@@ -27,7 +28,7 @@
 		subs: []*command{
 			{name: "create", short: "create a workspace", args: "NAME", flags: changeFlags(from, values), action: createWorkspace},
 			{name: "set", short: "change a workspace's parameters", args: "NAME", flags: changeFlags(from, values), action: setWorkspace},
-			{name: "show", short: "show a workspace", args: "NAME", flags: operatorFlags(), action: showWorkspace},
+			{name: "show", short: "show a workspace", args: "NAME", flags: operatorFlags(), action: showNamed("workspace", func(d operator.Documents) map[string]workspace.Workspace { return d.Workspaces })},
 			{name: "list", short: "list workspaces", flags: operatorFlags(), action: listWorkspaces},
 			{name: "key", short: "make or revoke a key of a workspace's callers", args: "NAME", flags: changeFlags(key, revoke), action: keyWorkspace},
 		},
@@ -51,30 +52,9 @@
 	return s.change(ctx, change.PutWorkspace, w.Name, w)
 }
 
-func showWorkspace(ctx context.Context, c *cli.Command) error {
-	s := newSettings(c)
-	name, client := s.argument(0, "NAME"), s.client()
-	if err := s.err(); err != nil {
-		return err
-	}
-	docs, err := client.Documents(ctx)
-	if err != nil {
-		return err
-	}
-	w, ok := docs.Workspaces[name]
-	if !ok {
-		return errors.NotFoundf("workspace %q", name)
-	}
-	return s.showDocument(w)
-}
-
 func listWorkspaces(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	client := s.client()
-	if err := s.err(); err != nil {
-		return err
-	}
-	docs, err := client.Documents(ctx)
+	docs, err := s.documents(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/operate.go
+++ b/internal/cmd/operate.go
@@ -37,6 +37,32 @@
 	}, more...)...)
 }
 
+// documents returns the newest documents, unless a setting was wrong.
+func (s *settings) documents(ctx context.Context) (operator.Documents, error) {
+	client := s.client()
+	if err := s.err(); err != nil {
+		return operator.Documents{}, err
+	}
+	return client.Documents(ctx)
+}
+
+// showNamed returns the action that shows the document that its argument names.
+func showNamed[T any](kind string, pick func(operator.Documents) map[string]T) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		s := newSettings(c)
+		name := s.argument(0, "NAME")
+		docs, err := s.documents(ctx)
+		if err != nil {
+			return err
+		}
+		document, ok := pick(docs)[name]
+		if !ok {
+			return errors.NotFoundf("%s %q", kind, name)
+		}
+		return s.showDocument(document)
+	}
+}
+
 func (s *settings) client() operator.Client {
 	client := operator.Client{Address: s.address("control"), Key: s.text("operator-key")}
 	if security := s.security(httpd.Files{CA: s.optional("tls-ca")}); security != nil {
