Ask the ledger too when a resend is no longer permitted

Cause: found while reading: a request that was done and billed was called not_run when it was sent again after its version was withdrawn or its service was taken away, since the choice of a version refuses before the ledger is asked. Both refusals go the way of a full entry now: an id that the caller chose is looked up first. Before: TestResendAfterPermissionEnded failed with not_permitted and unknown_service. After: it passes; new requests are still not_run.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -30,7 +30,7 @@
 func (e *Entry) runModel(x *execution) {
 	ref, err := e.choose(x.req)
 	if err != nil {
-		e.fail(x, nil, err)
+		e.refuse(x, err)
 		return
 	}
 	ctx, stop := context.WithCancelCause(x.ctx)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -14,7 +14,7 @@
 func (e *Entry) Call(ctx context.Context, req request.Request) (request.Answer, error) {
 	service, err := e.catalog.Load().PermitService(req.Workspace, req.Service)
 	if err != nil {
-		return request.Answer{}, refusalOf(err, req)
+		return e.execute(ctx, req, nil, func(x *execution) { e.refuse(x, refusalOf(err, req)) })
 	}
 	req.Idempotent = service.IsIdempotent(req.Method)
 	return e.execute(ctx, req, nil, e.runCall)
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -10,9 +10,11 @@
 	"testing"
 	"time"
 
+	"rosereach/core/catalog"
 	"rosereach/core/ledger"
 	"rosereach/core/request"
 	"rosereach/core/state"
+	"rosereach/core/version"
 	"rosereach/internal/fault"
 	"rosereach/io/caller"
 )
@@ -435,3 +437,48 @@
 	}
 	checkText(t, reply.Text, 5, 1)
 }
+
+// A request that is done is not called not_run when it is sent again after its
+// version was withdrawn, or its service taken from the template.
+func TestResendAfterPermissionEnded(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startEngine("engine-1", time.Millisecond)
+	f.startService("ledger-1")
+	send := func(kind request.Kind, id string) caller.Reply {
+		var (
+			reply caller.Reply
+			err   error
+		)
+		if kind == request.Model {
+			reply, err = f.client(0).Chat(f.ctx, chatOf(5), caller.CallOptions{RequestID: id})
+		} else {
+			reply, err = f.client(0).Service(f.ctx, "ledger", http.MethodPost, "/x", nil, caller.CallOptions{RequestID: id})
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+	kinds := []request.Kind{request.Model, request.Plain}
+	for _, kind := range kinds {
+		if first := send(kind, "old-"+string(kind)); first.Outcome() != request.Done {
+			t.Fatalf("%s: %+v", kind, first.Problem)
+		}
+	}
+	e := f.entries[0]
+	docs := e.catalog.Load().Documents().Clone()
+	for name, v := range docs.Versions {
+		v.State = version.Withdrawn
+		docs.Versions[name] = v
+	}
+	clear(docs.Services)
+	e.catalog.Store(catalog.New(docs))
+	for _, kind := range kinds {
+		if again := send(kind, "old-"+string(kind)); again.Outcome() != request.Done {
+			t.Errorf("%s sent again: %+v", kind, again.Problem)
+		}
+		if fresh := send(kind, "new-"+string(kind)); fresh.Outcome() != request.NotRun {
+			t.Errorf("new %s: %+v", kind, fresh)
+		}
+	}
+}
