Call a term of leading a leadership

Cause: read with a newcomer's eyes, 'reign' and 'ascend' are images, not the field's terms. Names only; the tests of the package pass unchanged.

--- a/internal/control/reign.go
+++ b/internal/control/leadership.go
@@ -20,10 +20,10 @@
 const upkeepInterval = 200 * time.Millisecond
 
 type (
-	// reign is what a control keeps in memory for one term in which it leads.
+	// leadership is what a control keeps in memory for one term in which it leads.
 	// Leases that an earlier leader granted have ended at clear; fresh says that
 	// there was none. Members is what the audit trail was told of them.
-	reign struct {
+	leadership struct {
 		term     uint64
 		fresh    bool
 		ready    bool
@@ -43,50 +43,51 @@
 	}
 )
 
-// follow begins and ends reigns as the replica's role changes, and does the
-// leader's upkeep. Callers hold n.mu.
+// follow begins and ends the leadership as the replica's role changes, and does
+// the leader's upkeep. Callers hold n.mu.
 func (n *Node) follow(ctx context.Context) {
 	s := n.replica.Status()
-	if n.reign != nil && (s.Role != replica.Leader || s.Term != n.reign.term) && n.reign.grantor != nil {
-		level.Warn(n.cfg.Logger).Log("msg", "Leads no more.", "term", n.reign.term)
-		n.reign = nil
+	if n.leadership != nil && (s.Role != replica.Leader || s.Term != n.leadership.term) && n.leadership.grantor != nil {
+		level.Warn(n.cfg.Logger).Log("msg", "Leads no more.", "term", n.leadership.term)
+		n.leadership = nil
 		n.abandon()
 		n.wakeWaiters()
 	}
 	if s.Role != replica.Leader {
 		return
 	}
-	if n.reign == nil || n.reign.grantor == nil {
-		n.ascend(s.Term)
+	if n.leadership == nil || n.leadership.grantor == nil {
+		n.beginLeadership(s.Term)
 	}
-	if s.Ready && !n.reign.ready {
-		n.reign.ready = true
-		n.reign.commits = []commit{{revision: n.state.Catalog().Revision()}}
-		n.reign.reported = n.state.Catalog().Revision()
+	if s.Ready && !n.leadership.ready {
+		n.leadership.ready = true
+		n.leadership.commits = []commit{{revision: n.state.Catalog().Revision()}}
+		n.leadership.reported = n.state.Catalog().Revision()
 		go n.ensureSealKey(ctx)
 	}
-	if now := n.cfg.Clock.Now(); n.reign.ready && !now.Before(n.reign.upkeep) {
-		n.reign.upkeep = now.Add(upkeepInterval)
-		n.keepUp(ctx, now)
+	if now := n.cfg.Clock.Now(); n.leadership.ready && !now.Before(n.leadership.upkeep) {
+		n.leadership.upkeep = now.Add(upkeepInterval)
+		n.maintain(ctx, now)
 	}
 }
 
-// ascend begins a reign. An earlier leader granted its last lease before this
-// control could be elected, so all have ended one lease time from now.
-func (n *Node) ascend(term uint64) {
-	fresh := n.reign != nil && n.reign.fresh && n.reign.term == term
+// beginLeadership starts a term as leader. An earlier leader granted its last
+// lease before this control could be elected, so all have ended one lease time
+// from now.
+func (n *Node) beginLeadership(term uint64) {
+	fresh := n.leadership != nil && n.leadership.fresh && n.leadership.term == term
 	now := n.cfg.Clock.Now()
-	n.reign = &reign{term: term, fresh: fresh, cleared: fresh, clear: now, grantor: lease.NewGrantor(n.cfg.Terms)}
+	n.leadership = &leadership{term: term, fresh: fresh, cleared: fresh, clear: now, grantor: lease.NewGrantor(n.cfg.Terms)}
 	if !fresh {
-		n.reign.clear = now.Add(n.cfg.Terms.Duration)
+		n.leadership.clear = now.Add(n.cfg.Terms.Duration)
 	}
 	n.cfg.Logger.Log("msg", "Leads.", "term", term)
 }
 
-// keepUp ends what absent entries left open, changes the membership where
+// maintain ends what absent entries left open, changes the membership where
 // that is due and notes which revision came into force. Callers hold n.mu.
-func (n *Node) keepUp(ctx context.Context, now time.Time) {
-	r := n.reign
+func (n *Node) maintain(ctx context.Context, now time.Time) {
+	r := n.leadership
 	for _, e := range r.grantor.Expire(now) {
 		level.Warn(n.cfg.Logger).Log("msg", "Lease ended.", "entry", e.ID)
 		if !now.Before(r.clear) {
@@ -107,7 +108,7 @@
 // leader for a lease. Callers hold n.mu.
 func (n *Node) settleAbsent(ctx context.Context, now time.Time) {
 	for _, o := range n.state.Ledger().Owners() {
-		if !n.reign.grantor.IsLive(now, o.Entry, o.Incarnation) {
+		if !n.leadership.grantor.IsLive(now, o.Entry, o.Incarnation) {
 			n.settle(ctx, o)
 		}
 	}
@@ -117,10 +118,10 @@
 // in force. Callers hold n.mu.
 func (n *Node) reportInForce(ctx context.Context, now time.Time) {
 	revision := n.state.Catalog().Revision()
-	if revision <= n.reign.reported || !n.isInForce(now, revision) {
+	if revision <= n.leadership.reported || !n.isInForce(now, revision) {
 		return
 	}
-	n.reign.reported = revision
+	n.leadership.reported = revision
 	e := audit.Event{At: now.UTC(), Kind: audit.InForce, Actor: "system", Subject: "documents", Revision: revision}
 	go n.Propose(ctx, state.Command{Note: &e}) //nolint:errcheck // the next note covers this revision
 }
@@ -128,14 +129,14 @@
 // isInForce reports whether every entry that may hold a lease applies the
 // revision. Callers hold n.mu.
 func (n *Node) isInForce(now time.Time, revision uint64) bool {
-	r := n.reign
+	r := n.leadership
 	return r != nil && r.ready && !now.Before(r.clear) && r.grantor.InForce(now, revision)
 }
 
 // committed notes a new revision and tells the entries. Callers hold n.mu.
 func (n *Node) committed(ctx context.Context, revision uint64) {
-	if n.reign != nil && n.reign.ready {
-		n.reign.commits = append(n.reign.commits, commit{revision: revision, at: n.cfg.Clock.Now()})
+	if n.leadership != nil && n.leadership.ready {
+		n.leadership.commits = append(n.leadership.commits, commit{revision: revision, at: n.cfg.Clock.Now()})
 	}
 	for c := range n.watchers {
 		go c.Notify(ctx, member.KindChanged, member.Changed{Revision: revision}) //nolint:errcheck // a lost notice is made up by the next lease
@@ -145,11 +146,11 @@
 // overdue returns the newest revision committed longer ago than the terms'
 // lag, and forgets older ones. Callers hold n.mu.
 func (n *Node) overdue(now time.Time) uint64 {
-	c := n.reign.commits
+	c := n.leadership.commits
 	for len(c) > 1 && now.Sub(c[1].at) >= n.cfg.Terms.Lag {
 		c = c[1:]
 	}
-	n.reign.commits = c
+	n.leadership.commits = c
 	return c[0].revision
 }
 
@@ -159,11 +160,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.cfg.Clock.Now()
-	if n.reign == nil || !n.reign.ready || !n.replica.MayGrant(now) {
+	if n.leadership == nil || !n.leadership.ready || !n.replica.MayGrant(now) {
 		return lease.Grant{}, n.notLeader()
 	}
-	g := n.reign.grantor.Grant(now, n.reign.term, n.overdue(now), r)
-	g.List, g.Entries = n.reign.grantor.List(now, r)
+	g := n.leadership.grantor.Grant(now, n.leadership.term, n.overdue(now), r)
+	g.List, g.Entries = n.leadership.grantor.List(now, r)
 	n.wakeWaiters()
 	return g, nil
 }
@@ -171,10 +172,10 @@
 func (n *Node) release(r member.Released) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.reign == nil || !n.reign.ready {
+	if n.leadership == nil || !n.leadership.ready {
 		return n.notLeader()
 	}
-	n.reign.grantor.Release(r.Entry, r.Incarnation)
+	n.leadership.grantor.Release(r.Entry, r.Incarnation)
 	n.wakeWaiters()
 	return nil
 }
@@ -187,7 +188,7 @@
 	}
 	for {
 		n.mu.Lock()
-		done, leads := n.isInForce(n.cfg.Clock.Now(), revision), n.reign != nil
+		done, leads := n.isInForce(n.cfg.Clock.Now(), revision), n.leadership != nil
 		moved := n.inForce
 		n.mu.Unlock()
 		if done {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -131,7 +131,7 @@
 	if reply.Group == "" {
 		return reply, &member.Problem{Code: member.CodeNoGroup, Detail: "this control has no group"}
 	}
-	if n.reign == nil || !n.reign.ready {
+	if n.leadership == nil || !n.leadership.ready {
 		return reply, n.notLeader()
 	}
 	if err := n.replica.AddLearner(n.cfg.Clock.Now(), m); err != nil {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -79,19 +79,19 @@
 		links     *links
 		enrolling sync.Mutex
 
-		mu       sync.Mutex
-		replica  *replica.Replica
-		state    *state.State
-		applied  uint64
-		saved    uint64
-		changes  int
-		writing  bool
-		saving   bool
-		full     error
-		waiting  map[uint64]waiter
-		watchers map[*member.Conn]bool
-		reign    *reign
-		inForce  chan struct{}
+		mu         sync.Mutex
+		replica    *replica.Replica
+		state      *state.State
+		applied    uint64
+		saved      uint64
+		changes    int
+		writing    bool
+		saving     bool
+		full       error
+		waiting    map[uint64]waiter
+		watchers   map[*member.Conn]bool
+		leadership *leadership
+		inForce    chan struct{}
 	}
 )
 
@@ -196,7 +196,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.reign = &reign{term: first.Hard.Term + 1, fresh: true}
+	n.leadership = &leadership{term: first.Hard.Term + 1, fresh: true}
 	return nil
 }
 
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -183,10 +183,10 @@
 func (n *Node) entries() ([]lease.Entry, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.reign == nil || !n.reign.ready {
+	if n.leadership == nil || !n.leadership.ready {
 		return nil, n.notLeader()
 	}
-	return n.reign.grantor.Live(n.cfg.Clock.Now()), nil
+	return n.leadership.grantor.Live(n.cfg.Clock.Now()), nil
 }
 
 // documents returns the documents when they are newer than an entry's. Only
