--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -14,7 +14,7 @@
 func (e *Entry) Call(ctx context.Context, req request.Request) (request.Answer, error) {
 	service, err := e.catalog.Load().PermitService(req.Workspace, req.Service)
 	if err != nil {
-		return e.execute(ctx, req, nil, func(x *execution) { e.refuse(x, refusalOf(err, req)) })
+		return e.execute(ctx, req, nil, func(x *execution) { e.refuse(x, refusalOf(err, req)) }) //nolint:contextcheck // a request outlives the caller that sent it first
 	}
 	req.Idempotent = service.IsIdempotent(req.Method)
 	return e.execute(ctx, req, nil, e.runCall)
