Check the lease, and change lists of key hashes, in one place each

Cause: read once more, the refusal for a missing lease was written three times (at admission, at dispatch and before the first byte), and workspaces and operators added and removed key hashes in the same lines. Entry.checkLease, key.Add and key.Remove serve all of them now.

--- a/core/key/key.go
+++ b/core/key/key.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"slices"
 )
 
 // hashLength is the length of a hash, in characters.
@@ -32,3 +33,16 @@
 	}
 	return found == 1
 }
+
+// Add returns the list with the hash, which stands in it once.
+func Add(hashes []string, hash string) []string {
+	if slices.Contains(hashes, hash) {
+		return hashes
+	}
+	return append(slices.Clone(hashes), hash)
+}
+
+// Remove returns the list without the hash.
+func Remove(hashes []string, hash string) []string {
+	return slices.DeleteFunc(slices.Clone(hashes), func(h string) bool { return h == hash })
+}
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -53,16 +53,13 @@
 
 // WithKey returns the operator with one more key hash.
 func (o Operator) WithKey(hash string) Operator {
-	if slices.Contains(o.KeyHashes, hash) {
-		return o
-	}
-	o.KeyHashes = append(slices.Clone(o.KeyHashes), hash)
+	o.KeyHashes = key.Add(o.KeyHashes, hash)
 	return o
 }
 
 // WithoutKey returns the operator without the key hash.
 func (o Operator) WithoutKey(hash string) Operator {
-	o.KeyHashes = slices.DeleteFunc(slices.Clone(o.KeyHashes), func(h string) bool { return h == hash })
+	o.KeyHashes = key.Remove(o.KeyHashes, hash)
 	return o
 }
 
--- a/core/workspace/workspace.go
+++ b/core/workspace/workspace.go
@@ -3,8 +3,6 @@
 package workspace
 
 import (
-	"slices"
-
 	"rosereach/core/finding"
 	"rosereach/core/key"
 	"rosereach/core/template"
@@ -25,16 +23,13 @@
 
 // WithKey returns the workspace with one more key hash.
 func (w Workspace) WithKey(hash string) Workspace {
-	if slices.Contains(w.KeyHashes, hash) {
-		return w
-	}
-	w.KeyHashes = append(slices.Clone(w.KeyHashes), hash)
+	w.KeyHashes = key.Add(w.KeyHashes, hash)
 	return w
 }
 
 // WithoutKey returns the workspace without the key hash.
 func (w Workspace) WithoutKey(hash string) Workspace {
-	w.KeyHashes = slices.DeleteFunc(slices.Clone(w.KeyHashes), func(h string) bool { return h == hash })
+	w.KeyHashes = key.Remove(w.KeyHashes, hash)
 	return w
 }
 
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"rosereach/core/backend"
 	"rosereach/core/request"
 )
@@ -77,9 +79,8 @@
 // e.mu.
 func (e *Entry) recheck(req request.Request, t target, server backend.Announcement) error {
 	now := e.cfg.Clock.Now()
-	if !e.holder.IsLive(now) {
-		return request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
-			WithAddresses(orderAddresses(e.peers, e.cfg.Region, e.cfg.Zone))
+	if err := e.checkLease(now); err != nil {
+		return err
 	}
 	if !e.registry.MayServe(now, server.ID, server.Incarnation) {
 		return request.NewNotRun(request.CodeNoBackend, "the backend server takes no work").WithRetryAfter(backendLease)
@@ -87,6 +88,15 @@
 	return e.permit(req, t)
 }
 
+// checkLease refuses work of an entry that holds no lease. Callers hold e.mu.
+func (e *Entry) checkLease(now time.Time) error {
+	if e.holder.IsLive(now) {
+		return nil
+	}
+	return request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
+		WithAddresses(orderAddresses(e.peers, e.cfg.Region, e.cfg.Zone))
+}
+
 // applied returns the revision that all attempts from now on, and all that are
 // still to be written, were checked against.
 func (s sending) applied(revision uint64) uint64 {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -48,9 +48,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.cfg.Clock.Now()
-	if !e.holder.IsLive(now) {
-		return nil, request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
-			WithAddresses(orderAddresses(e.peers, e.cfg.Region, e.cfg.Zone))
+	if err := e.checkLease(now); err != nil {
+		return nil, err
 	}
 	if err := e.permit(req, t); err != nil {
 		return nil, err
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -69,11 +69,9 @@
 		return request.NewNotRun(request.CodeDraining, "this entry is stopping; use another entry").
 			WithAddresses(e.addresses(e.cfg.Region, e.cfg.Zone))
 	}
-	if !e.Ready() {
-		return request.NewNotRun(request.CodeNoLease, "this entry holds no lease; use another entry").
-			WithAddresses(e.addresses(e.cfg.Region, e.cfg.Zone))
-	}
-	return nil
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.checkLease(e.cfg.Clock.Now())
 }
 
 // run takes the request into the entry, or refuses it, and does the work.
