--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -43,7 +43,8 @@
 	// Announcement is what a backend server says about itself, again every
 	// second. Incarnation grows with each start, Sequence with each
 	// announcement of one start. Address is host:port. Capacity is how many
-	// requests it runs at once.
+	// requests it runs at once. Release is the version of the software of a
+	// plain service, and Models are the models that it has loaded.
 	Announcement struct {
 		ID           string        `json:"id"`
 		Incarnation  uint64        `json:"incarnation"`
@@ -53,6 +54,8 @@
 		Kind         Kind          `json:"kind"`
 		Versions     []version.Ref `json:"versions,omitempty"`
 		Service      string        `json:"service,omitempty"`
+		Release      string        `json:"release,omitempty"`
+		Models       []string      `json:"models,omitempty"`
 		Capacity     int           `json:"capacity"`
 		State        State         `json:"state"`
 		HonoursFence bool          `json:"honours_fence"`
--- a/core/catalog/apply.go
+++ b/core/catalog/apply.go
@@ -46,6 +46,8 @@
 		return d.Versions[c.Name].Revision
 	case change.PutOperator, change.AddOperatorKey, change.RemoveOperatorKey:
 		return d.Operators[c.Name].Revision
+	case change.PutRollout, change.MoveRollout:
+		return d.Rollouts[c.Name].Revision
 	}
 	return d.Revision
 }
@@ -67,6 +69,12 @@
 		return d.moveVersion(c, accepted)
 	case change.RotateSeal:
 		return d.rotateSeal(c, accepted)
+	case change.PutRouting:
+		return d.putRouting(c, accepted)
+	case change.PutRollout:
+		return d.putRollout(c, accepted)
+	case change.MoveRollout:
+		return d.moveRollout(c, accepted)
 	case change.PutOperator:
 		return d.putOperator(c, accepted)
 	case change.AddOperatorKey, change.RemoveOperatorKey:
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -10,6 +10,8 @@
 
 	"rosereach/core/key"
 	"rosereach/core/operator"
+	"rosereach/core/rollout"
+	"rosereach/core/route"
 	"rosereach/core/service"
 	"rosereach/core/template"
 	"rosereach/core/version"
@@ -38,6 +40,8 @@
 		Services   map[string]service.Service     `json:"services"`
 		Operators  map[string]operator.Operator   `json:"operators,omitempty"`
 		SealKeys   []SealKey                      `json:"seal_keys"`
+		Routing    *route.Document                `json:"routing,omitempty"`
+		Rollouts   map[string]rollout.Order       `json:"rollouts,omitempty"`
 	}
 
 	// SealKey is a key for session tokens. The newest seals; all open.
@@ -51,6 +55,7 @@
 		docs     Documents
 		policies map[string]template.Policy
 		owners   map[string]string
+		routes   *route.Table
 	}
 )
 
@@ -62,6 +67,9 @@
 		policies: make(map[string]template.Policy, len(docs.Workspaces)),
 		owners:   make(map[string]string),
 	}
+	if docs.Routing != nil {
+		c.routes = route.NewTable(docs.Routing.Config)
+	}
 	for name, w := range docs.Workspaces {
 		policy, found := docs.Templates[w.Template].Fill(w.Values)
 		if len(found) > 0 {
@@ -78,6 +86,15 @@
 // Revision returns the revision of the documents.
 func (c *Catalog) Revision() uint64 { return c.docs.Revision }
 
+// Routes returns the operator's routing plan, nil while there is none.
+func (c *Catalog) Routes() *route.Table { return c.routes }
+
+// Rollout returns the newest roll-out of a service.
+func (c *Catalog) Rollout(service string) (rollout.Order, bool) {
+	o, ok := c.docs.Rollouts[service]
+	return o, ok
+}
+
 // Documents returns the documents. Callers must not change the maps.
 func (c *Catalog) Documents() Documents { return c.docs }
 
@@ -185,6 +202,7 @@
 	d.Services = cloneMap(d.Services)
 	d.Operators = cloneMap(d.Operators)
 	d.SealKeys = slices.Clone(d.SealKeys)
+	d.Rollouts = cloneMap(d.Rollouts)
 	return d
 }
 
--- a/core/catalog/record.go
+++ b/core/catalog/record.go
@@ -76,6 +76,10 @@
 		document, ok = d.Versions[c.Name]
 	case change.Operator:
 		document, ok = d.Operators[c.Name]
+	case change.Rollout:
+		document, ok = d.Rollouts[c.Name]
+	case change.Routing:
+		document, ok = d.routingRecord(), d.Routing != nil
 	}
 	return document, ok
 }
--- /dev/null
+++ b/core/catalog/routing.go
@@ -0,0 +1,97 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"rosereach/core/change"
+	"rosereach/core/rollout"
+	"rosereach/core/route"
+	"rosereach/core/shape"
+)
+
+// RoutingName is the name under which a change writes the routing plan, of
+// which there is one.
+const RoutingName = "plan"
+
+// routingRecord is what the audit trail keeps of a routing plan: enough to
+// tell which text was in force, without the keys' hashes.
+type routingRecord struct {
+	Version  uint64 `json:"version"`
+	Sum      string `json:"sha256"`
+	Routes   int    `json:"routes"`
+	Services int    `json:"services"`
+}
+
+// putRouting replaces the routing plan. One whose version is not higher than
+// the one in force is acknowledged and changes nothing.
+func (d *Documents) putRouting(c change.Change, accepted change.Result) change.Result {
+	var next route.Document
+	if err := json.Unmarshal(c.Document, &next); err != nil {
+		return change.RefuseFor("", err.Error(), "a routing plan")
+	}
+	if found := next.Config.Check(); len(found) > 0 {
+		return change.Refuse(found)
+	}
+	if d.Routing != nil && next.Config.Version <= d.Routing.Config.Version {
+		accepted.Revision = d.Routing.Revision
+		return accepted
+	}
+	next.Revision = accepted.Revision
+	d.Routing = &next
+	return accepted
+}
+
+// putRollout starts a roll-out. An order that is already known is acknowledged
+// and changes nothing.
+func (d *Documents) putRollout(c change.Change, accepted change.Result) change.Result {
+	next, found := shape.Decode[rollout.Order](c.Document)
+	if len(found) > 0 {
+		return change.Refuse(found)
+	}
+	if next.Service != c.Name {
+		return change.RefuseFor("service", "differs from the change's name", c.Name)
+	}
+	if found := next.Check(); len(found) > 0 {
+		return change.Refuse(found)
+	}
+	next.Ordered = c.At
+	if old, ok := d.Rollouts[c.Name]; ok && old.IsSameOrder(next) {
+		accepted.Revision = old.Revision
+		return accepted
+	}
+	next.Stage, next.Revision = rollout.StageCanary, accepted.Revision
+	d.Rollouts[c.Name] = next
+	return accepted
+}
+
+// moveRollout moves a roll-out to a later stage. It has to expect the revision
+// that it decided about, so that a leader's late decision moves no newer one.
+func (d *Documents) moveRollout(c change.Change, accepted change.Result) change.Result {
+	move, found := shape.Decode[rollout.Move](c.Document)
+	if len(found) > 0 {
+		return change.Refuse(found)
+	}
+	o, ok := d.Rollouts[c.Name]
+	if !ok {
+		return change.RefuseFor("name", "no roll-out of "+c.Name, "the name of a service with a roll-out")
+	}
+	if !o.MayMove(move.Stage) {
+		return change.RefuseFor("stage", "cannot move from "+string(o.Stage)+" to "+string(move.Stage), "a later stage")
+	}
+	o.Stage, o.Reason, o.Revision = move.Stage, move.Reason, accepted.Revision
+	d.Rollouts[c.Name] = o
+	return accepted
+}
+
+func (d Documents) routingRecord() routingRecord {
+	if d.Routing == nil {
+		return routingRecord{}
+	}
+	sum := sha256.Sum256(d.Routing.Text)
+	c := d.Routing.Config
+	return routingRecord{
+		Version: c.Version, Sum: hex.EncodeToString(sum[:]), Routes: len(c.Routes), Services: len(c.Services),
+	}
+}
--- a/core/change/change.go
+++ b/core/change/change.go
@@ -22,6 +22,8 @@
 	MoveVersion  Kind = "move_version"
 	RotateSeal   Kind = "rotate_seal"
 	PutRollout   Kind = "put_rollout"
+	MoveRollout  Kind = "move_rollout"
+	PutRouting   Kind = "put_routing"
 	PutOperator  Kind = "put_operator"
 
 	AddOperatorKey    Kind = "add_operator_key"
@@ -42,13 +44,14 @@
 	Service   = "service"
 	Version   = "version"
 	Rollout   = "rollout"
+	Routing   = "routing"
 	Operator  = "operator"
 )
 
 // documentKinds gives the kind of document that each kind of change writes.
 var documentKinds = map[Kind]string{
 	PutTemplate: Template, PutWorkspace: Workspace, AddKey: Workspace, RemoveKey: Workspace, PutService: Service,
-	PutVersion: Version, MoveVersion: Version, PutRollout: Rollout, PutOperator: Operator,
+	PutVersion: Version, MoveVersion: Version, PutRollout: Rollout, MoveRollout: Rollout, PutRouting: Routing, PutOperator: Operator,
 	AddOperatorKey: Operator, RemoveOperatorKey: Operator,
 }
 
--- a/core/replica/status.go
+++ b/core/replica/status.go
@@ -46,3 +46,35 @@
 	}
 	return "follower"
 }
+
+// IsConfirmedSince reports whether a majority answered this leader to messages
+// that it sent after the time. No other leader can have committed anything by
+// then, whatever the clocks did meanwhile, so what was committed here at that
+// time was the newest.
+func (r *Replica) IsConfirmedSince(now, since time.Time) bool {
+	return r.isReady() && r.quorumAt(now).After(since)
+}
+
+// HearsLeader reports whether the replica leads with a majority, or heard a
+// leader within the election time.
+func (r *Replica) HearsLeader(now time.Time) bool {
+	if r.role == Leader {
+		return now.Sub(r.quorumAt(now)) < r.cfg.Election
+	}
+	return !r.leader.IsZero() && now.Sub(r.heard) < r.cfg.Election
+}
+
+// SilentVoters returns the voters that have not answered this leader for the
+// time, longest first.
+func (r *Replica) SilentVoters(now time.Time, silence time.Duration) []Identity {
+	if r.role != Leader {
+		return nil
+	}
+	var silent []Identity
+	for _, m := range r.members.Voters {
+		if p, ok := r.peers[m.Identity]; ok && now.Sub(p.acked) > silence {
+			silent = append(silent, m.Identity)
+		}
+	}
+	return silent
+}
--- /dev/null
+++ b/core/rollout/order.go
@@ -0,0 +1,123 @@
+package rollout
+
+import (
+	"time"
+
+	"rosereach/core/finding"
+)
+
+// The stages of an ordered roll-out.
+const (
+	// StageCanary gives the target a small share of the requests.
+	StageCanary Stage = "canary"
+	// StageFull gives all new requests to the target while the old backend
+	// servers finish what they have.
+	StageFull Stage = "full"
+	// StageCompleted means that nothing uses the old release any more.
+	StageCompleted Stage = "completed"
+	// StageRolledBack means that the target gets nothing.
+	StageRolledBack Stage = "rolled_back"
+)
+
+const (
+	// fullAt and completeAt are the shares of a roll-out's time after which a
+	// target that has shown no fault takes all requests, and after which the
+	// old release is given up. Between them streams of the old one end.
+	fullAt     = 0.6
+	completeAt = 0.85
+
+	// resendTime is for how long an order of the same release counts as a
+	// resend after its roll-out has ended. Operators resend for a few seconds.
+	resendTime = 10 * time.Second
+)
+
+type (
+	// Stage is how far an ordered roll-out has come.
+	Stage string
+
+	// Order is an operator's order to move a service to the release Target
+	// within Duration. Ordered is the leader's time of day when it was
+	// accepted.
+	Order struct {
+		Service  string        `json:"service"`
+		Target   string        `json:"target"`
+		Duration time.Duration `json:"duration"`
+		Stage    Stage         `json:"stage"`
+		Ordered  time.Time     `json:"ordered"`
+		Reason   string        `json:"reason,omitempty"`
+		Revision uint64        `json:"revision"`
+	}
+
+	// Move is the document of a change of stage.
+	Move struct {
+		Stage  Stage  `json:"stage"`
+		Reason string `json:"reason"`
+	}
+)
+
+// Check returns all findings of an order.
+func (o Order) Check() finding.List {
+	var found finding.List
+	if o.Service == "" {
+		found.Add("service", "missing", "the name of a service")
+	}
+	if o.Target == "" {
+		found.Add("target", "missing", "a release")
+	}
+	if o.Duration <= 0 {
+		found.Add("duration", "not above 0", "a time above 0")
+	}
+	return found
+}
+
+// IsFinal reports whether the roll-out has ended.
+func (o Order) IsFinal() bool { return o.Stage == StageCompleted || o.Stage == StageRolledBack }
+
+// IsSameOrder reports whether another order asks for the same, so that it is a
+// resend.
+func (o Order) IsSameOrder(other Order) bool {
+	if o.Service != other.Service || o.Target != other.Target || o.Duration != other.Duration {
+		return false
+	}
+	return !o.IsFinal() || other.Ordered.Sub(o.Ordered) < o.Duration+resendTime
+}
+
+// MayMove reports whether the roll-out may go to the stage.
+func (o Order) MayMove(to Stage) bool {
+	switch o.Stage {
+	case StageCanary:
+		return to == StageFull || to == StageCompleted || to == StageRolledBack
+	case StageFull:
+		return to == StageCompleted || to == StageRolledBack
+	}
+	return false
+}
+
+// Next returns the stage that the roll-out should be in, and why, when it has
+// been under way for the time and attempts went as the tallies say.
+func (o Order) Next(elapsed time.Duration, tallies []Tally) (Stage, string) {
+	if o.IsFinal() {
+		return o.Stage, o.Reason
+	}
+	if reason := judge(o.Service, o.Target, tallies); reason != "" {
+		return StageRolledBack, reason
+	}
+	seen := requestsOf(o.Service, o.Target, tallies)
+	switch {
+	case elapsed >= share(o.Duration, completeAt) && seen > 0:
+		return StageCompleted, "no fault was seen"
+	case elapsed >= o.Duration:
+		return StageRolledBack, "no request reached the target in time"
+	case elapsed >= share(o.Duration, fullAt) && seen > 0 && o.Stage == StageCanary:
+		return StageFull, "no fault was seen"
+	}
+	return o.Stage, o.Reason
+}
+
+// CanaryShare is the share of a service's requests that its target gets until
+// it has proved itself, given the share that the operator allows.
+func CanaryShare(allowed float64) float64 { return allowed * canaryOfAllowed }
+
+func share(d time.Duration, part float64) time.Duration {
+	return time.Duration(part * float64(d))
+}
--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -34,6 +34,9 @@
 }
 
 func runControl(ctx context.Context, c *cli.Command) error {
+	if isOnPlatform() {
+		return runPlatformControl(ctx, c)
+	}
 	s := newSettings(c)
 	listen := s.address("listen")
 	cfg := control.Config{
--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -38,6 +38,9 @@
 }
 
 func runEntry(ctx context.Context, c *cli.Command) error {
+	if isOnPlatform() {
+		return runPlatformEntry(ctx, c)
+	}
 	s := newSettings(c)
 	listen := s.address("listen")
 	files, started := s.tlsFiles(), incarnation()
--- /dev/null
+++ b/internal/cmd/platform_control.go
@@ -0,0 +1,59 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/juju/clock"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"rosereach/core/lease"
+	"rosereach/internal/control"
+	"rosereach/platform"
+)
+
+// mostSeeds is how many voters a new group has to have before it acknowledges
+// anything, so that the loss of one disk loses nothing.
+const mostSeeds = 3
+
+// runPlatformControl runs a control with the settings of a platform.
+func runPlatformControl(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	logger := newLogger(s, "control")
+	key := s.text("member-key")
+	if err := s.err(); err != nil {
+		return err
+	}
+	n, err := openNode(logger)
+	if err != nil {
+		return err
+	}
+	now := n.settings()
+	node, err := control.Open(control.Config{
+		ID: now.Name, Folder: now.DataFolder, Address: now.Member(), MemberKey: key, OperatorKey: s.optional("operator-key"),
+		Seeds:       &control.Seeds{Addresses: n.members, Founds: now.FirstStart, KeepVoters: 2*now.LostControls + 1},
+		LeastVoters: min(len(now.Controls), mostSeeds), Terms: lease.DefaultTerms(), Clock: clock.WallClock, Logger: logger,
+	})
+	if err != nil {
+		return err
+	}
+	addresses := []string{now.Member(), now.Listen.Control}
+	if now.Listen.Directory != "" {
+		addresses = append(addresses, now.Listen.Directory)
+	}
+	listeners, err := listenAll(ctx, addresses...)
+	if err != nil {
+		return err
+	}
+	logger.Log("msg", "Control serves.", "id", now.Name, "address", now.Member(), "first_start", now.FirstStart)
+	return serveControl(ctx, node, func(ctx context.Context) error {
+		g, ctx := errgroup.WithContext(ctx)
+		g.Go(func() error { return n.follow(ctx) })
+		g.Go(func() error { return serveUntil(ctx, listeners[0], node.Handler(), noWait) })
+		g.Go(func() error { return serveUntil(ctx, listeners[1], platform.ControlHandler(node, n.regions), noWait) })
+		if len(listeners) > 2 {
+			g.Go(func() error { return serveUntil(ctx, listeners[2], platform.DirectoryHandler(node, listLife), noWait) })
+		}
+		return g.Wait()
+	})
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -99,6 +99,7 @@
 		n.settleAbsent(ctx, now)
 	}
 	n.moveMembers(now)
+	n.steerRollouts(ctx, now)
 	n.reportMembers(ctx, now)
 	n.reportInForce(ctx, now)
 	n.wakeWaiters()
@@ -138,6 +139,7 @@
 	if n.leadership != nil && n.leadership.ready {
 		n.leadership.commits = append(n.leadership.commits, commit{revision: revision, at: n.cfg.Clock.Now()})
 	}
+	n.fleet.wake()
 	for c := range n.watchers {
 		go c.Notify(ctx, member.KindChanged, member.Changed{Revision: revision}) //nolint:errcheck // a lost notice is made up by the next lease
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -15,9 +15,11 @@
 
 const (
 	// snapshotEvery is how many entries lie between snapshots. Changes cost far
-	// more to execute again than other commands, so fewer of them do.
+	// more to execute again than other commands, so fewer of them do, and large
+	// ones would fill a small disk.
 	snapshotEvery        = 50_000
 	snapshotEveryChanges = 2_000
+	snapshotEveryBytes   = 4 << 20
 
 	// handOverTime bounds how long a planned stop waits for a successor.
 	handOverTime = 2 * electionTimeout
@@ -155,6 +157,7 @@
 
 func (n *Node) applyEntry(e replica.Entry) error {
 	n.applied = e.Index
+	n.logged += len(e.Data)
 	var result state.Result
 	if e.Kind == replica.Command {
 		var c state.Command
@@ -173,10 +176,11 @@
 // startSnapshot encodes the state beside the loop once enough was applied.
 // Callers hold n.mu.
 func (n *Node) startSnapshot(ctx context.Context) {
-	if n.saving || (n.applied-n.saved < snapshotEvery && n.changes < snapshotEveryChanges) {
+	due := n.applied-n.saved >= snapshotEvery || n.changes >= snapshotEveryChanges || n.logged >= snapshotEveryBytes
+	if n.saving || !due {
 		return
 	}
-	n.saving, n.changes = true, 0
+	n.saving, n.changes, n.logged = true, 0, 0
 	index, encode := n.applied, n.state.Freeze()
 	go func() {
 		data, err := encode()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -25,6 +25,9 @@
 // enrol gets a replica with an empty folder into a group, and returns once it
 // is a member.
 func (n *Node) enrol(ctx context.Context) error {
+	if n.cfg.Seeds != nil {
+		return n.keepPlace(ctx)
+	}
 	for !n.isEnrolled() {
 		founds, err := n.seekGroup(ctx)
 		if err != nil {
@@ -146,6 +149,9 @@
 // becomes a voter. Callers hold n.mu.
 func (n *Node) moveMembers(now time.Time) {
 	members := n.groupLocked().Members
+	if n.dropSilent(now, members) {
+		return
+	}
 	for _, l := range members.Learners {
 		if !n.replica.IsCaughtUp(l.Identity) {
 			continue
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -45,8 +45,10 @@
 	// Config are the settings of a control process. Address is the host:port at
 	// which others reach it. Peers are the first controls of a new group and,
 	// by id, the addresses at which this one reaches them. Join are addresses of
-	// a group to join; Standby waits until a group adopts this control. With
-	// none of the three an empty folder starts a group of one.
+	// a group to join; Standby waits until a group adopts this control; Seeds
+	// found or find a group without an operator. With none of them an empty
+	// folder starts a group of one. Orders are acknowledged only by a group of
+	// LeastVoters voters or more.
 	Config struct {
 		ID          string
 		Folder      string
@@ -54,6 +56,8 @@
 		Peers       map[string]string
 		Join        []string
 		Standby     bool
+		Seeds       *Seeds
+		LeastVoters int
 		MemberKey   string
 		OperatorKey string
 		Terms       lease.Terms
@@ -62,6 +66,17 @@
 		Logger      log.Logger
 	}
 
+	// Seeds are the first controls of a group, for those that are told nothing
+	// else. Addresses returns their host:port as it is now; Founds says that
+	// this control may found the group, if it is the first of them and its
+	// folder is empty. KeepVoters is how many voters the group never goes below
+	// by itself.
+	Seeds struct {
+		Addresses  func() []string
+		Founds     bool
+		KeepVoters int
+	}
+
 	// Node is one control: a replica of the group's state and, while it leads,
 	// the grantor of leases.
 	Node struct {
@@ -92,6 +107,10 @@
 		watchers   map[*member.Conn]bool
 		leadership *leadership
 		inForce    chan struct{}
+		fleet      *fleet
+		rollouts   map[string]rolloutStart
+		run        uint64
+		logged     int
 	}
 )
 
@@ -114,7 +133,10 @@
 		waiting:   make(map[uint64]waiter),
 		watchers:  make(map[*member.Conn]bool),
 		inForce:   make(chan struct{}),
+		rollouts:  make(map[string]rolloutStart),
+		run:       uint64(cfg.Clock.Now().UnixNano()), //nolint:gosec // a time after 1970
 	}
+	n.fleet = newFleet(n.run)
 	n.metrics = newMetrics(n)
 	n.links = newLinks(n)
 	if err := n.load(); err != nil {
@@ -133,6 +155,7 @@
 	g, running := errgroup.WithContext(running)
 	g.Go(func() error { return n.write(running) })
 	g.Go(func() error { return n.enrol(running) })
+	g.Go(func() error { return n.followFleet(running) })
 	g.Go(func() error {
 		defer stop()
 		return n.loop(ctx, running)
@@ -181,7 +204,7 @@
 	if n.store.Meta().Group != "" {
 		return n.restart()
 	}
-	if len(n.cfg.Join) == 0 && len(n.otherPeers()) == 0 && !n.cfg.Standby {
+	if len(n.cfg.Join) == 0 && len(n.otherPeers()) == 0 && !n.cfg.Standby && n.cfg.Seeds == nil {
 		return n.found()
 	}
 	return nil
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -55,6 +55,12 @@
 		})
 	case member.KindRemove:
 		return nil, handle(body, func(r member.RemoveRequest) error { return n.removeAsLeader(ctx, r) })
+	case member.KindWatch:
+		return n.watchMessage(ctx, body)
+	case member.KindPresence:
+		return nil, handle(body, n.hearPresence)
+	case member.KindRouting:
+		return n.confirmedRouting(ctx)
 	case member.KindEntries:
 		return n.entries()
 	}
--- /dev/null
+++ b/internal/control/watch.go
@@ -0,0 +1,407 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"rosereach/core/backend"
+	"rosereach/core/catalog"
+	"rosereach/core/replica"
+	"rosereach/core/roster"
+	"rosereach/io/member"
+)
+
+const (
+	// watchInterval is the longest time until a watcher is answered.
+	watchInterval = time.Second
+
+	// watchTimeout ends a connection whose watch stays without answer; the
+	// answer is due after watchInterval and a round trip between regions.
+	watchTimeout = 2 * time.Second
+
+	// watchPause bounds how often one watcher is answered, so that a storm of
+	// changes is told in few messages.
+	watchPause = 50 * time.Millisecond
+
+	// presenceLife is how long an entry counts as serving after it was heard:
+	// it asks every second, and two answers may be lost.
+	presenceLife = 3 * time.Second
+
+	// serverSilence and serverForget are when a backend server counts as
+	// silent, after about three of its announcements are missing, and when it
+	// is forgotten.
+	serverSilence = 4 * time.Second
+	serverForget  = 60 * time.Second
+)
+
+type (
+	// fleet is what a control knows of the entries and backend servers. It is
+	// soft state: they tell it again and again.
+	fleet struct {
+		roster    *roster.Roster
+		entries   map[string]presence
+		reports   map[string]report
+		controls  map[string]*peerView
+		moved     chan struct{}
+		isCurrent bool
+	}
+
+	// presence is an entry, when it was heard by any control, and when by this.
+	presence struct {
+		said   member.Presence
+		heard  time.Time
+		direct time.Time
+	}
+
+	// report is an entry's count of attempts and whether this control heard it
+	// from the entry.
+	report struct {
+		said   member.Report
+		direct bool
+	}
+
+	// peerView is how far another control's roster is known.
+	peerView struct {
+		source uint64
+		roster uint64
+		stop   context.CancelFunc
+	}
+)
+
+func newFleet(start uint64) *fleet {
+	return &fleet{
+		roster:   roster.New(roster.Terms{SilentAfter: serverSilence, ForgetAfter: serverForget}, start),
+		entries:  make(map[string]presence),
+		reports:  make(map[string]report),
+		controls: make(map[string]*peerView),
+		moved:    make(chan struct{}),
+	}
+}
+
+// wake answers all watchers.
+func (f *fleet) wake() {
+	close(f.moved)
+	f.moved = make(chan struct{})
+}
+
+// Announce takes what a backend server says of itself.
+func (n *Node) Announce(a backend.Announcement) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fleet.roster.Observe(n.cfg.Clock.Now(), a) {
+		n.cfg.Logger.Log("msg", "Backend server changes.", "server", a.ID, "state", a.State, "service", a.Service, "release", a.Release)
+		n.fleet.wake()
+	}
+}
+
+// Withdraw takes a backend server's word that it goes. Incarnation 0 stands
+// for the one that is known.
+func (n *Node) Withdraw(id string, incarnation uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fleet.roster.Leave(n.cfg.Clock.Now(), id, incarnation) {
+		n.cfg.Logger.Log("msg", "Backend server goes.", "server", id)
+		n.fleet.wake()
+	}
+}
+
+// Entries returns the addresses of the entries that serve, those of the
+// availability zone first, then those of the region. A control that has lost
+// sight of most entries is more likely cut off itself: it goes on naming them.
+func (n *Node) Entries(region, zone string) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.cfg.Clock.Now()
+	var live, all []member.Presence
+	for _, p := range n.fleet.entries {
+		if p.said.Draining {
+			continue
+		}
+		all = append(all, p.said)
+		if now.Sub(p.heard) < presenceLife {
+			live = append(live, p.said)
+		}
+	}
+	if 2*len(live) < len(all) {
+		live = all
+	}
+	rank := func(p member.Presence) int {
+		switch {
+		case p.Zone == zone:
+			return 0
+		case p.Region == region:
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(live, func(a, b member.Presence) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
+	})
+	best := 2
+	if len(live) > 0 {
+		best = rank(live[0])
+	}
+	var addresses []string
+	for _, p := range live {
+		if rank(p) == best {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
+// watchFleet answers a watcher as soon as there is something new.
+func (n *Node) watchFleet(ctx context.Context, r member.WatchRequest) (member.WatchReply, error) {
+	n.hearEntry(r)
+	limit := n.cfg.Clock.NewTimer(watchInterval)
+	defer limit.Stop()
+	for {
+		n.mu.Lock()
+		moved, news := n.fleet.moved, n.hasNews(r)
+		n.mu.Unlock()
+		if news {
+			break
+		}
+		select {
+		case <-moved:
+			if r.Entry != nil {
+				continue
+			}
+		case <-limit.Chan():
+		case <-ctx.Done():
+			return member.WatchReply{}, errors.Trace(ctx.Err())
+		}
+		break
+	}
+	return n.tell(r), nil
+}
+
+// hasNews reports whether a watcher lacks something. Callers hold n.mu.
+func (n *Node) hasNews(r member.WatchRequest) bool {
+	if r.Source != n.run || r.Roster != n.fleet.roster.Version() {
+		return true
+	}
+	return r.Entry != nil && n.state.Catalog().Revision() > r.Documents
+}
+
+// tell returns what a watcher lacks.
+func (n *Node) tell(r member.WatchRequest) member.WatchReply {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.cfg.Clock.Now()
+	reply := member.WatchReply{Source: n.run, Current: n.fleet.isCurrent, Entries: n.liveEntries(now)}
+	after := r.Roster
+	if r.Source != n.run {
+		after = 0
+	}
+	reply.Roster = n.fleet.roster.Delta(after)
+	for _, m := range n.groupLocked().Members.All() {
+		reply.Controls = append(reply.Controls, m.Address)
+	}
+	if r.Entry != nil {
+		if docs := n.state.Catalog().Documents(); docs.Revision > r.Documents {
+			reply.Documents = entryDocuments(docs)
+		}
+		return reply
+	}
+	since := now.Add(-2 * watchInterval)
+	reply.Roster.Heard = n.fleet.roster.HeardSince(since)
+	for _, p := range n.fleet.entries {
+		if p.direct.After(since) {
+			reply.Heard = append(reply.Heard, p.said)
+		}
+	}
+	for _, rep := range n.fleet.reports {
+		if rep.direct {
+			reply.Reports = append(reply.Reports, rep.said)
+		}
+	}
+	return reply
+}
+
+// entryDocuments leaves out what entries do not need.
+func entryDocuments(docs catalog.Documents) *catalog.Documents {
+	docs.Operators = nil
+	if docs.Routing != nil {
+		plan := *docs.Routing
+		plan.Text = nil
+		docs.Routing = &plan
+	}
+	return &docs
+}
+
+func (n *Node) liveEntries(now time.Time) int {
+	live := 0
+	for _, p := range n.fleet.entries {
+		if now.Sub(p.heard) < presenceLife {
+			live++
+		}
+	}
+	return live
+}
+
+// hearEntry notes the entry that asks, and what it counted.
+func (n *Node) hearEntry(r member.WatchRequest) {
+	if r.Entry == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.cfg.Clock.Now()
+	n.learnEntry(now, *r.Entry, true)
+	if r.Report != nil {
+		n.learnReport(*r.Report, true)
+	}
+}
+
+// hearPresence takes what an entry says of itself between two questions, and
+// passes it on at once.
+func (n *Node) hearPresence(p member.Presence) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.learnEntry(n.cfg.Clock.Now(), p, true)
+	n.fleet.wake()
+	return nil
+}
+
+func (n *Node) learnEntry(now time.Time, p member.Presence, direct bool) {
+	old, known := n.fleet.entries[p.ID]
+	if known && !p.IsNewerThan(old.said) {
+		return
+	}
+	next := presence{said: p, heard: now, direct: old.direct}
+	if direct {
+		next.direct = now
+	}
+	n.fleet.entries[p.ID] = next
+}
+
+func (n *Node) learnReport(r member.Report, direct bool) {
+	old, known := n.fleet.reports[r.Entry]
+	if known && (r.Incarnation < old.said.Incarnation || r.Incarnation == old.said.Incarnation && r.Sequence <= old.said.Sequence) {
+		return
+	}
+	n.fleet.reports[r.Entry] = report{said: r, direct: direct}
+}
+
+// followFleet keeps the fleet's state: it watches the other controls, marks silent
+// servers while this control itself is in touch, and forgets old entries.
+func (n *Node) followFleet(ctx context.Context) error {
+	for {
+		n.mu.Lock()
+		now := n.cfg.Clock.Now()
+		n.fleet.isCurrent = n.replica != nil && n.replica.HearsLeader(now)
+		before := n.fleet.roster.Version()
+		if n.fleet.isCurrent {
+			n.fleet.roster.Expire(now)
+		} else {
+			n.fleet.roster.Forgive(now)
+		}
+		if n.fleet.roster.Version() != before {
+			n.fleet.wake()
+		}
+		n.forgetEntries(now)
+		n.noteRollouts(now)
+		n.watchPeers(ctx)
+		n.mu.Unlock()
+		select {
+		case <-n.cfg.Clock.After(upkeepInterval):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// forgetEntries drops entries that were not heard for long. Callers hold n.mu.
+func (n *Node) forgetEntries(now time.Time) {
+	for id, p := range n.fleet.entries {
+		if now.Sub(p.heard) > serverForget || p.said.Draining && now.Sub(p.heard) > 2*presenceLife {
+			delete(n.fleet.entries, id)
+			delete(n.fleet.reports, id)
+		}
+	}
+}
+
+// watchPeers starts and ends the watches of the other controls. Callers hold
+// n.mu.
+func (n *Node) watchPeers(ctx context.Context) {
+	members := n.groupLocked().Members
+	wanted := make(map[string]bool)
+	for _, m := range members.All() {
+		if m.Identity == n.self {
+			continue
+		}
+		wanted[m.Address] = true
+		if n.fleet.controls[m.Address] == nil {
+			watching, stop := context.WithCancel(ctx)
+			view := &peerView{stop: stop}
+			n.fleet.controls[m.Address] = view
+			go n.watchPeer(watching, m, view)
+		}
+	}
+	for address, view := range n.fleet.controls {
+		if !wanted[address] {
+			view.stop()
+			delete(n.fleet.controls, address)
+		}
+	}
+}
+
+// watchPeer asks another control again and again for what it heard.
+func (n *Node) watchPeer(ctx context.Context, m replica.Member, view *peerView) {
+	for ctx.Err() == nil {
+		conn, err := n.dial(ctx, n.addressOf(m))
+		if err != nil {
+			n.pause(ctx, redialDelay)
+			continue
+		}
+		level.Debug(n.cfg.Logger).Log("msg", "Watches a control.", "control", m.ID)
+		for n.askPeer(ctx, conn, view) == nil {
+			n.pause(ctx, watchPause)
+		}
+		conn.Close()
+	}
+}
+
+func (n *Node) askPeer(ctx context.Context, conn *member.Conn, view *peerView) error {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	var reply member.WatchReply
+	if err := conn.Call(ctx, member.KindWatch, member.WatchRequest{Source: view.source, Roster: view.roster}, &reply); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.cfg.Clock.Now()
+	view.source, view.roster = reply.Source, reply.Roster.Version
+	before := n.fleet.roster.Version()
+	n.fleet.roster.Learn(now, reply.Roster)
+	for _, p := range reply.Heard {
+		n.learnEntry(now, p, false)
+	}
+	for _, r := range reply.Reports {
+		n.learnReport(r, false)
+	}
+	if n.fleet.roster.Version() != before {
+		n.fleet.wake()
+	}
+	return nil
+}
+
+func (n *Node) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-n.cfg.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// watchMessage decodes and answers a watch.
+func (n *Node) watchMessage(ctx context.Context, body cbor.RawMessage) (any, error) {
+	return answer(body, func(r member.WatchRequest) (member.WatchReply, error) { return n.watchFleet(ctx, r) })
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,8 @@
 type (
 	// Config are the settings of an entry process. TLS gives the settings for
 	// connections to controls; without it, or when it gives nil, they are plain.
+	// With Forwarding the entry passes requests on as they are and follows
+	// several controls, else it serves its own interface.
 	Config struct {
 		ID          string
 		Incarnation uint64
@@ -61,6 +63,7 @@
 		TLS         func() (*tls.Config, error)
 		Clock       clock.Clock
 		Logger      log.Logger
+		Forwarding  *Forwarding
 	}
 
 	// Entry is one entry process.
@@ -94,6 +97,7 @@
 		holder     lease.Holder
 		peers      []lease.Entry
 		list       uint64
+		forwarding *forwarding
 	}
 )
 
@@ -121,6 +125,9 @@
 	e.relay = newRelay(e)
 	e.ledger = &batcher{propose: e.link.propose, pause: e.backOff, queue: make(chan *submission, maxSubmitted)}
 	e.meter = newMeter(e)
+	if cfg.Forwarding != nil {
+		e.forwarding = newForwarding(e)
+	}
 	return e
 }
 
@@ -129,6 +136,12 @@
 func (e *Entry) Run(ctx context.Context) error {
 	defer e.stop()
 	g, ctx := errgroup.WithContext(ctx)
+	if e.forwarding != nil {
+		g.Go(func() error { return e.forwarding.feeds.run(ctx) })
+	}
+	if e.forwarding != nil && e.cfg.Forwarding.FailOpen {
+		return g.Wait()
+	}
 	g.Go(func() error { return e.link.run(ctx) })
 	g.Go(func() error { return e.ledger.run(ctx) })
 	g.Go(func() error { return e.relay.run(ctx) })
--- /dev/null
+++ b/internal/entry/passage.go
@@ -0,0 +1,391 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"rosereach/core/backend"
+	"rosereach/core/forward"
+	"rosereach/core/rollout"
+	"rosereach/core/route"
+	"rosereach/io/upstream"
+)
+
+const (
+	// extraSends is how often a request may be sent beyond its route's attempts
+	// when servers say that they did not run it.
+	extraSends = 3
+
+	// headFactor is how many times its objective an attempt that may be
+	// repeated waits for the first line before another one follows.
+	headFactor = 2
+
+	// stallTime is the least silence within a stream after which it is resumed
+	// elsewhere, and stallFactor the silence as a multiple of the route's gap.
+	// Callers give up after the same two seconds or more.
+	stallTime   = 1800 * time.Millisecond
+	stallFactor = 3
+
+	// maxBuffered bounds an answer that is collected before it is passed on.
+	maxBuffered = 1 << 20
+
+	// resumeLeast is the least time that has to be left to resume a stream.
+	resumeLeast = 50 * time.Millisecond
+)
+
+// The reasons for which an attempt is ended from this side.
+const (
+	errNoHead  = errors.ConstError("no answer in time")
+	errStalled = errors.ConstError("the stream stands still")
+	errForeign = errors.ConstError("the answer belongs to another request")
+	errCut     = errors.ConstError("the answer broke off")
+	errCaller  = errors.ConstError("the caller takes no more")
+)
+
+type (
+	// passage is one request on its way through the entry.
+	passage struct {
+		f         *forwarding
+		req       forward.Request
+		route     route.Route
+		workspace route.Workspace
+		sink      forward.Sink
+		deadline  time.Time
+
+		service string
+		model   string
+		tried   []string
+		sends   int
+		runs    int
+		first   time.Time
+		begun   bool
+		last    uint64
+		held    *heldAnswer
+	}
+
+	// attempt is one try at one server.
+	attempt struct {
+		server  backend.Announcement
+		model   string
+		started time.Time
+		head    forward.Head
+	}
+
+	// heldAnswer is a server's failure, which is passed on if nothing better
+	// comes.
+	heldAnswer struct {
+		status int
+		header http.Header
+		body   []byte
+	}
+)
+
+// run tries servers until one has answered, or nothing more may be tried.
+func (x *passage) run(ctx context.Context) error {
+	x.f.countRequest()
+	x.last = x.req.After
+	x.service = x.f.pickService(x.route)
+	if x.req.AnyModel {
+		x.model = x.f.sizes.First(x.route.Models)
+	}
+	last := forward.NotSent
+	for {
+		a, failure := x.place(ctx)
+		if failure != nil {
+			return x.giveUp(ctx, last, failure)
+		}
+		outcome, err := x.try(ctx, a)
+		if err == nil {
+			return nil
+		}
+		x.log(a, outcome, err)
+		last = outcome
+		if ctx.Err() != nil || !x.mayGoOn(outcome) {
+			return x.giveUp(ctx, outcome, nil)
+		}
+	}
+}
+
+// mayGoOn reports whether another attempt may follow, and takes it from the
+// budget that all entries share.
+func (x *passage) mayGoOn(o forward.Outcome) bool {
+	if !forward.MayFollow(x.route, o, x.runs) || x.sends >= x.route.Attempts+extraSends {
+		return false
+	}
+	return o == forward.NotSent || x.f.takeRepeat()
+}
+
+// giveUp ends the request. A failure that a server answered is passed on as it
+// is; an answer that was begun is cut.
+func (x *passage) giveUp(ctx context.Context, last forward.Outcome, refused *forward.Failure) error {
+	switch {
+	case x.begun:
+		return errors.Trace(errCut)
+	case x.held != nil:
+		x.sink.Begin(x.held.status, x.held.header, int64(len(x.held.body)))
+		return x.sink.Write(x.held.body)
+	case refused != nil && x.runs == 0:
+		return refused
+	case errors.Is(ctx.Err(), context.Canceled):
+		return &forward.Failure{Code: forward.Gone, Detail: "the caller left"}
+	}
+	return forward.FailureOf(last, x.runs, ctx.Err() != nil)
+}
+
+// try sends the request to a server and passes its answer on. The outcome says
+// what is known when there is an error.
+func (x *passage) try(ctx context.Context, a *attempt) (forward.Outcome, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f := x.f
+	now := f.entry.cfg.Clock.Now()
+	a.started = now
+	if x.first.IsZero() {
+		x.first = now
+	}
+	left := x.deadline.Sub(now)
+	if left <= 0 {
+		return forward.NotSent, errors.Trace(context.DeadlineExceeded)
+	}
+	x.sends++
+	watch := f.entry.cfg.Clock.AfterFunc(x.headTime(left), func() { cancel(errNoHead) })
+	defer watch.Stop()
+	f.start(now, a.server, x.req.Input)
+	defer f.end(a.server)
+	answer, err := f.client.Do(ctx, upstream.Call{
+		Address: a.server.Address, Method: x.req.Method, Host: x.req.Host, Target: x.req.Target, Body: x.req.Body,
+		Header: f.entry.cfg.Forwarding.Dialect.Attempt(x.req, forward.Attempt{
+			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, Left: left, Priority: -1, After: x.last,
+		}),
+		Fresh: x.sends > 1 && !x.route.MayRepeat(),
+	}, func() error { return f.recheck(x, a.server) })
+	if err != nil {
+		return x.lost(ctx, a, err)
+	}
+	watch.Stop()
+	a.head = f.entry.cfg.Forwarding.Dialect.Head(answer.Status, answer.Header)
+	return x.receive(ctx, cancel, a, answer)
+}
+
+// headTime is how long to wait for the first line of an answer.
+func (x *passage) headTime(left time.Duration) time.Duration {
+	if !x.route.MayRepeat() || x.runs+1 >= x.route.Attempts || x.route.Objective <= 0 {
+		return left
+	}
+	return min(left, headFactor*x.route.Objective)
+}
+
+// lost sorts out an attempt that brought no answer.
+func (x *passage) lost(ctx context.Context, a *attempt, err error) (forward.Outcome, error) {
+	if errors.Is(err, upstream.ErrNotSent) {
+		if ctx.Err() == nil {
+			x.f.fail(a, x, true)
+		}
+		x.tried = append(x.tried, a.server.ID)
+		return forward.NotSent, err
+	}
+	x.runs++
+	x.tried = append(x.tried, a.server.ID)
+	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errNoHead) {
+		x.f.fail(a, x, false)
+	}
+	return forward.Unknown, err
+}
+
+// receive takes an answer whose first lines are here.
+func (x *passage) receive(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
+	x.f.observe(a)
+	if a.head.Echo != "" && a.head.Echo != x.req.ID {
+		answer.Discard()
+		x.runs++
+		x.tried = append(x.tried, a.server.ID)
+		return forward.Unknown, errors.Trace(errForeign)
+	}
+	if a.head.Refused {
+		_, err := io.CopyN(io.Discard, answer, maxBuffered)
+		answer.Close()
+		x.tried = append(x.tried, a.server.ID)
+		if a.head.Wrong {
+			x.f.fail(a, x, true)
+		}
+		return forward.NotRun, errors.Errorf("not run, status %d, %v", a.head.Status, err)
+	}
+	x.runs++
+	if model, again := x.escalates(a); again {
+		answer.Discard()
+		x.model = model
+		return forward.Failed, errors.Errorf("confidence %d", a.head.Confidence)
+	}
+	if x.route.Kind == route.Streaming && a.head.Status/100 == 2 {
+		return x.passStream(ctx, cancel, a, answer)
+	}
+	return x.passWhole(ctx, cancel, a, answer)
+}
+
+// escalates reports whether the answer is to be dropped and a larger model
+// asked. Nothing of it was shown yet.
+func (x *passage) escalates(a *attempt) (string, bool) {
+	if !x.req.AnyModel || x.begun || a.head.Status/100 != 2 || x.runs >= x.route.Attempts {
+		return "", false
+	}
+	model, again := x.f.sizes.Next(x.route.Models, x.model, a.head.Confidence)
+	return model, again && x.f.takeRepeat()
+}
+
+// passWhole collects an answer and passes it on, so that one that breaks off
+// can still be asked for again.
+func (x *passage) passWhole(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
+	watch := x.f.entry.cfg.Clock.AfterFunc(stallTime, func() { cancel(errStalled) })
+	defer watch.Stop()
+	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
+	watch.Stop()
+	x.tried = append(x.tried, a.server.ID)
+	if err != nil || len(body) > maxBuffered {
+		answer.Discard()
+		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
+			x.f.fail(a, x, false)
+		}
+		return forward.Broken, errors.Errorf("after %d bytes: %v", len(body), err)
+	}
+	answer.Close()
+	if a.head.Status >= http.StatusInternalServerError {
+		x.f.fail(a, x, false)
+		x.held = &heldAnswer{status: answer.Status, header: answer.Header, body: body}
+		return forward.Failed, errors.Errorf("status %d", a.head.Status)
+	}
+	x.f.succeed(a, x)
+	x.sink.Begin(answer.Status, answer.Header, int64(len(body)))
+	if err := x.sink.Write(body); err != nil {
+		level.Debug(x.f.entry.cfg.Logger).Log("msg", "Caller left before its answer.", "id", x.req.ID, "err", err)
+	}
+	return "", nil
+}
+
+// log tells why an attempt brought no answer.
+func (x *passage) log(a *attempt, o forward.Outcome, err error) {
+	x.f.entry.cfg.Logger.Log("msg", "Attempt brings no answer.", "id", x.req.ID, "route", x.route.Name, "server", a.server.ID,
+		"model", x.model, "outcome", o, "send", x.sends, "run", x.runs, "begun", x.begun, "last", x.last,
+		"took", x.f.entry.cfg.Clock.Now().Sub(a.started), "err", err)
+}
+
+// place chooses the server for the next attempt.
+func (x *passage) place(ctx context.Context) (*attempt, *forward.Failure) {
+	if ctx.Err() != nil {
+		return nil, &forward.Failure{Code: forward.TimedOut, Detail: "no time is left"}
+	}
+	server, ok := x.f.pick(x)
+	if !ok {
+		return nil, &forward.Failure{Code: forward.NoServer, Detail: "no backend server can take the request", RetryAfter: noServerRetry}
+	}
+	return &attempt{server: server}, nil
+}
+
+// pickService draws one of the route's services.
+func (f *forwarding) pickService(r route.Route) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return r.Pick(f.random)
+}
+
+func (f *forwarding) countRequest() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.Request(f.entry.cfg.Clock.Now())
+}
+
+func (f *forwarding) takeRepeat() bool {
+	members := f.feeds.fleetSize()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget.Take(f.entry.cfg.Clock.Now(), members)
+}
+
+// recheck tells, just before the first byte, whether the server may still get
+// the request.
+func (f *forwarding) recheck(x *passage, server backend.Announcement) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if rec, ok := f.roster.Find(server.ID); !ok || rec.Server.State != backend.Serving || rec.Server.Incarnation != server.Incarnation {
+		return errors.Errorf("backend server %s takes no work any more", server.ID)
+	}
+	return nil
+}
+
+func (f *forwarding) start(now time.Time, server backend.Announcement, tokens int64) {
+	e := f.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tracker.Start(now, server.ID, tokens)
+}
+
+func (f *forwarding) end(server backend.Announcement) {
+	e := f.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tracker.End(e.cfg.Clock.Now(), server.ID)
+}
+
+// observe takes the load that an answer tells.
+func (f *forwarding) observe(a *attempt) {
+	if a.head.Slots == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loads[a.server.ID] = backend.Load{At: f.entry.cfg.Clock.Now(), Running: a.head.Running, Queued: a.head.Waiting}
+}
+
+func (f *forwarding) succeed(a *attempt, x *passage) {
+	now := f.entry.cfg.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.health.Succeed(now, a.server.ID)
+	f.count(a, x, false, now.Sub(a.started))
+}
+
+func (f *forwarding) fail(a *attempt, x *passage, hard bool) {
+	now := f.entry.cfg.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.health.Fail(now, a.server.ID, hard)
+	if !hard {
+		f.count(a, x, true, 0)
+	}
+}
+
+// count adds an attempt to what the roll-out of its service is judged by.
+// Callers hold f.mu.
+func (f *forwarding) count(a *attempt, x *passage, failed bool, took time.Duration) {
+	o, ok := f.entry.catalog.Load().Rollout(x.service)
+	if !ok || o.IsFinal() {
+		clear(f.tallies)
+		return
+	}
+	key := tallyKey{service: x.service, release: a.server.Release, route: x.route.Name}
+	t := f.tallies[key]
+	t.Service, t.Release, t.Route = key.service, key.release, key.route
+	f.tallies[key] = t.WithAttempt(failed, float64(took)/float64(time.Millisecond))
+}
+
+// releases returns which releases of a service may get this request: a new one
+// only as far as its roll-out has come.
+func (f *forwarding) mayUse(o rollout.Order, ordered bool, release string, canary bool) bool {
+	if !ordered {
+		return true
+	}
+	switch o.Stage {
+	case rollout.StageCompleted, rollout.StageFull:
+		return release == o.Target
+	case rollout.StageRolledBack:
+		return release != o.Target
+	}
+	return (release == o.Target) == canary
+}
+
+func contains(list []string, id string) bool { return slices.Contains(list, id) }
--- /dev/null
+++ b/internal/entry/passage_stream.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/core/forward"
+	"rosereach/core/stream"
+	"rosereach/io/upstream"
+)
+
+// streamBuffer is what is read of a stream at once.
+const streamBuffer = 8 << 10
+
+// passStream passes events on as they come, each whole and once. When the
+// stream breaks, the next attempt goes on behind the last event.
+func (x *passage) passStream(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
+	order := stream.NewOrder(x.last)
+	var splitter stream.Splitter
+	clock := x.f.entry.cfg.Clock
+	watch := clock.AfterFunc(x.stall(), func() { cancel(errStalled) })
+	defer watch.Stop()
+	buffer := make([]byte, streamBuffer)
+	counted := false
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			watch.Reset(x.stall())
+		}
+		for _, e := range splitter.Push(buffer[:n]) {
+			pass, gap := order.Admit(e)
+			if gap != nil {
+				return x.broken(ctx, a, answer, gap)
+			}
+			if !pass {
+				continue
+			}
+			if !counted {
+				counted = true
+				x.f.succeed(a, x)
+			}
+			if err := x.show(answer, e.Raw); err != nil {
+				answer.Discard()
+				return forward.Broken, err
+			}
+			x.last = order.Last()
+		}
+		if err == nil {
+			continue
+		}
+		if err != io.EOF || splitter.Rest() > 0 || !counted {
+			return x.broken(ctx, a, answer, errors.Annotatef(errCut, "%v", err))
+		}
+		answer.Close()
+		return "", nil
+	}
+}
+
+// stall is how long a stream may be silent.
+func (x *passage) stall() time.Duration { return max(stallTime, stallFactor*x.route.Gap) }
+
+// show passes an event on; the head goes before the first one.
+func (x *passage) show(answer *upstream.Answer, raw []byte) error {
+	if !x.begun {
+		x.begun = true
+		x.sink.Begin(answer.Status, answer.Header, -1)
+	}
+	if err := x.sink.Write(raw); err != nil {
+		return errors.Annotatef(errCaller, "%v", err)
+	}
+	return nil
+}
+
+// broken ends an attempt whose stream broke off.
+func (x *passage) broken(ctx context.Context, a *attempt, answer *upstream.Answer, err error) (forward.Outcome, error) {
+	answer.Discard()
+	x.tried = append(x.tried, a.server.ID)
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
+		x.f.fail(a, x, false)
+	}
+	return forward.Broken, err
+}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -13,6 +13,10 @@
 const (
 	headerTimeout = 5 * time.Second
 
+	// idleTimeout ends connections that nobody uses; callers that keep one for
+	// longer open a new one.
+	idleTimeout = 60 * time.Second
+
 	// closeTimeout bounds the wait for open requests once the context ended.
 	closeTimeout = 5 * time.Second
 )
@@ -27,7 +31,13 @@
 // Serve serves on the listener until the context ends, then lets open
 // requests end for a short time.
 func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	return ServeFor(ctx, l, h, func() time.Duration { return closeTimeout })
+}
+
+// ServeFor is Serve with the time that open requests are given, asked for when
+// the context ends.
+func ServeFor(ctx context.Context, l net.Listener, h http.Handler, longest func() time.Duration) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	select {
@@ -35,7 +45,7 @@
 		return errors.Trace(err)
 	case <-ctx.Done():
 	}
-	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest())
 	defer cancel()
 	if server.Shutdown(closing) != nil {
 		return errors.Trace(server.Close())
--- a/io/member/dial.go
+++ b/io/member/dial.go
@@ -16,6 +16,11 @@
 
 	// dialTimeout bounds connecting and proving the key.
 	dialTimeout = time.Second
+
+	// pingInterval and pingTimeout find connections that went silent without a
+	// reset within three seconds, a round trip between regions included.
+	pingInterval = 1500 * time.Millisecond
+	pingTimeout  = 1500 * time.Millisecond
 )
 
 // Dial connects to the member at address, host:port, and starts to answer its
@@ -48,6 +53,7 @@
 	}
 	c := newConn(peer, ws, h)
 	go c.Run(ctx) //nolint:errcheck // the end of the connection is seen by its calls
+	go c.keepAlive(ctx)
 	return c, nil
 }
 
@@ -71,3 +77,25 @@
 	defer left()
 	c.Run(r.Context()) //nolint:errcheck // the peer is gone; it dials again
 }
+
+// keepAlive ends the connection when its peer answers no ping.
+func (c *Conn) keepAlive(ctx context.Context) {
+	tick := time.NewTicker(pingInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-c.done:
+			return
+		case <-ctx.Done():
+			return
+		}
+		pinging, cancel := context.WithTimeout(ctx, pingTimeout)
+		err := c.ws.Ping(pinging)
+		cancel()
+		if err != nil {
+			c.Close()
+			return
+		}
+	}
+}
