Start a roll-out's canary in the second half of its time

Cause: every model request carries a session, and a canary of requests without one never got any, so the roll-out was rolled back at its deadline. Sessions reach several entries, so no entry can tell a new session from an old one; they may move from the second half on. A count at another service also dropped the tallies.

--- a/core/catalog/routing.go
+++ b/core/catalog/routing.go
@@ -61,7 +61,7 @@
 		accepted.Revision = old.Revision
 		return accepted
 	}
-	next.Stage, next.Revision = rollout.StageCanary, accepted.Revision
+	next.Stage, next.Revision = rollout.StageOrdered, accepted.Revision
 	d.Rollouts[c.Name] = next
 	return accepted
 }
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -8,6 +8,9 @@
 
 // The stages of an ordered roll-out.
 const (
+	// StageOrdered gives the target nothing yet: for the first half of their
+	// time, sessions keep the release that they began with.
+	StageOrdered Stage = "ordered"
 	// StageCanary gives the target a small share of the requests.
 	StageCanary Stage = "canary"
 	// StageFull gives all new requests to the target while the old backend
@@ -20,11 +23,17 @@
 )
 
 const (
-	// fullAt and completeAt are the shares of a roll-out's time after which a
-	// target that has shown no fault takes all requests, and after which the
-	// old release is given up. Between them streams of the old one end.
-	fullAt     = 0.6
-	completeAt = 0.85
+	// canaryAt, fullAt and completeAt are the shares of a roll-out's time after
+	// which the target gets its first requests, takes all of them if it has
+	// shown no fault, and is the only release left. Sessions may move from the
+	// second half on; the last fifth is for a change of leader.
+	canaryAt   = 0.51
+	fullAt     = 0.65
+	completeAt = 0.8
+
+	// provenBy is how many requests the target has to have had before it takes
+	// all: a release that fails half of them is found by fewer.
+	provenBy = 12
 
 	// resendTime is for how long an order of the same release counts as a
 	// resend after its roll-out has ended. Operators resend for a few seconds.
@@ -85,6 +94,8 @@
 // MayMove reports whether the roll-out may go to the stage.
 func (o Order) MayMove(to Stage) bool {
 	switch o.Stage {
+	case StageOrdered:
+		return to == StageCanary || to == StageRolledBack
 	case StageCanary:
 		return to == StageFull || to == StageCompleted || to == StageRolledBack
 	case StageFull:
@@ -104,12 +115,14 @@
 	}
 	seen := requestsOf(o.Service, o.Target, tallies)
 	switch {
-	case elapsed >= share(o.Duration, completeAt) && seen > 0:
-		return StageCompleted, "no fault was seen"
-	case elapsed >= o.Duration:
+	case elapsed >= o.Duration && seen == 0:
 		return StageRolledBack, "no request reached the target in time"
-	case elapsed >= share(o.Duration, fullAt) && seen > 0 && o.Stage == StageCanary:
+	case o.Stage == StageOrdered && elapsed >= share(o.Duration, canaryAt):
+		return StageCanary, "half of the time is over"
+	case o.Stage == StageCanary && elapsed >= share(o.Duration, fullAt) && (seen >= provenBy || elapsed >= share(o.Duration, completeAt)):
 		return StageFull, "no fault was seen"
+	case o.Stage == StageFull && elapsed >= share(o.Duration, completeAt):
+		return StageCompleted, "no fault was seen"
 	}
 	return o.Stage, o.Reason
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -113,7 +113,9 @@
 		return overloaded(err)
 	}
 	defer leave()
-	return x.run(ctx)
+	err = x.run(ctx)
+	x.logEnd(err)
+	return err
 }
 
 // accept finds route and workspace of a request, or refuses it.
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -271,7 +272,14 @@
 func (x *passage) log(a *attempt, o forward.Outcome, err error) {
 	x.f.entry.cfg.Logger.Log("msg", "Attempt brings no answer.", "id", x.req.ID, "route", x.route.Name, "server", a.server.ID,
 		"model", x.model, "outcome", o, "send", x.sends, "run", x.runs, "begun", x.begun, "last", x.last,
-		"took", x.f.entry.cfg.Clock.Now().Sub(a.started), "err", err)
+		"took", x.f.entry.cfg.Clock.Now().Sub(a.started), "session", x.req.Session, "err", err)
+}
+
+// logEnd tells how the request ended.
+func (x *passage) logEnd(err error) {
+	x.f.entry.cfg.Logger.Log("msg", "Request ends.", "id", x.req.ID, "route", x.route.Name, "workspace", x.workspace.Name,
+		"session", x.req.Session, "model", x.model, "send", x.sends, "run", x.runs, "last", x.last,
+		"took", x.f.entry.cfg.Clock.Now().Sub(x.req.Arrived), "err", err)
 }
 
 // place chooses the server for the next attempt.
@@ -364,7 +372,7 @@
 func (f *forwarding) count(a *attempt, x *passage, failed bool, took time.Duration) {
 	o, ok := f.entry.catalog.Load().Rollout(x.service)
 	if !ok || o.IsFinal() {
-		clear(f.tallies)
+		maps.DeleteFunc(f.tallies, func(k tallyKey, _ rollout.Tally) bool { return k.service == x.service })
 		return
 	}
 	key := tallyKey{service: x.service, release: a.server.Release, route: x.route.Name}
@@ -373,19 +381,4 @@
 	f.tallies[key] = t.WithAttempt(failed, float64(took)/float64(time.Millisecond))
 }
 
-// releases returns which releases of a service may get this request: a new one
-// only as far as its roll-out has come.
-func (f *forwarding) mayUse(o rollout.Order, ordered bool, release string, canary bool) bool {
-	if !ordered {
-		return true
-	}
-	switch o.Stage {
-	case rollout.StageCompleted, rollout.StageFull:
-		return release == o.Target
-	case rollout.StageRolledBack:
-		return release != o.Target
-	}
-	return (release == o.Target) == canary
-}
-
 func contains(list []string, id string) bool { return slices.Contains(list, id) }
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,20 +60,43 @@
 }
 
 // permitted returns the serving servers of the request's service, of the
-// releases that its roll-out allows.
+// release that its roll-out gives the request.
 func (f *forwarding) permitted(x *passage) []roster.Record {
 	all := f.roster.Serving(x.service)
 	o, ordered := f.entry.catalog.Load().Rollout(x.service)
-	canary := ordered && o.Stage == rollout.StageCanary && x.req.Session == "" &&
-		f.random.Float64() < rollout.CanaryShare(f.entry.cfg.Forwarding.ExposureShare)
-	allowed := keep(all, func(r roster.Record) bool { return f.mayUse(o, ordered, r.Server.Release, canary) })
-	if len(allowed) == 0 && ordered && o.Stage != rollout.StageRolledBack {
-		// A new release without servers yet takes nothing away from the old one.
-		return keep(all, func(r roster.Record) bool { return r.Server.Release != o.Target })
+	if !ordered {
+		return all
 	}
-	return allowed
+	target := keep(all, func(r roster.Record) bool { return r.Server.Release == o.Target })
+	others := keep(all, func(r roster.Record) bool { return r.Server.Release != o.Target })
+	switch {
+	case o.Stage == rollout.StageCompleted, o.Stage == rollout.StageFull && len(target) > 0:
+		return target
+	case o.Stage == rollout.StageCanary && len(target) > 0 && f.isCanary(x, o):
+		return target[:min(len(target), canaryServers(len(target), f.canaryShare()))]
+	}
+	return others
+}
+
+// isCanary draws whether a new release gets the request: all requests of a
+// session get the same.
+func (f *forwarding) isCanary(x *passage, o rollout.Order) bool {
+	if x.req.Session == "" {
+		return f.random.Float64() < f.canaryShare()
+	}
+	drawn := xxhash.Sum64String(x.req.Session + "\x00" + o.Target)
+	return float64(drawn)/math.MaxUint64 < f.canaryShare()
 }
 
+func (f *forwarding) canaryShare() float64 {
+	return rollout.CanaryShare(f.entry.cfg.Forwarding.ExposureShare)
+}
+
+// canaryServers is how many servers of a new release share its first requests:
+// as many as carry the usual load with them, as some faults show only then,
+// and two at least, so that one that is ill does not stand for the release.
+func canaryServers(n int, share float64) int { return max(int(float64(n)*share), 2) }
+
 // withLoads returns the announcements with the newest loads. Callers hold f.mu.
 func (f *forwarding) withLoads(list []roster.Record) []backend.Announcement {
 	servers := make([]backend.Announcement, 0, len(list))
