Place requests by price: homes of shared parts, bytes and the risk to be late

One change: placement.Priced weighs the chance to miss the objective, bytes across zones and regions, and shared parts that are read again; homes by rendezvous hashing within the region; predicted times are corrected by what each server showed.

--- /dev/null
+++ b/core/placement/homes.go
@@ -0,0 +1,52 @@
+package placement
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Home returns the index of the candidate that is the home of a shared part of
+// a prompt, and those that come next, at most n. All entries agree on it without
+// talking, and a server that comes or goes moves only its own parts.
+func Home(key uint64, ids []string, n int) []int {
+	order := make([]int, len(ids))
+	weights := make([]uint64, len(ids))
+	for i, id := range ids {
+		order[i] = i
+		weights[i] = weightOf(key, id)
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		switch {
+		case weights[a] > weights[b]:
+			return -1
+		case weights[a] < weights[b]:
+			return 1
+		}
+		return 0
+	})
+	return order[:min(n, len(order))]
+}
+
+func weightOf(key uint64, id string) uint64 {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(key >> (8 * i))
+	}
+	d := xxhash.New()
+	d.Write(b[:])     //nolint:errcheck // a hash takes all bytes
+	d.WriteString(id) //nolint:errcheck // a hash takes all bytes
+	return d.Sum64()
+}
+
+// lateRisk returns the chance, 0 to 1, that an answer whose first byte is
+// predicted after the given time misses the objective. Predictions are off by
+// a third either way, so the chance rises around half of the objective.
+func lateRisk(predicted, objective float64) float64 {
+	if objective <= 0 {
+		return predicted
+	}
+	const middle, width = 0.55, 0.12
+	return 1 / (1 + math.Exp(-(predicted/objective-middle)/width))
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -13,24 +13,36 @@
 	// entry's own requests on it, and InFlightAtReport those that it had there
 	// when the server's load report was measured. Backlog is the entry's own
 	// prompt tokens that the server has still to read. Prefix is the share of
-	// the prompt that its cache is thought to hold, 0 to 1. Distance is the
-	// time one way; SameRegion is false when the link between regions lies
-	// between.
+	// the prompt that its cache is thought to hold, 0 to 1. Home is its rank
+	// among the homes of the prompt's shared parts, 1 for the first, 0 for none.
+	// Slowness is how much longer it takes than others, 0 for unknown. Distance
+	// is the time one way; SameRegion is false when the link between regions
+	// lies between.
 	Candidate struct {
 		Server           backend.Announcement
 		InFlight         int
 		InFlightAtReport int
 		Backlog          int64
 		Prefix           float64
+		Home             int
+		Slowness         float64
 		Distance         time.Duration
 		SameRegion       bool
+		SameZone         bool
 	}
 
-	// Demand is what a request asks of a backend server.
+	// Demand is what a request asks of a backend server. Own are the input
+	// tokens that no other request shares. Objective is the time to the first
+	// byte, Service what a call takes once it runs, Bytes the length of the
+	// request.
 	Demand struct {
 		InputTokens  int64
+		Own          int64
 		OutputTokens int64
 		Priority     int
+		Objective    time.Duration
+		Service      time.Duration
+		Bytes        int64
 	}
 
 	// Policy picks one of the candidates; it returns its index, or -1 when none
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -91,7 +91,7 @@
 		c := placement.Candidate{
 			Server: s, InFlight: e.tracker.InFlight(s.ID), InFlightAtReport: e.tracker.InFlightAt(s.ID, s.Load.At),
 			Backlog: e.tracker.Backlog(now, s.ID), Prefix: e.hints.Share(now, hintID(s), prompt),
-			Distance: zoneDistance, SameRegion: s.Region == e.cfg.Region,
+			Distance: zoneDistance, SameRegion: s.Region == e.cfg.Region, SameZone: s.Zone == e.cfg.Zone,
 		}
 		if !c.SameRegion {
 			c.Distance = regionDistance
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -11,6 +11,7 @@
 	"rosereach/core/forward"
 	"rosereach/core/health"
 	"rosereach/core/limit"
+	"rosereach/core/placement"
 	"rosereach/core/request"
 	"rosereach/core/retry"
 	"rosereach/core/rollout"
@@ -53,9 +54,12 @@
 		client *upstream.Client
 		sizes  cascade.Sizes
 
+		placement placement.Priced
+
 		mu       sync.Mutex
 		roster   *roster.Roster
 		health   *health.Tracker
+		slowness *placement.Slowness
 		loads    map[string]backend.Load
 		budget   *retry.Window
 		tallies  map[tallyKey]rollout.Tally
@@ -69,7 +73,7 @@
 func newForwarding(e *Entry) *forwarding {
 	f := &forwarding{
 		entry: e, client: upstream.NewClient(e.cfg.Clock), sizes: cascade.Sizes{Doubt: cascade.DefaultDoubt},
-		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), loads: make(map[string]backend.Load),
+		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), slowness: placement.NewSlowness(), placement: placement.NewPriced(), loads: make(map[string]backend.Load),
 		tallies: make(map[tallyKey]rollout.Tally), random: rand.New(rand.NewPCG(e.cfg.Seed, ^e.cfg.Incarnation)), //nolint:gosec // load is spread by it
 	}
 	f.feeds = newFeeds(e)
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -72,10 +72,11 @@
 
 	// attempt is one try at one server.
 	attempt struct {
-		server  backend.Announcement
-		model   string
-		started time.Time
-		head    forward.Head
+		server    backend.Announcement
+		predicted time.Duration
+		unread    int64
+		started   time.Time
+		head      forward.Head
 	}
 
 	// heldAnswer is a server's failure, which is passed on if nothing better
@@ -157,7 +158,7 @@
 	x.sends++
 	watch := f.entry.cfg.Clock.AfterFunc(x.headTime(left), func() { cancel(errNoHead) })
 	defer watch.Stop()
-	f.start(now, a.server, x.req.Input)
+	f.start(now, a.server, a.unread)
 	defer f.end(a.server)
 	answer, err := f.client.Do(ctx, upstream.Call{
 		Address: a.server.Address, Method: x.req.Method, Host: x.req.Host, Target: x.req.Target, Body: x.req.Body,
@@ -287,11 +288,11 @@
 	if ctx.Err() != nil {
 		return nil, &forward.Failure{Code: forward.TimedOut, Detail: "no time is left"}
 	}
-	server, ok := x.f.pick(x)
+	a, ok := x.f.pick(x)
 	if !ok {
 		return nil, &forward.Failure{Code: forward.NoServer, Detail: "no backend server can take the request", RetryAfter: noServerRetry}
 	}
-	return &attempt{server: server}, nil
+	return a, nil
 }
 
 // pickService draws one of the route's services.
@@ -354,6 +355,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.health.Succeed(now, a.server.ID)
+	f.slowness.Learn(now, x.route.Name+"/"+x.model, a.server.ID, a.predicted, now.Sub(a.started))
 	f.count(a, x, false, now.Sub(a.started))
 }
 
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -16,31 +16,100 @@
 // crashed one is back, or another one announced, after about a second.
 const noServerRetry = time.Second
 
+const (
+	// homeRanks is how many homes of a prompt are ranked: when the first is ill
+	// or full, all entries agree on the next.
+	homeRanks = 2
+
+	// callTime is what a call of a plain service takes until something is known.
+	callTime = 100 * time.Millisecond
+)
+
 // pick chooses a server for the next attempt of a request.
-func (f *forwarding) pick(x *passage) (backend.Announcement, bool) {
+func (f *forwarding) pick(x *passage) (*attempt, bool) {
 	e := f.entry
 	now := e.cfg.Clock.Now()
 	f.mu.Lock()
 	servers := f.usable(now, x)
 	f.mu.Unlock()
 	if len(servers) == 0 {
-		return backend.Announcement{}, false
+		return nil, false
 	}
 	prompt := promptChunks(x)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	candidates := e.candidates(now, servers, prompt)
-	demand := placement.Demand{InputTokens: x.req.Input, OutputTokens: x.req.Output, Priority: x.priority()}
-	picked := e.placement.Pick(now, demand, candidates, e.random)
+	f.settle(now, x, candidates, prompt)
+	demand := x.demand(prompt)
+	picked := f.placement.Pick(now, demand, candidates, e.random)
 	if picked < 0 {
-		return backend.Announcement{}, false
+		return nil, false
 	}
 	server := candidates[picked].Server
+	predicted := f.placement.Predict(now, demand, candidates[picked], 0)
 	e.hints.StoreAll(now, hintID(server), prompt)
 	f.mu.Lock()
 	f.health.Try(server.ID)
 	f.mu.Unlock()
-	return server, true
+	return &attempt{server: server, predicted: predicted, unread: candidates[picked].Missing(demand)}, true
+}
+
+// demand is what the request asks of a server. The last part of a prompt is the
+// request's or its session's own.
+func (x *passage) demand(prompt []placement.Chunk) placement.Demand {
+	d := placement.Demand{
+		InputTokens: x.req.Input, Own: x.req.Input, OutputTokens: x.req.Output, Priority: x.priority(),
+		Objective: x.route.Objective, Service: callTime, Bytes: int64(len(x.req.Body)),
+	}
+	if len(prompt) > 0 {
+		d.InputTokens = 0
+		for _, c := range prompt {
+			d.InputTokens += c.Tokens
+		}
+		d.Own = prompt[len(prompt)-1].Tokens
+	}
+	return d
+}
+
+// settle ranks the candidates as homes of the prompt's shared parts, within the
+// own availability zone or region first, and tells how slow each has been.
+// Callers hold e.mu.
+func (f *forwarding) settle(now time.Time, x *passage, candidates []placement.Candidate, prompt []placement.Chunk) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	group := f.slowness.Group(x.route.Name + "/" + x.model)
+	for i := range candidates {
+		candidates[i].Slowness = group * f.slowness.Of(now, candidates[i].Server.ID)
+	}
+	if len(prompt) < 2 {
+		return
+	}
+	shared := prompt[len(prompt)-2].Key
+	var held, all int64
+	for i, c := range prompt {
+		all += c.Tokens
+		if i < len(prompt)-1 {
+			held += c.Tokens
+		}
+	}
+	for _, near := range []func(placement.Candidate) bool{
+		func(c placement.Candidate) bool { return c.SameRegion }, func(c placement.Candidate) bool { return !c.SameRegion },
+	} {
+		var at []int
+		var ids []string
+		for i, c := range candidates {
+			if near(c) {
+				at, ids = append(at, i), append(ids, c.Server.ID)
+			}
+		}
+		for rank, i := range placement.Home(shared, ids, homeRanks) {
+			c := &candidates[at[i]]
+			c.Home = rank + 1
+			if rank == 0 {
+				c.Prefix = max(c.Prefix, float64(held)/float64(max(all, 1)))
+			}
+		}
+	}
 }
 
 // usable returns the servers that the request may go to, best known first
