Send documents to an entry once, from a near control, and compressed

Entries are told the revision and fetch the documents from the nearest control; large messages between members are compressed.

--- a/core/placement/priced.go
+++ b/core/placement/priced.go
@@ -29,7 +29,6 @@
 	}
 )
 
-
 // waitWeight is the price of a second of waiting beside the risk to be late; it
 // only decides between servers that are alike otherwise.
 const waitWeight = 0.05
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -30,7 +30,7 @@
 	}
 	now := n.settings()
 	node, err := control.Open(control.Config{
-		ID: now.Name, Folder: now.DataFolder, Address: now.Member(), MemberKey: key, OperatorKey: s.optional("operator-key"),
+		ID: now.Name, Folder: now.DataFolder, Address: now.Member(), Region: now.Region, Zone: now.Zone, MemberKey: key, OperatorKey: s.optional("operator-key"),
 		Seeds:       &control.Seeds{Addresses: n.members, Founds: now.FirstStart, KeepVoters: 2*now.LostControls + 1},
 		LeastVoters: min(len(now.Controls), mostSeeds), Terms: lease.DefaultTerms(), Clock: clock.WallClock, Logger: logger,
 	})
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -174,7 +174,7 @@
 }
 
 func (n *Node) dial(ctx context.Context, address string) (*member.Conn, error) {
-	return member.DialTLS(ctx, address, n.cfg.MemberKey, member.Peer{ID: n.cfg.ID}, n, n.cfg.Security)
+	return member.DialTLS(ctx, address, n.cfg.MemberKey, n.cfg.peer(), n, n.cfg.Security)
 }
 
 // addressOf returns where this control reaches a replica.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -55,6 +55,8 @@
 		ID          string
 		Folder      string
 		Address     string
+		Region      string
+		Zone        string
 		Peers       map[string]string
 		Join        []string
 		Standby     bool
@@ -148,6 +150,9 @@
 	return n, nil
 }
 
+// peer says who the control is towards other members.
+func (c Config) peer() member.Peer { return member.Peer{ID: c.ID, Region: c.Region, Zone: c.Zone} }
+
 // Run works until the context ends, hands the leadership over and closes the
 // folder.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -24,7 +24,7 @@
 func (n *Node) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(member.Path, func(w http.ResponseWriter, req *http.Request) {
-		member.Accept(w, req, n.cfg.MemberKey, member.Peer{ID: n.cfg.ID}, n, n.watch)
+		member.Accept(w, req, n.cfg.MemberKey, n.cfg.peer(), n, n.watch)
 	})
 	operator.Mount(r, operator.Options{BootstrapKey: n.cfg.OperatorKey, Clock: n.cfg.Clock, Metrics: n.metrics}, n)
 	return r
@@ -195,18 +195,17 @@
 	return n.leadership.grantor.Live(n.cfg.Clock.Now()), nil
 }
 
-// documents returns the documents when they are newer than an entry's. Only
-// the leader does, so that an entry never goes back to an older revision.
+// documents returns the documents when they are newer than an entry's. To an
+// entry that serves under a lease only the leader does.
 func (n *Node) documents(r member.DocumentsRequest) (member.DocumentsReply, error) {
-	if !n.IsLeader() {
+	if !r.Any && !n.IsLeader() {
 		return member.DocumentsReply{}, n.redirect()
 	}
 	docs := n.Catalog().Documents()
 	if docs.Revision <= r.Have {
 		return member.DocumentsReply{}, nil
 	}
-	docs.Operators = nil
-	return member.DocumentsReply{Documents: &docs}, nil
+	return member.DocumentsReply{Documents: entryDocuments(docs)}, nil
 }
 
 // watch adds a connection to those that hear of changes.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -204,10 +204,8 @@
 	for _, m := range n.groupLocked().Members.All() {
 		reply.Controls = append(reply.Controls, m.Address)
 	}
+	reply.Revision = n.state.Documents().Revision
 	if r.Entry != nil {
-		if docs := n.state.Documents(); docs.Revision > r.Documents {
-			reply.Documents = entryDocuments(docs)
-		}
 		return reply
 	}
 	since := now.Add(-2 * watchInterval)
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -29,6 +30,15 @@
 	// feedPause keeps a storm of changes from becoming a storm of messages.
 	feedPause = 50 * time.Millisecond
 
+	// farDelay is how long a control in another region, or zone, is not asked
+	// for documents that a nearer one will have as well: a follower learns of a
+	// commit with the leader's next heartbeat.
+	farDelay = 150 * time.Millisecond
+
+	// fetchTimeout bounds one control's answer with documents, after which
+	// another control is asked.
+	fetchTimeout = 700 * time.Millisecond
+
 	// strayAfter is how long a control may be without leader until the entry
 	// follows another one.
 	strayAfter = 2 * time.Second
@@ -45,8 +55,10 @@
 	mu       sync.Mutex
 	known    []string
 	used     map[string]*member.Conn
+	near     map[string]int
 	sequence uint64
 	entries  int
+	fetching bool
 }
 
 // feed is what one followed control has told.
@@ -54,10 +66,11 @@
 	source  uint64
 	roster  uint64
 	current time.Time
+	far     int
 }
 
 func newFeeds(e *Entry) *feeds {
-	return &feeds{entry: e, used: make(map[string]*member.Conn), entries: 1}
+	return &feeds{entry: e, used: make(map[string]*member.Conn), near: make(map[string]int), entries: 1}
 }
 
 // run follows controls until the context ends.
@@ -91,22 +104,18 @@
 }
 
 // claim returns a control that no other feed follows, empty when there is none.
-// Entries begin with different ones.
+// Near ones go first, as far as they are known, and entries begin with
+// different ones.
 func (f *feeds) claim(next int) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	all := slices.Concat(f.known, f.entry.cfg.Forwarding.Controls())
-	slices.SortFunc(all, func(a, b string) int {
-		x, y := xxhash.Sum64String(f.entry.cfg.ID+a), xxhash.Sum64String(f.entry.cfg.ID+b)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	})
+	slices.Sort(all)
 	all = slices.Compact(all)
+	slices.SortStableFunc(all, func(a, b string) int {
+		return cmp.Or(cmp.Compare(f.near[a], f.near[b]),
+			cmp.Compare(xxhash.Sum64String(f.entry.cfg.ID+a), xxhash.Sum64String(f.entry.cfg.ID+b)))
+	})
 	for i := range all {
 		address := all[(next+i)%len(all)]
 		if _, taken := f.used[address]; !taken {
@@ -140,8 +149,10 @@
 	cfg.Logger.Log("msg", "Follows a control.", "control", address)
 	f.mu.Lock()
 	f.used[address] = conn
+	far := f.distance(conn.Peer())
+	f.near[address] = far
 	f.mu.Unlock()
-	state := &feed{current: cfg.Clock.Now()}
+	state := &feed{far: far, current: cfg.Clock.Now()}
 	for {
 		if err := f.ask(ctx, conn, state); err != nil {
 			return err
@@ -169,18 +180,74 @@
 		return err
 	}
 	f.learn(reply, state)
+	return f.fetch(ctx, conn, reply.Revision, state.far)
+}
+
+// distance ranks a control: 0 in the own availability zone, 1 in the region, 2
+// elsewhere.
+func (f *feeds) distance(p member.Peer) int {
+	switch cfg := f.entry.cfg; {
+	case p.Zone == cfg.Zone:
+		return 0
+	case p.Region == cfg.Region:
+		return 1
+	}
+	return 2
+}
+
+// fetch asks for newer documents, once for all feeds. Documents only ever
+// become newer.
+func (f *feeds) fetch(ctx context.Context, conn *member.Conn, revision uint64, far int) error {
+	e := f.entry
+	if revision <= e.catalog.Load().Revision() {
+		return nil
+	}
+	if far > 0 && e.catalog.Load().Revision() > 0 {
+		select {
+		case <-e.cfg.Clock.After(time.Duration(far) * farDelay):
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		}
+	}
+	if revision <= e.catalog.Load().Revision() || !f.beginFetch() {
+		return nil
+	}
+	defer f.endFetch()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var reply member.DocumentsReply
+	have := e.catalog.Load().Revision()
+	if err := conn.Call(ctx, member.KindDocuments, member.DocumentsRequest{Have: have, Any: true}, &reply); err != nil {
+		return err
+	}
+	if reply.Documents != nil {
+		e.takeDocuments(reply.Documents)
+	}
 	return nil
 }
 
-// learn takes a control's answer. Documents only ever become newer, and that a
-// server is silent counts only from a control that is in touch itself.
+func (f *feeds) beginFetch() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fetching {
+		return false
+	}
+	f.fetching = true
+	return true
+}
+
+func (f *feeds) endFetch() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fetching = false
+}
+
+// learn takes a control's answer. That a server is silent counts only from a
+// control that is in touch itself.
 func (f *feeds) learn(reply member.WatchReply, state *feed) {
 	e := f.entry
 	now := e.cfg.Clock.Now()
 	state.source, state.roster = reply.Source, reply.Roster.Version
-	if reply.Documents != nil {
-		e.takeDocuments(reply.Documents)
-	}
 	if reply.Current {
 		state.current = now
 	} else {
--- a/io/member/dial.go
+++ b/io/member/dial.go
@@ -23,6 +23,12 @@
 	// second, when a machine that has just started is long there.
 	connectTimeout = 300 * time.Millisecond
 
+	// Large messages, which are documents and log entries, are compressed: the
+	// link between regions is narrow and billed. Small ones are not worth the
+	// time.
+	compression  = websocket.CompressionNoContextTakeover
+	compressFrom = 1024
+
 	// pingInterval and pingTimeout find connections that went silent without a
 	// reset within three seconds, a round trip between regions included.
 	pingInterval = 1500 * time.Millisecond
@@ -44,7 +50,7 @@
 		target = "wss://" + address + Path
 	}
 	connect := (&net.Dialer{Timeout: connectTimeout}).DialContext
-	opts := &websocket.DialOptions{HTTPClient: &http.Client{
+	opts := &websocket.DialOptions{CompressionMode: compression, CompressionThreshold: compressFrom, HTTPClient: &http.Client{
 		Transport: &http.Transport{TLSClientConfig: security, DialContext: connect, DisableKeepAlives: true},
 	}}
 	ws, resp, err := websocket.Dial(dialCtx, target, opts)
@@ -69,7 +75,7 @@
 // Joined is called once the peer has proved the key, and its result when the
 // connection ends.
 func Accept(w http.ResponseWriter, r *http.Request, key string, self Peer, h Handler, joined func(*Conn) func()) {
-	ws, err := websocket.Accept(w, r, nil)
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: compression, CompressionThreshold: compressFrom})
 	if err != nil {
 		return
 	}
--- a/io/member/message.go
+++ b/io/member/message.go
@@ -87,8 +87,11 @@
 	}
 
 	// DocumentsRequest asks for the documents when they are newer than Have.
+	// Only the leader answers, unless Any is set: then the newest that this
+	// control knows to be committed will do.
 	DocumentsRequest struct {
 		Have uint64 `json:"have"`
+		Any  bool   `json:"any,omitempty"`
 	}
 
 	// DocumentsReply holds the documents, or nil when Have is the newest.
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"rosereach/core/catalog"
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
 )
@@ -48,20 +47,21 @@
 		Report    *Report   `json:"report,omitempty"`
 	}
 
-	// WatchReply holds what changed. Current says that the control follows a
+	// WatchReply holds what changed. Revision is the newest of the documents,
+	// which are asked for by themselves. Current says that the control follows a
 	// leader that a majority follows. Controls are the addresses, host:port, of
 	// all controls and the availability zone of each that is known. Entries is
 	// how many entries serve. To controls it also gives the entries, reports
 	// and backend servers that the control heard itself.
 	WatchReply struct {
-		Source    uint64             `json:"source"`
-		Current   bool               `json:"current"`
-		Documents *catalog.Documents `json:"documents,omitempty"`
-		Roster    roster.Delta       `json:"roster"`
-		Controls  []string           `json:"controls,omitempty"`
-		Entries   int                `json:"entries"`
-		Heard     []Presence         `json:"heard,omitempty"`
-		Reports   []Report           `json:"reports,omitempty"`
+		Source   uint64       `json:"source"`
+		Current  bool         `json:"current"`
+		Revision uint64       `json:"revision"`
+		Roster   roster.Delta `json:"roster"`
+		Controls []string     `json:"controls,omitempty"`
+		Entries  int          `json:"entries"`
+		Heard    []Presence   `json:"heard,omitempty"`
+		Reports  []Report     `json:"reports,omitempty"`
 	}
 
 	// RoutingReply is the newest routing plan's text, confirmed by a majority
