--- /dev/null
+++ b/core/forward/forward_test.go
@@ -0,0 +1,48 @@
+package forward_test
+
+import (
+	"testing"
+
+	"rosereach/core/forward"
+	"rosereach/core/route"
+)
+
+func TestWhatMayFollow(t *testing.T) {
+	safe := route.Route{Kind: route.Safe, Attempts: 2}
+	unsafe := route.Route{Kind: route.Unsafe, Attempts: 3}
+	stream := route.Route{Kind: route.Streaming, Attempts: 3}
+	for _, c := range []struct {
+		name    string
+		route   route.Route
+		outcome forward.Outcome
+		runs    int
+		want    bool
+	}{
+		{"unsafe, not sent", unsafe, forward.NotSent, 0, true},
+		{"unsafe, said not to have run", unsafe, forward.NotRun, 0, true},
+		{"unsafe, no answer", unsafe, forward.Unknown, 1, false},
+		{"unsafe, failed", unsafe, forward.Failed, 1, false},
+		{"unsafe, cut answer", unsafe, forward.Broken, 1, false},
+		{"safe, no answer", safe, forward.Unknown, 1, true},
+		{"safe, no attempt left", safe, forward.Failed, 2, false},
+		{"stream that cannot be resumed", stream, forward.Broken, 1, false},
+	} {
+		if got := forward.MayFollow(c.route, c.outcome, c.runs); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// What may have run is never answered with a promise.
+func TestPromiseNeedsProof(t *testing.T) {
+	for _, o := range []forward.Outcome{forward.NotSent, forward.NotRun, forward.Failed, forward.Unknown, forward.Broken} {
+		for runs := range 3 {
+			for _, expired := range []bool{false, true} {
+				promised := forward.FailureOf(o, runs, expired).IsNotRun()
+				if promised != (runs == 0 && o.DidNotRun()) {
+					t.Errorf("%s after %d runs, expired %v: promise %v", o, runs, expired, promised)
+				}
+			}
+		}
+	}
+}
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -92,7 +92,7 @@
 	if !ok || s.streak == 0 {
 		return true
 	}
-	return !now.Before(s.until) && !(s.falls > 0 && s.probing)
+	return !now.Before(s.until) && (s.falls == 0 || !s.probing)
 }
 
 // Share returns the share of recent attempts that failed, 0 while few are
--- /dev/null
+++ b/core/placement/priced_test.go
@@ -0,0 +1,103 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rosereach/core/backend"
+	"rosereach/core/placement"
+)
+
+func engines(n int) []placement.Candidate {
+	var list []placement.Candidate
+	for i := range n {
+		list = append(list, placement.Candidate{
+			Server: backend.Announcement{ID: fmt.Sprint("e", i), Capacity: 64}, SameRegion: true, SameZone: true, Slowness: 1,
+		})
+	}
+	return list
+}
+
+var dossier = placement.Demand{InputTokens: 9190, Own: 2890, OutputTokens: 52, Objective: 2 * time.Second, Bytes: 18_000}
+
+func pickMost(t *testing.T, list []placement.Candidate, d placement.Demand) int {
+	t.Helper()
+	random := rand.New(rand.NewPCG(1, 1))
+	counts := make([]int, len(list))
+	for range 200 {
+		counts[placement.NewPriced().Pick(time.Unix(1000, 0), d, list, random)]++
+	}
+	best := 0
+	for i, n := range counts {
+		if n > counts[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+func TestHomeGetsTheRequestUntilItIsFull(t *testing.T) {
+	list := engines(9)
+	list[4].Home, list[4].Prefix = 1, 0.68
+	list[2].Home = 2
+	if got := pickMost(t, list, dossier); got != 4 {
+		t.Fatalf("goes to %d, want the home", got)
+	}
+	list[4].InFlight, list[4].Backlog = 60, 40_000
+	if got := pickMost(t, list, dossier); got == 4 {
+		t.Fatal("a full home still gets requests")
+	}
+	list[4].InFlight, list[4].Backlog, list[4].Slowness = 0, 0, 8
+	if got := pickMost(t, list, dossier); got == 4 {
+		t.Fatal("a slow home still gets requests")
+	}
+}
+
+func TestNearServerIsPreferredWhileItIsInTime(t *testing.T) {
+	list := engines(2)
+	list[0].SameRegion, list[0].SameZone, list[0].Distance = false, false, 30*time.Millisecond
+	list[1].InFlight = 10
+	if got := pickMost(t, list, dossier); got != 1 {
+		t.Fatal("the request crosses regions without need")
+	}
+	list[1].InFlight, list[1].Backlog = 64, 40_000
+	if got := pickMost(t, list, dossier); got != 0 {
+		t.Fatal("the request waits for a near server and will be late")
+	}
+}
+
+// A server that comes or goes moves only its own parts.
+func TestHomesAreStable(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
+	moved := 0
+	for key := range uint64(1000) {
+		before := ids[placement.Home(key, ids, 1)[0]]
+		after := ids[:8][placement.Home(key, ids[:8], 1)[0]]
+		if before != "i" && before != after {
+			t.Fatalf("part %d moved from %s to %s", key, before, after)
+		}
+		if before == "i" {
+			moved++
+		}
+	}
+	if moved < 70 || moved > 160 {
+		t.Fatalf("one of nine servers is home to %d of 1000 parts", moved)
+	}
+}
+
+func TestSlownessIsLearnedAndForgotten(t *testing.T) {
+	s := placement.NewSlowness()
+	now := time.Unix(1000, 0)
+	for range 40 {
+		s.Learn(now, "m", "usual", 100*time.Millisecond, 100*time.Millisecond)
+		s.Learn(now, "m", "slow", 100*time.Millisecond, 500*time.Millisecond)
+	}
+	if slow, usual := s.Of(now, "slow"), s.Of(now, "usual"); slow < 2*usual {
+		t.Fatalf("slow %.2f, usual %.2f", slow, usual)
+	}
+	if slow := s.Of(now.Add(time.Minute), "slow"); slow > 1.1 {
+		t.Fatalf("%.2f after a minute", slow)
+	}
+}
--- /dev/null
+++ b/core/retry/window_test.go
@@ -0,0 +1,58 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"rosereach/core/retry"
+)
+
+// Load moves from one entry to the others; in no window may the sum of all
+// repeats pass the bound.
+func TestSharedBudgetHoldsWhenLoadShifts(t *testing.T) {
+	const members, ratio, slack = 6, 0.5, 52.0
+	terms := retry.Shared{Ratio: ratio, Slack: slack, Window: 10 * time.Second}
+	var windows []*retry.Window
+	for range members {
+		windows = append(windows, retry.NewWindow(terms))
+	}
+	start := time.Unix(1000, 0)
+	type count struct{ requests, repeats int }
+	var seconds []count
+	for s := range 60 {
+		var c count
+		for i := range 100 {
+			now := start.Add(time.Duration(s)*time.Second + time.Duration(i)*10*time.Millisecond)
+			w := windows[(s/7+i%2)%members]
+			w.Request(now)
+			c.requests++
+			for range 2 {
+				if w.Take(now, members) {
+					c.repeats++
+				}
+			}
+		}
+		seconds = append(seconds, c)
+	}
+	for from := 0; from+10 <= len(seconds); from++ {
+		var sum count
+		for _, c := range seconds[from : from+10] {
+			sum.requests += c.requests
+			sum.repeats += c.repeats
+		}
+		if float64(sum.repeats) > ratio*float64(sum.requests)+slack {
+			t.Fatalf("seconds %d to %d: %d repeats of %d requests", from, from+10, sum.repeats, sum.requests)
+		}
+	}
+}
+
+func TestWindowForgets(t *testing.T) {
+	w := retry.NewWindow(retry.Shared{Ratio: 0, Slack: 1, Window: time.Second})
+	now := time.Unix(1000, 0)
+	if !w.Take(now, 1) || w.Take(now, 1) {
+		t.Fatal("the slack is not one")
+	}
+	if !w.Take(now.Add(2*time.Second), 1) {
+		t.Fatal("a repeat counts for ever")
+	}
+}
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -113,13 +113,12 @@
 	if reason := judge(o.Service, o.Target, tallies); reason != "" {
 		return StageRolledBack, reason
 	}
-	seen := requestsOf(o.Service, o.Target, tallies)
 	switch {
-	case elapsed >= o.Duration && seen == 0:
+	case elapsed >= o.Duration && !isProven(o, tallies, true):
 		return StageRolledBack, "no request reached the target in time"
 	case o.Stage == StageOrdered && elapsed >= share(o.Duration, canaryAt):
 		return StageCanary, "half of the time is over"
-	case o.Stage == StageCanary && elapsed >= share(o.Duration, fullAt) && (seen >= provenBy || elapsed >= share(o.Duration, completeAt)):
+	case o.Stage == StageCanary && elapsed >= share(o.Duration, fullAt) && isProven(o, tallies, elapsed >= share(o.Duration, completeAt)):
 		return StageFull, "no fault was seen"
 	case o.Stage == StageFull && elapsed >= share(o.Duration, completeAt):
 		return StageCompleted, "no fault was seen"
@@ -127,6 +126,13 @@
 	return o.Stage, o.Reason
 }
 
+// isProven reports whether the target has had enough requests to be trusted
+// with all. When time runs out any will do, and none if the service has none.
+func isProven(o Order, tallies []Tally, late bool) bool {
+	seen, all := requestsOf(o.Service, tallies, o.Target)
+	return seen >= provenBy || late && (seen > 0 || all == 0)
+}
+
 // CanaryShare is the share of a service's requests that its target gets until
 // it has proved itself, given the share that the operator allows.
 func CanaryShare(allowed float64) float64 { return allowed * canaryOfAllowed }
--- a/core/rollout/tally.go
+++ b/core/rollout/tally.go
@@ -130,12 +130,16 @@
 	return mean, max(t.LogSq/n-mean*mean, 0.01)
 }
 
-func requestsOf(service, release string, tallies []Tally) uint64 {
-	var n uint64
+// requestsOf returns the requests of one release of a service and of all.
+func requestsOf(service string, tallies []Tally, release string) (one, all uint64) {
 	for _, t := range tallies {
-		if t.Service == service && t.Release == release {
-			n += t.Requests
+		if t.Service != service {
+			continue
+		}
+		all += t.Requests
+		if t.Release == release {
+			one += t.Requests
 		}
 	}
-	return n
+	return one, all
 }
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,108 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"rosereach/core/backend"
+	"rosereach/core/roster"
+)
+
+var (
+	terms = roster.Terms{SilentAfter: 4 * time.Second, ForgetAfter: time.Minute}
+	start = time.Unix(1000, 0)
+)
+
+func server(id string, born, sequence uint64, state backend.State) backend.Announcement {
+	return backend.Announcement{ID: id, Incarnation: born, Sequence: sequence, State: state, Service: "s", Address: "10.0.0.1:" + id, Capacity: 1}
+}
+
+func serving(r *roster.Roster) (ids []string) {
+	for _, rec := range r.Serving("s") {
+		ids = append(ids, rec.Server.ID)
+	}
+	return ids
+}
+
+func TestLeavingIsFinalForAnIncarnation(t *testing.T) {
+	r := roster.New(terms, 1)
+	r.Observe(start, server("1", 10, 1, backend.Serving))
+	r.Observe(start, server("1", 10, 5, backend.Leaving))
+	r.Observe(start, server("1", 10, 6, backend.Serving))
+	r.Observe(start, server("1", 9, 99, backend.Serving))
+	if len(serving(r)) != 0 {
+		t.Fatal("a late announcement revived a leaving server")
+	}
+	r.Observe(start, server("1", 11, 1, backend.Serving))
+	if len(serving(r)) != 1 {
+		t.Fatal("the next incarnation, whose sequence starts anew, is not used")
+	}
+}
+
+func TestLeaveWithoutDrainingEndsServing(t *testing.T) {
+	r := roster.New(terms, 1)
+	r.Observe(start, server("1", 10, 4, backend.Serving))
+	before := r.Version()
+	if !r.Leave(start, "1", 0) || r.Version() == before || len(serving(r)) != 0 {
+		t.Fatal("a server that goes is still served")
+	}
+	if r.Leave(start, "1", 0) || r.Leave(start, "unknown", 0) {
+		t.Fatal("a repeated word is news")
+	}
+}
+
+func TestReplacedAddressIsNotUsed(t *testing.T) {
+	r := roster.New(terms, 1)
+	old, next := server("1", 10, 1, backend.Serving), server("2", 20, 1, backend.Serving)
+	next.Address = old.Address
+	r.Observe(start, next)
+	r.Observe(start, old)
+	if got := serving(r); len(got) != 1 || got[0] != "2" {
+		t.Fatalf("serving %v, want the newer one at the address only", got)
+	}
+}
+
+func TestDeltaTellsChangesOnly(t *testing.T) {
+	r := roster.New(terms, 100)
+	r.Observe(start, server("1", 10, 1, backend.Serving))
+	r.Observe(start, server("2", 10, 1, backend.Serving))
+	known := r.Version()
+	if r.Observe(start, server("1", 10, 2, backend.Serving)) {
+		t.Fatal("another beat is news")
+	}
+	if d := r.Delta(known); len(d.Records) != 0 {
+		t.Fatalf("told %v", d.Records)
+	}
+	r.Observe(start, server("2", 10, 2, backend.Leaving))
+	if d := r.Delta(known); len(d.Records) != 1 || d.Records[0].Server.ID != "2" {
+		t.Fatalf("told %v, want server 2", d.Records)
+	}
+}
+
+func TestSilenceEndsWithAnothersSighting(t *testing.T) {
+	r, other := roster.New(terms, 1), roster.New(terms, 1)
+	r.Observe(start, server("1", 10, 1, backend.Serving))
+	other.Learn(start, r.Delta(0))
+	later := start.Add(5 * time.Second)
+	r.Expire(later)
+	if rec, _ := r.Find("1"); !rec.Silent {
+		t.Fatal("not silent after five seconds")
+	}
+	other.Observe(later, server("1", 10, 7, backend.Serving))
+	r.Learn(later, roster.Delta{Heard: other.HeardSince(start)})
+	if rec, _ := r.Find("1"); rec.Silent {
+		t.Fatal("silent although another member hears it")
+	}
+}
+
+// A member that was cut off has heard nobody; that says nothing of the servers.
+func TestForgiveKeepsServersOfACutMember(t *testing.T) {
+	r := roster.New(terms, 1)
+	r.Observe(start, server("1", 10, 1, backend.Serving))
+	later := start.Add(10 * time.Second)
+	r.Forgive(later)
+	r.Expire(later)
+	if rec, _ := r.Find("1"); rec.Silent {
+		t.Fatal("a cut member marked a server silent")
+	}
+}
--- /dev/null
+++ b/core/stream/stream_test.go
@@ -0,0 +1,61 @@
+package stream_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"rosereach/core/stream"
+)
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+func TestEventsAreWholeHoweverBytesCome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "events")
+		var text string
+		for id := 1; id <= n; id++ {
+			text += event(id)
+		}
+		var s stream.Splitter
+		var got string
+		var last uint64
+		for len(text) > 0 {
+			take := rapid.IntRange(1, len(text)).Draw(t, "bytes")
+			for _, e := range s.Push([]byte(text[:take])) {
+				if e.ID != last+1 {
+					t.Fatalf("event %d after %d", e.ID, last)
+				}
+				last = e.ID
+				got += string(e.Raw)
+			}
+			text = text[take:]
+		}
+		if last != uint64(n) || s.Rest() != 0 {
+			t.Fatalf("last event %d of %d, rest %d, got %q", last, n, s.Rest(), got)
+		}
+	})
+}
+
+func TestTornEventIsNotPassedOn(t *testing.T) {
+	var s stream.Splitter
+	events := s.Push([]byte(event(1) + "id: 2\ndata: pie"))
+	if len(events) != 1 || s.Rest() == 0 {
+		t.Fatalf("%d events, rest %d", len(events), s.Rest())
+	}
+}
+
+func TestOrderAfterResume(t *testing.T) {
+	o := stream.NewOrder(3)
+	if pass, err := o.Admit(stream.Event{ID: 3}); pass || err != nil {
+		t.Fatal("an event comes twice")
+	}
+	if pass, err := o.Admit(stream.Event{ID: 4}); !pass || err != nil {
+		t.Fatal("the next event does not pass")
+	}
+	if _, err := o.Admit(stream.Event{ID: 6}); !errors.Is(err, stream.ErrGap) {
+		t.Fatalf("a gap gives %v", err)
+	}
+}
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -116,7 +116,7 @@
 		l, err := httpd.Listen(ctx, address)
 		if err != nil {
 			for _, open := range listeners {
-				open.Close()
+				open.Close() //nolint:errcheck // the process ends with the first error
 			}
 			return nil, err
 		}
--- /dev/null
+++ b/internal/control/seeds_test.go
@@ -0,0 +1,303 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
+
+	"rosereach/core/backend"
+	"rosereach/core/catalog"
+	"rosereach/core/change"
+	"rosereach/core/lease"
+	"rosereach/core/rollout"
+	"rosereach/core/route"
+	"rosereach/internal/httpd"
+)
+
+// seeded is a group of controls on loopback that find each other by seeds.
+type seeded struct {
+	t       *testing.T
+	folder  string
+	seeds   []string
+	mu      sync.Mutex
+	nodes   map[string]*Node
+	stops   map[string]func()
+	address map[string]string
+}
+
+func newSeeded(t *testing.T) *seeded {
+	g := &seeded{t: t, folder: t.TempDir(), nodes: map[string]*Node{}, stops: map[string]func(){}, address: map[string]string{}}
+	t.Cleanup(func() {
+		for id := range g.stops {
+			g.stop(id)
+		}
+	})
+	return g
+}
+
+// listen opens the listener of a control, whose address is a seed if asked.
+func (g *seeded) listen(id string, seed bool) net.Listener {
+	g.t.Helper()
+	address := g.address[id]
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := httpd.Listen(context.Background(), address)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.address[id] = l.Addr().String()
+	if seed {
+		g.mu.Lock()
+		g.seeds = append(g.seeds, l.Addr().String())
+		g.mu.Unlock()
+	}
+	return l
+}
+
+func (g *seeded) start(id string, l net.Listener, first bool) {
+	g.t.Helper()
+	n, err := Open(Config{
+		ID: id, Folder: filepath.Join(g.folder, id), Address: l.Addr().String(), MemberKey: "key", Terms: lease.DefaultTerms(),
+		Seeds: &Seeds{Founds: first, KeepVoters: 3, Addresses: func() []string {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return append([]string(nil), g.seeds...)
+		}},
+		LeastVoters: 3, Clock: clock.WallClock, Logger: log.NewLogfmtLogger(log.NewSyncWriter(testWriter{t: g.t})),
+	})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 2)
+	go func() { n.Run(ctx); ended <- struct{}{} }()                                                             //nolint:errcheck // the test looks at the group
+	go func() { httpd.ServeFor(ctx, l, n.Handler(), func() time.Duration { return 0 }); ended <- struct{}{} }() //nolint:errcheck // the test looks at the group
+	g.nodes[id] = n
+	g.stops[id] = func() { cancel(); <-ended; <-ended }
+}
+
+func (g *seeded) stop(id string) {
+	g.stops[id]()
+	delete(g.stops, id)
+	delete(g.nodes, id)
+}
+
+func (g *seeded) leader() *Node {
+	for _, n := range g.nodes {
+		if n != nil && n.IsLeader() {
+			return n
+		}
+	}
+	return nil
+}
+
+func (g *seeded) voters() int {
+	if n := g.leader(); n != nil {
+		return len(n.group().Members.Voters)
+	}
+	return 0
+}
+
+func (g *seeded) groups() map[string]bool {
+	groups := make(map[string]bool)
+	for _, n := range g.nodes {
+		if name := n.store.Meta().Group; name != "" {
+			groups[name] = true
+		}
+	}
+	return groups
+}
+
+// put sends a plan to a control until it is acknowledged.
+func (g *seeded) put(id string, version uint64) {
+	g.t.Helper()
+	waitFor(g.t, fmt.Sprintf("an acknowledgement of version %d at %s", version, id), func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		r, err := g.nodes[id].PutRouting(ctx, planOf(version), "test", "test")
+		return err == nil && r.Status == change.Accepted
+	})
+}
+
+func (g *seeded) read(id string) uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := g.nodes[id].Routing(ctx)
+	if err != nil {
+		return 0
+	}
+	return reply.Version
+}
+
+func planOf(version uint64) route.Document {
+	return route.Document{Text: []byte(fmt.Sprintf(`{"version":%d}`, version)), Config: route.Config{
+		Version: version, Services: []route.Service{{Name: "s"}},
+		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.Safe, Targets: []route.Target{{Service: "s", Weight: 1}}, Attempts: 1, Timeout: time.Second}},
+	}}
+}
+
+func startFive(t *testing.T) *seeded {
+	t.Helper()
+	g := newSeeded(t)
+	listeners := map[string]net.Listener{}
+	for i := range 5 {
+		id := fmt.Sprint("c", i)
+		listeners[id] = g.listen(id, i < 3)
+	}
+	for id, l := range listeners {
+		g.start(id, l, true)
+	}
+	waitFor(t, "five voters", func() bool { return g.voters() == 5 })
+	return g
+}
+
+// Three seeds found one group; controls that are no seeds join it; a plan is
+// read back as it was sent at every one, and the highest version wins.
+func TestSeedsFoundOneGroup(t *testing.T) {
+	g := startFive(t)
+	if groups := g.groups(); len(groups) != 1 {
+		t.Fatalf("groups %v", groups)
+	}
+	g.put("c4", 7)
+	g.put("c0", 5) // lower: acknowledged, without effect
+	g.put("c3", 7) // equal
+	for id := range g.nodes {
+		waitFor(t, "version 7 at "+id, func() bool { return g.read(id) == 7 })
+	}
+	invalid := planOf(9)
+	invalid.Config.Routes[0].Timeout = 0
+	if r, err := g.nodes["c1"].PutRouting(context.Background(), invalid, "test", "test"); err != nil || r.Status != change.Refused {
+		t.Fatalf("an invalid plan gets %+v, %v", r, err)
+	}
+	if got := g.read("c1"); got != 7 {
+		t.Fatalf("version %d after an invalid plan", got)
+	}
+}
+
+// A control that loses its disk comes back as a new replica, and an empty one
+// at another address takes the place of one that is gone for good. Nothing
+// that was acknowledged is lost and there is never a second group.
+func TestLostControlsAreReplaced(t *testing.T) {
+	g := startFive(t)
+	g.put("c0", 1)
+	old := g.nodes["c1"].self
+	g.stop("c1")
+	g.folder += "-wiped"
+	g.start("c1", g.listen("c1", false), false)
+	waitFor(t, "the wiped control as another voter", func() bool {
+		l := g.leader()
+		return l != nil && l.group().Members.IsVoter(g.nodes["c1"].self) && !l.group().Members.IsMember(old)
+	})
+	g.put("c1", 2)
+
+	gone := g.nodes["c2"].self
+	g.stop("c2")
+	g.start("c9", g.listen("c9", false), false)
+	waitFor(t, "the newcomer in the place of the one that is gone", func() bool {
+		l := g.leader()
+		return l != nil && l.group().Members.IsVoter(g.nodes["c9"].self) && !l.group().Members.IsMember(gone)
+	})
+	g.put("c9", 3)
+	if groups := g.groups(); len(groups) != 1 {
+		t.Fatalf("groups %v", groups)
+	}
+	waitFor(t, "version 3 at the newcomer", func() bool { return g.read("c9") == 3 })
+}
+
+// A read by a control that no majority answers is refused, not answered from
+// what it once knew.
+func TestReadNeedsMajority(t *testing.T) {
+	g := startFive(t)
+	g.put("c0", 4)
+	left := g.leader()
+	for id, n := range g.nodes {
+		if n != left && len(g.nodes) > 2 {
+			g.stop(id)
+		}
+	}
+	for id := range g.nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		if reply, err := g.nodes[id].Routing(ctx); err == nil {
+			t.Errorf("%s answers version %d without a majority", id, reply.Version)
+		}
+		cancel()
+	}
+}
+
+// What a backend server tells one control reaches the others, and its leaving
+// at once.
+func TestAnnouncementsSpread(t *testing.T) {
+	g := startFive(t)
+	a := backend.Announcement{ID: "b", Incarnation: 3, Sequence: 1, Service: "s", Address: "127.0.0.1:1", Capacity: 1, State: backend.Serving}
+	g.nodes["c0"].Announce(a)
+	serving := func(n *Node) int {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.fleet.roster.Serving("s"))
+	}
+	for id, n := range g.nodes {
+		waitFor(t, "the server at "+id, func() bool { return serving(n) == 1 })
+	}
+	g.nodes["c3"].Withdraw("b", 3)
+	for id, n := range g.nodes {
+		waitFor(t, "the server's leaving at "+id, func() bool { return serving(n) == 0 })
+	}
+}
+
+// An order of a roll-out survives the loss of the leader and goes on.
+func TestRolloutOutlivesItsLeader(t *testing.T) {
+	g := startFive(t)
+	g.put("c0", 1)
+	o := rollout.Order{Service: "s", Target: "v2", Duration: 4 * time.Second}
+	if r, err := g.nodes["c0"].StartRollout(context.Background(), o, "test", "test"); err != nil || r.Status != change.Accepted {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	var lost string
+	for id, n := range g.nodes {
+		if n.IsLeader() {
+			lost = id
+		}
+	}
+	g.stop(lost)
+	waitFor(t, "the canary under another leader", func() bool {
+		l := g.leader()
+		if l == nil {
+			return false
+		}
+		found, _ := l.Catalog().Rollout("s")
+		return found.Stage == rollout.StageCanary || found.IsFinal()
+	})
+	waitFor(t, "the end of the roll-out of an idle service", func() bool {
+		l := g.leader()
+		if l == nil {
+			return false
+		}
+		found, _ := l.Catalog().Rollout("s")
+		return found.Stage == rollout.StageCompleted
+	})
+}
+
+// A plan keeps one place among the documents, whatever its version.
+func TestRoutingHasOneName(t *testing.T) {
+	c := change.Change{Kind: change.PutRouting, Name: catalog.RoutingName}
+	if c.Subject() != "routing/plan" {
+		t.Fatal(c.Subject())
+	}
+}
+
+// testWriter shows the controls' logs with a test that fails.
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Log(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/entry/forward_test.go
@@ -0,0 +1,348 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
+	"github.com/juju/errors"
+
+	"rosereach/core/backend"
+	"rosereach/core/catalog"
+	"rosereach/core/forward"
+	"rosereach/core/key"
+	"rosereach/core/lease"
+	"rosereach/core/retry"
+	"rosereach/core/roster"
+	"rosereach/core/route"
+)
+
+type (
+	// testDialect is the least form in which entry and server understand each
+	// other.
+	testDialect struct{}
+
+	// collected is an answer as a caller gets it.
+	collected struct {
+		mu     sync.Mutex
+		status int
+		body   strings.Builder
+	}
+
+	// rig is an entry with backend servers on loopback.
+	rig struct {
+		t     *testing.T
+		entry *Entry
+	}
+)
+
+func (testDialect) Attempt(r forward.Request, a forward.Attempt) map[string][]string {
+	return map[string][]string{"Id": {r.ID}, "Model": {a.Model}, "After": {strconv.FormatUint(a.After, 10)}, "Workspace": {a.Workspace}}
+}
+
+func (testDialect) Head(status int, header map[string][]string) forward.Head {
+	h := http.Header(header)
+	head := forward.Head{Status: status, Echo: h.Get("Id"), Refused: h.Get("Refused") != "", Confidence: -1}
+	if n, err := strconv.Atoi(h.Get("Sure")); err == nil {
+		head.Confidence = n
+	}
+	return head
+}
+
+func (c *collected) Begin(status int, _ map[string][]string, _ int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.status = status
+}
+
+func (c *collected) Write(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body.Write(p)
+	return nil
+}
+
+func newRig(t *testing.T) *rig {
+	e := New(Config{
+		ID: "entry-1", Incarnation: 1, Region: "r", Zone: "z", Terms: lease.DefaultTerms(), MaxRunning: 100, MaxWaiting: 100,
+		Seed: 1, Clock: clock.WallClock, Logger: log.NewNopLogger(),
+		Forwarding: &Forwarding{
+			Dialect: testDialect{}, FailOpen: true, ExposureShare: 0.15, Controls: func() []string { return nil },
+			Retries: retry.Shared{Ratio: 1, Slack: 50, Window: 10 * time.Second},
+		},
+	})
+	return &rig{t: t, entry: e}
+}
+
+// plan puts routes of all kinds into force: /safe/, /unsafe/ and /stream/.
+func (r *rig) plan() {
+	to := []route.Target{{Service: "s", Weight: 1}}
+	base := route.Route{Host: "h", Targets: to, Attempts: 3, Timeout: 5 * time.Second, Objective: 400 * time.Millisecond}
+	var routes []route.Route
+	for _, kind := range []route.Kind{route.Safe, route.Unsafe, route.Streaming} {
+		one := base
+		one.Name, one.Prefix, one.Kind, one.Resumable = string(kind), "/"+string(kind)+"/", kind, kind == route.Streaming
+		if kind == route.Streaming {
+			one.Models = []string{"small", "large"}
+		}
+		routes = append(routes, one)
+	}
+	r.entry.takeDocuments(&catalog.Documents{Revision: r.entry.catalog.Load().Revision() + 1, Routing: &route.Document{Config: route.Config{
+		Version: 1, Routes: routes, Services: []route.Service{{Name: "s"}},
+		Workspaces: []route.Workspace{{Name: "w", KeyHashes: []string{key.Hash("k")}}},
+	}}})
+}
+
+// server starts a backend server and announces it.
+func (r *rig) server(id string, h http.HandlerFunc) {
+	r.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go s.Serve(l)
+	r.t.Cleanup(func() { s.Close() })
+	r.announce(id, l.Addr().String(), 1, backend.Serving)
+}
+
+func (r *rig) announce(id, address string, sequence uint64, state backend.State) {
+	a := backend.Announcement{ID: id, Incarnation: 1, Sequence: sequence, Service: "s", Address: address, Capacity: 4, State: state, Region: "r", Zone: "z"}
+	r.entry.forwarding.learn(time.Now(), roster.Delta{Records: []roster.Record{{Server: a}}})
+}
+
+func (r *rig) send(kind route.Kind) (*collected, error) {
+	return r.sendWith(context.Background(), forward.Request{Path: "/" + string(kind) + "/x", Key: "k"})
+}
+
+func (r *rig) sendWith(ctx context.Context, req forward.Request) (*collected, error) {
+	req.ID, req.Method, req.Host, req.Target, req.Arrived = "id-1", "POST", "h", req.Path, time.Now()
+	req.AnyModel = strings.HasPrefix(req.Path, "/streaming/")
+	got := &collected{}
+	return got, r.entry.Forward(ctx, req, got)
+}
+
+func codeOf(err error) forward.Code {
+	var f *forward.Failure
+	if errors.As(err, &f) {
+		return f.Code
+	}
+	return ""
+}
+
+// event writes one event of a stream.
+func event(w io.Writer, id uint64) { fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id) }
+
+// hangUp ends the connection in the middle of an answer.
+func hangUp(w http.ResponseWriter) {
+	http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func TestForwardRefusesWhatItMay(t *testing.T) {
+	r := newRig(t)
+	if _, err := r.send(route.Safe); codeOf(err) != forward.NotReady {
+		t.Errorf("without a plan: %v", err)
+	}
+	r.plan()
+	if _, err := r.send(route.Safe); codeOf(err) != forward.NoServer {
+		t.Errorf("without a server: %v", err)
+	}
+	if _, err := r.sendWith(context.Background(), forward.Request{Path: "/safe/", Key: "other"}); codeOf(err) != forward.Unauthorized {
+		t.Errorf("with a foreign key: %v", err)
+	}
+	if _, err := r.sendWith(context.Background(), forward.Request{Path: "/none/", Key: "k"}); codeOf(err) != forward.NoRoute {
+		t.Errorf("without a route: %v", err)
+	}
+}
+
+// A request that may not be repeated runs once, and when its answer is lost
+// the caller gets no promise.
+func TestUnsafeRunsOnce(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	var runs atomic.Int64
+	for _, id := range []string{"a", "b"} {
+		r.server(id, func(w http.ResponseWriter, _ *http.Request) { runs.Add(1); hangUp(w) })
+	}
+	_, err := r.send(route.Unsafe)
+	if codeOf(err) != forward.Gateway || runs.Load() != 1 {
+		t.Fatalf("%d runs, %v", runs.Load(), err)
+	}
+}
+
+// A server's word that it did not run a request lets it go elsewhere.
+func TestRefusedRequestGoesElsewhere(t *testing.T) {
+	for _, kind := range []route.Kind{route.Safe, route.Unsafe} {
+		r := newRig(t)
+		r.plan()
+		r.server("full", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Refused", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		r.server("free", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+		for range 8 {
+			if got, err := r.send(kind); err != nil || got.body.String() != "done" {
+				t.Fatalf("%s: %q, %v", kind, got.body.String(), err)
+			}
+		}
+	}
+}
+
+func TestSafeIsRepeatedElsewhere(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	r.server("failing", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	r.server("sound", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+	for range 8 {
+		if got, err := r.send(route.Safe); err != nil || got.body.String() != "done" {
+			t.Fatalf("%q, %v", got.body.String(), err)
+		}
+	}
+}
+
+// When all fail the caller gets a server's own failure, as it was.
+func TestFailureIsPassedOn(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	r.server("failing", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		io.WriteString(w, "its own words")
+	})
+	got, err := r.send(route.Unsafe)
+	if err != nil || got.status != http.StatusInternalServerError || got.body.String() != "its own words" {
+		t.Fatalf("%d %q, %v", got.status, got.body.String(), err)
+	}
+}
+
+// An answer to another request is never passed on.
+func TestForeignAnswerIsDropped(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	r.server("a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "id-2")
+		io.WriteString(w, "another's")
+	})
+	if got, err := r.send(route.Unsafe); codeOf(err) != forward.Gateway || got.body.Len() > 0 {
+		t.Fatalf("%q, %v", got.body.String(), err)
+	}
+}
+
+// A stream that breaks, also within an event, goes on at another server behind
+// its last whole event; each event comes once.
+func TestStreamIsResumed(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	handler := func(w http.ResponseWriter, req *http.Request) {
+		after, _ := strconv.ParseUint(req.Header.Get("After"), 10, 64)
+		for id := after + 1; id <= 6; id++ {
+			if after == 0 && id == 4 {
+				io.WriteString(w, "id: 4\nda")
+				hangUp(w)
+			}
+			event(w, id)
+		}
+	}
+	r.server("a", handler)
+	r.server("b", handler)
+	got, err := r.send(route.Streaming)
+	var want strings.Builder
+	for id := range uint64(6) {
+		event(&want, id+1)
+	}
+	if err != nil || got.body.String() != want.String() {
+		t.Fatalf("%q, %v", got.body.String(), err)
+	}
+}
+
+// A stream that cannot be ended must not look whole.
+func TestBrokenStreamIsNotWhole(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	r.server("a", func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get("After") == "0" {
+			event(w, 1)
+		}
+		hangUp(w)
+	})
+	got, err := r.send(route.Streaming)
+	if err == nil || codeOf(err) != "" {
+		t.Fatalf("%q, %v", got.body.String(), err)
+	}
+}
+
+// An answer that its small model doubts is asked again of the largest one
+// before any of it is shown.
+func TestDoubtedAnswerIsAskedAgain(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	r.server("a", func(w http.ResponseWriter, req *http.Request) {
+		model := req.Header.Get("Model")
+		w.Header().Set("Sure", map[string]string{"small": "10", "large": "90"}[model])
+		fmt.Fprintf(w, "id: 1\ndata: %s\n\n", model)
+	})
+	got, err := r.send(route.Streaming)
+	if err != nil || got.body.String() != "id: 1\ndata: large\n\n" {
+		t.Fatalf("%q, %v", got.body.String(), err)
+	}
+}
+
+// A server that leaves gets nothing, also not what was placed before.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	var runs atomic.Int64
+	r.server("a", func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	rec, _ := r.entry.forwarding.roster.Find("a")
+	r.announce("a", rec.Server.Address, 2, backend.Leaving)
+	if _, err := r.send(route.Safe); codeOf(err) != forward.NoServer || runs.Load() != 0 {
+		t.Fatalf("%d runs, %v", runs.Load(), err)
+	}
+	if r.entry.forwarding.recheck(rec.Server) == nil {
+		t.Fatal("what was placed before may still be sent")
+	}
+}
+
+// When the caller leaves, the server's work ends.
+func TestCallerWhoLeavesEndsTheWork(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	began, ended := make(chan struct{}), make(chan struct{})
+	r.server("a", func(w http.ResponseWriter, req *http.Request) {
+		event(w, 1)
+		http.NewResponseController(w).Flush()
+		close(began)
+		<-req.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		cancel()
+	}()
+	if _, err := r.sendWith(ctx, forward.Request{Path: "/streaming/", Key: "k"}); err == nil {
+		t.Fatal("no error")
+	}
+	<-ended
+}
+
+// An entry never goes back to older documents.
+func TestDocumentsOnlyBecomeNewer(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	now := r.entry.catalog.Load().Revision()
+	r.entry.takeDocuments(&catalog.Documents{Revision: now - 1})
+	if r.entry.catalog.Load().Revision() != now || r.entry.catalog.Load().Routes() == nil {
+		t.Fatal("older documents came into force")
+	}
+}
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -35,9 +35,6 @@
 
 	// maxBuffered bounds an answer that is collected before it is passed on.
 	maxBuffered = 1 << 20
-
-	// resumeLeast is the least time that has to be left to resume a stream.
-	resumeLeast = 50 * time.Millisecond
 )
 
 // The reasons for which an attempt is ended from this side.
@@ -77,6 +74,7 @@
 		unread    int64
 		started   time.Time
 		head      forward.Head
+		answered  bool
 	}
 
 	// heldAnswer is a server's failure, which is passed on if nothing better
@@ -166,7 +164,7 @@
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, Left: left, Priority: -1, After: x.last,
 		}),
 		Fresh: x.sends > 1 && !x.route.MayRepeat(),
-	}, func() error { return f.recheck(x, a.server) })
+	}, func() error { return f.recheck(a.server) })
 	if err != nil {
 		return x.lost(ctx, a, err)
 	}
@@ -317,7 +315,7 @@
 
 // recheck tells, just before the first byte, whether the server may still get
 // the request.
-func (f *forwarding) recheck(x *passage, server backend.Announcement) error {
+func (f *forwarding) recheck(server backend.Announcement) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if rec, ok := f.roster.Find(server.ID); !ok || rec.Server.State != backend.Serving || rec.Server.Incarnation != server.Incarnation {
--- a/internal/entry/passage_stream.go
+++ b/internal/entry/passage_stream.go
@@ -20,43 +20,49 @@
 func (x *passage) passStream(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
 	order := stream.NewOrder(x.last)
 	var splitter stream.Splitter
-	clock := x.f.entry.cfg.Clock
-	watch := clock.AfterFunc(x.stall(), func() { cancel(errStalled) })
+	watch := x.f.entry.cfg.Clock.AfterFunc(x.stall(), func() { cancel(errStalled) })
 	defer watch.Stop()
 	buffer := make([]byte, streamBuffer)
-	counted := false
+	before := x.last
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			watch.Reset(x.stall())
 		}
-		for _, e := range splitter.Push(buffer[:n]) {
-			pass, gap := order.Admit(e)
-			if gap != nil {
-				return x.broken(ctx, a, answer, gap)
-			}
-			if !pass {
-				continue
-			}
-			if !counted {
-				counted = true
-				x.f.succeed(a, x)
-			}
-			if err := x.show(answer, e.Raw); err != nil {
-				answer.Discard()
-				return forward.Broken, err
-			}
-			x.last = order.Last()
+		if failed := x.passEvents(a, answer, &order, splitter.Push(buffer[:n])); failed != nil {
+			return x.broken(ctx, a, answer, failed)
 		}
-		if err == nil {
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF) && splitter.Rest() == 0 && order.Last() > before:
+			answer.Close()
+			return "", nil
+		default:
+			return x.broken(ctx, a, answer, errors.Annotatef(errCut, "%v", err))
+		}
+	}
+}
+
+// passEvents passes whole events on that the caller does not have yet.
+func (x *passage) passEvents(a *attempt, answer *upstream.Answer, order *stream.Order, events []stream.Event) error {
+	for _, e := range events {
+		pass, err := order.Admit(e)
+		if err != nil {
+			return err
+		}
+		if !pass {
 			continue
 		}
-		if err != io.EOF || splitter.Rest() > 0 || !counted {
-			return x.broken(ctx, a, answer, errors.Annotatef(errCut, "%v", err))
+		if !a.answered {
+			a.answered = true
+			x.f.succeed(a, x)
 		}
-		answer.Close()
-		return "", nil
+		if err := x.show(answer, e.Raw); err != nil {
+			return err
+		}
+		x.last = order.Last()
 	}
+	return nil
 }
 
 // stall is how long a stream may be silent.
@@ -78,7 +84,8 @@
 func (x *passage) broken(ctx context.Context, a *attempt, answer *upstream.Answer, err error) (forward.Outcome, error) {
 	answer.Discard()
 	x.tried = append(x.tried, a.server.ID)
-	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
+	callerLeft := errors.Is(err, errCaller)
+	if !callerLeft && ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
 		x.f.fail(a, x, false)
 	}
 	return forward.Broken, err
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -112,11 +112,11 @@
 		c.give(call.Address, conn)
 		return nil, errors.Annotatef(ErrNotSent, "%v", err)
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	stop := context.AfterFunc(ctx, conn.end)
 	answer, err := c.exchange(conn, call)
 	if err != nil {
 		stop()
-		conn.Close()
+		conn.end()
 		if ctx.Err() != nil {
 			return nil, errors.Trace(context.Cause(ctx))
 		}
@@ -138,7 +138,7 @@
 				kept = append(kept, one)
 				continue
 			}
-			one.Close()
+			one.end()
 		}
 		if len(kept) == 0 {
 			delete(c.idle, address)
@@ -163,12 +163,9 @@
 			wrote <- err
 		}()
 	}
-	resp, err := http.ReadResponse(conn.reader, &http.Request{Method: call.Method})
-	for err == nil && resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-		resp, err = http.ReadResponse(conn.reader, &http.Request{Method: call.Method})
-	}
+	resp, err := readHead(conn.reader, call.Method) //nolint:bodyclose // Answer.Close ends the connection, and with it the body
 	if err != nil {
-		return nil, errors.Annotatef(ErrBadAnswer, "%v", err)
+		return nil, err
 	}
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body,
@@ -180,6 +177,21 @@
 	return a, nil
 }
 
+// readHead reads the first lines of the final answer. The body stays open for
+// the caller.
+func readHead(r *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil {
+			return nil, errors.Annotatef(ErrBadAnswer, "%v", err)
+		}
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+		resp.Body.Close()
+	}
+}
+
 // Read reads the body. It returns io.EOF only when the body is whole.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
@@ -193,17 +205,17 @@
 // its end, or on which more has come, is closed.
 func (a *Answer) Close() {
 	if !a.stop() || !a.keep || !a.whole || a.conn.reader.Buffered() > 0 {
-		a.conn.Close()
+		a.conn.end()
 		return
 	}
 	select {
 	case err := <-a.wrote:
 		if err != nil {
-			a.conn.Close()
+			a.conn.end()
 			return
 		}
 	default:
-		a.conn.Close()
+		a.conn.end()
 		return
 	}
 	a.client.give(a.address, a.conn)
@@ -212,7 +224,7 @@
 // Discard closes the connection, so that the server stops its work.
 func (a *Answer) Discard() {
 	a.stop()
-	a.conn.Close()
+	a.conn.end()
 }
 
 func (c *Client) take(ctx context.Context, call Call) (*conn, error) {
@@ -224,7 +236,7 @@
 		if one.isQuiet() {
 			return one, nil
 		}
-		one.Close()
+		one.end()
 	}
 	if c.Dials != nil {
 		c.Dials()
@@ -263,14 +275,14 @@
 		if now.Before(one.until) {
 			return one
 		}
-		one.Close()
+		one.end()
 	}
 	return nil
 }
 
 func (c *Client) give(address string, one *conn) {
 	if !c.clock.Now().Before(one.until) {
-		one.Close()
+		one.end()
 		return
 	}
 	c.mu.Lock()
@@ -278,6 +290,10 @@
 	c.idle[address] = append(c.idle[address], one)
 }
 
+// end closes the connection. What a failed close would say is of no use to
+// anybody.
+func (c *conn) end() { c.Close() } //nolint:errcheck // see above
+
 // isQuiet reports whether an idle connection is still open and has brought
 // nothing: what comes unasked belongs to no request.
 func (c *conn) isQuiet() bool {
