Ask a larger model only when its answer would come in time

Cause: at bursts every doubted answer was asked again of the largest model, which was full; answers came late that the small model had ready. Predicted times were a ratio, which took the fixed 95 ms of each answer for slowness.

Expected times are a line per kind and model, times each server's own ratio; the risk to be late follows measured spread (nine of ten below twice the expected). An entry counts as gone after 2 s instead of 3.

--- a/core/cascade/sizes.go
+++ b/core/cascade/sizes.go
@@ -1,32 +1,52 @@
 package cascade
 
 const (
-	// DefaultDoubt is the confidence, of 100, under which an answer is asked
-	// again of the largest model. Higher ones pay for more large runs than
-	// they save answers that are too poor.
-	DefaultDoubt = 65
+	// ConfidenceBonus is how much likelier an answer is good enough than its
+	// model's own opinion says: models that doubt an answer of 50 in 100 were
+	// right in seven of ten.
+	confidenceBonus = 0.2
+
+	// poorWorth is what an answer is worth that is too poor, and lateWorth one
+	// that comes too late, as shares of a good one's.
+	poorWorth = 0.05
+	lateWorth = 0.3
+
+	// againCost is the price of another run of the largest model, as a share of
+	// the worth of a good answer.
+	againCost = 0.12
 )
 
 // Sizes chooses among models of growing size: the smallest answers first, and
-// the largest again where the small one doubts its answer.
-type Sizes struct {
-	Doubt int
-}
+// the largest again where that is worth more. Under load the larger one's
+// answer would come late, and the small one's is kept.
+type Sizes struct{}
 
 // First returns the model to ask first.
-func (s Sizes) First(models []string) string {
+func (Sizes) First(models []string) string {
 	if len(models) == 0 {
 		return ""
 	}
 	return models[0]
 }
 
-// Next returns the model to ask instead, when the answer's confidence, -1 for
-// unknown, is too low and a larger model is left.
-func (s Sizes) Next(models []string, asked string, confidence int) (string, bool) {
-	if len(models) == 0 || confidence < 0 || confidence >= s.Doubt {
+// Larger returns the model to ask again, if there is one.
+func (Sizes) Larger(models []string, asked string) (string, bool) {
+	if len(models) == 0 {
 		return "", false
 	}
 	largest := models[len(models)-1]
 	return largest, largest != asked
 }
+
+// IsWorthAsking reports whether to drop an answer of the given confidence, -1
+// for unknown or 0 to 100, for a larger model's, which would come late with the
+// given chance.
+func (Sizes) IsWorthAsking(confidence int, lateRisk float64) bool {
+	if confidence < 0 {
+		return false
+	}
+	good := min(float64(confidence)/100+confidenceBonus, 1)
+	kept := good + (1-good)*poorWorth
+	again := (1 - lateRisk) + lateRisk*lateWorth - againCost
+	return again > kept
+}
--- a/core/placement/homes.go
+++ b/core/placement/homes.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -40,13 +41,23 @@
 	return d.Sum64()
 }
 
+// LateRisk returns the chance, 0 to 1, that an answer whose first byte is
+// expected after the time misses the objective, 0 when there is none.
+func LateRisk(expected, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	return lateRisk(expected.Seconds(), objective.Seconds())
+}
+
 // lateRisk returns the chance, 0 to 1, that an answer whose first byte is
-// predicted after the given time misses the objective. Predictions are off by
-// a third either way, so the chance rises around half of the objective.
-func lateRisk(predicted, objective float64) float64 {
+// expected after the given time misses the objective. Measured times spread
+// around the expected ones by factors: nine of ten are below twice, so the
+// chance is small up to a third of the objective and even at three quarters.
+func lateRisk(expected, objective float64) float64 {
 	if objective <= 0 {
-		return predicted
+		return expected
 	}
-	const middle, width = 0.55, 0.12
-	return 1 / (1 + math.Exp(-(predicted/objective-middle)/width))
+	const even, spread = 0.75, 0.22
+	return 1 / (1 + math.Exp(-math.Log(max(expected, 1e-3)/(even*objective))/spread))
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -15,9 +15,9 @@
 	// prompt tokens that the server has still to read. Prefix is the share of
 	// the prompt that its cache is thought to hold, 0 to 1. Home is its rank
 	// among the homes of the prompt's shared parts, 1 for the first, 0 for none.
-	// Slowness is how much longer it takes than others, 0 for unknown. Distance
-	// is the time one way; SameRegion is false when the link between regions
-	// lies between.
+	// Expect corrects a predicted time by what the server showed, nil for not at
+	// all. Distance is the time one way; SameRegion is false when the link
+	// between regions lies between.
 	Candidate struct {
 		Server           backend.Announcement
 		InFlight         int
@@ -25,7 +25,7 @@
 		Backlog          int64
 		Prefix           float64
 		Home             int
-		Slowness         float64
+		Expect           func(predicted time.Duration) time.Duration
 		Distance         time.Duration
 		SameRegion       bool
 		SameZone         bool
--- a/core/placement/priced.go
+++ b/core/placement/priced.go
@@ -70,7 +70,10 @@
 }
 
 func (p Priced) score(now time.Time, d Demand, c Candidate, meanOthers float64) float64 {
-	first := p.first(now, d, c, meanOthers) * max(c.Slowness, 0.2)
+	first := p.first(now, d, c, meanOthers)
+	if c.Expect != nil {
+		first = c.Expect(time.Duration(first * float64(time.Second))).Seconds()
+	}
 	price := lateRisk(first, d.Objective.Seconds()) + waitWeight*first
 	price += p.Prices.ReadKTokens * float64(c.Missing(d)-d.Own) / 1000
 	switch kb := float64(d.Bytes) / 1024; {
--- a/core/placement/priced_test.go
+++ b/core/placement/priced_test.go
@@ -14,7 +14,7 @@
 	var list []placement.Candidate
 	for i := range n {
 		list = append(list, placement.Candidate{
-			Server: backend.Announcement{ID: fmt.Sprint("e", i), Capacity: 64}, SameRegion: true, SameZone: true, Slowness: 1,
+			Server: backend.Announcement{ID: fmt.Sprint("e", i), Capacity: 64}, SameRegion: true, SameZone: true,
 		})
 	}
 	return list
@@ -49,7 +49,8 @@
 	if got := pickMost(t, list, dossier); got == 4 {
 		t.Fatal("a full home still gets requests")
 	}
-	list[4].InFlight, list[4].Backlog, list[4].Slowness = 0, 0, 8
+	list[4].InFlight, list[4].Backlog = 0, 0
+	list[4].Expect = func(d time.Duration) time.Duration { return 8 * d }
 	if got := pickMost(t, list, dossier); got == 4 {
 		t.Fatal("a slow home still gets requests")
 	}
@@ -97,7 +98,26 @@
 	if slow, usual := s.Of(now, "slow"), s.Of(now, "usual"); slow < 2*usual {
 		t.Fatalf("slow %.2f, usual %.2f", slow, usual)
 	}
+	if got := s.Expect(now, "m", "slow", 100*time.Millisecond); got < 400*time.Millisecond || got > 600*time.Millisecond {
+		t.Fatalf("expects %s at the slow server, want about 500 ms", got)
+	}
 	if slow := s.Of(now.Add(time.Minute), "slow"); slow > 1.1 {
 		t.Fatalf("%.2f after a minute", slow)
 	}
 }
+
+// A fixed part of each answer's time is not taken for slowness of small ones.
+func TestFixedPartIsLearned(t *testing.T) {
+	s := placement.NewSlowness()
+	now := time.Unix(1000, 0)
+	for i := range 400 {
+		predicted := time.Duration(20+i%10*60) * time.Millisecond
+		s.Learn(now, "m", "e", predicted, 90*time.Millisecond+predicted/2)
+	}
+	for _, predicted := range []time.Duration{50 * time.Millisecond, 400 * time.Millisecond} {
+		want := 90*time.Millisecond + predicted/2
+		if got := s.Expect(now, "m", "e", predicted); got < want*8/10 || got > want*12/10 {
+			t.Errorf("expects %s, want %s", got, want)
+		}
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -30,8 +30,8 @@
 	watchPause = 50 * time.Millisecond
 
 	// presenceLife is how long an entry counts as serving after it was heard:
-	// it asks every second, and two answers may be lost.
-	presenceLife = 3 * time.Second
+	// it asks three controls every second, and each tells the others.
+	presenceLife = 2 * time.Second
 
 	// serverSilence and serverForget are when a backend server counts as
 	// silent, after about three of its announcements are missing, and when it
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -72,7 +72,7 @@
 
 func newForwarding(e *Entry) *forwarding {
 	f := &forwarding{
-		entry: e, client: upstream.NewClient(e.cfg.Clock), sizes: cascade.Sizes{Doubt: cascade.DefaultDoubt},
+		entry: e, client: upstream.NewClient(e.cfg.Clock),
 		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), slowness: placement.NewSlowness(), placement: placement.NewPriced(), loads: make(map[string]backend.Load),
 		tallies: make(map[tallyKey]rollout.Tally), random: rand.New(rand.NewPCG(e.cfg.Seed, ^e.cfg.Incarnation)), //nolint:gosec // load is spread by it
 	}
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -13,6 +13,7 @@
 
 	"rosereach/core/backend"
 	"rosereach/core/forward"
+	"rosereach/core/placement"
 	"rosereach/core/rollout"
 	"rosereach/core/route"
 	"rosereach/io/upstream"
@@ -65,12 +66,20 @@
 		begun   bool
 		last    uint64
 		held    *heldAnswer
+		next    *attempt
+
+		server    string
+		expected  time.Duration
+		firstByte time.Duration
+		unread    int64
 	}
 
-	// attempt is one try at one server.
+	// attempt is one try at one server. Predicted is the time to the first byte
+	// at a usual server, expected is it corrected by what this one showed.
 	attempt struct {
 		server    backend.Announcement
 		predicted time.Duration
+		expected  time.Duration
 		unread    int64
 		started   time.Time
 		head      forward.Head
@@ -118,7 +127,7 @@
 	if !forward.MayFollow(x.route, o, x.runs) || x.sends >= x.route.Attempts+extraSends {
 		return false
 	}
-	return o == forward.NotSent || x.f.takeRepeat()
+	return o == forward.NotSent || x.next != nil || x.f.takeRepeat()
 }
 
 // giveUp ends the request. A failure that a server answered is passed on as it
@@ -217,9 +226,8 @@
 		return forward.NotRun, errors.Errorf("not run, status %d, %v", a.head.Status, err)
 	}
 	x.runs++
-	if model, again := x.escalates(a); again {
+	if x.escalates(a) {
 		answer.Discard()
-		x.model = model
 		return forward.Failed, errors.Errorf("confidence %d", a.head.Confidence)
 	}
 	if x.route.Kind == route.Streaming && a.head.Status/100 == 2 {
@@ -229,13 +237,29 @@
 }
 
 // escalates reports whether the answer is to be dropped and a larger model
-// asked. Nothing of it was shown yet.
-func (x *passage) escalates(a *attempt) (string, bool) {
-	if !x.req.AnyModel || x.begun || a.head.Status/100 != 2 || x.runs >= x.route.Attempts {
-		return "", false
+// asked, at a server that is chosen for it. Nothing of it was shown yet.
+func (x *passage) escalates(a *attempt) bool {
+	if !x.req.AnyModel || x.begun || a.head.Status/100 != 2 || a.head.Confidence < 0 || x.runs >= x.route.Attempts {
+		return false
+	}
+	asked := x.model
+	larger, ok := x.f.sizes.Larger(x.route.Models, asked)
+	if !ok {
+		return false
 	}
-	model, again := x.f.sizes.Next(x.route.Models, x.model, a.head.Confidence)
-	return model, again && x.f.takeRepeat()
+	x.model = larger
+	next, ok := x.f.pick(x)
+	if ok {
+		spent := x.f.entry.cfg.Clock.Now().Sub(x.req.Arrived)
+		late := placement.LateRisk(spent+next.expected, x.route.Objective)
+		ok = x.f.sizes.IsWorthAsking(a.head.Confidence, late) && x.f.takeRepeat()
+	}
+	if !ok {
+		x.model = asked
+		return false
+	}
+	x.next = next
+	return true
 }
 
 // passWhole collects an answer and passes it on, so that one that breaks off
@@ -278,6 +302,7 @@
 func (x *passage) logEnd(err error) {
 	x.f.entry.cfg.Logger.Log("msg", "Request ends.", "id", x.req.ID, "route", x.route.Name, "workspace", x.workspace.Name,
 		"session", x.req.Session, "model", x.model, "send", x.sends, "run", x.runs, "last", x.last,
+		"server", x.server, "expected", x.expected, "first", x.firstByte, "unread", x.unread,
 		"took", x.f.entry.cfg.Clock.Now().Sub(x.req.Arrived), "err", err)
 }
 
@@ -286,6 +311,10 @@
 	if ctx.Err() != nil {
 		return nil, &forward.Failure{Code: forward.TimedOut, Detail: "no time is left"}
 	}
+	if a := x.next; a != nil {
+		x.next = nil
+		return a, nil
+	}
 	a, ok := x.f.pick(x)
 	if !ok {
 		return nil, &forward.Failure{Code: forward.NoServer, Detail: "no backend server can take the request", RetryAfter: noServerRetry}
@@ -353,7 +382,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.health.Succeed(now, a.server.ID)
-	f.slowness.Learn(now, x.route.Name+"/"+x.model, a.server.ID, a.predicted, now.Sub(a.started))
+	x.server, x.expected, x.firstByte, x.unread = a.server.ID, a.expected, now.Sub(a.started), a.unread
+	f.slowness.Learn(now, x.group(), a.server.ID, a.predicted, now.Sub(a.started))
 	f.count(a, x, false, now.Sub(a.started))
 }
 
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -51,7 +51,8 @@
 	f.mu.Lock()
 	f.health.Try(server.ID)
 	f.mu.Unlock()
-	return &attempt{server: server, predicted: predicted, unread: candidates[picked].Missing(demand)}, true
+	expected := candidates[picked].Expect(predicted)
+	return &attempt{server: server, predicted: predicted, expected: expected, unread: candidates[picked].Missing(demand)}, true
 }
 
 // demand is what the request asks of a server. The last part of a prompt is the
@@ -71,15 +72,19 @@
 	return d
 }
 
+// group is what takes alike long: the requests of a kind at a model.
+func (x *passage) group() string { return x.route.Name + "/" + x.model }
+
 // settle ranks the candidates as homes of the prompt's shared parts, within the
 // own availability zone or region first, and tells how slow each has been.
 // Callers hold e.mu.
 func (f *forwarding) settle(now time.Time, x *passage, candidates []placement.Candidate, prompt []placement.Chunk) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	group := f.slowness.Group(x.route.Name + "/" + x.model)
+	group := x.group()
 	for i := range candidates {
-		candidates[i].Slowness = group * f.slowness.Of(now, candidates[i].Server.ID)
+		id := candidates[i].Server.ID
+		candidates[i].Expect = func(d time.Duration) time.Duration { return f.slowness.Expect(now, group, id, d) }
 	}
 	if len(prompt) < 2 {
 		return
