Log each decision about a request within a budget, show metrics, explain a request

Cause: on-call engineers have logs and metrics only, and a request's path could not be told from them.

--- /dev/null
+++ b/internal/cmd/cmd_explain.go
@@ -0,0 +1,54 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"rosereach/internal/explain"
+)
+
+// cmdExplain tells the story of a request from logs.
+func cmdExplain() *command {
+	return &command{
+		name: "explain", short: "tell the story of a request from the logs of several processes",
+		args: "ID FILE...", action: runExplain,
+	}
+}
+
+func runExplain(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() < 2 {
+		return exit(exitSettings, errors.New("name a request's id and one log file or more, \"-\" for standard input"))
+	}
+	var l explain.Log
+	for _, name := range c.Args().Slice()[1:] {
+		if err := readLog(&l, name); err != nil {
+			return err
+		}
+	}
+	id := c.Args().First()
+	story := l.Story(id)
+	if len(story) == 0 {
+		return exit(exitFailure, errors.Errorf("no line about request %s; %d lines could not be read: give the log of the entry that the caller used, written with --log-level debug", id, l.Skipped()))
+	}
+	for _, line := range story {
+		fmt.Println(line)
+	}
+	return nil
+}
+
+func readLog(l *explain.Log, name string) error {
+	if name == "-" {
+		return l.Read("stdin", io.Reader(os.Stdin))
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer f.Close()
+	return l.Read(name, f)
+}
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -19,7 +19,8 @@
 // runPlatformControl runs a control with the settings of a platform.
 func runPlatformControl(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	logger := newLogger(s, "control")
+	logger, flush := newBoundedLogger(ctx, s, "control")
+	defer flush()
 	key := s.text("member-key")
 	if err := s.err(); err != nil {
 		return err
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +31,10 @@
 // runPlatformEntry runs an entry with the settings of a platform.
 func runPlatformEntry(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	logger := newLogger(s, "entry")
+	logger, flush := newBoundedLogger(ctx, s, "entry")
+	defer flush()
 	key := s.text("member-key")
+	port := s.number("metrics-port", 0, math.MaxUint16)
 	if err := s.err(); err != nil {
 		return err
 	}
@@ -50,7 +54,11 @@
 			ExposureShare: now.Bounds.ExposureShare, PrefixLife: now.Bounds.PrefixLife,
 		},
 	})
-	listeners, err := listenAll(ctx, now.Listen.Callers, now.Listen.Readiness)
+	addresses := []string{now.Listen.Callers, now.Listen.Readiness}
+	if port != 0 {
+		addresses = append(addresses, net.JoinHostPort(now.IP, strconv.FormatInt(port, 10)))
+	}
+	listeners, err := listenAll(ctx, addresses...)
 	if err != nil {
 		return err
 	}
@@ -66,6 +74,9 @@
 	g.Go(func() error { return n.follow(running) })
 	g.Go(func() error { return e.Run(running) })
 	g.Go(func() error { return serveUntil(running, listeners[1], platform.ReadinessHandler(e.IsOpen), noWait) })
+	if port != 0 {
+		g.Go(func() error { return serveUntil(running, listeners[2], e.ForwardMetrics(), noWait) })
+	}
 	g.Go(func() error {
 		defer stop()
 		return serveUntil(taking, listeners[0], platform.CallerHandler(e, clock.WallClock, e.IsDraining), left)
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-kit/log"
@@ -15,9 +17,13 @@
 	"github.com/urfave/cli/v3"
 
 	"rosereach/internal/httpd"
+	"rosereach/internal/logs"
 	"rosereach/internal/metrics"
 )
 
+// logFlushTime bounds the wait for a reader of the last lines of a process.
+const logFlushTime = 100 * time.Millisecond
+
 // commonFlags are the settings of every process that serves.
 func commonFlags() []cli.Flag {
 	return []cli.Flag{
@@ -26,7 +32,8 @@
 		flag("advertise", "", "host:port that others reach it at (the listener's, when empty)"),
 		flag("region", "", "region that the process runs in"),
 		flag("availability-zone", "", "availability zone that the process runs in"),
-		flag("log-level", "info", "debug, info, warn or error"),
+		flag("log-level", "info", "debug, info, warn or error; debug also has a line for each decision about a request"),
+		flag("log-budget", strconv.Itoa(logs.DefaultBytes), "on the platform: most bytes of log lines in a second"),
 	}
 }
 
@@ -96,7 +103,23 @@
 
 // newLogger returns a logger whose lines start with the part's name.
 func newLogger(s *settings, part string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	return levelled(s, part, log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)))
+}
+
+// newBoundedLogger is newLogger to standard output, within a budget and never
+// in the way. Close writes what waits.
+func newBoundedLogger(ctx context.Context, s *settings, part string) (logger log.Logger, close func()) {
+	budget := int(s.number("log-budget", 1<<10, 1<<30))
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	bounded := logs.New(ctx, os.Stdout, clock.WallClock, budget)
+	return levelled(s, part, bounded), func() {
+		cancel()
+		bounded.Wait(logFlushTime)
+	}
+}
+
+// levelled leaves out lines below the level of the settings.
+func levelled(s *settings, part string, logger log.Logger) log.Logger {
 	name := s.optional("log-level")
 	allowed, err := level.Parse(strings.ToLower(name))
 	if err != nil {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"rosereach/core/backend"
 	"rosereach/core/cascade"
 	"rosereach/core/forward"
@@ -54,6 +56,8 @@
 		client *upstream.Client
 		sizes  cascade.Sizes
 
+		metrics *forwardMetrics
+
 		placement placement.Priced
 
 		mu       sync.Mutex
@@ -77,6 +81,7 @@
 		tallies: make(map[tallyKey]rollout.Tally), random: rand.New(rand.NewPCG(e.cfg.Seed, ^e.cfg.Incarnation)), //nolint:gosec // load is spread by it
 	}
 	f.feeds = newFeeds(e)
+	f.metrics = newForwardMetrics(e)
 	f.budget = retry.NewWindow(e.cfg.Forwarding.Retries)
 	return f
 }
@@ -108,17 +113,23 @@
 	defer e.handling.Add(-1)
 	x, failure := e.accept(req, sink)
 	if failure != nil {
+		e.logRejected(req, failure)
+		e.forwarding.metrics.ended(route.Route{}, failure, 0)
 		return failure
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	leave, err := e.gateOf(x.route).enter(ctx, e.cfg.Clock, x.ticket())
 	if err != nil {
-		return overloaded(err)
+		failure = overloaded(err)
+		e.logRejected(req, failure)
+		return failure
 	}
 	defer leave()
+	x.logAdmitted(req.Arrived)
 	err = x.run(ctx)
 	x.logEnd(err)
+	x.f.metrics.ended(x.route, err, x.now().Sub(req.Arrived))
 	return err
 }
 
@@ -183,6 +194,12 @@
 	return f
 }
 
+func failureOf(err error) (*forward.Failure, bool) {
+	var f *forward.Failure
+	ok := errors.As(err, &f)
+	return f, ok
+}
+
 // learn takes what a control tells of the backend servers.
 func (f *forwarding) learn(now time.Time, d roster.Delta) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/entry/forward_metrics.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"rosereach/core/forward"
+	"rosereach/core/route"
+)
+
+// secondsBuckets are the bounds of the latency histograms. Each is 1.5 times
+// the one before, so a quantile read from them is off by a quarter at most; a
+// histogram costs some 2 KB and 100 ns an observation.
+var secondsBuckets = prometheus.ExponentialBuckets(0.005, 1.5, 22)
+
+// forwardMetrics are the counters and histograms of an entry that forwards
+// requests.
+type forwardMetrics struct {
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	attempts  *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	firstByte *prometheus.HistogramVec
+	denied    prometheus.Counter
+}
+
+func newForwardMetrics(e *Entry) *forwardMetrics {
+	m := &forwardMetrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rosereach_requests_total", Help: "Requests by kind of route and by how they ended.",
+		}, []string{"kind", "code"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rosereach_attempts_total", Help: "Attempts at backend servers by outcome.",
+		}, []string{"outcome"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rosereach_request_duration_seconds", Help: "Time from a request's arrival to its end.", Buckets: secondsBuckets,
+		}, []string{"kind"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rosereach_first_byte_seconds", Help: "Time from sending an attempt to the first byte passed on.", Buckets: secondsBuckets,
+		}, []string{"kind"}),
+		denied: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rosereach_repeats_denied_total", Help: "Repeats that the budget shared by all entries did not allow.",
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.denied,
+		gauge("rosereach_documents_revision", "Revision of the documents in force.", func() float64 { return float64(e.catalog.Load().Revision()) }),
+		gauge("rosereach_requests_running", "Requests that are being answered.", func() float64 { return float64(e.handling.Load()) }),
+		gauge("rosereach_requests_waiting", "Requests that wait for their turn.", func() float64 { return float64(e.gate.waits() + e.plainGate.waits()) }),
+	)
+	return m
+}
+
+func gauge(name, help string, read func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read)
+}
+
+// ForwardMetrics returns the handler that shows the metrics as text.
+func (e *Entry) ForwardMetrics() http.Handler {
+	return promhttp.HandlerFor(e.forwarding.metrics.registry, promhttp.HandlerOpts{})
+}
+
+// ended counts a request.
+func (m *forwardMetrics) ended(r route.Route, err error, took time.Duration) {
+	code := "answered"
+	if err != nil {
+		code = "broken"
+		if f, ok := failureOf(err); ok {
+			code = string(f.Code)
+		}
+	}
+	m.requests.WithLabelValues(string(r.Kind), code).Inc()
+	m.duration.WithLabelValues(string(r.Kind)).Observe(took.Seconds())
+}
+
+func (m *forwardMetrics) attempted(o forward.Outcome) {
+	if o == "" {
+		o = "answered"
+	}
+	m.attempts.WithLabelValues(string(o)).Inc()
+}
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -44,6 +44,7 @@
 	errStalled = errors.ConstError("the stream stands still")
 	errForeign = errors.ConstError("the answer belongs to another request")
 	errCut     = errors.ConstError("the answer broke off")
+	errDoubted = errors.ConstError("the model doubts its answer")
 	errCaller  = errors.ConstError("the caller takes no more")
 )
 
@@ -84,6 +85,10 @@
 		started   time.Time
 		head      forward.Head
 		answered  bool
+
+		placed     time.Time
+		candidates int
+		roster     uint64
 	}
 
 	// heldAnswer is a server's failure, which is passed on if nothing better
@@ -110,10 +115,11 @@
 			return x.giveUp(ctx, last, failure)
 		}
 		outcome, err := x.try(ctx, a)
+		x.f.metrics.attempted(outcome)
 		if err == nil {
 			return nil
 		}
-		x.log(a, outcome, err)
+		x.logAttempt(a, outcome, err)
 		last = outcome
 		if ctx.Err() != nil || !x.mayGoOn(outcome) {
 			return x.giveUp(ctx, outcome, nil)
@@ -163,6 +169,7 @@
 		return forward.NotSent, errors.Trace(context.DeadlineExceeded)
 	}
 	x.sends++
+	x.logPlaced(a)
 	watch := f.entry.cfg.Clock.AfterFunc(x.headTime(left), func() { cancel(errNoHead) })
 	defer watch.Stop()
 	f.start(now, a.server, a.unread)
@@ -228,7 +235,7 @@
 	x.runs++
 	if x.escalates(a) {
 		answer.Discard()
-		return forward.Failed, errors.Errorf("confidence %d", a.head.Confidence)
+		return forward.Failed, errors.Trace(errDoubted)
 	}
 	if x.route.Kind == route.Streaming && a.head.Status/100 == 2 {
 		return x.passStream(ctx, cancel, a, answer)
@@ -253,6 +260,9 @@
 		spent := x.f.entry.cfg.Clock.Now().Sub(x.req.Arrived)
 		late := placement.LateRisk(spent+next.expected, x.route.Objective)
 		ok = x.f.sizes.IsWorthAsking(a.head.Confidence, late) && x.f.takeRepeat()
+		if ok {
+			x.logAgain(a, late)
+		}
 	}
 	if !ok {
 		x.model = asked
@@ -291,21 +301,6 @@
 	return "", nil
 }
 
-// log tells why an attempt brought no answer.
-func (x *passage) log(a *attempt, o forward.Outcome, err error) {
-	x.f.entry.cfg.Logger.Log("msg", "Attempt brings no answer.", "id", x.req.ID, "route", x.route.Name, "server", a.server.ID,
-		"model", x.model, "outcome", o, "send", x.sends, "run", x.runs, "begun", x.begun, "last", x.last,
-		"took", x.f.entry.cfg.Clock.Now().Sub(a.started), "session", x.req.Session, "err", err)
-}
-
-// logEnd tells how the request ended.
-func (x *passage) logEnd(err error) {
-	x.f.entry.cfg.Logger.Log("msg", "Request ends.", "id", x.req.ID, "route", x.route.Name, "workspace", x.workspace.Name,
-		"session", x.req.Session, "model", x.model, "send", x.sends, "run", x.runs, "last", x.last,
-		"server", x.server, "expected", x.expected, "first", x.firstByte, "unread", x.unread,
-		"took", x.f.entry.cfg.Clock.Now().Sub(x.req.Arrived), "err", err)
-}
-
 // place chooses the server for the next attempt.
 func (x *passage) place(ctx context.Context) (*attempt, *forward.Failure) {
 	if ctx.Err() != nil {
@@ -339,7 +334,11 @@
 	members := f.feeds.fleetSize()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget.Take(f.entry.cfg.Clock.Now(), members)
+	if !f.budget.Take(f.entry.cfg.Clock.Now(), members) {
+		f.metrics.denied.Inc()
+		return false
+	}
+	return true
 }
 
 // recheck tells, just before the first byte, whether the server may still get
--- /dev/null
+++ b/internal/entry/passage_log.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"rosereach/core/forward"
+)
+
+// The lines about one request all carry its id. docs/OPERATIONS.md lists the
+// fields; keys and bodies are never among them.
+
+// logAdmitted tells that the request may run, and how long it waited.
+func (x *passage) logAdmitted(arrived time.Time) {
+	now := x.now()
+	level.Debug(x.log()).Log("msg", "Request is admitted.", "id", x.req.ID, "route", x.route.Name, "ws", x.workspace.Name,
+		"sess", x.req.Session, "prio", x.priority(), "plan", x.revision(), "waited", now.Sub(arrived), "left", x.deadline.Sub(now),
+		"input", x.req.Input, "output", x.req.Output)
+}
+
+// logRejected tells why a request is not run.
+func (e *Entry) logRejected(req forward.Request, f *forward.Failure) {
+	level.Warn(e.cfg.Logger).Log("msg", "Request is rejected.", "id", req.ID, "path", req.Path, "code", f.Code, "why", f.Detail,
+		"plan", e.catalog.Load().Revision(), "retry", f.RetryAfter, "running", e.handling.Load(),
+		"waiting", e.gate.waits()+e.plainGate.waits())
+}
+
+// logPlaced tells where an attempt goes and what was known of the server.
+func (x *passage) logPlaced(a *attempt) {
+	level.Debug(x.log()).Log("msg", "Attempt is placed.", "id", x.req.ID, "send", x.sends, "srv", a.server.ID, "addr", a.server.Address,
+		"rel", a.server.Release, "model", x.model, "exp", a.expected, "unread", a.unread, "of", a.candidates, "tried", len(x.tried),
+		"roster", a.roster, "running", a.server.Load.Running, "waiting", a.server.Load.Queued, "load_age", a.loadAge(), "plan", x.revision())
+}
+
+// logAgain tells that a larger model is asked.
+func (x *passage) logAgain(a *attempt, late float64) {
+	level.Debug(x.log()).Log("msg", "Larger model is asked.", "id", x.req.ID, "srv", a.server.ID, "sure", a.head.Confidence,
+		"late", late, "model", x.model)
+}
+
+// logAttempt tells how an attempt ended that brought no answer.
+func (x *passage) logAttempt(a *attempt, o forward.Outcome, err error) {
+	if errors.Is(err, errDoubted) {
+		return
+	}
+	level.Warn(x.log()).Log("msg", "Attempt brings no answer.", "id", x.req.ID, "route", x.route.Name, "srv", a.server.ID,
+		"model", x.model, "out", o, "send", x.sends, "run", x.runs, "begun", x.begun, "last", x.last, "took", x.now().Sub(a.started), "err", err)
+}
+
+// logEnd tells how the request ended.
+func (x *passage) logEnd(err error) {
+	logger := level.Debug(x.log())
+	if err != nil || x.held != nil && x.server == "" {
+		logger = level.Warn(x.log())
+	}
+	logger.Log("msg", "Request ends.", "id", x.req.ID, "route", x.route.Name, "ws", x.workspace.Name, "sess", x.req.Session,
+		"srv", x.server, "model", x.model, "send", x.sends, "run", x.runs, "last", x.last, "exp", x.expected, "first", x.firstByte,
+		"unread", x.unread, "took", x.now().Sub(x.req.Arrived), "err", err)
+}
+
+func (x *passage) log() log.Logger  { return x.f.entry.cfg.Logger }
+func (x *passage) now() time.Time   { return x.f.entry.cfg.Clock.Now() }
+func (x *passage) revision() uint64 { return x.f.entry.catalog.Load().Revision() }
+
+// loadAge is how old the server's load was when the attempt was placed, 0 when
+// none was known.
+func (a *attempt) loadAge() time.Duration {
+	if a.server.Load.At.IsZero() {
+		return 0
+	}
+	return a.placed.Sub(a.server.Load.At)
+}
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -30,7 +30,7 @@
 	e := f.entry
 	now := e.cfg.Clock.Now()
 	f.mu.Lock()
-	servers := f.usable(now, x)
+	servers, version := f.usable(now, x), f.roster.Version()
 	f.mu.Unlock()
 	if len(servers) == 0 {
 		return nil, false
@@ -52,7 +52,10 @@
 	f.health.Try(server.ID)
 	f.mu.Unlock()
 	expected := candidates[picked].Expect(predicted)
-	return &attempt{server: server, predicted: predicted, expected: expected, unread: candidates[picked].Missing(demand)}, true
+	return &attempt{
+		server: server, predicted: predicted, expected: expected, unread: candidates[picked].Missing(demand),
+		placed: now, candidates: len(candidates), roster: version,
+	}, true
 }
 
 // demand is what the request asks of a server. The last part of a prompt is the
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,98 @@
+package logs_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/clock"
+
+	"rosereach/internal/logs"
+)
+
+// sink is a writer that can be looked at.
+type sink struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *sink) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *sink) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// A burst stays within the budget; lines about beliefs are kept when routine
+// lines and failures are left out, and what was left out is told.
+func TestBurstStaysWithinBudget(t *testing.T) {
+	const budget = 4 << 10
+	ctx, cancel := context.WithCancel(context.Background())
+	var out sink
+	l := logs.New(ctx, &out, clock.WallClock, budget)
+	for i := range 5000 {
+		level.Debug(l).Log("msg", "Request ends.", "id", i)
+		if i%10 == 0 {
+			level.Warn(l).Log("msg", "Attempt fails.", "id", i)
+		}
+		if i%500 == 0 {
+			l.Log("msg", "Plan changes.", "revision", i)
+		}
+	}
+	cancel()
+	l.Wait(10 * time.Second)
+	text := out.text()
+	if len(text) > 6*budget {
+		t.Errorf("%d bytes for a budget of %d a second", len(text), budget)
+	}
+	if n := strings.Count(text, `msg="Plan changes."`); n != 10 {
+		t.Errorf("%d of 10 lines about the plan", n)
+	}
+	if !strings.Contains(text, "Lines are left out.") || !strings.Contains(text, `of="Request ends."`) {
+		t.Errorf("nothing tells what was left out:\n%s", text[max(len(text)-400, 0):])
+	}
+}
+
+// A reader that stopped holds nobody up.
+func TestStoppedReaderHoldsNobodyUp(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r, w := io.Pipe()
+	defer r.Close()
+	l := logs.New(ctx, w, clock.WallClock, 100<<20)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 20_000 {
+			l.Log("msg", "Plan changes.", "revision", i)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Minute):
+		t.Fatal("logging waits for a reader")
+	}
+	go io.Copy(io.Discard, r)
+}
+
+func ExampleLogger() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var out sink
+	l := logs.New(ctx, &out, clock.WallClock, logs.DefaultBytes)
+	l.Log("msg", "Leads.", "term", 3)
+	cancel()
+	l.Wait(time.Second)
+	fmt.Print(out.text())
+	// Output: msg=Leads. term=3
+}
