--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -107,3 +107,9 @@
 	}
 	return time.Duration(random.Int64N(int64(bound) + 1))
 }
+
+// Spread returns the wait, or up to a quarter more, so that those who were
+// refused together do not come back together.
+func Spread(wait time.Duration, random *rand.Rand) time.Duration {
+	return wait + time.Duration(random.Int64N(int64(wait)/4+1))
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -65,6 +65,8 @@
 		health   *health.Tracker
 		slowness *placement.Slowness
 		loads    map[string]backend.Load
+		heardAt  map[string]time.Time
+		downAt   map[string]time.Time
 		budget   *retry.Window
 		tallies  map[tallyKey]rollout.Tally
 		reported uint64
@@ -77,7 +79,7 @@
 func newForwarding(e *Entry) *forwarding {
 	f := &forwarding{
 		entry: e, client: upstream.NewClient(e.cfg.Clock),
-		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), slowness: placement.NewSlowness(), placement: placement.NewPriced(), loads: make(map[string]backend.Load),
+		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), slowness: placement.NewSlowness(), placement: placement.NewPriced(), loads: make(map[string]backend.Load), heardAt: make(map[string]time.Time), downAt: make(map[string]time.Time),
 		tallies: make(map[tallyKey]rollout.Tally), random: rand.New(rand.NewPCG(e.cfg.Seed, ^e.cfg.Incarnation)), //nolint:gosec // load is spread by it
 	}
 	f.feeds = newFeeds(e)
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -14,6 +14,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/forward"
 	"rosereach/core/placement"
+	"rosereach/core/retry"
 	"rosereach/core/rollout"
 	"rosereach/core/route"
 	"rosereach/io/upstream"
@@ -24,15 +25,15 @@
 	// when servers say that they did not run it.
 	extraSends = 3
 
-	// headFactor is how many times its objective an attempt that may be
-	// repeated waits for the first line before another one follows.
-	headFactor = 2
+	// silenceProof is how long a server has to be silent until that speaks
+	// against it even though the request had no more time; deadlineMargin tells
+	// its end from one that came sooner.
+	silenceProof   = 2 * time.Second
+	deadlineMargin = 10 * time.Millisecond
 
-	// stallTime is the least silence within a stream after which it is resumed
-	// elsewhere, and stallFactor the silence as a multiple of the route's gap.
-	// Callers give up after the same two seconds or more.
-	stallTime   = 1800 * time.Millisecond
-	stallFactor = 3
+	// retryShare is the part of its time for which a caller waits as told: one
+	// third.
+	retryShare = 3
 
 	// maxBuffered bounds an answer that is collected before it is passed on.
 	maxBuffered = 1 << 20
@@ -150,7 +151,7 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &forward.Failure{Code: forward.Gone, Detail: "the caller left"}
 	}
-	return forward.FailureOf(last, x.runs, ctx.Err() != nil)
+	return forward.FailureOf(last, x.runs, ctx.Err() != nil || !x.now().Before(x.deadline))
 }
 
 // try sends the request to a server and passes its answer on. The outcome says
@@ -170,8 +171,8 @@
 	}
 	x.sends++
 	x.logPlaced(a)
-	watch := f.entry.cfg.Clock.AfterFunc(x.headTime(left), func() { cancel(errNoHead) })
-	defer watch.Stop()
+	watch := f.watchSilence(cancel, errNoHead, a.server.ID, x.headPatience(a, left))
+	defer watch.stop()
 	f.start(now, a.server, a.unread)
 	defer f.end(a.server)
 	answer, err := f.client.Do(ctx, upstream.Call{
@@ -182,23 +183,17 @@
 		Fresh: x.sends > 1 && !x.route.MayRepeat(),
 	}, func() error { return f.recheck(a.server) })
 	if err != nil {
-		return x.lost(ctx, a, err)
+		return x.lost(ctx, a, err, watch.isDead())
 	}
-	watch.Stop()
+	watch.stop()
+	f.hear(a.server.ID)
 	a.head = f.entry.cfg.Forwarding.Dialect.Head(answer.Status, answer.Header)
 	return x.receive(ctx, cancel, a, answer)
 }
 
-// headTime is how long to wait for the first line of an answer.
-func (x *passage) headTime(left time.Duration) time.Duration {
-	if !x.route.MayRepeat() || x.runs+1 >= x.route.Attempts || x.route.Objective <= 0 {
-		return left
-	}
-	return min(left, headFactor*x.route.Objective)
-}
-
-// lost sorts out an attempt that brought no answer.
-func (x *passage) lost(ctx context.Context, a *attempt, err error) (forward.Outcome, error) {
+// lost sorts out an attempt that brought no answer. Dead says that nothing at
+// all is heard of the server.
+func (x *passage) lost(ctx context.Context, a *attempt, err error, dead bool) (forward.Outcome, error) {
 	if errors.Is(err, upstream.ErrNotSent) {
 		if ctx.Err() == nil {
 			x.f.fail(a, x, true)
@@ -208,12 +203,19 @@
 	}
 	x.runs++
 	x.tried = append(x.tried, a.server.ID)
-	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errNoHead) {
-		x.f.fail(a, x, false)
+	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errNoHead) && x.isProof(a) {
+		x.f.fail(a, x, dead)
 	}
 	return forward.Unknown, err
 }
 
+// isProof reports whether silence until now speaks against the server: a
+// request whose own time was short says nothing.
+func (x *passage) isProof(a *attempt) bool {
+	now := x.now()
+	return now.Before(x.deadline.Add(-deadlineMargin)) || now.Sub(a.started) >= silenceProof
+}
+
 // receive takes an answer whose first lines are here.
 func (x *passage) receive(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
 	x.f.observe(a)
@@ -275,10 +277,10 @@
 // passWhole collects an answer and passes it on, so that one that breaks off
 // can still be asked for again.
 func (x *passage) passWhole(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
-	watch := x.f.entry.cfg.Clock.AfterFunc(stallTime, func() { cancel(errStalled) })
-	defer watch.Stop()
+	watch := x.f.watchSilence(cancel, errStalled, a.server.ID, patience{soft: stallMost, hard: stallMost})
+	defer watch.stop()
 	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
-	watch.Stop()
+	watch.stop()
 	x.tried = append(x.tried, a.server.ID)
 	if err != nil || len(body) > maxBuffered {
 		answer.Discard()
@@ -312,11 +314,33 @@
 	}
 	a, ok := x.f.pick(x)
 	if !ok {
-		return nil, &forward.Failure{Code: forward.NoServer, Detail: "no backend server can take the request", RetryAfter: noServerRetry}
+		return nil, x.noServer()
 	}
+	x.f.noteUp(x.service)
 	return a, nil
 }
 
+// noServer refuses a request that no server can take. A service that has been
+// down for a while is likely to be down for as long again.
+func (x *passage) noServer() *forward.Failure {
+	f, now := x.f, x.now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since, down := f.downAt[x.service]
+	if !down {
+		since = now
+		f.downAt[x.service] = now
+	}
+	wait := retry.Spread(max(noServerRetry, now.Sub(since)), f.random)
+	return &forward.Failure{Code: forward.NoServer, Detail: "no backend server can take the request", RetryAfter: min(wait, x.deadline.Sub(now)/retryShare)}
+}
+
+func (f *forwarding) noteUp(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.downAt, service)
+}
+
 // pickService draws one of the route's services.
 func (f *forwarding) pickService(r route.Route) string {
 	f.mu.Lock()
--- a/internal/entry/passage_stream.go
+++ b/internal/entry/passage_stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -20,17 +19,17 @@
 func (x *passage) passStream(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
 	order := stream.NewOrder(x.last)
 	var splitter stream.Splitter
-	watch := x.f.entry.cfg.Clock.AfterFunc(x.stall(), func() { cancel(errStalled) })
-	defer watch.Stop()
+	watch := x.f.watchSilence(cancel, errStalled, a.server.ID, x.eventPatience())
+	defer watch.stop()
 	buffer := make([]byte, streamBuffer)
 	before := x.last
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
-			watch.Reset(x.stall())
+			watch.heard()
 		}
 		if failed := x.passEvents(a, answer, &order, splitter.Push(buffer[:n])); failed != nil {
-			return x.broken(ctx, a, answer, failed)
+			return x.broken(ctx, a, answer, failed, false)
 		}
 		switch {
 		case err == nil:
@@ -38,7 +37,7 @@
 			answer.Close()
 			return "", nil
 		default:
-			return x.broken(ctx, a, answer, errors.Annotatef(errCut, "%v", err))
+			return x.broken(ctx, a, answer, errors.Annotatef(errCut, "%v", err), watch.isDead())
 		}
 	}
 }
@@ -65,9 +64,6 @@
 	return nil
 }
 
-// stall is how long a stream may be silent.
-func (x *passage) stall() time.Duration { return max(stallTime, stallFactor*x.route.Gap) }
-
 // show passes an event on; the head goes before the first one.
 func (x *passage) show(answer *upstream.Answer, raw []byte) error {
 	if !x.begun {
@@ -80,13 +76,14 @@
 	return nil
 }
 
-// broken ends an attempt whose stream broke off.
-func (x *passage) broken(ctx context.Context, a *attempt, answer *upstream.Answer, err error) (forward.Outcome, error) {
+// broken ends an attempt whose stream broke off. Dead says that nothing at all
+// is heard of the server.
+func (x *passage) broken(ctx context.Context, a *attempt, answer *upstream.Answer, err error, dead bool) (forward.Outcome, error) {
 	answer.Discard()
 	x.tried = append(x.tried, a.server.ID)
 	callerLeft := errors.Is(err, errCaller)
 	if !callerLeft && ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
-		x.f.fail(a, x, false)
+		x.f.fail(a, x, dead)
 	}
 	return forward.Broken, err
 }
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -12,8 +12,8 @@
 	"rosereach/core/roster"
 )
 
-// noServerRetry is when a caller may come back when no server takes work: a
-// crashed one is back, or another one announced, after about a second.
+// noServerRetry is the least time after which a caller may come back when no
+// server takes work: another one is announced after about a second.
 const noServerRetry = time.Second
 
 const (
--- /dev/null
+++ b/internal/entry/silence.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/clock"
+)
+
+const (
+	// aliveTime is how recently a server has to have sent something on any
+	// connection to count as alive: an engine's step takes some tens of
+	// milliseconds, and a chunk of a long prompt a hundred.
+	aliveTime = 300 * time.Millisecond
+
+	// headFactor and headFloor make the first wait for an answer's first line:
+	// nine of ten come within twice the expected time.
+	headFactor = 2.5
+	headFloor  = 500 * time.Millisecond
+
+	// callFloor is headFloor for calls, which take some tens of milliseconds.
+	callFloor = 250 * time.Millisecond
+
+	// stallFactor and stallFloor make the first wait for the next event, as a
+	// share of the pause after which the stream is late: another server has the
+	// rest of it to go on.
+	stallFactor = 0.6
+	stallFloor  = 600 * time.Millisecond
+
+	// stallMost is the longest wait for the next event of a server that is
+	// alive. Callers give up after two seconds or more.
+	stallMost = 1800 * time.Millisecond
+)
+
+// patience is how long to wait for a server: Soft when nothing is heard of it
+// at all, Hard when it goes on answering others.
+type patience struct{ soft, hard time.Duration }
+
+// silence ends an attempt whose server sends nothing. A server that is silent
+// towards all requests of this entry has died; one that answers others is busy
+// and gets more time.
+type silence struct {
+	f        *forwarding
+	server   string
+	patience patience
+	end      func()
+
+	mu       sync.Mutex
+	timer    clock.Timer
+	extended bool
+	dead     bool
+}
+
+// watchSilence ends the attempt with the reason when its server is silent.
+func (f *forwarding) watchSilence(cancel context.CancelCauseFunc, reason error, server string, p patience) *silence {
+	s := &silence{f: f, server: server, patience: p, end: func() { cancel(reason) }}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = f.entry.cfg.Clock.AfterFunc(p.soft, s.expired)
+	return s
+}
+
+func (s *silence) expired() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.extended && s.patience.hard > s.patience.soft && s.f.isAlive(s.server) {
+		s.extended = true
+		s.timer.Reset(s.patience.hard - s.patience.soft)
+		return
+	}
+	s.dead = !s.extended && s.patience.hard > s.patience.soft
+	s.end()
+}
+
+// heard starts the wait anew.
+func (s *silence) heard() {
+	s.f.hear(s.server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.extended = false
+	s.timer.Reset(s.patience.soft)
+}
+
+// stop ends the watch.
+func (s *silence) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer.Stop()
+}
+
+// isDead reports whether the attempt ended because nothing at all was heard of
+// the server.
+func (s *silence) isDead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dead
+}
+
+// hear notes that the server sent something.
+func (f *forwarding) hear(server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heardAt[server] = f.entry.cfg.Clock.Now()
+}
+
+func (f *forwarding) isAlive(server string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entry.cfg.Clock.Now().Sub(f.heardAt[server]) < aliveTime
+}
+
+// headPatience is how long to wait for the first line of an attempt. One that
+// may not be repeated, or is the last, has all the time that is left.
+func (x *passage) headPatience(a *attempt, left time.Duration) patience {
+	if !x.route.MayRepeat() || x.runs+1 >= x.route.Attempts || x.route.Objective <= 0 {
+		return patience{soft: left, hard: left}
+	}
+	floor, hard := headFloor, x.route.Objective
+	if len(x.route.Models) == 0 {
+		floor, hard = callFloor, 2*x.route.Objective
+	}
+	soft := max(time.Duration(headFactor*float64(a.expected)), floor)
+	return patience{soft: min(soft, left), hard: min(max(hard, soft), left)}
+}
+
+// eventPatience is how long to wait for the next event of a stream.
+func (x *passage) eventPatience() patience {
+	soft := max(time.Duration(stallFactor*float64(x.route.Gap)), stallFloor)
+	return patience{soft: soft, hard: max(stallMost, soft)}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -79,12 +79,14 @@
 	var story []Line
 	servers := make(map[string]bool)
 	plans := make(map[string]bool)
+	tellers := make(map[string]bool)
 	var first, last time.Time
 	for _, line := range l.lines {
 		if line.Get(fieldID) != id {
 			continue
 		}
 		story = append(story, line)
+		tellers[line.Source] = true
 		servers[line.Get(fieldServer)] = true
 		plans[line.Get(fieldPlan)] = true
 		if first.IsZero() || line.At.Before(first) {
@@ -103,7 +105,7 @@
 		}
 		near := line.At.After(first.Add(-beliefTime))
 		aboutServer := near && servers[line.Get(fieldSubj)] && line.Get(fieldSubj) != ""
-		aboutPlan := line.Get(fieldRev) != "" && plans[line.Get(fieldRev)]
+		aboutPlan := tellers[line.Source] && line.Get(fieldRev) != "" && plans[line.Get(fieldRev)]
 		if aboutServer || aboutPlan {
 			story = append(story, line)
 		}
