End an expired request at once, and tell a dead server from a busy one

A request whose time was over was placed again and again until its context's timer fired, which under that load took seconds. Ruled out: garbage collection (a quarter of the time), connections, watches. TestExpiredRequestEndsAtOnce hung before.

Cause 2: an attempt at a server that had died waited 4 s for the first line and 3.6 s for the next event. A server from which this entry hears nothing at all is given up after four times the expected time (1.2 s at least) or after the route's pause.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/juju/clock"
+	"github.com/juju/clock/testclock"
 	"github.com/juju/errors"
 
 	"rosereach/core/backend"
@@ -346,3 +347,28 @@
 		t.Fatal("older documents came into force")
 	}
 }
+
+// A request whose time is over ends at once, also when the timer of its context
+// has not fired yet: trying again and again kept a processor busy for seconds.
+func TestExpiredRequestEndsAtOnce(t *testing.T) {
+	r := newRig(t)
+	future := testclock.NewClock(time.Now().Add(24 * time.Hour))
+	r.entry.cfg.Clock = future
+	r.plan()
+	r.server("a", func(http.ResponseWriter, *http.Request) { t.Error("the request was sent") })
+	ended := make(chan error, 1)
+	go func() {
+		ended <- r.entry.Forward(context.Background(), forward.Request{
+			ID: "id-1", Method: "POST", Host: "h", Path: "/unsafe/x", Target: "/unsafe/x", Key: "k",
+			Arrived: future.Now(), Deadline: future.Now(),
+		}, &collected{})
+	}()
+	select {
+	case err := <-ended:
+		if f, ok := failureOf(err); !ok || !f.IsNotRun() {
+			t.Fatalf("%v, want a promise that it did not run", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request is tried for ever")
+	}
+}
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -90,6 +90,7 @@
 		placed     time.Time
 		candidates int
 		roster     uint64
+		prompt     []placement.Chunk
 	}
 
 	// heldAnswer is a server's failure, which is passed on if nothing better
@@ -146,7 +147,7 @@
 	case x.held != nil:
 		x.sink.Begin(x.held.status, x.held.header, int64(len(x.held.body)))
 		return x.sink.Write(x.held.body)
-	case refused != nil && x.runs == 0:
+	case refused != nil && refused.IsNotRun() && x.runs == 0:
 		return refused
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &forward.Failure{Code: forward.Gone, Detail: "the caller left"}
@@ -166,12 +167,9 @@
 		x.first = now
 	}
 	left := x.deadline.Sub(now)
-	if left <= 0 {
-		return forward.NotSent, errors.Trace(context.DeadlineExceeded)
-	}
 	x.sends++
 	x.logPlaced(a)
-	watch := f.watchSilence(cancel, errNoHead, a.server.ID, x.headPatience(a, left))
+	watch := x.watchSilence(cancel, errNoHead, a, x.headPatience(a, left))
 	defer watch.stop()
 	f.start(now, a.server, a.unread)
 	defer f.end(a.server)
@@ -277,7 +275,7 @@
 // passWhole collects an answer and passes it on, so that one that breaks off
 // can still be asked for again.
 func (x *passage) passWhole(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
-	watch := x.f.watchSilence(cancel, errStalled, a.server.ID, patience{soft: stallMost, hard: stallMost})
+	watch := x.watchSilence(cancel, errStalled, a, patience{soft: stallMost, hard: stallMost})
 	defer watch.stop()
 	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
 	watch.stop()
@@ -305,7 +303,7 @@
 
 // place chooses the server for the next attempt.
 func (x *passage) place(ctx context.Context) (*attempt, *forward.Failure) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !x.now().Before(x.deadline) {
 		return nil, &forward.Failure{Code: forward.TimedOut, Detail: "no time is left"}
 	}
 	if a := x.next; a != nil {
--- a/internal/entry/passage_stream.go
+++ b/internal/entry/passage_stream.go
@@ -19,7 +19,7 @@
 func (x *passage) passStream(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
 	order := stream.NewOrder(x.last)
 	var splitter stream.Splitter
-	watch := x.f.watchSilence(cancel, errStalled, a.server.ID, x.eventPatience())
+	watch := x.watchSilence(cancel, errStalled, a, x.eventPatience())
 	defer watch.stop()
 	buffer := make([]byte, streamBuffer)
 	before := x.last
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -25,8 +25,25 @@
 	callTime = 100 * time.Millisecond
 )
 
-// pick chooses a server for the next attempt of a request.
+// pick chooses a server for the next attempt of a request and notes that it
+// goes there.
 func (f *forwarding) pick(x *passage) (*attempt, bool) {
+	a, ok := f.choose(x)
+	if !ok {
+		return nil, false
+	}
+	e := f.entry
+	e.mu.Lock()
+	e.hints.StoreAll(a.placed, hintID(a.server), a.prompt)
+	e.mu.Unlock()
+	f.mu.Lock()
+	f.health.Try(a.server.ID)
+	f.mu.Unlock()
+	return a, true
+}
+
+// choose returns the attempt that would be made now.
+func (f *forwarding) choose(x *passage) (*attempt, bool) {
 	e := f.entry
 	now := e.cfg.Clock.Now()
 	f.mu.Lock()
@@ -45,19 +62,21 @@
 	if picked < 0 {
 		return nil, false
 	}
-	server := candidates[picked].Server
-	predicted := f.placement.Predict(now, demand, candidates[picked], 0)
-	e.hints.StoreAll(now, hintID(server), prompt)
-	f.mu.Lock()
-	f.health.Try(server.ID)
-	f.mu.Unlock()
-	expected := candidates[picked].Expect(predicted)
+	c := candidates[picked]
+	predicted := f.placement.Predict(now, demand, c, 0)
 	return &attempt{
-		server: server, predicted: predicted, expected: expected, unread: candidates[picked].Missing(demand),
-		placed: now, candidates: len(candidates), roster: version,
+		server: c.Server, predicted: predicted, expected: f.expect(now, x, c.Server.ID, predicted), unread: c.Missing(demand),
+		placed: now, candidates: len(candidates), roster: version, prompt: prompt,
 	}, true
 }
 
+// expect corrects a predicted time by what the server showed.
+func (f *forwarding) expect(now time.Time, x *passage, server string, predicted time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.slowness.Expect(now, x.group(), server, predicted)
+}
+
 // demand is what the request asks of a server. The last part of a prompt is the
 // request's or its session's own.
 func (x *passage) demand(prompt []placement.Chunk) placement.Demand {
--- a/internal/entry/silence.go
+++ b/internal/entry/silence.go
@@ -14,23 +14,25 @@
 	// milliseconds, and a chunk of a long prompt a hundred.
 	aliveTime = 300 * time.Millisecond
 
-	// headFactor and headFloor make the first wait for an answer's first line:
-	// nine of ten come within twice the expected time.
-	headFactor = 2.5
-	headFloor  = 500 * time.Millisecond
-
-	// callFloor is headFloor for calls, which take some tens of milliseconds.
-	callFloor = 250 * time.Millisecond
+	// headFactor and headFloor make the first wait for an answer's first line.
+	// Nine of ten come within twice the expected time; under load more take
+	// longer, and asking elsewhere then only adds to it.
+	headFactor = 4
+	headFloor  = 1200 * time.Millisecond
 
 	// stallFactor and stallFloor make the first wait for the next event, as a
-	// share of the pause after which the stream is late: another server has the
-	// rest of it to go on.
-	stallFactor = 0.6
-	stallFloor  = 600 * time.Millisecond
-
-	// stallMost is the longest wait for the next event of a server that is
-	// alive. Callers give up after two seconds or more.
-	stallMost = 1800 * time.Millisecond
+	// share of the pause after which the stream is late.
+	stallFactor = 1.0
+	stallFloor  = time.Second
+
+	// hardFactor is how many times its objective an attempt waits for the first
+	// line of a server that is alive.
+	hardFactor = 2
+
+	// stallMost and stallMostFactor make the longest wait for the next event of
+	// a server that is alive. Callers give up after two seconds or more.
+	stallMost       = 1800 * time.Millisecond
+	stallMostFactor = 3
 )
 
 // patience is how long to wait for a server: Soft when nothing is heard of it
@@ -41,7 +43,7 @@
 // towards all requests of this entry has died; one that answers others is busy
 // and gets more time.
 type silence struct {
-	f        *forwarding
+	x        *passage
 	server   string
 	patience patience
 	end      func()
@@ -53,29 +55,30 @@
 }
 
 // watchSilence ends the attempt with the reason when its server is silent.
-func (f *forwarding) watchSilence(cancel context.CancelCauseFunc, reason error, server string, p patience) *silence {
-	s := &silence{f: f, server: server, patience: p, end: func() { cancel(reason) }}
+func (x *passage) watchSilence(cancel context.CancelCauseFunc, reason error, a *attempt, p patience) *silence {
+	s := &silence{x: x, server: a.server.ID, patience: p, end: func() { cancel(reason) }}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.timer = f.entry.cfg.Clock.AfterFunc(p.soft, s.expired)
+	s.timer = x.f.entry.cfg.Clock.AfterFunc(p.soft, s.expired)
 	return s
 }
 
 func (s *silence) expired() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.extended && s.patience.hard > s.patience.soft && s.f.isAlive(s.server) {
+	early := !s.extended && s.patience.hard > s.patience.soft
+	if early && s.x.f.isAlive(s.server) {
 		s.extended = true
 		s.timer.Reset(s.patience.hard - s.patience.soft)
 		return
 	}
-	s.dead = !s.extended && s.patience.hard > s.patience.soft
+	s.dead = early
 	s.end()
 }
 
 // heard starts the wait anew.
 func (s *silence) heard() {
-	s.f.hear(s.server)
+	s.x.f.hear(s.server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.extended = false
@@ -116,16 +119,13 @@
 	if !x.route.MayRepeat() || x.runs+1 >= x.route.Attempts || x.route.Objective <= 0 {
 		return patience{soft: left, hard: left}
 	}
-	floor, hard := headFloor, x.route.Objective
-	if len(x.route.Models) == 0 {
-		floor, hard = callFloor, 2*x.route.Objective
-	}
-	soft := max(time.Duration(headFactor*float64(a.expected)), floor)
+	hard := hardFactor * x.route.Objective
+	soft := max(time.Duration(headFactor*float64(a.expected)), min(headFloor, hard))
 	return patience{soft: min(soft, left), hard: min(max(hard, soft), left)}
 }
 
 // eventPatience is how long to wait for the next event of a stream.
 func (x *passage) eventPatience() patience {
 	soft := max(time.Duration(stallFactor*float64(x.route.Gap)), stallFloor)
-	return patience{soft: soft, hard: max(stallMost, soft)}
+	return patience{soft: soft, hard: max(stallMost, stallMostFactor*x.route.Gap)}
 }
