--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -127,11 +127,12 @@
 	go n.Propose(ctx, state.Command{Note: &e}) //nolint:errcheck // the next note covers this revision
 }
 
-// isInForce reports whether every entry that may hold a lease applies the
-// revision. Callers hold n.mu.
+// isInForce reports whether every entry that may hold a lease, or that was
+// heard of lately, applies the revision. An entry that serves without a lease
+// while it is out of reach is not counted. Callers hold n.mu.
 func (n *Node) isInForce(now time.Time, revision uint64) bool {
 	r := n.leadership
-	return r != nil && r.ready && !now.Before(r.clear) && r.grantor.InForce(now, revision)
+	return r != nil && r.ready && !now.Before(r.clear) && r.grantor.InForce(now, revision) && n.fleet.applies(now, revision)
 }
 
 // committed notes a new revision and tells the entries. Callers hold n.mu.
--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -20,6 +20,7 @@
 	"rosereach/core/rollout"
 	"rosereach/core/route"
 	"rosereach/internal/httpd"
+	"rosereach/io/member"
 )
 
 // seeded is a group of controls on loopback that find each other by seeds.
@@ -301,3 +302,31 @@
 	w.t.Log(strings.TrimSpace(string(p)))
 	return len(p), nil
 }
+
+// The audit trail calls a plan in force only once the entries that are heard of
+// apply it, also when they serve without a lease.
+func TestInForceWaitsForEntriesWithoutLease(t *testing.T) {
+	g := startFive(t)
+	g.put("c0", 1)
+	l := g.leader()
+	revision := l.Catalog().Revision()
+	says := member.Presence{ID: "entry-1", Incarnation: 1, Sequence: 1, Address: "127.0.0.1:1", Applied: revision - 1}
+	for _, n := range g.nodes {
+		n.mu.Lock()
+		n.learnEntry(n.cfg.Clock.Now().Add(time.Hour), says, true) // it does not grow old meanwhile
+		n.mu.Unlock()
+	}
+	inForce := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.isInForce(l.cfg.Clock.Now(), revision)
+	}
+	if inForce() {
+		t.Fatal("in force although an entry applies an older plan")
+	}
+	says.Sequence, says.Applied = 2, revision
+	if err := l.hearPresence(says); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the plan in force", inForce)
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// applies reports whether all entries that were heard of lately apply the
+// revision.
+func (f *fleet) applies(now time.Time, revision uint64) bool {
+	for _, p := range f.entries {
+		if now.Sub(p.heard) < presenceLife && p.said.Applied < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // wake answers all watchers.
 func (f *fleet) wake() {
 	close(f.moved)
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -289,7 +289,7 @@
 	cfg := f.entry.cfg
 	return &member.Presence{
 		ID: cfg.ID, Incarnation: cfg.Incarnation, Sequence: f.sequence, Address: cfg.Address, Region: cfg.Region, Zone: cfg.Zone,
-		Draining: f.entry.draining.Load() || !f.entry.isServing(),
+		Applied: f.entry.catalog.Load().Revision(), Draining: f.entry.draining.Load() || !f.entry.isServing(),
 	}
 }
 
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -372,3 +372,27 @@
 		t.Fatal("the request is tried for ever")
 	}
 }
+
+// When no server takes a connection the request is rejected after one try at
+// each.
+func TestUnreachableServersAreTriedOnce(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	for _, id := range []string{"a", "b"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Close()
+		r.announce(id, l.Addr().String(), 1, backend.Serving)
+	}
+	var lines strings.Builder
+	r.entry.cfg.Logger = log.NewLogfmtLogger(&lines)
+	_, err := r.send(route.Unsafe)
+	if f, ok := failureOf(err); !ok || f.Code != forward.NoServer || f.RetryAfter <= 0 {
+		t.Fatalf("%v", err)
+	}
+	if n := strings.Count(lines.String(), "Attempt is placed."); n != 2 {
+		t.Fatalf("%d attempts at two servers", n)
+	}
+}
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -62,13 +62,15 @@
 		service string
 		model   string
 		tried   []string
-		sends   int
-		runs    int
-		first   time.Time
-		begun   bool
-		last    uint64
-		held    *heldAnswer
-		next    *attempt
+		// unreached are the servers of the tried ones that took no connection.
+		unreached []string
+		sends     int
+		runs      int
+		first     time.Time
+		begun     bool
+		last      uint64
+		held      *heldAnswer
+		next      *attempt
 
 		server    string
 		expected  time.Duration
@@ -197,6 +199,7 @@
 			x.f.fail(a, x, true)
 		}
 		x.tried = append(x.tried, a.server.ID)
+		x.unreached = append(x.unreached, a.server.ID)
 		return forward.NotSent, err
 	}
 	x.runs++
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -141,9 +141,10 @@
 
 // usable returns the servers that the request may go to, best known first
 // choice: those that were not tried and are well, then any that were not tried,
-// then those that were. Callers hold f.mu.
+// then those that were, but for those that took no connection. Callers hold
+// f.mu.
 func (f *forwarding) usable(now time.Time, x *passage) []backend.Announcement {
-	all := f.permitted(x)
+	all := keep(f.permitted(x), func(r roster.Record) bool { return !contains(x.unreached, r.Server.ID) })
 	fresh := keep(all, func(r roster.Record) bool { return !contains(x.tried, r.Server.ID) })
 	well := keep(fresh, func(r roster.Record) bool { return f.health.MayTry(now, r.Server.ID) })
 	sound := keep(well, func(r roster.Record) bool { return !r.Silent && !f.health.IsGrey(now, r.Server.ID) })
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -14,7 +14,8 @@
 
 type (
 	// Presence is an entry that serves callers, as it says of itself. Address is
-	// the host:port at which callers reach it.
+	// the host:port at which callers reach it, Applied the revision of the
+	// documents in force there.
 	Presence struct {
 		ID          string `json:"id"`
 		Incarnation uint64 `json:"incarnation"`
@@ -22,6 +23,7 @@
 		Address     string `json:"address"`
 		Region      string `json:"region"`
 		Zone        string `json:"availability_zone"`
+		Applied     uint64 `json:"applied"`
 		Draining    bool   `json:"draining,omitempty"`
 	}
 
