--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -49,7 +49,7 @@
 		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
 		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(), cmdOperator(),
 		cmdBills(), cmdAudit(), cmdStatus(), cmdMan(),
-		cmdLoad(), cmdExperiment(), cmdExplain(),
+		cmdLoad(), cmdExperiment(), cmdExplain(), cmdSoak(),
 	}
 }
 
--- /dev/null
+++ b/internal/cmd/cmd_soak.go
@@ -0,0 +1,61 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"rosereach/internal/soak"
+)
+
+// cmdSoak breaks what may break and checks the promises.
+func cmdSoak() *command {
+	return &command{
+		name: "soak", short: "run the programs on loopback, break them, and check what callers and operators see", action: runSoak,
+		flags: []cli.Flag{
+			flag("seed", "1", "seed of the faults and requests"),
+			flag("for", "1m", "how long to break things"),
+			flag("folder", "", "folder for settings, data and logs, which stays (a temporary one, when empty)"),
+		},
+	}
+}
+
+func runSoak(ctx context.Context, c *cli.Command) error {
+	s := newSettings(c)
+	cfg := soak.Config{Seed: uint64(s.number("seed", 0, 1<<62)), Duration: s.duration("for"), Folder: s.optional("folder")} //nolint:gosec // not negative
+	if err := s.err(); err != nil {
+		return err
+	}
+	if cfg.Folder == "" {
+		folder, err := os.MkdirTemp("", "rosereach-soak-")
+		if err != nil {
+			return errors.Trace(err)
+		}
+		cfg.Folder = folder
+	}
+	binary, err := soak.Binary()
+	if err != nil {
+		return err
+	}
+	cfg.Binary = binary
+	begin := time.Now()
+	cfg.Progress = func(line string) { fmt.Fprintf(os.Stderr, "\r\033[K%s", line) }
+	report, err := soak.Run(ctx, cfg)
+	fmt.Fprintln(os.Stderr)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("seed %d, %s: %d requests, %d answered, %d faults, %d breaches\n", cfg.Seed, time.Since(begin).Round(time.Second),
+		report.Requests, report.Answered, len(report.Faults), len(report.Breaches))
+	for _, b := range report.Breaches {
+		fmt.Printf("broken: %s: request %s: %s\n  rosereach explain %s %s/*/log\n", b.Promise, b.ID, b.Detail, b.ID, cfg.Folder)
+	}
+	if len(report.Breaches) > 0 {
+		return exit(exitFailure, errors.Errorf("promises broken; the logs stay in %s", cfg.Folder))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// A short run of the real programs keeps all promises. Longer ones, with fresh
+// seeds, are run by hand: rosereach soak --seed N --for 3m.
+func TestShortSoak(t *testing.T) {
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "rosereach")
+	if out, err := exec.Command("go", "build", "-o", binary, "../..").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	report, err := Run(context.Background(), Config{Binary: binary, Folder: folder, Seed: 1, Duration: 5 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range report.Breaches {
+		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
+	}
+	if report.Answered == 0 || len(report.Faults) == 0 {
+		t.Errorf("%d answers, %d faults", report.Answered, len(report.Faults))
+	}
+}
+
+// The checks find what they are there for.
+func TestChecksFindBreaches(t *testing.T) {
+	whole := "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\nid: 5\ndata: 5\n\nid: 6\ndata: 6\n\nid: 7\ndata: 7\n\nid: 8\ndata: 8\n\n"
+	for name, c := range map[string]struct {
+		e    ended
+		ran  int
+		want bool
+	}{
+		"whole":                  {ended{kind: "unsafe", id: "a", status: http.StatusOK, body: "a"}, 1, false},
+		"another's answer":       {ended{kind: "unsafe", id: "a", status: http.StatusOK, body: "b"}, 1, true},
+		"ran twice":              {ended{kind: "unsafe", id: "a", status: http.StatusBadGateway}, 2, true},
+		"false promise":          {ended{kind: "unsafe", id: "a", status: http.StatusServiceUnavailable}, 1, true},
+		"no promise":             {ended{kind: "unsafe", id: "a", status: http.StatusBadGateway}, 1, false},
+		"whole stream":           {ended{kind: "streaming", id: "a", status: http.StatusOK, body: whole}, 2, false},
+		"stream without its end": {ended{kind: "streaming", id: "a", status: http.StatusOK, body: whole[:len(whole)-15]}, 1, true},
+		"answer without a run":   {ended{kind: "safe", id: "a", status: http.StatusOK, body: "a"}, 0, true},
+	} {
+		var b breaches
+		b.checkAnswer(c.e)
+		b.checkRuns(c.e, c.ran)
+		if got := len(b.all()) > 0; got != c.want {
+			t.Errorf("%s: %v", name, b.all())
+		}
+	}
+}
