--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -152,7 +152,7 @@
 func stream(ctx context.Context, w http.ResponseWriter, after uint64, fault int) {
 	for id := after + 1; id <= events; id++ {
 		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id) //nolint:errcheck // the caller may have gone
-		http.NewResponseController(w).Flush() //nolint:errcheck // the caller may have gone
+		http.NewResponseController(w).Flush()          //nolint:errcheck // the caller may have gone
 		if fault == 3 && id > after+2 {
 			panic(http.ErrAbortHandler)
 		}
