Look at more servers for long prompts; leave more time to exit

Cause: the largest tenth of a kind of request is the worst served; a long prompt at a server that reads another one is late. One more candidate for each 1,000 tokens of a request's own.

Entries on a fifth of a core were still there at the end of the grace time; they stop serving 0.7 s before it now, 0.4 before.

--- a/core/placement/priced.go
+++ b/core/placement/priced.go
@@ -20,8 +20,8 @@
 	// parts that have to be read again. As long as the answer is in time
 	// anywhere, the price decides; under load the time does. It looks at the
 	// homes of the prompt's shared parts, at those whose cache is known to hold
-	// it, and at Choices more drawn at random, so that entries with the same
-	// late reports do not all go to one server.
+	// it, and at Choices more drawn at random, more for long prompts, so that
+	// entries with the same late reports do not all go to one server.
 	Priced struct {
 		Costs   Costs
 		Prices  Prices
@@ -29,6 +29,11 @@
 	}
 )
 
+// tokensPerChoice is how many tokens to read of a request's own are worth
+// looking at one more candidate: what delays a long prompt most is other long
+// ones.
+const tokensPerChoice = 1000
+
 // waitWeight is the price of a second of waiting beside the risk to be late; it
 // only decides between servers that are alike otherwise.
 const waitWeight = 0.05
@@ -58,7 +63,7 @@
 			look(i)
 		}
 	}
-	for range p.Choices {
+	for range p.Choices + int(d.Own/tokensPerChoice) {
 		look(random.IntN(len(candidates)))
 	}
 	return best
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -24,8 +24,9 @@
 	// come later could not end within the grace time.
 	listedTime = 3 * listLife
 
-	// exitMargin is kept of the grace time for closing and exiting.
-	exitMargin = 400 * time.Millisecond
+	// exitMargin is kept of the grace time for closing and exiting, on a fifth of
+	// a core.
+	exitMargin = 700 * time.Millisecond
 )
 
 // runPlatformEntry runs an entry with the settings of a platform.
