--- a/core/health/health.go
+++ b/core/health/health.go
@@ -40,7 +40,6 @@
 		falls    int
 		until    time.Time
 		probing  bool
-		last     time.Time
 	}
 )
 
@@ -53,7 +52,6 @@
 	s.attempts++
 	s.streak = 0
 	s.probing = false
-	s.last = now
 	if s.falls > 0 && now.After(s.until.Add(mostPause)) {
 		s.falls = 0
 	}
@@ -112,14 +110,6 @@
 // IsGrey reports whether the server fails a good part of its requests.
 func (t *Tracker) IsGrey(now time.Time, server string) bool { return t.Share(now, server) > shareLimit }
 
-// LastSuccess returns when an attempt was last answered, zero for never.
-func (t *Tracker) LastSuccess(server string) time.Time {
-	if s, ok := t.servers[server]; ok {
-		return s.last
-	}
-	return time.Time{}
-}
-
 // Keep forgets all servers but those that are named.
 func (t *Tracker) Keep(isKnown func(server string) bool) {
 	for id := range t.servers {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// ForgetGone forgets servers that left, or that were called silent, a while ago,
+// for a member that is told of changes only.
+func (r *Roster) ForgetGone(now time.Time) {
+	for id, k := range r.servers {
+		gone := k.record.Silent || k.record.Server.State == backend.Leaving
+		if gone && now.Sub(k.heard) > r.terms.ForgetAfter {
+			delete(r.servers, id)
+		}
+	}
+}
+
 // Forgive restarts the time after which servers count as silent, for a member
 // that was cut off itself.
 func (r *Roster) Forgive(now time.Time) {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -106,3 +106,15 @@
 		t.Fatal("a cut member marked a server silent")
 	}
 }
+
+// A member that is told of changes only forgets those that are gone, and never
+// one that serves and has no news.
+func TestForgetGone(t *testing.T) {
+	r := roster.New(terms, 1)
+	r.Observe(start, server("1", 10, 1, backend.Serving))
+	r.Observe(start, server("2", 10, 1, backend.Leaving))
+	r.ForgetGone(start.Add(time.Hour))
+	if all := r.All(); len(all) != 1 || all[0].Server.ID != "1" {
+		t.Fatalf("left %v", all)
+	}
+}
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -43,9 +43,9 @@
 	// follows another one.
 	strayAfter = 2 * time.Second
 
-	// serverSilence and serverForget are as at the controls; an entry is told.
-	serverSilence = time.Hour
-	serverForget  = 2 * time.Hour
+	// serverForget is how long a server that is gone is remembered, so that a
+	// late word of a control does not revive it.
+	serverForget = time.Minute
 )
 
 // feeds keep the entry told by several controls at once.
@@ -309,7 +309,7 @@
 }
 
 func newEntryRoster(start uint64) *roster.Roster {
-	return roster.New(roster.Terms{SilentAfter: serverSilence, ForgetAfter: serverForget}, start)
+	return roster.New(roster.Terms{ForgetAfter: serverForget}, start)
 }
 
 // StopListing takes the entry off the list of addresses and waits until callers
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -27,6 +28,13 @@
 // yet: a leader is elected and the plan is told within that time.
 const notReadyRetry = 1200 * time.Millisecond
 
+// drainingRetry is when a caller of a stopping entry may come back: another
+// entry takes it at once.
+const drainingRetry = 100 * time.Millisecond
+
+// tidyInterval is how often an entry forgets servers that are gone.
+const tidyInterval = 10 * time.Second
+
 type (
 	// Dialect is the form of what passes between an entry and the backend
 	// servers that it forwards to.
@@ -70,6 +78,7 @@
 		budget   *retry.Window
 		tallies  map[tallyKey]rollout.Tally
 		reported uint64
+		tidied   time.Time
 		random   *rand.Rand
 	}
 
@@ -138,8 +147,11 @@
 // accept finds route and workspace of a request, or refuses it.
 func (e *Entry) accept(req forward.Request, sink forward.Sink) (*passage, *forward.Failure) {
 	table := e.catalog.Load().Routes()
-	if table == nil || e.closed.Load() {
-		return nil, &forward.Failure{Code: forward.NotReady, Detail: "this entry does not serve now; use another", RetryAfter: notReadyRetry}
+	switch {
+	case e.closed.Load():
+		return nil, &forward.Failure{Code: forward.Draining, Detail: "this entry stops; use another", RetryAfter: drainingRetry}
+	case table == nil:
+		return nil, &forward.Failure{Code: forward.NotReady, Detail: "this entry knows no routing plan yet; use another", RetryAfter: notReadyRetry}
 	}
 	r, ok := table.Match(req.Host, req.Path)
 	if !ok {
@@ -207,6 +219,28 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.roster.Learn(now, d)
+	if now.Sub(f.tidied) >= tidyInterval {
+		f.tidied = now
+		f.tidy(now)
+	}
+}
+
+// tidy forgets what is known of servers that are gone, and closes connections
+// that are not used. Callers hold f.mu.
+func (f *forwarding) tidy(now time.Time) {
+	f.roster.ForgetGone(now)
+	addresses := make(map[string]bool)
+	known := make(map[string]bool)
+	for _, r := range f.roster.All() {
+		known[r.Server.ID] = true
+		addresses[r.Server.Address] = true
+	}
+	isKnown := func(id string) bool { return known[id] }
+	f.health.Keep(isKnown)
+	f.slowness.Keep(isKnown)
+	maps.DeleteFunc(f.loads, func(id string, _ backend.Load) bool { return !known[id] })
+	maps.DeleteFunc(f.heardAt, func(id string, _ time.Time) bool { return !known[id] })
+	f.client.CloseIdle(func(address string) bool { return addresses[address] })
 }
 
 // report returns what was counted of releases under roll-out, nil when there
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -25,13 +25,17 @@
 	callTime = 100 * time.Millisecond
 )
 
-// pick chooses a server for the next attempt of a request and notes that it
-// goes there.
+// pick chooses a server for the next attempt of a request and commits to it.
 func (f *forwarding) pick(x *passage) (*attempt, bool) {
 	a, ok := f.choose(x)
-	if !ok {
-		return nil, false
+	if ok {
+		f.commit(a)
 	}
+	return a, ok
+}
+
+// commit notes that an attempt goes to the server that was chosen for it.
+func (f *forwarding) commit(a *attempt) {
 	e := f.entry
 	e.mu.Lock()
 	e.hints.StoreAll(a.placed, hintID(a.server), a.prompt)
@@ -39,7 +43,6 @@
 	f.mu.Lock()
 	f.health.Try(a.server.ID)
 	f.mu.Unlock()
-	return a, true
 }
 
 // choose returns the attempt that would be made now.
