Bound callers' headers and idle connections as the plan says

Cause: the plan's limits on headers and on idle time were read and not kept; a caller could hold an idle connection for 60 s and send a header of a megabyte. Tests for races, storms and large plans, and for settings that change.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -33,6 +33,8 @@
 	Unauthorized Code = "unauthorized"
 	// TooLarge: the body is over the limit.
 	TooLarge Code = "too_large"
+	// HeaderTooLarge: the header is over the limit.
+	HeaderTooLarge Code = "header_too_large"
 	// BadRequest: the request cannot be read.
 	BadRequest Code = "bad_request"
 	// Overloaded: there is no room for it now. Not run.
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -141,10 +141,9 @@
 	return listeners, nil
 }
 
-// serveUntil serves until the context ends and then lets open requests end for
-// at most the time.
-func serveUntil(ctx context.Context, l net.Listener, h http.Handler, longest func() time.Duration) error {
-	err := httpd.ServeFor(ctx, l, h, longest)
+// serveUntil serves until the context ends, within the bounds.
+func serveUntil(ctx context.Context, l net.Listener, h http.Handler, t httpd.Times) error {
+	err := httpd.ServeFor(ctx, l, h, t)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -15,6 +15,7 @@
 	"rosereach/core/lease"
 	"rosereach/core/retry"
 	"rosereach/internal/entry"
+	"rosereach/internal/httpd"
 	"rosereach/platform"
 )
 
@@ -75,7 +76,7 @@
 	}
 	g.Go(func() error {
 		defer stop()
-		return serveUntil(taking, listeners[0], platform.CallerHandler(e, clock.WallClock, e.IsDraining), left)
+		return serveUntil(taking, listeners[0], platform.CallerHandler(e, clock.WallClock, e.IsDraining), httpd.Times{Longest: left, Idle: e.IdleTime})
 	})
 	g.Go(func() error {
 		select {
@@ -96,4 +97,5 @@
 // request holds two descriptors and some tens of kilobytes.
 const maxForwarded = 1024
 
-func noWait() time.Duration { return 0 }
+// noWait ends a listener without waiting for open requests.
+var noWait = httpd.Times{Longest: func() time.Duration { return 0 }}
--- /dev/null
+++ b/internal/cmd/platform_test.go
@@ -0,0 +1,71 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"rosereach/platform"
+)
+
+// A settings file that changes is read again, without a signal; one with
+// findings changes nothing.
+func TestSettingsAreReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.toml")
+	node := platform.StandInNode{Name: "e", IP: "127.0.0.1", Zone: "z", Seeds: []string{"10.0.0.1"}, Ports: platform.StandInPorts{Internal: 7, Control: 8, Callers: 9, Readiness: 10}}
+	write := func(text []byte) {
+		t.Helper()
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(node.Settings())
+	t.Setenv(platform.SettingsVariable, path)
+	n, err := openNode(log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.follow(ctx) }()
+	node.Seeds = []string{"10.0.0.2", "10.0.0.3"}
+	write(node.Settings())
+	for len(n.members()) != 2 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if got := n.members()[1]; got != "10.0.0.3:7" {
+		t.Fatalf("member %s", got)
+	}
+	write([]byte("node_name = \"\""))
+	n.reload()
+	if len(n.members()) != 2 {
+		t.Fatal("wrong settings took effect")
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A settings file with errors ends the start with all findings.
+func TestWrongSettingsEndTheStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.toml")
+	if err := os.WriteFile(path, []byte("ip = \"here\""), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(platform.SettingsVariable, path)
+	_, err := openNode(log.NewNopLogger())
+	if codeOf(err) != exitSettings {
+		t.Fatalf("exit code %d, %v", codeOf(err), err)
+	}
+	for _, place := range []string{"node_name", "ip", "zone", "region", "seeds", "internal_ports"} {
+		if !strings.Contains(err.Error(), place) {
+			t.Errorf("nothing about %s in %v", place, err)
+		}
+	}
+}
--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -80,8 +80,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{}, 2)
-	go func() { n.Run(ctx); ended <- struct{}{} }()                                                             //nolint:errcheck // the test looks at the group
-	go func() { httpd.ServeFor(ctx, l, n.Handler(), func() time.Duration { return 0 }); ended <- struct{}{} }() //nolint:errcheck // the test looks at the group
+	go func() { n.Run(ctx); ended <- struct{}{} }() //nolint:errcheck // the test looks at the group
+	go func() {
+		httpd.ServeFor(ctx, l, n.Handler(), httpd.Times{Longest: func() time.Duration { return 0 }})
+		ended <- struct{}{}
+	}() //nolint:errcheck // the test looks at the group
 	g.nodes[id] = n
 	g.stops[id] = func() { cancel(); <-ended; <-ended }
 }
@@ -330,3 +333,67 @@
 	}
 	waitFor(t, "the plan in force", inForce)
 }
+
+// Two operators send different plans under one version, again and again, and a
+// storm of versions follows from all sides, old ones among them: every control
+// ends with the same newest plan, and each order is acknowledged.
+func TestPlansRaceAndStorm(t *testing.T) {
+	g := startFive(t)
+	ids := []string{"c0", "c1", "c2", "c3", "c4"}
+	send := func(id string, d route.Document) {
+		waitFor(t, fmt.Sprintf("an acknowledgement of %s at %s", d.Text, id), func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			r, err := g.nodes[id].PutRouting(ctx, d, "test", "test")
+			return err == nil && r.Status == change.Accepted
+		})
+	}
+	for version := uint64(1); version <= 5; version++ {
+		var both sync.WaitGroup
+		for i, id := range []string{"c1", "c3"} {
+			d := planOf(version)
+			d.Text = []byte(fmt.Sprintf("version %d of operator %d", version, i))
+			both.Go(func() { send(id, d) })
+		}
+		both.Wait()
+	}
+	texts := make(map[string]bool)
+	for _, id := range ids {
+		waitFor(t, "the raced plan at "+id, func() bool { return g.read(id) == 5 })
+		reply, err := g.nodes[id].Routing(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		texts[string(reply.Text)] = true
+	}
+	if len(texts) != 1 {
+		t.Fatalf("the controls hold %v under one version", texts)
+	}
+	var storm sync.WaitGroup
+	for i := range uint64(30) {
+		storm.Go(func() { send(ids[i%5], planOf(6+(i*7)%30)) })
+	}
+	storm.Wait()
+	for _, id := range ids {
+		waitFor(t, "the highest version at "+id, func() bool { return g.read(id) == 35 })
+	}
+}
+
+// A plan of hundreds of routes is committed and read back as it was sent.
+func TestLargePlanIsReadBack(t *testing.T) {
+	g := startFive(t)
+	d := planOf(1)
+	for i := range 400 {
+		r := d.Config.Routes[0]
+		r.Name, r.Prefix = fmt.Sprint("r", i), fmt.Sprintf("/n%d/", i)
+		d.Config.Routes = append(d.Config.Routes, r)
+		d.Text = fmt.Appendf(d.Text, "route %d;", i)
+	}
+	if r, err := g.nodes["c4"].PutRouting(context.Background(), d, "test", "test"); err != nil || r.Status != change.Accepted {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	reply, err := g.nodes["c2"].Routing(context.Background())
+	if err != nil || string(reply.Text) != string(d.Text) {
+		t.Fatalf("%d of %d bytes, %v", len(reply.Text), len(d.Text), err)
+	}
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -109,14 +109,19 @@
 // IsOpen reports whether callers should be sent to this entry.
 func (e *Entry) IsOpen() bool { return e.isServing() && !e.draining.Load() }
 
-// MaxBody returns the bound on a request's body, 0 when there is none.
-func (e *Entry) MaxBody() int64 {
+// Limits returns the bounds on what callers send, without bounds while there is
+// no plan.
+func (e *Entry) Limits() route.Limits {
 	if t := e.catalog.Load().Routes(); t != nil {
-		return t.Limits().BodyBytes
+		return t.Limits()
 	}
-	return 0
+	return route.Limits{}
 }
 
+// IdleTime returns how long a caller's connection may be without a request, 0
+// for no bound.
+func (e *Entry) IdleTime() time.Duration { return e.Limits().IdleTime }
+
 // Forward passes a request on to a backend server of its route and the answer
 // to the sink. The error is a *forward.Failure when no answer was begun.
 func (e *Entry) Forward(ctx context.Context, req forward.Request, sink forward.Sink) error {
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -31,13 +31,23 @@
 // Serve serves on the listener until the context ends, then lets open
 // requests end for a short time.
 func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	return ServeFor(ctx, l, h, func() time.Duration { return closeTimeout })
+	return ServeFor(ctx, l, h, Times{Longest: func() time.Duration { return closeTimeout }})
 }
 
-// ServeFor is Serve with the time that open requests are given, asked for when
-// the context ends.
-func ServeFor(ctx context.Context, l net.Listener, h http.Handler, longest func() time.Duration) error {
+// Times are bounds that may change while a server runs. Longest is the time
+// that open requests are given when the context has ended; Idle is how long a
+// connection may be without a request, zero for no bound of its own.
+type Times struct {
+	Longest func() time.Duration
+	Idle    func() time.Duration
+}
+
+// ServeFor is Serve with bounds of its own.
+func ServeFor(ctx context.Context, l net.Listener, h http.Handler, t Times) error {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	if t.Idle != nil {
+		server.ConnState = newIdleCloser(t.Idle).changed
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	select {
@@ -45,7 +55,7 @@
 		return errors.Trace(err)
 	case <-ctx.Done():
 	}
-	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest())
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.Longest())
 	defer cancel()
 	if server.Shutdown(closing) != nil {
 		return errors.Trace(server.Close())
--- /dev/null
+++ b/internal/httpd/idle_test.go
@@ -0,0 +1,56 @@
+package httpd_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rosereach/internal/httpd"
+)
+
+// A connection without a request is closed after the bound that holds when its
+// last request ended, and not before.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := httpd.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var bound atomic.Int64
+	ended := make(chan error, 1)
+	go func() {
+		ended <- httpd.ServeFor(ctx, l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }),
+			httpd.Times{Longest: func() time.Duration { return 0 }, Idle: func() time.Duration { return time.Duration(bound.Load()) }})
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	ask := func() {
+		t.Helper()
+		io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		io.Copy(io.Discard, resp.Body)
+	}
+	bound.Store(int64(time.Hour))
+	ask()
+	bound.Store(int64(20 * time.Millisecond))
+	ask()
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Fatalf("the idle connection ends with %v", err)
+	}
+	cancel()
+	<-ended
+}
