Call no idempotent request not_run whose copy may run elsewhere

A refusal that another entry need not share (overload, draining, no lease, no backend server, deadline) is called unknown for an idempotent request whose id the caller chose. Ruled out: a record that refuses later copies, as the run has begun by then. Refusals by permission stay not_run.

--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -33,11 +33,29 @@
 		e.leaveOpen(x, request.NewUnknown(request.CodeRunningElsewhere, "the request runs at "+reply.Owner.Entry+"; ask again"))
 	case reply.Status == ledger.Expired:
 		e.leaveOpen(x, request.NewUnknown(request.CodeIDExpired, "the request id is older than the ledger's horizon; choose a new id"))
+	case x.req.Idempotent && isLocal(cause):
+		// It may run at another entry whose begin record is still on its way:
+		// idempotent requests are dispatched beside it.
+		e.leaveOpen(x, unprovenOf(cause))
 	default:
 		e.fail(x, nil, cause)
 	}
 }
 
+// isLocal reports whether another entry might have taken the request: it was
+// refused for the state of this one and not for what its workspace may do.
+func isLocal(cause error) bool {
+	var refusal *request.Refusal
+	if !errors.As(cause, &refusal) {
+		return true
+	}
+	switch refusal.Code {
+	case request.CodeOverloaded, request.CodeDraining, request.CodeNoLease, request.CodeNoBackend, request.CodeDeadline, request.CodeRateLimited:
+		return true
+	}
+	return false
+}
+
 // unprovenOf returns the refusal of a request that did not run here, when the
 // ledger does not tell whether it ran before.
 func unprovenOf(cause error) *request.Refusal {
--- a/test/refused_resend_test.go
+++ b/test/refused_resend_test.go
@@ -46,3 +46,29 @@
 		t.Errorf("a fresh posting at the full entry: %+v, %v", fresh, err)
 	}
 }
+
+// An idempotent request is sent beside its begin record, so the ledger may not
+// know it yet while it runs. Its copy at an entry that is full must not be
+// called not_run, whatever the ledger knows.
+func TestRefusedCopyOfIdempotentRequest(t *testing.T) {
+	f := startFleet(t, 1)
+	entry := start(t, "entry", "--id", "entry-2", "--region", "central", "--availability-zone", "sanjose",
+		"--controls", f.controls[0].address, "--member-key", f.memberKey, "--backend-key", f.backendKey,
+		"--max-running", "1", "--max-waiting", "0")
+	f.entries = append(f.entries, entry)
+	f.startEngine("engine-1", "small@v1")
+	key := f.setUp("small@v1")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var busy sync.WaitGroup
+	defer busy.Wait()
+	defer cancel()
+	busy.Go(func() {
+		f.client(1, key).Chat(ctx, chat("auto", 100_000, true), caller.CallOptions{RequestID: "long"})
+	})
+	waitFor(t, "the full entry", func() bool { return len(f.runs("engine-1")) == 1 })
+	copied, err := f.client(1, key).Chat(ctx, chat("auto", 4, false), caller.CallOptions{RequestID: "copy"})
+	if err != nil || copied.Outcome() != request.Unknown || copied.Problem == nil || copied.Problem.Code != request.CodeOverloaded {
+		t.Errorf("a copy at the full entry: %+v, %v", copied, err)
+	}
+}
