--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -396,3 +396,42 @@
 		t.Fatalf("%d attempts at two servers", n)
 	}
 }
+
+// A planned stop takes the entry off the list at once, ends what it has whole,
+// and refuses with a promise what comes after callers' lists have run out.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	began, goOn := make(chan struct{}), make(chan struct{})
+	r.server("a", func(w http.ResponseWriter, _ *http.Request) {
+		event(w, 1)
+		http.NewResponseController(w).Flush()
+		close(began)
+		<-goOn
+		event(w, 2)
+	})
+	if !r.entry.IsOpen() {
+		t.Fatal("an entry with a plan is not open")
+	}
+	type result struct {
+		got *collected
+		err error
+	}
+	ended := make(chan result, 1)
+	go func() {
+		got, err := r.send(route.Streaming)
+		ended <- result{got, err}
+	}()
+	<-began
+	r.entry.StopListing(context.Background(), time.Millisecond)
+	if r.entry.IsOpen() || !r.entry.forwarding.feeds.presence().Draining {
+		t.Error("a stopping entry says that it is open")
+	}
+	if _, err := r.send(route.Safe); codeOf(err) != forward.Draining {
+		t.Errorf("a new request: %v, want a promise that it did not run", err)
+	}
+	close(goOn)
+	if e := <-ended; e.err != nil || e.got.body.String() != "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n" {
+		t.Errorf("the running request: %q, %v", e.got.body.String(), e.err)
+	}
+}
