Stop a leader only when its successor leads

It exited as soon as it led no more, which is when it votes for its successor, not when that one is elected. It now waits until it hears the new leader, within the same bound as before.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -73,12 +73,19 @@
 		if err := n.flush(running); err != nil {
 			return err
 		}
-		if stopping == nil && n.group().Role != replica.Leader {
+		if stopping == nil && n.hasSuccessor() {
 			return nil
 		}
 	}
 }
 
+// hasSuccessor reports whether this control has heard from the next leader. That
+// it leads no more is not enough: the election may still be under way.
+func (n *Node) hasSuccessor() bool {
+	s := n.group()
+	return s.Role != replica.Leader && !s.Leader.IsZero()
+}
+
 // handOver starts a planned stop and reports whether a successor is awaited.
 func (n *Node) handOver() bool {
 	n.mu.Lock()
