Use the standard library where the change wrote it again; drop a dead setting

Found on the last read: a comparison, a byte order and a search in a list that cmp, encoding/binary and slices have, and Forwarding.PrefixLife, which nothing read. No behaviour changes: the homes of prompt parts hash the same bytes in the same order.

--- a/core/placement/homes.go
+++ b/core/placement/homes.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -18,26 +20,14 @@
 		order[i] = i
 		weights[i] = weightOf(key, id)
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		switch {
-		case weights[a] > weights[b]:
-			return -1
-		case weights[a] < weights[b]:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
 	return order[:min(n, len(order))]
 }
 
 func weightOf(key uint64, id string) uint64 {
-	var b [8]byte
-	for i := range b {
-		b[i] = byte(key >> (8 * i))
-	}
 	d := xxhash.New()
-	d.Write(b[:])     //nolint:errcheck // a hash takes all bytes
-	d.WriteString(id) //nolint:errcheck // a hash takes all bytes
+	d.Write(binary.LittleEndian.AppendUint64(nil, key)) //nolint:errcheck // a hash takes all bytes
+	d.WriteString(id)                                   //nolint:errcheck // a hash takes all bytes
 	return d.Sum64()
 }
 
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -48,7 +48,7 @@
 		Forwarding: &entry.Forwarding{
 			Dialect: platform.Dialect{}, Controls: n.members, FailOpen: !now.Bounds.FailClosed,
 			Retries:       retry.Shared{Ratio: now.Bounds.RetryRatio, Slack: now.Bounds.RetrySlack, Window: now.Bounds.RetryWindow},
-			ExposureShare: now.Bounds.ExposureShare, PrefixLife: now.Bounds.PrefixLife,
+			ExposureShare: now.Bounds.ExposureShare,
 		},
 	})
 	addresses := []string{now.Listen.Callers, now.Listen.Readiness}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -54,7 +54,6 @@
 		FailOpen      bool
 		Retries       retry.Shared
 		ExposureShare float64
-		PrefixLife    time.Duration
 	}
 
 	// forwarding is the state of an entry that forwards requests as they are.
--- a/internal/entry/forward_notes.go
+++ b/internal/entry/forward_notes.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -110,5 +109,3 @@
 	t.Service, t.Release, t.Route = key.service, key.release, key.route
 	f.tallies[key] = t.WithAttempt(failed, float64(took)/float64(time.Millisecond))
 }
-
-func contains(list []string, id string) bool { return slices.Contains(list, id) }
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -147,8 +148,8 @@
 // then those that were, but for those that took no connection. Callers hold
 // f.mu.
 func (f *forwarding) usable(now time.Time, x *passage) []backend.Announcement {
-	all := keep(f.permitted(x), func(r roster.Record) bool { return !contains(x.unreached, r.Server.ID) })
-	fresh := keep(all, func(r roster.Record) bool { return !contains(x.tried, r.Server.ID) })
+	all := keep(f.permitted(x), func(r roster.Record) bool { return !slices.Contains(x.unreached, r.Server.ID) })
+	fresh := keep(all, func(r roster.Record) bool { return !slices.Contains(x.tried, r.Server.ID) })
 	well := keep(fresh, func(r roster.Record) bool { return f.health.MayTry(now, r.Server.ID) })
 	sound := keep(well, func(r roster.Record) bool { return !r.Silent && !f.health.IsGrey(now, r.Server.ID) })
 	for _, list := range [][]roster.Record{sound, well, fresh, all} {
