Heed what waits at a server, apart from what a request takes itself

Cause: the expected time to a first byte left out the requests of other entries that wait at a server. Requests that run make next to no difference. An entry's own prompts also counted alike for each model, though the smallest reads ten times as fast.

Change: the estimate is split into the request's own part and the wait; what waits counts 80 ms each and fades within a second; a plane over both is learned for each kind and model, so that a queue is not taken for slowness. The home's rank is logged with each placement.

Refuted on the way: urgency marks of three kinds, homes in each zone; a shared slope for waits (it stuck at its prior, TestWaitIsLearnedApart).

Conclusion: pays where an entry knows little of each server; kept.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -25,7 +25,7 @@
 		Backlog          int64
 		Prefix           float64
 		Home             int
-		Expect           func(predicted time.Duration) time.Duration
+		Expect           func(Estimate) time.Duration
 		Distance         time.Duration
 		SameRegion       bool
 		SameZone         bool
@@ -103,4 +103,6 @@
 // Missing returns the tokens of the prompt that the server has to read.
 func (c Candidate) Missing(d Demand) int64 { return int64((1 - c.Prefix) * float64(d.InputTokens)) }
 
-func (c Candidate) use() float64 { return float64(c.InFlight) / float64(max(c.Server.Capacity, 1)) }
+func (c Candidate) use() float64 { return float64(c.InFlight) / float64(c.capacity()) }
+
+func (c Candidate) capacity() int { return max(c.Server.Capacity, 1) }
--- a/core/placement/priced.go
+++ b/core/placement/priced.go
@@ -22,11 +22,30 @@
 	// homes of the prompt's shared parts, at those whose cache is known to hold
 	// it, and at Choices more drawn at random, more for long prompts, so that
 	// entries with the same late reports do not all go to one server.
+	//
+	// What waits at a server are requests whose prompts are still to be read; each
+	// delays the next by Queued. A report of them loses its worth within Memory.
 	Priced struct {
 		Costs   Costs
 		Prices  Prices
 		Choices int
+		Queued  time.Duration
+		Memory  time.Duration
 	}
+
+	// Estimate is a predicted time to the first byte: Own is what the request
+	// takes by itself, Wait what is before it.
+	Estimate struct{ Own, Wait time.Duration }
+)
+
+const (
+	// queuedTime is the time of reading a usual prompt: on measured engines each
+	// waiting request delayed the first byte by 75 to 100 ms.
+	queuedTime = 80 * time.Millisecond
+
+	// queuedMemory is how fast what waits changes: after a second a report
+	// tells a third as much.
+	queuedMemory = time.Second
 )
 
 // tokensPerChoice is how many tokens to read of a request's own are worth
@@ -44,18 +63,28 @@
 func DefaultPrices() Prices { return Prices{ZoneKB: 0.0025, RegionKB: 0.005, ReadKTokens: 0.01} }
 
 // NewPriced returns the policy with default costs and prices.
-func NewPriced() Priced { return Priced{Costs: DefaultCosts(), Prices: DefaultPrices(), Choices: 3} }
+func NewPriced() Priced {
+	return Priced{Costs: DefaultCosts(), Prices: DefaultPrices(), Choices: 3, Queued: queuedTime, Memory: queuedMemory}
+}
 
 // Name returns the policy's name.
 func (Priced) Name() string { return "priced" }
 
 // Pick returns the index with the least price.
 func (p Priced) Pick(now time.Time, d Demand, candidates []Candidate, random *rand.Rand) int {
-	others := Predicted{Costs: p.Costs}.meanOthers(candidates)
+	best, _ := p.Choose(now, d, candidates, random)
+	return best
+}
+
+// Choose returns the index with the least price, -1 for none, and what is
+// predicted there for a server of usual speed.
+func (p Priced) Choose(now time.Time, d Demand, candidates []Candidate, random *rand.Rand) (best int, predicted Estimate) {
+	mean := p.meanQueued(now, candidates)
 	best, bestScore := -1, math.Inf(1)
 	look := func(i int) {
-		if s := p.score(now, d, candidates[i], others); s < bestScore {
-			best, bestScore = i, s
+		e := p.predict(now, d, candidates[i], mean)
+		if s := p.score(d, candidates[i], e); s < bestScore {
+			best, bestScore, predicted = i, s, e
 		}
 	}
 	for i, c := range candidates {
@@ -66,20 +95,15 @@
 	for range p.Choices + int(d.Own/tokensPerChoice) {
 		look(random.IntN(len(candidates)))
 	}
-	return best
+	return best, predicted
 }
 
-// Predict returns the time until the first byte of an answer at the candidate.
-func (p Priced) Predict(now time.Time, d Demand, c Candidate, meanOthers float64) time.Duration {
-	return time.Duration(p.first(now, d, c, meanOthers) * float64(time.Second))
-}
-
-func (p Priced) score(now time.Time, d Demand, c Candidate, meanOthers float64) float64 {
-	first := p.first(now, d, c, meanOthers)
+func (p Priced) score(d Demand, c Candidate, e Estimate) float64 {
+	expected := e.Own + e.Wait
 	if c.Expect != nil {
-		first = c.Expect(time.Duration(first * float64(time.Second))).Seconds()
+		expected = c.Expect(e)
 	}
-	price := lateRisk(first, d.Objective.Seconds()) + waitWeight*first
+	price := LateRisk(expected, d.Objective) + waitWeight*expected.Seconds()
 	price += p.Prices.ReadKTokens * float64(c.Missing(d)-d.Own) / 1000
 	switch kb := float64(d.Bytes) / 1024; {
 	case !c.SameRegion:
@@ -90,14 +114,36 @@
 	return price
 }
 
-// first predicts the seconds until the first byte at a server of usual speed.
-func (p Priced) first(now time.Time, d Demand, c Candidate, meanOthers float64) float64 {
-	occupied := float64(c.InFlight) + Predicted{Costs: p.Costs}.others(now, c, meanOthers)
-	capacity := float64(max(c.Server.Capacity, 1))
-	interval := p.Costs.StepTime.Seconds() + min(occupied, capacity)*p.Costs.StepPerSequence.Seconds()
-	first := interval + (float64(c.Missing(d))+float64(c.Backlog))*p.Costs.PrefillPerToken.Seconds() + 2*c.Distance.Seconds()
-	if excess := occupied + 1 - capacity; excess > 0 {
-		first += excess / capacity * max(float64(d.OutputTokens)*interval, d.Service.Seconds())
+// predict returns the time until the first byte of an answer at the candidate,
+// if it is of usual speed. MeanQueued is what waits at a server of which
+// nothing is known.
+func (p Priced) predict(now time.Time, d Demand, c Candidate, meanQueued float64) Estimate {
+	interval := p.Costs.StepTime + time.Duration(float64(min(c.InFlight, c.capacity()))*float64(p.Costs.StepPerSequence))
+	e := Estimate{Own: interval + time.Duration(c.Missing(d))*p.Costs.PrefillPerToken + 2*c.Distance}
+	trust := p.trust(now, c)
+	queued := trust*float64(c.Server.Load.Queued) + (1-trust)*meanQueued
+	e.Wait = time.Duration(c.Backlog)*p.Costs.PrefillPerToken + time.Duration(queued*float64(p.Queued))
+	if excess := c.InFlight + 1 - c.capacity(); excess > 0 {
+		e.Wait += time.Duration(float64(excess) / float64(c.capacity()) * float64(max(time.Duration(d.OutputTokens)*interval, d.Service)))
+	}
+	return e
+}
+
+// meanQueued returns what waits at a server on average, by the newest reports.
+func (p Priced) meanQueued(now time.Time, candidates []Candidate) float64 {
+	var sum, n float64
+	for _, c := range candidates {
+		trust := p.trust(now, c)
+		sum += trust * float64(c.Server.Load.Queued)
+		n += trust
+	}
+	return sum / max(n, 1)
+}
+
+// trust returns how much a server's report is still worth, 0 to 1.
+func (p Priced) trust(now time.Time, c Candidate) float64 {
+	if c.Server.Load.At.IsZero() {
+		return 0
 	}
-	return first
+	return math.Exp(-max(now.Sub(c.Server.Load.At), 0).Seconds() / p.Memory.Seconds())
 }
--- a/core/placement/priced_test.go
+++ b/core/placement/priced_test.go
@@ -50,7 +50,7 @@
 		t.Fatal("a full home still gets requests")
 	}
 	list[4].InFlight, list[4].Backlog = 0, 0
-	list[4].Expect = func(d time.Duration) time.Duration { return 8 * d }
+	list[4].Expect = func(e placement.Estimate) time.Duration { return 8 * (e.Own + e.Wait) }
 	if got := pickMost(t, list, dossier); got == 4 {
 		t.Fatal("a slow home still gets requests")
 	}
@@ -92,13 +92,13 @@
 	s := placement.NewSlowness()
 	now := time.Unix(1000, 0)
 	for range 40 {
-		s.Learn(now, "m", "usual", 100*time.Millisecond, 100*time.Millisecond)
-		s.Learn(now, "m", "slow", 100*time.Millisecond, 500*time.Millisecond)
+		s.Learn(now, "m", "usual", placement.Estimate{Own: 100 * time.Millisecond}, 100*time.Millisecond)
+		s.Learn(now, "m", "slow", placement.Estimate{Own: 100 * time.Millisecond}, 500*time.Millisecond)
 	}
 	if slow, usual := s.Of(now, "slow"), s.Of(now, "usual"); slow < 2*usual {
 		t.Fatalf("slow %.2f, usual %.2f", slow, usual)
 	}
-	if got := s.Expect(now, "m", "slow", 100*time.Millisecond); got < 400*time.Millisecond || got > 600*time.Millisecond {
+	if got := s.Expect(now, "m", "slow", placement.Estimate{Own: 100 * time.Millisecond}); got < 400*time.Millisecond || got > 600*time.Millisecond {
 		t.Fatalf("expects %s at the slow server, want about 500 ms", got)
 	}
 	if slow := s.Of(now.Add(time.Minute), "slow"); slow > 1.1 {
@@ -112,12 +112,32 @@
 	now := time.Unix(1000, 0)
 	for i := range 400 {
 		predicted := time.Duration(20+i%10*60) * time.Millisecond
-		s.Learn(now, "m", "e", predicted, 90*time.Millisecond+predicted/2)
+		s.Learn(now, "m", "e", placement.Estimate{Own: predicted}, 90*time.Millisecond+predicted/2)
 	}
 	for _, predicted := range []time.Duration{50 * time.Millisecond, 400 * time.Millisecond} {
 		want := 90*time.Millisecond + predicted/2
-		if got := s.Expect(now, "m", "e", predicted); got < want*8/10 || got > want*12/10 {
+		if got := s.Expect(now, "m", "e", placement.Estimate{Own: predicted}); got < want*8/10 || got > want*12/10 {
 			t.Errorf("expects %s, want %s", got, want)
 		}
 	}
 }
+
+// A queue before a server is not taken for its slowness, nor for the time that
+// a request takes itself.
+func TestWaitIsLearnedApart(t *testing.T) {
+	s := placement.NewSlowness()
+	now := time.Unix(1000, 0)
+	took := func(e placement.Estimate) time.Duration { return 50*time.Millisecond + e.Own/3 + e.Wait*2 }
+	for i := range 600 {
+		e := placement.Estimate{Own: time.Duration(20+i%10*60) * time.Millisecond, Wait: time.Duration(i%4*100) * time.Millisecond}
+		s.Learn(now, "m", "e", e, took(e))
+	}
+	if ratio := s.Of(now, "e"); ratio > 1.2 {
+		t.Errorf("a server with a queue counts as %.2f times slower", ratio)
+	}
+	for _, e := range []placement.Estimate{{Own: 500 * time.Millisecond}, {Own: 50 * time.Millisecond, Wait: 300 * time.Millisecond}} {
+		if got, want := s.Expect(now, "m", "e", e), took(e); got < want*8/10 || got > want*12/10 {
+			t.Errorf("expects %s for %+v, want %s", got, e, want)
+		}
+	}
+}
--- /dev/null
+++ b/core/placement/replay_test.go
@@ -0,0 +1,153 @@
+package placement_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rosereach/core/backend"
+	"rosereach/core/placement"
+)
+
+// replay plays prompts of many entries on engines that read one prompt after
+// the other. An entry knows its own requests, and of the others' what an
+// engine's answers told it.
+type replay struct {
+	entries, servers int
+	perSecond        float64
+	utilisation      float64
+	objective        time.Duration
+	policy           placement.Priced
+	random           *rand.Rand
+
+	free    []time.Time
+	ends    [][]time.Time
+	views   []view
+	pending events
+}
+
+type (
+	// view is what one entry knows.
+	view struct {
+		tracker  *placement.Tracker
+		slowness *placement.Slowness
+		loads    []backend.Load
+	}
+
+	answer struct {
+		at, sent      time.Time
+		entry, server int
+		predicted     placement.Estimate
+	}
+
+	events []answer
+)
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(answer)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newReplay(policy placement.Priced) *replay {
+	r := &replay{
+		entries: 9, servers: 9, perSecond: 72, utilisation: 0.85, objective: 2 * time.Second, policy: policy,
+		random: rand.New(rand.NewPCG(1, 2)),
+	}
+	r.free, r.ends = make([]time.Time, r.servers), make([][]time.Time, r.servers)
+	for range r.entries {
+		r.views = append(r.views, view{
+			tracker: placement.NewTracker(policy.Costs.PrefillPerToken), slowness: placement.NewSlowness(), loads: make([]backend.Load, r.servers),
+		})
+	}
+	return r
+}
+
+// lateShare returns the share of the requests of the last four fifths of the
+// time whose first byte came after the objective.
+func (r *replay) lateShare(length time.Duration) float64 {
+	const meanTokens, spread = 2890.0, 1.0
+	begin := time.Unix(1000, 0)
+	perToken := r.utilisation * float64(r.servers) / (r.perSecond * meanTokens)
+	var all, late float64
+	for now := begin; now.Before(begin.Add(length)); {
+		now = now.Add(time.Duration(r.random.ExpFloat64() / r.perSecond * float64(time.Second)))
+		r.answerUntil(now)
+		tokens := min(meanTokens*math.Exp(spread*r.random.NormFloat64()-spread*spread/2), 39_600)
+		took := r.send(now, r.random.IntN(r.entries), int64(tokens), time.Duration(tokens*perToken*float64(time.Second)))
+		if now.Sub(begin) < length/5 {
+			continue
+		}
+		all++
+		if took > r.objective {
+			late++
+		}
+	}
+	return late / all
+}
+
+// send places a request and returns the time to its first byte.
+func (r *replay) send(now time.Time, entry int, tokens int64, reading time.Duration) time.Duration {
+	const group = "m"
+	v := &r.views[entry]
+	candidates := make([]placement.Candidate, r.servers)
+	for i := range candidates {
+		id := fmt.Sprint(i)
+		candidates[i] = placement.Candidate{
+			Server: backend.Announcement{ID: id, Capacity: 64, Load: v.loads[i]}, InFlight: v.tracker.InFlight(id),
+			Backlog: v.tracker.Backlog(now, id), SameRegion: true, SameZone: true,
+			Expect: func(e placement.Estimate) time.Duration { return v.slowness.Expect(now, group, id, e) },
+		}
+	}
+	d := placement.Demand{InputTokens: tokens, Own: tokens, Objective: r.objective}
+	to, predicted := r.policy.Choose(now, d, candidates, r.random)
+	end := r.free[to]
+	if end.Before(now) {
+		end = now
+	}
+	end = end.Add(reading)
+	r.free[to] = end
+	r.ends[to] = append(r.ends[to], end)
+	perToken := r.policy.Costs.PrefillPerToken
+	v.tracker.Start(now, fmt.Sprint(to), int64(v.slowness.Reading(group, time.Duration(tokens)*perToken)/perToken))
+	heap.Push(&r.pending, answer{at: end, sent: now, entry: entry, server: to, predicted: predicted})
+	return end.Sub(now)
+}
+
+// answerUntil lets the entries learn from the answers that came.
+func (r *replay) answerUntil(now time.Time) {
+	for len(r.pending) > 0 && !r.pending[0].at.After(now) {
+		a, ok := heap.Pop(&r.pending).(answer)
+		if !ok {
+			continue
+		}
+		v, id := &r.views[a.entry], fmt.Sprint(a.server)
+		for len(r.ends[a.server]) > 0 && !r.ends[a.server][0].After(a.at) {
+			r.ends[a.server] = r.ends[a.server][1:]
+		}
+		v.loads[a.server] = backend.Load{At: a.at, Queued: len(r.ends[a.server])}
+		v.slowness.Learn(a.at, "m", id, a.predicted, a.at.Sub(a.sent))
+		v.tracker.End(a.at, id)
+	}
+}
+
+// Long prompts of nine entries meet at nine engines that read for 85% of the
+// time. What waits there is mostly other entries' requests: an entry that heeds
+// what the engines tell of it is late at most half as often.
+func TestHeedingWhatWaitsElsewhere(t *testing.T) {
+	blind := placement.NewPriced()
+	blind.Queued = 0
+	without := newReplay(blind).lateShare(5 * time.Minute)
+	with := newReplay(placement.NewPriced()).lateShare(5 * time.Minute)
+	t.Logf("late: %.4f without, %.4f with", without, with)
+	if with > without/2 {
+		t.Fatalf("late: %.4f of the requests when what waits is heeded, %.4f without", with, without)
+	}
+}
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -73,18 +73,22 @@
 	}
 
 	// attempt is one try at one server. Predicted is the time to the first byte
-	// at a usual server, expected is it corrected by what this one showed.
+	// at a usual server, expected is it corrected by what this one showed. Unread
+	// are the prompt tokens that the server has to read, reading as many of a
+	// usual model that take as long.
 	attempt struct {
 		server    backend.Announcement
-		predicted time.Duration
+		predicted placement.Estimate
 		expected  time.Duration
 		unread    int64
+		reading   int64
 		started   time.Time
 		head      forward.Head
 		answered  bool
 
 		placed     time.Time
 		candidates int
+		home       int
 		roster     uint64
 		prompt     []placement.Chunk
 	}
@@ -164,7 +168,7 @@
 	x.logPlaced(a)
 	watch := x.watchSilence(cancel, errNoHead, a, x.headPatience(a, left))
 	defer watch.stop()
-	f.start(now, a.server, a.unread)
+	f.start(now, a.server, a.reading)
 	defer f.end(a.server)
 	answer, err := f.client.Do(ctx, upstream.Call{
 		Address: a.server.Address, Method: x.req.Method, Host: x.req.Host, Target: x.req.Target, Body: x.req.Body,
--- a/internal/entry/passage_log.go
+++ b/internal/entry/passage_log.go
@@ -31,7 +31,7 @@
 // logPlaced tells where an attempt goes and what was known of the server.
 func (x *passage) logPlaced(a *attempt) {
 	level.Debug(x.log()).Log("msg", "Attempt is placed.", "id", x.req.ID, "send", x.sends, "srv", a.server.ID, "addr", a.server.Address,
-		"rel", a.server.Release, "model", x.model, "exp", a.expected, "unread", a.unread, "of", a.candidates, "tried", len(x.tried),
+		"rel", a.server.Release, "model", x.model, "exp", a.expected, "unread", a.unread, "of", a.candidates, "home", a.home, "tried", len(x.tried),
 		"roster", a.roster, "running", a.server.Load.Running, "waiting", a.server.Load.Queued, "load_age", a.loadAge(), "plan", x.revision())
 }
 
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -62,25 +62,34 @@
 	candidates := e.candidates(now, servers, prompt)
 	f.settle(now, x, candidates, prompt)
 	demand := x.demand(prompt)
-	picked := f.placement.Pick(now, demand, candidates, e.random)
+	picked, predicted := f.placement.Choose(now, demand, candidates, e.random)
 	if picked < 0 {
 		return nil, false
 	}
 	c := candidates[picked]
-	predicted := f.placement.Predict(now, demand, c, 0)
+	unread := c.Missing(demand)
 	return &attempt{
-		server: c.Server, predicted: predicted, expected: f.expect(now, x, c.Server.ID, predicted), unread: c.Missing(demand),
-		placed: now, candidates: len(candidates), roster: version, prompt: prompt,
+		server: c.Server, predicted: predicted, expected: f.expect(now, x, c.Server.ID, predicted), unread: unread, reading: f.reading(x, unread),
+		placed: now, candidates: len(candidates), home: c.Home, roster: version, prompt: prompt,
 	}, true
 }
 
 // expect corrects a predicted time by what the server showed.
-func (f *forwarding) expect(now time.Time, x *passage, server string, predicted time.Duration) time.Duration {
+func (f *forwarding) expect(now time.Time, x *passage, server string, predicted placement.Estimate) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.slowness.Expect(now, x.group(), server, predicted)
 }
 
+// reading returns the tokens of a usual model that take as long to read as the
+// given ones of the request's model.
+func (f *forwarding) reading(x *passage, tokens int64) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	perToken := f.placement.Costs.PrefillPerToken
+	return int64(f.slowness.Reading(x.group(), time.Duration(tokens)*perToken) / perToken)
+}
+
 // demand is what the request asks of a server. The last part of a prompt is the
 // request's or its session's own.
 func (x *passage) demand(prompt []placement.Chunk) placement.Demand {
@@ -110,7 +119,7 @@
 	group := x.group()
 	for i := range candidates {
 		id := candidates[i].Server.ID
-		candidates[i].Expect = func(d time.Duration) time.Duration { return f.slowness.Expect(now, group, id, d) }
+		candidates[i].Expect = func(e placement.Estimate) time.Duration { return f.slowness.Expect(now, group, id, e) }
 	}
 	if len(prompt) < 2 {
 		return
