Move sessions to a roll-out's target in steps

Change: a third of the sessions at 60%, two thirds at 67%, all at 74%. The share only grows and a session's draw stays, so none goes back. A leader that was away goes on from the canary to what is due. The test of a good roll-out names the five stages in place of counting three.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"rosereach/core/finding"
@@ -13,6 +14,11 @@
 	StageOrdered Stage = "ordered"
 	// StageCanary gives the target a small share of the requests.
 	StageCanary Stage = "canary"
+	// StageThird and StageMost give the target a third and two thirds of the
+	// sessions, while the old backend servers go on with the others: both
+	// releases' servers carry the load until the target's caches are filled.
+	StageThird Stage = "third"
+	StageMost  Stage = "most"
 	// StageFull gives all new requests to the target while the old backend
 	// servers finish what they have.
 	StageFull Stage = "full"
@@ -23,12 +29,14 @@
 )
 
 const (
-	// canaryAt, fullAt and completeAt are the shares of a roll-out's time after
-	// which the target gets its first requests, takes all of them if it has
-	// shown no fault, and is the only release left. Sessions may move from the
-	// second half on; the last fifth is for a change of leader.
+	// The shares of a roll-out's time after which the target gets its first
+	// requests, more of them as long as it shows no fault, all of them, and is
+	// the only release left. Sessions may move from the second half on; the
+	// rest at the end is for a change of leader.
 	canaryAt   = 0.51
-	fullAt     = 0.65
+	thirdAt    = 0.6
+	mostAt     = 0.67
+	fullAt     = 0.74
 	completeAt = 0.8
 
 	// provenBy is how many requests the target has to have had before it takes
@@ -40,6 +48,9 @@
 	resendTime = 10 * time.Second
 )
 
+// forward is the way of a roll-out without fault.
+var forward = []Stage{StageOrdered, StageCanary, StageThird, StageMost, StageFull, StageCompleted}
+
 type (
 	// Stage is how far an ordered roll-out has come.
 	Stage string
@@ -91,17 +102,30 @@
 	return !o.IsFinal() || other.Ordered.Sub(o.Ordered) < o.Duration+resendTime
 }
 
-// MayMove reports whether the roll-out may go to the stage.
-func (o Order) MayMove(to Stage) bool {
+// TargetShare returns the share of the sessions, 0 to 1, that the target gets.
+// Allowed is the operator's bound for a release that has not proved itself.
+func (o Order) TargetShare(allowed float64) float64 {
 	switch o.Stage {
-	case StageOrdered:
-		return to == StageCanary || to == StageRolledBack
 	case StageCanary:
-		return to == StageFull || to == StageCompleted || to == StageRolledBack
-	case StageFull:
-		return to == StageCompleted || to == StageRolledBack
+		return CanaryShare(allowed)
+	case StageThird:
+		return 1.0 / 3
+	case StageMost:
+		return 2.0 / 3
+	case StageFull, StageCompleted:
+		return 1
+	}
+	return 0
+}
+
+// MayMove reports whether the roll-out may go to the stage: forward, one stage
+// or several once it has its canary, or back for good.
+func (o Order) MayMove(to Stage) bool {
+	if o.IsFinal() {
+		return false
 	}
-	return false
+	from, next := slices.Index(forward, o.Stage), slices.Index(forward, to)
+	return to == StageRolledBack || next > from && (o.Stage != StageOrdered || to == StageCanary)
 }
 
 // Next returns the stage that the roll-out should be in, and why, when it has
@@ -118,12 +142,29 @@
 		return StageRolledBack, "no request reached the target in time"
 	case o.Stage == StageOrdered && elapsed >= share(o.Duration, canaryAt):
 		return StageCanary, "half of the time is over"
-	case o.Stage == StageCanary && elapsed >= share(o.Duration, fullAt) && isProven(o, tallies, elapsed >= share(o.Duration, completeAt)):
-		return StageFull, "no fault was seen"
+	case o.Stage == StageOrdered:
+		return o.Stage, o.Reason
 	case o.Stage == StageFull && elapsed >= share(o.Duration, completeAt):
 		return StageCompleted, "no fault was seen"
 	}
-	return o.Stage, o.Reason
+	due := dueAt(o.Duration, elapsed)
+	if !o.MayMove(due) || !isProven(o, tallies, elapsed >= share(o.Duration, completeAt)) {
+		return o.Stage, o.Reason
+	}
+	return due, "no fault was seen"
+}
+
+// dueAt returns how much a target without fault should get after the time.
+func dueAt(d, elapsed time.Duration) Stage {
+	switch {
+	case elapsed >= share(d, fullAt):
+		return StageFull
+	case elapsed >= share(d, mostAt):
+		return StageMost
+	case elapsed >= share(d, thirdAt):
+		return StageThird
+	}
+	return StageCanary
 }
 
 // isProven reports whether the target has had enough requests to be trusted
--- a/core/rollout/order_test.go
+++ b/core/rollout/order_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -33,18 +34,37 @@
 			if !o.MayMove(stage) {
 				t.Fatalf("%s cannot move to %s", o.Stage, stage)
 			}
-			if stage == rollout.StageCanary && at < duration/2 {
+			before := o.TargetShare(0.15)
+			o.Stage = stage
+			if o.TargetShare(0.15) > 0 && at < duration/2 {
 				t.Fatal("sessions move in the first half")
 			}
-			o.Stage = stage
+			if o.TargetShare(0.15) < before || o.TargetShare(0.15) > before+0.35 {
+				t.Fatalf("the target's share goes from %.2f to %.2f at once", before, o.TargetShare(0.15))
+			}
 			stages = append(stages, stage)
 		}
 	}
-	if o.Stage != rollout.StageCompleted || len(stages) != 3 {
+	want := []rollout.Stage{rollout.StageCanary, rollout.StageThird, rollout.StageMost, rollout.StageFull, rollout.StageCompleted}
+	if !slices.Equal(stages, want) {
 		t.Fatalf("went through %v", stages)
 	}
 }
 
+// A leader that was away for a while catches up, but never past the canary.
+func TestLateLeaderCatchesUp(t *testing.T) {
+	good := []rollout.Tally{tally("v1", "r", 300, 50, 100), tally("v2", "r", 30, 30, 110)}
+	if stage, _ := order(rollout.StageOrdered).Next(duration*3/4, good); stage != rollout.StageCanary {
+		t.Fatalf("goes from nothing to %s", stage)
+	}
+	if stage, _ := order(rollout.StageCanary).Next(duration*3/4, good); stage != rollout.StageFull {
+		t.Fatalf("goes to %s, want full", stage)
+	}
+	if order(rollout.StageMost).MayMove(rollout.StageThird) {
+		t.Fatal("sessions may move back")
+	}
+}
+
 func TestBadRolloutIsRolledBack(t *testing.T) {
 	usual := tally("v1", "a", 300, 50, 100)
 	other := tally("v1", "b", 300, 0, 100)
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -179,27 +179,27 @@
 	}
 	target := keep(all, func(r roster.Record) bool { return r.Server.Release == o.Target })
 	others := keep(all, func(r roster.Record) bool { return r.Server.Release != o.Target })
-	switch {
-	case o.Stage == rollout.StageCompleted, o.Stage == rollout.StageFull && len(target) > 0:
+	allowed := f.entry.cfg.Forwarding.ExposureShare
+	switch share := o.TargetShare(allowed); {
+	case o.Stage == rollout.StageCompleted:
 		return target
-	case o.Stage == rollout.StageCanary && len(target) > 0 && f.isCanary(x, o):
-		return target[:min(len(target), canaryServers(len(target), f.canaryShare()))]
+	case len(target) == 0 || !f.isMoved(x, o, share):
+		return others
+	case o.Stage == rollout.StageCanary:
+		return target[:min(len(target), canaryServers(len(target), share))]
 	}
-	return others
+	return target
 }
 
-// isCanary draws whether a new release gets the request: all requests of a
-// session get the same.
-func (f *forwarding) isCanary(x *passage, o rollout.Order) bool {
-	if x.req.Session == "" {
-		return f.random.Float64() < f.canaryShare()
+// isMoved draws whether the target, which is to get the share of the sessions,
+// gets the request: all requests of a session get the same, and a session that
+// has moved stays when the share grows.
+func (f *forwarding) isMoved(x *passage, o rollout.Order, share float64) bool {
+	if x.req.Session == "" || share >= 1 {
+		return f.random.Float64() < share
 	}
 	drawn := xxhash.Sum64String(x.req.Session + "\x00" + o.Target)
-	return float64(drawn)/math.MaxUint64 < f.canaryShare()
-}
-
-func (f *forwarding) canaryShare() float64 {
-	return rollout.CanaryShare(f.entry.cfg.Forwarding.ExposureShare)
+	return float64(drawn)/math.MaxUint64 < share
 }
 
 // canaryServers is how many servers of a new release share its first requests:
