--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -110,3 +110,27 @@
 	fmt.Println(strings.Join(may, ", "))
 	// Output: read, resumable
 }
+
+func TestKeyChanges(t *testing.T) {
+	table := func(owners map[string][]string) *route.Table {
+		var c route.Config
+		for name, hashes := range owners {
+			c.Workspaces = append(c.Workspaces, route.Workspace{Name: name, KeyHashes: hashes})
+		}
+		return route.NewTable(c)
+	}
+	before := table(map[string][]string{"a": {"k1", "k2"}, "b": {"k3"}})
+	after := table(map[string][]string{"a": {"k1", "k4"}, "b": {"k2"}})
+	for name, c := range map[string]struct {
+		next, old      *route.Table
+		added, removed int
+	}{
+		"first plan":                   {before, nil, 3, 0},
+		"nothing changes":              {before, before, 0, 0},
+		"one new, one gone, one moved": {after, before, 2, 2},
+	} {
+		if added, removed := c.next.KeyChanges(c.old); added != c.added || removed != c.removed {
+			t.Errorf("%s: %d added and %d removed, want %d and %d", name, added, removed, c.added, c.removed)
+		}
+	}
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -66,6 +66,26 @@
 	return w, ok
 }
 
+// KeyChanges returns how many keys the plan has that the one before had not,
+// and how many it no longer has. A key that went to another workspace counts as
+// both. A plan of nil has none.
+func (t *Table) KeyChanges(before *Table) (added, removed int) {
+	return t.keysBeyond(before), before.keysBeyond(t)
+}
+
+func (t *Table) keysBeyond(other *Table) int {
+	if t == nil {
+		return 0
+	}
+	n := 0
+	for hash, w := range t.owners {
+		if other == nil || other.owners[hash].Name != w.Name {
+			n++
+		}
+	}
+	return n
+}
+
 // Service returns a service of the plan.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -28,6 +28,7 @@
 			boolFlag("standby", "wait with an empty folder until \"control add\" names this control"),
 			flag("member-key", "", "key that rosereach's own processes share"),
 			flag("operator-key", "", "bootstrap key with every right, until operators have keys of their own"),
+			metricsPortFlag(),
 		),
 		subs: []*command{cmdControlList(), cmdControlAdd(), cmdControlRemove()},
 	}
--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -25,7 +25,7 @@
 		name: "entry", short: "serve callers and backend servers", action: runEntry,
 		flags: append(append(commonFlags(), tlsFlags()...),
 			metricsFlag(),
-			flag("metrics-port", "0", "on the platform: port to show metrics on (nowhere, when 0)"),
+			metricsPortFlag(),
 			flag("controls", "", "host:port of the controls, with commas"),
 			flag("member-key", "", "key that rosereach's own processes share"),
 			flag("backend-key", "", "key that backend servers present"),
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/sha256"
+	"math"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -16,6 +18,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/clock"
 	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
 
 	"rosereach/internal/httpd"
 	"rosereach/platform"
@@ -36,30 +39,57 @@
 )
 
 // node holds the settings of a process on the platform, as they are now.
+// Metrics is where metrics are shown, empty for nowhere; flush writes the last
+// log lines.
 type node struct {
-	path   string
-	logger log.Logger
-	clock  clock.Clock
-	now    atomic.Pointer[platform.Settings]
+	path      string
+	logger    log.Logger
+	clock     clock.Clock
+	now       atomic.Pointer[platform.Settings]
+	memberKey string
+	metrics   string
+	flush     func()
 }
 
 // isOnPlatform reports whether a platform gave this process its settings file.
 func isOnPlatform() bool { return os.Getenv(platform.SettingsVariable) != "" }
 
-// startNode reads what both programs need: the members' key from the flags and
-// the settings file. Close writes the last log lines.
-func startNode(ctx context.Context, s *settings, part string) (n *node, key string, close func(), err error) {
+func metricsPortFlag() cli.Flag {
+	return flag("metrics-port", "0", "on the platform: port to show metrics on (nowhere, when 0)")
+}
+
+// startNode reads what both programs need: the members' key and the metrics'
+// port from the flags, and the settings file.
+func startNode(ctx context.Context, s *settings, part string) (*node, error) {
 	logger, flush := newBoundedLogger(ctx, s, part)
-	key = s.text("member-key")
+	key, port := s.text("member-key"), s.number("metrics-port", 0, math.MaxUint16)
 	if err := s.err(); err != nil {
 		flush()
-		return nil, "", nil, err
+		return nil, err
 	}
-	if n, err = openNode(logger); err != nil {
+	n, err := openNode(logger)
+	if err != nil {
 		flush()
-		return nil, "", nil, err
+		return nil, err
+	}
+	n.memberKey, n.flush = key, flush
+	if port != 0 {
+		n.metrics = net.JoinHostPort(n.settings().IP, strconv.FormatInt(port, 10))
+	}
+	return n, nil
+}
+
+// serveMetrics shows metrics where the flags say, if they do, until the context
+// ends.
+func (n *node) serveMetrics(ctx context.Context, h http.Handler) error {
+	if n.metrics == "" {
+		return nil
+	}
+	l, err := httpd.Listen(ctx, n.metrics)
+	if err != nil {
+		return err
 	}
-	return n, key, flush, nil
+	return serveUntil(ctx, l, h, noWait)
 }
 
 // openNode reads the settings file.
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -19,14 +19,14 @@
 // runPlatformControl runs a control with the settings of a platform.
 func runPlatformControl(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	n, key, flush, err := startNode(ctx, s, "control")
+	n, err := startNode(ctx, s, "control")
 	if err != nil {
 		return err
 	}
-	defer flush()
+	defer n.flush()
 	now := n.settings()
 	node, err := control.Open(control.Config{
-		ID: now.Name, Folder: now.DataFolder, Address: now.Member(), Region: now.Region, Zone: now.Zone, MemberKey: key, OperatorKey: s.optional("operator-key"),
+		ID: now.Name, Folder: now.DataFolder, Address: now.Member(), Region: now.Region, Zone: now.Zone, MemberKey: n.memberKey, OperatorKey: s.optional("operator-key"),
 		Seeds:       &control.Seeds{Addresses: n.members, Founds: now.FirstStart, KeepVoters: 2*now.LostControls + 1},
 		LeastVoters: min(len(now.Controls), mostSeeds), Terms: lease.DefaultTerms(), Clock: clock.WallClock, Logger: n.logger,
 	})
@@ -45,6 +45,7 @@
 	return serveControl(ctx, node, func(ctx context.Context) error {
 		g, ctx := errgroup.WithContext(ctx)
 		g.Go(func() error { return n.follow(ctx) })
+		g.Go(func() error { return n.serveMetrics(ctx, node.TextMetrics()) })
 		g.Go(func() error { return serveUntil(ctx, listeners[0], node.Handler(), noWait) })
 		g.Go(func() error { return serveUntil(ctx, listeners[1], platform.ControlHandler(node, n.regions), noWait) })
 		if len(listeners) > 2 {
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math"
-	"net"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -33,17 +31,16 @@
 // runPlatformEntry runs an entry with the settings of a platform.
 func runPlatformEntry(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	port := s.number("metrics-port", 0, math.MaxUint16)
-	n, key, flush, err := startNode(ctx, s, "entry")
+	n, err := startNode(ctx, s, "entry")
 	if err != nil {
 		return err
 	}
-	defer flush()
+	defer n.flush()
 	now := n.settings()
 	started := incarnation()
 	e := entry.New(entry.Config{
 		ID: now.Name, Incarnation: started, Region: now.Region, Zone: now.Zone, Address: now.Listen.Callers,
-		Controls: now.Members(), MemberKey: key, Terms: lease.DefaultTerms(), AddressTTL: listLife,
+		Controls: now.Members(), MemberKey: n.memberKey, Terms: lease.DefaultTerms(), AddressTTL: listLife,
 		MaxRunning: maxForwarded, MaxWaiting: maxForwarded, Seed: started, Clock: clock.WallClock, Logger: n.logger,
 		Forwarding: &entry.Forwarding{
 			Dialect: platform.Dialect{}, Controls: n.members, FailOpen: !now.Bounds.FailClosed,
@@ -51,11 +48,7 @@
 			ExposureShare: now.Bounds.ExposureShare,
 		},
 	})
-	addresses := []string{now.Listen.Callers, now.Listen.Readiness}
-	if port != 0 {
-		addresses = append(addresses, net.JoinHostPort(now.IP, strconv.FormatInt(port, 10)))
-	}
-	listeners, err := listenAll(ctx, addresses...)
+	listeners, err := listenAll(ctx, now.Listen.Callers, now.Listen.Readiness)
 	if err != nil {
 		return err
 	}
@@ -71,9 +64,7 @@
 	g.Go(func() error { return n.follow(running) })
 	g.Go(func() error { return e.Run(running) })
 	g.Go(func() error { return serveUntil(running, listeners[1], platform.ReadinessHandler(e.IsOpen), noWait) })
-	if port != 0 {
-		g.Go(func() error { return serveUntil(running, listeners[2], e.ForwardMetrics(), noWait) })
-	}
+	g.Go(func() error { return n.serveMetrics(running, e.ForwardMetrics()) })
 	g.Go(func() error {
 		defer stop()
 		return serveUntil(taking, listeners[0], platform.CallerHandler(e, clock.WallClock, e.IsDraining), httpd.Times{Longest: left, Idle: e.IdleTime})
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -86,6 +86,7 @@
 	Node struct {
 		cfg       Config
 		metrics   *metrics.Set
+		text      *textMetrics
 		store     *disk.Store
 		save      func(replica.Write) error
 		self      replica.Identity
@@ -142,6 +143,7 @@
 	}
 	n.fleet = newFleet(n.run)
 	n.metrics = newMetrics(n)
+	n.text = newTextMetrics(n)
 	n.links = newLinks(n)
 	if err := n.load(); err != nil {
 		store.Close()
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -69,6 +69,13 @@
 
 // Change commits an operator's change. A follower passes it on to the leader.
 func (n *Node) Change(ctx context.Context, c change.Change) (change.Result, error) {
+	began := n.cfg.Clock.Now()
+	result, err := n.change(ctx, c)
+	n.text.changed(c.Kind, result, err, n.cfg.Clock.Now().Sub(began))
+	return result, err
+}
+
+func (n *Node) change(ctx context.Context, c change.Change) (change.Result, error) {
 	results, err := n.proposeAnywhere(ctx, state.Command{Change: &c})
 	if err != nil {
 		return change.Result{}, err
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -92,7 +92,9 @@
 func (n *Node) Announce(a backend.Announcement) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.fleet.roster.Observe(n.cfg.Clock.Now(), a) {
+	news := n.fleet.roster.Observe(n.cfg.Clock.Now(), a)
+	n.text.announced(news)
+	if news {
 		n.cfg.Logger.Log("msg", "Backend server changes.", "server", a.ID, "state", a.State, "service", a.Service, "release", a.Release)
 		n.fleet.wake()
 	}
@@ -112,6 +114,7 @@
 // watchFleet answers a watcher as soon as there is something new.
 func (n *Node) watchFleet(ctx context.Context, r member.WatchRequest) (member.WatchReply, error) {
 	n.hearEntry(r)
+	n.text.watched(r.Entry != nil)
 	limit := n.cfg.Clock.NewTimer(watchInterval)
 	defer limit.Stop()
 	for {
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -275,7 +275,8 @@
 			return
 		}
 		if e.catalog.CompareAndSwap(old, next) {
-			e.cfg.Logger.Log("msg", "Documents come into force.", "revision", next.Revision(), "before", old.Revision())
+			added, removed := next.Routes().KeyChanges(old.Routes())
+			e.cfg.Logger.Log("msg", "Documents come into force.", "revision", next.Revision(), "before", old.Revision(), "keys_added", added, "keys_removed", removed)
 			return
 		}
 	}
--- a/internal/entry/forward_metrics.go
+++ b/internal/entry/forward_metrics.go
@@ -5,17 +5,12 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"rosereach/core/forward"
 	"rosereach/core/route"
+	"rosereach/internal/metrics"
 )
 
-// secondsBuckets are the bounds of the latency histograms. Each is 1.5 times
-// the one before, so a quantile read from them is off by a quarter at most; a
-// histogram costs some 2 KB and 100 ns an observation.
-var secondsBuckets = prometheus.ExponentialBuckets(0.005, 1.5, 22)
-
 // forwardMetrics are the counters and histograms of an entry that forwards
 // requests.
 type forwardMetrics struct {
@@ -37,30 +32,26 @@
 			Name: "rosereach_attempts_total", Help: "Attempts at backend servers by outcome.",
 		}, []string{"outcome"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "rosereach_request_duration_seconds", Help: "Time from a request's arrival to its end.", Buckets: secondsBuckets,
+			Name: "rosereach_request_duration_seconds", Help: "Time from a request's arrival to its end.", Buckets: metrics.SecondsBuckets,
 		}, []string{"kind"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "rosereach_first_byte_seconds", Help: "Time from sending an attempt to the first byte passed on.", Buckets: secondsBuckets,
+			Name: "rosereach_first_byte_seconds", Help: "Time from sending an attempt to the first byte passed on.", Buckets: metrics.SecondsBuckets,
 		}, []string{"kind"}),
 		denied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "rosereach_repeats_denied_total", Help: "Repeats that the budget shared by all entries did not allow.",
 		}),
 	}
 	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.denied,
-		gauge("rosereach_documents_revision", "Revision of the documents in force.", func() float64 { return float64(e.catalog.Load().Revision()) }),
-		gauge("rosereach_requests_running", "Requests that are being answered.", func() float64 { return float64(e.handling.Load()) }),
-		gauge("rosereach_requests_waiting", "Requests that wait for their turn.", func() float64 { return float64(e.gate.waits() + e.plainGate.waits()) }),
+		metrics.NewGauge("rosereach_documents_revision", "Revision of the documents in force.", func() float64 { return float64(e.catalog.Load().Revision()) }),
+		metrics.NewGauge("rosereach_requests_running", "Requests that are being answered.", func() float64 { return float64(e.handling.Load()) }),
+		metrics.NewGauge("rosereach_requests_waiting", "Requests that wait for their turn.", func() float64 { return float64(e.gate.waits() + e.plainGate.waits()) }),
 	)
 	return m
 }
 
-func gauge(name, help string, read func() float64) prometheus.Collector {
-	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read)
-}
-
 // ForwardMetrics returns the handler that shows the metrics as text.
 func (e *Entry) ForwardMetrics() http.Handler {
-	return promhttp.HandlerFor(e.forwarding.metrics.registry, promhttp.HandlerOpts{})
+	return metrics.TextHandler(e.forwarding.metrics.registry)
 }
 
 // ended counts a request.
