Let another run cost more while requests wait at each engine

Cause: a doubted answer was asked again at the largest model, which reads ten times as slowly, also while each engine had a queue: the run delays those that come after it.

Change: the price of another run grows by 0.06 of an answer for each request that waits at a server on average, up to four.

--- a/core/cascade/sizes.go
+++ b/core/cascade/sizes.go
@@ -12,8 +12,13 @@
 	lateWorth = 0.3
 
 	// againCost is the price of another run of the largest model, as a share of
-	// the worth of a good answer.
+	// the worth of a good answer. CrowdCost is added for each request that waits
+	// at a server on average, as the run delays those that come after it; from
+	// mostCrowd on more of them change nothing, or no doubted answer would be
+	// asked again in a long burst.
 	againCost = 0.12
+	crowdCost = 0.06
+	mostCrowd = 4
 )
 
 // Sizes chooses among models of growing size: the smallest answers first, and
@@ -40,13 +45,13 @@
 
 // IsWorthAsking reports whether to drop an answer of the given confidence, -1
 // for unknown or 0 to 100, for a larger model's, which would come late with the
-// given chance.
-func (Sizes) IsWorthAsking(confidence int, lateRisk float64) bool {
+// given chance. Crowd is how many requests wait at a server on average.
+func (Sizes) IsWorthAsking(confidence int, lateRisk, crowd float64) bool {
 	if confidence < 0 {
 		return false
 	}
 	good := min(float64(confidence)/100+confidenceBonus, 1)
 	kept := good + (1-good)*poorWorth
-	again := (1 - lateRisk) + lateRisk*lateWorth - againCost
+	again := (1 - lateRisk) + lateRisk*lateWorth - againCost - crowdCost*min(crowd, mostCrowd)
 	return again > kept
 }
--- a/core/placement/priced.go
+++ b/core/placement/priced.go
@@ -33,6 +33,15 @@
 		Memory  time.Duration
 	}
 
+	// Choice is what was picked: the candidate's index, -1 for none, and what is
+	// predicted there for a server of usual speed. Queued is how many requests
+	// wait at a server on average.
+	Choice struct {
+		Index     int
+		Predicted Estimate
+		Queued    float64
+	}
+
 	// Estimate is a predicted time to the first byte: Own is what the request
 	// takes by itself, Wait what is before it.
 	Estimate struct{ Own, Wait time.Duration }
@@ -72,19 +81,16 @@
 
 // Pick returns the index with the least price.
 func (p Priced) Pick(now time.Time, d Demand, candidates []Candidate, random *rand.Rand) int {
-	best, _ := p.Choose(now, d, candidates, random)
-	return best
+	return p.Choose(now, d, candidates, random).Index
 }
 
-// Choose returns the index with the least price, -1 for none, and what is
-// predicted there for a server of usual speed.
-func (p Priced) Choose(now time.Time, d Demand, candidates []Candidate, random *rand.Rand) (best int, predicted Estimate) {
-	mean := p.meanQueued(now, candidates)
-	best, bestScore := -1, math.Inf(1)
+// Choose returns the candidate with the least price.
+func (p Priced) Choose(now time.Time, d Demand, candidates []Candidate, random *rand.Rand) Choice {
+	best, bestScore := Choice{Index: -1, Queued: p.meanQueued(now, candidates)}, math.Inf(1)
 	look := func(i int) {
-		e := p.predict(now, d, candidates[i], mean)
+		e := p.predict(now, d, candidates[i], best.Queued)
 		if s := p.score(d, candidates[i], e); s < bestScore {
-			best, bestScore, predicted = i, s, e
+			best.Index, best.Predicted, bestScore = i, e, s
 		}
 	}
 	for i, c := range candidates {
@@ -95,7 +101,7 @@
 	for range p.Choices + int(d.Own/tokensPerChoice) {
 		look(random.IntN(len(candidates)))
 	}
-	return best, predicted
+	return best
 }
 
 func (p Priced) score(d Demand, c Candidate, e Estimate) float64 {
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -107,7 +107,8 @@
 		}
 	}
 	d := placement.Demand{InputTokens: tokens, Own: tokens, Objective: r.objective}
-	to, predicted := r.policy.Choose(now, d, candidates, r.random)
+	choice := r.policy.Choose(now, d, candidates, r.random)
+	to := choice.Index
 	end := r.free[to]
 	if end.Before(now) {
 		end = now
@@ -117,7 +118,7 @@
 	r.ends[to] = append(r.ends[to], end)
 	perToken := r.policy.Costs.PrefillPerToken
 	v.tracker.Start(now, fmt.Sprint(to), int64(v.slowness.Reading(group, time.Duration(tokens)*perToken)/perToken))
-	heap.Push(&r.pending, answer{at: end, sent: now, entry: entry, server: to, predicted: predicted})
+	heap.Push(&r.pending, answer{at: end, sent: now, entry: entry, server: to, predicted: choice.Predicted})
 	return end.Sub(now)
 }
 
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -75,7 +75,8 @@
 	// attempt is one try at one server. Predicted is the time to the first byte
 	// at a usual server, expected is it corrected by what this one showed. Unread
 	// are the prompt tokens that the server has to read, reading as many of a
-	// usual model that take as long.
+	// usual model that take as long. Crowd is how many requests wait at a server
+	// on average, Home the server's rank among the homes of the prompt.
 	attempt struct {
 		server    backend.Announcement
 		predicted placement.Estimate
@@ -88,6 +89,7 @@
 
 		placed     time.Time
 		candidates int
+		crowd      float64
 		home       int
 		roster     uint64
 		prompt     []placement.Chunk
--- a/internal/entry/passage_answer.go
+++ b/internal/entry/passage_answer.go
@@ -59,9 +59,9 @@
 	if ok {
 		spent := x.f.entry.cfg.Clock.Now().Sub(x.req.Arrived)
 		late := placement.LateRisk(spent+next.expected, x.route.Objective)
-		ok = x.f.sizes.IsWorthAsking(a.head.Confidence, late) && x.f.takeRepeat()
+		ok = x.f.sizes.IsWorthAsking(a.head.Confidence, late, next.crowd) && x.f.takeRepeat()
 		if ok {
-			x.logAgain(a, late)
+			x.logAgain(a, late, next.crowd)
 		}
 	}
 	if !ok {
--- a/internal/entry/passage_log.go
+++ b/internal/entry/passage_log.go
@@ -36,9 +36,9 @@
 }
 
 // logAgain tells that a larger model is asked.
-func (x *passage) logAgain(a *attempt, late float64) {
+func (x *passage) logAgain(a *attempt, late, crowd float64) {
 	level.Debug(x.log()).Log("msg", "Larger model is asked.", "id", x.req.ID, "srv", a.server.ID, "sure", a.head.Confidence,
-		"late", late, "model", x.model)
+		"late", late, "crowd", crowd, "model", x.model)
 }
 
 // logAttempt tells how an attempt ended that brought no answer.
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -62,15 +62,15 @@
 	candidates := e.candidates(now, servers, prompt)
 	f.settle(now, x, candidates, prompt)
 	demand := x.demand(prompt)
-	picked, predicted := f.placement.Choose(now, demand, candidates, e.random)
-	if picked < 0 {
+	choice := f.placement.Choose(now, demand, candidates, e.random)
+	if choice.Index < 0 {
 		return nil, false
 	}
-	c := candidates[picked]
+	c, predicted := candidates[choice.Index], choice.Predicted
 	unread := c.Missing(demand)
 	return &attempt{
 		server: c.Server, predicted: predicted, expected: f.expect(now, x, c.Server.ID, predicted), unread: unread, reading: f.reading(x, unread),
-		placed: now, candidates: len(candidates), home: c.Home, roster: version, prompt: prompt,
+		placed: now, candidates: len(candidates), crowd: choice.Queued, home: c.Home, roster: version, prompt: prompt,
 	}, true
 }
 
