Count requests that the queue rejects in the metrics

Cause: Forward noted a rejection in two places; the one after the queue left it out of rosereach_requests_total, so that overload did not show where on-call engineers look first.

Change: one function notes both. TestOverloadedRequestIsCounted failed before.

Conclusion: metrics only; no request is treated otherwise.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -128,17 +128,13 @@
 	defer e.handling.Add(-1)
 	x, failure := e.accept(req, sink)
 	if failure != nil {
-		e.logRejected(req, failure)
-		e.forwarding.metrics.ended(route.Route{}, failure, 0)
-		return failure
+		return e.reject(req, route.Route{}, failure)
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	leave, err := e.gateOf(x.route).enter(ctx, e.cfg.Clock, x.ticket())
 	if err != nil {
-		failure = overloaded(err)
-		e.logRejected(req, failure)
-		return failure
+		return e.reject(req, x.route, overloaded(err))
 	}
 	defer leave()
 	x.logAdmitted(req.Arrived)
@@ -148,6 +144,13 @@
 	return err
 }
 
+// reject notes a request that is not run, and why.
+func (e *Entry) reject(req forward.Request, r route.Route, f *forward.Failure) error {
+	e.logRejected(req, f)
+	e.forwarding.metrics.ended(r, f, e.cfg.Clock.Now().Sub(req.Arrived))
+	return f
+}
+
 // accept finds route and workspace of a request, or refuses it.
 func (e *Entry) accept(req forward.Request, sink forward.Sink) (*passage, *forward.Failure) {
 	table := e.catalog.Load().Routes()
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +24,7 @@
 	"rosereach/core/forward"
 	"rosereach/core/key"
 	"rosereach/core/lease"
+	"rosereach/core/limit"
 	"rosereach/core/retry"
 	"rosereach/core/roster"
 	"rosereach/core/route"
@@ -435,3 +437,30 @@
 		t.Errorf("the running request: %q, %v", e.got.body.String(), e.err)
 	}
 }
+
+// fullQueue refuses every ticket.
+type fullQueue struct{ limit.Queue }
+
+func (fullQueue) Offer(time.Time, limit.Ticket) limit.Decision {
+	return limit.Decision{Verdict: limit.Refuse, RetryAfter: time.Second}
+}
+
+func (fullQueue) Expire(time.Time) []uint64 { return nil }
+
+// A request that the full queue rejects is counted like any other.
+func TestOverloadedRequestIsCounted(t *testing.T) {
+	r := newRig(t)
+	r.plan()
+	r.entry.plainGate = newAdmission(fullQueue{})
+	failure, ok := failureOf(r.entry.Forward(t.Context(), forward.Request{
+		ID: "a", Method: http.MethodGet, Host: "h", Path: "/safe/x", Target: "/safe/x", Key: "k", Arrived: time.Now(),
+	}, &collected{}))
+	if !ok || failure.Code != forward.Overloaded {
+		t.Fatalf("ends with %v", failure)
+	}
+	w := httptest.NewRecorder()
+	r.entry.ForwardMetrics().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	if want := `rosereach_requests_total{code="overloaded",kind="safe"} 1`; !strings.Contains(w.Body.String(), want) {
+		t.Errorf("no line %s", want)
+	}
+}
