Split the start of an entry on the platform into its steps

Cause: one function of sixty lines built the configuration, listened, served and drained, and it read the time past the clock that is passed in.

Change: configuration, serving and draining are functions of their own; behaviour stays as it is. The tests of planned stops pass as before.

--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"math"
+	"net"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/clock"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
@@ -28,46 +28,69 @@
 	exitMargin = 700 * time.Millisecond
 )
 
+// platformEntry is an entry that runs with the settings of a platform. Ends is
+// when the requests that still run have to be over, in Unix nanoseconds.
+type platformEntry struct {
+	node      *node
+	entry     *entry.Entry
+	callers   net.Listener
+	readiness net.Listener
+	ends      atomic.Int64
+}
+
 // runPlatformEntry runs an entry with the settings of a platform.
 func runPlatformEntry(ctx context.Context, c *cli.Command) error {
-	s := newSettings(c)
-	n, err := startNode(ctx, s, "entry")
+	n, err := startNode(ctx, newSettings(c), "entry")
 	if err != nil {
 		return err
 	}
 	defer n.flush()
 	now := n.settings()
-	started := incarnation()
-	e := entry.New(entry.Config{
+	listeners, err := listenAll(ctx, now.Listen.Callers, now.Listen.Readiness)
+	if err != nil {
+		return err
+	}
+	cfg := n.entryConfig(incarnation())
+	p := &platformEntry{node: n, entry: entry.New(cfg), callers: listeners[0], readiness: listeners[1]}
+	p.ends.Store(math.MaxInt64)
+	n.logger.Log("msg", "Entry serves.", "id", now.Name, "address", now.Listen.Callers, "incarnation", cfg.Incarnation)
+	return p.run(ctx)
+}
+
+// entryConfig returns the configuration of an entry that started with the
+// incarnation.
+func (n *node) entryConfig(started uint64) entry.Config {
+	now := n.settings()
+	return entry.Config{
 		ID: now.Name, Incarnation: started, Region: now.Region, Zone: now.Zone, Address: now.Listen.Callers,
 		Controls: now.Members(), MemberKey: n.memberKey, Terms: lease.DefaultTerms(), AddressTTL: listLife,
-		MaxRunning: maxForwarded, MaxWaiting: maxForwarded, Seed: started, Clock: clock.WallClock, Logger: n.logger,
+		MaxRunning: maxForwarded, MaxWaiting: maxForwarded, Seed: started, Clock: n.clock, Logger: n.logger,
 		Forwarding: &entry.Forwarding{
 			Dialect: platform.Dialect{}, Controls: n.members, FailOpen: !now.Bounds.FailClosed,
 			Retries:       retry.Shared{Ratio: now.Bounds.RetryRatio, Slack: now.Bounds.RetrySlack, Window: now.Bounds.RetryWindow},
 			ExposureShare: now.Bounds.ExposureShare,
 		},
-	})
-	listeners, err := listenAll(ctx, now.Listen.Callers, now.Listen.Readiness)
-	if err != nil {
-		return err
 	}
-	n.logger.Log("msg", "Entry serves.", "id", now.Name, "address", now.Listen.Callers, "incarnation", started)
+}
+
+// run serves until the context ends, and then until the requests that it has
+// are over: first it stops being listed, then it takes no new connection.
+func (p *platformEntry) run(ctx context.Context) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	taking, close := context.WithCancel(running)
 	defer close()
-	var ends atomic.Int64
-	ends.Store(math.MaxInt64)
-	left := func() time.Duration { return time.Until(time.Unix(0, ends.Load())) }
 	g, running := errgroup.WithContext(running)
-	g.Go(func() error { return n.follow(running) })
-	g.Go(func() error { return e.Run(running) })
-	g.Go(func() error { return serveUntil(running, listeners[1], platform.ReadinessHandler(e.IsOpen), noWait) })
-	g.Go(func() error { return n.serveMetrics(running, e.ForwardMetrics()) })
+	g.Go(func() error { return p.node.follow(running) })
+	g.Go(func() error { return p.entry.Run(running) })
+	g.Go(func() error {
+		return serveUntil(running, p.readiness, platform.ReadinessHandler(p.entry.IsOpen), noWait)
+	})
+	g.Go(func() error { return p.node.serveMetrics(running, p.entry.ForwardMetrics()) })
 	g.Go(func() error {
 		defer stop()
-		return serveUntil(taking, listeners[0], platform.CallerHandler(e, clock.WallClock, e.IsDraining), httpd.Times{Longest: left, Idle: e.IdleTime})
+		handler := platform.CallerHandler(p.entry, p.node.clock, p.entry.IsDraining)
+		return serveUntil(taking, p.callers, handler, httpd.Times{Longest: p.left, Idle: p.entry.IdleTime})
 	})
 	g.Go(func() error {
 		select {
@@ -75,15 +98,25 @@
 		case <-running.Done():
 			return nil
 		}
-		n.logger.Log("msg", "Entry drains.", "id", now.Name)
-		ends.Store(time.Now().Add(n.settings().Bounds.Grace - exitMargin).UnixNano())
-		e.StopListing(running, listedTime)
+		p.drain(running)
 		close()
 		return nil
 	})
 	return g.Wait()
 }
 
+// drain stops callers from coming, within the grace time of the settings.
+func (p *platformEntry) drain(ctx context.Context) {
+	p.node.logger.Log("msg", "Entry drains.", "id", p.node.settings().Name)
+	p.ends.Store(p.node.clock.Now().Add(p.node.settings().Bounds.Grace - exitMargin).UnixNano())
+	p.entry.StopListing(ctx, listedTime)
+}
+
+// left returns how long the requests that run may still take.
+func (p *platformEntry) left() time.Duration {
+	return time.Unix(0, p.ends.Load()).Sub(p.node.clock.Now())
+}
+
 // maxForwarded bounds what an entry forwards and keeps waiting at once: a
 // request holds two descriptors and some tens of kilobytes.
 const maxForwarded = 1024
