End no last attempt for a server's silence

Ending a silent attempt pays only when another may follow; the wait for the first line knew that, those for events and for the rest of a body did not.

Change: an attempt that none may follow gets the time until the deadline. TestLastAttemptOutlastsSilence failed before.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -75,6 +75,12 @@
 	return nil
 }
 
+func (c *collected) text() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body.String()
+}
+
 func newRig(t *testing.T) *rig {
 	e := New(Config{
 		ID: "entry-1", Incarnation: 1, Region: "r", Zone: "z", Terms: lease.DefaultTerms(), MaxRunning: 100, MaxWaiting: 100,
@@ -268,6 +274,43 @@
 	}
 }
 
+// A server that pauses is no reason to end the last attempt: its caller decides
+// how long to wait.
+func TestLastAttemptOutlastsSilence(t *testing.T) {
+	r := newRig(t)
+	c := testclock.NewClock(time.Now())
+	r.entry.cfg.Clock = c
+	r.plan()
+	var runs atomic.Int64
+	paused, goOn := make(chan struct{}), make(chan struct{})
+	r.server("a", func(w http.ResponseWriter, req *http.Request) {
+		if runs.Add(1) < 3 {
+			if req.Header.Get("After") == "0" {
+				event(w, 1)
+			}
+			hangUp(w)
+		}
+		event(w, 2)
+		http.NewResponseController(w).Flush()
+		close(paused)
+		<-goOn
+		event(w, 3)
+	})
+	got, ended := &collected{}, make(chan error, 1)
+	go func() {
+		ended <- r.entry.Forward(t.Context(), forward.Request{
+			ID: "id-1", Method: "POST", Host: "h", Path: "/streaming/x", Target: "/streaming/x", Key: "k", Arrived: c.Now(),
+		}, got)
+	}()
+	<-paused
+	waitFor(t, "the event before the pause", func() bool { return strings.Contains(got.text(), "data: 2") })
+	c.Advance(3 * time.Second)
+	close(goOn)
+	if err := <-ended; err != nil || !strings.HasSuffix(got.text(), "data: 3\n\n") {
+		t.Fatalf("%q, %v", got.text(), err)
+	}
+}
+
 // A stream that cannot be ended must not look whole.
 func TestBrokenStreamIsNotWhole(t *testing.T) {
 	r := newRig(t)
--- a/internal/entry/passage.go
+++ b/internal/entry/passage.go
@@ -170,7 +170,7 @@
 	left := x.deadline.Sub(now)
 	x.sends++
 	x.logPlaced(a)
-	watch := x.watchSilence(cancel, errNoHead, a, x.headPatience(a, left))
+	watch := x.watchSilence(cancel, errNoHead, a, x.headPatience(a))
 	defer watch.stop()
 	f.start(now, a.server, a.reading)
 	defer f.end(a.server)
--- a/internal/entry/passage_answer.go
+++ b/internal/entry/passage_answer.go
@@ -76,7 +76,7 @@
 // passWhole collects an answer and passes it on, so that one that breaks off
 // can still be asked for again.
 func (x *passage) passWhole(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
-	watch := x.watchSilence(cancel, errStalled, a, patience{soft: stallMost, hard: stallMost})
+	watch := x.watchSilence(cancel, errStalled, a, x.bodyPatience())
 	defer watch.stop()
 	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
 	watch.stop()
--- a/internal/entry/silence.go
+++ b/internal/entry/silence.go
@@ -113,19 +113,43 @@
 	return f.entry.cfg.Clock.Now().Sub(f.heardAt[server]) < aliveTime
 }
 
-// headPatience is how long to wait for the first line of an attempt. One that
-// may not be repeated, or is the last, has all the time that is left.
-func (x *passage) headPatience(a *attempt, left time.Duration) patience {
-	if !x.route.MayRepeat() || x.runs+1 >= x.route.Attempts || x.route.Objective <= 0 {
-		return patience{soft: left, hard: left}
+// mayFollow reports whether another attempt may follow one that ends after so
+// many runs. Silence ends an attempt only then: the last one is worth waiting
+// for as long as the caller does.
+func (x *passage) mayFollow(runs int) bool {
+	return x.route.MayRepeat() && runs < x.route.Attempts && x.sends < x.route.Attempts+extraSends
+}
+
+// untilDeadline is how long to wait when nothing else can be tried.
+func (x *passage) untilDeadline() patience {
+	left := x.deadline.Sub(x.now())
+	return patience{soft: left, hard: left}
+}
+
+// headPatience is how long to wait for the first line of an attempt.
+func (x *passage) headPatience(a *attempt) patience {
+	last := x.untilDeadline()
+	if !x.mayFollow(x.runs+1) || x.route.Objective <= 0 {
+		return last
 	}
 	hard := hardFactor * x.route.Objective
 	soft := max(time.Duration(headFactor*float64(a.expected)), min(headFloor, hard))
-	return patience{soft: min(soft, left), hard: min(max(hard, soft), left)}
+	return patience{soft: min(soft, last.soft), hard: min(max(hard, soft), last.hard)}
+}
+
+// bodyPatience is how long to wait for the rest of an answer.
+func (x *passage) bodyPatience() patience {
+	if !x.mayFollow(x.runs) {
+		return x.untilDeadline()
+	}
+	return patience{soft: stallMost, hard: stallMost}
 }
 
 // eventPatience is how long to wait for the next event of a stream.
 func (x *passage) eventPatience() patience {
+	if !x.mayFollow(x.runs) {
+		return x.untilDeadline()
+	}
 	soft := max(time.Duration(stallFactor*float64(x.route.Gap)), stallFloor)
 	return patience{soft: soft, hard: max(stallMost, stallMostFactor*x.route.Gap)}
 }
