Keep the list of serving backend servers between changes

Cause: each placement asked the roster for the serving servers, and the roster compared each server with each other one to find replaced addresses: the cost grew with the square of their number, at every request of every entry. Change: one pass finds the newest incarnation at each address, and the list is kept until a record changes.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -52,6 +52,8 @@
 		cfg     Config
 		version uint64
 		servers map[string]*serverEntry
+		// serving caches the results of Serving by service until a record changes.
+		serving map[string][]Record
 	}
 
 	// serverEntry is the state of one server.
@@ -148,6 +150,7 @@
 		}
 		if idle > r.cfg.RemoveAfter {
 			delete(r.servers, id)
+			r.serving = nil
 		}
 	}
 }
@@ -160,6 +163,7 @@
 		gone := e.record.Silent || e.record.Server.State == backend.Leaving
 		if gone && now.Sub(e.lastAnnounced) > r.cfg.RemoveAfter {
 			delete(r.servers, id)
+			r.serving = nil
 		}
 	}
 }
@@ -184,15 +188,24 @@
 }
 
 // Serving returns the servers of a service that accept new requests, ordered by id.
-// Of several servers at one address only the newest incarnation is returned.
+// Of several servers at one address only the newest incarnation is returned. The
+// list is shared: callers must not change it.
 func (r *Roster) Serving(service string) []Record {
+	if list, ok := r.serving[service]; ok {
+		return list
+	}
+	newest := r.newestByAddress()
 	var list []Record
 	for _, e := range r.servers {
-		if s := e.record.Server; s.Service == service && s.State == backend.Serving && !r.isReplaced(s) {
+		if s := e.record.Server; s.Service == service && s.State == backend.Serving && newest[s.Address] <= s.Incarnation {
 			list = append(list, e.record)
 		}
 	}
 	slices.SortFunc(list, func(a, b Record) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
+	if r.serving == nil {
+		r.serving = make(map[string][]Record)
+	}
+	r.serving[service] = list
 	return list
 }
 
@@ -205,15 +218,14 @@
 	return list
 }
 
-// isReplaced reports whether a newer server has the address of a.
-func (r *Roster) isReplaced(a backend.Announcement) bool {
+// newestByAddress returns the newest incarnation at each address.
+func (r *Roster) newestByAddress() map[string]uint64 {
+	newest := make(map[string]uint64, len(r.servers))
 	for _, e := range r.servers {
-		other := e.record.Server
-		if other.Address == a.Address && other.ID != a.ID && other.Incarnation > a.Incarnation {
-			return true
-		}
+		s := e.record.Server
+		newest[s.Address] = max(newest[s.Address], s.Incarnation)
 	}
-	return false
+	return newest
 }
 
 // merge stores a record unless it is outdated, and reports whether it did.
@@ -236,6 +248,7 @@
 	}
 	e.record = rec
 	e.lastAnnounced = now
+	r.serving = nil
 	if isSignificantChange(old, rec) {
 		r.bumpVersion(e)
 	}
@@ -256,6 +269,7 @@
 func (r *Roster) bumpVersion(e *serverEntry) {
 	r.version++
 	e.changedVersion = r.version
+	r.serving = nil
 }
 
 func (r *Roster) ids() []string {
