Ask a silent engine for its status before giving it up

Cause: an entry took an engine for dead when none of its own connections there had data for 300 ms. Change: at the soft timeout the engine's report is read. An engine that runs the request or has a queue keeps it until the hard timeout; one that does not answer, or has neither, is given up at once. TestSilentEngineIsJudgedByItsStatus timed out on the old check.

--- a/core/roster/serving_test.go
+++ b/core/roster/serving_test.go
@@ -20,7 +20,9 @@
 	}{
 		{"none is known", func() {}, 0},
 		{"one announces itself", func() { r.Observe(start, server("1", 10, 1, backend.Serving)) }, 1},
-		{"another", func() { r.ApplyDelta(start, roster.Delta{Records: []roster.Record{{Server: server("2", 10, 1, backend.Serving)}}}) }, 2},
+		{"another", func() {
+			r.ApplyDelta(start, roster.Delta{Records: []roster.Record{{Server: server("2", 10, 1, backend.Serving)}}})
+		}, 2},
 		{"one leaves", func() { r.MarkLeaving(start, "1", 0) }, 1},
 		{"a newer one takes the address", func() {
 			next := server("3", 20, 1, backend.Serving)
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -172,7 +172,7 @@
 	remaining := x.deadline.Sub(now)
 	x.sends++
 	x.logPlaced(a)
-	watch := x.startIdleTimer(cancel, errHeadTimeout, a, x.headTimeouts(a))
+	watch := x.startIdleTimer(ctx, cancel, errHeadTimeout, a, x.headTimeouts(a))
 	defer watch.stop()
 	f.trackStart(now, a.server, a.equivalentTokens)
 	defer f.trackEnd(a.server)
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -16,7 +16,9 @@
 
 // handleAnswer handles an answer whose header has arrived.
 func (x *activeRequest) handleAnswer(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
-	x.forwarder.recordLoad(a)
+	if a.head.Slots > 0 {
+		x.forwarder.recordLoad(a.server, a.head.Running, a.head.Waiting)
+	}
 	if a.head.RequestID != "" && a.head.RequestID != x.req.ID {
 		answer.Discard()
 		x.runs++
@@ -77,7 +79,7 @@
 // forwardWhole buffers an answer before forwarding it, so that the request can
 // be retried if the answer breaks off.
 func (x *activeRequest) forwardWhole(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
-	watch := x.startIdleTimer(cancel, errStalled, a, x.bodyTimeouts())
+	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.bodyTimeouts())
 	defer watch.stop()
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
 	watch.stop()
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
+	"rosereach/core/backend"
 	"rosereach/core/forward"
 )
 
@@ -41,6 +42,12 @@
 		"late", lateRisk, "crowd", meanQueued, "model", x.model)
 }
 
+// logStatus logs what a silent engine reports about itself.
+func (x *activeRequest) logStatus(server backend.Announcement, s forward.ServerStatus, err error) {
+	level.Debug(x.log()).Log("msg", "Silent engine is asked for its status.", "id", x.req.ID, "srv", server.ID, "running", s.Running, "waiting", s.Queued,
+		"runs", s.RunsRequest, "holds", err == nil && s.HoldsRequest(), "err", err)
+}
+
 // logFailedAttempt logs an attempt that got no answer. Escalations have a line
 // of their own.
 func (x *activeRequest) logFailedAttempt(a *attempt, o forward.Outcome, err error) {
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -20,7 +20,7 @@
 func (x *activeRequest) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
 	order := stream.NewSequencer(x.lastEventID)
 	var splitter stream.Splitter
-	watch := x.startIdleTimer(cancel, errStalled, a, x.eventTimeouts())
+	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.eventTimeouts())
 	defer watch.stop()
 	buffer := make([]byte, streamBufferBytes)
 	lastBefore := x.lastEventID
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -44,6 +44,11 @@
 		Attempt(r forward.Request, a forward.Attempt) map[string][]string
 		// Head parses the status and headers of an answer.
 		Head(status int, header map[string][]string) forward.Head
+		// StatusTarget returns the path at which a model engine reports its status.
+		StatusTarget() string
+		// Status parses an engine's status. It says whether the engine runs the
+		// request with the given id.
+		Status(body []byte, requestID string) (forward.ServerStatus, error)
 	}
 
 	// Forwarding holds the settings of an entry that forwards requests unchanged.
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -67,14 +67,11 @@
 	e.tracker.End(e.cfg.Clock.Now(), server.ID)
 }
 
-// recordLoad records the server load reported in an answer.
-func (f *forwarder) recordLoad(a *attempt) {
-	if a.head.Slots == 0 {
-		return
-	}
+// recordLoad records the load that a server reported.
+func (f *forwarder) recordLoad(server backend.Announcement, running, queued int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.loads[a.server.ID] = backend.Load{MeasuredAt: f.entry.cfg.Clock.Now(), Running: a.head.Running, Queued: a.head.Waiting}
+	f.loads[server.ID] = backend.Load{MeasuredAt: f.entry.cfg.Clock.Now(), Running: running, Queued: queued}
 }
 
 func (f *forwarder) recordSuccess(a *attempt, x *activeRequest) {
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +62,20 @@
 	return head
 }
 
+func (testDialect) StatusTarget() string { return "/status" }
+
+func (testDialect) Status(body []byte, requestID string) (forward.ServerStatus, error) {
+	var s forward.ServerStatus
+	fields := strings.Fields(string(body))
+	if len(fields) < 2 {
+		return s, errors.Errorf("status %q", body)
+	}
+	s.Running, _ = strconv.Atoi(fields[0])
+	s.Queued, _ = strconv.Atoi(fields[1])
+	s.RunsRequest = slices.Contains(fields[2:], requestID)
+	return s, nil
+}
+
 func (c *recordingSink) Begin(status int, _ map[string][]string, _ int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/juju/clock"
+	"github.com/juju/errors"
+
+	"rosereach/core/backend"
+	"rosereach/core/forward"
+	"rosereach/io/upstream"
 )
 
 const (
@@ -35,56 +42,94 @@
 	// Callers give up after two seconds or more.
 	eventHardFloor  = 1800 * time.Millisecond
 	eventHardFactor = 3
+
+	// statusTimeout bounds the wait for an engine's status, which engines report
+	// without queueing. It covers two attempts to connect to another region.
+	statusTimeout = 700 * time.Millisecond
+
+	// statusInterval is the pause between two status checks of a silent engine.
+	statusInterval = time.Second
+
+	// maxStatusBytes is the maximum size of a status in bytes.
+	maxStatusBytes = 256 << 10
 )
 
-// idleTimeouts holds the timeouts of a wait for a server: soft if the server is
-// silent on all connections, hard if it keeps answering other requests.
+// idleTimeouts holds the timeouts of a wait for a server: soft for a first check
+// whether the server still has the request, hard for the end of the wait.
 type idleTimeouts struct{ soft, hard time.Duration }
 
-// idleTimer cancels an attempt whose server sends nothing. A server that is silent
-// on all requests of this entry is considered dead. One that answers others is busy
-// and gets more time.
+// idleTimer cancels an attempt whose server sends nothing. From the soft timeout on
+// it checks whether the server is alive and still has the request; if so, the wait
+// goes on until the hard timeout.
 type idleTimer struct {
+	ctx      context.Context //nolint:containedctx // the attempt's, for the status check
 	request  *activeRequest
-	server   string
+	server   backend.Announcement
 	timeouts idleTimeouts
 	cancel   func()
 
 	mu         sync.Mutex
 	timer      clock.Timer
-	extended   bool // the hard timeout is running
-	serverDead bool // the attempt ended at the soft timeout
+	resets     uint64        // number of resets, to detect one during a check
+	waited     time.Duration // time since the last reset at which the timer is due
+	stopped    bool
+	serverDead bool // the attempt ended because the server gave no sign of life
 }
 
 // startIdleTimer starts a timer that cancels the attempt, with the reason as
 // cause, if its server is silent for too long.
-func (x *activeRequest) startIdleTimer(cancel context.CancelCauseFunc, reason error, a *attempt, timeouts idleTimeouts) *idleTimer {
-	t := &idleTimer{request: x, server: a.server.ID, timeouts: timeouts, cancel: func() { cancel(reason) }}
+func (x *activeRequest) startIdleTimer(ctx context.Context, cancel context.CancelCauseFunc, reason error, a *attempt, timeouts idleTimeouts) *idleTimer {
+	t := &idleTimer{ctx: ctx, request: x, server: a.server, timeouts: timeouts, cancel: func() { cancel(reason) }}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.waited = timeouts.soft
 	t.timer = x.forwarder.entry.cfg.Clock.AfterFunc(timeouts.soft, t.onTimeout)
 	return t
 }
 
 func (t *idleTimer) onTimeout() {
+	t.mu.Lock()
+	resets, isHard := t.resets, t.waited >= t.timeouts.hard
+	t.mu.Unlock()
+	if isHard {
+		t.endWait(resets, false)
+		return
+	}
+	start := t.request.now()
+	alive, holds := t.request.checkSilent(t.ctx, t.server)
+	if !holds {
+		t.endWait(resets, !alive)
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	isSoft := !t.extended && t.timeouts.hard > t.timeouts.soft
-	if isSoft && t.request.forwarder.isAlive(t.server) {
-		t.extended = true
-		t.timer.Reset(t.timeouts.hard - t.timeouts.soft)
+	if t.stopped || t.resets != resets {
 		return
 	}
-	t.serverDead = isSoft
+	wait := max(min(statusInterval, t.timeouts.hard-t.waited)-t.request.now().Sub(start), 0)
+	t.waited += min(statusInterval, t.timeouts.hard-t.waited)
+	t.timer.Reset(wait)
+}
+
+// endWait cancels the attempt, unless the server has sent data since the given
+// number of resets.
+func (t *idleTimer) endWait(resets uint64, dead bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped || t.resets != resets {
+		return
+	}
+	t.serverDead = dead
 	t.cancel()
 }
 
 // reset restarts the timer after the server has sent data.
 func (t *idleTimer) reset() {
-	t.request.forwarder.recordActivity(t.server)
+	t.request.forwarder.recordActivity(t.server.ID)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.extended = false
+	t.resets++
+	t.waited = t.timeouts.soft
 	t.timer.Reset(t.timeouts.soft)
 }
 
@@ -92,17 +137,60 @@
 func (t *idleTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.stopped = true
 	t.timer.Stop()
 }
 
-// isServerDead reports whether the attempt ended because the server was silent
-// on all connections.
+// isServerDead reports whether the attempt ended because the server gave no sign
+// of life.
 func (t *idleTimer) isServerDead() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.serverDead
 }
 
+// checkSilent reports whether a silent server is alive and whether it still has the
+// request. An engine is asked for its status. Any other server is judged by the
+// entry's other requests.
+func (x *activeRequest) checkSilent(ctx context.Context, server backend.Announcement) (alive, holds bool) {
+	if x.req.Model == "" {
+		alive = x.forwarder.isAlive(server.ID)
+		return alive, alive
+	}
+	status, err := x.forwarder.fetchStatus(ctx, server, x.req.ID)
+	x.logStatus(server, status, err)
+	if err != nil {
+		return false, false
+	}
+	return true, status.HoldsRequest()
+}
+
+// fetchStatus asks an engine for its status and whether it runs the request.
+func (f *forwarder) fetchStatus(ctx context.Context, server backend.Announcement, requestID string) (forward.ServerStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	dialect := f.entry.cfg.Forwarding.Dialect
+	answer, err := f.client.Do(ctx, upstream.Call{
+		Address: server.Address, Method: http.MethodGet, Host: server.Address, Target: dialect.StatusTarget(), NewConn: true,
+	}, func() error { return nil })
+	if err != nil {
+		return forward.ServerStatus{}, err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer, maxStatusBytes))
+	if err != nil {
+		return forward.ServerStatus{}, errors.Trace(err)
+	}
+	if answer.Status != http.StatusOK {
+		return forward.ServerStatus{}, errors.Errorf("asking %s for its status: got status %d", server.ID, answer.Status)
+	}
+	status, err := dialect.Status(body, requestID)
+	if err == nil {
+		f.recordLoad(server, status.Running, status.Queued)
+	}
+	return status, err
+}
+
 // recordActivity records that the server has sent data.
 func (f *forwarder) recordActivity(server string) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/entry/idle_timer_test.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/clock/testclock"
+
+	"rosereach/core/forward"
+	"rosereach/core/route"
+)
+
+// Of hundreds of entries, one has no other request at an engine with a long queue,
+// so that the engine looks like one that crashed. What the engine says about itself
+// decides whether the request stays in its queue.
+func TestSilentEngineIsJudgedByItsStatus(t *testing.T) {
+	for name, c := range map[string]struct {
+		status string // empty when the engine does not answer
+		stays  bool
+	}{
+		"it has a queue":                {"64 3", true},
+		"it runs the request":           {"2 0 other id-1", true},
+		"it has lost the request":       {"2 0 other", false},
+		"it does not answer":            {"", false},
+		"its status cannot be read":     {"?", false},
+		"it runs nothing and has queue": {"0 1", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(t)
+			clock := testclock.NewClock(time.Now())
+			r.entry.cfg.Clock = clock
+			r.planWithObjective(2 * time.Second)
+			var runs atomic.Int64
+			reached, asked, release := make(chan struct{}, 3), make(chan struct{}, 9), make(chan struct{})
+			defer close(release)
+			r.server("a", func(w http.ResponseWriter, req *http.Request) {
+				if req.URL.Path == "/status" {
+					asked <- struct{}{}
+					if c.status == "" {
+						hangUp(w)
+					}
+					io.WriteString(w, c.status)
+					return
+				}
+				if runs.Add(1) == 1 {
+					reached <- struct{}{}
+					select {
+					case <-release:
+					case <-req.Context().Done():
+						return
+					}
+				}
+				event(w, 1)
+			})
+			got, ended := &recordingSink{}, make(chan error, 1)
+			go func() {
+				ended <- r.entry.Forward(t.Context(), forward.Request{
+					ID: "id-1", Method: "POST", Host: "h", Path: "/streaming/x", Target: "/streaming/x", Key: "k", Model: "*", Arrived: clock.Now(),
+				}, got)
+			}()
+			<-reached
+			clock.Advance(1300 * time.Millisecond)
+			<-asked
+			if c.stays {
+				release <- struct{}{}
+			}
+			if err := <-ended; err != nil || got.text() == "" {
+				t.Fatalf("%q, %v", got.text(), err)
+			}
+			if stayed := runs.Load() == 1; stayed != c.stays {
+				t.Errorf("%d runs, want the request to stay: %v", runs.Load(), c.stays)
+			}
+		})
+	}
+}
+
+func (r *harness) planWithObjective(objective time.Duration) {
+	r.plan()
+	docs := r.entry.catalog.Load().Documents()
+	plan := *docs.Routing
+	plan.Config.Routes = append([]route.Route(nil), plan.Config.Routes...)
+	for i := range plan.Config.Routes {
+		plan.Config.Routes[i].Objective = objective
+	}
+	docs.Routing = &plan
+	docs.Revision++
+	r.entry.applyDocuments(&docs)
+}
