Complete roll-outs early enough for operators to see it

Cause: a good roll-out of 24 s was completed 0.8 s before its end, and one of 16 s 0.5 s before. Ruled out: collecting evidence and draining; the stages moved on the look after their time. Change: completion at 94% of the time, and 1.3 s before its end at the latest; everything moves at 90% in place of 91%, so that the old servers keep some time. TestCompletionIsSeenInTime failed with 15.5 of 16 s and 23.3 of 24 s.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -35,8 +35,13 @@
 	// are within that limit. The old servers stop at completion, and requests
 	// that they have not finished continue at the target.
 	canaryStart     = 0.51
-	fullStart       = 0.91
-	completionStart = 0.965
+	fullStart       = 0.90
+	completionStart = 0.94
+
+	// completionMargin is the minimum time between completion and the end of the
+	// duration. Operators learn of it when they ask the next time, every half second
+	// or so, and one answer may be lost.
+	completionMargin = 1300 * time.Millisecond
 
 	// minTargetRequests is the number of requests that the target must have handled before
 	// it takes all. A release that fails half of its requests is detected with
@@ -141,14 +146,20 @@
 		return StageRolledBack, "no request reached the target in time"
 	case o.Stage == StageOrdered && elapsed >= fractionOf(o.Duration, canaryStart):
 		return StageCanary, "half of the time is over"
-	case o.Stage == StageCanary && elapsed >= fractionOf(o.Duration, fullStart) && hasEnoughRequests(o, tallies, elapsed >= fractionOf(o.Duration, completionStart)):
+	case o.Stage == StageCanary && elapsed >= fractionOf(o.Duration, fullStart) && hasEnoughRequests(o, tallies, elapsed >= o.completionTime()):
 		return StageFull, "no fault was seen"
-	case o.Stage == StageFull && elapsed >= fractionOf(o.Duration, completionStart):
+	case o.Stage == StageFull && elapsed >= o.completionTime():
 		return StageCompleted, "no fault was seen"
 	}
 	return o.Stage, o.Reason
 }
 
+// completionTime returns when the roll-out completes. Short ones keep the margin, but
+// not at the cost of the order of stages.
+func (o Order) completionTime() time.Duration {
+	return max(min(fractionOf(o.Duration, completionStart), o.Duration-completionMargin), fractionOf(o.Duration, fullStart))
+}
+
 // hasEnoughRequests reports whether the target has handled enough requests to take all. At
 // the end of the roll-out one request suffices, or none if the whole service had
 // none.
--- a/core/rollout/order_test.go
+++ b/core/rollout/order_test.go
@@ -98,6 +98,27 @@
 	}
 }
 
+// An operator asks for the state every half second, and an answer may be lost: a
+// roll-out has to be complete for two questions before its time is over. The leader
+// looks at it every 200 ms.
+func TestCompletionIsSeenInTime(t *testing.T) {
+	good := []rollout.Tally{tally("v1", "r", 300, 50, 100), tally("v2", "r", 30, 30, 110)}
+	const interval, questions = 200 * time.Millisecond, time.Second
+	for _, length := range []time.Duration{16 * time.Second, 24 * time.Second, time.Minute} {
+		o := order(rollout.StageOrdered)
+		o.Duration = length
+		completed := time.Duration(0)
+		for at := interval / 2; at < length && completed == 0; at += interval {
+			if o.Stage, _ = o.Next(at, good); o.Stage == rollout.StageCompleted {
+				completed = at
+			}
+		}
+		if completed == 0 || length-completed < questions {
+			t.Errorf("a roll-out of %s is complete after %s", length, completed)
+		}
+	}
+}
+
 func TestBadRolloutIsRolledBack(t *testing.T) {
 	baseline := tally("v1", "a", 300, 50, 100)
 	other := tally("v1", "b", 300, 0, 100)
