Pool the entries' attempts at backend servers at the controls

Cause: in a fleet of 82 to 191 entries each sends an engine a request every ten seconds or more, so that what it saw itself of crashed, grey and crowded engines came too late to act on: each entry had to lose a request at each bad engine, and its load reports were older than the queues. Change: watches of controls carry the attempts since the last one and the loads that answers reported. A control pools them (core/health.Pool), tells all its watchers which servers fail at several entries or more often than the rest of their service, and passes on loads younger than two seconds within its region.

--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -89,6 +89,7 @@
 	if r.Report != nil {
 		n.mergeReport(*r.Report, true)
 	}
+	n.fleet.pool.Add(now, r.Entry.ID, r.Samples)
 }
 
 // receivePresence stores the presence that an entry sends between two watches, and
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -10,6 +10,7 @@
 
 	"rosereach/core/backend"
 	"rosereach/core/catalog"
+	"rosereach/core/health"
 	"rosereach/core/replica"
 	"rosereach/core/roster"
 	"rosereach/io/member"
@@ -48,8 +49,16 @@
 		reports map[string]report
 		peers   map[string]*peerView
 
-		// changed is closed and replaced when the watchers have to be answered.
+		// pool combines what the watching entries see of the backend servers, and
+		// verdicts is its result at verdictsVersion.
+		pool            *health.Pool
+		verdicts        []health.Verdict
+		verdictsVersion uint64
+
+		// changed is closed and replaced when the watchers have to be answered,
+		// judged when only entries have to, as the verdicts changed.
 		changed chan struct{}
+		judged  chan struct{}
 
 		// isCurrent is set while this control has contact with a leader.
 		isCurrent bool
@@ -87,7 +96,9 @@
 		entries: make(map[string]presence),
 		reports: make(map[string]report),
 		peers:   make(map[string]*peerView),
+		pool:    health.NewPool(),
 		changed: make(chan struct{}),
+		judged:  make(chan struct{}),
 	}
 }
 
@@ -129,12 +140,17 @@
 	defer timeout.Stop()
 	for {
 		n.mu.Lock()
-		changed, news := n.fleet.changed, n.hasNews(r)
+		changed, judged, news := n.fleet.changed, n.fleet.judged, n.hasNews(r)
 		n.mu.Unlock()
 		if news {
 			break
 		}
+		if r.Entry == nil {
+			judged = nil
+		}
 		select {
+		case <-judged:
+			continue
 		case <-changed:
 			if r.Entry != nil {
 				continue
@@ -149,13 +165,14 @@
 }
 
 // hasNews reports whether this control's roster differs from the one that the
-// watcher has or, for an entry, the documents are newer than the watcher's. A
-// watcher that has the roster of another run always gets news. Callers hold n.mu.
+// watcher has or, for an entry, the documents or the verdicts on backend servers
+// differ from the watcher's. A watcher that has the roster of another run always
+// gets news. Callers hold n.mu.
 func (n *Node) hasNews(r member.WatchRequest) bool {
 	if r.RunID != n.runID || r.RosterVersion != n.fleet.roster.Version() {
 		return true
 	}
-	return r.Entry != nil && n.state.Documents().Revision > r.DocumentsRevision
+	return r.Entry != nil && (n.state.Documents().Revision > r.DocumentsRevision || n.fleet.verdictsVersion != r.VerdictsVersion)
 }
 
 // watchReply returns the reply to a watch: what changed since the watcher's roster
@@ -175,6 +192,7 @@
 	}
 	reply.DocumentsRevision = n.state.Documents().Revision
 	if r.Entry != nil {
+		n.addEvidence(now, r, &reply)
 		return reply
 	}
 	since := now.Add(-2 * watchMaxWait)
@@ -220,6 +238,7 @@
 		if n.fleet.roster.Version() != before {
 			n.fleet.wakeWatchers()
 		}
+		n.judgeServers(now)
 		n.dropExpiredEntries(now)
 		n.startRolloutClocks(now)
 		n.watchPeers(ctx)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -79,6 +79,7 @@
 		mu             sync.Mutex
 		roster         *roster.Roster
 		health         *health.Tracker
+		evidence       evidence
 		latencyModel   *placement.LatencyModel
 		loads          map[string]backend.Load
 		lastActivity   map[string]time.Time // when each server last sent data
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/backend"
+	"rosereach/core/health"
 	"rosereach/core/placement"
 	"rosereach/core/rollout"
 	"rosereach/core/route"
@@ -71,7 +72,9 @@
 func (f *forwarder) recordLoad(server backend.Announcement, running, queued int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.loads[server.ID] = backend.Load{MeasuredAt: f.entry.cfg.Clock.Now(), Running: running, Queued: queued}
+	now := f.entry.cfg.Clock.Now()
+	f.loads[server.ID] = backend.Load{MeasuredAt: now, Running: running, Queued: queued}
+	f.record(func(r *health.Recorder) { r.RecordLoad(now, server.ID, server.Incarnation, running, queued) })
 }
 
 func (f *forwarder) recordSuccess(a *attempt, x *activeRequest) {
@@ -81,6 +84,7 @@
 	f.health.RecordSuccess(now, a.server.ID)
 	x.server, x.expected, x.firstByte, x.uncachedTokens = a.server.ID, a.expected, now.Sub(a.startedAt), a.uncachedTokens
 	f.tallyAttempt(a, x, false, now.Sub(a.startedAt))
+	f.record(func(r *health.Recorder) { r.RecordAnswer(a.server.ID, a.server.Incarnation) })
 	f.latencyModel.Observe(now, x.latencyGroup(), a.server.ID, a.predicted, now.Sub(a.startedAt))
 }
 
@@ -89,6 +93,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.health.RecordFailure(now, a.server.ID, hard)
+	f.record(func(r *health.Recorder) { r.RecordFailure(a.server.ID, a.server.Incarnation, hard) })
 	if !hard {
 		f.tallyAttempt(a, x, true, 0)
 	}
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -159,14 +159,16 @@
 }
 
 // usableServers returns the servers that the request may go to, as the first of
-// these lists that is not empty: untried servers that are available, not degraded
-// and not silent; all untried servers that are available; all untried ones; and all
+// these lists that is not empty: untried servers that are available, not degraded,
+// not silent and not reported as failing by other entries; all untried servers that are available; all untried ones; and all
 // servers except those that could not be connected to. Callers hold f.mu.
 func (f *forwarder) usableServers(now time.Time, x *activeRequest) []backend.Announcement {
 	all := filterRecords(f.permittedServers(x), func(r roster.Record) bool { return !slices.Contains(x.unreachable, r.Server.ID) })
 	untried := filterRecords(all, func(r roster.Record) bool { return !slices.Contains(x.tried, r.Server.ID) })
 	allowed := filterRecords(untried, func(r roster.Record) bool { return f.health.IsAvailable(now, r.Server.ID) })
-	healthy := filterRecords(allowed, func(r roster.Record) bool { return !r.Silent && !f.health.IsDegraded(now, r.Server.ID) })
+	healthy := filterRecords(allowed, func(r roster.Record) bool {
+		return !r.Silent && !f.health.IsDegraded(now, r.Server.ID) && !f.isReportedFailing(r.Server)
+	})
 	for _, list := range [][]roster.Record{healthy, allowed, untried, all} {
 		if len(list) > 0 {
 			return f.withLoads(list)
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/catalog"
+	"rosereach/core/health"
 	"rosereach/core/roster"
 	"rosereach/io/member"
 )
@@ -37,6 +38,9 @@
 	// with the leader's next heartbeat.
 	distanceDelay = 150 * time.Millisecond
 
+	// distantRegion is the distance of a control in another region.
+	distantRegion = 2
+
 	// fetchTimeout bounds the wait for documents from one control, after which
 	// another is asked.
 	fetchTimeout = 700 * time.Millisecond
@@ -69,6 +73,10 @@
 	rosterVersion uint64    // version of the roster received
 	lastCurrent   time.Time // when the control last had a leader with a majority
 	distance      int       // 0 to 2, see watcher.distance
+
+	recorder        *health.Recorder // attempts not yet reported to the control
+	verdictsVersion uint64           // version of verdicts
+	verdicts        []health.Verdict // the control's
 }
 
 func newWatcher(e *Entry) *watcher {
@@ -157,7 +165,9 @@
 	distance := w.distance(conn.Peer())
 	w.distances[address] = distance
 	w.mu.Unlock()
-	state := &watchState{distance: distance, lastCurrent: cfg.Clock.Now()}
+	state := &watchState{distance: distance, lastCurrent: cfg.Clock.Now(), recorder: health.NewRecorder()}
+	w.entry.forwarder.addEvidenceSource(state)
+	defer w.entry.forwarder.removeEvidenceSource(state)
 	for {
 		if err := w.poll(ctx, conn, state); err != nil {
 			return err
@@ -180,6 +190,7 @@
 	request := member.WatchRequest{
 		RunID: state.controlRun, RosterVersion: state.rosterVersion, DocumentsRevision: e.catalog.Load().Revision(), Entry: w.presence(), Report: e.forwarder.rolloutReport(),
 	}
+	e.forwarder.addSamples(&request, state)
 	var reply member.WatchReply
 	if err := conn.Call(ctx, member.KindWatch, request, &reply); err != nil {
 		return err
@@ -189,7 +200,7 @@
 }
 
 // distance returns 0 for a control in the entry's availability zone, 1 in its
-// region, and 2 elsewhere.
+// region, and distantRegion elsewhere.
 func (w *watcher) distance(p member.Peer) int {
 	switch cfg := w.entry.cfg; {
 	case p.Zone == cfg.Zone:
@@ -197,7 +208,7 @@
 	case p.Region == cfg.Region:
 		return 1
 	}
-	return 2
+	return distantRegion
 }
 
 // fetch requests newer documents, one request at a time for all watched controls.
@@ -261,6 +272,7 @@
 		}
 	}
 	e.forwarder.updateRoster(now, reply.Roster)
+	e.forwarder.applyEvidence(now, reply, state)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(reply.Controls) > 0 {
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"rosereach/core/health"
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
 )
@@ -53,6 +54,14 @@
 		// out, and gets the state that the other control received directly.
 		Entry  *Presence `json:"entry,omitempty"`
 		Report *Report   `json:"report,omitempty"`
+		// Samples are the entry's attempts at backend servers since its last watch
+		// of this control.
+		Samples []health.Sample `json:"samples,omitempty"`
+		// VerdictsVersion is the version of the verdicts that the entry has from
+		// this control.
+		VerdictsVersion uint64 `json:"verdicts,omitempty"`
+		// WantsLoads asks for the load reports of all backend servers.
+		WantsLoads bool `json:"loads,omitempty"`
 	}
 
 	// WatchReply holds what changed.
@@ -74,6 +83,11 @@
 		// EntryCount is the number of live entries, including those that are
 		// draining.
 		EntryCount int `json:"entries"`
+		// Verdicts are all servers that the control considers failing. They are set if VerdictsVersion differs from the one in the request.
+		VerdictsVersion uint64           `json:"verdicts_version,omitempty"`
+		Verdicts        []health.Verdict `json:"verdicts,omitempty"`
+		// Loads are recent load reports of backend servers, if they were requested.
+		Loads []health.LoadReport `json:"loads,omitempty"`
 		// Presences and Reports hold what entries sent to the replying control
 		// directly. They are set in replies to controls only.
 		Presences []Presence `json:"heard,omitempty"`
