Move a request that waits unbegun in a long queue to a shorter one

Besides, an attempt that timed out was cut before a retry was known to be in the budget, so that a request without one was lost although its server was alive. Change: if the engine has not begun the request, and another is expected to answer in less than half the time, the request moves there. The retry is taken before the attempt is cut; without one a live server is waited for.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -67,7 +67,8 @@
 		headSent    bool            // the header of a stream was forwarded
 		lastEventID uint64          // ID of the last event forwarded
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
-		nextAttempt *attempt        // placed already, by an escalation
+		nextAttempt *attempt        // placed already, by an escalation or for a shorter queue
+		retryTaken  bool            // the retry for the next attempt was taken from the budget
 
 		// The server that answered, for the log: the expected and the actual
 		// time to its first byte, and the prompt tokens not in its cache.
@@ -140,7 +141,7 @@
 	if !forward.MayRetry(x.route, o, x.runs) || x.sends >= x.route.MaxAttempts+maxExtraSends {
 		return false
 	}
-	return o == forward.NotSent || x.nextAttempt != nil || x.forwarder.takeRetry()
+	return o == forward.NotSent || x.nextAttempt != nil || x.retryTaken || x.forwarder.takeRetry()
 }
 
 // giveUp ends the request after its last attempt. A server's error answer is
@@ -171,6 +172,7 @@
 	a.startedAt = now
 	remaining := x.deadline.Sub(now)
 	x.sends++
+	x.retryTaken = false
 	x.logPlaced(a)
 	watch := x.startIdleTimer(ctx, cancel, errHeadTimeout, a, x.headTimeouts(a))
 	defer watch.stop()
@@ -184,7 +186,8 @@
 		NewConn: x.sends > 1 && !x.route.IsRetryable(),
 	}, func() error { return f.checkServing(a.server) })
 	if err != nil {
-		return x.handleSendError(ctx, a, err, watch.isServerDead())
+		x.retryTaken, x.nextAttempt = watch.result()
+		return x.handleSendError(ctx, a, err, watch)
 	}
 	watch.stop()
 	f.recordActivity(a.server.ID)
@@ -192,9 +195,8 @@
 	return x.handleAnswer(ctx, cancel, a, answer)
 }
 
-// handleSendError classifies an attempt that got no answer. Dead means that the
-// server is silent on all connections.
-func (x *activeRequest) handleSendError(ctx context.Context, a *attempt, err error, dead bool) (forward.Outcome, error) {
+// handleSendError classifies an attempt that got no answer.
+func (x *activeRequest) handleSendError(ctx context.Context, a *attempt, err error, watch *idleTimer) (forward.Outcome, error) {
 	if errors.Is(err, upstream.ErrNotSent) {
 		if ctx.Err() == nil {
 			x.forwarder.recordFailure(a, x, true)
@@ -205,8 +207,8 @@
 	}
 	x.runs++
 	x.tried = append(x.tried, a.server.ID)
-	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) {
-		x.forwarder.recordFailure(a, x, dead)
+	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && x.nextAttempt == nil {
+		x.forwarder.recordFailure(a, x, watch.isServerDead())
 	}
 	return forward.Unknown, err
 }
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -83,6 +83,7 @@
 	defer watch.stop()
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
 	watch.stop()
+	x.retryTaken, _ = watch.result()
 	x.tried = append(x.tried, a.server.ID)
 	if err != nil || len(body) > maxBufferedBytes {
 		answer.Discard()
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -48,6 +48,12 @@
 		"runs", s.RunsRequest, "holds", err == nil && s.HoldsRequest(), "err", err)
 }
 
+// logMoved logs that a request leaves an engine's queue for a shorter one.
+func (x *activeRequest) logMoved(a, next *attempt, s forward.ServerStatus, expected time.Duration) {
+	level.Debug(x.log()).Log("msg", "Request moves to a shorter queue.", "id", x.req.ID, "srv", a.server.ID, "waiting", s.Queued, "exp", expected,
+		"next", next.server.ID, "next_exp", next.expected, "load_age", next.loadAge())
+}
+
 // logFailedAttempt logs an attempt that got no answer. Escalations have a line
 // of their own.
 func (x *activeRequest) logFailedAttempt(a *attempt, o forward.Outcome, err error) {
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"rosereach/core/backend"
 	"rosereach/core/forward"
+	"rosereach/core/placement"
 	"rosereach/io/upstream"
 )
 
@@ -62,9 +64,11 @@
 // it checks whether the server is alive and still has the request; if so, the wait
 // goes on until the hard timeout.
 type idleTimer struct {
-	ctx      context.Context //nolint:containedctx // the attempt's, for the status check
-	request  *activeRequest
-	server   backend.Announcement
+	ctx context.Context //nolint:containedctx // the attempt's, for the status check
+	// request is a copy from the start of the wait, as the original goes on when an
+	// answer arrives.
+	request  activeRequest
+	attempt  *attempt
 	timeouts idleTimeouts
 	cancel   func()
 
@@ -73,13 +77,16 @@
 	resets     uint64        // number of resets, to detect one during a check
 	waited     time.Duration // time since the last reset at which the timer is due
 	stopped    bool
-	serverDead bool // the attempt ended because the server gave no sign of life
+	serverDead bool     // the attempt ended because the server gave no sign of life
+	retryTaken bool     // a retry was taken from the budget when the attempt ended
+	next       *attempt // the attempt that replaces it, if one is placed already
 }
 
 // startIdleTimer starts a timer that cancels the attempt, with the reason as
 // cause, if its server is silent for too long.
 func (x *activeRequest) startIdleTimer(ctx context.Context, cancel context.CancelCauseFunc, reason error, a *attempt, timeouts idleTimeouts) *idleTimer {
-	t := &idleTimer{ctx: ctx, request: x, server: a.server, timeouts: timeouts, cancel: func() { cancel(reason) }}
+	t := &idleTimer{ctx: ctx, request: *x, attempt: a, timeouts: timeouts, cancel: func() { cancel(reason) }}
+	t.request.tried = append(slices.Clone(x.tried), a.server.ID)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.waited = timeouts.soft
@@ -92,40 +99,74 @@
 	resets, isHard := t.resets, t.waited >= t.timeouts.hard
 	t.mu.Unlock()
 	if isHard {
-		t.endWait(resets, false)
+		t.endWait(resets, false, nil)
 		return
 	}
 	start := t.request.now()
-	alive, holds := t.request.checkSilent(t.ctx, t.server)
-	if !holds {
-		t.endWait(resets, !alive)
-		return
+	alive, status := t.request.checkSilent(t.ctx, t.attempt.server)
+	switch {
+	case !alive || !status.HoldsRequest():
+		t.endWait(resets, !alive, nil)
+	case !status.RunsRequest && !t.request.headSent:
+		if next, ok := t.request.shorterQueue(t.attempt, status); ok {
+			t.endWait(resets, false, next)
+			return
+		}
+		t.waitOn(resets, t.request.now().Sub(start))
+	default:
+		t.waitOn(resets, t.request.now().Sub(start))
 	}
+}
+
+// waitOn lets the wait go on until the next status check or the hard timeout. Spent is
+// the time that the last check took.
+func (t *idleTimer) waitOn(resets uint64, spent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped || t.resets != resets {
 		return
 	}
-	wait := max(min(statusInterval, t.timeouts.hard-t.waited)-t.request.now().Sub(start), 0)
-	t.waited += min(statusInterval, t.timeouts.hard-t.waited)
-	t.timer.Reset(wait)
+	interval := min(statusInterval, t.timeouts.hard-t.waited)
+	t.waited += interval
+	t.timer.Reset(max(interval-spent, 0))
 }
 
 // endWait cancels the attempt, unless the server has sent data since the given
-// number of resets.
-func (t *idleTimer) endWait(resets uint64, dead bool) {
+// number of resets. Next is the attempt that replaces it, nil if it is not placed
+// yet. Without a retry in the budget a live server is waited for: to cut the request
+// would only lose it.
+func (t *idleTimer) endWait(resets uint64, dead bool, next *attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped || t.resets != resets {
 		return
 	}
+	f := t.request.forwarder
+	t.retryTaken = f.takeRetry()
+	if !t.retryTaken && !dead {
+		t.waited += statusInterval
+		t.timer.Reset(statusInterval)
+		return
+	}
+	if next != nil && t.retryTaken {
+		f.commitAttempt(next)
+		t.next = next
+	}
 	t.serverDead = dead
 	t.cancel()
 }
 
+// result returns whether a retry was taken from the budget when the attempt ended, and
+// the attempt that replaces it, if one is placed already.
+func (t *idleTimer) result() (retryTaken bool, next *attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retryTaken, t.next
+}
+
 // reset restarts the timer after the server has sent data.
 func (t *idleTimer) reset() {
-	t.request.forwarder.recordActivity(t.server.ID)
+	t.request.forwarder.recordActivity(t.attempt.server.ID)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.resets++
@@ -149,20 +190,34 @@
 	return t.serverDead
 }
 
-// checkSilent reports whether a silent server is alive and whether it still has the
-// request. An engine is asked for its status. Any other server is judged by the
-// entry's other requests.
-func (x *activeRequest) checkSilent(ctx context.Context, server backend.Announcement) (alive, holds bool) {
+// checkSilent reports whether a silent server is alive, and its status. An engine is
+// asked for it. Any other server is judged by the entry's other requests, and runs
+// the request if it is alive.
+func (x *activeRequest) checkSilent(ctx context.Context, server backend.Announcement) (alive bool, status forward.ServerStatus) {
 	if x.req.Model == "" {
 		alive = x.forwarder.isAlive(server.ID)
-		return alive, alive
+		return alive, forward.ServerStatus{RunsRequest: alive}
 	}
 	status, err := x.forwarder.fetchStatus(ctx, server, x.req.ID)
 	x.logStatus(server, status, err)
-	if err != nil {
-		return false, false
+	return err == nil, status
+}
+
+// shorterQueue returns an attempt at another engine that is expected to answer much
+// sooner than the one in whose queue the request waits.
+func (x *activeRequest) shorterQueue(a *attempt, status forward.ServerStatus) (*attempt, bool) {
+	next, ok := x.forwarder.chooseServer(x)
+	if !ok || slices.Contains(x.tried, next.server.ID) {
+		return nil, false
+	}
+	here := a.predicted
+	here.Wait = time.Duration(status.Queued) * x.forwarder.placement.DelayPerQueued
+	expected := x.forwarder.expectedTime(x.now(), x, a.server.ID, here)
+	ok = placement.ShouldMove(expected, next.expected)
+	if ok {
+		x.logMoved(a, next, status, expected)
 	}
-	return true, status.HoldsRequest()
+	return next, ok
 }
 
 // fetchStatus asks an engine for its status and whether it runs the request.
--- a/internal/entry/idle_timer_test.go
+++ b/internal/entry/idle_timer_test.go
@@ -77,6 +77,45 @@
 	}
 }
 
+// A request that waits behind many others at one engine while another is free moves
+// there, and its answer is that of the free engine.
+func TestQueuedRequestMovesToShorterQueue(t *testing.T) {
+	r := newHarness(t)
+	clock := testclock.NewClock(time.Now())
+	r.entry.cfg.Clock = clock
+	r.planWithObjective(2 * time.Second)
+	var runs atomic.Int64
+	reached := make(chan string, 3)
+	for _, id := range []string{"a", "b"} {
+		r.server(id, func(w http.ResponseWriter, req *http.Request) {
+			if req.URL.Path == "/status" {
+				io.WriteString(w, "16 20 other")
+				return
+			}
+			reached <- id
+			if runs.Add(1) == 1 {
+				<-req.Context().Done()
+				return
+			}
+			event(w, 1)
+		})
+	}
+	got, ended := &recordingSink{}, make(chan error, 1)
+	go func() {
+		ended <- r.entry.Forward(t.Context(), forward.Request{
+			ID: "id-1", Method: "POST", Host: "h", Path: "/streaming/x", Target: "/streaming/x", Key: "k", Model: "*", Arrived: clock.Now(),
+		}, got)
+	}()
+	first := <-reached
+	clock.Advance(1300 * time.Millisecond)
+	if second := <-reached; second == first {
+		t.Fatalf("the request stayed at %s", first)
+	}
+	if err := <-ended; err != nil || got.text() == "" {
+		t.Fatalf("%q, %v", got.text(), err)
+	}
+}
+
 func (r *harness) planWithObjective(objective time.Duration) {
 	r.plan()
 	docs := r.entry.catalog.Load().Documents()
