Give a cold canary twice the servers, so that a good release is not taken for slow

Cause: the canary's servers were as many as its share of the requests, so that each carried the usual number of them. Change: a canary has twice as many servers, decided in core/rollout.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -48,6 +48,14 @@
 	// fewer.
 	minTargetRequests = 12
 
+	// coldWork is the work of a request at a server with an empty cache, compared to
+	// that at others.
+	coldWork = 2
+
+	// minCanaryServers is the minimum number of servers of the target that get
+	// requests in the canary stage.
+	minCanaryServers = 2
+
 	// resendWindow is how long after the end of a roll-out an identical order counts
 	// as a resend. Operators resend for a few seconds.
 	resendWindow = 10 * time.Second
@@ -172,6 +180,16 @@
 // gets in the canary stage, given the share that the operator allows.
 func CanaryShare(allowed float64) float64 { return allowed * canaryFraction }
 
+// CanaryServers returns how many of the n servers of a new release get its first
+// requests, given their share of all requests, 0 to 1. Each carries the normal load,
+// as some faults appear only then. Its cache is empty, so that it reads whole prompts
+// where others read parts: with the normal number of requests it would have twice the
+// work, and a good release would look slow behind its own queues. There are at least
+// two, so that one unhealthy server does not represent the release.
+func CanaryServers(n int, share float64) int {
+	return min(max(int(float64(n)*share*coldWork), minCanaryServers), n)
+}
+
 func fractionOf(d time.Duration, fraction float64) time.Duration {
 	return time.Duration(fraction * float64(d))
 }
--- a/core/rollout/order_test.go
+++ b/core/rollout/order_test.go
@@ -119,6 +119,23 @@
 	}
 }
 
+// Replays the load of a canary whose engines read every prompt in full, while the
+// old release finds six of ten tokens in its caches: no canary engine may have more
+// to read than an old one has in its busiest tenth of the time, 1.3 times the mean.
+func TestColdCanaryIsNotOverloaded(t *testing.T) {
+	const engines, tokensPerSecond, found, burst = 140, 4.3e6, 0.6, 1.3
+	usual := tokensPerSecond * (1 - found) / engines
+	share := rollout.CanaryShare(0.12)
+	if got := tokensPerSecond * share / float64(rollout.CanaryServers(engines, share)); got > burst*usual {
+		t.Errorf("a canary engine reads %.0f tokens a second, %.1f times the usual", got, got/usual)
+	}
+	for _, c := range []struct{ n, want int }{{1, 1}, {2, 2}, {9, 2}, {0, 0}} {
+		if got := rollout.CanaryServers(c.n, share); got != c.want {
+			t.Errorf("%d of %d servers are canaries, want %d", got, c.n, c.want)
+		}
+	}
+}
+
 func TestBadRolloutIsRolledBack(t *testing.T) {
 	baseline := tally("v1", "a", 300, 50, 100)
 	other := tally("v1", "b", 300, 0, 100)
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -194,7 +194,7 @@
 	case len(target) == 0 || !f.goesToTarget(x, o, share):
 		return others
 	case o.Stage == rollout.StageCanary:
-		return target[:min(len(target), canaryServers(len(target), share))]
+		return target[:rollout.CanaryServers(len(target), share)]
 	}
 	return target
 }
@@ -210,12 +210,6 @@
 	return float64(drawn)/math.MaxUint64 < share
 }
 
-// canaryServers returns how many of the n servers of a new release get its first
-// requests. The number matches the share, so that each carries its normal load,
-// as some faults appear only then. It is at least two, so that one unhealthy
-// server does not represent the release.
-func canaryServers(n int, share float64) int { return max(int(float64(n)*share), 2) }
-
 // withLoads returns the announcements with the latest known loads. Callers hold
 // f.mu.
 func (f *forwarder) withLoads(list []roster.Record) []backend.Announcement {
