Let requests wait half a second for an entry's first routing plan

Of the 0.42 s, 0.3 s were the time-out of a first connection to controls that were starting as well, and 0.1 s the pause. Change: requests wait for the first plan, for 0.5 s at most, then they are rejected as before. A member connection is attempted again every 75 ms beside the attempts that hang. What is left binds: callers who connect while there is no power send their next SYN after a second. TestRequestsAwaitTheFirstPlan failed with not_ready before the plan came.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,6 +79,8 @@
 		executions    *executionTable
 		backends      *iobackend.Client
 		catalog       atomic.Pointer[catalog.Catalog]
+		hasPlan       chan struct{} // closed when there is a routing plan
+		hasPlanOnce   sync.Once
 		draining      atomic.Bool  // removed from the address list
 		closed        atomic.Bool  // refuses new requests
 		inFlight      atomic.Int64 // requests being answered
@@ -108,6 +110,7 @@
 	e := &Entry{
 		cfg:             cfg,
 		executions:      newExecutionTable(),
+		hasPlan:         make(chan struct{}),
 		backends:        iobackend.NewClient(cfg.Clock, maxIdleConns),
 		retryBudgets:    retry.NewBudgets(retry.EntryBudgetConfig, retry.WorkspaceBudgetConfig),
 		registry:        registry.New(backendLease).WithSubset(cfg.ID, cfg.Incarnation, subsetSize),
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -28,6 +28,10 @@
 // plan yet: a leader is elected and the plan delivered within that time.
 const notReadyRetryAfter = 1200 * time.Millisecond
 
+// planWait is how long a request may wait for the first routing plan. An entry that
+// has just started gets it within a few hundred milliseconds, if any control runs.
+const planWait = 500 * time.Millisecond
+
 // drainingRetryAfter is the Retry-After value of an entry that is shutting
 // down. It is short, because another entry can take the request immediately.
 const drainingRetryAfter = 100 * time.Millisecond
@@ -136,6 +140,7 @@
 func (e *Entry) Forward(ctx context.Context, req forward.Request, sink forward.Sink) error {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	e.awaitPlan(ctx)
 	x, failure := e.accept(req, sink)
 	if failure != nil {
 		return e.reject(req, route.Route{}, failure)
@@ -154,6 +159,20 @@
 	return err
 }
 
+// awaitPlan waits until there is a routing plan, for planWait at most. It answers the
+// restart of many entries at once, when all callers come back before the plans do: a
+// rejected one would return a second later, and another entry has no plan either.
+func (e *Entry) awaitPlan(ctx context.Context) {
+	if e.catalog.Load().Routes() != nil || e.closed.Load() {
+		return
+	}
+	select {
+	case <-e.hasPlan:
+	case <-e.cfg.Clock.After(planWait):
+	case <-ctx.Done():
+	}
+}
+
 // reject logs and counts a request that is not run, and returns the failure.
 func (e *Entry) reject(req forward.Request, r route.Route, f *forward.Failure) error {
 	e.logRejected(req, f)
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -326,6 +326,37 @@
 	}
 }
 
+// Callers that come back to an entry before its plan does are served when the plan
+// arrives; without one they are rejected as not run, long before their deadline.
+func TestRequestsAwaitTheFirstPlan(t *testing.T) {
+	r := newHarness(t)
+	c := testclock.NewClock(time.Now())
+	r.entry.cfg.Clock = c
+	send := func() chan error {
+		ended := make(chan error, 1)
+		go func() {
+			ended <- r.entry.Forward(t.Context(), forward.Request{
+				ID: "id-1", Method: "GET", Host: "h", Path: "/safe/x", Target: "/safe/x", Key: "k", Arrived: c.Now(),
+			}, &recordingSink{})
+		}()
+		if err := c.WaitAdvance(0, waitLimit, 1); err != nil {
+			t.Fatal(err)
+		}
+		return ended
+	}
+	ended := send()
+	c.Advance(planWait)
+	if err := <-ended; codeOf(err) != forward.NotReady {
+		t.Fatalf("without a plan: %v", err)
+	}
+	r.server("a", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+	ended = send()
+	r.plan()
+	if err := <-ended; err != nil {
+		t.Fatalf("the plan arrived: %v", err)
+	}
+}
+
 // A stream that cannot be completed must not look complete to the caller.
 func TestBrokenStreamIsNotWhole(t *testing.T) {
 	r := newHarness(t)
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -294,6 +294,9 @@
 		}
 		if e.catalog.CompareAndSwap(old, next) {
 			added, removed := next.Routes().KeyChanges(old.Routes())
+			if next.Routes() != nil {
+				e.hasPlanOnce.Do(func() { close(e.hasPlan) })
+			}
 			e.cfg.Logger.Log("msg", "Documents come into force.", "revision", next.Revision(), "before", old.Revision(), "keys_added", added, "keys_removed", removed)
 			return
 		}
--- a/io/member/dial.go
+++ b/io/member/dial.go
@@ -19,11 +19,15 @@
 	dialTimeout = time.Second
 
 	// connectTimeout bounds the TCP connection. It allows for several round trips
-	// between regions. The caller dials again sooner than the kernel, which
-	// retransmits a lost SYN only after a second, while a machine that has just
-	// started may be reachable long before.
+	// between regions.
 	connectTimeout = 300 * time.Millisecond
 
+	// connectInterval is the time after which a further connection is attempted
+	// beside those that are not answered yet. The kernel retransmits a lost SYN only
+	// after a second, while a machine that has just started may be reachable long
+	// before.
+	connectInterval = 75 * time.Millisecond
+
 	// Messages of at least compressionThreshold bytes, such as documents and log
 	// entries, are compressed, because bandwidth between regions is low and billed. For
 	// small ones the saving is not worth the processor time.
@@ -50,9 +54,8 @@
 	if tlsConfig != nil {
 		target = "wss://" + address + Path
 	}
-	connect := (&net.Dialer{Timeout: connectTimeout}).DialContext
 	opts := &websocket.DialOptions{CompressionMode: compression, CompressionThreshold: compressionThreshold, HTTPClient: &http.Client{
-		Transport: &http.Transport{TLSClientConfig: tlsConfig, DialContext: connect, DisableKeepAlives: true},
+		Transport: &http.Transport{TLSClientConfig: tlsConfig, DialContext: connectStaggered, DisableKeepAlives: true},
 	}}
 	ws, resp, err := websocket.Dial(dialCtx, target, opts)
 	if resp != nil && resp.Body != nil {
@@ -72,6 +75,52 @@
 	return c, nil
 }
 
+// connectStaggered opens a TCP connection. It starts a further attempt after each
+// connectInterval; the first that succeeds counts.
+func connectStaggered(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	type result struct {
+		conn net.Conn
+		err  error
+	}
+	const attempts = int(connectTimeout / connectInterval)
+	results := make(chan result, attempts)
+	started, ended := 0, 0
+	start := func() {
+		started++
+		go func() {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			results <- result{conn, err}
+		}()
+	}
+	// Connections that are established after the first are closed.
+	defer func() {
+		go func() {
+			for ; ended < started; ended++ {
+				if r := <-results; r.conn != nil {
+					r.conn.Close()
+				}
+			}
+		}()
+	}()
+	next := time.NewTicker(connectInterval)
+	defer next.Stop()
+	for start(); ; {
+		select {
+		case r := <-results:
+			ended++
+			if r.err == nil || ended == started {
+				return r.conn, r.err
+			}
+		case <-next.C:
+			if started < attempts {
+				start()
+			}
+		}
+	}
+}
+
 // Accept accepts a connection that a member opened and serves it until it ends.
 // It calls onJoin after the handshake, and the function that onJoin returns when
 // the connection has ended.
