Complete roll-outs at 92.5% of the time, for orders that are taken late

Change: completion at 92.5%. The margin of 1.3 s for short roll-outs stays, and so does the share at a release without evidence.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -36,7 +36,7 @@
 	// that they have not finished continue at the target.
 	canaryStart     = 0.51
 	fullStart       = 0.90
-	completionStart = 0.94
+	completionStart = 0.925
 
 	// completionMargin is the minimum time between completion and the end of the
 	// duration. Operators learn of it when they ask the next time, every half second
