Weigh a second run by its work while requests are queued

Cause: while requests wait at the engines, an answer of low confidence was asked for again or kept by the length of the queues alone. A review whose prompt has to be read in full takes ten times the engine time of a note or of a prompt that is cached, and displaces as many answers. Change: the cost of the queue is multiplied by the run's work relative to the average one, three times at most. Cases of a cached and of a long prompt in TestAnswersOfLowConfidenceAreEscalatedWhileThereIsTime failed before.

--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -62,9 +62,10 @@
 	if ok {
 		spent := x.forwarder.entry.cfg.Clock.Now().Sub(x.req.Arrived)
 		lateRisk := placement.LateRisk(spent+next.expected, x.route.Objective)
-		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued) && x.forwarder.takeRetry()
+		work := x.forwarder.relativeWork(next)
+		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued, work) && x.forwarder.takeRetry()
 		if ok {
-			x.logEscalation(a, lateRisk, next.meanQueued)
+			x.logEscalation(a, lateRisk, next.meanQueued, work)
 		}
 	}
 	if !ok {
