Let requests wait for the first backend server of a starting entry

Change: while an entry starts, for 3 s, a request waits for the first server of its service, for 0.5 s at most. Later a service without servers is rejected at once. TestRequestsAwaitTheFirstPlan failed with no_server before; TestServiceWithoutServers- IsRejectedAtOnce holds the end of the start.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -230,6 +230,9 @@
 		return a, nil
 	}
 	a, ok := x.forwarder.chooseAndCommit(x)
+	if !ok && x.awaitFirstServer(ctx) {
+		a, ok = x.forwarder.chooseAndCommit(x)
+	}
 	if !ok {
 		return nil, x.noServerFailure()
 	}
@@ -237,6 +240,27 @@
 	return a, nil
 }
 
+// awaitFirstServer waits until a server of the request's service is known, for
+// startupWait at most, and reports whether one is. It waits only while the entry is
+// starting: after a mass restart the controls hear of the servers with their next
+// announcements, often after the plan is in force.
+func (x *activeRequest) awaitFirstServer(ctx context.Context) bool {
+	f := x.forwarder
+	c := f.entry.cfg.Clock
+	end := c.Now().Add(startupWait)
+	for c.Now().Sub(f.startedAt) < startup && c.Now().Before(end) {
+		select {
+		case <-c.After(startupPoll):
+		case <-ctx.Done():
+			return false
+		}
+		if f.hasServers(x.service) {
+			return true
+		}
+	}
+	return false
+}
+
 // noServerFailure returns the failure of a request that no server can take.
 // Retry-After grows with the time that the service has been down, as the outage
 // is likely to last about as long again.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -28,9 +28,14 @@
 // plan yet: a leader is elected and the plan delivered within that time.
 const notReadyRetryAfter = 1200 * time.Millisecond
 
-// planWait is how long a request may wait for the first routing plan. An entry that
-// has just started gets it within a few hundred milliseconds, if any control runs.
-const planWait = 500 * time.Millisecond
+// An entry that has just started gets its first routing plan, and hears of backend
+// servers, within a few hundred milliseconds, if any control runs. Startup is the time
+// during which requests wait for either, each for startupWait at most.
+const (
+	startup     = 3 * time.Second
+	startupWait = 500 * time.Millisecond
+	startupPoll = 20 * time.Millisecond
+)
 
 // drainingRetryAfter is the Retry-After value of an entry that is shutting
 // down. It is short, because another entry can take the request immediately.
@@ -94,6 +99,7 @@
 		reportSequence uint64    // sequence number of the last report
 		lastCleanup    time.Time // when cleanUp last ran
 		random         *rand.Rand
+		startedAt      time.Time
 	}
 
 	tallyKey struct{ service, release, route string }
@@ -105,6 +111,7 @@
 		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), latencyModel: placement.NewLatencyModel(), placement: placement.NewPriced(), loads: make(map[string]backend.Load), lastActivity: make(map[string]time.Time), downSince: make(map[string]time.Time),
 		tallies: make(map[tallyKey]rollout.Tally), random: rand.New(rand.NewPCG(e.cfg.Seed, ^e.cfg.Incarnation)), //nolint:gosec // only used to spread load
 	}
+	f.startedAt = e.cfg.Clock.Now()
 	f.watcher = newWatcher(e)
 	f.metrics = newForwardMetrics(e)
 	f.retryBudget = retry.NewWindowBudget(e.cfg.Forwarding.Retries)
@@ -160,7 +167,7 @@
 	return err
 }
 
-// awaitPlan waits until there is a routing plan, for planWait at most. It answers the
+// awaitPlan waits until there is a routing plan, for startupWait at most. It answers the
 // restart of many entries at once, when all callers come back before the plans do: a
 // rejected one would return a second later, and another entry has no plan either.
 func (e *Entry) awaitPlan(ctx context.Context) {
@@ -169,7 +176,7 @@
 	}
 	select {
 	case <-e.hasPlan:
-	case <-e.cfg.Clock.After(planWait):
+	case <-e.cfg.Clock.After(startupWait):
 	case <-ctx.Done():
 	}
 }
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -19,6 +19,12 @@
 	delete(f.downSince, service)
 }
 
+func (f *forwarder) hasServers(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.roster.Serving(service)) > 0
+}
+
 // pickService draws one of the route's services.
 func (f *forwarder) pickService(r route.Route) string {
 	f.mu.Lock()
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -345,15 +345,37 @@
 		return ended
 	}
 	ended := send()
-	c.Advance(planWait)
+	c.Advance(startupWait)
 	if err := <-ended; codeOf(err) != forward.NotReady {
 		t.Fatalf("without a plan: %v", err)
 	}
-	r.server("a", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
 	ended = send()
 	r.plan()
+	// The plan is there before any server is known: the second waiter is the poll
+	// for servers, beside the one for the plan.
+	if err := c.WaitAdvance(startupPoll, waitLimit, 2); err != nil {
+		t.Fatal(err)
+	}
+	r.server("a", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+	waitFor(t, "the end of the request", func() bool {
+		c.Advance(startupPoll)
+		return len(ended) > 0
+	})
 	if err := <-ended; err != nil {
-		t.Fatalf("the plan arrived: %v", err)
+		t.Fatalf("the plan and a server arrived: %v", err)
+	}
+}
+
+// Once an entry has started, a service without servers is rejected at once.
+func TestServiceWithoutServersIsRejectedAtOnce(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	c := testclock.NewClock(time.Now())
+	r.entry.cfg.Clock = c
+	r.entry.forwarder.startedAt = c.Now().Add(-startup)
+	_, err := r.sendWith(t.Context(), forward.Request{Path: "/safe/x", Key: "k"})
+	if codeOf(err) != forward.NoServer {
+		t.Fatal(err)
 	}
 }
 
