Share the decay of attempts and the start of a streaming test

Cause: the duplicates listing showed the same decay in the health tracker and in the pool, and the same request in two tests; the linter an unchecked error. Change: one function for each, and the error is named as not needed. No behavior changes; the tests of both packages pass as before.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -142,9 +142,14 @@
 // decay decays the counts.
 func (s *serverState) decay(now time.Time) {
 	if elapsed := now.Sub(s.updated); elapsed > 0 {
-		decay := math.Exp(-elapsed.Seconds() / decayTime.Seconds())
-		s.attempts *= decay
-		s.failures *= decay
+		weight := decayed(elapsed, decayTime)
+		s.attempts *= weight
+		s.failures *= weight
 		s.updated = now
 	}
 }
+
+// decayed returns the weight of an attempt after a while, for a time constant.
+func decayed(elapsed, timeConstant time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / timeConstant.Seconds())
+}
--- a/core/health/pool.go
+++ b/core/health/pool.go
@@ -270,7 +270,7 @@
 
 func (s *pooledServer) decay(now time.Time) {
 	if elapsed := now.Sub(s.updated); elapsed > 0 {
-		weight := math.Exp(-elapsed.Seconds() / poolDecayTime.Seconds())
+		weight := decayed(elapsed, poolDecayTime)
 		s.answers *= weight
 		s.failures *= weight
 		s.updated = now
--- a/internal/entry/idle_timer_test.go
+++ b/internal/entry/idle_timer_test.go
@@ -55,12 +55,7 @@
 				}
 				event(w, 1)
 			})
-			got, ended := &recordingSink{}, make(chan error, 1)
-			go func() {
-				ended <- r.entry.Forward(t.Context(), forward.Request{
-					ID: "id-1", Method: "POST", Host: "h", Path: "/streaming/x", Target: "/streaming/x", Key: "k", Model: "*", Arrived: clock.Now(),
-				}, got)
-			}()
+			got, ended := r.startStream(clock)
 			<-reached
 			clock.Advance(1300 * time.Millisecond)
 			<-asked
@@ -100,12 +95,7 @@
 			event(w, 1)
 		})
 	}
-	got, ended := &recordingSink{}, make(chan error, 1)
-	go func() {
-		ended <- r.entry.Forward(t.Context(), forward.Request{
-			ID: "id-1", Method: "POST", Host: "h", Path: "/streaming/x", Target: "/streaming/x", Key: "k", Model: "*", Arrived: clock.Now(),
-		}, got)
-	}()
+	got, ended := r.startStream(clock)
 	first := <-reached
 	clock.Advance(1300 * time.Millisecond)
 	if second := <-reached; second == first {
@@ -116,6 +106,18 @@
 	}
 }
 
+// startStream sends a streaming request and returns its sink and where its result
+// arrives.
+func (r *harness) startStream(c *testclock.Clock) (*recordingSink, chan error) {
+	got, ended := &recordingSink{}, make(chan error, 1)
+	go func() {
+		ended <- r.entry.Forward(r.t.Context(), forward.Request{
+			ID: "id-1", Method: "POST", Host: "h", Path: "/streaming/x", Target: "/streaming/x", Key: "k", Model: "*", Arrived: c.Now(),
+		}, got)
+	}()
+	return got, ended
+}
+
 func (r *harness) planWithObjective(objective time.Duration) {
 	r.plan()
 	docs := r.entry.catalog.Load().Documents()
--- a/io/member/dial.go
+++ b/io/member/dial.go
@@ -99,7 +99,7 @@
 		go func() {
 			for ; ended < started; ended++ {
 				if r := <-results; r.conn != nil {
-					r.conn.Close()
+					r.conn.Close() //nolint:errcheck // nothing was sent on it
 				}
 			}
 		}()
