Spread a canary only after it carried the usual number of requests

Change: a canary has the usual number of servers again until 68% of the time, and twice as many from then on, a stage of its own; everything moves at 91%. The expected stages of TestGoodRolloutCompletesInTime have the new one, and TestTargetWithoutRequestsIsNotCompleted follows the roll-out through it.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -14,6 +14,8 @@
 	StageOrdered Stage = "ordered"
 	// StageCanary sends a small share of the requests to the target.
 	StageCanary Stage = "canary"
+	// StageSpread sends the canary's share to twice as many servers.
+	StageSpread Stage = "spread"
 	// StageFull sends all new requests to the target while the old backend
 	// servers finish theirs.
 	StageFull Stage = "full"
@@ -24,9 +26,10 @@
 )
 
 const (
-	// canaryStart, fullStart and completionStart are points of a roll-out, as
-	// fractions of its duration. At canaryStart the target gets its first
-	// requests, at fullStart it takes all requests if it has shown no fault,
+	// canaryStart, spreadStart, fullStart and completionStart are points of a
+	// roll-out, as fractions of its duration. At canaryStart the target gets its
+	// first requests, at spreadStart they go to more of its servers, at fullStart it
+	// takes all requests if it has shown no fault,
 	// and at completionStart it is the only release left.
 	//
 	// Sessions may move only in the second half. Operators limit the share of
@@ -35,7 +38,8 @@
 	// are within that limit. The old servers stop at completion, and requests
 	// that they have not finished continue at the target.
 	canaryStart     = 0.51
-	fullStart       = 0.90
+	spreadStart     = 0.68
+	fullStart       = 0.91
 	completionStart = 0.925
 
 	// completionMargin is the minimum time between completion and the end of the
@@ -62,7 +66,7 @@
 )
 
 // stageSequence lists the stages of a roll-out without faults.
-var stageSequence = []Stage{StageOrdered, StageCanary, StageFull, StageCompleted}
+var stageSequence = []Stage{StageOrdered, StageCanary, StageSpread, StageFull, StageCompleted}
 
 type (
 	// Stage is the stage of an ordered roll-out.
@@ -121,7 +125,7 @@
 // Allowed is the operator's bound for a release without evidence.
 func (o Order) TargetShare(allowed float64) float64 {
 	switch o.Stage {
-	case StageCanary:
+	case StageCanary, StageSpread:
 		return CanaryShare(allowed)
 	case StageFull, StageCompleted:
 		return 1
@@ -154,8 +158,10 @@
 		return StageRolledBack, "no request reached the target in time"
 	case o.Stage == StageOrdered && elapsed >= fractionOf(o.Duration, canaryStart):
 		return StageCanary, "half of the time is over"
-	case o.Stage == StageCanary && elapsed >= fractionOf(o.Duration, fullStart) && hasEnoughRequests(o, tallies, elapsed >= o.completionTime()):
+	case o.isCanary() && elapsed >= fractionOf(o.Duration, fullStart) && hasEnoughRequests(o, tallies, elapsed >= o.completionTime()):
 		return StageFull, "no fault was seen"
+	case o.Stage == StageCanary && elapsed >= fractionOf(o.Duration, spreadStart):
+		return StageSpread, "no fault was seen under the usual number of requests"
 	case o.Stage == StageFull && elapsed >= o.completionTime():
 		return StageCompleted, "no fault was seen"
 	}
@@ -180,16 +186,25 @@
 // gets in the canary stage, given the share that the operator allows.
 func CanaryShare(allowed float64) float64 { return allowed * canaryFraction }
 
-// CanaryServers returns how many of the n servers of a new release get its first
-// requests, given their share of all requests, 0 to 1. Each carries the normal load,
-// as some faults appear only then. Its cache is empty, so that it reads whole prompts
-// where others read parts: with the normal number of requests it would have twice the
-// work, and a good release would look slow behind its own queues. There are at least
-// two, so that one unhealthy server does not represent the release.
-func CanaryServers(n int, share float64) int {
-	return min(max(int(float64(n)*share*coldWork), minCanaryServers), n)
+// TargetServers returns how many of the target's n servers get requests, given the share
+// of all requests, 0 to 1, that they get. In the canary stage each carries the usual
+// number of requests, as some faults appear only then. As their caches are empty, they
+// read whole prompts where others read parts: with twice the work a good release soon
+// looks slow behind its own queues. In the next stage they are therefore twice as
+// many. There are at least two, so that one unhealthy server does not represent the
+// release.
+func (o Order) TargetServers(n int, share float64) int {
+	switch o.Stage {
+	case StageCanary:
+		return min(max(int(float64(n)*share), minCanaryServers), n)
+	case StageSpread:
+		return min(max(int(float64(n)*share*coldWork), minCanaryServers), n)
+	}
+	return n
 }
 
+func (o Order) isCanary() bool { return o.Stage == StageCanary || o.Stage == StageSpread }
+
 func fractionOf(d time.Duration, fraction float64) time.Duration {
 	return time.Duration(fraction * float64(d))
 }
--- a/core/rollout/order_test.go
+++ b/core/rollout/order_test.go
@@ -70,7 +70,7 @@
 			stages = append(stages, stage)
 		}
 	}
-	want := []rollout.Stage{rollout.StageCanary, rollout.StageFull, rollout.StageCompleted}
+	want := []rollout.Stage{rollout.StageCanary, rollout.StageSpread, rollout.StageFull, rollout.StageCompleted}
 	if !slices.Equal(stages, want) {
 		t.Fatalf("went through %v", stages)
 	}
@@ -81,7 +81,9 @@
 // ms.
 func TestExposureWithoutEvidence(t *testing.T) {
 	good := []rollout.Tally{tally("v1", "r", 300, 50, 100), tally("v2", "r", 30, 30, 110)}
-	const interval = 200 * time.Millisecond
+	// The end of a roll-out may be busier than its mean: the share is one of requests,
+	// not of time.
+	const interval, busier = 200 * time.Millisecond, 1.1
 	for _, allowed := range []float64{0.12, 0.15} {
 		for _, length := range []time.Duration{12 * time.Second, 16 * time.Second, 24 * time.Second} {
 			o := order(rollout.StageOrdered)
@@ -89,7 +91,11 @@
 			var got float64
 			for at := time.Duration(0); at < length; at += interval {
 				o.Stage, _ = o.Next(at, good)
-				got += o.TargetShare(allowed) * interval.Seconds() / length.Seconds()
+				requests := 1.0
+				if at >= length*9/10 {
+					requests = busier
+				}
+				got += requests * o.TargetShare(allowed) * interval.Seconds() / length.Seconds()
 			}
 			if o.Stage != rollout.StageCompleted || got > allowed {
 				t.Errorf("%s, %.2f allowed: ends %s after a share of %.3f", length, allowed, o.Stage, got)
@@ -120,20 +126,28 @@
 }
 
 // Replays the load of a canary whose engines read every prompt in full, while the
-// old release finds six of ten tokens in its caches: no canary engine may have more
-// to read than an old one has in its busiest tenth of the time, 1.3 times the mean.
+// old release finds six of ten tokens in its caches: once spread, no engine may have
+// more to read than an old one has in its busiest tenth of the time, 1.3 times the mean.
+// Before, each has the usual number of requests, so that faults under load show.
 func TestColdCanaryIsNotOverloaded(t *testing.T) {
 	const engines, tokensPerSecond, found, burst = 140, 4.3e6, 0.6, 1.3
 	usual := tokensPerSecond * (1 - found) / engines
 	share := rollout.CanaryShare(0.12)
-	if got := tokensPerSecond * share / float64(rollout.CanaryServers(engines, share)); got > burst*usual {
-		t.Errorf("a canary engine reads %.0f tokens a second, %.1f times the usual", got, got/usual)
+	spread, canary := order(rollout.StageSpread), order(rollout.StageCanary)
+	if got := tokensPerSecond * share / float64(spread.TargetServers(engines, share)); got > burst*usual {
+		t.Errorf("a spread canary engine reads %.0f tokens a second, %.1f times the usual", got, got/usual)
+	}
+	if got := share / float64(canary.TargetServers(engines, share)); got < 1.0/engines {
+		t.Errorf("a canary engine gets %.4f of the requests, less than its usual share", got)
 	}
 	for _, c := range []struct{ n, want int }{{1, 1}, {2, 2}, {9, 2}, {0, 0}} {
-		if got := rollout.CanaryServers(c.n, share); got != c.want {
+		if got := canary.TargetServers(c.n, share); got != c.want {
 			t.Errorf("%d of %d servers are canaries, want %d", got, c.n, c.want)
 		}
 	}
+	if full := order(rollout.StageFull); full.TargetServers(9, 1) != 9 {
+		t.Error("not all servers serve once the target takes everything")
+	}
 }
 
 func TestBadRolloutIsRolledBack(t *testing.T) {
@@ -176,13 +190,16 @@
 // an idle service there is no evidence to wait for.
 func TestTargetWithoutRequestsIsNotCompleted(t *testing.T) {
 	busy := []rollout.Tally{tally("v1", "a", 300, 0, 100)}
+	o := order(rollout.StageCanary)
 	for at := time.Duration(0); at < duration; at += 200 * time.Millisecond {
-		if stage, _ := order(rollout.StageCanary).Next(at, busy); stage != rollout.StageCanary {
-			t.Fatalf("stage %s after %s", stage, at)
+		if o.Stage, _ = o.Next(at, busy); o.Stage != rollout.StageCanary && o.Stage != rollout.StageSpread {
+			t.Fatalf("stage %s after %s", o.Stage, at)
 		}
 	}
-	if stage, _ := order(rollout.StageCanary).Next(duration, busy); stage != rollout.StageRolledBack {
-		t.Fatalf("stage %s at the end", stage)
+	for _, from := range []rollout.Stage{rollout.StageCanary, rollout.StageSpread} {
+		if stage, _ := order(from).Next(duration, busy); stage != rollout.StageRolledBack {
+			t.Fatalf("stage %s at the end, from %s", stage, from)
+		}
 	}
 	if stage, _ := order(rollout.StageCanary).Next(duration*97/100, nil); stage != rollout.StageFull {
 		t.Fatalf("stage %s of an idle service", stage)
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -193,10 +193,9 @@
 		return target
 	case len(target) == 0 || !f.goesToTarget(x, o, share):
 		return others
-	case o.Stage == rollout.StageCanary:
-		return target[:rollout.CanaryServers(len(target), share)]
+	default:
+		return target[:o.TargetServers(len(target), share)]
 	}
-	return target
 }
 
 // goesToTarget decides at random whether the request goes to the roll-out's target
