Keep the share of a release without evidence within the bound under retries

Its fault does not show before it takes everything; then many attempts fail and are sent again to it, and completion 0.6 s later left no time to see that. Change: everything moves at 91.5%, completion is at 95% and 1.2 s before the end at the latest.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -39,13 +39,13 @@
 	// that they have not finished continue at the target.
 	canaryStart     = 0.51
 	spreadStart     = 0.68
-	fullStart       = 0.91
-	completionStart = 0.925
+	fullStart       = 0.915
+	completionStart = 0.95
 
 	// completionMargin is the minimum time between completion and the end of the
 	// duration. Operators learn of it when they ask the next time, every half second
 	// or so, and one answer may be lost.
-	completionMargin = 1300 * time.Millisecond
+	completionMargin = 1200 * time.Millisecond
 
 	// minTargetRequests is the number of requests that the target must have handled before
 	// it takes all. A release that fails half of its requests is detected with
