--- a/core/health/pool.go
+++ b/core/health/pool.go
@@ -29,9 +29,9 @@
 	// for their failure rate. Beyond it the service itself is the likelier cause.
 	maxFailingShare = 1.0 / 3
 
-	// minFailingTime is how long a verdict lasts at first. It doubles
-	// with each repetition, maxDoublings times at most, as a flapping server fails
-	// again. After stableTime without one it starts anew.
+	// minFailingTime is how long a verdict lasts at first. It doubles with each
+	// repetition, maxDoublings times at most, as a flapping server fails again. After
+	// stableTime without one it starts anew.
 	minFailingTime = 2 * time.Second
 	maxDoublings   = 2
 	stableTime     = 10 * time.Second
@@ -77,8 +77,8 @@
 	// Pool combines the attempts of many entries into one view of each backend
 	// server. It answers a fleet in which each entry sends a server a request only
 	// every ten seconds or more: what an entry sees of a server that crashed or fails
-	// part of its requests is then too little to act on, while all
-	// entries together see it within a second. It is not safe for concurrent use.
+	// part of its requests is then too little to act on, while all entries together
+	// see it within seconds. It is not safe for concurrent use.
 	Pool struct {
 		servers map[string]*pooledServer
 	}
@@ -90,7 +90,7 @@
 		failures      float64
 		unreachableBy map[string]time.Time // by entry, since the last answer
 		failingUntil  time.Time
-		ejections     int  // verdicts since the server was last stable
+		verdicts      int  // since the server was last stable
 		failedAgain   bool // an attempt failed since the last verdict
 		load          LoadReport
 		loadAt        time.Time
@@ -135,8 +135,8 @@
 	}
 }
 
-// Verdicts returns the servers that are failing, ordered by id. ServiceOf returns a server's service, empty for a
-// server that is gone, whose samples are dropped.
+// Verdicts returns the servers that are failing, ordered by id. ServiceOf returns a
+// server's service, empty for a server that is gone, whose samples are dropped.
 func (p *Pool) Verdicts(now time.Time, serviceOf func(server string) string) []Verdict {
 	byService := make(map[string][]string)
 	for id, s := range p.servers {
@@ -259,11 +259,11 @@
 // failure.
 func (s *pooledServer) eject(now time.Time) {
 	if now.After(s.failingUntil.Add(stableTime)) {
-		s.ejections = 0
+		s.verdicts = 0
 	}
 	s.judgedBy = Evidence{Answers: s.answers, Failures: s.failures, Unreachable: len(s.unreachableBy), sampledAt: s.sampledAt}
-	s.failingUntil = now.Add(minFailingTime << min(s.ejections, maxDoublings))
-	s.ejections++
+	s.failingUntil = now.Add(minFailingTime << min(s.verdicts, maxDoublings))
+	s.verdicts++
 	s.failedAgain = false
 	clear(s.unreachableBy)
 }
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -29,8 +29,8 @@
 	// canaryStart, spreadStart, fullStart and completionStart are points of a
 	// roll-out, as fractions of its duration. At canaryStart the target gets its
 	// first requests, at spreadStart they go to more of its servers, at fullStart it
-	// takes all requests if it has shown no fault,
-	// and at completionStart it is the only release left.
+	// takes all requests if it has shown no fault, and at completionStart it is the
+	// only release left.
 	//
 	// Sessions may move only in the second half. Operators limit the share of
 	// the roll-out's requests that a bad release may get. Some faults show late
--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -13,8 +13,8 @@
 // asks for new ones.
 const loadsInterval = 500 * time.Millisecond
 
-// evidence is what this entry and others see of the backend servers. Each watched
-// control gets all of this entry's attempts and replies with its verdicts.
+// evidence is what other entries see of the backend servers. Each watched control gets
+// all of this entry's attempts and replies with its verdicts.
 type evidence struct {
 	sources []*watchState
 	failing map[string]uint64 // incarnation of each server with a verdict
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -159,9 +159,10 @@
 }
 
 // usableServers returns the servers that the request may go to, as the first of
-// these lists that is not empty: untried servers that are available, not degraded,
-// not silent and not reported as failing by other entries; all untried servers that are available; all untried ones; and all
-// servers except those that could not be connected to. Callers hold f.mu.
+// these lists that is not empty: untried servers that are available, not degraded, not
+// silent and not reported as failing by other entries; all untried servers that are
+// available; all untried ones; and all servers except those that could not be
+// connected to. Callers hold f.mu.
 func (f *forwarder) usableServers(now time.Time, x *activeRequest) []backend.Announcement {
 	all := filterRecords(f.permittedServers(x), func(r roster.Record) bool { return !slices.Contains(x.unreachable, r.Server.ID) })
 	untried := filterRecords(all, func(r roster.Record) bool { return !slices.Contains(x.tried, r.Server.ID) })
