--- a/test/state_test.go
+++ b/test/state_test.go
@@ -7,6 +7,7 @@
 	mathrand "math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -375,6 +376,18 @@
 	return others
 }
 
+// isStopped reports whether all of a process stands still. The kernel delivers SIGSTOP
+// to one thread first; the others run until it has been scheduled.
+func isStopped(t *testing.T, pid int) bool {
+	t.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, afterName, _ := strings.Cut(string(stat), ") ")
+	return strings.HasPrefix(afterName, "T")
+}
+
 // An entry that is paused by SIGSTOP for longer than its lease dispatches nothing to
 // a version that was withdrawn meanwhile, although requests wait in its sockets.
 func TestPausedEntry(t *testing.T) {
@@ -392,6 +405,7 @@
 	})
 	before := len(g.runs("engine-1"))
 	g.entries[0].cmd.Process.Signal(syscall.SIGSTOP)
+	waitFor(t, "the entry to stand still", func() bool { return isStopped(t, g.entries[0].cmd.Process.Pid) })
 	var waiting sync.WaitGroup
 	for i := range 20 {
 		waiting.Go(func() {
