--- a/core/cascade/sizes.go
+++ b/core/cascade/sizes.go
@@ -15,12 +15,9 @@
 	rerunCost = 0.12
 
 	// queueCost is added for each request that is queued at a server on average,
-	// as the run delays the requests behind it. It is that of a run of average work.
+	// as the run delays the requests behind it.
 	queueCost = 0.06
 
-	// maxWork caps the work of a run, relative to the average.
-	maxWork = 3
-
 	// maxQueued caps the queue length used with queueCost. Without the cap no
 	// answer of low confidence would be escalated in a long burst.
 	maxQueued = 4
@@ -53,15 +50,13 @@
 // ShouldEscalate reports whether to discard an answer and ask a larger model.
 // Confidence is that of the answer, 0 to 100, or -1 when it is unknown. LateRisk is
 // the probability, 0 to 1, that the larger model's answer is late; queued is the
-// average number of requests queued at a server. Work is the engine time that the run
-// takes, relative to the average run of a larger model: while requests are queued, one
-// that has to read a long prompt in full displaces several whose prompts are cached.
-func (SizeCascade) ShouldEscalate(confidence int, lateRisk, queued, work float64) bool {
+// average number of requests queued at a server.
+func (SizeCascade) ShouldEscalate(confidence int, lateRisk, queued float64) bool {
 	if confidence < 0 {
 		return false
 	}
 	goodChance := min(float64(confidence)/100+confidenceBonus, 1)
 	keepValue := goodChance + (1-goodChance)*poorAnswerValue
-	escalateValue := (1 - lateRisk) + lateRisk*lateAnswerValue - rerunCost - queueCost*min(queued, maxQueued)*min(work, maxWork)
+	escalateValue := (1 - lateRisk) + lateRisk*lateAnswerValue - rerunCost - queueCost*min(queued, maxQueued)
 	return escalateValue > keepValue
 }
--- a/core/cascade/sizes_test.go
+++ b/core/cascade/sizes_test.go
@@ -13,25 +13,21 @@
 		confidence int
 		late       float64
 		queued     float64
-		work       float64
 		want       bool
 	}{
-		{"low confidence, no queue", 30, 0, 0, 1, true},
-		{"high confidence, no queue", 80, 0, 0, 1, false},
-		{"low confidence, certain to be late", 30, 1, 0, 1, false},
-		{"no confidence, certain to be late", 0, 1, 0, 1, false},
-		{"no confidence, some risk", 0, 0.4, 0, 1, true},
-		{"medium confidence, some risk", 55, 0.4, 0, 1, false},
-		{"medium confidence, no queue", 60, 0, 0, 1, true},
-		{"medium confidence, queued requests", 60, 0, 3, 1, false},
-		{"low confidence, queued requests", 30, 0, 3, 1, true},
-		{"low confidence, very long queues", 10, 0, 100, 1, true},
-		{"medium confidence, queued requests, cached prompt", 60, 0, 3, 0.1, true},
-		{"low confidence, queued requests, long prompt", 30, 0, 3, 3, false},
-		{"low confidence, no queue, long prompt", 30, 0, 0, 3, true},
-		{"unknown confidence", -1, 0, 0, 1, false},
+		{"low confidence, no queue", 30, 0, 0, true},
+		{"high confidence, no queue", 80, 0, 0, false},
+		{"low confidence, certain to be late", 30, 1, 0, false},
+		{"no confidence, certain to be late", 0, 1, 0, false},
+		{"no confidence, some risk", 0, 0.4, 0, true},
+		{"medium confidence, some risk", 55, 0.4, 0, false},
+		{"medium confidence, no queue", 60, 0, 0, true},
+		{"medium confidence, queued requests", 60, 0, 3, false},
+		{"low confidence, queued requests", 30, 0, 3, true},
+		{"low confidence, very long queues", 10, 0, 100, true},
+		{"unknown confidence", -1, 0, 0, false},
 	} {
-		if got := s.ShouldEscalate(c.confidence, c.late, c.queued, c.work); got != c.want {
+		if got := s.ShouldEscalate(c.confidence, c.late, c.queued); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
 	}
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -62,10 +62,9 @@
 	if ok {
 		spent := x.forwarder.entry.cfg.Clock.Now().Sub(x.req.Arrived)
 		lateRisk := placement.LateRisk(spent+next.expected, x.route.Objective)
-		work := x.forwarder.relativeWork(next)
-		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued, work) && x.forwarder.takeRetry()
+		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued) && x.forwarder.takeRetry()
 		if ok {
-			x.logEscalation(a, lateRisk, next.meanQueued, work)
+			x.logEscalation(a, lateRisk, next.meanQueued)
 		}
 	}
 	if !ok {
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -37,9 +37,9 @@
 }
 
 // logEscalation logs that a larger model is asked.
-func (x *activeRequest) logEscalation(a *attempt, lateRisk, meanQueued, work float64) {
+func (x *activeRequest) logEscalation(a *attempt, lateRisk, meanQueued float64) {
 	level.Debug(x.log()).Log("msg", "Larger model is asked.", "id", x.req.ID, "srv", a.server.ID, "sure", a.head.Confidence,
-		"late", lateRisk, "crowd", meanQueued, "work", work, "model", x.model)
+		"late", lateRisk, "crowd", meanQueued, "model", x.model)
 }
 
 // logStatus logs what a silent engine reports about itself.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -94,7 +94,6 @@
 		lastActivity   map[string]time.Time // when each server last sent data
 		downSince      map[string]time.Time // since when each service has had no usable server
 		retryBudget    *retry.WindowBudget
-		meanWork       float64 // mean work of the larger models' runs considered, in tokens
 		tallies        map[tallyKey]rollout.Tally
 		reportSequence uint64    // sequence number of the last report
 		lastCleanup    time.Time // when cleanUp last ran
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -38,20 +38,6 @@
 	f.retryBudget.RecordRequest(f.entry.cfg.Clock.Now())
 }
 
-// relativeWork returns the work of a run of a larger model, relative to the average of
-// those considered before.
-func (f *forwarder) relativeWork(next *attempt) float64 {
-	const weight = 0.02
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	work := float64(max(next.equivalentTokens, 1))
-	if f.meanWork == 0 {
-		f.meanWork = work
-	}
-	f.meanWork += weight * (work - f.meanWork)
-	return work / f.meanWork
-}
-
 func (f *forwarder) takeRetry() bool {
 	members := f.watcher.liveEntryCount()
 	f.mu.Lock()
