Take no retry when an attempt ends at its request's deadline

Cause: read again, the idle timer took a retry from the budget that all entries share whenever it ended an attempt, also a last one at the deadline and one of a request that may not run twice; none follows those, and in a storm the budget lacked them. Change: at the deadline the attempt ends without a retry. TestDeadlineTakesNoRetry failed before (the deadline used up a retry) and passes.

--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -141,6 +141,10 @@
 	if t.stopped || t.resets != resets {
 		return
 	}
+	if !t.request.now().Before(t.request.deadline) {
+		t.cancel() // no attempt may follow
+		return
+	}
 	f := t.request.forwarder
 	t.retryTaken = f.takeRetry()
 	if !t.retryTaken && !dead {
--- a/internal/entry/idle_timer_test.go
+++ b/internal/entry/idle_timer_test.go
@@ -10,6 +10,7 @@
 	"github.com/juju/clock/testclock"
 
 	"rosereach/core/forward"
+	"rosereach/core/retry"
 	"rosereach/core/route"
 )
 
@@ -130,3 +131,32 @@
 	docs.Revision++
 	r.entry.applyDocuments(&docs)
 }
+
+// An attempt that ends at its request's deadline is followed by none, and must not
+// use up a retry that other requests need.
+func TestDeadlineTakesNoRetry(t *testing.T) {
+	r := newHarness(t)
+	clock := testclock.NewClock(time.Now())
+	r.entry.cfg.Clock = clock
+	r.entry.forwarder.retryBudget = retry.NewWindowBudget(retry.WindowBudgetConfig{Slack: 1, Window: time.Minute})
+	r.plan()
+	reached := make(chan struct{}, 1)
+	r.server("a", func(_ http.ResponseWriter, req *http.Request) {
+		reached <- struct{}{}
+		<-req.Context().Done()
+	})
+	ended := make(chan error, 1)
+	go func() {
+		ended <- r.entry.Forward(t.Context(), forward.Request{
+			ID: "id-1", Method: "POST", Host: "h", Path: "/unsafe/x", Target: "/unsafe/x", Key: "k", Arrived: clock.Now(),
+		}, &recordingSink{})
+	}()
+	<-reached
+	clock.Advance(6 * time.Second)
+	if err := <-ended; err == nil {
+		t.Fatal("a request without an answer succeeded")
+	}
+	if !r.entry.forwarder.takeRetry() {
+		t.Fatal("the deadline used up a retry")
+	}
+}
