--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -48,6 +48,26 @@
 		"runs", s.RunsRequest, "holds", err == nil && s.HoldsRequest(), "err", err)
 }
 
+// silence is what the entry knew when it judged a silent attempt.
+type silence struct {
+	waited     time.Duration // since the server last sent data
+	dead       bool          // no sign of life
+	retryTaken bool
+	next       *attempt // nil when no server was chosen yet
+}
+
+// logSilence logs the decision about a silent attempt: it ends if the server is dead or a
+// retry was in the budget.
+func (x *activeRequest) logSilence(a *attempt, s silence) {
+	next := ""
+	if s.next != nil {
+		next = s.next.server.ID
+	}
+	level.Warn(x.log()).Log("msg", "Silent attempt is judged.", "id", x.req.ID, "srv", a.server.ID, "model", x.model, "silent", s.waited,
+		"dead", s.dead, "begun", x.headSent, "last", x.lastEventID, "retry_left", s.retryTaken, "next", next, "ends", s.dead || s.retryTaken,
+		"run", x.runs, "tried", len(x.tried), "left", x.deadline.Sub(x.now()))
+}
+
 // logMoved logs that a request leaves an engine's queue for a shorter one.
 func (x *activeRequest) logMoved(a, next *attempt, s forward.ServerStatus, expected time.Duration) {
 	level.Debug(x.log()).Log("msg", "Request moves to a shorter queue.", "id", x.req.ID, "srv", a.server.ID, "waiting", s.Queued, "exp", expected,
@@ -71,7 +91,7 @@
 		logger = level.Warn(x.log())
 	}
 	logger.Log("msg", "Request ends.", "id", x.req.ID, "route", x.route.Name, "ws", x.workspace.Name, "sess", x.req.Session,
-		"srv", x.server, "model", x.model, "send", x.sends, "run", x.runs, "last", x.lastEventID, "exp", x.expected, "first", x.firstByte,
+		"srv", x.server, "model", x.model, "send", x.sends, "run", x.runs, "begun", x.headSent, "last", x.lastEventID, "exp", x.expected, "first", x.firstByte,
 		"unread", x.uncachedTokens, "took", x.now().Sub(x.req.Arrived), "err", err)
 }
 
--- a/internal/entry/forward_metrics.go
+++ b/internal/entry/forward_metrics.go
@@ -20,6 +20,7 @@
 	duration      *prometheus.HistogramVec
 	firstByte     *prometheus.HistogramVec
 	retriesDenied prometheus.Counter
+	silent        *prometheus.CounterVec
 }
 
 func newForwardMetrics(e *Entry) *forwardMetrics {
@@ -40,8 +41,11 @@
 		retriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "rosereach_repeats_denied_total", Help: "Repeats that the budget shared by all entries did not allow.",
 		}),
+		silent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rosereach_silent_attempts_total", Help: "Decisions about attempts whose server sends nothing.",
+		}, []string{"decision"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.retriesDenied,
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.retriesDenied, m.silent,
 		metrics.NewGauge("rosereach_documents_revision", "Revision of the documents in force.", func() float64 { return float64(e.catalog.Load().Revision()) }),
 		metrics.NewGauge("rosereach_requests_running", "Requests that are being answered.", func() float64 { return float64(e.inFlight.Load()) }),
 		metrics.NewGauge("rosereach_requests_waiting", "Requests that wait for their turn.", func() float64 { return float64(e.engineAdmission.waitingCount() + e.plainAdmission.waitingCount()) }),
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -147,11 +147,14 @@
 	}
 	f := t.request.forwarder
 	t.retryTaken = f.takeRetry()
+	t.request.logSilence(t.attempt, silence{waited: t.waited, dead: dead, retryTaken: t.retryTaken, next: next})
 	if !t.retryTaken && !dead {
+		f.metrics.silent.WithLabelValues("waits").Inc()
 		t.waited += statusInterval
 		t.timer.Reset(statusInterval)
 		return
 	}
+	f.metrics.silent.WithLabelValues("ends").Inc()
 	if next != nil && t.retryTaken {
 		f.commitAttempt(next)
 		t.next = next
