Give up a silent attempt only for a server that can take it over

What callers saw: a stream that had begun ended with a closed connection, or a request ended with a 502, although the server that ran it was sound.

Cause: a silent attempt was ended before its successor was known. Once the head of an answer is sent, there is no refusal left, so the connection was closed. An answer of low confidence was dropped in the same way. Class: giving up what works before its replacement is certain.

Why this works: core/forward.Silence decides. An attempt is replaced only if a server was chosen, a connection to it has just been opened, it is expected to answer in the time left, and a retry is in the budget. Otherwise the wait goes on. A begun answer that broke off waits for the next retry or server until its deadline.

TestSilentEngineIsJudgedByItsStatus: the cases of an engine that does not answer expected a second run at the same engine. They now have a second engine and expect it there; the check is as strict, and a server that gives no sign of life is no longer its own successor.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -27,6 +27,10 @@
 	minFailureSilence = 2 * time.Second
 	deadlineMargin    = 10 * time.Millisecond
 
+	// resumePoll is the pause between two looks for a server or a retry that lets a
+	// broken answer go on.
+	resumePoll = 100 * time.Millisecond
+
 	// retryAfterDivisor is the divisor that limits Retry-After to a third of
 	// the request's remaining time; callers do not honor longer waits.
 	retryAfterDivisor = 3
@@ -67,7 +71,7 @@
 		headSent    bool            // the header of a stream was forwarded
 		lastEventID uint64          // ID of the last event forwarded
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
-		nextAttempt *attempt        // placed already, by an escalation or for a shorter queue
+		nextAttempt *attempt        // placed already, by an escalation or to replace a silent attempt
 		retryTaken  bool            // the retry for the next attempt was taken from the budget
 
 		// The server that answered, for the log: the expected and the actual
@@ -119,6 +123,9 @@
 	for {
 		a, failure := x.placeAttempt(ctx)
 		if failure != nil {
+			if failure.Code == forward.NoServer && x.awaitServer(ctx) {
+				continue
+			}
 			return x.giveUp(ctx, lastOutcome, failure)
 		}
 		outcome, err := x.tryServer(ctx, a)
@@ -128,7 +135,7 @@
 		}
 		x.logFailedAttempt(a, outcome, err)
 		lastOutcome = outcome
-		if ctx.Err() != nil || !x.mayRetry(outcome) {
+		if ctx.Err() != nil || !x.mayRetry(outcome) && !x.awaitRetry(ctx, outcome) {
 			return x.giveUp(ctx, outcome, nil)
 		}
 	}
@@ -144,6 +151,41 @@
 	return o == forward.NotSent || x.nextAttempt != nil || x.retryTaken || x.forwarder.takeRetry()
 }
 
+// awaitRetry waits until the budget has a retry for an answer that has begun, and reports
+// whether it took one. Such an answer can't be refused, so it is given up only at its
+// deadline or when its caller leaves.
+func (x *activeRequest) awaitRetry(ctx context.Context, o forward.Outcome) bool {
+	if !x.headSent || !forward.MayRetry(x.route, o, x.runs) {
+		return false
+	}
+	for x.pause(ctx) {
+		if x.forwarder.takeRetry() {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitServer waits for a moment if the answer has begun, and reports whether another
+// server may be looked for.
+func (x *activeRequest) awaitServer(ctx context.Context) bool {
+	if !x.headSent {
+		return false
+	}
+	x.unreachable = nil
+	return x.pause(ctx)
+}
+
+// pause waits for resumePoll and reports whether the request is still wanted.
+func (x *activeRequest) pause(ctx context.Context) bool {
+	select {
+	case <-x.forwarder.entry.cfg.Clock.After(resumePoll):
+		return x.now().Before(x.deadline)
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // giveUp ends the request after its last attempt. A server's error answer is
 // forwarded unchanged; a stream that has begun is cut off.
 func (x *activeRequest) giveUp(ctx context.Context, lastOutcome forward.Outcome, refused *forward.Failure) error {
@@ -186,8 +228,7 @@
 		NewConn: x.sends > 1 && !x.route.IsRetryable(),
 	}, func() error { return f.checkServing(a.server) })
 	if err != nil {
-		x.retryTaken, x.nextAttempt = watch.result()
-		return x.handleSendError(ctx, a, err, watch)
+		return x.handleSendError(ctx, a, err, x.takeOver(watch))
 	}
 	watch.stop()
 	f.recordActivity(a.server.ID)
@@ -196,7 +237,7 @@
 }
 
 // handleSendError classifies an attempt that got no answer.
-func (x *activeRequest) handleSendError(ctx context.Context, a *attempt, err error, watch *idleTimer) (forward.Outcome, error) {
+func (x *activeRequest) handleSendError(ctx context.Context, a *attempt, err error, h handover) (forward.Outcome, error) {
 	if errors.Is(err, upstream.ErrNotSent) {
 		if ctx.Err() == nil {
 			x.forwarder.recordFailure(a, x, true)
@@ -207,12 +248,19 @@
 	}
 	x.runs++
 	x.tried = append(x.tried, a.server.ID)
-	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && x.nextAttempt == nil {
-		x.forwarder.recordFailure(a, x, watch.isServerDead())
+	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && !h.moved {
+		x.forwarder.recordFailure(a, x, h.serverDead)
 	}
 	return forward.Unknown, err
 }
 
+// takeOver adopts what the idle timer of the last attempt decided about the next one.
+func (x *activeRequest) takeOver(watch *idleTimer) handover {
+	h := watch.result()
+	x.retryTaken, x.nextAttempt = h.retryTaken, h.next
+	return h
+}
+
 // countsAsFailure reports whether the server's silence counts as a failure. It
 // does not if a short request deadline ended the wait.
 func (x *activeRequest) countsAsFailure(a *attempt) bool {
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -35,7 +35,7 @@
 		return forward.NotRun, errors.Errorf("the server did not run the request: status %d, draining its body: %v", a.head.Status, err)
 	}
 	x.runs++
-	if x.escalate(a) {
+	if x.escalate(ctx, a) {
 		answer.Discard()
 		return forward.Failed, errors.Trace(errLowConfidence)
 	}
@@ -46,9 +46,9 @@
 }
 
 // escalate decides whether to drop a low-confidence answer and ask a larger
-// model. If so, it places the next attempt. The answer must not have been
-// forwarded in part.
-func (x *activeRequest) escalate(a *attempt) bool {
+// model. If so, it places the next attempt, at a server that can be reached. The answer
+// must not have been forwarded in part.
+func (x *activeRequest) escalate(ctx context.Context, a *attempt) bool {
 	if !x.req.AnyModel || x.headSent || a.head.Status/100 != 2 || a.head.Confidence < 0 || x.runs >= x.route.MaxAttempts {
 		return false
 	}
@@ -62,7 +62,8 @@
 	if ok {
 		spent := x.forwarder.entry.cfg.Clock.Now().Sub(x.req.Arrived)
 		lateRisk := placement.LateRisk(spent+next.expected, x.route.Objective)
-		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued) && x.forwarder.takeRetry()
+		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued) &&
+			(x.forwarder.client.HasIdle(next.server.Address) || x.connect(ctx, next)) && x.forwarder.takeRetry()
 		if ok {
 			x.logEscalation(a, lateRisk, next.meanQueued)
 		}
@@ -83,7 +84,7 @@
 	defer watch.stop()
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
 	watch.stop()
-	x.retryTaken, _ = watch.result()
+	x.takeOver(watch)
 	x.tried = append(x.tried, a.server.ID)
 	if err != nil || len(body) > maxBufferedBytes {
 		answer.Discard()
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -48,24 +48,20 @@
 		"runs", s.RunsRequest, "holds", err == nil && s.HoldsRequest(), "err", err)
 }
 
-// silence is what the entry knew when it judged a silent attempt.
-type silence struct {
-	waited     time.Duration // since the server last sent data
-	dead       bool          // no sign of life
-	retryTaken bool
-	next       *attempt // nil when no server was chosen yet
+// logSilence logs the decision about a silent attempt.
+func (x *activeRequest) logSilence(a *attempt, s forward.Silence, next *attempt, d forward.SilenceDecision) {
+	successor, expected := "", time.Duration(0)
+	if next != nil {
+		successor, expected = next.server.ID, next.expected
+	}
+	level.Warn(x.log()).Log("msg", "Silent attempt is judged.", "id", x.req.ID, "srv", a.server.ID, "model", x.model, "silent", s.Duration,
+		"hard", s.Hard, "alive", s.SignOfLife, "holds", s.Holds, "begun", s.Begun, "last", x.lastEventID, "next", successor, "next_exp", expected,
+		"run", x.runs, "tried", len(x.tried), "left", x.deadline.Sub(x.now()), "decision", d)
 }
 
-// logSilence logs the decision about a silent attempt: it ends if the server is dead or a
-// retry was in the budget.
-func (x *activeRequest) logSilence(a *attempt, s silence) {
-	next := ""
-	if s.next != nil {
-		next = s.next.server.ID
-	}
-	level.Warn(x.log()).Log("msg", "Silent attempt is judged.", "id", x.req.ID, "srv", a.server.ID, "model", x.model, "silent", s.waited,
-		"dead", s.dead, "begun", x.headSent, "last", x.lastEventID, "retry_left", s.retryTaken, "next", next, "ends", s.dead || s.retryTaken,
-		"run", x.runs, "tried", len(x.tried), "left", x.deadline.Sub(x.now()))
+// logUnreachable logs that a server that was to take a request over accepts no connection.
+func (x *activeRequest) logUnreachable(a *attempt, err error) {
+	level.Warn(x.log()).Log("msg", "Successor cannot be reached.", "id", x.req.ID, "srv", a.server.ID, "addr", a.server.Address, "err", err)
 }
 
 // logMoved logs that a request leaves an engine's queue for a shorter one.
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -38,8 +38,8 @@
 			answer.Close()
 			return "", nil
 		default:
-			x.retryTaken, _ = watch.result()
-			return x.handleBrokenStream(ctx, a, answer, errors.Annotatef(errIncomplete, "%v", err), watch.isServerDead())
+			h := x.takeOver(watch)
+			return x.handleBrokenStream(ctx, a, answer, errors.Annotatef(errIncomplete, "%v", err), h.serverDead)
 		}
 	}
 }
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -52,6 +52,10 @@
 	// statusInterval is the pause between two status checks of a silent engine.
 	statusInterval = time.Second
 
+	// maxSuccessors is the maximum number of servers to which a connection is tried
+	// before a silent attempt is left to wait on.
+	maxSuccessors = 2
+
 	// maxStatusBytes is the maximum size of a status in bytes.
 	maxStatusBytes = 256 << 10
 )
@@ -72,14 +76,20 @@
 	timeouts idleTimeouts
 	cancel   func()
 
-	mu         sync.Mutex
-	timer      clock.Timer
-	resets     uint64        // number of resets, to detect one during a check
-	waited     time.Duration // time since the last reset at which the timer is due
-	stopped    bool
-	serverDead bool     // the attempt ended because the server gave no sign of life
-	retryTaken bool     // a retry was taken from the budget when the attempt ended
-	next       *attempt // the attempt that replaces it, if one is placed already
+	mu       sync.Mutex
+	timer    clock.Timer
+	resets   uint64        // number of resets, to detect one during a check
+	waited   time.Duration // time since the last reset at which the timer is due
+	stopped  bool
+	handover handover
+}
+
+// handover is how an idle timer ended its attempt.
+type handover struct {
+	serverDead bool     // the server gave no sign of life
+	retryTaken bool     // a retry was taken from the budget
+	next       *attempt // the attempt that replaces it, nil if there is none
+	moved      bool     // the request left a long queue; its server did not fail
 }
 
 // startIdleTimer starts a timer that cancels the attempt, with the reason as
@@ -96,79 +106,132 @@
 
 func (t *idleTimer) onTimeout() {
 	t.mu.Lock()
-	resets, isHard := t.resets, t.waited >= t.timeouts.hard
+	resets, waited := t.resets, t.waited
 	t.mu.Unlock()
-	if isHard {
-		t.endWait(resets, false, nil)
+	s := forward.Silence{Duration: waited, Begun: t.request.headSent, Hard: waited >= t.timeouts.hard}
+	start := t.request.now()
+	var status forward.ServerStatus
+	if !s.Hard {
+		s.SignOfLife, status = t.request.checkSilent(t.ctx, t.attempt.server)
+		s.Holds = s.SignOfLife && status.HoldsRequest()
+	}
+	if s.IsSuspect() {
+		t.decide(resets, s, t.findSuccessor(s), start)
 		return
 	}
-	start := t.request.now()
-	alive, status := t.request.checkSilent(t.ctx, t.attempt.server)
-	switch {
-	case !alive || !status.HoldsRequest():
-		t.endWait(resets, !alive, nil)
-	case !status.RunsRequest && !t.request.headSent:
-		if next, ok := t.request.shorterQueue(t.attempt, status); ok {
-			t.endWait(resets, false, next)
+	if !status.RunsRequest && !s.Begun {
+		if next, ok := t.request.shorterQueue(t.attempt, status); ok && t.connect(next) {
+			t.move(resets, next, start)
 			return
 		}
-		t.waitOn(resets, t.request.now().Sub(start))
-	default:
-		t.waitOn(resets, t.request.now().Sub(start))
 	}
+	t.waitOn(resets, start)
 }
 
-// waitOn lets the wait go on until the next status check or the hard timeout. Spent is
-// the time that the last check took.
-func (t *idleTimer) waitOn(resets uint64, spent time.Duration) {
+// findSuccessor chooses a server that could take the request over and opens a connection
+// to it, so that the attempt is not given up for one that is gone. It returns nil if there
+// is none.
+func (t *idleTimer) findSuccessor(s forward.Silence) *attempt {
+	request := t.request
+	request.unreachable = slices.Clone(t.request.unreachable)
+	if !s.MayReturn() {
+		request.unreachable = append(request.unreachable, t.attempt.server.ID)
+	}
+	for range maxSuccessors {
+		next, ok := t.request.forwarder.chooseServer(&request)
+		if !ok {
+			return nil
+		}
+		if t.connect(next) {
+			return next
+		}
+		request.unreachable = append(request.unreachable, next.server.ID)
+	}
+	return nil
+}
+
+// connect opens a connection for the attempt and reports whether that succeeded.
+func (t *idleTimer) connect(a *attempt) bool { return t.request.connect(t.ctx, a) }
+
+// decide ends the attempt or lets the wait go on, unless the server has sent data since
+// the given number of resets. Next is the attempt that may replace it, nil for none.
+func (t *idleTimer) decide(resets uint64, s forward.Silence, next *attempt, start time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped || t.resets != resets {
 		return
 	}
-	interval := min(statusInterval, t.timeouts.hard-t.waited)
-	t.waited += interval
-	t.timer.Reset(max(interval-spent, 0))
+	left := t.request.deadline.Sub(t.request.now())
+	if left <= 0 {
+		t.cancel() // no attempt may follow
+		return
+	}
+	f := t.request.forwarder
+	var expected time.Duration
+	if next != nil {
+		expected = max(next.expected, 1)
+	}
+	decision := s.Decide(expected, left, f.takeRetry)
+	f.metrics.silent.WithLabelValues(string(decision)).Inc()
+	t.request.logSilence(t.attempt, s, next, decision)
+	switch decision {
+	case forward.KeepWaiting:
+		t.rearm(start)
+	case forward.Replace:
+		f.commitAttempt(next)
+		t.handover = handover{serverDead: !s.Hard && !s.SignOfLife, retryTaken: true, next: next}
+		t.cancel()
+	case forward.Abandon:
+		t.handover = handover{serverDead: !s.SignOfLife}
+		t.cancel()
+	}
 }
 
-// endWait cancels the attempt, unless the server has sent data since the given
-// number of resets. Next is the attempt that replaces it, nil if it is not placed
-// yet. Without a retry in the budget a live server is waited for: to cut the request
-// would only lose it.
-func (t *idleTimer) endWait(resets uint64, dead bool, next *attempt) {
+// move ends the attempt, whose server is sound, in favor of one with a shorter queue if a
+// retry is left.
+func (t *idleTimer) move(resets uint64, next *attempt, start time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped || t.resets != resets {
 		return
 	}
-	if !t.request.now().Before(t.request.deadline) {
-		t.cancel() // no attempt may follow
+	f := t.request.forwarder
+	if !f.takeRetry() {
+		t.rearm(start)
 		return
 	}
-	f := t.request.forwarder
-	t.retryTaken = f.takeRetry()
-	t.request.logSilence(t.attempt, silence{waited: t.waited, dead: dead, retryTaken: t.retryTaken, next: next})
-	if !t.retryTaken && !dead {
-		f.metrics.silent.WithLabelValues("waits").Inc()
-		t.waited += statusInterval
-		t.timer.Reset(statusInterval)
+	f.commitAttempt(next)
+	t.handover = handover{retryTaken: true, next: next, moved: true}
+	t.cancel()
+}
+
+// waitOn lets the wait go on, unless the server has sent data since the given number of
+// resets. Start is when the last check began.
+func (t *idleTimer) waitOn(resets uint64, start time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped || t.resets != resets {
 		return
 	}
-	f.metrics.silent.WithLabelValues("ends").Inc()
-	if next != nil && t.retryTaken {
-		f.commitAttempt(next)
-		t.next = next
+	t.rearm(start)
+}
+
+// rearm sets the timer to the next status check or to the hard timeout, whichever is
+// first. Callers hold t.mu.
+func (t *idleTimer) rearm(start time.Time) {
+	interval := statusInterval
+	if untilHard := t.timeouts.hard - t.waited; untilHard > 0 {
+		interval = min(interval, untilHard)
 	}
-	t.serverDead = dead
-	t.cancel()
+	t.waited += interval
+	t.timer.Reset(max(interval-t.request.now().Sub(start), 0))
 }
 
-// result returns whether a retry was taken from the budget when the attempt ended, and
-// the attempt that replaces it, if one is placed already.
-func (t *idleTimer) result() (retryTaken bool, next *attempt) {
+// result returns how the timer ended the attempt.
+func (t *idleTimer) result() handover {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.retryTaken, t.next
+	return t.handover
 }
 
 // reset restarts the timer after the server has sent data.
@@ -189,14 +252,6 @@
 	t.timer.Stop()
 }
 
-// isServerDead reports whether the attempt ended because the server gave no sign
-// of life.
-func (t *idleTimer) isServerDead() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.serverDead
-}
-
 // checkSilent reports whether a silent server is alive, and its status. An engine is
 // asked for it. Any other server is judged by the entry's other requests, and runs
 // the request if it is alive.
@@ -227,10 +282,22 @@
 	return next, ok
 }
 
+// connect opens a connection for an attempt that is to replace a running one, and reports
+// whether that succeeded.
+func (x *activeRequest) connect(ctx context.Context, a *attempt) bool {
+	err := x.forwarder.client.Connect(ctx, a.server.Address)
+	if err != nil && ctx.Err() == nil {
+		x.logUnreachable(a, err)
+		x.forwarder.recordFailure(a, x, true)
+	}
+	return err == nil
+}
+
 // fetchStatus asks an engine for its status and whether it runs the request.
 func (f *forwarder) fetchStatus(ctx context.Context, server backend.Announcement, requestID string) (forward.ServerStatus, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer f.entry.cfg.Clock.AfterFunc(statusTimeout, cancel).Stop()
 	dialect := f.entry.cfg.Forwarding.Dialect
 	answer, err := f.client.Do(ctx, upstream.Call{
 		Address: server.Address, Method: http.MethodGet, Host: server.Address, Target: dialect.StatusTarget(), NewConn: true,
--- a/internal/entry/idle_timer_test.go
+++ b/internal/entry/idle_timer_test.go
@@ -21,13 +21,14 @@
 	for name, c := range map[string]struct {
 		status string // empty when the engine does not answer
 		stays  bool
+		other  bool // another engine is there to take the request
 	}{
-		"it has a queue":                {"64 3", true},
-		"it runs the request":           {"2 0 other id-1", true},
-		"it has lost the request":       {"2 0 other", false},
-		"it does not answer":            {"", false},
-		"its status cannot be read":     {"?", false},
-		"it runs nothing and has queue": {"0 1", true},
+		"it has a queue":                {"64 3", true, false},
+		"it runs the request":           {"2 0 other id-1", true, false},
+		"it has lost the request":       {"2 0 other", false, false},
+		"it does not answer":            {"", false, true},
+		"its status cannot be read":     {"?", false, true},
+		"it runs nothing and has queue": {"0 1", true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newHarness(t)
@@ -37,7 +38,7 @@
 			var runs atomic.Int64
 			reached, asked, release := make(chan struct{}, 3), make(chan struct{}, 9), make(chan struct{})
 			defer close(release)
-			r.server("a", func(w http.ResponseWriter, req *http.Request) {
+			serve := func(w http.ResponseWriter, req *http.Request) {
 				if req.URL.Path == "/status" {
 					asked <- struct{}{}
 					if c.status == "" {
@@ -55,7 +56,11 @@
 					}
 				}
 				event(w, 1)
-			})
+			}
+			r.server("a", serve)
+			if c.other {
+				r.server("b", serve)
+			}
 			got, ended := r.startStream(clock)
 			<-reached
 			clock.Advance(1300 * time.Millisecond)
--- /dev/null
+++ b/internal/entry/lost_answer_test.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/clock/testclock"
+
+	"rosereach/core/backend"
+	"rosereach/core/retry"
+)
+
+// pausedStream is a harness in which a stream has begun at the first server, which then
+// falls silent on all of its connections. Later runs at any server are refused.
+type pausedStream struct {
+	*harness
+	clock  *testclock.Clock
+	got    *recordingSink
+	ended  chan error
+	resume chan struct{}
+	runs   atomic.Int64
+	// later handles the runs after the first.
+	later http.HandlerFunc
+}
+
+func newPausedStream(t *testing.T, slack float64, later http.HandlerFunc) *pausedStream {
+	p := &pausedStream{
+		harness: newHarness(t), clock: testclock.NewClock(time.Now()),
+		resume: make(chan struct{}), later: later,
+	}
+	p.entry.cfg.Clock = p.clock
+	p.entry.forwarder.retryBudget = retry.NewWindowBudget(retry.WindowBudgetConfig{Slack: slack, Window: 2 * time.Second})
+	p.planWithObjective(2 * time.Second)
+	p.server("a", p.serve)
+	return p
+}
+
+func (p *pausedStream) serve(w http.ResponseWriter, req *http.Request) {
+	switch {
+	case req.URL.Path == "/status":
+		select {
+		case <-p.resume:
+		case <-req.Context().Done():
+		}
+	case p.runs.Add(1) == 1:
+		event(w, 1)
+		http.NewResponseController(w).Flush()
+		select {
+		case <-p.resume:
+			event(w, 2)
+		case <-req.Context().Done():
+		}
+	default:
+		p.later(w, req)
+	}
+}
+
+// start sends the request and waits for the first event.
+func (p *pausedStream) start() {
+	p.t.Helper()
+	p.got, p.ended = p.startStream(p.clock)
+	waitFor(p.t, "the first event", func() bool { return p.got.text() != "" })
+}
+
+// advanceUntil advances the clock in small steps until the condition holds.
+func (p *pausedStream) advanceUntil(what string, holds func() bool) {
+	p.t.Helper()
+	waitFor(p.t, what, func() bool {
+		if !holds() {
+			p.clock.Advance(20 * time.Millisecond)
+		}
+		return holds()
+	})
+}
+
+// stayPaused lets the first server be silent for longer than all idle timeouts.
+func (p *pausedStream) stayPaused() {
+	p.t.Helper()
+	start := p.clock.Now()
+	p.advanceUntil("the end of the pause", func() bool { return p.clock.Now().Sub(start) > 3*time.Second || len(p.ended) > 0 })
+}
+
+// expectWhole checks that the caller gets both events, each once.
+func (p *pausedStream) expectWhole() {
+	p.t.Helper()
+	want := "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+	if err := <-p.ended; err != nil || p.got.text() != want {
+		p.t.Fatalf("%q, %v", p.got.text(), err)
+	}
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Refused", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// A server that pauses on all connections while the retry budget is empty is waited for:
+// an answer that has begun can't be refused.
+func TestPausedServerIsWaitedForWithoutRetry(t *testing.T) {
+	p := newPausedStream(t, 0, refuse)
+	p.server("b", p.serve)
+	p.start()
+	p.stayPaused()
+	close(p.resume)
+	p.expectWhole()
+}
+
+// Without another server that accepts connections, a paused server is waited for.
+func TestPausedServerIsWaitedForWithoutSuccessor(t *testing.T) {
+	for name, addSuccessor := range map[string]func(p *pausedStream){
+		"no other server": func(*pausedStream) {},
+		"the other server is gone": func(p *pausedStream) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				p.t.Fatal(err)
+			}
+			l.Close()
+			p.announce("b", l.Addr().String(), 1, backend.Serving)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPausedStream(t, 50, refuse)
+			addSuccessor(p)
+			p.start()
+			p.stayPaused()
+			close(p.resume)
+			p.expectWhole()
+			if n := p.runs.Load(); n != 1 {
+				t.Errorf("%d runs", n)
+			}
+		})
+	}
+}
+
+// A successor that accepts the connection and then refuses the request has used up the
+// budget. The answer goes on when the budget allows the next retry.
+func TestBegunAnswerOutlastsRefusals(t *testing.T) {
+	var refusals atomic.Int64
+	p := newPausedStream(t, 1, func(w http.ResponseWriter, req *http.Request) {
+		if refusals.Add(1) == 1 {
+			refuse(w, req)
+			return
+		}
+		event(w, 2)
+	})
+	p.server("b", p.serve)
+	p.start()
+	p.advanceUntil("the end of the request", func() bool { return len(p.ended) > 0 })
+	p.expectWhole()
+}
+
+// An answer of low confidence is forwarded when the larger model's server is gone.
+func TestLowConfidenceAnswerIsKeptWithoutSuccessor(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	var runs atomic.Int64
+	gone := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.server("a", func(w http.ResponseWriter, req *http.Request) {
+		if runs.Add(1) > 1 {
+			refuse(w, req)
+			return
+		}
+		// Only the other server is left for a second run.
+		rec, _ := r.entry.forwarder.roster.Find("a")
+		r.announce("a", rec.Server.Address, 2, backend.Leaving)
+		r.announce("b", l.Addr().String(), 1, backend.Serving)
+		l.Close()
+		close(gone)
+		w.Header().Set("Sure", "10")
+		fmt.Fprintf(w, "id: 1\ndata: %s\n\n", req.Header.Get("Model"))
+	})
+	got, err := r.send("streaming")
+	<-gone
+	if err != nil || got.text() != "id: 1\ndata: small\n\n" {
+		t.Fatalf("%q, %v", got.text(), err)
+	}
+}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -142,6 +142,30 @@
 	return answer, nil
 }
 
+// Connect opens a new connection to the server and keeps it for the next request there. It
+// proves that the server can be reached now, which an idle connection does not.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	conn.expiresAt = c.clock.Now().Add(defaultIdleTimeout)
+	c.release(address, conn)
+	return nil
+}
+
+// HasIdle reports whether an idle connection to the server is open.
+func (c *Client) HasIdle(address string) bool {
+	for idle := c.popIdle(address); idle != nil; idle = c.popIdle(address) {
+		if idle.isReusable() {
+			c.release(address, idle)
+			return true
+		}
+		idle.discard()
+	}
+	return false
+}
+
 // CloseIdle closes idle connections that have expired, and those to servers for
 // which isKept returns false.
 func (c *Client) CloseIdle(isKept func(address string) bool) {
@@ -259,10 +283,14 @@
 		}
 		idle.discard()
 	}
+	return c.dial(ctx, call.Address)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	raw, err := connect(ctx, call.Address)
+	raw, err := connect(ctx, address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
