Look for no successor at a request's deadline

Cause: since an attempt is replaced only by a reachable server, an attempt that ended at its deadline tried two connections whose time was over, and counted both servers as unreachable.

Change: the wait of a last attempt, and any wait that reaches the deadline, ends there without a look for a server. TestDeadlineBlamesNoSuccessor failed before (2 connections in place of 1).

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -261,11 +261,13 @@
 	return h
 }
 
+// isAtDeadline reports whether the request's deadline has passed or is about to.
+func (x *activeRequest) isAtDeadline() bool { return !x.now().Before(x.deadline.Add(-deadlineMargin)) }
+
 // countsAsFailure reports whether the server's silence counts as a failure. It
 // does not if a short request deadline ended the wait.
 func (x *activeRequest) countsAsFailure(a *attempt) bool {
-	now := x.now()
-	return now.Before(x.deadline.Add(-deadlineMargin)) || now.Sub(a.startedAt) >= minFailureSilence
+	return !x.isAtDeadline() || x.now().Sub(a.startedAt) >= minFailureSilence
 }
 
 // placeAttempt returns the next attempt with the server chosen for it.
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -61,8 +61,12 @@
 )
 
 // idleTimeouts holds the timeouts of a wait for a server: soft for a first check
-// whether the server still has the request, hard for the end of the wait.
-type idleTimeouts struct{ soft, hard time.Duration }
+// whether the server still has the request, hard for the end of the wait. No attempt
+// may follow the last one, which ends at the deadline.
+type idleTimeouts struct {
+	soft, hard time.Duration
+	last       bool
+}
 
 // idleTimer cancels an attempt whose server sends nothing. From the soft timeout on
 // it checks whether the server is alive and still has the request; if so, the wait
@@ -108,6 +112,10 @@
 	t.mu.Lock()
 	resets, waited := t.resets, t.waited
 	t.mu.Unlock()
+	if t.timeouts.last || t.request.isAtDeadline() {
+		t.awaitDeadline(resets)
+		return
+	}
 	s := forward.Silence{Duration: waited, Begun: t.request.headSent, Hard: waited >= t.timeouts.hard}
 	start := t.request.now()
 	var status forward.ServerStatus
@@ -128,6 +136,20 @@
 	t.waitOn(resets, start)
 }
 
+// awaitDeadline ends the attempt at the request's deadline, which none may follow.
+func (t *idleTimer) awaitDeadline(resets uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped || t.resets != resets {
+		return
+	}
+	if left := t.request.deadline.Sub(t.request.now()); left > 0 {
+		t.timer.Reset(left)
+		return
+	}
+	t.cancel()
+}
+
 // findSuccessor chooses a server that could take the request over and opens a connection
 // to it, so that the attempt is not given up for one that is gone. It returns nil if there
 // is none.
@@ -161,12 +183,7 @@
 	if t.stopped || t.resets != resets {
 		return
 	}
-	left := t.request.deadline.Sub(t.request.now())
-	if left <= 0 {
-		t.cancel() // no attempt may follow
-		return
-	}
-	f := t.request.forwarder
+	f, left := t.request.forwarder, t.request.deadline.Sub(t.request.now())
 	var expected time.Duration
 	if next != nil {
 		expected = max(next.expected, 1)
@@ -286,7 +303,7 @@
 // whether that succeeded.
 func (x *activeRequest) connect(ctx context.Context, a *attempt) bool {
 	err := x.forwarder.client.Connect(ctx, a.server.Address)
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !x.isAtDeadline() {
 		x.logUnreachable(a, err)
 		x.forwarder.recordFailure(a, x, true)
 	}
@@ -344,7 +361,7 @@
 // remaining time.
 func (x *activeRequest) deadlineTimeouts() idleTimeouts {
 	remaining := x.deadline.Sub(x.now())
-	return idleTimeouts{soft: remaining, hard: remaining}
+	return idleTimeouts{soft: remaining, hard: remaining, last: true}
 }
 
 // headTimeouts returns the timeouts for the header of an attempt's answer.
--- a/internal/entry/lost_answer_test.go
+++ b/internal/entry/lost_answer_test.go
@@ -11,6 +11,7 @@
 	"github.com/juju/clock/testclock"
 
 	"rosereach/core/backend"
+	"rosereach/core/forward"
 	"rosereach/core/retry"
 )
 
@@ -183,3 +184,32 @@
 		t.Fatalf("%q, %v", got.text(), err)
 	}
 }
+
+// At a request's deadline nothing may take it over: no connection is tried, whose failure
+// would count against a sound server.
+func TestDeadlineBlamesNoSuccessor(t *testing.T) {
+	r := newHarness(t)
+	clock := testclock.NewClock(time.Now())
+	r.entry.cfg.Clock = clock
+	r.plan()
+	reached := make(chan string, 1)
+	for _, id := range []string{"a", "b"} {
+		r.server(id, func(_ http.ResponseWriter, req *http.Request) {
+			reached <- id
+			<-req.Context().Done()
+		})
+	}
+	dials := 0
+	r.entry.forwarder.client.OnDial = func() { dials++ }
+	ended := make(chan error, 1)
+	go func() {
+		ended <- r.entry.Forward(t.Context(), forward.Request{
+			ID: "id-1", Method: "POST", Host: "h", Path: "/unsafe/x", Target: "/unsafe/x", Key: "k", Arrived: clock.Now(),
+		}, &recordingSink{})
+	}()
+	<-reached
+	clock.Advance(6 * time.Second)
+	if err := <-ended; codeOf(err) != forward.TimedOut || dials != 1 {
+		t.Fatalf("%d connections, %v", dials, err)
+	}
+}
