Let the last attempt of a chat request outlast a pause of its engine

On the product's own interface an answer without a token for 3 s was cut in any case, also by the last attempt, with an empty retry budget, or with no engine left to go on at; the caller got a cut answer although the engine went on.

Change: a stalled answer is cut only if another attempt is allowed, an engine is there for it, and its retry was taken from the budgets beforehand; otherwise the wait goes on until the deadline.

--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -105,16 +105,11 @@
 	})
 }
 
-// awaitRetry takes a retry from the budgets and waits for the backoff delay. It
-// returns false when no further attempt is allowed.
-func (e *Entry) awaitRetry(ctx context.Context, x *execution, failures int) bool {
-	if ctx.Err() != nil {
-		return false
-	}
+// spendRetry takes a retry from the budgets and reports whether one was left.
+func (e *Entry) spendRetry(x *execution) bool {
 	e.mu.Lock()
-	allowed := e.retryBudgets.TrySpend(x.req.Workspace)
-	e.mu.Unlock()
-	return allowed && e.pause(ctx, backoff, failures) == nil
+	defer e.mu.Unlock()
+	return e.retryBudgets.TrySpend(x.req.Workspace)
 }
 
 // creditRetryBudget credits the workspace's retry budget for a successful
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -94,8 +94,9 @@
 		tried  []string
 		last   error
 	)
+	retry := retryPermit{entry: e, execution: x}
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		if attempt > 1 && !e.awaitRetry(ctx, x, attempt-1) {
+		if attempt > 1 && !retry.await(ctx, attempt-1) {
 			return request.Answer{}, last
 		}
 		c, call, err := e.placeAttempt(x, ref, resume, tried)
@@ -103,6 +104,9 @@
 			return request.Answer{}, firstFailure(x, last, err)
 		}
 		call.Attempt = attempt
+		call.OnStall = func() bool {
+			return attempt < maxAttempts && e.hasEngine(x.req, ref) && retry.take()
+		}
 		end, err := e.streamAttempt(ctx, x, c, call)
 		if err == nil {
 			return x.completeAnswer(ref, c.server.ID, end.Usage), nil
@@ -144,6 +148,14 @@
 	return c, call, x.fire(request.Dispatch)
 }
 
+// hasEngine reports whether an engine could take the request over.
+func (e *Entry) hasEngine(req request.Request, ref version.Ref) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.cfg.Clock.Now()
+	return e.checkLease(now) == nil && e.checkPermission(req, target{ref: ref}) == nil && len(e.registry.Engines(now, ref)) > 0
+}
+
 // dispatchPreferUntried dispatches to a server that was not tried yet, or to a
 // tried one if there is no other.
 func (e *Entry) dispatchPreferUntried(req request.Request, t target, tried []string, demand placement.Demand) (*claim, error) {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -44,8 +44,9 @@
 		tried []string
 		last  error
 	)
+	retry := retryPermit{entry: e, execution: x}
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		if attempt > 1 && !e.awaitRetry(x.ctx, x, attempt-1) {
+		if attempt > 1 && !retry.await(x.ctx, attempt-1) {
 			return request.Answer{}, last
 		}
 		c, err := e.dispatchPreferUntried(x.req, target{service: x.req.Service}, tried, placement.Demand{Priority: x.req.Priority})
--- a/io/backend/engine.go
+++ b/io/backend/engine.go
@@ -102,10 +102,10 @@
 	if call.RunID != "" && run != call.RunID {
 		return StreamEnd{}, unknown(errors.Annotatef(ErrRunLost, "run %q in place of %q", run, call.RunID))
 	}
-	stallTimer := c.clock.AfterFunc(stallTimeout, func() { cancel(ErrStalled) })
-	defer stallTimer.Stop()
+	stall := c.watchStall(call.OnStall, func() { cancel(ErrStalled) })
+	defer stall.stop()
 	end, err := readStream(resp.Body, call.RequestID, func(p Piece) error {
-		stallTimer.Reset(stallTimeout)
+		stall.reset()
 		return onPiece(p)
 	})
 	end.RunID = run
--- a/io/backend/wire.go
+++ b/io/backend/wire.go
@@ -95,6 +95,10 @@
 		// Gate may prevent the attempt. When it is nil, the attempt is always
 		// sent.
 		Gate Gate
+		// OnStall is asked when no token has arrived for stallTimeout, and again after
+		// each further such time. It reports whether to end the attempt. When it is nil,
+		// only the deadline ends a stalled attempt.
+		OnStall func() bool
 	}
 
 	// Gate is a check just before the first byte of an attempt is written.
