End a replaced batch of commands once

Cause: a thawed leader that receives, in one batch, the entries that replace its own and their commit sent a result for each replaced command of a proposal into a channel that takes one, while it held the node's lock: the control stood still, and with it all that was waiting for it. Found by the review of the lost answers; not seen in a run.

Evidence: TestReplacedBatchDoesNotBlock failed before ("the loop is blocked").

--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -29,7 +29,9 @@
 		// remaining counts the commands without a result.
 		remaining int
 
-		done chan error
+		// ended is set when done has got the proposal's result, which it takes once.
+		ended bool
+		done  chan error
 	}
 
 	// pendingCommand is a command that waits until its log entry is committed.
@@ -92,7 +94,7 @@
 	index, term, err := n.propose(data)
 	for _, p := range batch {
 		if err != nil {
-			p.done <- err
+			p.end(err)
 			continue
 		}
 		for i := range p.data {
@@ -141,25 +143,30 @@
 	}
 	delete(n.pending, e.Index)
 	if w.term != e.Term {
-		w.proposal.done <- errors.Trace(ErrLeadershipLost)
+		w.proposal.end(errors.Trace(ErrLeadershipLost))
 		return
 	}
 	w.proposal.results[w.position] = result
 	w.proposal.remaining--
 	if w.proposal.remaining == 0 {
-		w.proposal.done <- nil
+		w.proposal.end(nil)
 	}
 }
 
 // failPending fails all waiting proposals, as it is now up to another leader whether
 // they are committed. Callers hold n.mu.
 func (n *Node) failPending() {
-	failed := make(map[*proposal]bool)
 	for index, w := range n.pending {
 		delete(n.pending, index)
-		if !failed[w.proposal] {
-			w.proposal.done <- errors.Trace(ErrLeadershipLost)
-		}
-		failed[w.proposal] = true
+		w.proposal.end(errors.Trace(ErrLeadershipLost))
+	}
+}
+
+// end passes the result to whoever waits for the proposal, unless it has ended already.
+// Callers hold the node's mu.
+func (p *proposal) end(err error) {
+	if !p.ended {
+		p.ended = true
+		p.done <- err
 	}
 }
