--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -1,6 +1,7 @@
 package httpd
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"sync"
@@ -63,6 +64,8 @@
 	switch state {
 	case http.StateNew:
 		s.open[t] = true
+	case http.StateActive:
+		t.stopWaiting() // the server may have read the request ahead
 	case http.StateIdle:
 		t.awaitRequest(s.idleTimeout())
 	case http.StateClosed, http.StateHijacked:
@@ -106,18 +109,30 @@
 // Read implements net.Conn.
 func (t *trackedConn) Read(p []byte) (int, error) {
 	n, err := t.Conn.Read(p)
-	if n > 0 {
+	if len(bytes.Trim(p[:n], "\r\n")) > 0 { // empty lines belong to no request
 		t.stopWaiting()
 	}
 	return n, err
 }
 
+// CloseWrite closes the sending side, which http.Server does before it closes a connection
+// whose request it has not read to the end.
+func (t *trackedConn) CloseWrite() error {
+	if c, ok := t.Conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return nil
+}
+
 // awaitRequest closes the connection if no byte of a request arrives within the timeout,
 // which is negative for none.
 func (t *trackedConn) awaitRequest(timeout time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.waiting = true
+	if t.timer != nil {
+		t.timer.Stop()
+	}
 	if timeout >= 0 {
 		t.timer = time.AfterFunc(timeout, t.closeIfWaiting)
 	}
--- a/internal/httpd/conns_test.go
+++ b/internal/httpd/conns_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,3 +134,155 @@
 		})
 	}
 }
+
+// A caller that has its whole answer sends the next request while the handler is still
+// returning; the first byte is read by net/http in the background. A stop follows.
+func TestRequestReadDuringLastAnswerIsAnswered(t *testing.T) {
+	lost := 0
+	for range 20 {
+		ctx, cancel := context.WithCancel(context.Background())
+		l, err := httpd.Listen(ctx, "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		served, sent := make(chan error, 1), make(chan struct{})
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "2")
+			io.WriteString(w, "ok")
+			if r.URL.Path == "/1" {
+				http.NewResponseController(w).Flush()
+				<-sent
+				time.Sleep(2 * time.Millisecond) // the background read gets its byte
+				cancel()
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+		go func() {
+			served <- httpd.ServeWithTimeouts(ctx, l, h, httpd.Timeouts{Shutdown: func() time.Duration { return time.Second }})
+		}()
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := bufio.NewReader(c)
+		io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+		if _, err := http.ReadResponse(r, nil); err != nil {
+			t.Fatal(err)
+		}
+		io.CopyN(io.Discard, r, 2)
+		io.WriteString(c, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+		close(sent)
+		if _, err := http.ReadResponse(r, nil); err != nil {
+			lost++
+		}
+		c.Close()
+		cancel()
+		<-served
+	}
+	if lost > 0 {
+		t.Errorf("%d of 20 requests whose first byte was read got no answer", lost)
+	}
+}
+
+// An empty line after a request (RFC 9112, 2.2) must hold up neither a stop nor the idle timeout.
+func TestStrayLineHoldsNoStop(t *testing.T) {
+	for name, stop := range map[string]bool{"stop": true, "idle": false} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			l, err := httpd.Listen(ctx, "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			served := make(chan error, 1)
+			go func() {
+				served <- httpd.ServeWithTimeouts(ctx, l, http.NotFoundHandler(), httpd.Timeouts{
+					Shutdown: func() time.Duration { return time.Minute }, Idle: func() time.Duration { return 50 * time.Millisecond },
+				})
+			}()
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			r := bufio.NewReader(c)
+			io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			io.WriteString(c, "\r\n")
+			time.Sleep(10 * time.Millisecond)
+			if stop {
+				cancel()
+			}
+			if _, err := r.ReadByte(); err != io.EOF {
+				t.Errorf("the connection is not closed: %v", err)
+			}
+			cancel()
+			<-served
+		})
+	}
+}
+
+// A stop without connections ends without an error.
+func TestStopWithoutConnections(t *testing.T) {
+	for range 100 {
+		ctx, cancel := context.WithCancel(context.Background())
+		l, err := httpd.Listen(ctx, "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		served := make(chan error, 1)
+		go func() { served <- httpd.Serve(ctx, l, http.NotFoundHandler()) }()
+		time.Sleep(time.Millisecond)
+		cancel()
+		if err := <-served; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A request that was sent before the answer to the one before it is answered also when the
+// idle timeout is shorter than its handler takes.
+func TestPipelinedRequestIsAnswered(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := httpd.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const idle = 20 * time.Millisecond
+	served := make(chan error, 1)
+	go func() {
+		served <- httpd.ServeWithTimeouts(ctx, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-time.After(3 * idle):
+				io.WriteString(w, "ok")
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			}
+		}), httpd.Timeouts{Shutdown: func() time.Duration { return time.Second }, Idle: func() time.Duration { return idle }})
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 2))
+	r := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	cancel()
+	<-served
+}
