Judge a silent attempt by what was forwarded since its wait began

The timer of a stream's first answer kept the state from before its first event, and could abandon an answer that had begun. A begun answer whose servers refuse or are gone spent a retry each 100 ms. Past the hard timeout a dead server's request was never ended, and one that was ended took a retry for the same server. A hand-over that was decided while the answer arrived was forgotten, with its retry. Connections were opened with an empty budget.

Change: the timer learns with each byte whether the answer has begun; a request that could not be sent takes no retry, and the pauses of a request grow to 0.8 s; an abandoned request ends; stopping the timer returns what it decided; a successor is looked for only with a retry in the budget.

--- a/core/forward/silence.go
+++ b/core/forward/silence.go
@@ -56,7 +56,7 @@
 	switch {
 	case successor > 0 && successor <= left && takeRetry():
 		return Replace
-	case !s.Begun && !s.Hard && (!s.SignOfLife || !s.Holds) && s.Duration >= deadAfter:
+	case !s.Begun && (!s.SignOfLife || !s.Holds) && s.Duration >= deadAfter:
 		return Abandon
 	}
 	return KeepWaiting
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -34,19 +34,25 @@
 // RecordRequest records a request, which adds to the budget.
 func (w *WindowBudget) RecordRequest(now time.Time) { w.requests[w.advance(now)]++ }
 
-// TrySpend spends one retry if this member's part of the budget allows it, and
-// reports whether it did. Members is the number of members that share the slack.
-func (w *WindowBudget) TrySpend(now time.Time, members int) bool {
-	index := w.advance(now)
+// Allows reports whether this member's part of the budget allows another retry. Members
+// is the number of members that share the slack.
+func (w *WindowBudget) Allows(now time.Time, members int) bool {
+	w.advance(now)
 	var requests, retries float64
 	for i := range windowSlices {
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	if retries+1 > w.cfg.Ratio*requests+w.cfg.Slack/float64(max(members, 1)) {
+	return retries+1 <= w.cfg.Ratio*requests+w.cfg.Slack/float64(max(members, 1))
+}
+
+// TrySpend spends one retry if Allows reports that there is one, and reports whether it
+// did.
+func (w *WindowBudget) TrySpend(now time.Time, members int) bool {
+	if !w.Allows(now, members) {
 		return false
 	}
-	w.retries[index]++
+	w.retries[w.advance(now)]++
 	return true
 }
 
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -27,9 +27,11 @@
 	minFailureSilence = 2 * time.Second
 	deadlineMargin    = 10 * time.Millisecond
 
-	// resumePoll is the pause between two looks for a server or a retry that lets a
-	// broken answer go on.
-	resumePoll = 100 * time.Millisecond
+	// resumePoll and maxResumePoll are the first and the longest pause before another
+	// look for a server or a retry that lets a broken answer go on.
+	resumePoll         = 100 * time.Millisecond
+	maxResumePoll      = 800 * time.Millisecond
+	maxResumeDoublings = 3
 
 	// retryAfterDivisor is the divisor that limits Retry-After to a third of
 	// the request's remaining time; callers do not honor longer waits.
@@ -67,12 +69,14 @@
 		// Subset of the tried servers to which no connection could be opened.
 		unreachable []string
 		sends       int             // attempts sent
+		pauses      int             // waits for a retry or a server
 		runs        int             // attempts that ran or may have run
 		headSent    bool            // the header of a stream was forwarded
 		lastEventID uint64          // ID of the last event forwarded
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
 		nextAttempt *attempt        // placed already, by an escalation or to replace a silent attempt
 		retryTaken  bool            // the retry for the next attempt was taken from the budget
+		abandoned   bool            // no attempt may follow the last one
 
 		// The server that answered, for the log: the expected and the actual
 		// time to its first byte, and the prompt tokens not in its cache.
@@ -145,7 +149,7 @@
 // not sent or the next one is placed already, it takes a retry from the budget
 // shared by all entries.
 func (x *activeRequest) mayRetry(o forward.Outcome) bool {
-	if !forward.MayRetry(x.route, o, x.runs) || x.sends >= x.route.MaxAttempts+maxExtraSends {
+	if x.abandoned || !forward.MayRetry(x.route, o, x.runs) || x.sends >= x.route.MaxAttempts+maxExtraSends {
 		return false
 	}
 	return o == forward.NotSent || x.nextAttempt != nil || x.retryTaken || x.forwarder.takeRetry()
@@ -159,7 +163,7 @@
 		return false
 	}
 	for x.pause(ctx) {
-		if x.forwarder.takeRetry() {
+		if o == forward.NotSent || x.forwarder.takeRetry() {
 			return true
 		}
 	}
@@ -176,10 +180,13 @@
 	return x.pause(ctx)
 }
 
-// pause waits for resumePoll and reports whether the request is still wanted.
+// pause waits and reports whether the request is still wanted. The pauses of a request
+// grow, so that one that is refused everywhere does not use up the budget.
 func (x *activeRequest) pause(ctx context.Context) bool {
+	d := min(resumePoll<<min(x.pauses, maxResumeDoublings), maxResumePoll)
+	x.pauses++
 	select {
-	case <-x.forwarder.entry.cfg.Clock.After(resumePoll):
+	case <-x.forwarder.entry.cfg.Clock.After(d):
 		return x.now().Before(x.deadline)
 	case <-ctx.Done():
 		return false
@@ -214,7 +221,7 @@
 	a.startedAt = now
 	remaining := x.deadline.Sub(now)
 	x.sends++
-	x.retryTaken = false
+	x.retryTaken, x.abandoned = false, false
 	x.logPlaced(a)
 	watch := x.startIdleTimer(ctx, cancel, errHeadTimeout, a, x.headTimeouts(a))
 	defer watch.stop()
@@ -230,7 +237,7 @@
 	if err != nil {
 		return x.handleSendError(ctx, a, err, x.takeOver(watch))
 	}
-	watch.stop()
+	x.takeOver(watch)
 	f.recordActivity(a.server.ID)
 	a.head = f.entry.cfg.Forwarding.Dialect.Head(answer.Status, answer.Header)
 	return x.handleAnswer(ctx, cancel, a, answer)
@@ -254,10 +261,13 @@
 	return forward.Unknown, err
 }
 
-// takeOver adopts what the idle timer of the last attempt decided about the next one.
+// takeOver stops the idle timer of the last attempt and adopts what it decided about the
+// next one.
 func (x *activeRequest) takeOver(watch *idleTimer) handover {
-	h := watch.result()
-	x.retryTaken, x.nextAttempt = h.retryTaken, h.next
+	h := watch.stop()
+	if h.retryTaken || h.abandoned {
+		x.retryTaken, x.nextAttempt, x.abandoned = h.retryTaken, h.next, h.abandoned
+	}
 	return h
 }
 
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -83,7 +83,6 @@
 	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.bodyTimeouts())
 	defer watch.stop()
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
-	watch.stop()
 	x.takeOver(watch)
 	x.tried = append(x.tried, a.server.ID)
 	if err != nil || len(body) > maxBufferedBytes {
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -26,10 +26,12 @@
 	lastBefore := x.lastEventID
 	for {
 		n, err := answer.Read(buffer)
+		failed := x.forwardEvents(a, answer, &order, splitter.Push(buffer[:n]))
 		if n > 0 {
-			watch.reset()
+			watch.reset(x.headSent)
 		}
-		if failed := x.forwardEvents(a, answer, &order, splitter.Push(buffer[:n])); failed != nil {
+		if failed != nil {
+			x.takeOver(watch)
 			return x.handleBrokenStream(ctx, a, answer, failed, false)
 		}
 		switch {
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -49,6 +49,14 @@
 	return true
 }
 
+// hasRetry reports whether a retry is in the budget.
+func (f *forwarder) hasRetry() bool {
+	members := f.watcher.liveEntryCount()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.retryBudget.Allows(f.entry.cfg.Clock.Now(), members)
+}
+
 // checkServing returns an error if the server may no longer get the request. It
 // is called just before the first byte is sent.
 func (f *forwarder) checkServing(server backend.Announcement) error {
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -83,6 +83,7 @@
 	mu       sync.Mutex
 	timer    clock.Timer
 	resets   uint64        // number of resets, to detect one during a check
+	begun    bool          // part of the answer was forwarded
 	waited   time.Duration // time since the last reset at which the timer is due
 	stopped  bool
 	handover handover
@@ -94,6 +95,7 @@
 	retryTaken bool     // a retry was taken from the budget
 	next       *attempt // the attempt that replaces it, nil if there is none
 	moved      bool     // the request left a long queue; its server did not fail
+	abandoned  bool     // no attempt may follow
 }
 
 // startIdleTimer starts a timer that cancels the attempt, with the reason as
@@ -103,6 +105,7 @@
 	t.request.tried = append(slices.Clone(x.tried), a.server.ID)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.begun = x.headSent
 	t.waited = timeouts.soft
 	t.timer = x.forwarder.entry.cfg.Clock.AfterFunc(timeouts.soft, t.onTimeout)
 	return t
@@ -110,13 +113,13 @@
 
 func (t *idleTimer) onTimeout() {
 	t.mu.Lock()
-	resets, waited := t.resets, t.waited
+	resets, waited, begun := t.resets, t.waited, t.begun
 	t.mu.Unlock()
 	if t.timeouts.last || t.request.isAtDeadline() {
 		t.awaitDeadline(resets)
 		return
 	}
-	s := forward.Silence{Duration: waited, Begun: t.request.headSent, Hard: waited >= t.timeouts.hard}
+	s := forward.Silence{Duration: waited, Begun: begun, Hard: waited >= t.timeouts.hard}
 	start := t.request.now()
 	var status forward.ServerStatus
 	if !s.Hard {
@@ -124,7 +127,12 @@
 		s.Holds = s.SignOfLife && status.HoldsRequest()
 	}
 	if s.IsSuspect() {
-		t.decide(resets, s, t.findSuccessor(s), start)
+		next := t.findSuccessor(s)
+		if next == nil && s.Hard && !begun {
+			s.SignOfLife, status = t.request.checkSilent(t.ctx, t.attempt.server)
+			s.Holds = s.SignOfLife && status.HoldsRequest()
+		}
+		t.decide(resets, s, next, start)
 		return
 	}
 	if !status.RunsRequest && !s.Begun {
@@ -154,6 +162,9 @@
 // to it, so that the attempt is not given up for one that is gone. It returns nil if there
 // is none.
 func (t *idleTimer) findSuccessor(s forward.Silence) *attempt {
+	if !t.request.forwarder.hasRetry() {
+		return nil
+	}
 	request := t.request
 	request.unreachable = slices.Clone(t.request.unreachable)
 	if !s.MayReturn() {
@@ -199,7 +210,7 @@
 		t.handover = handover{serverDead: !s.Hard && !s.SignOfLife, retryTaken: true, next: next}
 		t.cancel()
 	case forward.Abandon:
-		t.handover = handover{serverDead: !s.SignOfLife}
+		t.handover = handover{serverDead: !s.SignOfLife, abandoned: true}
 		t.cancel()
 	}
 }
@@ -244,29 +255,25 @@
 	t.timer.Reset(max(interval-t.request.now().Sub(start), 0))
 }
 
-// result returns how the timer ended the attempt.
-func (t *idleTimer) result() handover {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.handover
-}
-
-// reset restarts the timer after the server has sent data.
-func (t *idleTimer) reset() {
+// reset restarts the timer after the server has sent data. Begun says that part of the
+// answer was forwarded.
+func (t *idleTimer) reset(begun bool) {
 	t.request.forwarder.recordActivity(t.attempt.server.ID)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.resets++
+	t.begun = begun
 	t.waited = t.timeouts.soft
 	t.timer.Reset(t.timeouts.soft)
 }
 
-// stop stops the timer.
-func (t *idleTimer) stop() {
+// stop stops the timer and returns how it ended the attempt.
+func (t *idleTimer) stop() handover {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stopped = true
 	t.timer.Stop()
+	return t.handover
 }
 
 // checkSilent reports whether a silent server is alive, and its status. An engine is
--- a/internal/entry/lost_answer_test.go
+++ b/internal/entry/lost_answer_test.go
@@ -11,8 +11,10 @@
 	"github.com/juju/clock/testclock"
 
 	"rosereach/core/backend"
+	"rosereach/core/catalog"
 	"rosereach/core/forward"
 	"rosereach/core/retry"
+	"rosereach/core/route"
 )
 
 // pausedStream is a harness in which a stream has begun at the first server, which then
@@ -24,6 +26,7 @@
 	ended  chan error
 	resume chan struct{}
 	runs   atomic.Int64
+	broken atomic.Bool // the first answer breaks off when it resumes
 	// later handles the runs after the first.
 	later http.HandlerFunc
 }
@@ -52,6 +55,9 @@
 		http.NewResponseController(w).Flush()
 		select {
 		case <-p.resume:
+			if p.broken.Load() {
+				hangUp(w)
+			}
 			event(w, 2)
 		case <-req.Context().Done():
 		}
@@ -213,3 +219,81 @@
 		t.Fatalf("%d connections, %v", dials, err)
 	}
 }
+
+// changeRoutes puts a plan with changed routes into force.
+func (r *harness) changeRoutes(change func(*route.Route)) {
+	docs := r.entry.catalog.Load().Documents()
+	plan := *docs.Routing
+	plan.Config.Routes = append([]route.Route(nil), plan.Config.Routes...)
+	for i := range plan.Config.Routes {
+		change(&plan.Config.Routes[i])
+	}
+	plan.Config.Version++
+	r.entry.applyDocuments(&catalog.Documents{Revision: docs.Revision + 1, Routing: &plan})
+}
+
+// An answer that began during the wait that is judged is not abandoned, also on a route
+// with long gaps between events.
+func TestAnswerThatBeganIsNotAbandoned(t *testing.T) {
+	p := newPausedStream(t, 0, refuse)
+	p.changeRoutes(func(r *route.Route) { r.EventGap, r.Timeout = 1300*time.Millisecond, 9*time.Second })
+	p.start()
+	start := p.clock.Now()
+	p.advanceUntil("the end of the pause", func() bool { return p.clock.Now().Sub(start) > 6*time.Second || len(p.ended) > 0 })
+	close(p.resume)
+	p.expectWhole()
+}
+
+// A request without an answer at a dead server ends long before its deadline, so that its
+// caller may try elsewhere.
+func TestRequestAtDeadServerEnds(t *testing.T) {
+	for _, objective := range []time.Duration{time.Second, 2 * time.Second} {
+		t.Run(objective.String(), func(t *testing.T) {
+			r := newHarness(t)
+			clock := testclock.NewClock(time.Now())
+			r.entry.cfg.Clock = clock
+			r.planWithObjective(objective)
+			r.changeRoutes(func(r *route.Route) { r.Timeout = 30 * time.Second })
+			var runs atomic.Int64
+			r.server("a", func(_ http.ResponseWriter, req *http.Request) {
+				if req.URL.Path != "/status" {
+					runs.Add(1)
+				}
+				<-req.Context().Done()
+			})
+			start := clock.Now()
+			_, ended := r.startStream(clock)
+			waitFor(t, "the end of the request", func() bool {
+				clock.Advance(20 * time.Millisecond)
+				return len(ended) > 0
+			})
+			if took := clock.Now().Sub(start); codeOf(<-ended) != forward.AnswerLost || took > 10*time.Second || runs.Load() != 1 {
+				t.Fatalf("ended after %s and %d runs", took, runs.Load())
+			}
+		})
+	}
+}
+
+// A begun answer whose only server is gone spends no retries on connections that fail.
+func TestGoneServerSpendsNoRetries(t *testing.T) {
+	p := newPausedStream(t, 0, refuse)
+	p.changeRoutes(func(r *route.Route) { r.Timeout = 8 * time.Second })
+	p.entry.forwarder.retryBudget = retry.NewWindowBudget(retry.WindowBudgetConfig{Slack: 50, Window: time.Minute})
+	p.start()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	p.announce("a", l.Addr().String(), 9, backend.Serving)
+	p.broken.Store(true)
+	close(p.resume)
+	p.advanceUntil("the end", func() bool { return len(p.ended) > 0 })
+	left := 0
+	for p.entry.forwarder.takeRetry() {
+		left++
+	}
+	if left < 48 {
+		t.Errorf("%d of 50 retries are left", left)
+	}
+}
