--- a/internal/httpd/conns_test.go
+++ b/internal/httpd/conns_test.go
@@ -166,14 +166,18 @@
 		}
 		r := bufio.NewReader(c)
 		io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
-		if _, err := http.ReadResponse(r, nil); err != nil {
+		first, err := http.ReadResponse(r, nil)
+		if err != nil {
 			t.Fatal(err)
 		}
-		io.CopyN(io.Discard, r, 2)
+		io.Copy(io.Discard, first.Body)
+		first.Body.Close()
 		io.WriteString(c, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
 		close(sent)
-		if _, err := http.ReadResponse(r, nil); err != nil {
+		if second, err := http.ReadResponse(r, nil); err != nil {
 			lost++
+		} else {
+			second.Body.Close()
 		}
 		c.Close()
 		cancel()
@@ -212,6 +216,7 @@
 				t.Fatal(err)
 			}
 			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
 			io.WriteString(c, "\r\n")
 			time.Sleep(10 * time.Millisecond)
 			if stop {
