Judge a new release by its pace, its waits and its dropped answers as well

The controls' log shows the roll-out completed with "no fault was seen". Of some 27 attempts at the target only 6 had a time to the first byte when everything moved: slow answers are not counted until they arrive, and those that were dropped for a larger model's never were. What remained varied more by empty caches and queues than by the fault.

Change: an attempt that is silent past its soft timeout counts with the time it has waited; a dropped answer counts; and the mean time between a stream's first events is compared within each route and model, which depends on neither caches nor queues. The line "Roll-out moves." carries the evidence.

--- a/core/rollout/tally.go
+++ b/core/rollout/tally.go
@@ -37,14 +37,29 @@
 	// logarithm of a slow release is above that of the old one. It is high
 	// because the test is repeated about fifty times.
 	slowSigmas = 2.5
+
+	// slowPaceLogRatio is the difference of the mean logarithms of the time between
+	// events from which a release counts as slow: e^0.5 is 65% longer. Servers whose
+	// caches are empty read whole prompts between the events of others.
+	slowPaceLogRatio = 0.5
+
+	// minPaceVariance is the minimum variance assumed for the logarithms of a release's
+	// paces, as a few streams may be equal by chance.
+	minPaceVariance = 0.04
+
+	// minPacedAnswers is the minimum number of paced answers of the old release on a
+	// route and model for a comparison there.
+	minPacedAnswers = 3
 )
 
-// Tally counts the attempts on one route at one release, since the start of the
+// Tally counts the attempts on one route and model at one release, since the start of the
 // entry that reports it.
 type Tally struct {
-	Service  string `json:"service"`
-	Release  string `json:"release"`
-	Route    string `json:"route"`
+	Service string `json:"service"`
+	Release string `json:"release"`
+	Route   string `json:"route"`
+	// Model is the model that was asked, empty on routes without one.
+	Model    string `json:"model,omitempty"`
 	Requests uint64 `json:"requests"`
 	Failures uint64 `json:"failures"`
 	// Timed is the number of answers that began. LogSum and LogSq are the sum and
@@ -52,6 +67,12 @@
 	Timed  uint64  `json:"timed"`
 	LogSum float64 `json:"log_sum"`
 	LogSq  float64 `json:"log_sq"`
+	// Paced is the number of streams whose pace was measured. PaceLogSum and PaceLogSq
+	// are the sum and the sum of squares of the logarithm of the seconds between two of
+	// their events.
+	Paced      uint64  `json:"paced,omitempty"`
+	PaceLogSum float64 `json:"pace_log_sum,omitempty"`
+	PaceLogSq  float64 `json:"pace_log_sq,omitempty"`
 }
 
 // WithAttempt returns the tally with one more attempt. FirstByte is the time to the
@@ -62,6 +83,12 @@
 	if failed {
 		t.Failures++
 	}
+	return t.WithTime(firstByte, expected)
+}
+
+// WithTime returns the tally with the time to one more first byte, or with the time that
+// one has been waited for.
+func (t Tally) WithTime(firstByte, expected time.Duration) Tally {
 	if firstByte > 0 && expected > 0 {
 		l := math.Log(firstByte.Seconds() / expected.Seconds())
 		t.Timed++
@@ -71,6 +98,19 @@
 	return t
 }
 
+// WithPace returns the tally with the pace of one more stream, as the mean time between
+// its events.
+func (t Tally) WithPace(gap time.Duration) Tally {
+	if gap <= 0 {
+		return t
+	}
+	l := math.Log(gap.Seconds())
+	t.Paced++
+	t.PaceLogSum += l
+	t.PaceLogSq += l * l
+	return t
+}
+
 // add returns the sum of two tallies of the same release.
 func (t Tally) add(other Tally) Tally {
 	t.Requests += other.Requests
@@ -78,19 +118,64 @@
 	t.Timed += other.Timed
 	t.LogSum += other.LogSum
 	t.LogSq += other.LogSq
+	t.Paced += other.Paced
+	t.PaceLogSum += other.PaceLogSum
+	t.PaceLogSq += other.PaceLogSq
 	return t
 }
 
+// Comparison is what a roll-out is judged by, for logs.
+type Comparison struct {
+	// Requests and Failures are the target's attempts.
+	Requests uint64
+	Failures uint64
+	// Timed and Paced are the numbers of answers of the target whose time to the first
+	// byte and whose pace are compared; TimeGap and PaceGap are the mean differences of
+	// the logarithms to the old release.
+	Timed   uint64
+	TimeGap float64
+	Paced   uint64
+	PaceGap float64
+}
+
+// Compare returns the comparison of the target of a service's roll-out.
+func Compare(service, target string, tallies []Tally) Comparison {
+	var next, old Tally
+	var paces paceComparison
+	for _, t := range tallies {
+		if t.Service != service {
+			continue
+		}
+		paces.add(t, target)
+		if t.Release == target {
+			next = next.add(t)
+		} else {
+			old = old.add(t)
+		}
+	}
+	e := Comparison{Requests: next.Requests, Failures: next.Failures, Timed: next.Timed}
+	if next.Timed > 0 && old.Timed > 0 {
+		nextMean, _ := next.moments()
+		oldMean, _ := old.moments()
+		e.TimeGap = nextMean - oldMean
+	}
+	n, mean, _ := paces.gap()
+	e.Paced, e.PaceGap = uint64(n), mean
+	return e
+}
+
 // rollbackReason returns the reason to roll the target back, or "". It compares the
 // releases over all routes and on each route, as a release can be bad on a single
 // one.
 func rollbackReason(service, target string, tallies []Tally) string {
 	var newAll, oldAll Tally
 	newBy, oldBy := make(map[string]Tally), make(map[string]Tally)
+	var paces paceComparison
 	for _, t := range tallies {
 		if t.Service != service {
 			continue
 		}
+		paces.add(t, target)
 		if t.Release == target {
 			newAll, newBy[t.Route] = newAll.add(t), newBy[t.Route].add(t)
 		} else {
@@ -102,6 +187,8 @@
 		return "requests fail"
 	case isSlow(newAll, oldAll):
 		return "requests are slow"
+	case paces.isSlow():
+		return "events are slow"
 	}
 	for name, t := range newBy {
 		switch {
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -34,11 +34,14 @@
 			delete(n.rolloutClocks, service)
 			continue
 		}
-		stage, reason := o.Next(n.rolloutElapsed(now, o), n.tallies())
+		tallies := n.tallies()
+		stage, reason := o.Next(n.rolloutElapsed(now, o), tallies)
 		if stage == o.Stage {
 			continue
 		}
-		n.cfg.Logger.Log("msg", "Roll-out moves.", "service", service, "target", o.Target, "from", o.Stage, "to", stage, "reason", reason)
+		e := rollout.Compare(service, o.Target, tallies)
+		n.cfg.Logger.Log("msg", "Roll-out moves.", "service", service, "target", o.Target, "from", o.Stage, "to", stage, "reason", reason,
+			"requests", e.Requests, "failures", e.Failures, "timed", e.Timed, "time_gap", e.TimeGap, "paced", e.Paced, "pace_gap", e.PaceGap)
 		go n.commitRolloutMove(ctx, o, rollout.Move{Stage: stage, Reason: reason})
 	}
 }
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -97,6 +97,8 @@
 		startedAt        time.Time
 		head             forward.Head
 		successRecorded  bool // success was recorded
+		waitTallied      bool // the wait for the first byte was tallied before it came
+		pace             streamPace
 
 		placedAt      time.Time
 		candidates    int
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -72,6 +72,9 @@
 		x.model = previous
 		return false
 	}
+	x.model, larger = previous, x.model
+	x.forwarder.recordDropped(a, x)
+	x.model = larger
 	x.forwarder.commitAttempt(next)
 	x.nextAttempt = next
 	return true
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -49,6 +49,9 @@
 // forwardEvents forwards the events that the caller has not received yet.
 func (x *activeRequest) forwardEvents(a *attempt, answer *upstream.Answer, order *stream.Sequencer, events []stream.Event) error {
 	for _, e := range events {
+		if gap, ok := a.pace.observe(x.now()); ok {
+			x.forwarder.tallyPace(a, x, gap)
+		}
 		isNew, err := order.Admit(e)
 		if err != nil {
 			return err
@@ -86,6 +89,11 @@
 func (x *activeRequest) handleBrokenStream(ctx context.Context, a *attempt, answer *upstream.Answer, err error, dead bool) (forward.Outcome, error) {
 	answer.Discard()
 	x.tried = append(x.tried, a.server.ID)
+	if errors.Is(context.Cause(ctx), errStalled) {
+		if gap, ok := a.pace.end(x.now()); ok {
+			x.forwarder.tallyPace(a, x, gap)
+		}
+	}
 	callerLeft := errors.Is(err, errCallerWrite)
 	if !callerLeft && ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
 		x.forwarder.recordFailure(a, x, dead)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -101,7 +101,7 @@
 		startedAt      time.Time
 	}
 
-	tallyKey struct{ service, release, route string }
+	tallyKey struct{ service, release, route, model string }
 )
 
 func newForwarder(e *Entry) *forwarder {
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -102,6 +102,14 @@
 	f.latencyModel.Observe(now, x.latencyGroup(), a.server.ID, a.predicted, now.Sub(a.startedAt))
 }
 
+// recordDropped records the time to the first byte of an answer that is not forwarded
+// because a larger model is asked.
+func (f *forwarder) recordDropped(a *attempt, x *activeRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tallyAttempt(a, x, false, f.entry.cfg.Clock.Now().Sub(a.startedAt))
+}
+
 func (f *forwarder) recordFailure(a *attempt, x *activeRequest, hard bool) {
 	now := f.entry.cfg.Clock.Now()
 	f.mu.Lock()
@@ -116,19 +124,56 @@
 // tallyAttempt adds an attempt to the tallies that the roll-out of its service
 // is judged by. Callers hold f.mu.
 func (f *forwarder) tallyAttempt(a *attempt, x *activeRequest, failed bool, took time.Duration) {
-	o, ok := f.entry.catalog.Load().Rollout(x.service)
-	if !ok || o.IsFinal() {
-		maps.DeleteFunc(f.tallies, func(k tallyKey, _ rollout.Tally) bool { return k.service == x.service })
+	if a.waitTallied {
+		took = 0
+	}
+	f.tally(a, x, func(t rollout.Tally, o rollout.Order) rollout.Tally {
+		return t.WithAttempt(failed, took, f.usualTime(a, x, o))
+	})
+}
+
+// tallyWait adds the time that a silent attempt has waited for its first byte. Without it
+// the slow answers of a new release are known only when its roll-out is almost over.
+func (f *forwarder) tallyWait(a *attempt, x *activeRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a.waitTallied {
 		return
 	}
-	key := tallyKey{service: x.service, release: a.server.Release, route: x.route.Name}
-	t := f.tallies[key]
-	t.Service, t.Release, t.Route = key.service, key.release, key.route
+	a.waitTallied = true
+	took := f.entry.cfg.Clock.Now().Sub(a.startedAt)
+	f.tally(a, x, func(t rollout.Tally, o rollout.Order) rollout.Tally { return t.WithTime(took, f.usualTime(a, x, o)) })
+}
+
+// usualTime returns the time to the first byte at a typical server, with an empty cache if
+// the attempt went to the target of the roll-out. Callers hold f.mu.
+func (f *forwarder) usualTime(a *attempt, x *activeRequest, o rollout.Order) time.Duration {
 	expected := a.predicted
 	if a.server.Release == o.Target {
 		expected = f.predictCold(a)
 	}
-	f.tallies[key] = t.WithAttempt(failed, took, f.latencyModel.TypicalTime(x.latencyGroup(), expected))
+	return f.latencyModel.TypicalTime(x.latencyGroup(), expected)
+}
+
+// tallyPace adds the mean time between a stream's events to the tallies.
+func (f *forwarder) tallyPace(a *attempt, x *activeRequest, gap time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tally(a, x, func(t rollout.Tally, _ rollout.Order) rollout.Tally { return t.WithPace(gap) })
+}
+
+// tally updates the tally of an attempt while its service has a roll-out. Callers hold
+// f.mu.
+func (f *forwarder) tally(a *attempt, x *activeRequest, update func(rollout.Tally, rollout.Order) rollout.Tally) {
+	o, ok := f.entry.catalog.Load().Rollout(x.service)
+	if !ok || o.IsFinal() {
+		maps.DeleteFunc(f.tallies, func(k tallyKey, _ rollout.Tally) bool { return k.service == x.service })
+		return
+	}
+	key := tallyKey{service: x.service, release: a.server.Release, route: x.route.Name, model: x.model}
+	t := f.tallies[key]
+	t.Service, t.Release, t.Route, t.Model = key.service, key.release, key.route, key.model
+	f.tallies[key] = update(t, o)
 }
 
 // predictCold returns the prediction for a server with an empty cache. Servers
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -119,6 +119,9 @@
 		t.awaitDeadline(resets)
 		return
 	}
+	if !begun {
+		t.request.forwarder.tallyWait(t.attempt, &t.request)
+	}
 	s := forward.Silence{Duration: waited, Begun: begun, Hard: waited >= t.timeouts.hard}
 	start := t.request.now()
 	var status forward.ServerStatus
