--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -72,6 +72,9 @@
 		x.model = previous
 		return false
 	}
+	x.model, larger = previous, x.model
+	x.forwarder.recordDropped(a, x)
+	x.model = larger
 	x.forwarder.commitAttempt(next)
 	x.nextAttempt = next
 	return true
@@ -83,7 +86,6 @@
 	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.bodyTimeouts())
 	defer watch.stop()
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
-	watch.stop()
 	x.takeOver(watch)
 	x.tried = append(x.tried, a.server.ID)
 	if err != nil || len(body) > maxBufferedBytes {
