Read Retry-After in one place, and what servers say of themselves

A backend server now says in any answer that it leaves, and may ask with a 503 for a time without requests. Neither was decoded, and the reading of Retry-After in io/platform knew whole seconds only and took a second for anything else.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -127,6 +127,13 @@
 		Waiting int
 		// Slots is the server's capacity, 0 when the load is not reported.
 		Slots int
+		// Leaving means that the server wants no further requests: it is about to stop.
+		Leaving bool
+		// HoldOff is how long the server wants no further requests, 0 for not at all.
+		HoldOff time.Duration
+		// Unreadable describes what the server says of itself but can't be read, empty
+		// for nothing.
+		Unreadable string
 	}
 
 	// Failure ends a request without a backend server's answer. It is an error.
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -9,11 +9,11 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
 
+	"rosereach/core/retry"
 	"rosereach/core/version"
 )
 
@@ -27,6 +27,9 @@
 // maxReplyBytes is the maximum size of an answer.
 const maxReplyBytes = 4 << 20
 
+// defaultRetryDelay is the delay after a rate limit that states none.
+const defaultRetryDelay = time.Second
+
 // The causes of errors, for errors.Is.
 const (
 	// ErrFenced means that the engine has seen a newer fencing number.
@@ -148,7 +151,7 @@
 	case http.StatusOK:
 		return 0, nil
 	case http.StatusTooManyRequests:
-		return parseRetryAfter(resp.Header), errors.Annotatef(ErrRateLimited, "weights of %s", ref)
+		return retryDelay(resp.Header), errors.Annotatef(ErrRateLimited, "weights of %s", ref)
 	}
 	return 0, errors.Errorf("weight store at %s: status %d", address, resp.StatusCode)
 }
@@ -173,12 +176,12 @@
 	return resp, errors.Annotatef(err, "platform at %s", target)
 }
 
-// parseRetryAfter parses the Retry-After header in seconds. It returns 1 s if the
-// header is missing or invalid.
-func parseRetryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 1 {
-		seconds = 1
+// retryDelay returns the delay that the answer asks for, as retry.ParseAfter reads it, or
+// defaultRetryDelay when it asks for none or can't be read: a rate limit without a delay
+// must not be run into again at once.
+func retryDelay(h http.Header) time.Duration {
+	if delay, err := retry.ParseAfter(h.Values("Retry-After")); err == nil && delay > 0 {
+		return delay
 	}
-	return time.Duration(seconds) * time.Second
+	return defaultRetryDelay
 }
