Hold the lock while a candidate's time is predicted

The function that corrects a candidate's prediction by its observed latency is made under the forwarder's lock and called after the lock is released, while answers write to the same model.

--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -125,7 +125,11 @@
 	group := x.latencyGroup()
 	for i := range candidates {
 		id := candidates[i].Server.ID
-		candidates[i].ExpectedTime = func(e placement.Estimate) time.Duration { return f.latencyModel.ExpectedTime(now, group, id, e) }
+		candidates[i].ExpectedTime = func(e placement.Estimate) time.Duration {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.latencyModel.ExpectedTime(now, group, id, e)
+		}
 	}
 	if len(prompt) < 2 {
 		return
