Leave servers alone that say so, without word from the controls

An entry went on sending to a backend server that had said in its answers that it leaves, until the controls announced it, and to one that had asked with a 503 for no requests. A retry, a second run or a resume even came back to it when no other was left.

Both words are now beliefs of the entry. permittedServers chooses among the servers that may get a request, and admit, the one gate, checks each attempt before its connection is opened and again before its first byte, whatever placed it. An attempt that the gate stops has not been sent: it costs neither a send nor a retry, and its server has not failed (it was ejected for a second before). A session stays at its release; other requests of a roll-out's target go to the rest of the service when the target can't take them.

If all servers want no requests, a request is rejected at once with the time at which the first takes work again, in the order and number that they can take. A server that gets few requests after a hold-off keeps the others waiting for a route's objective at most: its next answers make room, and a rejection would take longer. A stream that has begun waits. An engine that is held off is not asked for its status either; a status is no request, but is priced as a probe and serves only to end a wait early. One that leaves is asked, and its running requests go on.

TestLeavingServerGetsNoRequests calls the gate by its new name.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -92,7 +92,9 @@
 		equivalentTokens int64              // tokens of a typical model that take as long as the uncached ones
 		startedAt        time.Time
 		head             forward.Head
-		successRecorded  bool // success was recorded
+		successRecorded  bool   // success was recorded
+		counted          bool   // counted until its answer, as its server gets few requests after a hold-off
+		withheld         string // why it was not sent, empty if it was
 
 		placedAt      time.Time
 		candidates    int
@@ -200,7 +202,13 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &forward.Failure{Code: forward.CallerGone, Detail: "the caller left"}
 	}
-	return forward.FailureFor(lastOutcome, x.runs, ctx.Err() != nil || !x.now().Before(x.deadline))
+	failure := forward.FailureFor(lastOutcome, x.runs, ctx.Err() != nil || !x.now().Before(x.deadline))
+	if failure.Code == forward.NoServer {
+		if restrained, ok := x.restrainedFailure(); ok {
+			return restrained
+		}
+	}
+	return failure
 }
 
 // tryServer sends the request to a server and forwards its answer. When the
@@ -212,6 +220,11 @@
 	f := x.forwarder
 	now := f.entry.cfg.Clock.Now()
 	a.startedAt = now
+	if err := f.admit(a); err != nil {
+		x.withhold(a)
+		return forward.NotSent, err
+	}
+	defer f.settle(a, false)
 	remaining := x.deadline.Sub(now)
 	x.sends++
 	x.retryTaken = false
@@ -226,18 +239,25 @@
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: -1, LastEventID: x.lastEventID,
 		}),
 		NewConn: x.sends > 1 && !x.route.IsRetryable(),
-	}, func() error { return f.checkServing(a.server) })
+	}, func() error { return f.admit(a) })
 	if err != nil {
 		return x.handleSendError(ctx, a, err, x.takeOver(watch))
 	}
 	watch.stop()
 	f.recordActivity(a.server.ID)
 	a.head = f.entry.cfg.Forwarding.Dialect.Head(answer.Status, answer.Header)
+	f.hear(a.server, a.head, x.req.ID)
+	f.settle(a, !a.head.Refused && a.head.HoldOff == 0)
 	return x.handleAnswer(ctx, cancel, a, answer)
 }
 
 // handleSendError classifies an attempt that got no answer.
 func (x *activeRequest) handleSendError(ctx context.Context, a *attempt, err error, h handover) (forward.Outcome, error) {
+	if a.withheld != "" {
+		x.sends--
+		x.withhold(a)
+		return forward.NotSent, err
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		if ctx.Err() == nil {
 			x.forwarder.recordFailure(a, x, true)
@@ -283,6 +303,9 @@
 	if !ok && x.awaitFirstServer(ctx) {
 		a, ok = x.forwarder.chooseAndCommit(x)
 	}
+	if !ok {
+		a, ok = x.awaitRoom(ctx)
+	}
 	if !ok {
 		return nil, x.noServerFailure()
 	}
@@ -297,6 +320,9 @@
 func (x *activeRequest) awaitFirstServer(ctx context.Context) bool {
 	f := x.forwarder
 	c := f.entry.cfg.Clock
+	if f.prospectFor(x).restrained {
+		return false
+	}
 	end := c.Now().Add(startupWait)
 	for c.Now().Sub(f.startedAt) < startup && c.Now().Before(end) {
 		select {
@@ -315,6 +341,9 @@
 // Retry-After grows with the time that the service has been down, as the outage
 // is likely to last about as long again.
 func (x *activeRequest) noServerFailure() *forward.Failure {
+	if failure, ok := x.restrainedFailure(); ok {
+		return failure
+	}
 	f, now := x.forwarder, x.now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -9,6 +9,7 @@
 
 	"rosereach/core/backend"
 	"rosereach/core/forward"
+	"rosereach/core/health"
 )
 
 // All log lines about a request carry its ID. docs/OPERATIONS.md lists the
@@ -70,10 +71,33 @@
 		"next", next.server.ID, "next_exp", next.expected, "load_age", next.loadAge())
 }
 
-// logFailedAttempt logs an attempt that got no answer. Escalations have a line
-// of their own.
+// logRestrained logs that a request is rejected because its servers want no requests, and
+// the words of some of them.
+func (x *activeRequest) logRestrained(p prospect, order int) {
+	for id, word := range p.words {
+		level.Debug(x.log()).Log("msg", "Request is kept from a backend server.", "id", x.req.ID, "srv", id, "word_by", word.HeldBy,
+			"word_age", x.now().Sub(word.HeldSince), "until", word.HeldUntil, "room_in", p.wait, "places", p.places, "order", order)
+	}
+}
+
+// logWithheld logs that an attempt was placed at a server and not sent there, and the word
+// of the server that forbids it.
+func (x *activeRequest) logWithheld(a *attempt, word health.Restraint) {
+	since, by := word.HeldSince, word.HeldBy
+	if !word.LeavingSince.IsZero() {
+		since, by = word.LeavingSince, word.LeavingBy
+	}
+	var age time.Duration
+	if !since.IsZero() {
+		age = x.now().Sub(since)
+	}
+	level.Debug(x.log()).Log("msg", "Attempt is withheld.", "id", x.req.ID, "srv", a.server.ID, "why", a.withheld, "word_by", by, "word_age", age)
+}
+
+// logFailedAttempt logs an attempt that got no answer. Escalations and withheld attempts
+// have lines of their own.
 func (x *activeRequest) logFailedAttempt(a *attempt, o forward.Outcome, err error) {
-	if errors.Is(err, errLowConfidence) {
+	if errors.Is(err, errLowConfidence) || a.withheld != "" {
 		return
 	}
 	level.Warn(x.log()).Log("msg", "Attempt brings no answer.", "id", x.req.ID, "route", x.route.Name, "srv", a.server.ID,
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -88,6 +88,9 @@
 		mu             sync.Mutex
 		roster         *roster.Roster
 		health         *health.Tracker
+		restraints     *health.Restraints
+		unreadable     map[string]uint64 // incarnation of each server whose word could not be read
+		turnedAway     map[string]int    // requests of each service rejected since its servers last took work
 		evidence       evidence
 		latencyModel   *placement.LatencyModel
 		loads          map[string]backend.Load
@@ -107,7 +110,7 @@
 func newForwarder(e *Entry) *forwarder {
 	f := &forwarder{
 		entry: e, client: upstream.NewClient(e.cfg.Clock),
-		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), latencyModel: placement.NewLatencyModel(), placement: placement.NewPriced(), loads: make(map[string]backend.Load), lastActivity: make(map[string]time.Time), downSince: make(map[string]time.Time),
+		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), restraints: health.NewRestraints(), unreadable: make(map[string]uint64), turnedAway: make(map[string]int), latencyModel: placement.NewLatencyModel(), placement: placement.NewPriced(), loads: make(map[string]backend.Load), lastActivity: make(map[string]time.Time), downSince: make(map[string]time.Time),
 		tallies: make(map[tallyKey]rollout.Tally), random: rand.New(rand.NewPCG(e.cfg.Seed, ^e.cfg.Incarnation)), //nolint:gosec // only used to spread load
 	}
 	f.startedAt = e.cfg.Clock.Now()
@@ -281,6 +284,8 @@
 	}
 	isKnown := func(id string) bool { return known[id] }
 	f.health.Retain(isKnown)
+	f.restraints.Retain(now, isKnown)
+	maps.DeleteFunc(f.unreadable, func(id string, _ uint64) bool { return !known[id] })
 	f.latencyModel.Retain(isKnown)
 	maps.DeleteFunc(f.loads, func(id string, _ backend.Load) bool { return !known[id] })
 	maps.DeleteFunc(f.lastActivity, func(id string, _ time.Time) bool { return !known[id] })
--- a/internal/entry/forward_metrics.go
+++ b/internal/entry/forward_metrics.go
@@ -21,6 +21,8 @@
 	firstByte     *prometheus.HistogramVec
 	retriesDenied prometheus.Counter
 	silent        *prometheus.CounterVec
+	words         *prometheus.CounterVec
+	withheld      *prometheus.CounterVec
 }
 
 func newForwardMetrics(e *Entry) *forwardMetrics {
@@ -44,9 +46,17 @@
 		silent: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rosereach_silent_attempts_total", Help: "Decisions about attempts whose server sends nothing.",
 		}, []string{"decision"}),
+		words: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rosereach_server_words_total", Help: "Answers in which a backend server says that it leaves, asks for no requests, or says something that cannot be read.",
+		}, []string{"word"}),
+		withheld: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rosereach_withheld_attempts_total", Help: "Attempts that were placed and not sent, by why their server gets no requests.",
+		}, []string{"why"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.retriesDenied, m.silent,
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.retriesDenied, m.silent, m.words, m.withheld,
 		metrics.NewGauge("rosereach_documents_revision", "Revision of the documents in force.", func() float64 { return float64(e.catalog.Load().Revision()) }),
+		metrics.NewGauge("rosereach_servers_leaving", "Backend servers that said that they leave.", func() float64 { n, _ := e.forwarder.countRestrained(); return float64(n) }),
+		metrics.NewGauge("rosereach_servers_held_off", "Backend servers that asked for no requests for a time that goes on.", func() float64 { _, n := e.forwarder.countRestrained(); return float64(n) }),
 		metrics.NewGauge("rosereach_requests_running", "Requests that are being answered.", func() float64 { return float64(e.inFlight.Load()) }),
 		metrics.NewGauge("rosereach_requests_waiting", "Requests that wait for their turn.", func() float64 { return float64(e.engineAdmission.waitingCount() + e.plainAdmission.waitingCount()) }),
 	)
@@ -72,6 +82,19 @@
 	m.duration.WithLabelValues(string(r.Kind)).Observe(took.Seconds())
 }
 
+// heard counts what a backend server says of itself.
+func (m *forwardMetrics) heard(h forward.Head) {
+	if h.Leaving {
+		m.words.WithLabelValues("leaves").Inc()
+	}
+	if h.HoldOff > 0 {
+		m.words.WithLabelValues("held_off").Inc()
+	}
+	if h.Unreadable != "" {
+		m.words.WithLabelValues("unreadable").Inc()
+	}
+}
+
 func (m *forwardMetrics) attemptEnded(o forward.Outcome) {
 	if o == "" {
 		o = "answered"
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -4,8 +4,6 @@
 	"maps"
 	"time"
 
-	"github.com/juju/errors"
-
 	"rosereach/core/backend"
 	"rosereach/core/health"
 	"rosereach/core/placement"
@@ -17,6 +15,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.downSince, service)
+	delete(f.turnedAway, service)
 }
 
 func (f *forwarder) hasServers(service string) bool {
@@ -49,17 +48,6 @@
 	return true
 }
 
-// checkServing returns an error if the server may no longer get the request. It
-// is called just before the first byte is sent.
-func (f *forwarder) checkServing(server backend.Announcement) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if rec, ok := f.roster.Find(server.ID); !ok || rec.Server.State != backend.Serving || rec.Server.Incarnation != server.Incarnation {
-		return errors.Errorf("backend server %s no longer accepts requests", server.ID)
-	}
-	return nil
-}
-
 func (f *forwarder) trackStart(now time.Time, server backend.Announcement, tokens int64) {
 	e := f.entry
 	e.mu.Lock()
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -59,6 +59,10 @@
 	if n, err := strconv.Atoi(h.Get("Sure")); err == nil {
 		head.Confidence = n
 	}
+	head.Leaving, head.Unreadable = h.Get("Leaving") != "", h.Get("Unreadable")
+	if holdOff, err := time.ParseDuration(h.Get("Hold-Off")); err == nil {
+		head.HoldOff = holdOff
+	}
 	return head
 }
 
@@ -422,7 +426,7 @@
 	if _, err := r.send(route.Safe); codeOf(err) != forward.NoServer || runs.Load() != 0 {
 		t.Fatalf("%d runs, %v", runs.Load(), err)
 	}
-	if r.entry.forwarder.checkServing(rec.Server) == nil {
+	if r.entry.forwarder.admit(&attempt{server: rec.Server}) == nil {
 		t.Fatal("an attempt placed before may still be sent")
 	}
 }
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -271,12 +271,17 @@
 
 // checkSilent reports whether a silent server is alive, and its status. An engine is
 // asked for it. Any other server is judged by the entry's other requests, and runs
-// the request if it is alive.
+// the request if it is alive. An engine that wants no requests for a while is not asked
+// either: it was alive when it said so, and has until the hard timeout. One that leaves is
+// asked, as what it runs goes on and a status takes none of its work.
 func (x *activeRequest) checkSilent(ctx context.Context, server backend.Announcement) (alive bool, status forward.ServerStatus) {
 	if x.req.Model == "" {
 		alive = x.forwarder.isAlive(server.ID)
 		return alive, forward.ServerStatus{RunsRequest: alive}
 	}
+	if x.forwarder.isHeldOff(server) {
+		return true, forward.ServerStatus{RunsRequest: true}
+	}
 	status, err := x.forwarder.fetchStatus(ctx, server, x.req.ID)
 	x.logStatus(server, status, err)
 	return err == nil, status
@@ -323,6 +328,7 @@
 		return forward.ServerStatus{}, err
 	}
 	defer answer.Close()
+	f.hear(server, dialect.Head(answer.Status, answer.Header), requestID)
 	body, err := io.ReadAll(io.LimitReader(answer, maxStatusBytes))
 	if err != nil {
 		return forward.ServerStatus{}, errors.Trace(err)
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -168,7 +168,7 @@
 // available; all untried ones; and all servers except those that could not be
 // connected to. Callers hold f.mu.
 func (f *forwarder) usableServers(now time.Time, x *activeRequest) []backend.Announcement {
-	all := filterRecords(f.permittedServers(x), func(r roster.Record) bool { return !slices.Contains(x.unreachable, r.Server.ID) })
+	all := filterRecords(f.permittedServers(now, x), func(r roster.Record) bool { return !slices.Contains(x.unreachable, r.Server.ID) })
 	untried := filterRecords(all, func(r roster.Record) bool { return !slices.Contains(x.tried, r.Server.ID) })
 	allowed := filterRecords(untried, func(r roster.Record) bool { return f.health.IsAvailable(now, r.Server.ID) })
 	healthy := filterRecords(allowed, func(r roster.Record) bool {
@@ -182,24 +182,36 @@
 	return nil
 }
 
-// permittedServers returns the serving servers of the request's service that
-// have the release assigned to the request by the service's roll-out.
-func (f *forwarder) permittedServers(x *activeRequest) []roster.Record {
-	all := f.roster.Serving(x.service)
+// permittedServers returns the servers assigned to the request that may get it now. If
+// the request was assigned to a roll-out's target and no server there may, it goes to the
+// other releases, unless it belongs to a session. Callers hold f.mu.
+func (f *forwarder) permittedServers(now time.Time, x *activeRequest) []roster.Record {
+	list, others := f.assignedServers(now, x)
+	if open := f.takers(now, list); len(open) > 0 || x.req.Session != "" {
+		return open
+	}
+	return f.takers(now, others)
+}
+
+// assignedServers returns the servers of the request's service that have the release
+// assigned to the request by the service's roll-out, without those that said that they
+// leave. Others are the servers that it may go to instead. Callers hold f.mu.
+func (f *forwarder) assignedServers(now time.Time, x *activeRequest) (list, others []roster.Record) {
+	all := f.staying(now, f.roster.Serving(x.service))
 	o, ordered := f.entry.catalog.Load().Rollout(x.service)
 	if !ordered {
-		return all
+		return all, nil
 	}
 	target := filterRecords(all, func(r roster.Record) bool { return r.Server.Release == o.Target })
-	others := filterRecords(all, func(r roster.Record) bool { return r.Server.Release != o.Target })
+	others = filterRecords(all, func(r roster.Record) bool { return r.Server.Release != o.Target })
 	exposureShare := f.entry.cfg.Forwarding.ExposureShare
 	switch share := o.TargetShare(exposureShare); {
 	case o.Stage == rollout.StageCompleted:
-		return target
+		return target, nil
 	case len(target) == 0 || !f.goesToTarget(x, o, share):
-		return others
+		return others, nil
 	default:
-		return target[:o.TargetServers(len(target), share)]
+		return target[:o.TargetServers(len(target), share)], others
 	}
 }
 
--- /dev/null
+++ b/internal/entry/restraint.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"rosereach/core/backend"
+	"rosereach/core/forward"
+	"rosereach/core/health"
+	"rosereach/core/retry"
+	"rosereach/core/roster"
+)
+
+// roomPoll is the pause between two looks for room at servers that get few requests after
+// a hold-off.
+const roomPoll = 20 * time.Millisecond
+
+// maxLoggedWords is the maximum number of servers whose words are logged for a request
+// that is kept from them.
+const maxLoggedWords = 3
+
+// prospect is when the servers of a request take work again.
+type prospect struct {
+	// restrained is set when each server asked for no requests or gets few of them, and
+	// one of them at least will take work.
+	restrained bool
+	// recovers is set when a server has only as many requests as it should get at once.
+	recovers bool
+	// wait is the time until the first server takes work.
+	wait time.Duration
+	// places is the number of requests that the servers then take at once.
+	places int
+	// words holds the words of some servers, by id.
+	words map[string]health.Restraint
+}
+
+// hear records what a server says of itself in an answer to the request with the given
+// id.
+func (f *forwarder) hear(server backend.Announcement, head forward.Head, requestID string) {
+	now := f.entry.cfg.Clock.Now()
+	f.mu.Lock()
+	changed := f.restraints.Hear(now, server.ID, server.Incarnation, health.Word{Leaving: head.Leaving, HoldOff: head.HoldOff, RequestID: requestID})
+	restraint, _ := f.restraints.Get(server.ID, server.Incarnation)
+	firstUnreadable := head.Unreadable != "" && f.unreadable[server.ID] != server.Incarnation
+	if firstUnreadable {
+		f.unreadable[server.ID] = server.Incarnation
+	}
+	f.mu.Unlock()
+	f.metrics.heard(head)
+	logger := f.entry.cfg.Logger
+	if changed && head.Leaving && restraint.LeavingBy == requestID {
+		level.Info(logger).Log("msg", "Backend server says that it leaves.", "id", requestID, "server", server.ID, "addr", server.Address, "incarnation", server.Incarnation)
+	}
+	if changed && head.HoldOff > 0 {
+		level.Info(logger).Log("msg", "Backend server wants no requests.", "id", requestID, "server", server.ID, "addr", server.Address,
+			"incarnation", server.Incarnation, "for", head.HoldOff, "until", restraint.HeldUntil)
+	}
+	if firstUnreadable {
+		level.Warn(logger).Log("msg", "Word of a backend server cannot be read.", "id", requestID, "server", server.ID, "addr", server.Address, "err", head.Unreadable)
+	}
+}
+
+// admit decides whether the attempt may be sent, and returns an error if not. It is the
+// only way to a server, for requests of any origin: it is called before a connection is
+// opened, and again just before the first byte is sent, as a request may have waited for
+// its connection meanwhile.
+func (f *forwarder) admit(a *attempt) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	server := a.server
+	if rec, ok := f.roster.Find(server.ID); !ok || rec.Server.State != backend.Serving || rec.Server.Incarnation != server.Incarnation {
+		a.withheld = withheldGone
+		return errors.Errorf("backend server %s no longer accepts requests", server.ID)
+	}
+	now := f.entry.cfg.Clock.Now()
+	var reason health.Reason
+	if a.counted {
+		if reason = f.restraints.Check(now, server.ID, server.Incarnation); reason == health.Recovers {
+			reason = ""
+		}
+	} else {
+		a.counted, reason = f.restraints.Begin(now, server.ID, server.Incarnation)
+	}
+	a.withheld = string(reason)
+	if reason != "" {
+		return errors.Errorf("backend server %s wants no requests: %s", server.ID, reason)
+	}
+	return nil
+}
+
+// withheldGone is why an attempt is not sent to a server that is not announced any more.
+const withheldGone = "gone"
+
+// settle records that the attempt has its answer, or will get none.
+func (f *forwarder) settle(a *attempt, accepted bool) {
+	if !a.counted {
+		return
+	}
+	a.counted = false
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restraints.End(a.server.ID, a.server.Incarnation, accepted)
+}
+
+// withhold ends an attempt that was not sent because its server may not get it. The server
+// has not failed, and the request has used up nothing.
+func (x *activeRequest) withhold(a *attempt) {
+	f := x.forwarder
+	f.metrics.withheld.WithLabelValues(a.withheld).Inc()
+	f.settle(a, false)
+	f.mu.Lock()
+	word, _ := f.restraints.Get(a.server.ID, a.server.Incarnation)
+	f.mu.Unlock()
+	x.logWithheld(a, word)
+}
+
+// isHeldOff reports whether the server has asked for a time without requests that goes
+// on.
+func (f *forwarder) isHeldOff(server backend.Announcement) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restraints.Check(f.entry.cfg.Clock.Now(), server.ID, server.Incarnation) == health.HeldOff
+}
+
+// takers returns the servers of the list that may get a request now. Callers hold f.mu.
+func (f *forwarder) takers(now time.Time, list []roster.Record) []roster.Record {
+	return filterRecords(list, func(r roster.Record) bool {
+		return f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) == ""
+	})
+}
+
+// staying returns the servers of the list that have not said that they leave. Callers
+// hold f.mu.
+func (f *forwarder) staying(now time.Time, list []roster.Record) []roster.Record {
+	return filterRecords(list, func(r roster.Record) bool {
+		return f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) != health.Leaves
+	})
+}
+
+// prospectFor returns when the servers that the request may go to take work again.
+func (f *forwarder) prospectFor(x *activeRequest) prospect {
+	entries := f.watcher.liveEntryCount()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.entry.cfg.Clock.Now()
+	p := prospect{restrained: true, words: make(map[string]health.Restraint)}
+	list, _ := f.assignedServers(now, x)
+	if len(list) == 0 {
+		return prospect{}
+	}
+	first := now.Add(retry.MaxAfter)
+	for _, r := range list {
+		at, _ := f.restraints.TakesWorkAt(now, r.Server.ID, r.Server.Incarnation)
+		if at.Before(first) {
+			first = at
+		}
+		switch f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) {
+		case health.Recovers:
+			p.recovers = true
+		case "":
+			return prospect{}
+		}
+		p.places += r.Server.Capacity
+		if word, ok := f.restraints.Get(r.Server.ID, r.Server.Incarnation); ok && len(p.words) < maxLoggedWords {
+			p.words[r.Server.ID] = word
+		}
+	}
+	p.wait, p.places = first.Sub(now), max(p.places/entries, 1)
+	return p
+}
+
+// awaitRoom waits for room at a server that gets few requests after a hold-off, for the
+// route's objective at most, and returns an attempt there. A server in that state takes
+// more with each answer, so that a wait is shorter than a rejection. It returns false at
+// once if the servers get no requests at all.
+func (x *activeRequest) awaitRoom(ctx context.Context) (*attempt, bool) {
+	f, c := x.forwarder, x.forwarder.entry.cfg.Clock
+	end := c.Now().Add(min(x.route.Objective, x.deadline.Sub(c.Now())/retryAfterDivisor))
+	for c.Now().Before(end) && f.prospectFor(x).recovers {
+		select {
+		case <-c.After(roomPoll):
+		case <-ctx.Done():
+			return nil, false
+		}
+		if a, ok := f.chooseAndCommit(x); ok {
+			return a, true
+		}
+	}
+	return nil, false
+}
+
+// restrainedFailure returns the failure of a request whose servers all asked for no
+// requests, and false if that is not so. The callers are told to return when the first
+// server takes work again, in the order in which they were rejected.
+func (x *activeRequest) restrainedFailure() (*forward.Failure, bool) {
+	f, now := x.forwarder, x.now()
+	p := f.prospectFor(x)
+	if !p.restrained {
+		return nil, false
+	}
+	f.mu.Lock()
+	order := f.turnedAway[x.service]
+	f.turnedAway[x.service]++
+	wait := retry.Spread(p.wait, cmp.Or(x.route.Objective, defaultCallTime), order, p.places, f.random)
+	f.mu.Unlock()
+	x.logRestrained(p, order)
+	return &forward.Failure{Code: forward.NoServer, Detail: "all backend servers want no requests", RetryAfter: min(wait, x.deadline.Sub(now)/retryAfterDivisor)}, true
+}
+
+// countRestrained returns the number of servers that leave and of those that are held off.
+func (f *forwarder) countRestrained() (leaving, heldOff int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restraints.Count(f.entry.cfg.Clock.Now())
+}
