Explain by which word a request was kept from a server

The timeline of a request showed changes of its servers in the ten seconds before it only. A word of a server holds for longer: each one that still held at the request's entry is shown, with the request that brought it.

TestTimelineHoldsWordsOfServers failed before: no word was shown.

--- a/internal/entry/restraint.go
+++ b/internal/entry/restraint.go
@@ -53,10 +53,11 @@
 	f.metrics.heard(head)
 	logger := f.entry.cfg.Logger
 	if changed && head.Leaving && restraint.LeavingBy == requestID {
-		level.Info(logger).Log("msg", "Backend server says that it leaves.", "id", requestID, "server", server.ID, "addr", server.Address, "incarnation", server.Incarnation)
+		level.Info(logger).Log("msg", "Backend server says that it leaves.", "id", requestID, "server", server.ID, "word", health.Leaves, "addr", server.Address,
+			"incarnation", server.Incarnation)
 	}
 	if changed && head.HoldOff > 0 {
-		level.Info(logger).Log("msg", "Backend server wants no requests.", "id", requestID, "server", server.ID, "addr", server.Address,
+		level.Info(logger).Log("msg", "Backend server wants no requests.", "id", requestID, "server", server.ID, "word", health.HeldOff, "addr", server.Address,
 			"incarnation", server.Incarnation, "for", head.HoldOff, "until", restraint.HeldUntil)
 	}
 	if firstUnreadable {
--- a/internal/entry/restraint_test.go
+++ b/internal/entry/restraint_test.go
@@ -542,10 +542,10 @@
 	logged := text.String()
 	mu.Unlock()
 	for part, want := range map[string]int{
-		`msg="Backend server says that it leaves." id=id-1 server=b`:  1,
-		`msg="Backend server wants no requests." id=id-1 server=a`:    1,
-		`msg="Word of a backend server cannot be read." id=id-1`:      2,
-		`msg="Request is kept from a backend server." id=id-1 srv=a `: 5,
+		`msg="Backend server says that it leaves." id=id-1 server=b word=leaves`: 1,
+		`msg="Backend server wants no requests." id=id-1 server=a word=held_off`: 1,
+		`msg="Word of a backend server cannot be read." id=id-1`:                 2,
+		`msg="Request is kept from a backend server." id=id-1 srv=a `:            5,
 	} {
 		if got := strings.Count(logged, part); got != want {
 			t.Errorf("%s: %d times, want %d", part, got, want)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -35,6 +35,8 @@
 	fieldPlan     = "plan"
 	fieldSubject  = "server"
 	fieldRevision = "revision"
+	fieldWord     = "word"
+	fieldUntil    = "until"
 	fieldMessage  = "msg"
 	fieldLevel    = "level"
 )
@@ -76,9 +78,10 @@
 func (l *Log) Skipped() int { return l.skipped }
 
 // Timeline returns, in order of time, the lines about the request, the changes of the
-// backend servers that it was sent to, and, from the processes that handled it,
-// the lines about the documents' revisions that it was handled with. It returns
-// nil when no line is about the request.
+// backend servers that it was sent to or kept from, and, from the processes that handled
+// it, the lines about the documents' revisions that it was handled with and about the
+// words of those servers that still held, however old. It returns nil when no line is
+// about the request.
 func (l *Log) Timeline(id string) []Line {
 	var timeline []Line
 	servers := make(map[string]bool)
@@ -109,8 +112,9 @@
 		}
 		recent := line.At.After(first.Add(-stateLookback))
 		aboutServer := recent && servers[line.Get(fieldSubject)] && line.Get(fieldSubject) != ""
+		aboutWord := sources[line.Source] && servers[line.Get(fieldSubject)] && line.holdsAt(first)
 		aboutPlan := sources[line.Source] && line.Get(fieldRevision) != "" && plans[line.Get(fieldRevision)]
-		if aboutServer || aboutPlan {
+		if aboutServer || aboutWord || aboutPlan {
 			timeline = append(timeline, line)
 		}
 	}
@@ -129,6 +133,16 @@
 	return ""
 }
 
+// holdsAt reports whether the line is about a word of a backend server that holds at the
+// time: it has no end, or a later one.
+func (l Line) holdsAt(at time.Time) bool {
+	if l.Get(fieldWord) == "" {
+		return false
+	}
+	until, err := time.Parse(time.RFC3339Nano, l.Get(fieldUntil))
+	return err != nil || until.After(at)
+}
+
 // String formats the line for people: time, source, message and the other fields.
 func (l Line) String() string {
 	var b strings.Builder
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -50,6 +50,39 @@
 	}
 }
 
+// Of the words of the servers that a request was kept from, those that held are shown,
+// however old, and only those that its own entry heard.
+func TestTimelineHoldsWordsOfServers(t *testing.T) {
+	const text = `level=info part=entry ts=2026-01-01T10:00:01Z msg="Backend server says that it leaves." id=x server=i-1 word=leaves
+level=info part=entry ts=2026-01-01T10:00:02Z msg="Backend server wants no requests." id=y server=i-2 word=held_off until=2026-01-01T10:01:02.5Z
+level=info part=entry ts=2026-01-01T10:00:03Z msg="Backend server wants no requests." id=z server=i-2 word=held_off until=2026-01-01T10:00:30Z
+level=info part=entry ts=2026-01-01T10:00:04Z msg="Backend server says that it leaves." id=x server=i-3 word=leaves
+level=debug part=entry ts=2026-01-01T10:01:00Z msg="Attempt is withheld." id=a1 srv=i-1 why=leaves word_by=x
+level=debug part=entry ts=2026-01-01T10:01:01Z msg="Request is kept from a backend server." id=a1 srv=i-2 word_by=y
+`
+	var l explain.Log
+	for _, name := range []string{"entry.log", "other.log"} {
+		lines := text
+		if name == "other.log" {
+			lines = strings.SplitAfter(text, "\n")[0]
+		}
+		if err := l.Read(name, strings.NewReader(lines)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var got []string
+	for _, line := range l.Timeline("a1") {
+		got = append(got, line.Source+" "+line.Get("msg")+" "+line.Get("id"))
+	}
+	want := []string{
+		"entry.log Backend server says that it leaves. x", "entry.log Backend server wants no requests. y",
+		"entry.log Attempt is withheld. a1", "entry.log Request is kept from a backend server. a1",
+	}
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Fatalf("the timeline is\n%s", strings.Join(got, "\n"))
+	}
+}
+
 func TestTruncatedAndForeignLinesAreCounted(t *testing.T) {
 	if n := read(t).Skipped(); n != 2 {
 		t.Fatalf("%d lines skipped, want 2", n)
