Count only rejected requests among those that return after a hold-off

A stream that has begun looks for a server ten times a second while all are held off, and each look counted as a rejection, so that callers that were rejected were told to return later than need be; each look was logged as well. A request of which an attempt may have run can't be rejected and counts no more.

TestWaitingStreamIsNotCountedAsRejected failed before (8 looks counted within 0.8 s).

--- a/internal/entry/restraint.go
+++ b/internal/entry/restraint.go
@@ -195,9 +195,13 @@
 }
 
 // restrainedFailure returns the failure of a request whose servers all asked for no
-// requests, and false if that is not so. The callers are told to return when the first
-// server takes work again, in the order in which they were rejected.
+// requests, and false if that is not so or the request may have run, so that it can't be
+// rejected. The callers are told to return when the first server takes work again, in the
+// order in which they were rejected.
 func (x *activeRequest) restrainedFailure() (*forward.Failure, bool) {
+	if x.runs > 0 {
+		return nil, false
+	}
 	f, now := x.forwarder, x.now()
 	p := f.prospectFor(x)
 	if !p.restrained {
