Remember which incarnation of a server has spoken after its hold-off

A server that had recovered from a hold-off was forgotten, and with it that the incarnations before it are gone: words of those had been dropped as outdated, and a request to one of them was let through. The record now stays as long as the server is known, and ten minutes longer.

--- a/core/health/restraint.go
+++ b/core/health/restraint.go
@@ -190,13 +190,12 @@
 	return leaving, heldOff
 }
 
-// Retain removes the words that hold no longer, and those of servers that isKnown has
-// returned false for and that have said nothing for restraintRetention.
+// Retain removes the words of servers that isKnown has returned false for and that have
+// said nothing for restraintRetention. A known server is kept after the end of its
+// hold-off: its incarnation rules out the ones before it.
 func (r *Restraints) Retain(now time.Time, isKnown func(server string) bool) {
 	for id, s := range r.servers {
-		over := s.LeavingSince.IsZero() && !now.Before(s.HeldUntil) && s.room >= fullRoom && s.awaiting == 0
-		forgotten := !isKnown(id) && now.Sub(s.heardAt) >= restraintRetention && !now.Before(s.HeldUntil)
-		if over || forgotten {
+		if !isKnown(id) && now.Sub(s.heardAt) >= restraintRetention && !now.Before(s.HeldUntil) {
 			delete(r.servers, id)
 		}
 	}
