Refuse no resend as not_run before the ledger has replied

Cause: a request that fails before any attempt waits at most 500 ms for the reply to its begin record, and a call until its deadline. Without the reply it was refused by its state here, as not_run, even if its caller had sent it before and it had run. In the demo: a session's request is done and billed, its answer is dropped, the version is withdrawn, and the resend is refused as session_ended while the control is slow. Now callers who chose the ID hear unknown and when to ask again; the ledger still records not_run if it gives the request to this entry later, so it may begin again.

The same for an idempotent request that had ended as unknown, and so may have run: the ledger let it begin again without saying so, and the second run's not_run replaced the unknown. The ledger now keeps and reports that it may have run.

TestResendWithoutLedgerReply, TestResendAfterUnknown and TestNotRunAfterUnknown failed before.

Violations now name the code that the caller got.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -91,6 +91,9 @@
 		// OwnerLost is set when the outcome is unknown only because the owner was
 		// gone.
 		OwnerLost bool `json:"settled,omitempty"`
+		// MayHaveRun is set when the request began again after it had ended with the
+		// outcome unknown.
+		MayHaveRun bool `json:"may_have_run,omitempty"`
 		// Answer is nil while the request runs.
 		Answer *request.Answer `json:"answer,omitempty"`
 	}
@@ -102,11 +105,13 @@
 	}
 
 	// Reply answers a Begin, a Finish or a Query. Owner is the process that runs
-	// the request; Answer is set when Status is Finished.
+	// the request; Answer is set when Status is Finished. MayHaveRun is set for a
+	// request that may have run before it began the last time.
 	Reply struct {
-		Status Status          `json:"status"`
-		Owner  Owner           `json:"owner"`
-		Answer *request.Answer `json:"answer,omitempty"`
+		Status     Status          `json:"status"`
+		Owner      Owner           `json:"owner"`
+		Answer     *request.Answer `json:"answer,omitempty"`
+		MayHaveRun bool            `json:"may_have_run,omitempty"`
 	}
 
 	// Bill is one line of the bill export. Price is in millionths of the billing
@@ -148,7 +153,7 @@
 		return Reply{Status: Mismatch, Owner: old.Owner}
 	}
 	if known && old.Answer == nil {
-		return Reply{Status: Running, Owner: old.Owner}
+		return Reply{Status: Running, Owner: old.Owner, MayHaveRun: old.MayHaveRun}
 	}
 	if known && !old.mayBeginAgain() {
 		return Reply{Status: Finished, Owner: old.Owner, Answer: old.Answer}
@@ -158,16 +163,18 @@
 	}
 	l.removeFromTotals(old)
 	_, timed := creationTime(b.Key.RequestID, l.now)
+	mayHaveRun := known && old.Answer.Outcome == request.Unknown
 	l.records[b.Key] = Record{
 		Key: b.Key, BodyHash: b.BodyHash, Owner: b.Owner, Idempotent: b.Idempotent, Service: b.Service,
-		BeganAt: b.At, HasTimedID: timed,
+		BeganAt: b.At, HasTimedID: timed, MayHaveRun: mayHaveRun,
 	}
 	l.setOpen(b.Owner, b.Key)
-	return Reply{Status: New, Owner: b.Owner}
+	return Reply{Status: New, Owner: b.Owner, MayHaveRun: mayHaveRun}
 }
 
 // Finish ends a request of its owner, and returns its bill if the outcome is done.
-// A second finish gets the first one's answer and no bill. After CloseOwner has
+// A second finish gets the first one's answer and no bill. The outcome not_run of a
+// request that may have run before is recorded as unknown. After CloseOwner has
 // ended a request with the outcome unknown, its owner may still finish it, unless
 // the request has begun again.
 func (l *Ledger) Finish(f Finish) (Reply, *Bill) {
@@ -180,6 +187,9 @@
 		return Reply{Status: Finished, Owner: r.Owner, Answer: r.Answer}, nil
 	}
 	answer := f.Answer
+	if r.MayHaveRun && answer.Outcome == request.NotRun {
+		answer.Outcome = request.Unknown
+	}
 	l.removeFromTotals(r)
 	r.OwnerLost = false
 	l.closeRecord(r, &answer, f.At)
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -67,6 +67,30 @@
 	}
 }
 
+// A request that began again after the outcome unknown may have run, also if its last
+// begin is proven not to have run it.
+func TestNotRunAfterUnknown(t *testing.T) {
+	l := NewSharded(1, DefaultLimits())
+	b := begin("a", one, start)
+	b.Idempotent = true
+	l.Begin(b)
+	l.Finish(finish("a", one, request.Unknown, start))
+	b.Owner = two
+	for range 2 {
+		first := l.Begin(b)
+		repeated := l.Begin(b)
+		if first.Status != New || !first.MayHaveRun || repeated.Status != Running || !repeated.MayHaveRun {
+			t.Fatalf("begin after unknown: %+v, repeated %+v", first, repeated)
+		}
+		if r := l.Finish(finish("a", two, request.NotRun, start)); r.Answer.Outcome != request.Unknown {
+			t.Fatalf("end as not_run: %+v", r.Answer)
+		}
+	}
+	if r := l.Lookup(Query{Key: b.Key, BodyHash: 1}); r.Status != Finished {
+		t.Errorf("lookup: %+v", r)
+	}
+}
+
 // After another entry has begun a request again, the first entry cannot finish it.
 func TestFinishOfFormerOwner(t *testing.T) {
 	l := NewSharded(1, DefaultLimits())
--- a/internal/entry/begin.go
+++ b/internal/entry/begin.go
@@ -60,6 +60,17 @@
 	return b.reply.Status == ledger.New || b.reply.Status == ledger.Running
 }
 
+// provesFirstRun reports whether the ledger has replied that the request did not run
+// before. A request whose ID was used for another one did not run itself.
+func (b *beginRecord) provesFirstRun() bool {
+	select {
+	case <-b.done:
+		return b.isOwned() && !b.reply.MayHaveRun || b.err == nil && b.reply.Status == ledger.Mismatch
+	default:
+		return false
+	}
+}
+
 // awaitOwnership waits until the ledger gives the request to this entry. If the
 // request has already ended, it returns the recorded answer. While the request
 // runs at another entry, it queries the ledger again with a delay: the ledger
--- a/internal/entry/end.go
+++ b/internal/entry/end.go
@@ -60,7 +60,9 @@
 }
 
 // failRequest ends the request immediately and without an answer. Its state
-// machine decides whether the outcome is not_run or unknown. The end record is
+// machine decides whether the outcome is not_run or unknown. Callers get unknown in
+// place of not_run as well if they chose the request's ID and the ledger has not
+// replied to its begin record, as the request may have run before. The end record is
 // delivered in the background; b is nil when no begin record was sent.
 func (e *Entry) failRequest(x *execution, b *beginRecord, cause error) {
 	refusal := e.refusalFor(x, cause)
@@ -72,11 +74,15 @@
 		level.Error(e.cfg.Logger).Log("msg", "Invalid state transition at the end of a request.", "request", x.req.ID, "err", err)
 	}
 	a := request.Answer{Outcome: refusal.Outcome, Code: refusal.Code}
-	x.end(a, refusal)
 	if b == nil {
+		x.end(a, refusal)
 		e.executions.remove(x)
 		return
 	}
+	if refusal.Outcome == request.NotRun && x.req.IDFromCaller && !b.provesFirstRun() {
+		refusal = unknownRefusal(refusal).WithRetryAfter(resendRetryAfter)
+	}
+	x.end(request.Answer{Outcome: refusal.Outcome, Code: refusal.Code}, refusal)
 	go func() {
 		defer e.executions.remove(x)
 		<-b.done
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -487,6 +487,104 @@
 	}
 }
 
+// A resend whose ledger reply does not come in time is never refused as not_run: the
+// request may have run before. A request whose ID the entry generated is.
+func TestResendWithoutLedgerReply(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		kind     request.Kind
+		withdraw bool
+		code     request.Code
+	}{
+		{"chat on a withdrawn version", request.Model, true, request.CodeWithdrawn},
+		{"call at its deadline", request.Plain, false, request.CodeDeadlinePassed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.startEngine("engine-1", time.Millisecond)
+			f.startService("ledger-1")
+			send := func(id string, timeout time.Duration) caller.Reply {
+				opts := caller.CallOptions{RequestID: id, Timeout: timeout}
+				var (
+					reply caller.Reply
+					err   error
+				)
+				if tc.kind == request.Model {
+					body := chatOf(5)
+					body.Model = "small@v1"
+					reply, err = f.client(0).Chat(f.ctx, body, opts)
+				} else {
+					reply, err = f.client(0).Service(f.ctx, "ledger", http.MethodPost, "/x", nil, opts)
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				return reply
+			}
+			if first := send("a", 0); first.Outcome() != request.Done {
+				t.Fatalf("first: %+v", first.Problem)
+			}
+			if tc.withdraw {
+				e := f.entries[0]
+				docs := e.catalog.Load().Documents().Clone()
+				for name, v := range docs.Versions {
+					v.State = version.Withdrawn
+					docs.Versions[name] = v
+				}
+				e.catalog.Store(catalog.New(docs))
+			}
+			f.controlProxy.SetPlan(fault.Plan{Blackhole: true})
+			timeout := 2 * ownershipTimeout
+			for id, want := range map[string]request.Outcome{"a": request.Unknown, "": request.NotRun} {
+				p := send(id, timeout).Problem
+				if p == nil || p.Outcome != want || p.Code != tc.code {
+					t.Errorf("id %q: %+v", id, p)
+				}
+				if p != nil && id != "" && p.RetryAfterMs <= 0 {
+					t.Error("no Retry-After time")
+				}
+			}
+			f.controlProxy.SetPlan(fault.Plan{})
+			waitFor(t, "the recorded answer", func() bool { return send("a", 0).Outcome() == request.Done })
+			runs := append(f.engines["engine-1"].Log.ByRequest("a"), f.services["ledger-1"].Log.ByRequest("a")...)
+			if n := f.bills()["a"]; n != 1 || len(runs) != 1 {
+				t.Errorf("%d bills, runs %+v", n, runs)
+			}
+		})
+	}
+}
+
+// A request that ran with an unknown outcome is not refused as not_run when it is sent
+// again and no backend server can take it.
+func TestResendAfterUnknown(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startEngine("engine-1", time.Millisecond)
+	f.proxies["engine-1"].SetPlan(fault.Plan{ResetAfterBytes: -1})
+	send := func(id string) *caller.Problem {
+		reply, err := f.client(0).Chat(f.ctx, chatOf(10), caller.CallOptions{RequestID: id})
+		if err != nil || reply.Problem == nil {
+			t.Fatalf("reply: %+v, %v", reply, err)
+		}
+		return reply.Problem
+	}
+	if p := send("a"); p.Outcome != request.Unknown || len(f.engines["engine-1"].Log.ByRequest("a")) == 0 {
+		t.Fatalf("first: %+v", p)
+	}
+	waitFor(t, "the end record", func() bool {
+		r, ok := f.record("a")
+		return ok && r.Answer != nil
+	})
+	f.engines["engine-1"].Leave()
+	waitFor(t, "the server's leave", func() bool { return !f.entries[0].mayUseServer("engine-1") })
+	for id, want := range map[string]request.Outcome{"a": request.Unknown, "b": request.NotRun} {
+		for range 2 {
+			if p := send(id); p.Outcome != want || p.Code != request.CodeNoBackend {
+				t.Errorf("%s: %s, %s", id, p.Outcome, p)
+			}
+		}
+	}
+}
+
 // Drain succeeds even if the control is unreachable and the lease cannot be
 // released.
 func TestDrainWithoutControl(t *testing.T) {
--- a/internal/load/guarantee.go
+++ b/internal/load/guarantee.go
@@ -103,6 +103,9 @@
 	var found []Violation
 	outcome := o.Result.Outcome()
 	detail := fmt.Sprintf("%s, outcome %s, sends %d, runs %d, bills %d", o.Arrival.Class.Name, outcome, o.Result.Sends, len(f.runs), f.bills)
+	if p := o.Result.Reply.Problem; p != nil {
+		detail += ", code " + string(p.Code)
+	}
 	check := func(g Guarantee, violated bool) {
 		if violated {
 			found = append(found, Violation{Guarantee: g, RequestID: o.Arrival.ID, Detail: detail})
