Keep a resent request in its session in the load generator

Cause: a resend looked its session up anew. Had the system ended the session in between, the resend named another one and so was another request under the same ID, which an entry refuses as request_id_reused with not_run; the check then counts the first send's run as a breach. TestResendKeepsItsSession failed before: token-2 in place of token-1. The check itself is unchanged.

--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -180,14 +180,16 @@
 		path := fmt.Sprintf("%s%d", a.Class.Path, a.Item)
 		return client.Service(ctx, a.Class.Service, a.Class.Method, path, callBody(a), opts)
 	}
-	if a.Session > 0 {
+	// A request that is sent again belongs to the same session: with another one it
+	// would be another request under the same ID.
+	if a.Session > 0 && o.Session == "" {
 		token, err := r.sessions[a.Source].open(ctx, client, a.Session)
 		if err != nil {
 			return replyOf(a, err)
 		}
-		opts.Session = token
 		o.Session = token
 	}
+	opts.Session = o.Session
 	var last time.Time
 	opts.OnText = func(string) {
 		now := r.opts.Clock.Now()
