Find a fall in a version's quality by verdicts of the judge

Cause: in the experiment ratings come 600 to 1,800 requests after their answers, so after a fall in quality no rating could change the choice within 500 requests; the ratings of answers before the fall also kept coming and hid it.

The learned policy now has the judge check the answers of single versions, for a share of requests such that the verdicts cost 1.5% of the answers. A CUSUM test of verdicts below the estimate lowers the estimate by the fall found; ratings of answers before that are ignored. The simulation gives the verdict with the noise and price that the judge has for cascades. Without a judge nothing changes; the entry configures none.

--- a/core/cascade/cascade.go
+++ b/core/cascade/cascade.go
@@ -33,6 +33,8 @@
 		// IsExploration requests a rating of the answer even if it is not in the
 		// rated sample.
 		IsExploration bool
+		// IsJudged requests a verdict of the judge on the answer, after it is shown.
+		IsJudged bool
 		// Reason says why the plan was chosen.
 		Reason string
 	}
@@ -50,7 +52,9 @@
 		Ref       version.Ref
 		Escalated bool
 		// Quality is the rating, nil for a finished request.
-		Quality       *float64
+		Quality *float64
+		// Verdict is the judge's on the answer of a finished request, nil without one.
+		Verdict       *float64
 		Failed        bool
 		FirstToken    time.Duration
 		TokenInterval time.Duration
@@ -70,6 +74,9 @@
 	}
 )
 
+// stepSeparator separates the versions in a plan's key.
+const stepSeparator = ">"
+
 // Key identifies the plan by its steps.
 func (p Plan) Key() string { return planKey(p.Steps) }
 
@@ -78,5 +85,5 @@
 	for i, ref := range steps {
 		names[i] = ref.String()
 	}
-	return strings.Join(names, ">")
+	return strings.Join(names, stepSeparator)
 }
--- a/core/cascade/estimate.go
+++ b/core/cascade/estimate.go
@@ -19,7 +19,7 @@
 	}
 
 	// changeDetector is a CUSUM detector for ratings below their expected value.
-	changeDetector struct{ sum float64 }
+	changeDetector struct{ sum, n float64 }
 )
 
 // add adds a value. Memory is the number of values after which an older one has
@@ -38,6 +38,12 @@
 	e.sumSquares *= keep
 }
 
+// shift adds d to every value.
+func (e *estimate) shift(d float64) {
+	e.sumSquares += 2*d*e.sum + d*d*e.n
+	e.sum += d * e.n
+}
+
 // mean combines the values with a prior of the given weight.
 func (e *estimate) mean(prior, weight float64) float64 {
 	return (e.sum + prior*weight) / (e.n + weight)
@@ -67,13 +73,19 @@
 // of weight 1.
 func (t *tokenTimes) mean(prior float64) float64 { return (t.firstToken + prior) / (t.n + 1) }
 
-// add adds the shortfall of a rating and reports whether the sum of shortfalls
-// beyond the slack exceeded the limit. The sum then starts again from 0.
-func (d *changeDetector) add(shortfall, slack, limit float64) bool {
-	d.sum = max(d.sum+shortfall-slack, 0)
+// add adds the shortfall of a rating. When the sum of shortfalls beyond the slack
+// exceeds the limit, it returns their mean since the sum last was 0, which is then 0
+// again. Otherwise it returns 0.
+func (d *changeDetector) add(shortfall, slack, limit float64) float64 {
+	d.sum += shortfall - slack
+	d.n++
+	if d.sum <= 0 {
+		*d = changeDetector{}
+	}
 	if d.sum <= limit {
-		return false
+		return 0
 	}
-	d.sum = 0
-	return true
+	mean := d.sum / d.n
+	*d = changeDetector{}
+	return mean
 }
--- a/core/cascade/learned.go
+++ b/core/cascade/learned.go
@@ -31,7 +31,10 @@
 		Margin float64
 		// ExploreShare is the share of requests that may try a cheaper plan.
 		ExploreShare float64
-		// Judge enables cascades, nil for none.
+		// VerdictBudget is the price of verdicts on answers of single versions, as a
+		// share of the price of all answers.
+		VerdictBudget float64
+		// Judge enables cascades and verdicts, nil for none.
 		Judge *Judge
 	}
 
@@ -46,6 +49,8 @@
 		tokenTimes       map[estimateKey]*tokenTimes
 		acceptance       map[estimateKey]*estimate  // share of answers that the judge accepts
 		detectors        map[string]*changeDetector // by class and plan
+		verdicts         map[string]*changeDetector // by plan
+		changedAt        map[string]time.Time       // when verdicts showed a fall, by plan
 		servedQuality    map[string]*estimate       // quality of all answers, by workspace
 		outputTokens     map[string]*estimate       // output tokens, by class
 	}
@@ -69,6 +74,9 @@
 	shortfallSlack = 0.05
 	shortfallLimit = 1.0
 
+	// verdictLimit is shortfallLimit for verdicts of the judge.
+	verdictLimit = 1.5
+
 	// changeDiscount is the share of the ratings' weight kept after a change.
 	changeDiscount = 0.05
 
@@ -79,7 +87,7 @@
 // DefaultLearnedConfig returns the configuration for traffic of which only a sample is
 // rated. It has no judge.
 func DefaultLearnedConfig() LearnedConfig {
-	return LearnedConfig{DecayRatings: 1000, PooledWeight: 100, Margin: 0.2, ExploreShare: 0.05}
+	return LearnedConfig{DecayRatings: 1000, PooledWeight: 100, Margin: 0.2, ExploreShare: 0.05, VerdictBudget: 0.015}
 }
 
 // NewLearned returns a policy without observations.
@@ -87,7 +95,8 @@
 	return &Learned{
 		cfg: cfg, workspaceQuality: make(map[estimateKey]*estimate), pooledQuality: make(map[estimateKey]*estimate),
 		tokenTimes: make(map[estimateKey]*tokenTimes), acceptance: make(map[estimateKey]*estimate),
-		detectors: make(map[string]*changeDetector), servedQuality: make(map[string]*estimate), outputTokens: make(map[string]*estimate),
+		detectors: make(map[string]*changeDetector), verdicts: make(map[string]*changeDetector), changedAt: make(map[string]time.Time),
+		servedQuality: make(map[string]*estimate), outputTokens: make(map[string]*estimate),
 	}
 }
 
@@ -109,7 +118,7 @@
 	if !d.InSession && random.Float64() < l.cfg.ExploreShare {
 		best = l.explore(d, best, options)
 	}
-	return withCanary(best.plan, canaries, random), true
+	return withCanary(l.withJudge(d, best, random), canaries, random), true
 }
 
 // Observe updates the estimates with a finished request or a rating.
@@ -134,21 +143,51 @@
 	}
 	getOrCreate(l.acceptance, own).add(accepted, l.cfg.DecayRatings)
 	getOrCreate(l.acceptance, all).add(accepted, l.cfg.DecayRatings)
+	if o.Verdict != nil {
+		l.addVerdict(o, own, all)
+	}
 }
 
 // rate updates the estimates with a rating. When ratings fall well below the
 // estimate, most of what was learned about the plan is discarded first.
 func (l *Learned) rate(o Observation, own, all estimateKey) {
 	q := *o.Quality
-	if known := getOrCreate(l.pooledQuality, all); known.n > 0 {
-		expected := getOrCreate(l.workspaceQuality, own).mean(known.mean(0, 0), l.cfg.PooledWeight)
-		if getOrCreate(l.detectors, all.class+" "+all.plan).add(expected-q, shortfallSlack, shortfallLimit) {
-			l.discountPlan(all.plan)
+	if l.isOutdated(o, all.plan) {
+		return
+	}
+	if expected, known := l.expectedQuality(own, all); known && getOrCreate(l.detectors, all.class+" "+all.plan).add(expected-q, shortfallSlack, shortfallLimit) > 0 {
+		l.discountPlan(all.plan)
+	}
+	l.addQuality(o.Workspace, q, own, all)
+}
+
+// addVerdict compares the judge's verdict with the estimates. When verdicts fall well
+// below them, they are lowered, and later verdicts update them as ratings do.
+func (l *Learned) addVerdict(o Observation, own, all estimateKey) {
+	if expected, known := l.expectedQuality(own, all); known {
+		if fall := getOrCreate(l.verdicts, all.plan).add(expected-*o.Verdict, shortfallSlack, verdictLimit); fall > 0 {
+			l.lowerQuality(all.plan, fall, o.At)
 		}
 	}
+	if !l.changedAt[all.plan].IsZero() {
+		l.addQuality(o.Workspace, *o.Verdict, own, all)
+	}
+}
+
+// expectedQuality returns the mean quality of a plan in a workspace, and false if it has
+// no ratings.
+func (l *Learned) expectedQuality(own, all estimateKey) (float64, bool) {
+	known := getOrCreate(l.pooledQuality, all)
+	if known.n == 0 {
+		return 0, false
+	}
+	return getOrCreate(l.workspaceQuality, own).mean(known.mean(0, 0), l.cfg.PooledWeight), true
+}
+
+func (l *Learned) addQuality(workspace string, q float64, own, all estimateKey) {
 	getOrCreate(l.workspaceQuality, own).add(q, l.cfg.DecayRatings)
 	getOrCreate(l.pooledQuality, all).add(q, l.cfg.DecayRatings)
-	getOrCreate(l.servedQuality, o.Workspace).add(q, l.cfg.DecayRatings)
+	getOrCreate(l.servedQuality, workspace).add(q, l.cfg.DecayRatings)
 }
 
 // discountPlan reduces the weight of all ratings of a plan after its quality changed.
--- a/internal/experiment/choice_run.go
+++ b/internal/experiment/choice_run.go
@@ -131,6 +131,11 @@
 	if len(p.Steps) > 1 {
 		o.Plan = p.Key()
 	}
+	if p.IsJudged {
+		verdict := quality + random.NormFloat64()*s.judge.Noise
+		o.Verdict = &verdict
+		o.Price += s.judge.Price * (inputTokens(class) + outputTokens(class)) / 1000
+	}
 	return quality, o
 }
 
