Soak: check for lost answers beside planned work, overlap faults, reload settings

The soak had one fault at a time, its callers left an entry as soon as the directory did and shared two idle connections, no settings file changed, and a connection that ended without an answer was never reported.

- Settings files get other seeds, with SIGHUP and without, on entries and controls.
- Every other caller keeps its entry and connection until it is answered no more.
Versions of the configuration change the idle timeout of connections, down to the length of the callers' pauses.
- A sound server falls silent for about a second, its connections and its announcements, around the operator's next change.
It stands behind the loopback proxy for that.
- A request that was written whole and ends with a closed connection is reported if a server got it, or after more than 200 ms.
Excused are a kill or freeze of its entry since 4 s before, an answer that the server broke off, the deadline, and a planned stop whose grace time ends.

The report lists the faults with their times.

--- a/internal/cmd/cmd_soak.go
+++ b/internal/cmd/cmd_soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -56,6 +57,7 @@
 		fmt.Printf("broken: %s: request %s: %s\n  rosereach explain %s %s/*/log\n", b.Guarantee, b.ID, b.Detail, b.ID, cfg.Folder)
 	}
 	if len(report.Violations) > 0 {
+		fmt.Println("faults:\n  " + strings.Join(report.Faults, "\n  "))
 		return withExitCode(exitFailure, errors.Errorf("guarantees violated; the logs are kept in %s", cfg.Folder))
 	}
 	return nil
--- /dev/null
+++ b/internal/soak/observation.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"rosereach/platform"
+)
+
+const (
+	// contactTime is how long before a request a disruption excuses its loss.
+	contactTime = 4 * time.Second
+
+	// lossSlack is the time after its last byte within which a request may cross the
+	// close of its connection.
+	lossSlack = 200 * time.Millisecond
+)
+
+type (
+	// arrivals are the requests that reached the servers.
+	arrivals struct {
+		mu   sync.Mutex
+		byID map[string][]arrival
+	}
+
+	// arrival is one request that reached a server, and how the server answered it.
+	arrival struct {
+		requestID string
+		server    string
+		at        time.Time
+		answerPlan
+	}
+
+	// disruption is a disruption of a process by the soak. The end is zero while it
+	// lasts.
+	disruption struct {
+		kind       disruptionKind
+		begin, end time.Time
+	}
+
+	disruptionKind int
+
+	// observation is all that callers and servers saw in a run, and the disruptions of
+	// entries by address.
+	observation struct {
+		outcomes []requestOutcome
+		arrivals []arrival
+		entries  map[string][]disruption
+	}
+)
+
+// A planned disruption is a stop with SIGTERM.
+const (
+	planned disruptionKind = iota
+	killed
+	frozen
+)
+
+func (a *arrivals) add(one arrival) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.byID[one.requestID] = append(a.byID[one.requestID], one)
+}
+
+// runs returns how often a request ran, summed over all servers.
+func (a *arrivals) runs(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, one := range a.byID[id] {
+		if one.fault != 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// all returns all arrivals in order of time.
+func (a *arrivals) all() []arrival {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var list []arrival
+	for _, some := range a.byID {
+		list = append(list, some...)
+	}
+	slices.SortFunc(list, func(x, y arrival) int { return x.at.Compare(y.at) })
+	return list
+}
+
+// disrupted reports whether a disruption of one of the kinds falls into the given time.
+func (o observation) disrupted(entry string, from, to time.Time, kinds ...disruptionKind) bool {
+	return slices.ContainsFunc(o.entries[entry], func(d disruption) bool {
+		return slices.Contains(kinds, d.kind) && d.begin.Before(to) && (d.end.IsZero() || d.end.After(from))
+	})
+}
+
+// checkLost checks that no entry closes a connection without a complete answer to a
+// request that it has passed on to a server, or read. Excused are an unplanned
+// disruption of the entry, a server that broke the answer off, a deadline that was
+// reached, and a request that is still running when a planned stop has to end.
+func (v *violations) checkLost(o observation) {
+	last := make(map[string]arrival)
+	for _, a := range o.arrivals {
+		last[a.requestID] = a
+	}
+	for _, r := range o.outcomes {
+		a, passedOn := last[r.id]
+		switch {
+		case !r.closed || r.writtenAt.IsZero() || !passedOn && r.endedAt.Sub(r.writtenAt) <= lossSlack:
+		case a.fault > 1 || r.endedAt.Sub(r.sentAt) >= requestTimeout:
+		case o.disrupted(r.entry, r.sentAt.Add(-contactTime), r.endedAt, killed, frozen) || o.outlivesStop(r):
+		default:
+			v.add("no answer lost", r.id, "%s request sent to %s at %s: connection closed after %s without a complete answer (head: %v); last at server %q",
+				r.kind, r.entry, clockTime(r.sentAt), r.endedAt.Sub(r.sentAt), !r.headAt.IsZero(), a.server)
+		}
+	}
+}
+
+// outlivesStop reports whether a request was sent early in a planned stop and was still
+// running in the last sixth of the grace time.
+func (o observation) outlivesStop(r requestOutcome) bool {
+	return slices.ContainsFunc(o.entries[r.entry], func(d disruption) bool {
+		sentAfter, endedAfter := r.sentAt.Sub(d.begin), r.endedAt.Sub(d.begin)
+		return d.kind == planned && sentAfter <= 3*time.Second && endedAfter >= platform.SimulatedGracePeriod*5/6 &&
+			endedAfter <= platform.SimulatedGracePeriod+time.Second
+	})
+}
+
+// clockTime formats a time like the logs of the processes.
+func clockTime(t time.Time) string { return t.UTC().Format("15:04:05.000") }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -25,6 +26,9 @@
 	log     *os.File
 	stopped bool
 	exited  chan struct{}
+
+	// disruptions are the process's own, in order. The last one may not have ended.
+	disruptions []disruption
 }
 
 // newProcess creates the process's folder, opens its log and writes its settings
@@ -85,10 +89,54 @@
 }
 
 // kill sends SIGKILL to the program and waits for it to exit.
-func (p *process) kill() { p.signalAndWait(syscall.SIGKILL) }
+func (p *process) kill() {
+	p.disrupt(killed)
+	p.signalAndWait(syscall.SIGKILL)
+}
 
 // stop asks the program to shut down with SIGTERM and waits for it to exit.
-func (p *process) stop() { p.signalAndWait(syscall.SIGTERM) }
+func (p *process) stop() {
+	p.disrupt(planned)
+	p.signalAndWait(syscall.SIGTERM)
+}
+
+// freeze pauses the program for the given time.
+func (p *process) freeze(d time.Duration) {
+	p.disrupt(frozen)
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.signal(syscall.SIGCONT)
+	p.endDisruption()
+}
+
+// reload writes other seeds into the program's settings file, and signals it if hangUp
+// is true.
+func (p *process) reload(seeds []string, hangUp bool) error {
+	p.node.Seeds = seeds
+	if err := p.writeSettings(); err != nil {
+		return err
+	}
+	if hangUp {
+		p.signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+// disrupt records that a disruption begins.
+func (p *process) disrupt(kind disruptionKind) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.disruptions = append(p.disruptions, disruption{kind: kind, begin: time.Now()})
+}
+
+// endDisruption records that the last disruption has ended.
+func (p *process) endDisruption() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.disruptions); n > 0 {
+		p.disruptions[n-1].end = time.Now()
+	}
+}
 
 // signalAndWait resumes the program in case it is stopped by SIGSTOP, sends it
 // the signal and waits for it to exit.
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"rosereach/internal/fault"
 	"rosereach/platform"
 )
 
@@ -27,44 +28,44 @@
 	faultShare = 0.25
 )
 
-// server is a fake backend server that counts how often each request ran.
-type server struct {
-	announcement platform.SimulatedServer
-	runs         *runCounter
-	http         *http.Server
-	client       *http.Client
-
-	mu     sync.Mutex
-	faulty bool
-	random *rand.Rand
-}
-
-// runCounter counts how often each request ran, summed over all servers.
-type runCounter struct {
-	mu    sync.Mutex
-	count map[string]int
-}
-
-func (r *runCounter) add(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.count[id]++
-}
+type (
+	// server is a fake backend server behind a proxy. It records the requests that
+	// reach it.
+	server struct {
+		name     string
+		arrivals *arrivals
+		http     *http.Server
+		proxy    *fault.Proxy
+		client   *http.Client
+
+		mu           sync.Mutex
+		announcement platform.SimulatedServer
+		silent       bool
+		faulty       bool
+		random       *rand.Rand
+	}
 
-func (r *runCounter) countFor(id string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.count[id]
-}
+	// answerPlan is how a server answers one request. Fault is 1 for a refusal
+	// without a run, 2 for a connection closed before the answer, 3 for an answer
+	// cut short.
+	answerPlan struct {
+		fault int
+	}
+)
 
-func newServer(name, ip string, seed uint64, counter *runCounter) (*server, error) {
+func newServer(ctx context.Context, name, ip string, seed uint64, a *arrivals) (*server, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	proxy, err := fault.Start(ctx, l.Addr().String())
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	s := &server{
-		announcement: platform.SimulatedServer{ID: name, Service: "s", Address: l.Addr().String(), Zone: "z", Incarnation: time.Now().UnixMilli()},
-		runs:         counter, client: &http.Client{Timeout: time.Second}, random: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // deterministic faults for a given seed
+		name: name, arrivals: a, proxy: proxy, client: &http.Client{Timeout: time.Second},
+		announcement: platform.SimulatedServer{ID: name, Service: "s", Address: proxy.Address(), Zone: "z", Incarnation: time.Now().UnixMilli()},
+		random:       rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // deterministic faults for a given seed
 	}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
 	go s.http.Serve(l) //nolint:errcheck // it returns an error on Close
@@ -72,18 +73,14 @@
 }
 
 // announceLoop announces the server at each interval until the context is canceled.
-// It starts with another control each time and tries the next one on failure.
 func (s *server) announceLoop(ctx context.Context, ports platform.SimulatedPorts, controls []string) {
 	for next := 0; ctx.Err() == nil; next++ {
 		s.mu.Lock()
 		s.announcement.Sequence++
-		announcement := s.announcement
+		announcement, silent := s.announcement, s.silent
 		s.mu.Unlock()
-		for i := range controls {
-			r, err := ports.HeartbeatRequest(announcement, controls[(next+i)%len(controls)])
-			if err == nil && sendForStatus(s.client, r.WithContext(ctx)) == http.StatusOK {
-				break
-			}
+		if !silent {
+			s.callControl(ctx, controls, next, func(ip string) (*http.Request, error) { return ports.HeartbeatRequest(announcement, ip) })
 		}
 		select {
 		case <-time.After(announceInterval):
@@ -92,6 +89,17 @@
 	}
 }
 
+// callControl sends a request to the controls, beginning with the given one, until
+// one accepts it.
+func (s *server) callControl(ctx context.Context, controls []string, first int, request func(ip string) (*http.Request, error)) {
+	for i := range controls {
+		r, err := request(controls[(first+i)%len(controls)])
+		if err == nil && sendForStatus(s.client, r.WithContext(ctx)) == http.StatusOK {
+			return
+		}
+	}
+}
+
 // setFaulty turns the injection of request faults on or off.
 func (s *server) setFaulty(faulty bool) {
 	s.mu.Lock()
@@ -99,20 +107,36 @@
 	s.faulty = faulty
 }
 
-// drawFault picks the fault of the next request: 0 for none, 1 for a refusal
-// without a run, 2 for a connection closed before the answer, 3 for an answer
-// cut short.
-func (s *server) drawFault() int {
+// setSilent holds back all bytes to and from the server, and its announcements, as if
+// its process were paused, or lets them go on.
+func (s *server) setSilent(silent bool) {
+	s.proxy.SetPlan(fault.Plan{Blackhole: silent})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// plan decides how the server answers the next request.
+func (s *server) plan() answerPlan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.faulty || s.random.Float64() > faultShare {
-		return 0
+	var plan answerPlan
+	if s.faulty && s.random.Float64() <= faultShare {
+		plan.fault = 1 + s.random.IntN(3)
 	}
-	return 1 + s.random.IntN(3)
+	return plan
+}
+
+// id returns the ID of the current instance.
+func (s *server) id() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announcement.ID
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
-	id, after, addressed := platform.DecodeServerRequest(r, s.announcement.ID)
+	self := s.id()
+	id, after, addressed := platform.DecodeServerRequest(r, self)
 	if !addressed {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -122,22 +146,20 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	fault := s.drawFault()
-	if fault == 1 {
-		platform.SetAnswerHeaders(w.Header(), id, false)
+	plan := s.plan()
+	s.arrivals.add(arrival{requestID: id, server: self, at: time.Now(), answerPlan: plan})
+	answer := platform.SimulatedAnswer{RequestID: id, Server: self, Executed: plan.fault != 1}
+	answer.SetHeaders(w.Header())
+	switch {
+	case plan.fault == 1:
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	s.runs.add(id)
-	platform.SetAnswerHeaders(w.Header(), id, true)
-	if fault == 2 {
+	case plan.fault == 2:
 		panic(http.ErrAbortHandler)
+	case len(r.URL.Path) < 10:
+		s.writeAnswer(w, id, plan.fault)
+	default:
+		writeStream(r.Context(), w, after, plan.fault)
 	}
-	if len(r.URL.Path) < 10 {
-		s.writeAnswer(w, id, fault)
-		return
-	}
-	writeStream(r.Context(), w, after, fault)
 }
 
 // writeAnswer sends the request ID back, or half of it for fault 3.
@@ -166,25 +188,3 @@
 		}
 	}
 }
-
-// sendForStatus sends a request and returns its status, or 0 when no complete
-// response arrived.
-func sendForStatus(c *http.Client, r *http.Request) int {
-	status, _ := send(c, r)
-	return status
-}
-
-// send sends a request and returns the status and body; the status is 0 when no
-// complete response arrived.
-func send(c *http.Client, r *http.Request) (int, []byte) {
-	resp, err := c.Do(r)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, body
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -45,6 +44,10 @@
 	goodKey, oldKey = "key-good", "key-old"
 )
 
+// idleTimeouts are the idle timeouts of callers' connections that the configuration's
+// versions set in turn; 0 is none. The shortest is near the callers' pauses.
+var idleTimeouts = []time.Duration{0, 30 * time.Millisecond, 10 * time.Second}
+
 type (
 	// Config holds the settings of a soak run. Folder receives settings, data
 	// and logs of all processes and is kept. Progress may be nil.
@@ -56,7 +59,8 @@
 		Progress func(line string)
 	}
 
-	// Report is the result of a soak run. Faults are the injected faults in order.
+	// Report is the result of a soak run. Faults are the injected faults in order, each
+	// with its time of day.
 	Report struct {
 		Requests   int
 		Answered   int
@@ -72,10 +76,11 @@
 		controls       []*process
 		entries        []*process
 		servers        []*server
-		runs           *runCounter
+		arrivals       *arrivals
 		violations     violations
 		ackedVersion   atomic.Uint64
 		unstableUntil  atomic.Int64
+		nextChange     atomic.Int64 // when the operator sends its next change, in Unix nanoseconds
 		answered       atomic.Int64
 		mu             sync.Mutex
 		outcomes       []requestOutcome
@@ -87,13 +92,13 @@
 // Run executes a soak run and reports what it observed. An error means that the
 // programs could not be started or served no request.
 func Run(ctx context.Context, cfg Config) (Report, error) {
-	s := &soak{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 7)), runs: &runCounter{count: make(map[string]int)}} //nolint:gosec // deterministic faults for a given seed
+	s := &soak{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 7)), arrivals: &arrivals{byID: make(map[string][]arrival)}} //nolint:gosec // deterministic faults for a given seed
 	defer s.cleanUp()
-	if err := s.start(); err != nil {
-		return Report{}, err
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if err := s.start(ctx); err != nil {
+		return Report{}, err
+	}
 	var announcers sync.WaitGroup
 	for _, srv := range s.servers {
 		announcers.Go(func() { srv.announceLoop(ctx, s.ports, s.controlIPs()) })
@@ -118,7 +123,7 @@
 }
 
 // start starts the controls, the entries and the backend servers.
-func (s *soak) start() error {
+func (s *soak) start(ctx context.Context) error {
 	subnet := 2 + s.cfg.Seed%200
 	ip := func(i int) string { return fmt.Sprintf("127.77.%d.%d", subnet, i+10) }
 	if err := s.pickPorts(ip(0)); err != nil {
@@ -147,7 +152,7 @@
 		}
 	}
 	for i := range serverCount {
-		srv, err := newServer(fmt.Sprintf("server-%d", i+1), ip(100+i), s.cfg.Seed+uint64(i), s.runs)
+		srv, err := newServer(ctx, fmt.Sprintf("server-%d", i+1), ip(100+i), s.cfg.Seed+uint64(i), s.arrivals)
 		if err != nil {
 			return err
 		}
@@ -196,7 +201,7 @@
 			continue
 		}
 		s.updateEntryAddresses(client)
-		if outcome := s.sendRequest(client, "safe", "first", goodKey); outcome.status == http.StatusOK {
+		if outcome := s.sendRequest(client, s.pickEntry(), "safe", "first", goodKey); outcome.status == http.StatusOK {
 			return nil
 		}
 	}
@@ -204,17 +209,26 @@
 }
 
 // runCaller runs one caller, which sends requests of random kinds one at a time
-// until the context is canceled.
+// until the context is canceled. Every other caller stays with its entry, and its
+// connection there, until the entry answers no more; the others spread their requests
+// over all entries.
 func (s *soak) runCaller(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(s.cfg.Seed, uint64(number))) //nolint:gosec // deterministic requests for a given seed
-	client := &http.Client{Timeout: requestTimeout + time.Second}
+	client := newCallerClient()
 	kinds := []string{"safe", "unsafe", "unsafe", "streaming"}
+	var address string
 	for i := 0; ctx.Err() == nil; i++ {
-		outcome := s.sendRequest(client, kinds[random.IntN(len(kinds))], fmt.Sprintf("c%d-%d", number, i), goodKey)
+		if number%2 == 0 || address == "" {
+			address = s.pickEntry()
+		}
+		outcome := s.sendRequest(client, address, kinds[random.IntN(len(kinds))], fmt.Sprintf("c%d-%d", number, i), goodKey)
 		s.violations.checkAnswer(outcome)
 		if outcome.status == http.StatusOK {
 			s.answered.Add(1)
 		}
+		if outcome.status == 0 {
+			address = ""
+		}
 		s.mu.Lock()
 		s.outcomes = append(s.outcomes, outcome)
 		s.mu.Unlock()
@@ -222,16 +236,21 @@
 	}
 }
 
-// sendRequest sends one request to one of the entries in the latest answer of the
-// directory. The outcome has status 0 when no entry is known.
-func (s *soak) sendRequest(client *http.Client, kind, id, key string) requestOutcome {
-	outcome := requestOutcome{kind: kind, id: id}
+// pickEntry returns one of the entries in the latest answer of the directory, empty for
+// none.
+func (s *soak) pickEntry() string {
 	s.mu.Lock()
-	var address string
-	if len(s.entryAddresses) > 0 {
-		address = s.entryAddresses[int(time.Now().UnixNano())%len(s.entryAddresses)]
+	defer s.mu.Unlock()
+	if len(s.entryAddresses) == 0 {
+		return ""
 	}
-	s.mu.Unlock()
+	return s.entryAddresses[int(time.Now().UnixNano())%len(s.entryAddresses)]
+}
+
+// sendRequest sends one request to an entry. The outcome has status 0 when the address
+// is empty.
+func (s *soak) sendRequest(client *http.Client, address, kind, id, key string) requestOutcome {
+	outcome := requestOutcome{kind: kind, id: id, entry: address}
 	if address == "" {
 		return outcome
 	}
@@ -240,8 +259,7 @@
 		return outcome
 	}
 	r.GetBody = nil // keeps Go's client from resending the request on its own
-	status, body := send(client, r)
-	outcome.status, outcome.body = status, string(body)
+	outcome.observe(client, r, platform.AnsweringServer)
 	return outcome
 }
 
@@ -282,6 +300,7 @@
 	client := &http.Client{Timeout: 2 * time.Second}
 	for version := uint64(2); ctx.Err() == nil; version++ {
 		acked := s.ackedVersion.Load()
+		s.nextChange.Store(time.Now().Add(propagationTime).UnixNano())
 		time.Sleep(propagationTime)
 		for _, ip := range s.controlIPs() {
 			s.checkRead(client, ip, acked)
@@ -292,7 +311,7 @@
 		}
 		s.putConfig(client, version, keys...)
 		if version > 4 && s.ackedVersion.Load() >= 4 && s.isStable() {
-			if outcome := s.sendRequest(client, "safe", fmt.Sprintf("old-%d", version), oldKey); outcome.status == http.StatusOK {
+			if outcome := s.sendRequest(client, s.pickEntry(), "safe", fmt.Sprintf("old-%d", version), oldKey); outcome.status == http.StatusOK {
 				s.violations.add("removed keys rejected within the time limit", outcome.id, "answered under configuration %d", s.ackedVersion.Load())
 			}
 		}
@@ -302,7 +321,7 @@
 // putConfig sends a configuration to the controls in turn until one
 // acknowledges it.
 func (s *soak) putConfig(client *http.Client, version uint64, keys ...string) bool {
-	text := platform.SimulatedConfig(version, "s", keys...)
+	text := platform.SimulatedConfig(version, "s", idleTimeouts[version%uint64(len(idleTimeouts))], keys...)
 	for _, ip := range s.controlIPs() {
 		r, err := s.ports.PutConfigRequest(ip, text)
 		if err != nil {
@@ -333,78 +352,6 @@
 	}
 }
 
-// injectFaults injects random faults one after another for the configured
-// duration.
-func (s *soak) injectFaults(ctx context.Context) {
-	for deadline := time.Now().Add(s.cfg.Duration); time.Now().Before(deadline) && ctx.Err() == nil; {
-		s.injectFault()
-		if s.cfg.Progress != nil {
-			s.cfg.Progress(fmt.Sprintf("seed %d, %d faults, %d answered, configuration %d, %d breaches, last: %s", s.cfg.Seed, len(s.faults),
-				s.answered.Load(), s.ackedVersion.Load(), len(s.violations.all()), s.faults[len(s.faults)-1]))
-		}
-		time.Sleep(time.Duration(500+s.random.IntN(2000)) * time.Millisecond)
-	}
-}
-
-// injectFault injects one random fault and repairs it. At most one control is down
-// at a time, except when all are killed, which keeps their data folders.
-func (s *soak) injectFault() {
-	control, entry := s.controls[s.random.IntN(controlCount)], s.entries[s.random.IntN(entryCount)]
-	srv := s.servers[s.random.IntN(serverCount)]
-	pause := time.Duration(300+s.random.IntN(2500)) * time.Millisecond
-	s.unstableUntil.Store(time.Now().Add(pause + recoveryTime).UnixNano())
-	kind := s.random.IntN(8)
-	name := []string{"kill control", "freeze control", "wipe control", "kill all controls", "kill entry", "stop entry", "freeze entry", "faulty server"}[kind]
-	s.faults = append(s.faults, name)
-	switch kind {
-	case 0:
-		s.restartAfter(control, control.kill, pause)
-	case 1:
-		control.signal(syscall.SIGSTOP)
-		time.Sleep(pause)
-		control.signal(syscall.SIGCONT)
-	case 2:
-		control.kill()
-		if err := control.wipe(); err != nil {
-			s.violations.add("soak harness", control.node.Name, "%v", err)
-		}
-		s.restartAfter(control, func() {}, pause)
-		time.Sleep(recoveryTime / 2)
-	case 3:
-		for _, p := range s.controls {
-			p.kill()
-		}
-		for _, p := range s.controls {
-			s.restart(p)
-		}
-	case 4:
-		s.restartAfter(entry, entry.kill, pause)
-	case 5:
-		s.restartAfter(entry, entry.stop, pause)
-	case 6:
-		entry.signal(syscall.SIGSTOP)
-		time.Sleep(pause)
-		entry.signal(syscall.SIGCONT)
-	case 7:
-		srv.setFaulty(true)
-		time.Sleep(pause)
-		srv.setFaulty(false)
-	}
-}
-
-// restartAfter ends a program, waits for the pause and starts the program again.
-func (s *soak) restartAfter(p *process, terminate func(), pause time.Duration) {
-	terminate()
-	time.Sleep(pause)
-	s.restart(p)
-}
-
-func (s *soak) restart(p *process) {
-	if err := p.start(); err != nil {
-		s.violations.add("soak harness", p.node.Name, "%v", err)
-	}
-}
-
 // isStable reports whether recoveryTime has passed since the planned end of the
 // last fault.
 func (s *soak) isStable() bool { return time.Now().UnixNano() > s.unstableUntil.Load() }
@@ -417,7 +364,7 @@
 	served := false
 	for deadline := time.Now().Add(recoveryTime); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
 		s.updateEntryAddresses(client)
-		served = s.sendRequest(client, "safe", "last", goodKey).status == http.StatusOK
+		served = s.sendRequest(client, s.pickEntry(), "safe", "last", goodKey).status == http.StatusOK
 	}
 	if !served {
 		s.violations.add("recovery", "last", "no request is served %s after the last fault", recoveryTime)
@@ -428,8 +375,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, outcome := range s.outcomes {
-		s.violations.checkRuns(outcome, s.runs.countFor(outcome.id))
+		s.violations.checkRuns(outcome, s.arrivals.runs(outcome.id))
 	}
+	o := observation{outcomes: s.outcomes, arrivals: s.arrivals.all(), entries: s.entryDisruptions()}
+	s.violations.checkLost(o)
 }
 
 func (s *soak) report() Report {
--- a/internal/soak/violation.go
+++ b/internal/soak/violation.go
@@ -39,15 +39,6 @@
 	return append([]Violation(nil), v.list...)
 }
 
-// requestOutcome is the outcome of a request as its caller saw it; the status
-// is 0 when no complete answer arrived.
-type requestOutcome struct {
-	kind   string
-	id     string
-	status int
-	body   string
-}
-
 // checkAnswer checks that a successful answer is complete and belongs to its
 // request.
 func (v *violations) checkAnswer(o requestOutcome) {
