Soak: servers say that they leave, and for how long they want nothing

Two checks judge the entries, told apart by the request's id, which a caller sends to one entry only (all connections come from 127.0.0.1):

- no request that was sent later than the drain bound after an entry passed on such an answer reaches that server from it; a restart excuses;
- no more than two requests reach a server from an entry between 0.5 s after its refusal and the end of its time; a restart or pause excuses.

--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"rosereach/platform"
 )
 
 // plannedFault is a fault that has been drawn but not yet injected.
@@ -116,18 +118,19 @@
 	}
 }
 
-// drawServerFault draws a fault of the servers.
-func (s *soak) drawServerFault(_ context.Context, random *rand.Rand) plannedFault {
+// drawServerFault draws a fault of the servers, or something that they want of the
+// entries.
+func (s *soak) drawServerFault(ctx context.Context, random *rand.Rand) plannedFault {
 	i := random.IntN(serverCount)
 	srv, pause := s.servers[i], drawPause(random)
-	switch random.IntN(2) {
+	switch random.IntN(5) {
 	case 0:
 		return plannedFault{"faulty " + srv.name, func() {
 			srv.setFaulty(true)
 			time.Sleep(pause)
 			srv.setFaulty(false)
 		}}
-	default:
+	case 1:
 		lead, silence := time.Duration(random.IntN(1000))*time.Millisecond, time.Duration(800+random.IntN(500))*time.Millisecond
 		return plannedFault{"pause " + srv.name + " beside a change", func() {
 			time.Sleep(time.Until(time.Unix(0, s.nextChange.Load()).Add(-lead)))
@@ -135,6 +138,25 @@
 			time.Sleep(silence)
 			srv.setSilent(false)
 		}}
+	case 2:
+		announced := random.IntN(2) == 0
+		return plannedFault{fmt.Sprintf("%s leaves (announced: %v)", srv.name, announced), func() {
+			srv.leave(announced)
+			time.Sleep(platform.SimulatedDrainTime + time.Second + pause)
+			srv.replace(ctx, s.ports, s.controlIPs())
+		}}
+	case 3:
+		return plannedFault{"all servers turn requests away", func() {
+			for _, srv := range s.servers {
+				srv.holdOff(pause)
+			}
+			time.Sleep(pause)
+		}}
+	default:
+		return plannedFault{srv.name + " turns requests away", func() {
+			srv.holdOff(time.Second + pause)
+			time.Sleep(time.Second + pause)
+		}}
 	}
 }
 
--- a/internal/soak/observation.go
+++ b/internal/soak/observation.go
@@ -15,6 +15,14 @@
 	// lossSlack is the time after its last byte within which a request may cross the
 	// close of its connection.
 	lossSlack = 200 * time.Millisecond
+
+	// backOffTime is the time after a refusal with Retry-After within which an entry
+	// has to stop sending.
+	backOffTime = 500 * time.Millisecond
+
+	// maxHeldOffArrivals is the number of requests that one entry may send to a server
+	// that wants none.
+	maxHeldOffArrivals = 2
 )
 
 type (
@@ -48,6 +56,9 @@
 		arrivals []arrival
 		entries  map[string][]disruption
 	}
+
+	// entryServer is an entry as a server sees it.
+	entryServer struct{ entry, server string }
 )
 
 // A planned disruption is a stop with SIGTERM.
@@ -95,6 +106,15 @@
 	})
 }
 
+// byRequest returns the outcomes by request ID.
+func (o observation) byRequest() map[string]requestOutcome {
+	outcomes := make(map[string]requestOutcome, len(o.outcomes))
+	for _, one := range o.outcomes {
+		outcomes[one.id] = one
+	}
+	return outcomes
+}
+
 // checkLost checks that no entry closes a connection without a complete answer to a
 // request that it has passed on to a server, or read. Excused are an unplanned
 // disruption of the entry, a server that broke the answer off, a deadline that was
@@ -127,5 +147,66 @@
 	})
 }
 
+// checkLeaving checks that a server gets no request from an entry that was sent later
+// than the drain bound after the entry had passed on an answer of the server that said
+// that it leaves. A restart of the entry excuses.
+func (v *violations) checkLeaving(o observation) {
+	outcomes := o.byRequest()
+	passedOn := make(map[entryServer]time.Time)
+	for _, a := range o.arrivals {
+		r, ok := outcomes[a.requestID]
+		if !ok || !a.leaving || a.server != r.server {
+			continue
+		}
+		key := entryServer{r.entry, a.server}
+		if at, ok := passedOn[key]; !ok || r.headAt.Before(at) {
+			passedOn[key] = r.headAt
+		}
+	}
+	late := make(map[entryServer][]requestOutcome)
+	for _, a := range o.arrivals {
+		r, ok := outcomes[a.requestID]
+		key := entryServer{r.entry, a.server}
+		at, told := passedOn[key]
+		if ok && told && r.sentAt.Sub(at) > platform.SimulatedDrainTime && !o.disrupted(r.entry, at, a.at, planned, killed) {
+			late[key] = append(late[key], r)
+		}
+	}
+	for key, list := range late {
+		v.add("nothing for a leaving server", list[0].id, "%s got %d requests from %s too late; this one was sent at %s, %s after the first answer with Server-Leaving",
+			key.server, len(list), key.entry, clockTime(list[0].sentAt), list[0].sentAt.Sub(passedOn[key]).Round(time.Millisecond))
+	}
+}
+
+// checkHeldOff checks that a server that turned a request of an entry away with
+// Retry-After gets two more requests from it at most, from backOffTime on until that
+// time is over. A restart or pause of the entry excuses.
+func (v *violations) checkHeldOff(o observation) {
+	outcomes := o.byRequest()
+	groups := make(map[entryServer][]arrival)
+	for _, a := range o.arrivals {
+		if r, ok := outcomes[a.requestID]; ok {
+			key := entryServer{r.entry, a.server}
+			groups[key] = append(groups[key], a)
+		}
+	}
+	for key, list := range groups {
+		var reportedUntil time.Time
+		for i, refused := range list {
+			from, to := refused.at.Add(backOffTime), refused.at.Add(refused.retryAfter)
+			if refused.retryAfter == 0 || from.Before(reportedUntil) {
+				continue
+			}
+			within := slices.DeleteFunc(slices.Clone(list[i+1:]), func(a arrival) bool { return a.at.Before(from) || a.at.After(to) })
+			if len(within) <= maxHeldOffArrivals || o.disrupted(key.entry, refused.at, within[maxHeldOffArrivals].at, planned, killed, frozen) {
+				continue
+			}
+			reportedUntil = to
+			v.add("a server's Retry-After is kept", within[maxHeldOffArrivals].requestID, "%s got %d requests from %s in the %s that it wanted none, 0.5 s and more after its refusal of %s at %s",
+				key.server, len(within), key.entry, refused.retryAfter.Round(time.Millisecond), refused.requestID, clockTime(refused.at))
+		}
+	}
+}
+
 // clockTime formats a time like the logs of the processes.
 func clockTime(t time.Time) string { return t.UTC().Format("15:04:05.000") }
--- a/internal/soak/observation_test.go
+++ b/internal/soak/observation_test.go
@@ -73,3 +73,57 @@
 		"the grace time ends, early": {observation{outcomes: []requestOutcome{cut("a", 10_000, 3900)}, arrivals: passedOn, entries: disruptedFrom(planned, 13_800-grace*5/6, 14_500)}, 0},
 	}, (*violations).checkLost)
 }
+
+// A request for a server that leaves is reported if it was sent later than the drain bound
+// after the entry passed on an answer that says so.
+func TestCheckLeaving(t *testing.T) {
+	drain := int(platform.SimulatedDrainTime.Milliseconds())
+	told := sent("told", 0, "s")
+	said := reached("told", "s", 1, answerPlan{leaving: true})
+	late, arrived := sent("late", drain+6, "s"), reached("late", "s", drain+7, answerPlan{leaving: true})
+	elsewhere := late
+	elsewhere.entry = "other"
+	refused := told
+	refused.server, refused.status = "", 503
+	runChecks(t, map[string]checkCase{
+		"late":             {observation{outcomes: []requestOutcome{told, late}, arrivals: []arrival{said, arrived}}, 1},
+		"another instance": {observation{outcomes: []requestOutcome{told, late}, arrivals: []arrival{said, reached("late", "s-2", drain+7, answerPlan{})}}, 0},
+		"sent in time":     {observation{outcomes: []requestOutcome{told, sent("late", drain+5, "s")}, arrivals: []arrival{said, reached("late", "s", drain+900, answerPlan{leaving: true})}}, 0},
+		"another entry":    {observation{outcomes: []requestOutcome{told, elsewhere}, arrivals: []arrival{said, arrived}}, 0},
+		"not passed on":    {observation{outcomes: []requestOutcome{refused, late}, arrivals: []arrival{said, arrived}}, 0},
+		"restart":          {observation{outcomes: []requestOutcome{told, late}, arrivals: []arrival{said, arrived}, entries: disruptedFrom(killed, 500, 900)}, 0},
+		"restart before":   {observation{outcomes: []requestOutcome{told, late}, arrivals: []arrival{said, arrived}, entries: disruptedFrom(killed, -900, -500)}, 1},
+		"pause":            {observation{outcomes: []requestOutcome{told, late}, arrivals: []arrival{said, arrived}, entries: disruptedFrom(frozen, 500, 900)}, 1},
+	}, (*violations).checkLeaving)
+}
+
+// The third request of an entry for a server that wants none is reported, from half a
+// second after the refusal until the end of its time.
+func TestCheckHeldOff(t *testing.T) {
+	build := func(entry string, times ...int) observation {
+		o := observation{outcomes: []requestOutcome{sent("first", 0, "")}, arrivals: []arrival{reached("first", "s", 0, answerPlan{fault: 1, retryAfter: 2 * time.Second})}}
+		for i, ms := range times {
+			r := sent(string(rune('a'+i)), ms, "s")
+			r.entry = entry
+			o.outcomes = append(o.outcomes, r)
+			o.arrivals = append(o.arrivals, reached(r.id, "s", ms, answerPlan{}))
+		}
+		return o
+	}
+	frozenMeanwhile, frozenBefore := build("e", 600, 700, 800), build("e", 600, 700, 800)
+	frozenMeanwhile.entries, frozenBefore.entries = disruptedFrom(frozen, 100, 400), disruptedFrom(frozen, -400, -100)
+	refusedAgain := build("e", 600, 700, 800)
+	for i := range refusedAgain.arrivals[1:] {
+		refusedAgain.arrivals[i+1].answerPlan = answerPlan{fault: 1, retryAfter: at(2000).Sub(refusedAgain.arrivals[i+1].at)}
+	}
+	runChecks(t, map[string]checkCase{
+		"three":             {build("e", 600, 1000, 1900), 1},
+		"two":               {build("e", 600, 1900), 0},
+		"in the first 0.5s": {build("e", 100, 200, 300, 400, 600, 700), 0},
+		"after the end":     {build("e", 600, 700, 2001, 2002), 0},
+		"another entry":     {build("other", 600, 700, 800), 0},
+		"refused again":     {refusedAgain, 1},
+		"pause":             {frozenMeanwhile, 0},
+		"pause before":      {frozenBefore, 1},
+	}, (*violations).checkHeldOff)
+}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -42,6 +42,8 @@
 		announcement platform.SimulatedServer
 		silent       bool
 		faulty       bool
+		leaving      bool
+		heldUntil    time.Time
 		random       *rand.Rand
 	}
 
@@ -49,7 +51,9 @@
 	// without a run, 2 for a connection closed before the answer, 3 for an answer
 	// cut short.
 	answerPlan struct {
-		fault int
+		fault      int
+		leaving    bool
+		retryAfter time.Duration
 	}
 )
 
@@ -116,12 +120,40 @@
 	s.silent = silent
 }
 
+// holdOff lets the server turn away all requests for the given time.
+func (s *server) holdOff(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldUntil = time.Now().Add(d)
+}
+
+// leave lets the server say in all its answers that it leaves, and also in its
+// announcements if announced is true.
+func (s *server) leave(announced bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving, s.announcement.Draining = true, announced
+}
+
+// replace withdraws the server and starts a new instance at the same address.
+func (s *server) replace(ctx context.Context, ports platform.SimulatedPorts, controls []string) {
+	s.mu.Lock()
+	old := s.announcement
+	s.leaving, s.announcement.Draining = false, false
+	s.announcement.Incarnation = time.Now().UnixMilli()
+	s.announcement.ID = fmt.Sprintf("%s-%d", s.name, s.announcement.Incarnation)
+	s.mu.Unlock()
+	s.callControl(ctx, controls, 0, func(ip string) (*http.Request, error) { return ports.WithdrawRequest(old, ip) })
+}
+
 // plan decides how the server answers the next request.
 func (s *server) plan() answerPlan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var plan answerPlan
-	if s.faulty && s.random.Float64() <= faultShare {
+	plan := answerPlan{leaving: s.leaving}
+	if left := time.Until(s.heldUntil); left >= time.Millisecond {
+		plan.fault, plan.retryAfter = 1, left
+	} else if s.faulty && s.random.Float64() <= faultShare {
 		plan.fault = 1 + s.random.IntN(3)
 	}
 	return plan
@@ -148,7 +180,7 @@
 	}
 	plan := s.plan()
 	s.arrivals.add(arrival{requestID: id, server: self, at: time.Now(), answerPlan: plan})
-	answer := platform.SimulatedAnswer{RequestID: id, Server: self, Executed: plan.fault != 1}
+	answer := platform.SimulatedAnswer{RequestID: id, Server: self, Executed: plan.fault != 1, Leaving: plan.leaving, RetryAfter: plan.retryAfter}
 	answer.SetHeaders(w.Header())
 	switch {
 	case plan.fault == 1:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -379,6 +379,8 @@
 	}
 	o := observation{outcomes: s.outcomes, arrivals: s.arrivals.all(), entries: s.entryDisruptions()}
 	s.violations.checkLost(o)
+	s.violations.checkLeaving(o)
+	s.violations.checkHeldOff(o)
 }
 
 func (s *soak) report() Report {
