Soak: ask with a removed key beside faults too

The check wanted 12 s without a fault, and faults come every few seconds, so that it never ran. Now each entry is asked three seconds after every acknowledged version without the key, unless it or a control was disrupted in the 4 s before that.

--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -37,7 +37,6 @@
 func (s *soak) injectOverlapping(ctx context.Context) {
 	groups := []func(context.Context, *rand.Rand) plannedFault{s.drawControlFault, s.drawEntryFault, s.drawServerFault}
 	s.random.Shuffle(len(groups), func(i, j int) { groups[i], groups[j] = groups[j], groups[i] })
-	s.unstableUntil.Store(time.Now().Add(time.Minute).UnixNano())
 	var running sync.WaitGroup
 	var names []string
 	for _, draw := range groups[:1+s.random.IntN(len(groups))] {
@@ -51,7 +50,6 @@
 	}
 	s.faults = append(s.faults, clockTime(time.Now())+" "+strings.Join(names, " + "))
 	running.Wait()
-	s.unstableUntil.Store(time.Now().Add(recoveryTime).UnixNano())
 }
 
 // drawControlFault draws a fault of the controls. At most one is down at a time, except
@@ -194,7 +192,12 @@
 func (s *soak) entryDisruptions() map[string][]disruption {
 	disruptions := make(map[string][]disruption)
 	for _, p := range s.entries {
-		disruptions[net.JoinHostPort(p.node.IP, strconv.Itoa(s.ports.Callers))] = p.disruptions
+		disruptions[s.callerAddress(p)] = p.disruptions
 	}
 	return disruptions
 }
+
+// callerAddress returns the address of an entry for callers.
+func (s *soak) callerAddress(p *process) string {
+	return net.JoinHostPort(p.node.IP, strconv.Itoa(s.ports.Callers))
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -163,3 +164,10 @@
 	p.node.Bootstrap = false
 	return p.writeSettings()
 }
+
+// disruptedSince reports whether a disruption lasts or ended after the given time.
+func (p *process) disruptedSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.disruptions, func(d disruption) bool { return d.end.IsZero() || d.end.After(t) })
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,9 @@
 
 	// The callers' key, and one that is removed during the run.
 	goodKey, oldKey = "key-good", "key-old"
+
+	// withoutOldKey is the first version of the configuration without the old key.
+	withoutOldKey = 3
 )
 
 // idleTimeouts are the idle timeouts of callers' connections that the configuration's
@@ -79,7 +83,6 @@
 		arrivals       *arrivals
 		violations     violations
 		ackedVersion   atomic.Uint64
-		unstableUntil  atomic.Int64
 		nextChange     atomic.Int64 // when the operator sends its next change, in Unix nanoseconds
 		answered       atomic.Int64
 		mu             sync.Mutex
@@ -294,8 +297,7 @@
 }
 
 // runOperator puts the next configuration version every propagationTime and checks
-// that reads show the acknowledged one. Versions from 4 on lack the old key,
-// which must then be rejected, unless a fault is recent.
+// that reads show the acknowledged one. Versions from withoutOldKey on lack the old key.
 func (s *soak) runOperator(ctx context.Context) {
 	client := &http.Client{Timeout: 2 * time.Second}
 	for version := uint64(2); ctx.Err() == nil; version++ {
@@ -305,19 +307,39 @@
 		for _, ip := range s.controlIPs() {
 			s.checkRead(client, ip, acked)
 		}
+		if acked >= withoutOldKey {
+			s.checkRemovedKey(client, acked)
+		}
 		keys := []string{goodKey}
-		if version < 4 {
+		if version < withoutOldKey {
 			keys = append(keys, oldKey)
 		}
 		s.putConfig(client, version, keys...)
-		if version > 4 && s.ackedVersion.Load() >= 4 && s.isStable() {
-			if outcome := s.sendRequest(client, s.pickEntry(), "safe", fmt.Sprintf("old-%d", version), oldKey); outcome.status == http.StatusOK {
-				s.violations.add("removed keys rejected within the time limit", outcome.id, "answered under configuration %d", s.ackedVersion.Load())
-			}
+	}
+}
+
+// checkRemovedKey checks that entries reject the old key, unless they or the controls
+// were disrupted shortly before.
+func (s *soak) checkRemovedKey(client *http.Client, acked uint64) {
+	for i, p := range s.entries {
+		if s.isDisrupted(p) {
+			continue
+		}
+		o := s.sendRequest(client, s.callerAddress(p), "safe", fmt.Sprintf("old-%d-%d", acked, i), oldKey)
+		if o.status == http.StatusOK && !s.isDisrupted(p) {
+			s.violations.add("removed keys rejected within the time limit", o.id, "%s answered at %s, configuration %d was acknowledged %s before",
+				o.entry, clockTime(o.endedAt), acked, propagationTime)
 		}
 	}
 }
 
+// isDisrupted reports whether an entry or a control was disrupted since contactTime before
+// the last propagationTime.
+func (s *soak) isDisrupted(entry *process) bool {
+	since := time.Now().Add(-contactTime - propagationTime)
+	return slices.ContainsFunc(append([]*process{entry}, s.controls...), func(p *process) bool { return p.disruptedSince(since) })
+}
+
 // putConfig sends a configuration to the controls in turn until one
 // acknowledges it.
 func (s *soak) putConfig(client *http.Client, version uint64, keys ...string) bool {
@@ -352,10 +374,6 @@
 	}
 }
 
-// isStable reports whether recoveryTime has passed since the planned end of the
-// last fault.
-func (s *soak) isStable() bool { return time.Now().UnixNano() > s.unstableUntil.Load() }
-
 // checkFinalState waits for recoveryTime after the last fault, then checks that
 // requests are served, that reads show the acknowledged configuration, and how
 // often each request ran.
