--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -36,7 +36,8 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && order.LastID() > lastBefore:
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && (order.LastID() > lastBefore || x.headSent && answer.Framed):
+			// A server that resumes a stream behind its last event has none to add.
 			answer.Close()
 			return "", nil
 		default:
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -75,6 +75,9 @@
 		Header http.Header
 		// Length is the length of the body in bytes, or -1 if it is unknown.
 		Length int64
+		// Framed is set when the end of the body is marked by its length or by chunks, and
+		// not by the end of the connection alone.
+		Framed bool
 
 		body    io.ReadCloser
 		conn    *conn
@@ -214,6 +217,7 @@
 		conn: conn, client: c, address: call.Address, writeResult: wrote,
 	}
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.StatusCode == http.StatusNoContent
+	a.Framed = framed
 	a.keepAlive = framed && !resp.Close
 	conn.expiresAt = c.clock.Now().Add(idleTimeout(resp.Header))
 	return a, nil
