Bound a roster's delta by the changes and in size

Cause: a reply to a watch sorted the ids of all backend servers, also without news, and a watcher without a position was sent all of them at once.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -11,6 +11,10 @@
 	"rosereach/core/backend"
 )
 
+// maxDeltaRecords bounds a delta: about 50 KB, which a member on a quarter of a core
+// encodes and compresses in some milliseconds.
+const maxDeltaRecords = 256
+
 type (
 	// Record is the latest state of one backend server.
 	Record struct {
@@ -115,14 +119,31 @@
 	}
 }
 
-// Delta returns the records that changed after a version of this roster.
+// Delta returns the records that changed after a version of this roster, at most
+// maxDeltaRecords. It answers two loads that grow with the square of the fleet. Each
+// entry asks several members every second, mostly without news: what a delta costs
+// follows the changes. And when a whole fleet starts or connects again, each member
+// owes each entry all servers: a bounded delta is ready in time on a saturated member,
+// and the watcher continues from its version.
 func (r *Roster) Delta(after uint64) Delta {
 	d := Delta{Version: r.version}
-	for _, id := range r.ids() {
-		if e := r.servers[id]; e.changedVersion > after {
-			d.Records = append(d.Records, e.record)
+	if after == r.version {
+		return d
+	}
+	var changed []*serverEntry
+	for _, e := range r.servers {
+		if e.changedVersion > after {
+			changed = append(changed, e)
 		}
 	}
+	slices.SortFunc(changed, func(a, b *serverEntry) int { return cmp.Compare(a.changedVersion, b.changedVersion) })
+	if len(changed) > maxDeltaRecords {
+		changed = changed[:maxDeltaRecords]
+		d.Version = changed[maxDeltaRecords-1].changedVersion
+	}
+	for _, e := range changed {
+		d.Records = append(d.Records, e.record)
+	}
 	return d
 }
 
