Send another control only what is new since its last watch

Cause: each change wakes the watches between controls, and each of these replies repeated all presences, reports and sightings of the last two seconds. The changes of a rolling restart come as often as there are instances, so this traffic grew with the square of the fleet.

Why it works: presences, reports and sightings carry the number at which they arrived, the watcher returns the highest one it has, as it does with the roster's version. A control of another run, or one that does not know the numbers, still gets everything.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -29,8 +29,10 @@
 		// Version is the roster's version with these changes.
 		Version uint64   `json:"version"`
 		Records []Record `json:"records,omitempty"`
-		// Sightings lists the servers that announced themselves to the sender.
-		Sightings []Sighting `json:"heard,omitempty"`
+		// Sightings lists the servers that announced themselves to the sender, up to
+		// SightingsVersion.
+		Sightings        []Sighting `json:"heard,omitempty"`
+		SightingsVersion uint64     `json:"heard_version,omitempty"`
 	}
 
 	// Sighting reports that a server announced itself to a member directly.
@@ -56,6 +58,8 @@
 		cfg     Config
 		version uint64
 		servers map[string]*serverEntry
+		// sightings counts the announcements of servers to this member.
+		sightings uint64
 		// serving caches the results of Serving by service until a record changes.
 		serving map[string][]Record
 	}
@@ -66,6 +70,7 @@
 		changedVersion uint64    // version of the roster at the last change
 		lastAnnounced  time.Time // last announcement to any member
 		lastDirect     time.Time // last announcement to this member
+		sighting       uint64    // its number among all announcements to this member
 	}
 )
 
@@ -84,7 +89,7 @@
 func (r *Roster) Observe(now time.Time, a backend.Announcement) bool {
 	before := r.version
 	if r.merge(now, Record{Server: a}) {
-		r.servers[a.ID].lastDirect = now
+		r.markSighted(now, r.servers[a.ID])
 	}
 	return r.version != before
 }
@@ -99,7 +104,8 @@
 	e.record.Server.State = backend.Leaving
 	e.record.Server.Sequence++
 	e.record.Server.Incarnation = max(e.record.Server.Incarnation, incarnation)
-	e.lastAnnounced, e.lastDirect = now, now
+	e.lastAnnounced = now
+	r.markSighted(now, e)
 	r.bumpVersion(e)
 	return true
 }
@@ -147,17 +153,24 @@
 	return d
 }
 
+// SightingsVersion returns the number of announcements of servers to this member.
+func (r *Roster) SightingsVersion() uint64 { return r.sightings }
+
 // SightingsSince returns the servers that announced themselves to this member after the
-// given time, ordered by id.
-func (r *Roster) SightingsSince(since time.Time) []Sighting {
+// given time and after the given SightingsVersion, ordered by id. The version keeps a
+// member that asks after every change from getting all servers each time.
+func (r *Roster) SightingsSince(since time.Time, after uint64) []Sighting {
+	if after == r.sightings {
+		return nil
+	}
 	var sightings []Sighting
-	for _, id := range r.ids() {
-		e := r.servers[id]
-		if e.lastDirect.After(since) {
+	for _, e := range r.servers {
+		if e.sighting > after && e.lastDirect.After(since) {
 			s := e.record.Server
 			sightings = append(sightings, Sighting{ID: s.ID, Incarnation: s.Incarnation, Sequence: s.Sequence})
 		}
 	}
+	slices.SortFunc(sightings, func(a, b Sighting) int { return cmp.Compare(a.ID, b.ID) })
 	return sightings
 }
 
@@ -285,6 +298,12 @@
 	}
 }
 
+// markSighted records that a server announced itself to this member.
+func (r *Roster) markSighted(now time.Time, e *serverEntry) {
+	r.sightings++
+	e.lastDirect, e.sighting = now, r.sightings
+}
+
 // bumpVersion increments the roster's version and records it as that of the
 // server's latest change.
 func (r *Roster) bumpVersion(e *serverEntry) {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -89,7 +89,7 @@
 		t.Fatal("not silent after five seconds")
 	}
 	other.Observe(later, server("1", 10, 7, backend.Serving))
-	r.ApplyDelta(later, roster.Delta{Sightings: other.SightingsSince(start)})
+	r.ApplyDelta(later, roster.Delta{Sightings: other.SightingsSince(start, 0)})
 	if rec, _ := r.Find("1"); rec.Silent {
 		t.Fatal("still silent after an announcement to another member")
 	}
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -109,9 +109,10 @@
 	if known && !p.IsNewerThan(old.latest) {
 		return
 	}
-	next := presence{latest: p, lastReceived: now, lastDirect: old.lastDirect}
+	next := presence{latest: p, lastReceived: now, lastDirect: old.lastDirect, directVersion: old.directVersion}
 	if direct {
-		next.lastDirect = now
+		n.fleet.direct++
+		next.lastDirect, next.directVersion = now, n.fleet.direct
 	}
 	n.fleet.entries[p.ID] = next
 }
@@ -122,7 +123,12 @@
 	if known && (r.Incarnation < old.latest.Incarnation || r.Incarnation == old.latest.Incarnation && r.Sequence <= old.latest.Sequence) {
 		return
 	}
-	n.fleet.reports[r.Entry] = report{latest: r, direct: direct}
+	next := report{latest: r}
+	if direct {
+		n.fleet.direct++
+		next.directVersion = n.fleet.direct
+	}
+	n.fleet.reports[r.Entry] = next
 }
 
 // dropExpiredEntries drops entries from which nothing has been received for
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -49,6 +49,10 @@
 		reports map[string]report
 		peers   map[string]*peerView
 
+		// direct counts the presences and reports that entries sent to this control
+		// themselves.
+		direct uint64
+
 		// pool combines what the watching entries see of the backend servers, and
 		// verdicts is its result at verdictsVersion.
 		pool            *health.Pool
@@ -69,24 +73,25 @@
 		latest member.Presence
 
 		// lastReceived is when it arrived, from the entry or through another control;
-		// lastDirect is when one last arrived from the entry itself.
-		lastReceived time.Time
-		lastDirect   time.Time
+		// lastDirect is when one last arrived from the entry itself, with the number
+		// directVersion.
+		lastReceived  time.Time
+		lastDirect    time.Time
+		directVersion uint64
 	}
 
-	// report is the newest report of an entry. Direct is set when it came from the
-	// entry itself.
+	// report is the newest report of an entry. Its directVersion is 0 unless it came
+	// from the entry itself.
 	report struct {
-		latest member.Report
-		direct bool
+		latest        member.Report
+		directVersion uint64
 	}
 
-	// peerView is the position up to which another control's roster was received:
-	// that control's run and the version of its roster.
+	// peerView holds the next watch request to another control, with the positions
+	// up to which that control's view was received.
 	peerView struct {
-		source uint64
-		roster uint64
-		stop   context.CancelFunc
+		next member.WatchRequest
+		stop context.CancelFunc
 	}
 )
 
@@ -176,17 +181,18 @@
 }
 
 // watchReply returns the reply to a watch: what changed since the watcher's roster
-// version and, for a control, what this one received directly.
+// version and, for a control, what this one received directly since its last reply.
+// It answers a rolling restart, in which each entry and server wakes all controls: a
+// reply that repeated everything would grow with the fleet as their number does.
 func (n *Node) watchReply(r member.WatchRequest) member.WatchReply {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.cfg.Clock.Now()
 	reply := member.WatchReply{RunID: n.runID, Current: n.fleet.isCurrent, EntryCount: n.liveEntries(now)}
-	after := r.RosterVersion
 	if r.RunID != n.runID {
-		after = 0
+		r.RosterVersion, r.SightingsVersion, r.DirectVersion = 0, 0, 0
 	}
-	reply.Roster = n.fleet.roster.Delta(after)
+	reply.Roster = n.fleet.roster.Delta(r.RosterVersion)
 	for _, m := range n.groupLocked().Members.All() {
 		reply.Controls = append(reply.Controls, m.Address)
 	}
@@ -196,14 +202,16 @@
 		return reply
 	}
 	since := now.Add(-2 * watchMaxWait)
-	reply.Roster.Sightings = n.fleet.roster.SightingsSince(since)
+	reply.Roster.Sightings = n.fleet.roster.SightingsSince(since, r.SightingsVersion)
+	reply.Roster.SightingsVersion = n.fleet.roster.SightingsVersion()
+	reply.DirectVersion = n.fleet.direct
 	for _, p := range n.fleet.entries {
-		if p.lastDirect.After(since) {
+		if p.directVersion > r.DirectVersion && p.lastDirect.After(since) {
 			reply.Presences = append(reply.Presences, p.latest)
 		}
 	}
 	for _, rep := range n.fleet.reports {
-		if rep.direct {
+		if rep.directVersion > r.DirectVersion {
 			reply.Reports = append(reply.Reports, rep.latest)
 		}
 	}
@@ -298,13 +306,13 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	var reply member.WatchReply
-	if err := conn.Call(ctx, member.KindWatch, member.WatchRequest{RunID: view.source, RosterVersion: view.roster}, &reply); err != nil {
+	if err := conn.Call(ctx, member.KindWatch, view.next, &reply); err != nil {
 		return err
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.cfg.Clock.Now()
-	view.source, view.roster = reply.RunID, reply.Roster.Version
+	view.next = reply.Next()
 	before := n.fleet.roster.Version()
 	n.fleet.roster.ApplyDelta(now, reply.Roster)
 	for _, p := range reply.Presences {
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -50,6 +50,10 @@
 		DocumentsRevision uint64 `json:"documents"`
 		// RosterVersion is the version of the roster that the sender has.
 		RosterVersion uint64 `json:"roster"`
+		// SightingsVersion and DirectVersion are the positions up to which a
+		// control has what the other one received directly.
+		SightingsVersion uint64 `json:"heard_version,omitempty"`
+		DirectVersion    uint64 `json:"direct_version,omitempty"`
 		// Entry and Report describe the sending entry. A control leaves them
 		// out, and gets the state that the other control received directly.
 		Entry  *Presence `json:"entry,omitempty"`
@@ -89,9 +93,10 @@
 		// Loads are recent load reports of backend servers, if they were requested.
 		Loads []health.LoadReport `json:"loads,omitempty"`
 		// Presences and Reports hold what entries sent to the replying control
-		// directly. They are set in replies to controls only.
-		Presences []Presence `json:"heard,omitempty"`
-		Reports   []Report   `json:"reports,omitempty"`
+		// directly, up to DirectVersion. They are set in replies to controls only.
+		Presences     []Presence `json:"heard,omitempty"`
+		Reports       []Report   `json:"reports,omitempty"`
+		DirectVersion uint64     `json:"direct_version,omitempty"`
 	}
 
 	// RoutingReply is the text of the newest routing plan, confirmed by a
@@ -102,6 +107,14 @@
 	}
 )
 
+// Next returns the request with which a control continues after this reply.
+func (r WatchReply) Next() WatchRequest {
+	return WatchRequest{
+		RunID: r.RunID, RosterVersion: r.Roster.Version,
+		SightingsVersion: r.Roster.SightingsVersion, DirectVersion: r.DirectVersion,
+	}
+}
+
 // IsNewerThan reports whether p supersedes another presence of the same entry.
 func (p Presence) IsNewerThan(other Presence) bool {
 	if p.Incarnation != other.Incarnation {
