Continue a control's roster after a reconnect

Cause: an entry forgot how far it had a control's roster when the connection ended, and asked for all servers on the next one. When controls are too slow to answer in two seconds, all entries connect again and ask for more than before, which keeps the controls from recovering.

Why it works: the position is kept for each control while its replies are current. After a reply of a control without a majority, whose silent marks are ignored, the entry starts anew, as before.

--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -62,17 +62,26 @@
 	knownControls    []string                // addresses of controls, as reported by one
 	conns            map[string]*member.Conn // by address of a watched control, nil until connected
 	distances        map[string]int          // distance by address of a control
+	positions        map[string]position     // by address of a control, while it is current
 	presenceSequence uint64                  // of the last presence
 	liveEntries      int                     // number of live entries
 	fetching         bool
 }
 
-// watchState is the position reached in watching one control.
+// position is how far a control's roster was received. It outlasts a connection: a
+// fleet that connects again after a cut would otherwise request all servers from each
+// control at once, which keeps the controls from answering in time.
+type position struct {
+	controlRun    uint64 // run of the control that the version refers to
+	rosterVersion uint64 // version of the roster received
+}
+
+// watchState is the state of watching one control over one connection.
 type watchState struct {
-	controlRun    uint64    // run of the control that the versions refer to
-	rosterVersion uint64    // version of the roster received
-	lastCurrent   time.Time // when the control last had a leader with a majority
-	distance      int       // 0 to 2, see watcher.distance
+	position
+	address     string
+	lastCurrent time.Time // when the control last had a leader with a majority
+	distance    int       // 0 to 2, see watcher.distance
 
 	recorder        *health.Recorder // attempts not yet reported to the control
 	verdictsVersion uint64           // version of verdicts
@@ -80,7 +89,7 @@
 }
 
 func newWatcher(e *Entry) *watcher {
-	return &watcher{entry: e, conns: make(map[string]*member.Conn), distances: make(map[string]int), liveEntries: 1}
+	return &watcher{entry: e, conns: make(map[string]*member.Conn), distances: make(map[string]int), positions: make(map[string]position), liveEntries: 1}
 }
 
 // run watches controls until the context ends.
@@ -164,8 +173,9 @@
 	w.conns[address] = conn
 	distance := w.distance(conn.Peer())
 	w.distances[address] = distance
+	reached := w.positions[address]
 	w.mu.Unlock()
-	state := &watchState{distance: distance, lastCurrent: cfg.Clock.Now(), recorder: health.NewRecorder()}
+	state := &watchState{position: reached, address: address, distance: distance, lastCurrent: cfg.Clock.Now(), recorder: health.NewRecorder()}
 	w.entry.forwarder.addEvidenceSource(state)
 	defer w.entry.forwarder.removeEvidenceSource(state)
 	for {
@@ -275,6 +285,12 @@
 	e.forwarder.applyEvidence(now, reply, state)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if reply.Current {
+		w.positions[state.address] = state.position
+	} else {
+		// What was ignored above has to be sent again.
+		delete(w.positions, state.address)
+	}
 	if len(reply.Controls) > 0 {
 		w.knownControls = reply.Controls
 	}
