--- a/core/health/pool.go
+++ b/core/health/pool.go
@@ -35,9 +35,6 @@
 	minFailingTime = 2 * time.Second
 	maxDoublings   = 2
 	stableTime     = 10 * time.Second
-
-	// maxLoads bounds the load reports that are passed on at once, to about 6 KB.
-	maxLoads = 256
 )
 
 type (
@@ -160,9 +157,7 @@
 	return verdicts
 }
 
-// Loads returns the newest load reports that are not older than maxAge, maxLoads at
-// most. It answers a large fleet in which each entry asks for all reports twice a
-// second: without a bound, that grows with the square of the fleet.
+// Loads returns the newest load reports that are not older than maxAge.
 func (p *Pool) Loads(now time.Time, maxAge time.Duration) []LoadReport {
 	var loads []LoadReport
 	for _, s := range p.servers {
@@ -172,12 +167,6 @@
 			loads = append(loads, l)
 		}
 	}
-	if len(loads) > maxLoads {
-		slices.SortFunc(loads, func(a, b LoadReport) int {
-			return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Server, b.Server))
-		})
-		loads = loads[:maxLoads]
-	}
 	return loads
 }
 
