Skip lines without an end in explain, and log a control's stop

Cause: a line over 1 MB ended the reading of its source, so that all later lines of a process were missing from a request's story; a control wrote no line when it stopped, so that a planned stop and a crash looked alike.

Evidence: TestLongLineIsSkipped failed before. The stop's line has no test of its own.

--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/go-kit/log"
 	"github.com/juju/clock"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
@@ -62,7 +63,7 @@
 	}
 	fmt.Println(l.Addr())
 	cfg.Logger.Log("msg", "Control serves.", "id", cfg.ID, "address", cfg.Address)
-	return serveControl(ctx, node, func(ctx context.Context) error {
+	return serveControl(ctx, cfg.Logger, node, func(ctx context.Context) error {
 		return httpd.Serve(ctx, files.WrapListener(l, cfg.Clock), node.Handler())
 	})
 }
@@ -70,7 +71,7 @@
 // serveControl runs the control until the context ends. The listener stays open
 // until node.Run has returned, because a leader that stops transfers the
 // leadership first.
-func serveControl(ctx context.Context, node *control.Node, serve func(context.Context) error) error {
+func serveControl(ctx context.Context, logger log.Logger, node *control.Node, serve func(context.Context) error) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, serving := errgroup.WithContext(serving)
@@ -79,7 +80,9 @@
 		defer stop()
 		return node.Run(ctx)
 	})
-	return g.Wait()
+	err := g.Wait()
+	logger.Log("msg", "Control stops.", "planned", ctx.Err() != nil, "err", err) //nolint:errcheck // nobody is left to tell
+	return err
 }
 
 // peers parses a list of id=host:port, separated by commas.
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	p.logger.Log("msg", "Control serves.", "id", now.Name, "address", now.MemberAddress(), "first_start", now.Bootstrap)
-	return serveControl(ctx, node, func(ctx context.Context) error {
+	return serveControl(ctx, p.logger, node, func(ctx context.Context) error {
 		g, ctx := errgroup.WithContext(ctx)
 		g.Go(func() error { return p.watchSettings(ctx) })
 		g.Go(func() error { return p.serveMetrics(ctx, node.TextMetrics()) })
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxLine is the maximum length of a log line in bytes. Read fails at a
-	// longer one, which is truncated or not a line of a process's log.
+	// maxLine is the maximum length of a log line in bytes. A longer one is not a line
+	// of a process's log and is skipped.
 	maxLine = 1 << 20
 
 	// stateLookback is how long before a request's first line the timeline includes
@@ -61,17 +61,25 @@
 // Read adds the lines of one source. Lines that are truncated or have another
 // format are skipped and counted.
 func (l *Log) Read(source string, r io.Reader) error {
-	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, 64<<10), maxLine)
-	for s.Scan() {
-		line, ok := parse(source, s.Bytes())
-		if !ok {
+	reader := bufio.NewReaderSize(r, maxLine)
+	for {
+		text, isPrefix, err := reader.ReadLine()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.Annotatef(err, "%s", source)
+		}
+		line, ok := parse(source, text)
+		if !ok || isPrefix {
 			l.skipped++
-			continue
+		} else {
+			l.lines = append(l.lines, line)
+		}
+		for isPrefix && err == nil {
+			_, isPrefix, err = reader.ReadLine()
 		}
-		l.lines = append(l.lines, line)
 	}
-	return errors.Annotatef(s.Err(), "%s", source)
 }
 
 // Skipped returns the number of lines that were skipped.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -107,3 +107,16 @@
 	// 10:00:05.000  entry.log              Documents come into force. revision=32 before=30
 	// 10:00:06.002  entry.log              Request is admitted. id=b2 route=r plan=32
 }
+
+// A line without an end in sight, as a program that writes binary data leaves, hides no
+// later line.
+func TestLongLineIsSkipped(t *testing.T) {
+	var l explain.Log
+	text := strings.Repeat("x", 3<<20) + "\n" + entryLog
+	if err := l.Read("entry.log", strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	if len(l.Timeline("a1")) == 0 || l.Skipped() == 0 {
+		t.Fatalf("%d lines of the request, %d skipped", len(l.Timeline("a1")), l.Skipped())
+	}
+}
