--- a/internal/entry/lost_answer_test.go
+++ b/internal/entry/lost_answer_test.go
@@ -297,3 +297,25 @@
 		t.Errorf("%d of 50 retries are left", left)
 	}
 }
+
+// An answer of low confidence is not lost when the larger model's engine refuses and no
+// second retry is left.
+func TestLowConfidenceAnswerOutlastsRefusal(t *testing.T) {
+	r := newHarness(t)
+	r.entry.forwarder.retryBudget = retry.NewWindowBudget(retry.WindowBudgetConfig{Slack: 1, Window: 2 * time.Second})
+	r.plan()
+	var runs atomic.Int64
+	serve := func(w http.ResponseWriter, req *http.Request) {
+		if runs.Add(1) > 1 {
+			refuse(w, req)
+			return
+		}
+		w.Header().Set("Sure", "10")
+		fmt.Fprintf(w, "id: 1\ndata: %s\n\n", req.Header.Get("Model"))
+	}
+	r.server("a", serve)
+	r.server("b", serve)
+	if got, err := r.send("streaming"); err != nil || got.text() != "id: 1\ndata: small\n\n" {
+		t.Fatalf("%q, %v", got.text(), err)
+	}
+}
