--- /dev/null
+++ b/internal/entry/crashing_part_test.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
+
+	"rosereach/core/backend"
+	"rosereach/core/catalog"
+	"rosereach/core/forward"
+	"rosereach/core/key"
+	"rosereach/core/lease"
+	"rosereach/core/retry"
+	"rosereach/core/route"
+)
+
+// crashingServers are backend servers that end when they begin to answer a request with
+// the crashing part, and start again under another id and address.
+type crashingServers struct {
+	*fleet
+	mu       sync.Mutex
+	started  int
+	ends     []time.Time
+	arrivals []time.Time // of requests with the crashing part
+}
+
+const (
+	crashingPart = "bad"
+	restartTime  = 150 * time.Millisecond
+)
+
+func (s *crashingServers) start() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	s.mu.Lock()
+	s.started++
+	id := fmt.Sprintf("server-%d", s.started)
+	s.mu.Unlock()
+	server := &http.Server{ReadHeaderTimeout: time.Minute}
+	var end sync.Once
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.URL.Path, crashingPart) {
+			io.WriteString(w, "done")
+			return
+		}
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, time.Now())
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusOK)
+		http.NewResponseController(w).Flush()
+		end.Do(func() {
+			s.mu.Lock()
+			s.ends = append(s.ends, time.Now())
+			s.mu.Unlock()
+			server.Close()
+			time.AfterFunc(restartTime, s.start)
+		})
+	})
+	go server.Serve(l)
+	s.t.Cleanup(func() { server.Close() })
+	s.control.Announce(backend.Announcement{
+		ID: id, Incarnation: 1, Sequence: 1, Service: "s", Address: l.Addr().String(), Capacity: 8, State: backend.Serving, Region: "r", Zone: "z",
+	})
+}
+
+// startForwardingEntry starts an entry that follows the fleet's control.
+func (f *fleet) startForwardingEntry(id string) *Entry {
+	f.t.Helper()
+	e := New(Config{
+		ID: id, Incarnation: 1, Region: "r", Zone: "z", MemberKey: "m", Terms: lease.DefaultConfig(), MaxRunning: 100, MaxWaiting: 100,
+		Clock: clock.WallClock, Logger: log.NewNopLogger(),
+		Forwarding: &Forwarding{
+			Dialect: testDialect{}, FailOpen: true, ExposureShare: 0.15, Controls: func() []string { return []string{f.controlProxy.Address()} },
+			Retries: retry.WindowBudgetConfig{Ratio: 1, Slack: 50, Window: 10 * time.Second},
+		},
+	})
+	e.applyDocuments(&catalog.Documents{Revision: 1 << 20, Routing: &route.Document{Config: route.Config{
+		Version: 1, Services: []route.Service{{Name: "s"}},
+		Routes: []route.Route{{
+			Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, MaxAttempts: 3, Timeout: 5 * time.Second, Objective: time.Second,
+			Targets: []route.Target{{Service: "s", Weight: 1}},
+		}},
+		Workspaces: []route.Workspace{{Name: "w", KeyHashes: []string{key.Hash("k")}}},
+	}}})
+	ended := make(chan struct{})
+	ctx, cancel := context.WithCancel(f.ctx)
+	go func() {
+		defer close(ended)
+		e.Run(ctx)
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	waitFor(f.t, "servers at "+id, func() bool { return e.forwarder.hasServers("s") })
+	return e
+}
+
+// forwardPart sends a request whose prompt has the given part between a common first and
+// a last part of its own.
+func forwardPart(e *Entry, n int, part string) error {
+	req := forward.Request{
+		ID: fmt.Sprintf("%s-%s-%d", e.cfg.ID, part, n), Method: http.MethodPost, Host: "h", Path: "/safe/" + part, Target: "/safe/" + part,
+		Key: "k", Arrived: time.Now(), Prompt: []forward.Part{{ID: "common", Tokens: 10}, {ID: part, Tokens: 10}, {ID: fmt.Sprint(e.cfg.ID, part, n), Tokens: 1}},
+	}
+	return e.Forward(context.Background(), req, &recordingSink{})
+}
+
+// Requests with one part crash each server that begins to answer them; they come at any
+// entry, beside sound ones with the same caller and first part. Later than the contact
+// time after the fifth end, three of them at most reach a server, and all sound ones are
+// served.
+func TestCrashingPartEndsFewServers(t *testing.T) {
+	const contact = 4 * time.Second
+	s := &crashingServers{fleet: newFleet(t, 0)}
+	for range 4 {
+		s.start()
+	}
+	var entries []*Entry
+	for i := range 4 {
+		entries = append(entries, s.startForwardingEntry(fmt.Sprintf("forwarding-%d", i+1)))
+	}
+	bound := func() time.Time {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(s.ends) < 5 {
+			return time.Time{}
+		}
+		return s.ends[4].Add(contact)
+	}
+	for n := 0; bound().IsZero() || time.Now().Before(bound()); n++ {
+		for _, e := range entries {
+			forwardPart(e, n, "sound")
+		}
+		forwardPart(entries[n%len(entries)], n, crashingPart)
+		time.Sleep(20 * time.Millisecond)
+	}
+	served := 0
+	for n := range 40 {
+		e := entries[n%len(entries)]
+		forwardPart(e, 1000+n, crashingPart)
+		if forwardPart(e, 1000+n, "sound") == nil {
+			served++
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := 0
+	for _, at := range s.arrivals {
+		if at.After(s.ends[4].Add(contact)) {
+			late++
+		}
+	}
+	if late > 3 || served < 40 {
+		t.Errorf("%d requests reached servers later than %v after the fifth end; %d servers ended; %d of 40 sound requests are served", late, contact, len(s.ends), served)
+	}
+}
