Keep a retry budget for each service

Cause: one budget for all services of an entry, so that requests for a sound service paid for retries at a failing one; no budget denied a retry while the bound was broken. Ruled out: a burst of 421 or refused connections, which take no retry and reach no server.

The budget is kept by service, with the same slack for each, as the bound is stated.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -26,8 +26,31 @@
 		retries  [windowSlices]float64
 		current  int64 // number of the current slice, counted from start
 	}
+
+	// WindowBudgets holds one member's part of the retry budget of each service. It
+	// answers one service failing while another does not: the requests for the sound
+	// one must not pay for retries at the other. It is not safe for concurrent use.
+	WindowBudgets struct {
+		cfg      WindowBudgetConfig
+		services map[string]*WindowBudget
+	}
 )
 
+// NewWindowBudgets returns budgets without requests, all with the same configuration.
+func NewWindowBudgets(cfg WindowBudgetConfig) *WindowBudgets {
+	return &WindowBudgets{cfg: cfg, services: make(map[string]*WindowBudget)}
+}
+
+// For returns the budget of the service.
+func (b *WindowBudgets) For(service string) *WindowBudget {
+	w, ok := b.services[service]
+	if !ok {
+		w = NewWindowBudget(b.cfg)
+		b.services[service] = w
+	}
+	return w
+}
+
 // NewWindowBudget returns a budget without requests.
 func NewWindowBudget(cfg WindowBudgetConfig) *WindowBudget { return &WindowBudget{cfg: cfg} }
 
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -121,9 +121,9 @@
 
 // run makes attempts until one is answered or no further attempt is allowed.
 func (x *activeRequest) run(ctx context.Context) error {
-	x.forwarder.countRequest()
 	x.lastEventID = x.req.LastEventID
 	x.service = x.forwarder.pickService(x.route)
+	x.forwarder.countRequest(x.service)
 	if x.req.AnyModel {
 		x.model = x.forwarder.sizes.First(x.route.Models)
 	}
@@ -151,12 +151,12 @@
 
 // mayRetry reports whether another attempt is allowed. Unless the last one was
 // not sent or the next one is placed already, it takes a retry from the budget
-// shared by all entries.
+// of the service, shared by all entries.
 func (x *activeRequest) mayRetry(o forward.Outcome) bool {
 	if x.abandoned || !forward.MayRetry(x.route, o, x.runs) || x.sends >= x.route.MaxAttempts+maxExtraSends {
 		return false
 	}
-	return o == forward.NotSent || x.nextAttempt != nil || x.retryTaken || x.forwarder.takeRetry()
+	return o == forward.NotSent || x.nextAttempt != nil || x.retryTaken || x.forwarder.takeRetry(x.service)
 }
 
 // awaitRetry waits until the budget has a retry for an answer that has begun, and reports
@@ -167,7 +167,7 @@
 		return false
 	}
 	for x.pause(ctx) {
-		if o == forward.NotSent || x.forwarder.takeRetry() {
+		if o == forward.NotSent || x.forwarder.takeRetry(x.service) {
 			return true
 		}
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -96,7 +96,7 @@
 		loads          map[string]backend.Load
 		lastActivity   map[string]time.Time // when each server last sent data
 		downSince      map[string]time.Time // since when each service has had no usable server
-		retryBudget    *retry.WindowBudget
+		retryBudgets   *retry.WindowBudgets
 		tallies        map[tallyKey]rollout.Tally
 		reportSequence uint64    // sequence number of the last report
 		lastCleanup    time.Time // when cleanUp last ran
@@ -116,7 +116,7 @@
 	f.startedAt = e.cfg.Clock.Now()
 	f.watcher = newWatcher(e)
 	f.metrics = newForwardMetrics(e)
-	f.retryBudget = retry.NewWindowBudget(e.cfg.Forwarding.Retries)
+	f.retryBudgets = retry.NewWindowBudgets(e.cfg.Forwarding.Retries)
 	return f
 }
 
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -31,29 +31,32 @@
 	return r.Pick(f.random)
 }
 
-func (f *forwarder) countRequest() {
+// countRequest adds a request to the retry budget of its service.
+func (f *forwarder) countRequest(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.retryBudget.RecordRequest(f.entry.cfg.Clock.Now())
+	f.retryBudgets.For(service).RecordRequest(f.entry.cfg.Clock.Now())
 }
 
-func (f *forwarder) takeRetry() bool {
+// takeRetry takes a retry from the budget of the service, which all entries share, and
+// reports whether there was one.
+func (f *forwarder) takeRetry(service string) bool {
 	members := f.watcher.liveEntryCount()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.retryBudget.TrySpend(f.entry.cfg.Clock.Now(), members) {
+	if !f.retryBudgets.For(service).TrySpend(f.entry.cfg.Clock.Now(), members) {
 		f.metrics.retriesDenied.Inc()
 		return false
 	}
 	return true
 }
 
-// hasRetry reports whether a retry is in the budget.
-func (f *forwarder) hasRetry() bool {
+// hasRetry reports whether a retry is in the budget of the service.
+func (f *forwarder) hasRetry(service string) bool {
 	members := f.watcher.liveEntryCount()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.retryBudget.Allows(f.entry.cfg.Clock.Now(), members)
+	return f.retryBudgets.For(service).Allows(f.entry.cfg.Clock.Now(), members)
 }
 
 func (f *forwarder) trackStart(now time.Time, server backend.Announcement, tokens int64) {
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -165,7 +165,7 @@
 // to it, so that the attempt is not given up for one that is gone. It returns nil if there
 // is none.
 func (t *idleTimer) findSuccessor(s forward.Silence) *attempt {
-	if !t.request.forwarder.hasRetry() {
+	if !t.request.forwarder.hasRetry(t.request.service) {
 		return nil
 	}
 	request := t.request
@@ -202,7 +202,7 @@
 	if next != nil {
 		expected = max(next.expected, 1)
 	}
-	decision := s.Decide(expected, left, f.takeRetry)
+	decision := s.Decide(expected, left, func() bool { return f.takeRetry(t.request.service) })
 	f.metrics.silent.WithLabelValues(string(decision)).Inc()
 	t.request.logSilence(t.attempt, s, next, decision)
 	switch decision {
@@ -227,7 +227,7 @@
 		return
 	}
 	f := t.request.forwarder
-	if !f.takeRetry() {
+	if !f.takeRetry(t.request.service) {
 		t.rearm(start)
 		return
 	}
--- a/internal/entry/idle_timer_test.go
+++ b/internal/entry/idle_timer_test.go
@@ -143,7 +143,7 @@
 	r := newHarness(t)
 	clock := testclock.NewClock(time.Now())
 	r.entry.cfg.Clock = clock
-	r.entry.forwarder.retryBudget = retry.NewWindowBudget(retry.WindowBudgetConfig{Slack: 1, Window: time.Minute})
+	r.entry.forwarder.retryBudgets = retry.NewWindowBudgets(retry.WindowBudgetConfig{Slack: 1, Window: time.Minute})
 	r.plan()
 	reached := make(chan struct{}, 1)
 	r.server("a", func(_ http.ResponseWriter, req *http.Request) {
@@ -161,7 +161,7 @@
 	if err := <-ended; err == nil {
 		t.Fatal("a request without an answer succeeded")
 	}
-	if !r.entry.forwarder.takeRetry() {
+	if !r.entry.forwarder.takeRetry("s") {
 		t.Fatal("the deadline used up a retry")
 	}
 }
--- a/internal/entry/lost_answer_test.go
+++ b/internal/entry/lost_answer_test.go
@@ -37,7 +37,7 @@
 		resume: make(chan struct{}), later: later,
 	}
 	p.entry.cfg.Clock = p.clock
-	p.entry.forwarder.retryBudget = retry.NewWindowBudget(retry.WindowBudgetConfig{Slack: slack, Window: 2 * time.Second})
+	p.entry.forwarder.retryBudgets = retry.NewWindowBudgets(retry.WindowBudgetConfig{Slack: slack, Window: 2 * time.Second})
 	p.planWithObjective(2 * time.Second)
 	p.server("a", p.serve)
 	return p
@@ -278,7 +278,7 @@
 func TestGoneServerSpendsNoRetries(t *testing.T) {
 	p := newPausedStream(t, 0, refuse)
 	p.changeRoutes(func(r *route.Route) { r.Timeout = 8 * time.Second })
-	p.entry.forwarder.retryBudget = retry.NewWindowBudget(retry.WindowBudgetConfig{Slack: 50, Window: time.Minute})
+	p.entry.forwarder.retryBudgets = retry.NewWindowBudgets(retry.WindowBudgetConfig{Slack: 50, Window: time.Minute})
 	p.start()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -290,7 +290,7 @@
 	close(p.resume)
 	p.advanceUntil("the end", func() bool { return len(p.ended) > 0 })
 	left := 0
-	for p.entry.forwarder.takeRetry() {
+	for p.entry.forwarder.takeRetry("s") {
 		left++
 	}
 	if left < 48 {
@@ -302,7 +302,7 @@
 // second retry is left.
 func TestLowConfidenceAnswerOutlastsRefusal(t *testing.T) {
 	r := newHarness(t)
-	r.entry.forwarder.retryBudget = retry.NewWindowBudget(retry.WindowBudgetConfig{Slack: 1, Window: 2 * time.Second})
+	r.entry.forwarder.retryBudgets = retry.NewWindowBudgets(retry.WindowBudgetConfig{Slack: 1, Window: 2 * time.Second})
 	r.plan()
 	var runs atomic.Int64
 	serve := func(w http.ResponseWriter, req *http.Request) {
--- a/internal/entry/lost_end_test.go
+++ b/internal/entry/lost_end_test.go
@@ -17,7 +17,7 @@
 func TestStreamWithoutItsEndIsNotLost(t *testing.T) {
 	p := &pausedStream{harness: newHarness(t), clock: testclock.NewClock(time.Now()), resume: make(chan struct{})}
 	p.entry.cfg.Clock = p.clock
-	p.entry.forwarder.retryBudget = retry.NewWindowBudget(retry.WindowBudgetConfig{Slack: 50, Window: 2 * time.Second})
+	p.entry.forwarder.retryBudgets = retry.NewWindowBudgets(retry.WindowBudgetConfig{Slack: 50, Window: 2 * time.Second})
 	p.planWithObjective(2 * time.Second)
 	for _, id := range []string{"a", "b", "c"} {
 		p.server(id, func(w http.ResponseWriter, req *http.Request) {
