--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// windowSlices is the number of slices of a sliding window.
-const windowSlices = 10
+const (
+	// windowSlices is the number of slices of a sliding window.
+	windowSlices = 10
+
+	// keptSlices includes the slice that a window which ends now may begin in.
+	keptSlices = windowSlices + 1
+)
 
 type (
 	// WindowBudgetConfig configures a retry budget that all members of a fleet
@@ -22,8 +27,8 @@
 	WindowBudget struct {
 		cfg      WindowBudgetConfig
 		start    time.Time
-		requests [windowSlices]float64
-		retries  [windowSlices]float64
+		requests [keptSlices]float64
+		retries  [keptSlices]float64
 		current  int64 // number of the current slice, counted from start
 	}
 
@@ -58,13 +63,17 @@
 func (w *WindowBudget) RecordRequest(now time.Time) { w.requests[w.advance(now)]++ }
 
 // Allows reports whether this member's part of the budget allows another retry. Members
-// is the number of members that share the slack.
+// is the number of members that share the slack. Of the slice that the window begins in
+// the retries count and the requests do not, so that the budget holds in any window.
 func (w *WindowBudget) Allows(now time.Time, members int) bool {
 	w.advance(now)
+	oldest := (w.current + 1) % keptSlices
 	var requests, retries float64
-	for i := range windowSlices {
-		requests += w.requests[i]
+	for i := range int64(keptSlices) {
 		retries += w.retries[i]
+		if i != oldest {
+			requests += w.requests[i]
+		}
 	}
 	return retries+1 <= w.cfg.Ratio*requests+w.cfg.Slack/float64(max(members, 1))
 }
@@ -87,13 +96,13 @@
 	}
 	width := max(int64(w.cfg.Window)/windowSlices, 1)
 	current := int64(now.Sub(w.start)) / width
-	if current-w.current >= windowSlices || current < w.current {
-		w.requests, w.retries = [windowSlices]float64{}, [windowSlices]float64{}
+	if current-w.current >= keptSlices || current < w.current {
+		w.requests, w.retries = [keptSlices]float64{}, [keptSlices]float64{}
 	} else {
 		for i := w.current + 1; i <= current; i++ {
-			w.requests[i%windowSlices], w.retries[i%windowSlices] = 0, 0
+			w.requests[i%keptSlices], w.retries[i%keptSlices] = 0, 0
 		}
 	}
 	w.current = current
-	return int(current % windowSlices)
+	return int(current % keptSlices)
 }
