Quarantine parts of prompts that crash backend servers

Cause: evidence was kept on servers only, so that each crash was blamed on a sound server, and the request went on to the next.

Entries report which requests they had at a server that refuses connections after an attempt broke off; the controls pool and pass on these reports, ask the entries for sound answers with the suspects, and list a part by a likelihood ratio test. A request ends two servers at most.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -44,6 +44,8 @@
 	NoServer Code = "no_server"
 	// Draining: this entry is shutting down. Not run.
 	Draining Code = "draining"
+	// Quarantined: a part of the prompt has crashed backend servers. Not run.
+	Quarantined Code = "quarantined"
 	// AnswerLost: the answer is lost; the request may have run.
 	AnswerLost Code = "gateway"
 	// TimedOut: the deadline passed; the request may have run.
@@ -151,7 +153,7 @@
 // IsNotRun reports whether the failure guarantees that the request did not run.
 func (f *Failure) IsNotRun() bool {
 	switch f.Code {
-	case NotReady, Overloaded, NoServer, Draining:
+	case NotReady, Overloaded, NoServer, Draining, Quarantined:
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/control/quarantine.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosereach/core/quarantine"
+	"rosereach/io/member"
+)
+
+const (
+	// maxEvidence is the number of reports that are kept for other controls, and
+	// evidenceRetention how long they are: a control that starts anew gets them.
+	maxEvidence       = 512
+	evidenceRetention = time.Minute
+)
+
+// evidence is a report about prompt parts that other controls get.
+type evidence struct {
+	report        quarantine.Report
+	receivedAt    time.Time
+	directVersion uint64
+}
+
+// receiveEvidence adds an entry's report about prompt parts.
+func (n *Node) receiveEvidence(r quarantine.Report) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.cfg.Clock.Now()
+	if n.fleet.parts.Add(now, r) {
+		r.Sound = nil
+		n.shareEvidence(now, r)
+	}
+	return nil
+}
+
+// shareEvidence keeps a report for other controls. They get it with the next upkeep, as
+// many entries report the same end at the same time. Callers hold n.mu.
+func (n *Node) shareEvidence(now time.Time, r quarantine.Report) {
+	f := n.fleet
+	f.direct++
+	f.evidence = slices.DeleteFunc(f.evidence, func(e evidence) bool { return now.Sub(e.receivedAt) > evidenceRetention })
+	if len(f.evidence) >= maxEvidence {
+		f.evidence = slices.Delete(f.evidence, 0, 1)
+	}
+	f.evidence = append(f.evidence, evidence{report: r, receivedAt: now, directVersion: f.direct})
+	f.hasEvidence = true
+}
+
+// judgeParts lists the prompt parts that crash servers and answers the watches that have
+// news. Every control judges for itself and passes on what it lists, so that no leader is
+// needed and none takes the list with it. Callers hold n.mu.
+func (n *Node) judgeParts(now time.Time) {
+	f := n.fleet
+	if added := f.parts.Judge(now); len(added) > 0 {
+		for _, s := range added {
+			level.Warn(n.cfg.Logger).Log("msg", "Prompt part is quarantined.", "prompt", partName(s.Key), "service", s.Service,
+				"ends", s.Ends, "requests", s.Requests, "sound", s.Sound, "for", s.Left)
+		}
+		n.shareEvidence(now, quarantine.Report{Sender: n.cfg.ID, Listed: added})
+	}
+	if f.hasEvidence {
+		f.hasEvidence = false
+		f.wakeWatchers()
+	}
+	_, suspects := f.parts.Suspects()
+	if seen := [2]uint64{f.parts.List().Version(), suspects}; seen != f.partsSeen {
+		f.partsSeen = seen
+		f.partsVersion++
+		close(f.judged)
+		f.judged = make(chan struct{})
+	}
+}
+
+// addParts adds to a reply the listed and suspected prompt parts if the entry does not
+// have them yet. Callers hold n.mu.
+func (n *Node) addParts(now time.Time, r member.WatchRequest, reply *member.WatchReply) {
+	reply.PartsVersion = n.fleet.partsVersion
+	if r.RunID != n.runID || r.PartsVersion != n.fleet.partsVersion {
+		reply.Listed = n.fleet.parts.List().All(now)
+		reply.Suspects, _ = n.fleet.parts.Suspects()
+	}
+}
+
+// partName returns the key of a part as it is logged.
+func partName(k quarantine.Key) string { return fmt.Sprintf("%016x", uint64(k)) }
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -60,6 +60,8 @@
 		return n.handleWatch(ctx, body)
 	case member.KindPresence:
 		return nil, decodeAndHandle(body, n.receivePresence)
+	case member.KindEvidence:
+		return nil, decodeAndHandle(body, n.receiveEvidence)
 	case member.KindRouting:
 		return n.confirmedRouting(ctx)
 	case member.KindEntries:
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -11,6 +11,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/catalog"
 	"rosereach/core/health"
+	"rosereach/core/quarantine"
 	"rosereach/core/replica"
 	"rosereach/core/roster"
 	"rosereach/io/member"
@@ -59,6 +60,15 @@
 		verdicts        []health.Verdict
 		verdictsVersion uint64
 
+		// parts combines what entries had at servers that ended. PartsVersion is the version
+		// of its listed and suspected parts for entries, evidence what other controls get of
+		// it, and hasEvidence is set until they are told.
+		parts        *quarantine.Pool
+		partsVersion uint64
+		partsSeen    [2]uint64
+		evidence     []evidence
+		hasEvidence  bool
+
 		// changed is closed and replaced when the watchers have to be answered,
 		// judged when only entries have to, as the verdicts changed.
 		changed chan struct{}
@@ -102,6 +112,7 @@
 		reports: make(map[string]report),
 		peers:   make(map[string]*peerView),
 		pool:    health.NewPool(),
+		parts:   quarantine.NewPool(),
 		changed: make(chan struct{}),
 		judged:  make(chan struct{}),
 	}
@@ -171,13 +182,13 @@
 
 // hasNews reports whether this control's roster differs from the one that the
 // watcher has or, for an entry, the documents or the verdicts on backend servers
-// differ from the watcher's. A watcher that has the roster of another run always
-// gets news. Callers hold n.mu.
+// differ from the watcher's, or the listed and suspected prompt parts. A watcher that has
+// the roster of another run always gets news. Callers hold n.mu.
 func (n *Node) hasNews(r member.WatchRequest) bool {
 	if r.RunID != n.runID || r.RosterVersion != n.fleet.roster.Version() {
 		return true
 	}
-	return r.Entry != nil && (n.state.Documents().Revision > r.DocumentsRevision || n.fleet.verdictsVersion != r.VerdictsVersion)
+	return r.Entry != nil && (n.state.Documents().Revision > r.DocumentsRevision || n.fleet.verdictsVersion != r.VerdictsVersion || n.fleet.partsVersion != r.PartsVersion)
 }
 
 // watchReply returns the reply to a watch: what changed since the watcher's roster
@@ -199,6 +210,7 @@
 	reply.DocumentsRevision = n.state.Documents().Revision
 	if r.Entry != nil {
 		n.addEvidence(now, r, &reply)
+		n.addParts(now, r, &reply)
 		return reply
 	}
 	since := now.Add(-2 * watchMaxWait)
@@ -215,6 +227,11 @@
 			reply.Reports = append(reply.Reports, rep.latest)
 		}
 	}
+	for _, e := range n.fleet.evidence {
+		if e.directVersion > r.DirectVersion {
+			reply.Evidence = append(reply.Evidence, e.report)
+		}
+	}
 	return reply
 }
 
@@ -247,6 +264,7 @@
 			n.fleet.wakeWatchers()
 		}
 		n.judgeServers(now)
+		n.judgeParts(now)
 		n.dropExpiredEntries(now)
 		n.startRolloutClocks(now)
 		n.watchPeers(ctx)
@@ -321,6 +339,9 @@
 	for _, r := range reply.Reports {
 		n.mergeReport(r, false)
 	}
+	for _, r := range reply.Evidence {
+		n.fleet.parts.Add(now, r)
+	}
 	if n.fleet.roster.Version() != before {
 		n.fleet.wakeWatchers()
 	}
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -10,6 +10,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/forward"
 	"rosereach/core/placement"
+	"rosereach/core/quarantine"
 	"rosereach/core/retry"
 	"rosereach/core/route"
 	"rosereach/io/upstream"
@@ -64,6 +65,8 @@
 		deadline  time.Time
 
 		service string
+		parts   []quarantine.Key // of the prompt, as far as other requests share them
+		ends    int              // servers that ended while they had the request
 		model   string
 		tried   []string // servers of the attempts so far
 		// Subset of the tried servers to which no connection could be opened.
@@ -122,7 +125,6 @@
 // run makes attempts until one is answered or no further attempt is allowed.
 func (x *activeRequest) run(ctx context.Context) error {
 	x.lastEventID = x.req.LastEventID
-	x.service = x.forwarder.pickService(x.route)
 	x.forwarder.countRequest(x.service)
 	if x.req.AnyModel {
 		x.model = x.forwarder.sizes.First(x.route.Models)
@@ -139,10 +141,15 @@
 		outcome, err := x.tryServer(ctx, a)
 		x.forwarder.metrics.attemptEnded(outcome)
 		if err == nil {
+			x.recordComplete()
 			return nil
 		}
 		x.logFailedAttempt(a, outcome, err)
 		lastOutcome = outcome
+		if !x.maySpreadTo() {
+			x.logNotSpread()
+			return x.giveUp(ctx, outcome, nil)
+		}
 		if ctx.Err() != nil || !x.mayRetry(outcome) && !x.awaitRetry(ctx, outcome) {
 			return x.giveUp(ctx, outcome, nil)
 		}
@@ -229,7 +236,7 @@
 	f := x.forwarder
 	now := f.entry.cfg.Clock.Now()
 	a.startedAt = now
-	if err := f.admit(a); err != nil {
+	if err := x.admit(a); err != nil {
 		x.withhold(a)
 		return forward.NotSent, err
 	}
@@ -248,7 +255,7 @@
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: -1, LastEventID: x.lastEventID,
 		}),
 		NewConn: x.sends > 1 && !x.route.IsRetryable(),
-	}, func() error { return f.admit(a) })
+	}, func() error { return x.admit(a) })
 	if err != nil {
 		return x.handleSendError(ctx, a, err, x.takeOver(watch))
 	}
@@ -279,6 +286,9 @@
 	x.tried = append(x.tried, a.server.ID)
 	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && !h.moved {
 		x.forwarder.recordFailure(a, x, h.serverDead)
+		if cause == nil {
+			x.recordEnd(ctx, a)
+		}
 	}
 	return forward.Unknown, err
 }
@@ -307,6 +317,9 @@
 	if ctx.Err() != nil || !x.now().Before(x.deadline) {
 		return nil, &forward.Failure{Code: forward.TimedOut, Detail: "the deadline has passed"}
 	}
+	if failure := x.quarantinedFailure(); failure != nil {
+		return nil, failure
+	}
 	if a := x.nextAttempt; a != nil {
 		x.nextAttempt = nil
 		return a, nil
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -93,6 +93,9 @@
 		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
 			x.forwarder.recordFailure(a, x, false)
 		}
+		if ctx.Err() == nil && err != nil {
+			x.recordEnd(ctx, a)
+		}
 		return forward.Incomplete, errors.Errorf("reading the answer failed after %d bytes: %v", len(body), err)
 	}
 	answer.Close()
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -99,5 +99,8 @@
 	if !callerLeft && ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
 		x.forwarder.recordFailure(a, x, dead)
 	}
+	if !callerLeft && ctx.Err() == nil {
+		x.recordEnd(ctx, a)
+	}
 	return forward.Incomplete, err
 }
--- a/internal/entry/crashing_part_test.go
+++ b/internal/entry/crashing_part_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,3 +168,84 @@
 		t.Errorf("%d requests reached servers later than %v after the fifth end; %d servers ended; %d of 40 sound requests are served", late, contact, len(s.ends), served)
 	}
 }
+
+// crashOnce returns a handler that ends its server with the first request.
+func (r *harness) crashOnce(id string, ends *atomic.Int64) {
+	r.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	s := &http.Server{ReadHeaderTimeout: time.Minute}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		ends.Add(1)
+		w.WriteHeader(http.StatusOK)
+		http.NewResponseController(w).Flush()
+		s.Close()
+	})
+	go s.Serve(l)
+	r.t.Cleanup(func() { s.Close() })
+	r.announce(id, l.Addr().String(), 1, backend.Serving)
+}
+
+// A request ends two servers at most, of four that it may be sent to.
+func TestRequestEndsTwoServersAtMost(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	var ends atomic.Int64
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r.crashOnce(id, &ends)
+	}
+	prompt := []forward.Part{{ID: "common"}, {ID: "bad"}, {ID: "own"}}
+	if _, err := r.sendWith(context.Background(), forward.Request{Path: "/safe/", Key: "k", Prompt: prompt}); codeOf(err) != forward.AnswerLost || ends.Load() != 2 {
+		t.Fatalf("%d servers ended, %v", ends.Load(), err)
+	}
+}
+
+// Two servers that ended under a request don't keep it from a third if all its shared parts
+// are answered of late: they failed for another reason.
+func TestProvenRequestMayOutlastTwoServers(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	r.server("sound", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+	proven := []forward.Part{{ID: "common"}, {ID: "own"}}
+	if _, err := r.sendWith(context.Background(), forward.Request{Path: "/safe/", Key: "k", Prompt: proven}); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		ends   int
+		prompt []forward.Part
+		want   bool
+	}{
+		{0, []forward.Part{{ID: "unknown"}, {ID: "own"}}, true},
+		{1, []forward.Part{{ID: "unknown"}, {ID: "own"}}, true},
+		{2, []forward.Part{{ID: "common"}, {ID: "unknown"}, {ID: "own"}}, false},
+		{2, []forward.Part{{ID: "common"}, {ID: "other"}}, true},
+		{2, nil, false},
+	} {
+		x := &activeRequest{forwarder: r.entry.forwarder, service: "s", ends: c.ends, req: forward.Request{Prompt: c.prompt}}
+		x.parts = x.sharedParts()
+		if got := x.maySpreadTo(); got != c.want {
+			t.Errorf("after %d ends, prompt %v: %v", c.ends, c.prompt, got)
+		}
+	}
+}
+
+// A connection that breaks off while its server goes on is not the end of the server.
+func TestBrokenConnectionIsNoServerEnd(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	for _, id := range []string{"a", "b", "c"} {
+		r.server(id, func(w http.ResponseWriter, _ *http.Request) { hangUp(w) })
+	}
+	prompt := []forward.Part{{ID: "common"}, {ID: "own"}}
+	for range 10 {
+		r.sendWith(context.Background(), forward.Request{Path: "/safe/", Key: "k", Prompt: prompt})
+	}
+	f := r.entry.forwarder
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.parts.ended) > 0 {
+		t.Errorf("%d servers count as ended", len(f.parts.ended))
+	}
+}
--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -31,6 +31,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.evidence.sources = slices.DeleteFunc(f.evidence.sources, func(other *watchState) bool { return other == s })
+	delete(f.parts.suspects, s)
 	f.combineVerdicts()
 }
 
@@ -40,7 +41,7 @@
 	defer f.mu.Unlock()
 	now := f.entry.cfg.Clock.Now()
 	r.Samples = s.recorder.Take(now)
-	r.VerdictsVersion = s.verdictsVersion
+	r.VerdictsVersion, r.PartsVersion = s.verdictsVersion, s.partsVersion
 	if s.distance < distantRegion && now.Sub(f.evidence.loadsAt) >= loadsInterval {
 		r.WantsLoads = true
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -92,6 +92,7 @@
 		unreadable     map[string]uint64 // incarnation of each server whose word could not be read
 		turnedAway     map[string]int    // requests of each service rejected since its servers last took work
 		evidence       evidence
+		parts          partEvidence
 		latencyModel   *placement.LatencyModel
 		loads          map[string]backend.Load
 		lastActivity   map[string]time.Time // when each server last sent data
@@ -114,6 +115,7 @@
 		tallies: make(map[tallyKey]rollout.Tally), random: rand.New(rand.NewPCG(e.cfg.Seed, ^e.cfg.Incarnation)), //nolint:gosec // only used to spread load
 	}
 	f.startedAt = e.cfg.Clock.Now()
+	f.parts = newPartEvidence()
 	f.watcher = newWatcher(e)
 	f.metrics = newForwardMetrics(e)
 	f.retryBudgets = retry.NewWindowBudgets(e.cfg.Forwarding.Retries)
@@ -157,6 +159,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	if failure := x.quarantinedFailure(); failure != nil {
+		return e.reject(req, x.route, failure)
+	}
 	leave, err := e.admissionForRoute(x.route).enter(ctx, e.cfg.Clock, x.ticket())
 	if err != nil {
 		return e.reject(req, x.route, overloadFailure(err))
@@ -213,6 +218,8 @@
 	if !req.Deadline.IsZero() && req.Deadline.Before(x.deadline) {
 		x.deadline = req.Deadline
 	}
+	x.service = e.forwarder.pickService(r)
+	x.parts = x.sharedParts()
 	return x, nil
 }
 
@@ -288,6 +295,7 @@
 	maps.DeleteFunc(f.unreadable, func(id string, _ uint64) bool { return !known[id] })
 	f.latencyModel.Retain(isKnown)
 	maps.DeleteFunc(f.loads, func(id string, _ backend.Load) bool { return !known[id] })
+	f.forgetEnded(now)
 	maps.DeleteFunc(f.lastActivity, func(id string, _ time.Time) bool { return !known[id] })
 	f.client.CloseIdle(func(address string) bool { return addresses[address] })
 }
--- a/internal/entry/forward_metrics.go
+++ b/internal/entry/forward_metrics.go
@@ -23,6 +23,7 @@
 	silent        *prometheus.CounterVec
 	words         *prometheus.CounterVec
 	withheld      *prometheus.CounterVec
+	endedUnder    prometheus.Counter
 }
 
 func newForwardMetrics(e *Entry) *forwardMetrics {
@@ -52,8 +53,12 @@
 		withheld: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rosereach_withheld_attempts_total", Help: "Attempts that were placed and not sent, by why their server gets no requests.",
 		}, []string{"why"}),
+		endedUnder: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rosereach_server_ends_total", Help: "Attempts whose backend server ended while it had the request.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.retriesDenied, m.silent, m.words, m.withheld,
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.retriesDenied, m.silent, m.words, m.withheld, m.endedUnder,
+		metrics.NewGauge("rosereach_quarantined_parts", "Parts of prompts for which requests are rejected, as they crash backend servers.", func() float64 { return float64(e.forwarder.countListed()) }),
 		metrics.NewGauge("rosereach_documents_revision", "Revision of the documents in force.", func() float64 { return float64(e.catalog.Load().Revision()) }),
 		metrics.NewGauge("rosereach_servers_leaving", "Backend servers that said that they leave.", func() float64 { n, _ := e.forwarder.countRestrained(); return float64(n) }),
 		metrics.NewGauge("rosereach_servers_held_off", "Backend servers that asked for no requests for a time that goes on.", func() float64 { _, n := e.forwarder.countRestrained(); return float64(n) }),
--- /dev/null
+++ b/internal/entry/quarantine.go
@@ -0,0 +1,265 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rosereach/core/forward"
+	"rosereach/core/quarantine"
+	"rosereach/io/member"
+)
+
+const (
+	// evidenceDelay is how long the ends of servers are collected before they are
+	// reported: all requests at a server see its end at the same time.
+	evidenceDelay = 50 * time.Millisecond
+
+	// evidenceTimeout bounds sending a report.
+	evidenceTimeout = time.Second
+
+	// endedRetention is how long it is known that a server has ended.
+	endedRetention = time.Minute
+
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 16
+)
+
+type (
+	// partEvidence is what an entry knows about prompt parts that crash servers. Callers
+	// hold forwarder.mu.
+	partEvidence struct {
+		list     *quarantine.List
+		memory   *quarantine.Memory
+		suspects map[*watchState]map[quarantine.Key]bool // by the control that asks
+		ended    map[serverStart]time.Time               // servers that have ended, and when that was seen
+		pending  map[serverStart]quarantine.End          // not reported yet
+	}
+
+	// serverStart identifies one start of a server.
+	serverStart struct {
+		server      string
+		incarnation uint64
+	}
+)
+
+func newPartEvidence() partEvidence {
+	return partEvidence{
+		list: quarantine.NewList(), memory: quarantine.NewMemory(), suspects: make(map[*watchState]map[quarantine.Key]bool),
+		ended: make(map[serverStart]time.Time), pending: make(map[serverStart]quarantine.End),
+	}
+}
+
+// sharedParts returns the keys of the parts of the request's prompt that others share.
+func (x *activeRequest) sharedParts() []quarantine.Key {
+	ids := make([]string, 0, len(x.req.Prompt))
+	for _, p := range x.req.Prompt {
+		ids = append(ids, p.ID)
+	}
+	return quarantine.SharedKeys(x.service, ids)
+}
+
+// quarantinedFailure returns the failure of a request with a part that crashes servers, nil
+// if it has none. Its caller is told to come back when the listing ends.
+func (x *activeRequest) quarantinedFailure() *forward.Failure {
+	f := x.forwarder
+	f.mu.Lock()
+	s, ok := f.parts.list.Find(x.now(), x.parts)
+	f.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	level.Debug(x.log()).Log("msg", "Request has a quarantined part.", "id", x.req.ID, "prompt", partName(s.Key), "service", s.Service,
+		"ends", s.Ends, "requests", s.Requests, "sound", s.Sound, "for", s.Left)
+	return &forward.Failure{
+		Code: forward.Quarantined, RetryAfter: s.Left,
+		Detail: fmt.Sprintf("part %s of the prompt has crashed backend servers", partName(s.Key)),
+	}
+}
+
+// admit decides whether the attempt may be sent: a part of its prompt may have been listed
+// since it was placed, and its server may want no requests any more.
+func (x *activeRequest) admit(a *attempt) error {
+	if failure := x.quarantinedFailure(); failure != nil {
+		a.withheld = string(failure.Code)
+		return failure
+	}
+	return x.forwarder.admit(a)
+}
+
+// recordComplete records a complete answer, which speaks for the parts of its prompt.
+func (x *activeRequest) recordComplete() {
+	if len(x.parts) == 0 {
+		return
+	}
+	f := x.forwarder
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.parts.memory.Record(x.now(), x.service, x.workspace.Name, x.parts)
+}
+
+// recordEnd checks whether the server of an attempt that broke off has ended, and not only
+// the connection, and reports the end with the request to the controls.
+func (x *activeRequest) recordEnd(ctx context.Context, a *attempt) {
+	f := x.forwarder
+	if !f.hasEnded(ctx, a) {
+		return
+	}
+	x.ends++
+	f.mu.Lock()
+	now := x.now()
+	start := serverStart{server: a.server.ID, incarnation: a.server.Incarnation}
+	if _, known := f.parts.ended[start]; !known {
+		f.parts.ended[start] = now
+	}
+	if len(x.parts) > 0 {
+		e, ok := f.parts.pending[start]
+		if !ok {
+			e = quarantine.End{Service: x.service, Server: start.server, Incarnation: start.incarnation}
+		}
+		if len(f.parts.pending) == 0 {
+			f.entry.cfg.Clock.AfterFunc(evidenceDelay, f.reportEnds)
+		}
+		f.parts.pending[start] = e.WithRequest(quarantine.NewRequest(x.req.ID, x.workspace.Name, x.parts))
+	}
+	f.mu.Unlock()
+	f.metrics.endedUnder.Inc()
+	x.logServerEnd(a)
+}
+
+// hasEnded reports whether the server of an attempt has ended: it is known to, or refuses
+// connections.
+func (f *forwarder) hasEnded(ctx context.Context, a *attempt) bool {
+	f.mu.Lock()
+	_, known := f.parts.ended[serverStart{server: a.server.ID, incarnation: a.server.Incarnation}]
+	f.mu.Unlock()
+	return known || f.client.IsRefused(ctx, a.server.Address)
+}
+
+// reportEnds sends the ends of servers to the watched controls.
+func (f *forwarder) reportEnds() {
+	f.mu.Lock()
+	r := quarantine.Report{Sender: f.entry.cfg.ID}
+	for start, e := range f.parts.pending {
+		r.Ends = append(r.Ends, e)
+		delete(f.parts.pending, start)
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(f.entry.ctx, evidenceTimeout)
+	defer cancel()
+	f.watcher.notifyAll(ctx, member.KindEvidence, r)
+}
+
+// maySpreadTo reports whether the request may go to another server after those that ended
+// under it. Two ends need a reason to believe that it is not the cause: each of its shared
+// parts has been answered of late. After one end it is enough that no part without such an
+// answer is under suspicion.
+func (x *activeRequest) maySpreadTo() bool {
+	if x.ends == 0 {
+		return true
+	}
+	f := x.forwarder
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, unproven, suspected := x.now(), len(x.parts) == 0, false
+	for _, k := range x.parts {
+		if f.parts.memory.Answers(now, k) > 0 {
+			continue
+		}
+		unproven = true
+		for _, suspects := range f.parts.suspects {
+			suspected = suspected || suspects[k]
+		}
+	}
+	if x.ends == 1 {
+		return !suspected
+	}
+	return !unproven
+}
+
+// applyParts applies what a control lists and suspects, and answers it with the sound
+// answers of the suspects.
+func (f *forwarder) applyParts(now time.Time, reply member.WatchReply, s *watchState) {
+	if reply.PartsVersion == s.partsVersion {
+		return
+	}
+	s.partsVersion = reply.PartsVersion
+	f.mu.Lock()
+	var added []quarantine.Listing
+	for _, l := range reply.Listed {
+		if f.parts.list.Add(now, l) {
+			added = append(added, l)
+		}
+	}
+	suspects := make(map[quarantine.Key]bool, len(reply.Suspects))
+	for _, k := range reply.Suspects {
+		suspects[k] = true
+	}
+	f.parts.suspects[s] = suspects
+	sound := f.parts.memory.Sound(now, reply.Suspects)
+	f.mu.Unlock()
+	for _, l := range added {
+		level.Warn(f.entry.cfg.Logger).Log("msg", "Prompt part is rejected from now on.", "prompt", partName(l.Key), "service", l.Service,
+			"ends", l.Ends, "requests", l.Requests, "sound", l.Sound, "for", l.Left, "control", s.address)
+	}
+	if len(sound) > 0 {
+		go f.notifyControl(s.address, quarantine.Report{Sender: f.entry.cfg.ID, Sound: sound})
+	}
+}
+
+// reportListed tells a control what is listed: all controls may have started anew.
+func (f *forwarder) reportListed(address string) {
+	f.mu.Lock()
+	listed := f.parts.list.All(f.entry.cfg.Clock.Now())
+	f.mu.Unlock()
+	if len(listed) > 0 {
+		f.notifyControl(address, quarantine.Report{Sender: f.entry.cfg.ID, Listed: listed})
+	}
+}
+
+func (f *forwarder) notifyControl(address string, r quarantine.Report) {
+	ctx, cancel := context.WithTimeout(f.entry.ctx, evidenceTimeout)
+	defer cancel()
+	f.watcher.notify(ctx, address, member.KindEvidence, r)
+}
+
+// forgetEnded forgets servers that ended a while ago. Callers hold f.mu.
+func (f *forwarder) forgetEnded(now time.Time) {
+	for start, at := range f.parts.ended {
+		if now.Sub(at) > endedRetention {
+			delete(f.parts.ended, start)
+		}
+	}
+}
+
+// countListed returns the number of listed parts.
+func (f *forwarder) countListed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.parts.list.Len()
+}
+
+// logServerEnd logs that a server ended under the request.
+func (x *activeRequest) logServerEnd(a *attempt) {
+	level.Warn(x.log()).Log("msg", "Backend server ended under a request.", "id", x.req.ID, "srv", a.server.ID, "addr", a.server.Address,
+		"incarnation", a.server.Incarnation, "prompt", partNames(x.parts), "ends", x.ends, "took", x.now().Sub(a.startedAt))
+}
+
+// logNotSpread logs that the request goes to no further server after those that ended.
+func (x *activeRequest) logNotSpread() {
+	level.Warn(x.log()).Log("msg", "Request goes to no further server.", "id", x.req.ID, "ends", x.ends, "prompt", partNames(x.parts))
+}
+
+// partName returns the key of a part as it is logged.
+func partName(k quarantine.Key) string { return fmt.Sprintf("%016x", uint64(k)) }
+
+func partNames(keys []quarantine.Key) string {
+	names := make([]string, 0, len(keys))
+	for _, k := range keys[:min(len(keys), maxLoggedParts)] {
+		names = append(names, partName(k))
+	}
+	return strings.Join(names, ",")
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -86,6 +86,7 @@
 	recorder        *health.Recorder // attempts not yet reported to the control
 	verdictsVersion uint64           // version of verdicts
 	verdicts        []health.Verdict // the control's
+	partsVersion    uint64           // version of the control's listed and suspected prompt parts
 }
 
 func newWatcher(e *Entry) *watcher {
@@ -178,6 +179,7 @@
 	state := &watchState{position: reached, address: address, distance: distance, lastCurrent: cfg.Clock.Now(), recorder: health.NewRecorder()}
 	w.entry.forwarder.addEvidenceSource(state)
 	defer w.entry.forwarder.removeEvidenceSource(state)
+	w.entry.forwarder.reportListed(address)
 	for {
 		if err := w.poll(ctx, conn, state); err != nil {
 			return err
@@ -283,6 +285,7 @@
 	}
 	e.forwarder.updateRoster(now, reply.Roster)
 	e.forwarder.applyEvidence(now, reply, state)
+	e.forwarder.applyParts(now, reply, state)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if reply.Current {
@@ -371,17 +374,40 @@
 // announcePresence sends the entry's presence to the watched controls
 // immediately.
 func (w *watcher) announcePresence(ctx context.Context) {
-	w.mu.Lock()
-	var conns []*member.Conn
-	for _, c := range w.conns {
-		if c != nil {
-			conns = append(conns, c)
-		}
+	for _, address := range w.watched() {
+		w.notify(ctx, address, member.KindPresence, w.presence())
+	}
+}
+
+// notifyAll sends a message to all watched controls.
+func (w *watcher) notifyAll(ctx context.Context, kind member.Kind, message any) {
+	for _, address := range w.watched() {
+		w.notify(ctx, address, kind, message)
 	}
+}
+
+// notify sends a message to a control if it is watched.
+func (w *watcher) notify(ctx context.Context, address string, kind member.Kind, message any) {
+	w.mu.Lock()
+	conn := w.conns[address]
 	w.mu.Unlock()
-	for _, c := range conns {
-		if err := c.Notify(ctx, member.KindPresence, w.presence()); err != nil {
-			level.Debug(w.entry.cfg.Logger).Log("msg", "Failed to notify a control; the next watch request will inform it.", "err", err)
+	if conn == nil {
+		return
+	}
+	if err := conn.Notify(ctx, kind, message); err != nil {
+		level.Debug(w.entry.cfg.Logger).Log("msg", "Failed to notify a control.", "control", address, "kind", kind, "err", err)
+	}
+}
+
+// watched returns the addresses of the controls to which a connection is open.
+func (w *watcher) watched() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var addresses []string
+	for address, c := range w.conns {
+		if c != nil {
+			addresses = append(addresses, address)
 		}
 	}
+	return addresses
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -37,6 +37,7 @@
 	fieldRevision = "revision"
 	fieldWord     = "word"
 	fieldUntil    = "until"
+	fieldPrompt   = "prompt"
 	fieldMessage  = "msg"
 	fieldLevel    = "level"
 )
@@ -88,13 +89,15 @@
 // Timeline returns, in order of time, the lines about the request, the changes of the
 // backend servers that it was sent to or kept from, and, from the processes that handled
 // it, the lines about the documents' revisions that it was handled with and about the
-// words of those servers that still held, however old. It returns nil when no line is
+// words of those servers that still held, however old. Lines that list a part of its
+// prompt are included from all processes. It returns nil when no line is
 // about the request.
 func (l *Log) Timeline(id string) []Line {
 	var timeline []Line
 	servers := make(map[string]bool)
 	plans := make(map[string]bool)
 	sources := make(map[string]bool)
+	parts := make(map[string]bool)
 	var first, last time.Time
 	for _, line := range l.lines {
 		if line.Get(fieldID) != id {
@@ -104,6 +107,9 @@
 		sources[line.Source] = true
 		servers[line.Get(fieldServer)] = true
 		plans[line.Get(fieldPlan)] = true
+		for _, part := range strings.Split(line.Get(fieldPrompt), ",") {
+			parts[part] = part != ""
+		}
 		if first.IsZero() || line.At.Before(first) {
 			first = line.At
 		}
@@ -122,7 +128,8 @@
 		aboutServer := recent && servers[line.Get(fieldSubject)] && line.Get(fieldSubject) != ""
 		aboutWord := sources[line.Source] && servers[line.Get(fieldSubject)] && line.holdsAt(first)
 		aboutPlan := sources[line.Source] && line.Get(fieldRevision) != "" && plans[line.Get(fieldRevision)]
-		if aboutServer || aboutWord || aboutPlan {
+		aboutPart := line.Get(fieldID) == "" && parts[line.Get(fieldPrompt)]
+		if aboutServer || aboutWord || aboutPlan || aboutPart {
 			timeline = append(timeline, line)
 		}
 	}
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"rosereach/core/health"
+	"rosereach/core/quarantine"
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
 )
@@ -11,6 +12,7 @@
 	KindWatch    Kind = "watch"
 	KindPresence Kind = "presence"
 	KindRouting  Kind = "routing"
+	KindEvidence Kind = "evidence"
 )
 
 type (
@@ -64,6 +66,9 @@
 		// VerdictsVersion is the version of the verdicts that the entry has from
 		// this control.
 		VerdictsVersion uint64 `json:"verdicts,omitempty"`
+		// PartsVersion is the version of the listed and suspected prompt parts that the
+		// entry has from this control.
+		PartsVersion uint64 `json:"parts,omitempty"`
 		// WantsLoads asks for the load reports of all backend servers.
 		WantsLoads bool `json:"loads,omitempty"`
 	}
@@ -90,13 +95,21 @@
 		// Verdicts are all servers that the control considers failing. They are set if VerdictsVersion differs from the one in the request.
 		VerdictsVersion uint64           `json:"verdicts_version,omitempty"`
 		Verdicts        []health.Verdict `json:"verdicts,omitempty"`
+		// Listed are all prompt parts for which requests are rejected, and Suspects those
+		// whose sound answers the entry is asked for. They are set if PartsVersion differs
+		// from the one in the request.
+		PartsVersion uint64               `json:"parts_version,omitempty"`
+		Listed       []quarantine.Listing `json:"listed,omitempty"`
+		Suspects     []quarantine.Key     `json:"suspects,omitempty"`
 		// Loads are recent load reports of backend servers, if they were requested.
 		Loads []health.LoadReport `json:"loads,omitempty"`
-		// Presences and Reports hold what entries sent to the replying control
-		// directly, up to DirectVersion. They are set in replies to controls only.
-		Presences     []Presence `json:"heard,omitempty"`
-		Reports       []Report   `json:"reports,omitempty"`
-		DirectVersion uint64     `json:"direct_version,omitempty"`
+		// Presences, Reports and Evidence hold what entries sent to the replying control
+		// directly, and what it listed itself, up to DirectVersion. They are set in replies
+		// to controls only.
+		Presences     []Presence          `json:"heard,omitempty"`
+		Reports       []Report            `json:"reports,omitempty"`
+		Evidence      []quarantine.Report `json:"evidence,omitempty"`
+		DirectVersion uint64              `json:"direct_version,omitempty"`
 	}
 
 	// RoutingReply is the text of the newest routing plan, confirmed by a
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -157,6 +157,12 @@
 	return nil
 }
 
+// IsRefused reports whether the server refuses connections: its machine is there and no
+// process listens. If one does, the connection is kept for the next request.
+func (c *Client) IsRefused(ctx context.Context, address string) bool {
+	return errors.Is(c.Connect(ctx, address), syscall.ECONNREFUSED)
+}
+
 // HasIdle reports whether an idle connection to the server is open.
 func (c *Client) HasIdle(address string) bool {
 	for idle := c.popIdle(address); idle != nil; idle = c.popIdle(address) {
