Keep the limits that backend servers name, over all entries

Cause: the word was read nowhere, and a limit for the fleet can't be kept by each entry's own count.

Entries pass on what they hear; controls share a limit out among a few entries near the server, so that a small limit is neither split into parts that serve nobody nor multiplied by one request at once from each. An entry without a share takes a part by itself. Only the answer to a request that was sent after a limit was heard ends or raises it.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"rosereach/core/pacing"
 	"rosereach/core/route"
 )
 
@@ -133,6 +134,8 @@
 		Leaving bool
 		// HoldOff is how long the server wants no further requests, 0 for not at all.
 		HoldOff time.Duration
+		// Limit is what the answer says about the requests a second that the server takes.
+		Limit pacing.Statement
 		// Unreadable describes what the server says of itself but can't be read, empty
 		// for nothing.
 		Unreadable string
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -198,7 +198,7 @@
 		rolloutClocks:  make(map[string]rolloutClock),
 		runID:          uint64(cfg.Clock.Now().UnixNano()), //nolint:gosec // a time after 1970
 	}
-	n.fleet = newFleet(n.runID)
+	n.fleet = newFleet(cfg.Clock.Now(), n.runID)
 	n.metrics = newMetrics(n)
 	n.textMetrics = newTextMetrics(n)
 	n.links = newLinks(n)
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -40,15 +40,7 @@
 	if 2*len(live) < len(all) {
 		live = all
 	}
-	rank := func(p member.Presence) int {
-		switch {
-		case p.Zone == zone:
-			return 0
-		case p.Region == region:
-			return 1
-		}
-		return 2
-	}
+	rank := func(p member.Presence) int { return p.Distance(region, zone) }
 	slices.SortFunc(live, func(a, b member.Presence) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
 	})
@@ -90,6 +82,7 @@
 		n.mergeReport(*r.Report, true)
 	}
 	n.fleet.pool.Add(now, r.Entry.ID, r.Samples)
+	n.mergeLimits(now, r.Limits)
 }
 
 // receivePresence stores the presence that an entry sends between two watches, and
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -62,6 +62,8 @@
 		return nil, decodeAndHandle(body, n.receivePresence)
 	case member.KindEvidence:
 		return nil, decodeAndHandle(body, n.receiveEvidence)
+	case member.KindLimits:
+		return nil, decodeAndHandle(body, n.receiveLimits)
 	case member.KindRouting:
 		return n.confirmedRouting(ctx)
 	case member.KindEntries:
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -11,6 +11,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/catalog"
 	"rosereach/core/health"
+	"rosereach/core/pacing"
 	"rosereach/core/quarantine"
 	"rosereach/core/replica"
 	"rosereach/core/roster"
@@ -69,6 +70,11 @@
 		evidence     []evidence
 		hasEvidence  bool
 
+		// limits are the limits that servers name, and since is when this control started:
+		// it shares them out once it has heard of all entries.
+		limits *pacing.Pool
+		since  time.Time
+
 		// changed is closed and replaced when the watchers have to be answered,
 		// judged when only entries have to, as the verdicts changed.
 		changed chan struct{}
@@ -105,7 +111,7 @@
 	}
 )
 
-func newFleet(start uint64) *fleet {
+func newFleet(now time.Time, start uint64) *fleet {
 	return &fleet{
 		roster:  roster.New(roster.Config{SilentAfter: serverSilentAfter, RemoveAfter: serverRemoveAfter}, start),
 		entries: make(map[string]presence),
@@ -113,6 +119,8 @@
 		peers:   make(map[string]*peerView),
 		pool:    health.NewPool(),
 		parts:   quarantine.NewPool(),
+		limits:  pacing.NewPool(),
+		since:   now,
 		changed: make(chan struct{}),
 		judged:  make(chan struct{}),
 	}
@@ -182,13 +190,13 @@
 
 // hasNews reports whether this control's roster differs from the one that the
 // watcher has or, for an entry, the documents or the verdicts on backend servers
-// differ from the watcher's, or the listed and suspected prompt parts. A watcher that has
-// the roster of another run always gets news. Callers hold n.mu.
+// differ from the watcher's, or the listed and suspected prompt parts, or the servers'
+// limits. A watcher that has the roster of another run always gets news. Callers hold n.mu.
 func (n *Node) hasNews(r member.WatchRequest) bool {
 	if r.RunID != n.runID || r.RosterVersion != n.fleet.roster.Version() {
 		return true
 	}
-	return r.Entry != nil && (n.state.Documents().Revision > r.DocumentsRevision || n.fleet.verdictsVersion != r.VerdictsVersion || n.fleet.partsVersion != r.PartsVersion)
+	return r.Entry != nil && (n.state.Documents().Revision > r.DocumentsRevision || n.fleet.verdictsVersion != r.VerdictsVersion || n.fleet.partsVersion != r.PartsVersion || n.fleet.limits.Version() != r.LimitsVersion)
 }
 
 // watchReply returns the reply to a watch: what changed since the watcher's roster
@@ -211,6 +219,7 @@
 	if r.Entry != nil {
 		n.addEvidence(now, r, &reply)
 		n.addParts(now, r, &reply)
+		n.addShares(now, r.Entry.ID, &reply)
 		return reply
 	}
 	since := now.Add(-2 * watchMaxWait)
@@ -227,6 +236,7 @@
 			reply.Reports = append(reply.Reports, rep.latest)
 		}
 	}
+	reply.Limits = n.fleet.limits.Words(now)
 	for _, e := range n.fleet.evidence {
 		if e.directVersion > r.DirectVersion {
 			reply.Evidence = append(reply.Evidence, e.report)
@@ -342,6 +352,7 @@
 	for _, r := range reply.Evidence {
 		n.fleet.parts.Add(now, r)
 	}
+	n.mergeLimits(now, reply.Limits)
 	if n.fleet.roster.Version() != before {
 		n.fleet.wakeWatchers()
 	}
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -103,6 +103,7 @@
 		waitTallied      bool // the wait for the first byte was tallied before it came
 		pace             streamPace
 		counted          bool   // counted until its answer, as its server gets few requests after a hold-off
+		paced            bool   // it took a place at a server that named a limit
 		withheld         string // why it was not sent, empty if it was
 
 		placedAt      time.Time
@@ -262,7 +263,7 @@
 	x.takeOver(watch)
 	f.recordActivity(a.server.ID)
 	a.head = f.entry.cfg.Forwarding.Dialect.Head(answer.Status, answer.Header)
-	f.hear(a.server, a.head, x.req.ID)
+	f.hear(a.server, a.head, a.startedAt, x.req.ID)
 	f.settle(a, !a.head.Refused && a.head.HoldOff == 0)
 	return x.handleAnswer(ctx, cancel, a, answer)
 }
@@ -275,6 +276,7 @@
 		return forward.NotSent, err
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
+		x.forwarder.returnPlace(a)
 		if ctx.Err() == nil {
 			x.forwarder.recordFailure(a, x, true)
 		}
--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -41,7 +41,8 @@
 	defer f.mu.Unlock()
 	now := f.entry.cfg.Clock.Now()
 	r.Samples = s.recorder.Take(now)
-	r.VerdictsVersion, r.PartsVersion = s.verdictsVersion, s.partsVersion
+	r.VerdictsVersion, r.PartsVersion, r.LimitsVersion = s.verdictsVersion, s.partsVersion, s.limitsVersion
+	r.Limits = f.limiter.Words(now)
 	if s.distance < distantRegion && now.Sub(f.evidence.loadsAt) >= loadsInterval {
 		r.WantsLoads = true
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -14,6 +14,7 @@
 	"rosereach/core/forward"
 	"rosereach/core/health"
 	"rosereach/core/limit"
+	"rosereach/core/pacing"
 	"rosereach/core/placement"
 	"rosereach/core/request"
 	"rosereach/core/retry"
@@ -89,6 +90,7 @@
 		roster         *roster.Roster
 		health         *health.Tracker
 		restraints     *health.Restraints
+		limiter        *pacing.Limiter
 		unreadable     map[string]uint64 // incarnation of each server whose word could not be read
 		turnedAway     map[string]int    // requests of each service rejected since its servers last took work
 		evidence       evidence
@@ -116,6 +118,7 @@
 	}
 	f.startedAt = e.cfg.Clock.Now()
 	f.parts = newPartEvidence()
+	f.limiter = pacing.NewLimiter(e.cfg.ID)
 	f.watcher = newWatcher(e)
 	f.metrics = newForwardMetrics(e)
 	f.retryBudgets = retry.NewWindowBudgets(e.cfg.Forwarding.Retries)
@@ -292,6 +295,7 @@
 	isKnown := func(id string) bool { return known[id] }
 	f.health.Retain(isKnown)
 	f.restraints.Retain(now, isKnown)
+	f.limiter.Retain(isKnown)
 	maps.DeleteFunc(f.unreadable, func(id string, _ uint64) bool { return !known[id] })
 	f.latencyModel.Retain(isKnown)
 	maps.DeleteFunc(f.loads, func(id string, _ backend.Load) bool { return !known[id] })
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -15,6 +15,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.downSince, service)
+	// Servers that take a few requests at a time have not caught up with those turned away.
+	if n := f.turnedAway[service]; n > 1 && f.limiter.Count() > 0 {
+		f.turnedAway[service] = n - 1
+		return
+	}
 	delete(f.turnedAway, service)
 }
 
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -13,6 +13,7 @@
 
 	"rosereach/core/backend"
 	"rosereach/core/forward"
+	"rosereach/core/pacing"
 	"rosereach/core/placement"
 	"rosereach/io/upstream"
 )
@@ -281,7 +282,7 @@
 
 // checkSilent reports whether a silent server is alive, and its status. An engine is
 // asked for it. Any other server is judged by the entry's other requests, and runs
-// the request if it is alive. An engine that wants no requests for a while is not asked
+// the request if it is alive. An engine that wants no or few requests is not asked
 // either: it was alive when it said so, and has until the hard timeout. One that leaves is
 // asked, as what it runs goes on and a status takes none of its work.
 func (x *activeRequest) checkSilent(ctx context.Context, server backend.Announcement) (alive bool, status forward.ServerStatus) {
@@ -289,7 +290,7 @@
 		alive = x.forwarder.isAlive(server.ID)
 		return alive, forward.ServerStatus{RunsRequest: alive}
 	}
-	if x.forwarder.isHeldOff(server) {
+	if x.forwarder.isHeldOff(server) || x.forwarder.isLimited(server) {
 		return true, forward.ServerStatus{RunsRequest: true}
 	}
 	status, err := x.forwarder.fetchStatus(ctx, server, x.req.ID)
@@ -329,6 +330,7 @@
 func (f *forwarder) fetchStatus(ctx context.Context, server backend.Announcement, requestID string) (forward.ServerStatus, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	start := f.entry.cfg.Clock.Now()
 	defer f.entry.cfg.Clock.AfterFunc(statusTimeout, cancel).Stop()
 	dialect := f.entry.cfg.Forwarding.Dialect
 	answer, err := f.client.Do(ctx, upstream.Call{
@@ -338,7 +340,11 @@
 		return forward.ServerStatus{}, err
 	}
 	defer answer.Close()
-	f.hear(server, dialect.Head(answer.Status, answer.Header), requestID)
+	head := dialect.Head(answer.Status, answer.Header)
+	if head.Limit.Kind == pacing.Unlimited {
+		head.Limit = pacing.Statement{} // A status need not repeat the limit.
+	}
+	f.hear(server, head, start, requestID)
 	body, err := io.ReadAll(io.LimitReader(answer, maxStatusBytes))
 	if err != nil {
 		return forward.ServerStatus{}, errors.Trace(err)
--- a/internal/entry/restraint.go
+++ b/internal/entry/restraint.go
@@ -11,6 +11,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/forward"
 	"rosereach/core/health"
+	"rosereach/core/pacing"
 	"rosereach/core/retry"
 	"rosereach/core/roster"
 )
@@ -34,13 +35,18 @@
 	wait time.Duration
 	// places is the number of requests that the servers then take at once.
 	places int
+	// limited is set when servers take no more requests for the moment because of limits
+	// that they named, and rate is the number a second that they take of this entry.
+	limited bool
+	rate    float64
 	// words holds the words of some servers, by id.
 	words map[string]health.Restraint
 }
 
 // hear records what a server says of itself in an answer to the request with the given
-// id.
-func (f *forwarder) hear(server backend.Announcement, head forward.Head, requestID string) {
+// id, which was sent at the given time.
+func (f *forwarder) hear(server backend.Announcement, head forward.Head, sentAt time.Time, requestID string) {
+	f.hearLimit(server, sentAt, head.Limit, requestID)
 	now := f.entry.cfg.Clock.Now()
 	f.mu.Lock()
 	changed := f.restraints.Hear(now, server.ID, server.Incarnation, health.Word{Leaving: head.Leaving, HoldOff: head.HoldOff, RequestID: requestID})
@@ -90,6 +96,15 @@
 	if reason != "" {
 		return errors.Errorf("backend server %s wants no requests: %s", server.ID, reason)
 	}
+	if a.paced {
+		return nil
+	}
+	taken, ok := f.limiter.Take(now, server.ID, server.Incarnation)
+	if !ok {
+		a.withheld = withheldLimited
+		return errors.Errorf("backend server %s takes no more requests for the moment", server.ID)
+	}
+	a.paced = taken
 	return nil
 }
 
@@ -113,6 +128,7 @@
 	f := x.forwarder
 	f.metrics.withheld.WithLabelValues(a.withheld).Inc()
 	f.settle(a, false)
+	f.returnPlace(a)
 	f.mu.Lock()
 	word, _ := f.restraints.Get(a.server.ID, a.server.Incarnation)
 	f.mu.Unlock()
@@ -130,7 +146,7 @@
 // takers returns the servers of the list that may get a request now. Callers hold f.mu.
 func (f *forwarder) takers(now time.Time, list []roster.Record) []roster.Record {
 	return filterRecords(list, func(r roster.Record) bool {
-		return f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) == ""
+		return f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) == "" && f.limiter.Allows(now, r.Server.ID, r.Server.Incarnation)
 	})
 }
 
@@ -156,14 +172,21 @@
 	first := now.Add(retry.MaxAfter)
 	for _, r := range list {
 		at, _ := f.restraints.TakesWorkAt(now, r.Server.ID, r.Server.Incarnation)
-		if at.Before(first) {
-			first = at
-		}
 		switch f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) {
 		case health.Recovers:
 			p.recovers = true
 		case "":
-			return prospect{}
+			if f.limiter.Allows(now, r.Server.ID, r.Server.Incarnation) {
+				return prospect{}
+			}
+			wait, rate := f.limiter.Wait(now, r.Server.ID, r.Server.Incarnation)
+			p.limited, p.rate = true, p.rate+rate
+			if at = now.Add(wait); rate == 0 {
+				at = first
+			}
+		}
+		if at.Before(first) {
+			first = at
 		}
 		p.places += r.Server.Capacity
 		if word, ok := f.restraints.Get(r.Server.ID, r.Server.Incarnation); ok && len(p.words) < maxLoggedWords {
@@ -171,9 +194,20 @@
 		}
 	}
 	p.wait, p.places = first.Sub(now), max(p.places/entries, 1)
+	if p.limited {
+		p.places = 1
+	}
 	return p
 }
 
+// round returns the time that the servers need for as many requests as there are places.
+func (p prospect) round(usual time.Duration) time.Duration {
+	if !p.limited {
+		return usual
+	}
+	return time.Duration(float64(time.Second) / max(p.rate, pacing.MinLimit))
+}
+
 // awaitRoom waits for room at a server that gets few requests after a hold-off, for the
 // route's objective at most, and returns an attempt there. A server in that state takes
 // more with each answer, so that a wait is shorter than a rejection. It returns false at
@@ -210,7 +244,7 @@
 	f.mu.Lock()
 	order := f.turnedAway[x.service]
 	f.turnedAway[x.service]++
-	wait := retry.Spread(p.wait, cmp.Or(x.route.Objective, defaultCallTime), order, p.places, f.random)
+	wait := retry.Spread(p.wait, p.round(cmp.Or(x.route.Objective, defaultCallTime)), order, p.places, f.random)
 	f.mu.Unlock()
 	x.logRestrained(p, order)
 	return &forward.Failure{Code: forward.NoServer, Detail: "all backend servers want no requests", RetryAfter: min(wait, x.deadline.Sub(now)/retryAfterDivisor)}, true
--- a/internal/entry/restraint_test.go
+++ b/internal/entry/restraint_test.go
@@ -279,7 +279,7 @@
 		if err := f.admit(placed); err != nil {
 			t.Fatal(err)
 		}
-		f.hear(placed.server, head, "other")
+		f.hear(placed.server, head, time.Now(), "other")
 		outcome, err := x.tryServer(t.Context(), placed)
 		if outcome != forward.NotSent || err == nil || a.n.Load() != 0 || x.sends != 0 || len(x.tried) != 0 {
 			t.Errorf("%s: %s, %v, %d requests, %d sends", name, outcome, err, a.n.Load(), x.sends)
@@ -464,7 +464,7 @@
 			waitFor(t, "the request", func() bool { return runs.Load() == 1 })
 			rec, _ := r.entry.forwarder.roster.Find("a")
 			if heldOff {
-				r.entry.forwarder.hear(rec.Server, forward.Head{HoldOff: time.Minute}, "other")
+				r.entry.forwarder.hear(rec.Server, forward.Head{HoldOff: time.Minute}, time.Now(), "other")
 			}
 			start := clock.Now()
 			waitFor(t, "a status or the end of the wait", func() bool {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -87,6 +87,7 @@
 	verdictsVersion uint64           // version of verdicts
 	verdicts        []health.Verdict // the control's
 	partsVersion    uint64           // version of the control's listed and suspected prompt parts
+	limitsVersion   uint64           // version of the control's limits of servers
 }
 
 func newWatcher(e *Entry) *watcher {
@@ -286,6 +287,7 @@
 	e.forwarder.updateRoster(now, reply.Roster)
 	e.forwarder.applyEvidence(now, reply, state)
 	e.forwarder.applyParts(now, reply, state)
+	e.forwarder.applyLimits(now, reply, state)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if reply.Current {
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"rosereach/core/health"
+	"rosereach/core/pacing"
 	"rosereach/core/quarantine"
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
@@ -13,6 +14,7 @@
 	KindPresence Kind = "presence"
 	KindRouting  Kind = "routing"
 	KindEvidence Kind = "evidence"
+	KindLimits   Kind = "limits"
 )
 
 type (
@@ -69,6 +71,10 @@
 		// PartsVersion is the version of the listed and suspected prompt parts that the
 		// entry has from this control.
 		PartsVersion uint64 `json:"parts,omitempty"`
+		// Limits are what the entry has heard of limits that servers name, and
+		// LimitsVersion the version of the limits that it has from this control.
+		Limits        []pacing.Word `json:"limits,omitempty"`
+		LimitsVersion uint64        `json:"limits_version,omitempty"`
 		// WantsLoads asks for the load reports of all backend servers.
 		WantsLoads bool `json:"loads,omitempty"`
 	}
@@ -101,6 +107,12 @@
 		PartsVersion uint64               `json:"parts_version,omitempty"`
 		Listed       []quarantine.Listing `json:"listed,omitempty"`
 		Suspects     []quarantine.Key     `json:"suspects,omitempty"`
+		// Limits are the limits that servers name, and Shares the parts of them that the
+		// entry may use. HasShares is set if the control knows the entries.
+		LimitsVersion uint64         `json:"limits_version,omitempty"`
+		Limits        []pacing.Word  `json:"limits,omitempty"`
+		Shares        []pacing.Share `json:"shares,omitempty"`
+		HasShares     bool           `json:"has_shares,omitempty"`
 		// Loads are recent load reports of backend servers, if they were requested.
 		Loads []health.LoadReport `json:"loads,omitempty"`
 		// Presences, Reports and Evidence hold what entries sent to the replying control
@@ -128,6 +140,18 @@
 	}
 }
 
+// Distance returns how far the entry is from a place: 0 in its availability zone, 1 in its
+// region, 2 elsewhere.
+func (p Presence) Distance(region, zone string) int {
+	switch {
+	case p.Zone == zone:
+		return 0
+	case p.Region == region:
+		return 1
+	}
+	return 2
+}
+
 // IsNewerThan reports whether p supersedes another presence of the same entry.
 func (p Presence) IsNewerThan(other Presence) bool {
 	if p.Incarnation != other.Incarnation {
