Bound the head of a backend server's answer

Cause: http.ReadResponse on a plain buffered reader has no bound, so that an endless status line, header line, header or row of 1xx answers is taken in until the request's deadline, at hundreds of MB a second. A head, with the informational ones before it, may have 64 KiB; beyond that it is no proper answer. Endless chunk lines and trailers were bounded already (TestEndlessChunkLineBreaksAnswerOff).

--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -36,6 +36,10 @@
 	// answer and a few events.
 	readBufferBytes = 4 << 10
 
+	// maxHeadBytes is the largest head of an answer in bytes, with the informational
+	// answers (1xx) before it.
+	maxHeadBytes = 64 << 10
+
 	// maxInlineBodyBytes is the largest body in bytes that is written before the answer
 	// is read. Larger ones are written while the answer is read.
 	maxInlineBodyBytes = 16 << 10
@@ -107,6 +111,7 @@
 	conn struct {
 		net.Conn
 		reader *bufio.Reader
+		source *boundedReader // that reader reads from
 		// expiresAt is when an idle connection expires.
 		expiresAt time.Time
 	}
@@ -214,10 +219,12 @@
 			wrote <- err
 		}()
 	}
+	conn.source.bound(maxHeadBytes)
 	resp, err := readHead(conn.reader, call.Method) //nolint:bodyclose // Answer.Close ends the connection, and with it the body
 	if err != nil {
 		return nil, err
 	}
+	conn.source.unbound()
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body,
 		conn: conn, client: c, address: call.Address, writeResult: wrote,
@@ -304,7 +311,8 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	source := &boundedReader{r: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBufferBytes), source: source}, nil
 }
 
 // connect opens a connection. It retries after a timeout only, not when the
