Give up events without an end

Cause: the splitter kept an event whole whatever its size and searched it from its start at each read, and each byte restarted the idle timer, so that an attempt with an endless event lasted until the request's deadline.

--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -9,8 +9,16 @@
 	"github.com/juju/errors"
 )
 
-// ErrGap is the cause of an error when events are missing from a stream.
-const ErrGap = errors.ConstError("events are missing from the stream")
+const (
+	// ErrGap is the cause of an error when events are missing from a stream.
+	ErrGap = errors.ConstError("events are missing from the stream")
+
+	// ErrTooLong is the cause of an error when an event is longer than MaxEventBytes.
+	ErrTooLong = errors.ConstError("an event of the stream is too long")
+)
+
+// MaxEventBytes is the largest event in bytes.
+const MaxEventBytes = 1 << 20
 
 type (
 	// Event is one event of a text/event-stream.
@@ -24,6 +32,8 @@
 	// Splitter splits bytes into complete events.
 	Splitter struct {
 		buffer []byte
+		// searched is the number of bytes of buffer without the end of an event.
+		searched int
 	}
 
 	// Sequencer passes each event once, in the order of the ids, and detects gaps.
@@ -32,19 +42,27 @@
 	}
 )
 
-// Push adds bytes and returns the events that they complete.
-func (s *Splitter) Push(p []byte) []Event {
+// Push adds bytes and returns the events that they complete, and an error with the cause
+// ErrTooLong if the event after them is too long.
+func (s *Splitter) Push(p []byte) ([]Event, error) {
 	s.buffer = append(s.buffer, p...)
 	var events []Event
 	for {
-		end := eventEnd(s.buffer)
+		// A blank line may have begun in the bytes that were searched.
+		from := max(s.searched-len("\r\n\r"), 0)
+		end := eventEnd(s.buffer[from:])
 		if end < 0 {
-			return events
+			break
 		}
-		raw := bytes.Clone(s.buffer[:end])
-		s.buffer = s.buffer[end:]
+		raw := bytes.Clone(s.buffer[:from+end])
+		s.buffer, s.searched = s.buffer[from+end:], 0
 		events = append(events, Event{ID: eventID(raw), Raw: raw})
 	}
+	s.searched = len(s.buffer)
+	if len(s.buffer) > MaxEventBytes {
+		return events, errors.Annotatef(ErrTooLong, "%d bytes without an end", len(s.buffer))
+	}
+	return events, nil
 }
 
 // Buffered returns the number of buffered bytes of an incomplete event, without
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/juju/errors"
@@ -10,6 +11,16 @@
 	"rosereach/core/stream"
 )
 
+// push adds a text that must not be too long.
+func push(t rapid.TB, s *stream.Splitter, text string) []stream.Event {
+	t.Helper()
+	events, err := s.Push([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return events
+}
+
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
 
 func TestEventsAreCompleteForAnyChunking(t *testing.T) {
@@ -24,7 +35,7 @@
 		var last uint64
 		for len(text) > 0 {
 			take := rapid.IntRange(1, len(text)).Draw(t, "bytes")
-			for _, e := range s.Push([]byte(text[:take])) {
+			for _, e := range push(t, &s, text[:take]) {
 				if e.ID != last+1 {
 					t.Fatalf("event %d after %d", e.ID, last)
 				}
@@ -41,7 +52,7 @@
 
 func TestIncompleteEventIsNotReturned(t *testing.T) {
 	var s stream.Splitter
-	events := s.Push([]byte(event(1) + "id: 2\ndata: pie"))
+	events := push(t, &s, event(1)+"id: 2\ndata: pie")
 	if len(events) != 1 || s.Buffered() == 0 {
 		t.Fatalf("%d events, rest %d", len(events), s.Buffered())
 	}
@@ -59,3 +70,22 @@
 		t.Fatalf("error for a gap is %v, want ErrGap", err)
 	}
 }
+
+// An event without an end is refused, with the complete ones before it passed on.
+func TestEndlessEventIsRefused(t *testing.T) {
+	var s stream.Splitter
+	events, err := s.Push([]byte(event(1) + "id: 2\ndata: "))
+	if len(events) != 1 || err != nil {
+		t.Fatalf("%d events, %v", len(events), err)
+	}
+	piece := []byte(strings.Repeat("x", 32<<10))
+	for n := len(piece); err == nil; n += len(piece) {
+		if n > stream.MaxEventBytes+2*len(piece) {
+			t.Fatalf("%d bytes of one event are kept", n)
+		}
+		_, err = s.Push(piece)
+	}
+	if !errors.Is(err, stream.ErrTooLong) {
+		t.Fatal(err)
+	}
+}
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -26,9 +26,17 @@
 	lastBefore := x.lastEventID
 	for {
 		n, err := answer.Read(buffer)
-		failed := x.forwardEvents(a, answer, &order, splitter.Push(buffer[:n]))
-		if n > 0 {
+		events, tooLong := splitter.Push(buffer[:n])
+		failed := x.forwardEvents(a, answer, &order, events)
+		switch {
+		case len(events) > 0:
 			watch.reset(x.headSent)
+		case n > 0:
+			// Bytes are a sign of life and no progress: an event may have no end.
+			x.forwarder.recordActivity(a.server.ID)
+		}
+		if failed == nil && tooLong != nil {
+			failed = tooLong
 		}
 		if failed != nil {
 			x.takeOver(watch)
