List no part on missing data about other requests

Cause: the loss rate of the other requests was taken as 0 when there were none, and a part that explains less was listed while a stronger one waited for evidence. The loss rate is now estimated with a weak prior, and a part that is not cleared holds up those behind it.

--- a/core/quarantine/memory.go
+++ b/core/quarantine/memory.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// generationTime is how long complete answers are counted together. They are
+	// generationTime is how long sound answers are counted together. They are
 	// forgotten after one to two generations.
 	generationTime = 30 * time.Second
 
@@ -13,7 +13,7 @@
 )
 
 type (
-	// Memory counts an entry's complete answers by the parts of their prompts. Each
+	// Memory counts an entry's sound answers by the parts of their prompts. Each
 	// workspace has room of its own, so that none can push out the evidence for the parts
 	// of another. It is not safe for concurrent use.
 	Memory struct {
@@ -27,7 +27,8 @@
 	return &Memory{current: make(map[string]map[Key]float64), previous: make(map[string]map[Key]float64)}
 }
 
-// Record records a complete answer to a request to a service.
+// Record records a sound answer to a request to a service: one that is complete, or has been
+// going on for a while.
 func (m *Memory) Record(now time.Time, service, workspace string, parts []Key) {
 	m.advance(now)
 	counts, ok := m.current[workspace]
@@ -43,7 +44,7 @@
 	}
 }
 
-// Answers returns the number of recent complete answers to requests with a part.
+// Answers returns the number of recent sound answers to requests with a part.
 func (m *Memory) Answers(now time.Time, k Key) float64 {
 	m.advance(now)
 	var n float64
--- a/core/quarantine/pool.go
+++ b/core/quarantine/pool.go
@@ -24,10 +24,13 @@
 	// crashRate is the assumed share of requests with a crashing part that end their
 	// server: not each one needs to. The share of requests of a service that are at a
 	// server when it ends is assumed to be within minLossRate and maxLossRate.
+	// It is estimated as if unknownLost of unknownRequests more requests had been lost.
 	// listingLogLikelihood is the log-likelihood ratio from which a part is listed.
 	crashRate            = 0.8
 	minLossRate          = 0.05
 	maxLossRate          = 0.6
+	unknownLost          = 2
+	unknownRequests      = 4
 	listingLogLikelihood = 4.5
 
 	// minSuspectEnds is the number of ends that make a part a suspect, maxSuspects the
@@ -46,7 +49,7 @@
 	// use.
 	//
 	// A part is judged by a likelihood ratio test of its requests: the servers that ended
-	// under them against the complete answers to them, compared with the other requests of
+	// under them against the sound answers to them, compared with the other requests of
 	// the service. Ends that a listed part explains don't count against other parts, which
 	// belong to requests that merely ran beside it.
 	Pool struct {
@@ -221,7 +224,7 @@
 		c.soundness = p.answers(c.key)
 		others := max(float64(len(lost[c.service])-len(c.requests)), 0)
 		answered := max(p.answers(KeyOf(c.service, ""))-c.soundness, 0)
-		c.score = logLikelihood(c.weight(), c.soundness, others/max(others+answered, 1))
+		c.score = logLikelihood(c.weight(), c.soundness, (others+unknownLost)/(others+answered+unknownRequests))
 		charges = append(charges, c)
 	}
 	slices.SortFunc(charges, compareCharges)
@@ -262,12 +265,12 @@
 	return n
 }
 
-// convict returns the listing of the first part against which the evidence suffices, if the
-// entries have been asked about it. A later one has to wait, as the first may explain its
-// ends.
+// convict returns the listing of the first part that is not cleared, if the evidence against
+// it suffices and the entries have been asked about it. A later one has to wait, as the first
+// may explain its ends.
 func (p *Pool) convict(now time.Time, charges []*charge) (Listing, bool) {
-	i := slices.IndexFunc(charges, (*charge).suffices)
-	if i < 0 {
+	i := slices.IndexFunc(charges, func(c *charge) bool { return c.score > 0 })
+	if i < 0 || !charges[i].suffices() {
 		return Listing{}, false
 	}
 	c := charges[i]
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -45,7 +45,7 @@
 		Requests    []Request
 	}
 
-	// Sound is the recent number of complete answers to requests with a part, weighted
+	// Sound is the recent number of sound answers to requests with a part, weighted
 	// by age.
 	Sound struct {
 		_       struct{} `cbor:",toarray"`
@@ -61,7 +61,7 @@
 		// Left is the time until the listing ends.
 		Left time.Duration
 		// Ends, Requests and Sound are what it is based on: the servers that ended under
-		// requests with the part, the number of these requests, and the complete answers
+		// requests with the part, the number of these requests, and the sound answers
 		// to others.
 		Ends     int
 		Requests int
