--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -100,6 +100,8 @@
 		startedAt        time.Time
 		head             forward.Head
 		successRecorded  bool // success was recorded
+		soundRecorded    bool // it was recorded as an answer that speaks for its prompt
+		firstEventAt     time.Time
 		waitTallied      bool // the wait for the first byte was tallied before it came
 		pace             streamPace
 		counted          bool   // counted until its answer, as its server gets few requests after a hold-off
@@ -142,7 +144,7 @@
 		outcome, err := x.tryServer(ctx, a)
 		x.forwarder.metrics.attemptEnded(outcome)
 		if err == nil {
-			x.recordComplete()
+			x.recordSound(a)
 			return nil
 		}
 		x.logFailedAttempt(a, outcome, err)
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -69,9 +69,12 @@
 			continue
 		}
 		if !a.successRecorded {
-			a.successRecorded = true
+			a.successRecorded, a.firstEventAt = true, x.now()
 			x.forwarder.recordSuccess(a, x)
 		}
+		if x.now().Sub(a.firstEventAt) >= soundAfter {
+			x.recordSound(a)
+		}
 		if err := x.forwardEvent(answer, e.Raw); err != nil {
 			return err
 		}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -21,6 +21,10 @@
 	// evidenceTimeout bounds sending a report.
 	evidenceTimeout = time.Second
 
+	// soundAfter is how long after its first event an answer speaks for the parts of its
+	// prompt.
+	soundAfter = 300 * time.Millisecond
+
 	// endedRetention is how long it is known that a server has ended.
 	endedRetention = time.Minute
 
@@ -90,11 +94,14 @@
 	return x.forwarder.admit(a)
 }
 
-// recordComplete records a complete answer, which speaks for the parts of its prompt.
-func (x *activeRequest) recordComplete() {
-	if len(x.parts) == 0 {
+// recordSound records an answer that is complete or has been going on for soundAfter, which
+// speaks for the parts of its prompt: long ones take longer than servers last when a part
+// crashes them.
+func (x *activeRequest) recordSound(a *attempt) {
+	if len(x.parts) == 0 || a.soundRecorded {
 		return
 	}
+	a.soundRecorded = true
 	f := x.forwarder
 	f.mu.Lock()
 	defer f.mu.Unlock()
