Split the relations of a timeline from its assembly, and pass contexts on

The linter found explain's Timeline too complex and four calls that dropped the context of a watch. What the lines about a request name is a type of its own now; messages to a control use the watch's context.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -265,7 +265,7 @@
 	x.takeOver(watch)
 	f.recordActivity(a.server.ID)
 	a.head = f.entry.cfg.Forwarding.Dialect.Head(answer.Status, answer.Header)
-	f.hear(a.server, a.head, a.startedAt, x.req.ID)
+	f.hear(a.server, a.head, a.startedAt, x.req.ID) //nolint:contextcheck // a report about the server outlives the request
 	f.settle(a, !a.head.Refused && a.head.HoldOff == 0)
 	return x.handleAnswer(ctx, cancel, a, answer)
 }
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -344,7 +344,7 @@
 	if head.Limit.Kind == pacing.Unlimited {
 		head.Limit = pacing.Statement{} // A status need not repeat the limit.
 	}
-	f.hear(server, head, start, requestID)
+	f.hear(server, head, start, requestID) //nolint:contextcheck // a report about the server outlives the request
 	body, err := io.ReadAll(io.LimitReader(answer, maxStatusBytes))
 	if err != nil {
 		return forward.ServerStatus{}, errors.Trace(err)
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -35,11 +35,14 @@
 	}
 	level.Info(f.entry.cfg.Logger).Log("msg", "Backend server names a limit.", "id", requestID, "server", server.ID, "addr", server.Address,
 		"incarnation", server.Incarnation, "limit", limit, "share", share)
-	go func() {
-		ctx, cancel := context.WithTimeout(f.entry.ctx, limitTimeout)
-		defer cancel()
-		f.watcher.notifyAll(ctx, member.KindLimits, words)
-	}()
+	go f.reportLimits(words)
+}
+
+// reportLimits tells the watched controls what the entry has heard of limits.
+func (f *forwarder) reportLimits(words []pacing.Word) {
+	ctx, cancel := context.WithTimeout(f.entry.ctx, limitTimeout)
+	defer cancel()
+	f.watcher.notifyAll(ctx, member.KindLimits, words)
 }
 
 // applyLimits applies the limits that a control knows and its shares of them.
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -189,7 +189,7 @@
 
 // applyParts applies what a control lists and suspects, and answers it with the sound
 // answers of the suspects.
-func (f *forwarder) applyParts(now time.Time, reply member.WatchReply, s *watchState) {
+func (f *forwarder) applyParts(ctx context.Context, now time.Time, reply member.WatchReply, s *watchState) {
 	if reply.PartsVersion == s.partsVersion {
 		return
 	}
@@ -213,26 +213,20 @@
 			"ends", l.Ends, "requests", l.Requests, "sound", l.Sound, "for", l.Left, "control", s.address)
 	}
 	if len(sound) > 0 {
-		go f.notifyControl(s.address, quarantine.Report{Sender: f.entry.cfg.ID, Sound: sound})
+		f.watcher.notify(ctx, s.address, member.KindEvidence, quarantine.Report{Sender: f.entry.cfg.ID, Sound: sound})
 	}
 }
 
 // reportListed tells a control what is listed: all controls may have started anew.
-func (f *forwarder) reportListed(address string) {
+func (f *forwarder) reportListed(ctx context.Context, address string) {
 	f.mu.Lock()
 	listed := f.parts.list.All(f.entry.cfg.Clock.Now())
 	f.mu.Unlock()
 	if len(listed) > 0 {
-		f.notifyControl(address, quarantine.Report{Sender: f.entry.cfg.ID, Listed: listed})
+		f.watcher.notify(ctx, address, member.KindEvidence, quarantine.Report{Sender: f.entry.cfg.ID, Listed: listed})
 	}
 }
 
-func (f *forwarder) notifyControl(address string, r quarantine.Report) {
-	ctx, cancel := context.WithTimeout(f.entry.ctx, evidenceTimeout)
-	defer cancel()
-	f.watcher.notify(ctx, address, member.KindEvidence, r)
-}
-
 // forgetEnded forgets servers that ended a while ago. Callers hold f.mu.
 func (f *forwarder) forgetEnded(now time.Time) {
 	for start, at := range f.parts.ended {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -180,7 +180,7 @@
 	state := &watchState{position: reached, address: address, distance: distance, lastCurrent: cfg.Clock.Now(), recorder: health.NewRecorder()}
 	w.entry.forwarder.addEvidenceSource(state)
 	defer w.entry.forwarder.removeEvidenceSource(state)
-	w.entry.forwarder.reportListed(address)
+	w.entry.forwarder.reportListed(ctx, address)
 	for {
 		if err := w.poll(ctx, conn, state); err != nil {
 			return err
@@ -208,7 +208,7 @@
 	if err := conn.Call(ctx, member.KindWatch, request, &reply); err != nil {
 		return err
 	}
-	w.applyReply(reply, state)
+	w.applyReply(ctx, reply, state)
 	return w.fetch(ctx, conn, reply.DocumentsRevision, state.distance)
 }
 
@@ -273,7 +273,7 @@
 
 // applyReply applies a control's reply. A report that a server is silent is
 // ignored unless the control follows a leader that a majority follows.
-func (w *watcher) applyReply(reply member.WatchReply, state *watchState) {
+func (w *watcher) applyReply(ctx context.Context, reply member.WatchReply, state *watchState) {
 	e := w.entry
 	now := e.cfg.Clock.Now()
 	state.controlRun, state.rosterVersion = reply.RunID, reply.Roster.Version
@@ -286,7 +286,7 @@
 	}
 	e.forwarder.updateRoster(now, reply.Roster)
 	e.forwarder.applyEvidence(now, reply, state)
-	e.forwarder.applyParts(now, reply, state)
+	e.forwarder.applyParts(ctx, now, reply, state)
 	e.forwarder.applyLimits(now, reply, state)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -94,42 +94,18 @@
 // about the request.
 func (l *Log) Timeline(id string) []Line {
 	var timeline []Line
-	servers := make(map[string]bool)
-	plans := make(map[string]bool)
-	sources := make(map[string]bool)
-	parts := make(map[string]bool)
-	var first, last time.Time
+	t := newTraces()
 	for _, line := range l.lines {
-		if line.Get(fieldID) != id {
-			continue
-		}
-		timeline = append(timeline, line)
-		sources[line.Source] = true
-		servers[line.Get(fieldServer)] = true
-		plans[line.Get(fieldPlan)] = true
-		for _, part := range strings.Split(line.Get(fieldPrompt), ",") {
-			parts[part] = part != ""
-		}
-		if first.IsZero() || line.At.Before(first) {
-			first = line.At
-		}
-		if line.At.After(last) {
-			last = line.At
+		if line.Get(fieldID) == id {
+			timeline = append(timeline, line)
+			t.add(line)
 		}
 	}
 	if len(timeline) == 0 {
 		return nil
 	}
 	for _, line := range l.lines {
-		if line.Get(fieldID) == id || line.At.After(last) {
-			continue
-		}
-		recent := line.At.After(first.Add(-stateLookback))
-		aboutServer := recent && servers[line.Get(fieldSubject)] && line.Get(fieldSubject) != ""
-		aboutWord := sources[line.Source] && servers[line.Get(fieldSubject)] && line.holdsAt(first)
-		aboutPlan := sources[line.Source] && line.Get(fieldRevision) != "" && plans[line.Get(fieldRevision)]
-		aboutPart := line.Get(fieldID) == "" && parts[line.Get(fieldPrompt)]
-		if aboutServer || aboutWord || aboutPlan || aboutPart {
+		if line.Get(fieldID) != id && t.concerns(line) {
 			timeline = append(timeline, line)
 		}
 	}
--- /dev/null
+++ b/internal/explain/traces.go
@@ -0,0 +1,46 @@
+package explain
+
+import (
+	"strings"
+	"time"
+)
+
+// traces is what the lines about a request name: the backend servers, revisions, processes
+// and prompt parts, and the time that they span.
+type traces struct {
+	servers, plans, sources, parts map[string]bool
+	first, last                    time.Time
+}
+
+func newTraces() *traces {
+	return &traces{servers: make(map[string]bool), plans: make(map[string]bool), sources: make(map[string]bool), parts: make(map[string]bool)}
+}
+
+// add adds what a line about the request names.
+func (t *traces) add(line Line) {
+	t.sources[line.Source] = true
+	t.servers[line.Get(fieldServer)] = true
+	t.plans[line.Get(fieldPlan)] = true
+	for _, part := range strings.Split(line.Get(fieldPrompt), ",") {
+		t.parts[part] = part != ""
+	}
+	if t.first.IsZero() || line.At.Before(t.first) {
+		t.first = line.At
+	}
+	if line.At.After(t.last) {
+		t.last = line.At
+	}
+}
+
+// concerns reports whether a line is about something that the request's lines name.
+func (t *traces) concerns(line Line) bool {
+	if line.At.After(t.last) {
+		return false
+	}
+	recent := line.At.After(t.first.Add(-stateLookback))
+	aboutServer := recent && t.servers[line.Get(fieldSubject)] && line.Get(fieldSubject) != ""
+	aboutWord := t.sources[line.Source] && t.servers[line.Get(fieldSubject)] && line.holdsAt(t.first)
+	aboutPlan := t.sources[line.Source] && line.Get(fieldRevision) != "" && t.plans[line.Get(fieldRevision)]
+	aboutPart := line.Get(fieldID) == "" && t.parts[line.Get(fieldPrompt)]
+	return aboutServer || aboutWord || aboutPlan || aboutPart
+}
