Give a control that starts anew the listed parts of the others

Found by TestEvidenceMeetsAtAllControls, which timed out (33 s) waiting for the listing at a restarted control: a control passed on only what it had listed itself, so that the listing of a control that restarts was known to its neighbours and not given back. A control that asks with another run's position gets the whole list. The test's controls now listen before any of them starts; started one by one, two of them could found groups of their own.

--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -29,10 +30,12 @@
 func TestEvidenceMeetsAtAllControls(t *testing.T) {
 	g := newSeededGroup(t)
 	ids := []string{"a", "b", "c"}
+	listeners := make(map[string]net.Listener)
 	for _, id := range ids {
-		l := g.listen(id, true)
-		t.Cleanup(func() { l.Close() })
-		g.start(id, l, true)
+		listeners[id] = g.listen(id, true)
+	}
+	for _, id := range ids {
+		g.start(id, listeners[id], true)
 	}
 	g.waitForLeader("three voters", func(*Node) bool { return g.voters() == 3 })
 	waitFor(t, "a listing at all controls", func() bool {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -222,6 +222,10 @@
 		n.addShares(now, r.Entry.ID, &reply)
 		return reply
 	}
+	if r.RunID != n.runID {
+		// The other control may have started anew.
+		reply.Listed = n.fleet.parts.List().All(now)
+	}
 	since := now.Add(-2 * watchMaxWait)
 	reply.Roster.Sightings = n.fleet.roster.SightingsSince(since, r.SightingsVersion)
 	reply.Roster.SightingsVersion = n.fleet.roster.SightingsVersion()
@@ -349,7 +353,7 @@
 	for _, r := range reply.Reports {
 		n.mergeReport(r, false)
 	}
-	for _, r := range reply.Evidence {
+	for _, r := range append(reply.Evidence, quarantine.Report{Listed: reply.Listed}) {
 		n.fleet.parts.Add(now, r)
 	}
 	n.mergeLimits(now, reply.Limits)
