--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -158,6 +158,25 @@
 	}
 }
 
+// nameLimits lets one server after the other name a limit for some seconds, beside all other
+// faults. It draws from a source of its own, so that the faults of a seed stay as they are.
+func (s *soak) nameLimits(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.cfg.Seed, 11)) //nolint:gosec // deterministic faults for a given seed
+	pause := func(d time.Duration) {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
+	}
+	for ctx.Err() == nil {
+		pause(time.Duration(random.IntN(4000)) * time.Millisecond)
+		srv := s.servers[random.IntN(serverCount)]
+		srv.nameLimit(0.5 + float64(random.IntN(10))/2)
+		pause(contactTime + limitWindow + drawPause(random))
+		srv.nameLimit(0)
+	}
+}
+
 // drawReload draws a change of a process's settings file: other seeds, with SIGHUP or
 // without.
 func (s *soak) drawReload(p *process, random *rand.Rand) plannedFault {
--- a/internal/soak/observation.go
+++ b/internal/soak/observation.go
@@ -23,6 +23,12 @@
 	// maxHeldOffArrivals is the number of requests that one entry may send to a server
 	// that wants none.
 	maxHeldOffArrivals = 2
+
+	// limitWindow is the time in which a server that named a limit gets limitFactor times
+	// what it allows and limitSlack requests at most.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
 )
 
 type (
@@ -208,5 +214,42 @@
 	}
 }
 
+// checkLimits checks that a server that names a limit gets no more requests than the bound
+// in any limitWindow, from contactTime after it first named one on, from all entries that
+// had passed on such an answer backOffTime before. A disruption of an entry since then
+// excuses its requests.
+func (v *violations) checkLimits(o observation) {
+	outcomes := o.byRequest()
+	told := make(map[entryServer]time.Time)
+	named := make(map[string]time.Time)
+	counted := make(map[string][]arrival)
+	for _, a := range o.arrivals {
+		r, ok := outcomes[a.requestID]
+		key := entryServer{r.entry, a.server}
+		if a.limit == 0 {
+			delete(named, a.server)
+			delete(counted, a.server)
+			delete(told, key)
+		}
+		if !ok || a.limit == 0 {
+			continue
+		}
+		if _, known := named[a.server]; !known {
+			named[a.server] = a.at
+		}
+		if at, known := told[key]; known && a.at.Sub(at) >= backOffTime && a.at.Sub(named[a.server]) >= contactTime && !o.disrupted(key.entry, at, a.at, planned, killed, frozen) {
+			list := slices.DeleteFunc(append(counted[a.server], a), func(b arrival) bool { return a.at.Sub(b.at) > limitWindow })
+			counted[a.server] = list
+			if bound := int(limitFactor*a.limit*limitWindow.Seconds()) + limitSlack; len(list) > bound {
+				v.add("a server's limit is kept", a.requestID, "%s got %d requests in %s at a limit of %v a second, bound %d", a.server, len(list), limitWindow, a.limit, bound)
+				delete(counted, a.server)
+			}
+		}
+		if _, known := told[key]; !known && a.server == r.server && !r.headAt.IsZero() {
+			told[key] = r.headAt
+		}
+	}
+}
+
 // clockTime formats a time like the logs of the processes.
 func clockTime(t time.Time) string { return t.UTC().Format("15:04:05.000") }
--- a/internal/soak/observation_test.go
+++ b/internal/soak/observation_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -127,3 +128,40 @@
 		"pause before":      {frozenBefore, 1},
 	}, (*violations).checkHeldOff)
 }
+
+// Beyond the bound, requests from entries that were told of a limit are reported; those of
+// an entry that was not told, or was restarted since, are not.
+func TestChecksFindBrokenLimits(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		perSecond int
+		restart   bool
+		told      bool
+		want      bool
+	}{
+		"within the limit":  {perSecond: 2, told: true},
+		"beyond the limit":  {perSecond: 5, told: true, want: true},
+		"restarted entry":   {perSecond: 5, told: true, restart: true},
+		"entry is not told": {perSecond: 5},
+	} {
+		o := observation{entries: map[string][]disruption{}}
+		if c.restart {
+			o.entries["e"] = []disruption{{kind: planned, begin: start, end: start.Add(20 * time.Second)}}
+		}
+		for i := range 12 * c.perSecond {
+			at := start.Add(time.Duration(i) * time.Second / time.Duration(c.perSecond))
+			id := strconv.Itoa(i)
+			o.arrivals = append(o.arrivals, arrival{requestID: id, server: "s", at: at, answerPlan: answerPlan{limit: 2}})
+			r := requestOutcome{id: id, entry: "e", sentAt: at}
+			if c.told {
+				r.server, r.headAt = "s", at
+			}
+			o.outcomes = append(o.outcomes, r)
+		}
+		var v violations
+		v.checkLimits(o)
+		if got := len(v.all()) > 0; got != c.want {
+			t.Errorf("%s: %v", name, v.all())
+		}
+	}
+}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -44,6 +44,7 @@
 		faulty       bool
 		leaving      bool
 		heldUntil    time.Time
+		limit        float64
 		random       *rand.Rand
 	}
 
@@ -54,6 +55,7 @@
 		fault      int
 		leaving    bool
 		retryAfter time.Duration
+		limit      float64
 	}
 )
 
@@ -127,6 +129,13 @@
 	s.heldUntil = time.Now().Add(d)
 }
 
+// nameLimit lets the server name a limit in all its answers, 0 for none.
+func (s *server) nameLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
 // leave lets the server say in all its answers that it leaves, and also in its
 // announcements if announced is true.
 func (s *server) leave(announced bool) {
@@ -150,7 +159,7 @@
 func (s *server) plan() answerPlan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	plan := answerPlan{leaving: s.leaving}
+	plan := answerPlan{leaving: s.leaving, limit: s.limit}
 	if left := time.Until(s.heldUntil); left >= time.Millisecond {
 		plan.fault, plan.retryAfter = 1, left
 	} else if s.faulty && s.random.Float64() <= faultShare {
@@ -180,7 +189,7 @@
 	}
 	plan := s.plan()
 	s.arrivals.add(arrival{requestID: id, server: self, at: time.Now(), answerPlan: plan})
-	answer := platform.SimulatedAnswer{RequestID: id, Server: self, Executed: plan.fault != 1, Leaving: plan.leaving, RetryAfter: plan.retryAfter}
+	answer := platform.SimulatedAnswer{RequestID: id, Server: self, Executed: plan.fault != 1, Leaving: plan.leaving, RetryAfter: plan.retryAfter, Limit: plan.limit}
 	answer.SetHeaders(w.Header())
 	switch {
 	case plan.fault == 1:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -116,6 +116,7 @@
 	}
 	clients.Go(func() { s.runOperator(loadCtx) })
 	clients.Go(func() { s.runResolver(loadCtx) })
+	clients.Go(func() { s.nameLimits(loadCtx) })
 	s.injectFaults(ctx)
 	stopLoad()
 	clients.Wait()
@@ -399,6 +400,7 @@
 	s.violations.checkLost(o)
 	s.violations.checkLeaving(o)
 	s.violations.checkHeldOff(o)
+	s.violations.checkLimits(o)
 }
 
 func (s *soak) report() Report {
