--- a/core/quarantine/pool_test.go
+++ b/core/quarantine/pool_test.go
@@ -163,6 +163,28 @@
 	}
 }
 
+// crashEvery sends traffic for a while, and every few steps a request that crashes its
+// server. It returns how many of these arrived later than the contact time after the fifth
+// end, less the time of a report.
+func (w *world) crashEvery(steps int, d time.Duration, perStep int) (late int) {
+	const contact = 4 * time.Second
+	n, fifth := 0, time.Time{}
+	w.traffic(d, perStep, 60, func() {
+		if n++; n%steps != 0 {
+			return
+		}
+		before := w.arrived["bad"]
+		w.send("bad", true)
+		if w.endings == 5 && fifth.IsZero() {
+			fifth = w.now
+		}
+		if !fifth.IsZero() && w.now.Sub(fifth) > contact-reportTime {
+			late += w.arrived["bad"] - before
+		}
+	})
+	return late
+}
+
 // The load pattern is a part that crashes each server that begins to answer requests with
 // it, at any entry, beside sound requests with the same first part.
 func TestCrashingPartIsListed(t *testing.T) {
@@ -170,22 +192,7 @@
 		for seed := range uint64(4) {
 			w := newWorld(seed, 20, 9)
 			w.traffic(10*time.Second, 4, 60, func() {})
-			fifth, n := time.Time{}, 0
-			late := 0
-			w.traffic(time.Duration(every)*3*time.Second, 4, 60, func() {
-				n++
-				if n%every != 0 {
-					return
-				}
-				before := w.arrived["bad"]
-				w.send("bad", true)
-				if w.endings == 5 && fifth.IsZero() {
-					fifth = w.now
-				}
-				if !fifth.IsZero() && w.now.Sub(fifth) > 4*time.Second-reportTime {
-					late += w.arrived["bad"] - before
-				}
-			})
+			late := w.crashEvery(every, time.Duration(every)*3*time.Second, 4)
 			if late > 3 || len(w.listed) != 1 || w.listed[0].Key != quarantine.KeyOf(service, "bad") {
 				t.Errorf("every %d steps, seed %d: %d arrivals late, %d ends, listed %+v", every, seed, late, w.endings, w.listed)
 			}
@@ -205,20 +212,7 @@
 		for seed := range uint64(4) {
 			w := newWorld(seed, 9, 9)
 			w.slow = true
-			n, late, fifth := 0, 0, time.Time{}
-			w.traffic(30*time.Second, 3, 60, func() {
-				if n++; n%every != 0 {
-					return
-				}
-				before := w.arrived["bad"]
-				w.send("bad", true)
-				if w.endings == 5 && fifth.IsZero() {
-					fifth = w.now
-				}
-				if !fifth.IsZero() && w.now.Sub(fifth) > 4*time.Second-reportTime {
-					late += w.arrived["bad"] - before
-				}
-			})
+			late := w.crashEvery(every, 30*time.Second, 3)
 			if late > 3 || len(w.listed) != 1 || w.listed[0].Key != quarantine.KeyOf(service, "bad") {
 				t.Errorf("every %d steps, seed %d: %d arrivals late, %d ends, listed %+v", every, seed, late, w.endings, w.listed)
 			}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -87,6 +88,9 @@
 	return Key(h.Sum64())
 }
 
+// String returns the key as it is logged.
+func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
+
 // SharedKeys returns the keys of the parts of a prompt that other requests may share: all
 // but the last, which belongs to the request or its session.
 func SharedKeys(service string, parts []string) []Key {
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -29,7 +29,7 @@
 	for _, w := range changes {
 		n.cfg.Logger.Log("msg", "Limit of a backend server changes.", "server", w.Server, "incarnation", w.Incarnation, "limit", w.PerSecond, "age", w.Age)
 	}
-	n.fleet.hasEvidence = true
+	n.fleet.hasPeerNews = true
 	close(n.fleet.judged)
 	n.fleet.judged = make(chan struct{})
 }
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -47,7 +46,7 @@
 		f.evidence = slices.Delete(f.evidence, 0, 1)
 	}
 	f.evidence = append(f.evidence, evidence{report: r, receivedAt: now, directVersion: f.direct})
-	f.hasEvidence = true
+	f.hasPeerNews = true
 }
 
 // judgeParts lists the prompt parts that crash servers and answers the watches that have
@@ -57,13 +56,13 @@
 	f := n.fleet
 	if added := f.parts.Judge(now); len(added) > 0 {
 		for _, s := range added {
-			level.Warn(n.cfg.Logger).Log("msg", "Prompt part is quarantined.", "prompt", partName(s.Key), "service", s.Service,
+			level.Warn(n.cfg.Logger).Log("msg", "Prompt part is quarantined.", "prompt", s.Key, "service", s.Service,
 				"ends", s.Ends, "requests", s.Requests, "sound", s.Sound, "for", s.Left)
 		}
 		n.shareEvidence(now, quarantine.Report{Sender: n.cfg.ID, Listed: added})
 	}
-	if f.hasEvidence {
-		f.hasEvidence = false
+	if f.hasPeerNews {
+		f.hasPeerNews = false
 		f.wakeWatchers()
 	}
 	_, suspects := f.parts.Suspects()
@@ -84,6 +83,3 @@
 		reply.Suspects, _ = n.fleet.parts.Suspects()
 	}
 }
-
-// partName returns the key of a part as it is logged.
-func partName(k quarantine.Key) string { return fmt.Sprintf("%016x", uint64(k)) }
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -62,13 +62,13 @@
 		verdictsVersion uint64
 
 		// parts combines what entries had at servers that ended. PartsVersion is the version
-		// of its listed and suspected parts for entries, evidence what other controls get of
-		// it, and hasEvidence is set until they are told.
+		// of its listed and suspected parts for entries, partsSeen what that is based on, and
+		// evidence what other controls get. HasPeerNews is set until these are told.
 		parts        *quarantine.Pool
 		partsVersion uint64
 		partsSeen    [2]uint64
 		evidence     []evidence
-		hasEvidence  bool
+		hasPeerNews  bool
 
 		// limits are the limits that servers name, and since is when this control started:
 		// it shares them out once it has heard of all entries.
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -149,7 +149,7 @@
 		}
 		x.logFailedAttempt(a, outcome, err)
 		lastOutcome = outcome
-		if !x.maySpreadTo() {
+		if !x.maySpread() {
 			x.logNotSpread()
 			return x.giveUp(ctx, outcome, nil)
 		}
--- a/internal/entry/crashing_part_test.go
+++ b/internal/entry/crashing_part_test.go
@@ -225,7 +225,7 @@
 	} {
 		x := &activeRequest{forwarder: r.entry.forwarder, service: "s", ends: c.ends, req: forward.Request{Prompt: c.prompt}}
 		x.parts = x.sharedParts()
-		if got := x.maySpreadTo(); got != c.want {
+		if got := x.maySpread(); got != c.want {
 			t.Errorf("after %d ends, prompt %v: %v", c.ends, c.prompt, got)
 		}
 	}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -76,11 +76,11 @@
 	if !ok {
 		return nil
 	}
-	level.Debug(x.log()).Log("msg", "Request has a quarantined part.", "id", x.req.ID, "prompt", partName(s.Key), "service", s.Service,
+	level.Debug(x.log()).Log("msg", "Request has a quarantined part.", "id", x.req.ID, "prompt", s.Key, "service", s.Service,
 		"ends", s.Ends, "requests", s.Requests, "sound", s.Sound, "for", s.Left)
 	return &forward.Failure{
 		Code: forward.Quarantined, RetryAfter: s.Left,
-		Detail: fmt.Sprintf("part %s of the prompt has crashed backend servers", partName(s.Key)),
+		Detail: fmt.Sprintf("part %s of the prompt has crashed backend servers", s.Key),
 	}
 }
 
@@ -160,11 +160,11 @@
 	f.watcher.notifyAll(ctx, member.KindEvidence, r)
 }
 
-// maySpreadTo reports whether the request may go to another server after those that ended
+// maySpread reports whether the request may go to another server after those that ended
 // under it. Two ends need a reason to believe that it is not the cause: each of its shared
 // parts has been answered of late. After one end it is enough that no part without such an
 // answer is under suspicion.
-func (x *activeRequest) maySpreadTo() bool {
+func (x *activeRequest) maySpread() bool {
 	if x.ends == 0 {
 		return true
 	}
@@ -209,7 +209,7 @@
 	sound := f.parts.memory.Sound(now, reply.Suspects)
 	f.mu.Unlock()
 	for _, l := range added {
-		level.Warn(f.entry.cfg.Logger).Log("msg", "Prompt part is rejected from now on.", "prompt", partName(l.Key), "service", l.Service,
+		level.Warn(f.entry.cfg.Logger).Log("msg", "Prompt part is rejected from now on.", "prompt", l.Key, "service", l.Service,
 			"ends", l.Ends, "requests", l.Requests, "sound", l.Sound, "for", l.Left, "control", s.address)
 	}
 	if len(sound) > 0 {
@@ -254,13 +254,11 @@
 	level.Warn(x.log()).Log("msg", "Request goes to no further server.", "id", x.req.ID, "ends", x.ends, "prompt", partNames(x.parts))
 }
 
-// partName returns the key of a part as it is logged.
-func partName(k quarantine.Key) string { return fmt.Sprintf("%016x", uint64(k)) }
-
+// partNames returns the keys of some parts as they are logged.
 func partNames(keys []quarantine.Key) string {
 	names := make([]string, 0, len(keys))
 	for _, k := range keys[:min(len(keys), maxLoggedParts)] {
-		names = append(names, partName(k))
+		names = append(names, k.String())
 	}
 	return strings.Join(names, ",")
 }
