Pass on for a while that a server names no limit

Found by reading: controls ignore the end of a limit if its request was sent within 0.25 s of the limit, as ages from two entries differ, and the entry that heard it never repeated it with a later request. Where one entry alone uses the server, all others would have kept the limit for good. TestLimitEndsForOthers failed before and passes now: each answer without a limit renews the word for 10 s after the end.

--- a/core/pacing/limiter.go
+++ b/core/pacing/limiter.go
@@ -38,7 +38,8 @@
 		incarnation uint64
 		limit       float64   // 0 for none
 		heardAt     time.Time // when the limit was last named, to anyone
-		freeAt      time.Time // when the request was sent whose answer ended the limit
+		freeAt      time.Time // when the latest request was sent whose answer named no limit
+		endedAt     time.Time // when the limit ended
 		own         bool      // the entry has heard the latest statement itself
 		share       float64   // requests a second
 		shareAt     time.Time // when a control last gave a share, zero for never
@@ -74,7 +75,10 @@
 	isNews := sentAt.After(s.heardAt)
 	switch {
 	case st.Kind == Unlimited && s.limit > 0 && isNews:
-		s.limit, s.freeAt, s.own = 0, sentAt, true
+		s.limit, s.freeAt, s.endedAt, s.own = 0, sentAt, now, true
+	case st.Kind == Unlimited && isNews && now.Sub(s.endedAt) < wordRetention:
+		// Others may have heard of the limit so much later that the first word was too old.
+		s.freeAt, s.own = sentAt, true
 	case st.Kind == Limited && !sentAt.Before(s.freeAt):
 		if s.limit == 0 || isNews || st.PerSecond < s.limit {
 			s.limit = st.PerSecond
@@ -137,7 +141,7 @@
 	before := s.limit
 	switch {
 	case w.PerSecond == 0 && s.limit > 0 && at.After(s.heardAt):
-		s.limit, s.freeAt, s.own = 0, at, false
+		s.limit, s.freeAt, s.endedAt, s.own = 0, at, now, false
 	case w.PerSecond > 0 && at.After(s.heardAt) && at.After(s.freeAt):
 		s.limit, s.heardAt, s.own = w.PerSecond, at, false
 	}
@@ -208,7 +212,7 @@
 		if s.limit == 0 {
 			w.Age = now.Sub(s.freeAt)
 		}
-		if s.own && (s.limit > 0 || w.Age < wordRetention) {
+		if s.own && (s.limit > 0 || now.Sub(s.endedAt) < wordRetention) {
 			words = append(words, w)
 		}
 	}
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -286,3 +286,26 @@
 		}
 	})
 }
+
+// The only entry that uses a limited server hears the end of its limit at once. Others may
+// use it too then, although the first word of that was too close to the limit to count.
+func TestLimitEndsForOthers(t *testing.T) {
+	l, p := pacing.NewLimiter("e"), pacing.NewPool()
+	l.Hear(start, "s", 1, start, pacing.Statement{Kind: pacing.Limited, PerSecond: 3})
+	p.Add(start, l.Words(start))
+	for _, ms := range []int{100, 1100, 2100} {
+		sentAt := start.Add(time.Duration(ms) * time.Millisecond)
+		now := sentAt.Add(50 * time.Millisecond)
+		l.Hear(now, "s", 1, sentAt, pacing.Statement{Kind: pacing.Unlimited})
+		p.Add(now, l.Words(now))
+	}
+	now := start.Add(3 * time.Second)
+	for _, w := range p.Words(now) {
+		if w.PerSecond > 0 {
+			t.Errorf("the limit is still passed on: %+v", w)
+		}
+	}
+	if words := l.Words(start.Add(time.Minute)); len(words) > 0 {
+		t.Errorf("its end is passed on for ever: %+v", words)
+	}
+}
