List no part while servers crash on anything

Found by reading: with no sound answer at all, the part that all requests share was listed after 13 ends, and so were those of three kinds of requests (16 and 17 ends each); a bad release would have had its callers rejected for an hour. Cause: the loss rate of other requests was capped below the assumed crash rate, so that each end counted against a part. TestServersThatCrashOnAnythingListNoPart failed before.

A crashing part is found in that load by its presence at nearly all ends, compared with its share of the lost requests.

--- a/core/quarantine/pool.go
+++ b/core/quarantine/pool.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -14,25 +12,6 @@
 	// maxEnds bounds the ends of servers that are kept. The oldest ones yield.
 	maxEnds = 256
 
-	// A part is listed only for minEnds servers that ended under as many requests with
-	// it, in minEpisodes of time that begin at least episodeTime apart. Servers that fail
-	// with a rack, an availability zone or a release end at the same time.
-	minEnds     = 3
-	minEpisodes = 3
-	episodeTime = 300 * time.Millisecond
-
-	// crashRate is the assumed share of requests with a crashing part that end their
-	// server: not each one needs to. The share of requests of a service that are at a
-	// server when it ends is assumed to be within minLossRate and maxLossRate.
-	// It is estimated as if unknownLost of unknownRequests more requests had been lost.
-	// listingLogLikelihood is the log-likelihood ratio from which a part is listed.
-	crashRate            = 0.8
-	minLossRate          = 0.05
-	maxLossRate          = 0.6
-	unknownLost          = 2
-	unknownRequests      = 4
-	listingLogLikelihood = 4.5
-
 	// minSuspectEnds is the number of ends that make a part a suspect, maxSuspects the
 	// number of suspects that entries are asked about, and suspectTime how long they have
 	// to answer.
@@ -66,23 +45,18 @@
 		incarnation uint64
 	}
 
+	// serviceLoss is what was lost and answered at a service.
+	serviceLoss struct {
+		ends     []*pooledEnd
+		requests map[uint64]bool // lost with a server
+		answered float64
+	}
+
 	pooledEnd struct {
 		service  string
 		at       time.Time
 		requests map[uint64]Request
 	}
-
-	// charge is what speaks for and against one part.
-	charge struct {
-		key       Key
-		service   string
-		ends      []time.Time
-		requests  map[uint64]bool
-		position  int // the sum of its positions in the prompts
-		placed    int
-		soundness float64
-		score     float64
-	}
 )
 
 // NewPool returns a pool without evidence.
@@ -193,61 +167,40 @@
 // order in which they are judged. Ends that a listed part explains are left out.
 func (p *Pool) charges(now time.Time) []*charge {
 	byKey := make(map[Key]*charge)
-	lost := make(map[string]map[uint64]bool) // requests that were at a server when it ended, by service
+	totals := make(map[string]*serviceLoss)
 	for _, e := range p.ends {
 		if p.isExplained(now, e) {
 			continue
 		}
-		if lost[e.service] == nil {
-			lost[e.service] = make(map[uint64]bool)
+		t, ok := totals[e.service]
+		if !ok {
+			t = &serviceLoss{requests: make(map[uint64]bool), answered: p.answers(KeyOf(e.service, ""))}
+			totals[e.service] = t
 		}
-		seen := make(map[Key]bool)
+		t.ends = append(t.ends, e)
 		for id, r := range e.requests {
-			lost[e.service][id] = true
+			t.requests[id] = true
 			for i, k := range r.Parts {
 				c, ok := byKey[k]
 				if !ok {
-					c = &charge{key: k, service: e.service, requests: make(map[uint64]bool)}
+					c = &charge{key: k, service: e.service, ends: make(map[*pooledEnd]bool), requests: make(map[uint64]bool)}
 					byKey[k] = c
 				}
-				c.requests[id] = true
+				c.ends[e], c.requests[id] = true, true
 				c.position, c.placed = c.position+i, c.placed+1
-				if !seen[k] {
-					seen[k] = true
-					c.ends = append(c.ends, e.at)
-				}
 			}
 		}
 	}
 	charges := make([]*charge, 0, len(byKey))
 	for _, c := range byKey {
-		c.soundness = p.answers(c.key)
-		others := max(float64(len(lost[c.service])-len(c.requests)), 0)
-		answered := max(p.answers(KeyOf(c.service, ""))-c.soundness, 0)
-		c.score = logLikelihood(c.weight(), c.soundness, (others+unknownLost)/(others+answered+unknownRequests))
+		c.answers = p.answers(c.key)
+		c.weigh(totals[c.service])
 		charges = append(charges, c)
 	}
 	slices.SortFunc(charges, compareCharges)
 	return charges
 }
 
-// compareCharges puts the charge that explains more ends first. Of two that explain as many
-// the part with fewer sound answers, in fewer requests, and then the one later in the
-// prompt, is the more specific.
-func compareCharges(a, b *charge) int {
-	return cmp.Or(
-		cmp.Compare(b.weight(), a.weight()), cmp.Compare(a.soundness, b.soundness), cmp.Compare(len(a.requests), len(b.requests)),
-		cmp.Compare(b.position*a.placed, a.position*b.placed), cmp.Compare(a.key, b.key),
-	)
-}
-
-// logLikelihood returns the log-likelihood ratio of a part that ends servers against one
-// whose requests are lost as often as others.
-func logLikelihood(ends int, answers, lossRate float64) float64 {
-	lossRate = min(max(lossRate, minLossRate), maxLossRate)
-	return float64(ends)*math.Log(crashRate/lossRate) + answers*math.Log((1-crashRate)/(1-lossRate))
-}
-
 func (p *Pool) isExplained(now time.Time, e *pooledEnd) bool {
 	for _, r := range e.requests {
 		if _, ok := p.list.Find(now, r.Parts); ok {
@@ -278,27 +231,11 @@
 		p.changed = true
 		return Listing{}, false
 	}
-	return Listing{Key: c.key, Service: c.service, Left: listingTime, Ends: len(c.ends), Requests: len(c.requests), Sound: c.soundness}, true
-}
-
-func (c *charge) suffices() bool {
-	return c.score >= listingLogLikelihood && c.weight() >= minEnds && episodes(c.ends) >= minEpisodes
+	return Listing{Key: c.key, Service: c.service, Left: listingTime, Ends: len(c.ends), Requests: len(c.requests), Sound: c.answers}, true
 }
 
-// episodes returns the number of episodes that the times fall into.
-func episodes(times []time.Time) int {
-	slices.SortFunc(times, time.Time.Compare)
-	n := 0
-	var start time.Time
-	for _, at := range times {
-		if n == 0 || at.Sub(start) >= episodeTime {
-			n, start = n+1, at
-		}
-	}
-	return n
-}
-
-// suspect updates the suspects: the parts under which most servers ended and all requests of their services.
+// suspect updates the suspects: the parts under which most servers ended, and all
+// requests of their services.
 func (p *Pool) suspect(now time.Time, charges []*charge) {
 	next := make(map[Key]time.Time)
 	for _, c := range charges {
@@ -323,9 +260,6 @@
 	}
 }
 
-// weight is the number of ends that different requests may have caused.
-func (c *charge) weight() int { return min(len(c.ends), len(c.requests)) }
-
 func sameKeys(a, b map[Key]time.Time) bool {
 	if len(a) != len(b) {
 		return false
--- a/core/quarantine/pool_test.go
+++ b/core/quarantine/pool_test.go
@@ -28,7 +28,8 @@
 	arrived  map[string]int
 	endings  int
 	listed   []quarantine.Listing
-	slow     bool // answers take several seconds
+	slow     bool   // answers take several seconds
+	first    string // the first part of prompts
 }
 
 type serverState struct {
@@ -57,7 +58,7 @@
 
 func newWorld(seed uint64, entries, servers int) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), now: start, pool: quarantine.NewPool(), rejected: make(map[string]int), arrived: make(map[string]int),
+		first: "common", random: rand.New(rand.NewPCG(seed, 1)), now: start, pool: quarantine.NewPool(), rejected: make(map[string]int), arrived: make(map[string]int),
 	}
 	for range entries {
 		w.memories = append(w.memories, quarantine.NewMemory())
@@ -74,7 +75,7 @@
 // ends its server at once.
 func (w *world) send(middle string, crashes bool) {
 	w.requests++
-	parts := []string{"common", middle, fmt.Sprint("own", w.requests)}
+	parts := []string{w.first, middle, fmt.Sprint("own", w.requests)}
 	keys := quarantine.SharedKeys(service, parts)
 	if _, ok := w.pool.List().Find(w.now, keys); ok {
 		w.rejected[middle]++
@@ -385,3 +386,20 @@
 		t.Errorf("the last part is shared: %v", got)
 	}
 }
+
+// When every request crashes its server, none of the parts is to blame: nothing is sound to
+// compare them with.
+func TestServersThatCrashOnAnythingListNoPart(t *testing.T) {
+	for _, kinds := range []int{1, 3} {
+		w := newWorld(1, 20, 9)
+		n := 0
+		for end := w.now.Add(60 * time.Second); w.now.Before(end); w.tick() {
+			n++
+			w.first = fmt.Sprint("common", n%kinds)
+			w.send(fmt.Sprint("middle", w.random.IntN(60)), true)
+		}
+		if len(w.listed) > 0 {
+			t.Errorf("%d kinds of requests: %d ends, listed %+v", kinds, w.endings, w.listed)
+		}
+	}
+}
