Report sound answers in the test of evidence at all controls

A crashing part beside sound requests is what the test is about; its entries now report them, and the common part must stay clear.

--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -10,12 +10,14 @@
 	"rosereach/io/member"
 )
 
-// reportEnd reports to a control that a server ended under a request with the given part.
+// reportEnd reports to a control that a server ended under a request with the given part,
+// and sound answers to other requests with its first part.
 func reportEnd(n *Node, i int, part string) {
 	parts := quarantine.SharedKeys("s", []string{"common", part, "own"})
 	e := quarantine.End{Service: "s", Server: fmt.Sprint("server-", i), Incarnation: 1}
 	r := quarantine.NewRequest(fmt.Sprint("request-", i), "w", parts)
-	n.receiveEvidence(quarantine.Report{Sender: fmt.Sprint("entry-", i), Ends: []quarantine.End{e.WithRequest(r)}}) //nolint:errcheck // it returns none
+	sound := []quarantine.Sound{{Key: quarantine.KeyOf("s", ""), Answers: 50}, {Key: quarantine.KeyOf("s", "common"), Answers: 50}}
+	n.receiveEvidence(quarantine.Report{Sender: fmt.Sprint("entry-", i), Ends: []quarantine.End{e.WithRequest(r)}, Sound: sound}) //nolint:errcheck // it returns none
 }
 
 func (n *Node) lists(part string) bool {
