Log the digest of a request

The logs of the incident name requests by ids that are new each time: they can't tell whether the request that ended a server is the one that ended another. Admitted requests and those under which a server ended carry a digest of what stays the same. No decision depends on it yet.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -66,6 +66,7 @@
 
 		service string
 		parts   []quarantine.Key // of the prompt, as far as other requests share them
+		digest  quarantine.Key   // of the whole request, the same when it comes again
 		ends    int              // servers that ended while they had the request
 		model   string
 		tried   []string // servers of the attempts so far
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -19,7 +19,7 @@
 func (x *activeRequest) logAdmitted(arrived time.Time) {
 	now := x.now()
 	level.Debug(x.log()).Log("msg", "Request is admitted.", "id", x.req.ID, "route", x.route.Name, "ws", x.workspace.Name,
-		"sess", x.req.Session, "prio", x.priority(), "plan", x.revision(), "waited", now.Sub(arrived), "left", x.deadline.Sub(now),
+		"sess", x.req.Session, "digest", x.digest, "prio", x.priority(), "plan", x.revision(), "waited", now.Sub(arrived), "left", x.deadline.Sub(now),
 		"input", x.req.InputTokens, "output", x.req.OutputTokens)
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -16,6 +16,7 @@
 	"rosereach/core/limit"
 	"rosereach/core/pacing"
 	"rosereach/core/placement"
+	"rosereach/core/quarantine"
 	"rosereach/core/request"
 	"rosereach/core/retry"
 	"rosereach/core/rollout"
@@ -223,6 +224,7 @@
 	}
 	x.service = e.forwarder.pickService(r)
 	x.parts = x.sharedParts()
+	x.digest = quarantine.DigestOf(x.service, w.Name, req.Method, req.Target, req.Body)
 	return x, nil
 }
 
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -246,12 +246,12 @@
 // logServerEnd logs that a server ended under the request.
 func (x *activeRequest) logServerEnd(a *attempt) {
 	level.Warn(x.log()).Log("msg", "Backend server ended under a request.", "id", x.req.ID, "srv", a.server.ID, "addr", a.server.Address,
-		"incarnation", a.server.Incarnation, "prompt", partNames(x.parts), "ends", x.ends, "took", x.now().Sub(a.startedAt))
+		"incarnation", a.server.Incarnation, "prompt", partNames(x.parts), "digest", x.digest, "ends", x.ends, "took", x.now().Sub(a.startedAt))
 }
 
 // logNotSpread logs that the request goes to no further server after those that ended.
 func (x *activeRequest) logNotSpread() {
-	level.Warn(x.log()).Log("msg", "Request goes to no further server.", "id", x.req.ID, "ends", x.ends, "prompt", partNames(x.parts))
+	level.Warn(x.log()).Log("msg", "Request goes to no further server.", "id", x.req.ID, "ends", x.ends, "prompt", partNames(x.parts), "digest", x.digest)
 }
 
 // partNames returns the keys of some parts as they are logged.
