Run suspected requests by turns, and quarantine those that crash servers

Callers saw one request, the same each time but for its id, end the servers of a small service again and again: 16 ended, 8 arrivals more than allowed.

The digest of a whole request is a second kind of key for the same reports and lists. Ends of servers that go on announcing themselves are taken back. Requests that are the same count once against a part.

The stand-in of crashing servers now starts a server at the address it had, as the platform does: before, dead addresses piled up until a poll had tried six. Its requests with a part carry bodies of their own, as different prompts do.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -45,7 +45,8 @@
 	NoServer Code = "no_server"
 	// Draining: this entry is shutting down. Not run.
 	Draining Code = "draining"
-	// Quarantined: a part of the prompt has crashed backend servers. Not run.
+	// Quarantined: the request, or a part of its prompt, has crashed backend servers, or
+	// may have. Not run.
 	Quarantined Code = "quarantined"
 	// AnswerLost: the answer is lost; the request may have run.
 	AnswerLost Code = "gateway"
--- a/core/quarantine/charge.go
+++ b/core/quarantine/charge.go
@@ -38,6 +38,7 @@
 	service  string
 	ends     map[*pooledEnd]bool
 	requests map[uint64]bool // that were at a server when it ended
+	distinct map[uint64]bool // those that are not the same request again
 	position int             // the sum of the part's positions in prompts
 	placed   int             // the number of these prompts
 	answers  float64         // sound ones
@@ -82,8 +83,9 @@
 	return score
 }
 
-// weight is the number of ends that different requests may have caused.
-func (c *charge) weight() int { return min(len(c.ends), len(c.requests)) }
+// weight is the number of ends that different requests may have caused. One that comes again
+// is judged by itself.
+func (c *charge) weight() int { return min(len(c.ends), len(c.distinct)) }
 
 // suffices reports whether the part may be listed.
 func (c *charge) suffices() bool {
--- a/core/quarantine/pool.go
+++ b/core/quarantine/pool.go
@@ -38,6 +38,11 @@
 		suspects map[Key]time.Time          // since when
 		version  uint64                     // of the suspects
 		changed  bool                       // evidence arrived since the last judgment
+
+		repeats   map[Key]*repeat // by digest
+		repeatsOf map[uint64]int  // their number by workspace
+		turns     map[string]*turns
+		answered  map[string]recentAnswers // by service
 	}
 
 	endKey struct {
@@ -63,6 +68,7 @@
 func NewPool() *Pool {
 	return &Pool{
 		list: NewList(), ends: make(map[endKey]*pooledEnd), sound: make(map[Key]map[string]float64), suspects: make(map[Key]time.Time),
+		repeats: make(map[Key]*repeat), repeatsOf: make(map[uint64]int), turns: make(map[string]*turns), answered: make(map[string]recentAnswers),
 	}
 }
 
@@ -86,6 +92,9 @@
 		p.changed = p.changed || p.sound[s.Key][r.Sender] != s.Answers
 		p.sound[s.Key][r.Sender] = s.Answers
 	}
+	for _, t := range r.Trials {
+		news = p.addTrial(now, t) || news
+	}
 	for _, s := range r.Listed {
 		news = p.list.Add(now, s) || news
 	}
@@ -105,6 +114,7 @@
 	for _, r := range e.Requests {
 		if _, ok := known.requests[r.ID]; !ok && len(r.Parts) <= maxParts {
 			known.requests[r.ID] = r
+			p.addRepeat(now, e.Service, key, r)
 			news = true
 		}
 	}
@@ -125,7 +135,8 @@
 	delete(p.ends, oldest)
 }
 
-// Suspects returns the parts that entries are asked about, and the version of this list.
+// Suspects returns the parts that entries are asked about and the requests that may run only
+// by turns, and the version of this list.
 func (p *Pool) Suspects() ([]Key, uint64) {
 	keys := make([]Key, 0, len(p.suspects))
 	for k := range p.suspects {
@@ -138,11 +149,11 @@
 // Judge updates the suspects, and lists parts and returns them.
 func (p *Pool) Judge(now time.Time) []Listing {
 	p.expire(now)
+	added := p.convictRepeats(now)
 	if !p.changed {
-		return nil
+		return added
 	}
 	p.changed = false
-	var added []Listing
 	for {
 		charges := p.charges(now)
 		s, ok := p.convict(now, charges)
@@ -161,6 +172,7 @@
 			p.changed = true
 		}
 	}
+	p.expireRepeats(now)
 }
 
 // charges returns what speaks for and against each part that is not listed, in the
@@ -180,13 +192,16 @@
 		t.ends = append(t.ends, e)
 		for id, r := range e.requests {
 			t.requests[id] = true
+			if r.Digest != 0 {
+				id = uint64(r.Digest)
+			}
 			for i, k := range r.Parts {
 				c, ok := byKey[k]
 				if !ok {
-					c = &charge{key: k, service: e.service, ends: make(map[*pooledEnd]bool), requests: make(map[uint64]bool)}
+					c = &charge{key: k, service: e.service, ends: make(map[*pooledEnd]bool), requests: make(map[uint64]bool), distinct: make(map[uint64]bool)}
 					byKey[k] = c
 				}
-				c.ends[e], c.requests[id] = true, true
+				c.ends[e], c.requests[r.ID], c.distinct[id] = true, true, true
 				c.position, c.placed = c.position+i, c.placed+1
 			}
 		}
@@ -206,6 +221,9 @@
 		if _, ok := p.list.Find(now, r.Parts); ok {
 			return true
 		}
+		if _, ok := p.list.Find(now, []Key{r.Digest}); ok {
+			return true
+		}
 	}
 	return false
 }
@@ -234,19 +252,24 @@
 	return Listing{Key: c.key, Service: c.service, Left: listingTime, Ends: len(c.ends), Requests: len(c.requests), Sound: c.answers}, true
 }
 
-// suspect updates the suspects: the parts under which most servers ended, and all
-// requests of their services.
+// suspect updates the suspects: the parts and requests under which most servers ended, and
+// all requests of their services.
 func (p *Pool) suspect(now time.Time, charges []*charge) {
 	next := make(map[Key]time.Time)
+	for _, k := range p.suspectRepeats() {
+		next[k] = now
+	}
+	parts := 0
 	for _, c := range charges {
-		if len(next) >= maxSuspects || c.weight() < minSuspectEnds {
+		if parts >= maxSuspects || c.weight() < minSuspectEnds {
 			break
 		}
-		for _, k := range []Key{c.key, KeyOf(c.service, "")} {
-			next[k] = now
-			if since, ok := p.suspects[k]; ok {
-				next[k] = since
-			}
+		next[c.key], next[KeyOf(c.service, "")] = now, now
+		parts++
+	}
+	for k := range next {
+		if since, ok := p.suspects[k]; ok {
+			next[k] = since
 		}
 	}
 	if !sameKeys(next, p.suspects) {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine finds parts of prompts that crash backend servers, known as
-// queries of death or poison pills, and lists them, so that requests with them are
+// Package quarantine finds parts of prompts and whole requests that crash backend servers,
+// known as queries of death or poison pills, and lists them, so that requests with them are
 // rejected. Entries report which requests they had at servers that ended; what no entry
 // can tell from its own requests shows in the evidence of all of them.
 package quarantine
@@ -22,8 +22,8 @@
 )
 
 type (
-	// Key identifies a part of a prompt at a service. It is a hash, as parts are
-	// callers' words.
+	// Key identifies a part of a prompt, or a whole request, at a service. It is a hash, as
+	// both are callers' words.
 	Key uint64
 
 	// Request is a request that an entry had at a server when it ended.
@@ -35,6 +35,8 @@
 		Workspace uint64
 		// Parts are the keys of its prompt's shared parts, in order.
 		Parts []Key
+		// Digest is the key of the whole request, 0 if it is not known.
+		Digest Key
 	}
 
 	// End is what one entry had at a server that ended.
@@ -54,7 +56,7 @@
 		Answers float64
 	}
 
-	// Listing is a part that requests are rejected for.
+	// Listing is a part that requests are rejected for, or a request that is rejected.
 	Listing struct {
 		_       struct{} `cbor:",toarray"`
 		Key     Key
@@ -67,6 +69,8 @@
 		Ends     int
 		Requests int
 		Sound    float64
+		// Repeat means that the key is that of a whole request.
+		Repeat bool
 	}
 
 	// Report is evidence from one sender.
@@ -77,6 +81,7 @@
 		Ends   []End     `json:"ends,omitempty"`
 		Sound  []Sound   `json:"sound,omitempty"`
 		Listed []Listing `json:"listed,omitempty"`
+		Trials []Trial   `json:"trials,omitempty"`
 	}
 )
 
@@ -119,6 +124,12 @@
 	return Request{ID: xxhash.Sum64String(id), Workspace: xxhash.Sum64String(workspace), Parts: parts}
 }
 
+// WithDigest returns the request with the key of the whole request.
+func (r Request) WithDigest(k Key) Request {
+	r.Digest = k
+	return r
+}
+
 // WithRequest returns the end with another request, unless it holds it already, or as many
 // as are reported, of all workspaces or of the request's.
 func (e End) WithRequest(r Request) End {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -68,7 +68,8 @@
 	serverEntry struct {
 		record         Record
 		changedVersion uint64    // version of the roster at the last change
-		lastAnnounced  time.Time // last announcement to any member
+		lastAnnounced  time.Time // last announcement to any member, later if this member was disconnected
+		lastSeen       time.Time // last announcement to any member
 		lastDirect     time.Time // last announcement to this member
 		sighting       uint64    // its number among all announcements to this member
 	}
@@ -221,6 +222,16 @@
 	return e.record, true
 }
 
+// LastSeen returns when the last announcement of a start of a server arrived, zero for an
+// unknown one.
+func (r *Roster) LastSeen(id string, incarnation uint64) time.Time {
+	e, ok := r.servers[id]
+	if !ok || e.record.Server.Incarnation != incarnation {
+		return time.Time{}
+	}
+	return e.lastSeen
+}
+
 // Serving returns the servers of a service that accept new requests, ordered by id.
 // Of several servers at one address only the newest incarnation is returned. The
 // list is shared: callers must not change it.
@@ -266,7 +277,7 @@
 func (r *Roster) merge(now time.Time, rec Record) bool {
 	e, ok := r.servers[rec.Server.ID]
 	if !ok {
-		e = &serverEntry{record: rec, lastAnnounced: now}
+		e = &serverEntry{record: rec, lastAnnounced: now, lastSeen: now}
 		r.servers[rec.Server.ID] = e
 		r.bumpVersion(e)
 		return true
@@ -281,7 +292,7 @@
 		return false
 	}
 	e.record = rec
-	e.lastAnnounced = now
+	e.lastAnnounced, e.lastSeen = now, now
 	r.serving = nil
 	if isSignificantChange(old, rec) {
 		r.bumpVersion(e)
@@ -291,7 +302,7 @@
 
 // revive clears the silent mark after a sighting.
 func (r *Roster) revive(now time.Time, e *serverEntry) {
-	e.lastAnnounced = now
+	e.lastAnnounced, e.lastSeen = now, now
 	if e.record.Silent {
 		e.record.Silent = false
 		r.bumpVersion(e)
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -82,6 +82,7 @@
 		n.mergeReport(*r.Report, true)
 	}
 	n.fleet.pool.Add(now, r.Entry.ID, r.Samples)
+	n.countAnswers(now, r.Samples)
 	n.mergeLimits(now, r.Limits)
 }
 
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"rosereach/core/health"
 	"rosereach/core/quarantine"
 	"rosereach/io/member"
 )
@@ -49,14 +50,29 @@
 	f.hasPeerNews = true
 }
 
+// countAnswers adds the answers in an entry's samples to what is known of the services. Callers
+// hold n.mu.
+func (n *Node) countAnswers(now time.Time, samples []health.Sample) {
+	for _, s := range samples {
+		if rec, ok := n.fleet.roster.Find(s.Server); ok && s.Answers > 0 {
+			n.fleet.parts.AddAnswers(now, rec.Server.Service, float64(s.Answers))
+		}
+	}
+}
+
 // judgeParts lists the prompt parts that crash servers and answers the watches that have
 // news. Every control judges for itself and passes on what it lists, so that no leader is
 // needed and none takes the list with it. Callers hold n.mu.
 func (n *Node) judgeParts(now time.Time) {
 	f := n.fleet
+	f.parts.Refute(f.roster.LastSeen)
 	if added := f.parts.Judge(now); len(added) > 0 {
 		for _, s := range added {
-			level.Warn(n.cfg.Logger).Log("msg", "Prompt part is quarantined.", "prompt", s.Key, "service", s.Service,
+			msg, field := "Prompt part is quarantined.", "prompt"
+			if s.Repeat {
+				msg, field = "Request is quarantined.", "digest"
+			}
+			level.Warn(n.cfg.Logger).Log("msg", msg, field, s.Key, "service", s.Service,
 				"ends", s.Ends, "requests", s.Requests, "sound", s.Sound, "for", s.Left)
 		}
 		n.shareEvidence(now, quarantine.Report{Sender: n.cfg.ID, Listed: added})
--- a/internal/entry/crashing_part_test.go
+++ b/internal/entry/crashing_part_test.go
@@ -25,7 +25,7 @@
 )
 
 // crashingServers are backend servers that end when they begin to answer a request with
-// the crashing part, and start again under another id and address.
+// the crashing part, and start again under another id at the same address, if it is still free.
 type crashingServers struct {
 	*fleet
 	mu       sync.Mutex
@@ -39,14 +39,34 @@
 	restartTime  = 150 * time.Millisecond
 )
 
-func (s *crashingServers) start() {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newCrashingServers starts servers and entries that forward to them.
+func newCrashingServers(t *testing.T, servers, entries int) (*crashingServers, []*Entry) {
+	t.Helper()
+	s := &crashingServers{fleet: newFleet(t, 0)}
+	for range servers {
+		s.start()
+	}
+	var started []*Entry
+	for i := range entries {
+		started = append(started, s.startForwardingEntry(fmt.Sprintf("forwarding-%d", i+1)))
+	}
+	return s, started
+}
+
+func (s *crashingServers) start() { s.startAt("127.0.0.1:0") }
+
+func (s *crashingServers) startAt(address string) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	if err != nil {
 		s.t.Error(err)
 		return
 	}
 	s.mu.Lock()
 	s.started++
+	incarnation := uint64(s.started)
 	id := fmt.Sprintf("server-%d", s.started)
 	s.mu.Unlock()
 	server := &http.Server{ReadHeaderTimeout: time.Minute}
@@ -66,13 +86,13 @@
 			s.ends = append(s.ends, time.Now())
 			s.mu.Unlock()
 			server.Close()
-			time.AfterFunc(restartTime, s.start)
+			time.AfterFunc(restartTime, func() { s.startAt(l.Addr().String()) })
 		})
 	})
 	go server.Serve(l)
 	s.t.Cleanup(func() { server.Close() })
 	s.control.Announce(backend.Announcement{
-		ID: id, Incarnation: 1, Sequence: 1, Service: "s", Address: l.Addr().String(), Capacity: 8, State: backend.Serving, Region: "r", Zone: "z",
+		ID: id, Incarnation: incarnation, Sequence: 1, Service: "s", Address: l.Addr().String(), Capacity: 8, State: backend.Serving, Region: "r", Zone: "z",
 	})
 }
 
@@ -110,11 +130,11 @@
 }
 
 // forwardPart sends a request whose prompt has the given part between a common first and
-// a last part of its own.
+// a last part of its own, which its body holds too.
 func forwardPart(e *Entry, n int, part string) error {
 	req := forward.Request{
 		ID: fmt.Sprintf("%s-%s-%d", e.cfg.ID, part, n), Method: http.MethodPost, Host: "h", Path: "/safe/" + part, Target: "/safe/" + part,
-		Key: "k", Arrived: time.Now(), Prompt: []forward.Part{{ID: "common", Tokens: 10}, {ID: part, Tokens: 10}, {ID: fmt.Sprint(e.cfg.ID, part, n), Tokens: 1}},
+		Key: "k", Arrived: time.Now(), Body: fmt.Append(nil, e.cfg.ID, part, n), Prompt: []forward.Part{{ID: "common", Tokens: 10}, {ID: part, Tokens: 10}, {ID: fmt.Sprint(e.cfg.ID, part, n), Tokens: 1}},
 	}
 	return e.Forward(context.Background(), req, &recordingSink{})
 }
@@ -125,14 +145,7 @@
 // served.
 func TestCrashingPartEndsFewServers(t *testing.T) {
 	const contact = 4 * time.Second
-	s := &crashingServers{fleet: newFleet(t, 0)}
-	for range 4 {
-		s.start()
-	}
-	var entries []*Entry
-	for i := range 4 {
-		entries = append(entries, s.startForwardingEntry(fmt.Sprintf("forwarding-%d", i+1)))
-	}
+	s, entries := newCrashingServers(t, 4, 4)
 	bound := func() time.Time {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -92,6 +92,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.health.RecordSuccess(now, a.server.ID)
+	delete(f.parts.ended, serverStart{server: a.server.ID, incarnation: a.server.Incarnation})
 	x.server, x.expected, x.firstByte, x.uncachedTokens = a.server.ID, a.expected, now.Sub(a.startedAt), a.uncachedTokens
 	f.tallyAttempt(a, x, false, now.Sub(a.startedAt))
 	f.record(func(r *health.Recorder) { r.RecordAnswer(a.server.ID, a.server.Incarnation) })
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -71,17 +71,18 @@
 func (x *activeRequest) quarantinedFailure() *forward.Failure {
 	f := x.forwarder
 	f.mu.Lock()
-	s, ok := f.parts.list.Find(x.now(), x.parts)
+	s, ok := f.parts.list.Find(x.now(), append(x.parts[:len(x.parts):len(x.parts)], x.digest))
 	f.mu.Unlock()
 	if !ok {
 		return nil
 	}
-	level.Debug(x.log()).Log("msg", "Request has a quarantined part.", "id", x.req.ID, "prompt", s.Key, "service", s.Service,
-		"ends", s.Ends, "requests", s.Requests, "sound", s.Sound, "for", s.Left)
-	return &forward.Failure{
-		Code: forward.Quarantined, RetryAfter: s.Left,
-		Detail: fmt.Sprintf("part %s of the prompt has crashed backend servers", s.Key),
+	msg, field, detail := "Request has a quarantined part.", "prompt", fmt.Sprintf("part %s of the prompt has crashed backend servers", s.Key)
+	if s.Repeat {
+		msg, field, detail = "Request is in quarantine.", "digest", "the request has crashed backend servers"
 	}
+	level.Debug(x.log()).Log("msg", msg, "id", x.req.ID, field, s.Key, "service", s.Service,
+		"ends", s.Ends, "requests", s.Requests, "sound", s.Sound, "for", s.Left)
+	return &forward.Failure{Code: forward.Quarantined, RetryAfter: s.Left, Detail: detail}
 }
 
 // admit decides whether the attempt may be sent: a part of its prompt may have been listed
@@ -122,16 +123,14 @@
 	if _, known := f.parts.ended[start]; !known {
 		f.parts.ended[start] = now
 	}
-	if len(x.parts) > 0 {
-		e, ok := f.parts.pending[start]
-		if !ok {
-			e = quarantine.End{Service: x.service, Server: start.server, Incarnation: start.incarnation}
-		}
-		if len(f.parts.pending) == 0 {
-			f.entry.cfg.Clock.AfterFunc(evidenceDelay, f.reportEnds)
-		}
-		f.parts.pending[start] = e.WithRequest(quarantine.NewRequest(x.req.ID, x.workspace.Name, x.parts))
+	e, ok := f.parts.pending[start]
+	if !ok {
+		e = quarantine.End{Service: x.service, Server: start.server, Incarnation: start.incarnation}
+	}
+	if len(f.parts.pending) == 0 {
+		f.entry.cfg.Clock.AfterFunc(evidenceDelay, f.reportEnds)
 	}
+	f.parts.pending[start] = e.WithRequest(quarantine.NewRequest(x.req.ID, x.workspace.Name, x.parts).WithDigest(x.digest))
 	f.mu.Unlock()
 	f.metrics.endedUnder.Inc()
 	x.logServerEnd(a)
@@ -171,15 +170,13 @@
 	f := x.forwarder
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now, unproven, suspected := x.now(), len(x.parts) == 0, false
+	now, unproven, suspected := x.now(), len(x.parts) == 0, f.suspects(x.digest)
 	for _, k := range x.parts {
 		if f.parts.memory.Answers(now, k) > 0 {
 			continue
 		}
 		unproven = true
-		for _, suspects := range f.parts.suspects {
-			suspected = suspected || suspects[k]
-		}
+		suspected = suspected || f.suspects(k)
 	}
 	if x.ends == 1 {
 		return !suspected
@@ -187,6 +184,16 @@
 	return !unproven
 }
 
+// suspects reports whether a control suspects a part or a request. Callers hold f.mu.
+func (f *forwarder) suspects(k quarantine.Key) bool {
+	for _, suspects := range f.parts.suspects {
+		if suspects[k] {
+			return true
+		}
+	}
+	return false
+}
+
 // applyParts applies what a control lists and suspects, and answers it with the sound
 // answers of the suspects.
 func (f *forwarder) applyParts(ctx context.Context, now time.Time, reply member.WatchReply, s *watchState) {
@@ -209,7 +216,11 @@
 	sound := f.parts.memory.Sound(now, reply.Suspects)
 	f.mu.Unlock()
 	for _, l := range added {
-		level.Warn(f.entry.cfg.Logger).Log("msg", "Prompt part is rejected from now on.", "prompt", l.Key, "service", l.Service,
+		msg, field := "Prompt part is rejected from now on.", "prompt"
+		if l.Repeat {
+			msg, field = "Request is rejected from now on.", "digest"
+		}
+		level.Warn(f.entry.cfg.Logger).Log("msg", msg, field, l.Key, "service", l.Service,
 			"ends", l.Ends, "requests", l.Requests, "sound", l.Sound, "for", l.Left, "control", s.address)
 	}
 	if len(sound) > 0 {
--- /dev/null
+++ b/internal/entry/turn.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"rosereach/core/forward"
+	"rosereach/core/quarantine"
+	"rosereach/core/retry"
+	"rosereach/io/member"
+)
+
+const (
+	// turnPoll is the pause before a suspected request asks for a turn again, and turnAsks how
+	// often it asks. Its caller is then told to come back after turnRetryAfter or so.
+	turnPoll       = 100 * time.Millisecond
+	turnAsks       = 3
+	turnRetryAfter = time.Second
+
+	// turnTimeout bounds the wait for a control's reply.
+	turnTimeout = 500 * time.Millisecond
+)
+
+// awaitTurn returns nil once the request may run: at once unless it has been at servers that
+// ended, else when the controls let it run as the only such request of its service.
+func (x *activeRequest) awaitTurn(ctx context.Context) *forward.Failure {
+	f := x.forwarder
+	for asks := 1; f.isSuspected(x.digest); asks++ {
+		switch f.watcher.askTurn(ctx, x.trial(quarantine.Trial{})) {
+		case quarantine.RunFreely:
+			return nil
+		case quarantine.RunAlone:
+			x.hasTurn = true
+			level.Debug(x.log()).Log("msg", "Suspected request runs alone.", "id", x.req.ID, "digest", x.digest)
+			return nil
+		}
+		if asks == turnAsks || ctx.Err() != nil {
+			return f.suspectedFailure()
+		}
+		select {
+		case <-f.entry.cfg.Clock.After(turnPoll):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (f *forwarder) suspectedFailure() *forward.Failure {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &forward.Failure{
+		Code: forward.Quarantined, RetryAfter: retry.WithJitter(turnRetryAfter, f.random),
+		Detail: "the request has been at backend servers that ended, and others are tried first",
+	}
+}
+
+// isSuspected reports whether a control suspects the request.
+func (f *forwarder) isSuspected(digest quarantine.Key) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.suspects(digest)
+}
+
+// trial returns what the controls are told of the request's turn.
+func (x *activeRequest) trial(t quarantine.Trial) quarantine.Trial {
+	t.Digest, t.Service, t.ID = x.digest, x.service, quarantine.NewRequest(x.req.ID, x.workspace.Name, nil).ID
+	return t
+}
+
+// endTurn gives the request's turn back with the outcome of its run: whether the answer was
+// sound or the server ended. Neither says nothing about the request.
+func (x *activeRequest) endTurn(a *attempt, sound, ended bool) {
+	if !x.hasTurn {
+		return
+	}
+	x.hasTurn = false
+	r := member.TurnEnd{Trial: x.trial(quarantine.Trial{Ended: ended}), HasOutcome: sound || ended}
+	if a != nil {
+		r.Trial.Server, r.Trial.Incarnation = a.server.ID, a.server.Incarnation
+	}
+	f := x.forwarder
+	level.Debug(x.log()).Log("msg", "Suspected request has run alone.", "id", x.req.ID, "digest", x.digest, "srv", r.Trial.Server, "sound", sound, "ended", ended)
+	f.entry.cfg.Clock.AfterFunc(0, turnReport{forwarder: f, end: r}.send)
+}
+
+// turnReport gives a turn back to the controls. It outlives the request.
+type turnReport struct {
+	forwarder *forwarder
+	end       member.TurnEnd
+}
+
+func (r turnReport) send() {
+	e := r.forwarder.entry
+	ctx, cancel := context.WithTimeout(e.ctx, evidenceTimeout)
+	defer cancel()
+	if err := r.forwarder.watcher.callNearest(ctx, member.KindTurnEnd, r.end, nil); err != nil {
+		level.Debug(e.cfg.Logger).Log("msg", "Failed to report a trial.", "digest", r.end.Trial.Digest, "err", err)
+	}
+}
+
+// askTurn asks the controls whether a suspected request may run. Without an answer it has to
+// wait.
+func (w *watcher) askTurn(ctx context.Context, t quarantine.Trial) quarantine.Permission {
+	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
+	defer cancel()
+	var reply member.TurnReply
+	if err := w.callNearest(ctx, member.KindTurn, member.TurnRequest{Trial: t}, &reply); err != nil {
+		level.Debug(w.entry.cfg.Logger).Log("msg", "No control grants a turn.", "digest", t.Digest, "err", err)
+		return quarantine.Wait
+	}
+	return reply.Permission
+}
+
+// callNearest calls the nearest watched control.
+func (w *watcher) callNearest(ctx context.Context, kind member.Kind, message, reply any) error {
+	watched := w.watched()
+	w.mu.Lock()
+	slices.SortFunc(watched, func(a, b string) int { return cmp.Or(cmp.Compare(w.distances[a], w.distances[b]), cmp.Compare(a, b)) })
+	var conn *member.Conn
+	if len(watched) > 0 {
+		conn = w.conns[watched[0]]
+	}
+	w.mu.Unlock()
+	if conn == nil {
+		return errors.Trace(errNoControl)
+	}
+	return conn.Call(ctx, kind, message, reply)
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -38,6 +38,7 @@
 	fieldWord     = "word"
 	fieldUntil    = "until"
 	fieldPrompt   = "prompt"
+	fieldDigest   = "digest"
 	fieldMessage  = "msg"
 	fieldLevel    = "level"
 )
@@ -89,8 +90,8 @@
 // Timeline returns, in order of time, the lines about the request, the changes of the
 // backend servers that it was sent to or kept from, and, from the processes that handled
 // it, the lines about the documents' revisions that it was handled with and about the
-// words of those servers that still held, however old. Lines that list a part of its
-// prompt are included from all processes. It returns nil when no line is
+// words of those servers that still held, however old. Lines that list it or a part
+// of its prompt are included from all processes. It returns nil when no line is
 // about the request.
 func (l *Log) Timeline(id string) []Line {
 	var timeline []Line
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -121,19 +121,21 @@
 	}
 }
 
-// The lines of all processes that list a part of the request's prompt are shown, however
-// old, and none about other parts.
+// The lines of all processes that list the request or a part of its prompt are shown, however
+// old, and none about others.
 func TestTimelineHoldsListedParts(t *testing.T) {
 	const text = `level=warn part=control ts=2026-01-01T09:00:00Z msg="Prompt part is quarantined." prompt=00aa service=s ends=3
 level=warn part=control ts=2026-01-01T09:00:01Z msg="Prompt part is quarantined." prompt=00cc service=s ends=3
+level=warn part=control ts=2026-01-01T09:00:02Z msg="Request is quarantined." digest=00dd service=s ends=3
+level=warn part=control ts=2026-01-01T09:00:03Z msg="Request is quarantined." digest=00ee service=s ends=3
 level=warn part=entry ts=2026-01-01T09:59:00Z msg="Backend server ended under a request." id=other prompt=00aa
-level=warn part=entry ts=2026-01-01T10:00:00Z msg="Backend server ended under a request." id=a1 prompt=00bb,00aa
+level=warn part=entry ts=2026-01-01T10:00:00Z msg="Backend server ended under a request." id=a1 prompt=00bb,00aa digest=00dd
 `
 	var l explain.Log
 	if err := l.Read("x", strings.NewReader(text)); err != nil {
 		t.Fatal(err)
 	}
-	if lines := l.Timeline("a1"); len(lines) != 2 || lines[0].Get("prompt") != "00aa" {
+	if lines := l.Timeline("a1"); len(lines) != 3 || lines[0].Get("prompt") != "00aa" || lines[1].Get("digest") != "00dd" {
 		t.Fatalf("%v", lines)
 	}
 }
--- a/internal/explain/traces.go
+++ b/internal/explain/traces.go
@@ -6,7 +6,7 @@
 )
 
 // traces is what the lines about a request name: the backend servers, revisions, processes
-// and prompt parts, and the time that they span.
+// prompt parts and digest, and the time that they span.
 type traces struct {
 	servers, plans, sources, parts map[string]bool
 	first, last                    time.Time
@@ -21,7 +21,7 @@
 	t.sources[line.Source] = true
 	t.servers[line.Get(fieldServer)] = true
 	t.plans[line.Get(fieldPlan)] = true
-	for _, part := range strings.Split(line.Get(fieldPrompt), ",") {
+	for _, part := range append(strings.Split(line.Get(fieldPrompt), ","), line.Get(fieldDigest)) {
 		t.parts[part] = part != ""
 	}
 	if t.first.IsZero() || line.At.Before(t.first) {
@@ -41,6 +41,6 @@
 	aboutServer := recent && t.servers[line.Get(fieldSubject)] && line.Get(fieldSubject) != ""
 	aboutWord := t.sources[line.Source] && t.servers[line.Get(fieldSubject)] && line.holdsAt(t.first)
 	aboutPlan := t.sources[line.Source] && line.Get(fieldRevision) != "" && t.plans[line.Get(fieldRevision)]
-	aboutPart := line.Get(fieldID) == "" && t.parts[line.Get(fieldPrompt)]
+	aboutPart := line.Get(fieldID) == "" && (t.parts[line.Get(fieldPrompt)] || t.parts[line.Get(fieldDigest)])
 	return aboutServer || aboutWord || aboutPlan || aboutPart
 }
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -15,6 +15,8 @@
 	KindRouting  Kind = "routing"
 	KindEvidence Kind = "evidence"
 	KindLimits   Kind = "limits"
+	KindTurn     Kind = "turn"
+	KindTurnEnd  Kind = "turn_end"
 )
 
 type (
@@ -101,8 +103,8 @@
 		// Verdicts are all servers that the control considers failing. They are set if VerdictsVersion differs from the one in the request.
 		VerdictsVersion uint64           `json:"verdicts_version,omitempty"`
 		Verdicts        []health.Verdict `json:"verdicts,omitempty"`
-		// Listed are all prompt parts for which requests are rejected, and Suspects those
-		// whose sound answers the entry is asked for. They are set if PartsVersion differs
+		// Listed are all prompt parts and requests that are rejected, and Suspects the parts
+		// whose sound answers the entry is asked for and the requests that run by turns only. They are set if PartsVersion differs
 		// from the one in the request.
 		PartsVersion uint64               `json:"parts_version,omitempty"`
 		Listed       []quarantine.Listing `json:"listed,omitempty"`
@@ -124,6 +126,23 @@
 		DirectVersion uint64              `json:"direct_version,omitempty"`
 	}
 
+	// TurnRequest asks whether a request that has been at servers that ended may run.
+	TurnRequest struct {
+		Trial quarantine.Trial `json:"trial"`
+	}
+
+	// TurnReply is the answer to a TurnRequest.
+	TurnReply struct {
+		Permission quarantine.Permission `json:"permission"`
+	}
+
+	// TurnEnd gives a turn back. HasOutcome is set if the trial says something about the
+	// request.
+	TurnEnd struct {
+		Trial      quarantine.Trial `json:"trial"`
+		HasOutcome bool             `json:"outcome,omitempty"`
+	}
+
 	// RoutingReply is the text of the newest routing plan, confirmed by a
 	// majority after the request arrived. Text is empty if there is no plan.
 	RoutingReply struct {
