--- /dev/null
+++ b/internal/entry/cut_off_test.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"rosereach/core/backend"
+	"rosereach/core/forward"
+	"rosereach/core/roster"
+)
+
+// cutFleet is a control, backend servers, and entries of which some are partitioned from all
+// servers: these see the servers at addresses that refuse connections or don't answer.
+type cutFleet struct {
+	*fleet
+	servers []backend.Announcement
+	runs    atomic.Int64
+}
+
+func newCutFleet(t *testing.T, servers int, h http.HandlerFunc) *cutFleet {
+	t.Helper()
+	c := &cutFleet{fleet: newFleet(t, 0)}
+	for i := range servers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			c.runs.Add(1)
+			h(w, r)
+		})}
+		go s.Serve(l)
+		t.Cleanup(func() { s.Close() })
+		a := backend.Announcement{
+			ID: fmt.Sprint("server-", i+1), Incarnation: 1, Sequence: 1, Service: "s", Address: l.Addr().String(), Capacity: 8, State: backend.Serving, Region: "r", Zone: "z",
+		}
+		c.servers = append(c.servers, a)
+		c.control.Announce(a)
+	}
+	return c
+}
+
+// cut partitions an entry from all servers, which are at the given address for it.
+func (c *cutFleet) cut(e *Entry, address string) {
+	for _, a := range c.servers {
+		a.Sequence, a.Address = 1<<40, address
+		e.forwarder.updateRoster(time.Now(), roster.Delta{Records: []roster.Record{{Server: a}}})
+	}
+}
+
+// refusingAddress returns an address that refuses connections.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// hangingAddress returns an address at which connections are not established: its queue of new
+// connections is full.
+func hangingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for range 3 {
+		d := net.Dialer{Timeout: 100 * time.Millisecond}
+		if conn, err := d.Dial("tcp", address); err == nil {
+			t.Cleanup(func() { conn.Close() })
+		}
+	}
+	return address
+}
+
+// An entry that is partitioned from all servers serves its callers through others, whether
+// connections to the servers are refused or hang.
+func TestCutOffEntryServesThroughOthers(t *testing.T) {
+	for name, address := range map[string]func(*testing.T) string{"refused": refusingAddress, "hanging": hangingAddress} {
+		t.Run(name, func(t *testing.T) {
+			c := newCutFleet(t, 3, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+			var entries []*Entry
+			for i := range 3 {
+				entries = append(entries, c.startForwardingEntry(fmt.Sprint("forwarding-", i+1)))
+			}
+			c.cut(entries[0], address(t))
+			settled := time.Now().Add(4 * time.Second)
+			served, sent := 0, 0
+			for n := 0; time.Now().Before(settled.Add(2 * time.Second)); n++ {
+				req := forward.Request{
+					ID: fmt.Sprint("request-", n), Method: http.MethodGet, Host: "h", Path: "/safe/x", Target: "/safe/x", Key: "k", Arrived: time.Now(),
+				}
+				start := time.Now()
+				err := entries[0].Forward(context.Background(), req, &recordingSink{})
+				if start.After(settled) {
+					sent++
+					if err == nil {
+						served++
+					}
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if 3*served < 2*sent || sent == 0 {
+				t.Errorf("%d of %d requests are served", served, sent)
+			}
+		})
+	}
+}
