Weigh what an entry misses by what it reaches

Entries that miss three servers at least and more than two thirds of those they tried in the last two seconds are now left out.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -119,6 +119,9 @@
 	return t.FailureRate(now, server) > degradedFailureRate
 }
 
+// Forget removes a server.
+func (t *Tracker) Forget(server string) { delete(t.servers, server) }
+
 // Retain removes all servers for which isKnown returns false.
 func (t *Tracker) Retain(isKnown func(server string) bool) {
 	for id := range t.servers {
--- a/core/health/pool.go
+++ b/core/health/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -12,11 +13,15 @@
 	poolDecayTime = 3 * time.Second
 
 	// unreachableWindow is how long an entry's report that it cannot reach a server
-	// counts, and unreachableEntries the number of entries that have to agree. One
-	// entry may itself be cut off.
+	// counts, and unreachableEntries the number of entries that have to agree.
 	unreachableWindow  = 2 * time.Second
 	unreachableEntries = 2
 
+	// An entry that misses minMissed servers at least, and more than maxMissedShare of
+	// those that it tried in the window, is taken to be cut off.
+	minMissed      = 3
+	maxMissedShare = 2.0 / 3
+
 	// A failing server fails more often than the rest of its service by
 	// excessFailureRate, and minFailureRate is assumed for the rest at least.
 	// failingLogLikelihood is the log-likelihood ratio from which a server counts
@@ -81,6 +86,15 @@
 	// see it within seconds. It is not safe for concurrent use.
 	Pool struct {
 		servers map[string]*pooledServer
+		views   map[string]view // by entry
+	}
+
+	// view is what an entry last saw of each server, by its id.
+	view map[string]sight
+
+	sight struct {
+		at     time.Time
+		missed bool
 	}
 
 	pooledServer struct {
@@ -119,7 +133,9 @@
 )
 
 // NewPool returns a pool without samples.
-func NewPool() *Pool { return &Pool{servers: make(map[string]*pooledServer)} }
+func NewPool() *Pool {
+	return &Pool{servers: make(map[string]*pooledServer), views: make(map[string]view)}
+}
 
 // Add adds an entry's samples.
 func (p *Pool) Add(now time.Time, entry string, samples []Sample) {
@@ -133,6 +149,37 @@
 			s.add(now, entry, sample)
 		}
 	}
+	p.look(now, entry, samples)
+}
+
+// look updates an entry's view, and forgets what is too old to count.
+func (p *Pool) look(now time.Time, entry string, samples []Sample) {
+	v, ok := p.views[entry]
+	if !ok {
+		v = make(view)
+		p.views[entry] = v
+	}
+	for _, s := range samples {
+		if s.Answers > 0 || s.Unreachable > 0 {
+			v[s.Server] = sight{at: now, missed: s.Answers == 0}
+		}
+	}
+	for _, v := range p.views {
+		maps.DeleteFunc(v, func(_ string, s sight) bool { return now.Sub(s.at) >= unreachableWindow })
+	}
+	maps.DeleteFunc(p.views, func(_ string, v view) bool { return len(v) == 0 })
+}
+
+// isCutOff reports whether an entry misses nearly all servers that it has tried: it is itself
+// the likelier cause.
+func (v view) isCutOff() bool {
+	missed := 0
+	for _, s := range v {
+		if s.missed {
+			missed++
+		}
+	}
+	return missed >= minMissed && float64(missed) > maxMissedShare*float64(len(v))
 }
 
 // Verdicts returns the servers that are failing, ordered by id. ServiceOf returns a
@@ -189,7 +236,7 @@
 		s := p.servers[id]
 		switch {
 		case now.Before(s.failingUntil):
-		case s.isUnreachable(now), s.isFailing(t) && float64(t.failing+1) <= maxFailingShare*float64(t.servers):
+		case p.isUnreachable(now, s), s.isFailing(t) && float64(t.failing+1) <= maxFailingShare*float64(t.servers):
 			s.eject(now)
 			t.failing++
 		}
@@ -231,12 +278,12 @@
 	}
 }
 
-// isUnreachable reports whether enough entries could not reach the server and none
-// has had an answer since.
-func (s *pooledServer) isUnreachable(now time.Time) bool {
+// isUnreachable reports whether enough entries that reach others could not reach the
+// server and none has had an answer since.
+func (p *Pool) isUnreachable(now time.Time, s *pooledServer) bool {
 	n := 0
-	for _, at := range s.unreachableBy {
-		if now.Sub(at) < unreachableWindow {
+	for entry, at := range s.unreachableBy {
+		if now.Sub(at) < unreachableWindow && !p.views[entry].isCutOff() {
 			n++
 		}
 	}
--- a/core/health/recorder.go
+++ b/core/health/recorder.go
@@ -40,6 +40,9 @@
 	s.Running, s.Waiting, s.loadAt = running, waiting, now
 }
 
+// Forget drops the attempts at a server.
+func (r *Recorder) Forget(server string) { delete(r.samples, server) }
+
 // Take returns the samples since the last call.
 func (r *Recorder) Take(now time.Time) []Sample {
 	if len(r.samples) == 0 {
