Reach backend servers through other entries while the own link is down

Cause: an entry had one path to a server, its own, and took each failure of it for the server's. A gray failure: only some observers see it.

A connection that fails makes the entry probe others of the service; if none accepts, it connects through other entries, on an authenticated connection that passes bytes both ways, until a direct probe succeeds. The request stays where it is, so admission, attempts, the retry budget, cancellation and streams are those of the entry that took it. Controls name the relays; a relay connects to servers that it knows, by id, and says before any byte of the request whether it can. What a cut entry saw of the servers is dropped.

--- /dev/null
+++ b/core/reach/reach_test.go
@@ -0,0 +1,99 @@
+package reach_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"rosereach/core/reach"
+)
+
+var start = time.Unix(1000, 0)
+
+// A server that accepted a connection of late makes the failure of another that server's; one
+// that accepts during the probes ends the doubt.
+func TestLinkIsCutOnlyWhenNoServerIsReached(t *testing.T) {
+	var l reach.Link
+	l.Reached(start)
+	if l.NeedsProbes(start.Add(500*time.Millisecond)) || !l.NeedsProbes(start.Add(2*time.Second)) {
+		t.Fatal("probes are needed at the wrong time")
+	}
+	began := start.Add(2 * time.Second)
+	l.Reached(began.Add(10 * time.Millisecond))
+	if l.Judge(began.Add(300*time.Millisecond), began) || l.IsCut() {
+		t.Fatal("cut although a probe succeeded")
+	}
+	began = start.Add(5 * time.Second)
+	if !l.Judge(began.Add(300*time.Millisecond), began) || !l.IsCut() || l.NeedsProbes(began.Add(time.Minute)) {
+		t.Fatal("not cut although no probe succeeded")
+	}
+	if !l.Reached(began.Add(time.Second)) || l.IsCut() || l.Reached(began.Add(2*time.Second)) {
+		t.Fatal("a direct connection does not end the cut once")
+	}
+}
+
+func TestProbesLeaveOutTheFailedServer(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	all := []string{"a", "b", "c", "d", "e"}
+	for range 50 {
+		got := reach.Probes(all, "c", r)
+		if len(got) != 3 || slices.Contains(got, "c") || !slices.Equal(all, []string{"a", "b", "c", "d", "e"}) {
+			t.Fatalf("%v of %v", got, all)
+		}
+	}
+	if got := reach.Probes([]string{"a"}, "a", r); len(got) != 0 {
+		t.Errorf("%v", got)
+	}
+}
+
+// Most of an availability zone is cut off: its instances are spread over all others of the
+// region, and none of another region is burdened.
+func TestCutOffZoneIsSpreadOverTheRegion(t *testing.T) {
+	var candidates []reach.Relay
+	for i := range 20 {
+		candidates = append(candidates, reach.Relay{ID: fmt.Sprint("near-", i), IsNear: true}, reach.Relay{ID: fmt.Sprint("far-", i)})
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	picked := make(map[string]int)
+	for i := range 60 {
+		var r reach.Relays
+		r.Set(reach.ChooseRelays(fmt.Sprint("cut-", i), candidates))
+		for range 100 {
+			relay, ok := r.Pick(start, random)
+			if !ok || !relay.IsNear {
+				t.Fatalf("picked %+v", relay)
+			}
+			picked[relay.ID]++
+		}
+	}
+	for id, n := range picked {
+		if n > 3*6000/20 {
+			t.Errorf("%s gets %d of 6000 connections, %d on average", id, n, 6000/20)
+		}
+	}
+	if len(picked) != 20 {
+		t.Errorf("%d of 20 are used", len(picked))
+	}
+}
+
+// Relays of other regions help when fewer than two are near, and one that failed rests.
+func TestRelayThatFailedRests(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	var r reach.Relays
+	r.Set(reach.ChooseRelays("cut", []reach.Relay{{ID: "far"}, {ID: "near", IsNear: true}}))
+	r.Fail(start, "near")
+	for range 20 {
+		if relay, ok := r.Pick(start.Add(500*time.Millisecond), random); !ok || relay.ID != "far" {
+			t.Fatalf("picked %+v", relay)
+		}
+	}
+	r.Fail(start, "far")
+	if relay, ok := r.Pick(start.Add(500*time.Millisecond), random); ok {
+		t.Fatalf("picked %+v", relay)
+	}
+	if _, ok := r.Pick(start.Add(2*time.Second), random); !ok {
+		t.Fatal("a relay rests for too long")
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -222,6 +222,16 @@
 	return e.record, true
 }
 
+// At returns the newest server at an address, and false if there is none.
+func (r *Roster) At(address string) (newest backend.Announcement, ok bool) {
+	for _, e := range r.servers {
+		if s := e.record.Server; s.Address == address && (!ok || s.Incarnation > newest.Incarnation) {
+			newest, ok = s, true
+		}
+	}
+	return newest, ok
+}
+
 // LastSeen returns when the last announcement of a start of a server arrived, zero for an
 // unknown one.
 func (r *Roster) LastSeen(id string, incarnation uint64) time.Time {
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -36,6 +36,7 @@
 	entry             *entry.Entry
 	callerListener    net.Listener
 	readinessListener net.Listener
+	relayListeners    []net.Listener // for other entries, none or one
 	drainDeadline     atomic.Int64
 }
 
@@ -51,8 +52,14 @@
 	if err != nil {
 		return err
 	}
+	var relays []net.Listener
+	if address := now.RelayAddress(); address != "" {
+		if relays, err = listenAll(ctx, address); err != nil {
+			return err
+		}
+	}
 	cfg := process.entryConfig(incarnation())
-	p := &platformEntry{process: process, entry: entry.New(cfg), callerListener: listeners[0], readinessListener: listeners[1]}
+	p := &platformEntry{process: process, entry: entry.New(cfg), callerListener: listeners[0], readinessListener: listeners[1], relayListeners: relays}
 	p.drainDeadline.Store(math.MaxInt64)
 	process.logger.Log("msg", "Entry serves.", "id", now.Name, "address", now.Listen.Callers, "incarnation", cfg.Incarnation)
 	return p.run(ctx)
@@ -69,7 +76,7 @@
 		Forwarding: &entry.Forwarding{
 			Dialect: platform.Dialect{}, Controls: p.memberAddresses, FailOpen: !now.Bounds.FailClosed,
 			Retries:       retry.WindowBudgetConfig{Ratio: now.Bounds.RetryBudgetRatio, Slack: now.Bounds.RetryBudgetSlack, Window: now.Bounds.RetryWindow},
-			ExposureShare: now.Bounds.ExposureShare,
+			ExposureShare: now.Bounds.ExposureShare, RelayAddress: now.RelayAddress(),
 		},
 	}
 }
@@ -88,6 +95,9 @@
 	g.Go(func() error {
 		return serveUntil(running, p.readinessListener, platform.ReadinessHandler(p.entry.IsOpen), noWait)
 	})
+	for _, l := range p.relayListeners {
+		g.Go(func() error { return p.entry.ServeDetours(running, l) })
+	}
 	g.Go(func() error { return p.process.serveMetrics(running, p.entry.ForwardMetrics()) })
 	g.Go(func() error {
 		defer stop()
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"rosereach/core/reach"
 	"rosereach/io/member"
 )
 
@@ -57,6 +58,18 @@
 	return addresses
 }
 
+// relaysFor returns the entries through which an entry may reach backend servers.
+func (f *fleet) relaysFor(now time.Time, entry member.Presence) []reach.Relay {
+	var candidates []reach.Relay
+	for id, p := range f.entries {
+		if id == entry.ID || p.latest.Relay == "" || p.latest.CutOff || p.latest.Draining || now.Sub(p.lastReceived) >= presenceTTL {
+			continue
+		}
+		candidates = append(candidates, reach.Relay{ID: id, Address: p.latest.Relay, IsNear: p.latest.Region == entry.Region})
+	}
+	return reach.ChooseRelays(entry.ID, candidates)
+}
+
 // liveEntries counts the entries whose presence was received recently. Callers
 // hold n.mu.
 func (n *Node) liveEntries(now time.Time) int {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -220,6 +220,9 @@
 		n.addEvidence(now, r, &reply)
 		n.addParts(now, r, &reply)
 		n.addShares(now, r.Entry.ID, &reply)
+		if r.WantsRelays {
+			reply.Relays = n.fleet.relaysFor(now, *r.Entry)
+		}
 		return reply
 	}
 	if r.RunID != n.runID {
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -284,7 +284,7 @@
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		x.forwarder.returnPlace(a)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, errNoPath) {
 			x.forwarder.recordFailure(a, x, true)
 		}
 		x.tried = append(x.tried, a.server.ID)
--- a/internal/entry/crashing_part_test.go
+++ b/internal/entry/crashing_part_test.go
@@ -99,20 +99,28 @@
 // startForwardingEntry starts an entry that follows the fleet's control.
 func (f *fleet) startForwardingEntry(id string) *Entry {
 	f.t.Helper()
+	relay, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
 	e := New(Config{
 		ID: id, Incarnation: 1, Region: "r", Zone: "z", MemberKey: "m", Terms: lease.DefaultConfig(), MaxRunning: 100, MaxWaiting: 100,
 		Clock: clock.WallClock, Logger: log.NewNopLogger(),
 		Forwarding: &Forwarding{
-			Dialect: testDialect{}, FailOpen: true, ExposureShare: 0.15, Controls: func() []string { return []string{f.controlProxy.Address()} },
+			Dialect: testDialect{}, RelayAddress: relay.Addr().String(), FailOpen: true, ExposureShare: 0.15, Controls: func() []string { return []string{f.controlProxy.Address()} },
 			Retries: retry.WindowBudgetConfig{Ratio: 1, Slack: 50, Window: 10 * time.Second},
 		},
 	})
+	var routes []route.Route
+	for _, kind := range []route.Kind{route.Safe, route.Unsafe, route.Streaming} {
+		routes = append(routes, route.Route{
+			Name: string(kind), Host: "h", Prefix: "/" + string(kind) + "/", Kind: kind, MaxAttempts: 3, Timeout: 5 * time.Second, Objective: time.Second,
+			Targets: []route.Target{{Service: "s", Weight: 1}},
+		})
+	}
 	e.applyDocuments(&catalog.Documents{Revision: 1 << 20, Routing: &route.Document{Config: route.Config{
 		Version: 1, Services: []route.Service{{Name: "s"}},
-		Routes: []route.Route{{
-			Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, MaxAttempts: 3, Timeout: 5 * time.Second, Objective: time.Second,
-			Targets: []route.Target{{Service: "s", Weight: 1}},
-		}},
+		Routes:     routes,
 		Workspaces: []route.Workspace{{Name: "w", KeyHashes: []string{key.Hash("k")}}},
 	}}})
 	ended := make(chan struct{})
@@ -121,6 +129,7 @@
 		defer close(ended)
 		e.Run(ctx)
 	}()
+	go e.ServeDetours(ctx, relay)
 	f.t.Cleanup(func() {
 		cancel()
 		<-ended
--- a/internal/entry/cut_off_test.go
+++ b/internal/entry/cut_off_test.go
@@ -128,3 +128,78 @@
 		})
 	}
 }
+
+// forwardThrough sends a request to an entry that is cut off from all servers by refusals and
+// knows it.
+func forwardThrough(t *testing.T, c *cutFleet, kind string, sink forward.Sink) error {
+	t.Helper()
+	entries := []*Entry{c.startForwardingEntry("forwarding-1"), c.startForwardingEntry("forwarding-2")}
+	e := entries[0]
+	waitFor(t, "a relay", func() bool { return e.forwarder.detours.relayCount() > 0 })
+	c.cut(e, refusingAddress(t))
+	req := forward.Request{
+		ID: "request", Method: http.MethodPost, Host: "h", Path: "/" + kind + "/x", Target: "/" + kind + "/x", Key: "k", Arrived: time.Now(), Body: []byte("body"),
+	}
+	return e.Forward(context.Background(), req, sink)
+}
+
+// A request that may run once runs once through another entry, with its body.
+func TestUnsafeRequestRunsOnceThroughAnotherEntry(t *testing.T) {
+	c := newCutFleet(t, 3, func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) })
+	sink := &recordingSink{}
+	if err := forwardThrough(t, c, "unsafe", sink); err != nil || sink.text() != "body" || c.runs.Load() != 1 {
+		t.Fatalf("%q, %d runs, %v", sink.text(), c.runs.Load(), err)
+	}
+}
+
+// The events of a stream pass through another entry as they are made.
+func TestStreamPassesThroughAnotherEntry(t *testing.T) {
+	release := make(chan struct{})
+	c := newCutFleet(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "id: 1\ndata: a\n\n")
+		http.NewResponseController(w).Flush()
+		<-release
+		io.WriteString(w, "id: 2\ndata: b\n\n")
+	})
+	sink := &recordingSink{}
+	ended := make(chan error, 1)
+	go func() { ended <- forwardThrough(t, c, "streaming", sink) }()
+	waitFor(t, "the first event", func() bool { return sink.text() == "id: 1\ndata: a\n\n" })
+	close(release)
+	if err := <-ended; err != nil || sink.text() != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+		t.Fatalf("%q, %v", sink.text(), err)
+	}
+}
+
+// While all entries are cut off, requests are rejected at once and have not run; after the cut
+// they are served.
+func TestAllEntriesCutOffRejectAtOnce(t *testing.T) {
+	c := newCutFleet(t, 3, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+	entries := []*Entry{c.startForwardingEntry("forwarding-1"), c.startForwardingEntry("forwarding-2")}
+	address := hangingAddress(t)
+	for _, e := range entries {
+		waitFor(t, "a relay", func() bool { return e.forwarder.detours.relayCount() > 0 })
+		c.cut(e, address)
+	}
+	send := func() error {
+		req := forward.Request{ID: "request", Method: http.MethodGet, Host: "h", Path: "/safe/x", Target: "/safe/x", Key: "k", Arrived: time.Now()}
+		return entries[0].Forward(context.Background(), req, &recordingSink{})
+	}
+	waitFor(t, "the knowledge of the cut", func() bool {
+		for _, e := range entries {
+			e.Forward(context.Background(), forward.Request{ID: "first", Method: http.MethodGet, Host: "h", Path: "/safe/x", Target: "/safe/x", Key: "k", Arrived: time.Now()}, &recordingSink{})
+		}
+		return entries[0].forwarder.detours.isCutOff() && entries[1].forwarder.detours.isCutOff()
+	})
+	send() // the relay says that it is cut off
+	if err := send(); codeOf(err) != forward.NoServer || c.runs.Load() != 0 {
+		t.Fatalf("%v, %d runs", err, c.runs.Load())
+	}
+	for i, a := range c.servers {
+		a.Sequence = 1<<41 + uint64(i)
+		for _, e := range entries {
+			e.forwarder.updateRoster(time.Now(), roster.Delta{Records: []roster.Record{{Server: a}}})
+		}
+	}
+	waitFor(t, "the end of the cut", func() bool { return send() == nil && !entries[0].forwarder.detours.isCutOff() })
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -67,6 +67,8 @@
 		Dialect Dialect
 		// Controls returns the current addresses of some controls.
 		Controls func() []string
+		// RelayAddress is the host:port at which ServeDetours listens, empty if it doesn't.
+		RelayAddress string
 		// FailOpen lets the entry serve without a lease.
 		FailOpen bool
 		// Retries configures the retry budget shared by all entries.
@@ -81,6 +83,7 @@
 		entry   *Entry
 		watcher *watcher
 		client  *upstream.Client
+		detours *detours
 		sizes   cascade.SizeCascade
 
 		metrics *forwardMetrics
@@ -121,6 +124,8 @@
 	f.parts = newPartEvidence()
 	f.limiter = pacing.NewLimiter(e.cfg.ID)
 	f.watcher = newWatcher(e)
+	f.detours = newDetours(f)
+	f.client.DialContext = f.detours.dial
 	f.metrics = newForwardMetrics(e)
 	f.retryBudgets = retry.NewWindowBudgets(e.cfg.Forwarding.Retries)
 	return f
--- a/internal/entry/forward_metrics.go
+++ b/internal/entry/forward_metrics.go
@@ -60,6 +60,10 @@
 	}
 	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.retriesDenied, m.silent, m.words, m.withheld, m.endedUnder,
 		metrics.NewGauge("rosereach_quarantined_parts", "Parts of prompts for which requests are rejected, as they crash backend servers.", func() float64 { return float64(e.forwarder.countListed()) }),
+		metrics.NewGauge("rosereach_services_cut_off", "Services of which the entry itself reaches no server.", func() float64 { n, _ := e.forwarder.detours.cuts(); return float64(n) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "rosereach_detours_total", Help: "Connections to backend servers through other entries.",
+		}, func() float64 { return float64(e.forwarder.detours.openedCount()) }),
 		metrics.NewGauge("rosereach_documents_revision", "Revision of the documents in force.", func() float64 { return float64(e.catalog.Load().Revision()) }),
 		metrics.NewGauge("rosereach_servers_leaving", "Backend servers that said that they leave.", func() float64 { n, _ := e.forwarder.countRestrained(); return float64(n) }),
 		metrics.NewGauge("rosereach_servers_held_off", "Backend servers that asked for no requests for a time that goes on.", func() float64 { _, n := e.forwarder.countRestrained(); return float64(n) }),
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -319,7 +319,7 @@
 // whether that succeeded.
 func (x *activeRequest) connect(ctx context.Context, a *attempt) bool {
 	err := x.forwarder.client.Connect(ctx, a.server.Address)
-	if err != nil && ctx.Err() == nil && !x.isAtDeadline() {
+	if err != nil && ctx.Err() == nil && !x.isAtDeadline() && !errors.Is(err, errNoPath) {
 		x.logUnreachable(a, err)
 		x.forwarder.recordFailure(a, x, true)
 	}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -204,6 +204,7 @@
 		RunID: state.controlRun, RosterVersion: state.rosterVersion, DocumentsRevision: e.catalog.Load().Revision(), Entry: w.presence(), Report: e.forwarder.rolloutReport(),
 	}
 	e.forwarder.addSamples(&request, state)
+	request.WantsRelays = e.forwarder.detours.wantsRelays(e.cfg.Clock.Now())
 	var reply member.WatchReply
 	if err := conn.Call(ctx, member.KindWatch, request, &reply); err != nil {
 		return err
@@ -288,6 +289,9 @@
 	e.forwarder.applyEvidence(now, reply, state)
 	e.forwarder.applyParts(ctx, now, reply, state)
 	e.forwarder.applyLimits(now, reply, state)
+	if len(reply.Relays) > 0 {
+		e.forwarder.detours.setRelays(now, reply.Relays)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if reply.Current {
@@ -333,6 +337,7 @@
 	return &member.Presence{
 		ID: cfg.ID, Incarnation: cfg.Incarnation, Sequence: w.presenceSequence, Address: cfg.Address, Region: cfg.Region, Zone: cfg.Zone,
 		AppliedRevision: w.entry.catalog.Load().Revision(), Draining: w.entry.draining.Load() || !w.entry.isServing(),
+		Relay: cfg.Forwarding.RelayAddress, CutOff: w.entry.forwarder.detours.isCutOff(),
 	}
 }
 
--- /dev/null
+++ b/io/detour/detour_test.go
@@ -0,0 +1,150 @@
+package detour_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/io/detour"
+)
+
+const key = "member key"
+
+// relay starts an instance that connects to the given servers by id.
+func relay(t *testing.T, servers map[string]string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := detour.Server{Key: key, Connect: func(ctx context.Context, target detour.Target) (net.Conn, detour.Status) {
+		address, ok := servers[target.Server]
+		if !ok {
+			return nil, detour.UnknownServer
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, detour.ServerRefused
+		}
+		return conn, detour.Connected
+	}}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+// server serves one connection.
+func server(t *testing.T, serve func(*net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		if conn, err := l.Accept(); err == nil {
+			serve(conn.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, address, server string) net.Conn {
+	t.Helper()
+	conn, err := detour.Dial(context.Background(), address, key, detour.Target{Server: server, Incarnation: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// An answer that ends with its connection arrives whole, and its end is clean.
+func TestBytesPassBothWays(t *testing.T) {
+	address := server(t, func(c *net.TCPConn) {
+		request := make([]byte, 4)
+		io.ReadFull(c, request)
+		c.Write(append(request, make([]byte, 100_000)...))
+		c.Close()
+	})
+	conn := dial(t, relay(t, map[string]string{"s": address}), "s")
+	conn.Write([]byte("ping"))
+	got, err := io.ReadAll(conn)
+	if err != nil || len(got) != 100_004 || string(got[:4]) != "ping" {
+		t.Fatalf("%d bytes, %v", len(got), err)
+	}
+}
+
+// An answer that is reset on the way must not look complete.
+func TestResetIsPassedOn(t *testing.T) {
+	address := server(t, func(c *net.TCPConn) {
+		io.ReadFull(c, make([]byte, 4))
+		c.Write([]byte("part"))
+		time.Sleep(50 * time.Millisecond) // the part arrives first
+		c.SetLinger(0)
+		c.Close()
+	})
+	conn := dial(t, relay(t, map[string]string{"s": address}), "s")
+	conn.Write([]byte("ping"))
+	if got, err := io.ReadAll(conn); err == nil {
+		t.Fatalf("%q ends cleanly", got)
+	}
+}
+
+// The server's connection ends when the caller's does.
+func TestCloseEndsTheServersConnection(t *testing.T) {
+	var once sync.Once
+	ended := make(chan struct{})
+	address := server(t, func(c *net.TCPConn) {
+		io.Copy(io.Discard, c)
+		once.Do(func() { close(ended) })
+	})
+	conn := dial(t, relay(t, map[string]string{"s": address}), "s")
+	conn.Write([]byte("ping"))
+	conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the server's connection goes on")
+	}
+}
+
+// Nothing reaches a server for an instance without the member key, and only servers that the
+// relay knows are connected to.
+func TestDetourIsRefused(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	reached := make(chan struct{}, 1)
+	address := relay(t, map[string]string{"s": server(t, func(*net.TCPConn) { reached <- struct{}{} }), "gone": closed.Addr().String()})
+	for _, c := range []struct {
+		key, server string
+		want        error
+	}{
+		{"other key", "s", detour.ErrNoDetour}, {key, "unknown", detour.ErrNoDetour}, {key, "gone", detour.ErrServerUnreachable}, {key, "gone", syscall.ECONNREFUSED},
+	} {
+		if _, err := detour.Dial(context.Background(), address, c.key, detour.Target{Server: c.server, Incarnation: 1}); !errors.Is(err, c.want) {
+			t.Errorf("server %q: %v", c.server, err)
+		}
+	}
+	select {
+	case <-reached:
+		t.Error("the server was reached")
+	default:
+	}
+}
--- /dev/null
+++ b/io/detour/server.go
@@ -0,0 +1,130 @@
+package detour
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosereach/io/upstream"
+)
+
+const (
+	// maxDetours bounds the connections that are passed on at once. Each holds two
+	// descriptors and two buffers; the rest is left to this instance's own callers.
+	maxDetours = 256
+
+	copyBufferBytes = 8 << 10
+
+	// lingerTime bounds the wait for the dialing side to close after the server did.
+	lingerTime = 3 * time.Second
+)
+
+// Server passes connections of other instances on to backend servers.
+type Server struct {
+	// Key is the member key.
+	Key string
+	// Connect opens a connection to a server, or returns why not. It takes no detour.
+	Connect func(ctx context.Context, t Target) (net.Conn, Status)
+}
+
+// Serve accepts connections until the context ends, and then closes all of them.
+func (s Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { l.Close() }) //nolint:errcheck // Accept fails then
+	defer stop()
+	slots := make(chan struct{}, maxDetours)
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Annotate(err, "accept detours")
+		}
+		running.Go(func() { s.serve(ctx, conn, slots) })
+	}
+}
+
+func (s Server) serve(ctx context.Context, conn net.Conn, slots chan struct{}) {
+	defer conn.Close()                                      //nolint:errcheck // the connection is not used again
+	stop := context.AfterFunc(ctx, func() { conn.Close() }) //nolint:errcheck // see above
+	defer stop()
+	upstream.LimitUnacked(conn)
+	conn.SetDeadline(time.Now().Add(handshakeTimeout)) //nolint:errcheck // a peer without the key is bounded by its slot only
+	t, err := answer(conn, s.Key)
+	if err != nil {
+		return
+	}
+	status, server := Busy, net.Conn(nil)
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+		server, status = s.Connect(ctx, t)
+	default:
+	}
+	if server != nil {
+		defer server.Close() //nolint:errcheck // see above
+	}
+	if _, err := conn.Write([]byte{byte(status)}); err != nil || status != Connected {
+		return
+	}
+	conn.SetDeadline(time.Time{}) //nolint:errcheck // a deadline that stays closes the connection, which is safe
+	splice(ctx, conn, server)
+}
+
+// splice passes bytes both ways until either side ends. The end of the dialing side ends the
+// server's connection at once: its caller has left. A clean end of the server is passed on as
+// one, a broken one as a reset, so that no answer that was cut off looks complete.
+func splice(ctx context.Context, dialing, server net.Conn) {
+	stop := context.AfterFunc(ctx, func() { server.Close() }) //nolint:errcheck // the copies end then
+	defer stop()
+	var toServer sync.WaitGroup
+	toServer.Go(func() {
+		if err := copyAll(server, dialing); err != nil {
+			reset(server)
+		}
+		server.Close() //nolint:errcheck // see splice
+	})
+	defer toServer.Wait()
+	if err := copyAll(dialing, server); err != nil {
+		reset(dialing)
+		return
+	}
+	if c, ok := dialing.(*net.TCPConn); ok {
+		c.CloseWrite()                                //nolint:errcheck // the other side has gone
+		c.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // see above
+	}
+}
+
+func copyAll(to io.Writer, from io.Reader) error {
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Trace(err)
+		}
+	}
+}
+
+// reset closes a connection with a reset.
+func reset(conn net.Conn) {
+	if c, ok := conn.(*net.TCPConn); ok {
+		c.SetLinger(0) //nolint:errcheck // it is closed in any case
+	}
+	conn.Close() //nolint:errcheck // see above
+}
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -4,6 +4,7 @@
 	"rosereach/core/health"
 	"rosereach/core/pacing"
 	"rosereach/core/quarantine"
+	"rosereach/core/reach"
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
 )
@@ -33,6 +34,10 @@
 		// AppliedRevision is the revision of the documents in force at the entry.
 		AppliedRevision uint64 `json:"applied"`
 		Draining        bool   `json:"draining,omitempty"`
+		// Relay is the host:port at which the entry connects others to backend servers, and
+		// CutOff means that it reaches none itself.
+		Relay  string `json:"relay,omitempty"`
+		CutOff bool   `json:"cut_off,omitempty"`
 	}
 
 	// Report is one entry's counts of attempts at versions under roll-out,
@@ -79,6 +84,8 @@
 		LimitsVersion uint64        `json:"limits_version,omitempty"`
 		// WantsLoads asks for the load reports of all backend servers.
 		WantsLoads bool `json:"loads,omitempty"`
+		// WantsRelays asks for entries through which servers can be reached.
+		WantsRelays bool `json:"relays,omitempty"`
 	}
 
 	// WatchReply holds what changed.
@@ -117,6 +124,8 @@
 		HasShares     bool           `json:"has_shares,omitempty"`
 		// Loads are recent load reports of backend servers, if they were requested.
 		Loads []health.LoadReport `json:"loads,omitempty"`
+		// Relays are entries through which servers can be reached, if they were requested.
+		Relays []reach.Relay `json:"relays,omitempty"`
 		// Presences, Reports and Evidence hold what entries sent to the replying control
 		// directly, and what it listed itself, up to DirectVersion. They are set in replies
 		// to controls only.
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -106,6 +107,10 @@
 		// OnDial is called before each new connection if it is not nil. It must
 		// be set before the first request.
 		OnDial func()
+		// DialContext opens a connection to a server, by default with Dial. It must be set
+		// before the first request. A connection with a method IsStale() bool that returns
+		// true is not used for another request.
+		DialContext func(ctx context.Context, address string) (net.Conn, error)
 	}
 
 	conn struct {
@@ -119,7 +124,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(c clock.Clock) *Client {
-	return &Client{clock: c, idle: make(map[string][]*conn)}
+	return &Client{clock: c, idle: make(map[string][]*conn), DialContext: Dial}
 }
 
 // Do sends the request and reads the head of its answer. It calls beforeSend
@@ -130,7 +135,7 @@
 func (c *Client) Do(ctx context.Context, call Call, beforeSend func() error) (*Answer, error) {
 	conn, err := c.acquire(ctx, call)
 	if err != nil {
-		return nil, errors.Annotatef(ErrNotSent, "%v", err)
+		return nil, fmt.Errorf("%w: %w", err, ErrNotSent)
 	}
 	if err := beforeSend(); err != nil {
 		c.release(call.Address, conn)
@@ -157,9 +162,16 @@
 	if err != nil {
 		return err
 	}
+	c.keep(address, conn)
+	return nil
+}
+
+// Keep keeps a connection to the server, opened by the caller, for the next request there.
+func (c *Client) Keep(address string, raw net.Conn) { c.keep(address, newConn(raw)) }
+
+func (c *Client) keep(address string, conn *conn) {
 	conn.expiresAt = c.clock.Now().Add(defaultIdleTimeout)
 	c.release(address, conn)
-	return nil
 }
 
 // IsRefused reports whether the server refuses connections: its machine is there and no
@@ -307,30 +319,55 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	raw, err := connect(ctx, address)
+	raw, err := c.DialContext(ctx, address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *conn {
 	source := &boundedReader{r: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBufferBytes), source: source}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBufferBytes), source: source}
 }
 
-// connect opens a connection. It retries after a timeout only, not when the
-// server refuses or resets the connection.
-func connect(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: connectTimeout, Control: setUserTimeout}
+// Dial opens a connection. It retries after a timeout only, not when the server refuses or
+// resets the connection.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	var raw net.Conn
 	var err error
 	for range maxConnectAttempts {
-		raw, err = d.DialContext(ctx, "tcp", address)
-		var timeout net.Error
-		if err == nil || ctx.Err() != nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+		if raw, err = DialOnce(ctx, address); err == nil || ctx.Err() != nil || !IsTimeout(err) {
 			break
 		}
 	}
 	return raw, err
 }
 
+// DialOnce opens a connection in one attempt.
+func DialOnce(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: connectTimeout, Control: setUserTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// IsTimeout reports whether an attempt to connect got no reply in time.
+func IsTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// LimitUnacked closes a connection on which sent data stays unacknowledged, as it does
+// connections of Dial.
+func LimitUnacked(conn net.Conn) {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := c.SyscallConn(); err == nil {
+		setUserTimeout("", "", raw) //nolint:errcheck // see there
+	}
+}
+
 // popIdle removes and returns the idle connection that was used last, or nil. It
 // closes expired ones.
 func (c *Client) popIdle(address string) *conn {
@@ -367,11 +404,14 @@
 // isReusable reports whether an idle connection is still open and has no data to
 // read. Unsolicited data belongs to no request.
 func (c *conn) isReusable() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	if s, ok := c.Conn.(interface{ IsStale() bool }); ok && s.IsStale() {
+		return false
+	}
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
