Keep brittle servers from rejecting more than they bear

Backend servers may say that they are brittle: with more than N rejections a second, summed over all entries, they fall over, and their queues may shrink meanwhile. The word was read nowhere. An entry now fills its part of the slots of such a server, and leaves it alone after a rejection for as long as keeps all entries at half of N. One reading of the header in core/pacing, beside that of the limit; admit is the only way to a server.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -137,6 +137,9 @@
 		HoldOff time.Duration
 		// Limit is what the answer says about the requests a second that the server takes.
 		Limit pacing.Statement
+		// Brittle is what the answer says about the rejections a second that the server
+		// bears.
+		Brittle pacing.Statement
 		// Unreadable describes what the server says of itself but can't be read, empty
 		// for nothing.
 		Unreadable string
@@ -154,6 +157,10 @@
 // Error returns the code and the detail.
 func (f *Failure) Error() string { return string(f.Code) + ": " + f.Detail }
 
+// IsFull reports whether the server turned the request away, for want of room as far as the
+// answer tells.
+func (h Head) IsFull() bool { return h.Refused && !h.Misdirected }
+
 // IsNotRun reports whether the failure guarantees that the request did not run.
 func (f *Failure) IsNotRun() bool {
 	switch f.Code {
--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -76,6 +76,11 @@
 //   - Anything else is an error, and no statement: several values, an empty value, negative
 //     numbers, NaN and infinities, exponents and units.
 func ParseLimit(values []string) (Statement, error) {
+	return parseRate(values, MinLimit)
+}
+
+// parseRate reads a number a second, kept within least and MaxLimit.
+func parseRate(values []string, least float64) (Statement, error) {
 	switch len(values) {
 	case 0:
 		return Statement{Kind: Unlimited}, nil
@@ -91,5 +96,5 @@
 	if err != nil && !math.IsInf(n, 1) {
 		return Statement{}, errors.Errorf("%.40q is no number of requests a second", text)
 	}
-	return Statement{Kind: Limited, PerSecond: min(max(n, MinLimit), MaxLimit)}, nil
+	return Statement{Kind: Limited, PerSecond: min(max(n, least), MaxLimit)}, nil
 }
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -107,6 +107,7 @@
 		waitTallied      bool // the wait for the first byte was tallied before it came
 		pace             streamPace
 		counted          bool   // counted until its answer, as its server gets few requests after a hold-off
+		begun            bool   // it counts as being at its server
 		paced            bool   // it took a place at a server that named a limit
 		withheld         string // why it was not sent, empty if it was
 
@@ -248,6 +249,7 @@
 		x.withhold(a)
 		return forward.NotSent, err
 	}
+	defer f.leave(a)
 	defer f.settle(a, false)
 	remaining := x.deadline.Sub(now)
 	x.sends++
--- a/internal/entry/dialect_test.go
+++ b/internal/entry/dialect_test.go
@@ -9,10 +9,11 @@
 	"rosereach/platform"
 )
 
-// Both words count as the platform's servers write them.
+// All words count as the platform's servers write them.
 func TestWordsInThePlatformsHeaders(t *testing.T) {
 	for name, header := range map[string]http.Header{
 		"leaving":  {"Server-Leaving": {"1"}, "X-Rosereach-Not-Executed": {"1"}},
+		"brittle":  {"Server-Brittle": {"2"}, "X-Rosereach-Not-Executed": {"1"}},
 		"held off": {"Retry-After": {"30.5"}, "X-Rosereach-Not-Executed": {"1"}},
 	} {
 		r := newHarness(t)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -95,6 +95,7 @@
 		health         *health.Tracker
 		restraints     *health.Restraints
 		limiter        *pacing.Limiter
+		brittle        *pacing.Brittle
 		unreadable     map[string]uint64 // incarnation of each server whose word could not be read
 		turnedAway     map[string]int    // requests of each service rejected since its servers last took work
 		evidence       evidence
@@ -123,6 +124,7 @@
 	f.startedAt = e.cfg.Clock.Now()
 	f.parts = newPartEvidence()
 	f.limiter = pacing.NewLimiter(e.cfg.ID)
+	f.brittle = pacing.NewBrittle()
 	f.watcher = newWatcher(e)
 	f.detours = newDetours(f)
 	f.client.DialContext = f.detours.dial
@@ -303,6 +305,7 @@
 	f.health.Retain(isKnown)
 	f.restraints.Retain(now, isKnown)
 	f.limiter.Retain(isKnown)
+	f.brittle.Retain(isKnown)
 	maps.DeleteFunc(f.unreadable, func(id string, _ uint64) bool { return !known[id] })
 	f.latencyModel.Retain(isKnown)
 	maps.DeleteFunc(f.loads, func(id string, _ backend.Load) bool { return !known[id] })
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -55,6 +55,7 @@
 	f.mu.Lock()
 	if reply.Current && reply.EntryCount > 0 {
 		f.limiter.SetEntries(reply.EntryCount)
+		f.brittle.SetEntries(reply.EntryCount)
 	}
 	changed := f.limiter.Apply(now, reply.Limits, shares)
 	f.mu.Unlock()
--- a/internal/entry/restraint.go
+++ b/internal/entry/restraint.go
@@ -49,6 +49,10 @@
 	f.hearLimit(server, sentAt, head.Limit, requestID)
 	now := f.entry.cfg.Clock.Now()
 	f.mu.Lock()
+	brittle := f.brittle.Hear(now, server.ID, server.Incarnation, sentAt, head.Brittle)
+	if head.IsFull() {
+		head.HoldOff = max(head.HoldOff, f.brittle.HoldOff(server.ID, server.Incarnation))
+	}
 	changed := f.restraints.Hear(now, server.ID, server.Incarnation, health.Word{Leaving: head.Leaving, HoldOff: head.HoldOff, RequestID: requestID})
 	restraint, _ := f.restraints.Get(server.ID, server.Incarnation)
 	firstUnreadable := head.Unreadable != "" && f.unreadable[server.ID] != server.Incarnation
@@ -66,6 +70,10 @@
 		level.Info(logger).Log("msg", "Backend server wants no requests.", "id", requestID, "server", server.ID, "word", health.HeldOff, "addr", server.Address,
 			"incarnation", server.Incarnation, "for", head.HoldOff, "until", restraint.HeldUntil)
 	}
+	if brittle {
+		level.Info(logger).Log("msg", "Backend server is brittle.", "id", requestID, "server", server.ID, "addr", server.Address,
+			"incarnation", server.Incarnation, "bears", head.Brittle.PerSecond, "brittle", head.Brittle.Kind == pacing.Limited)
+	}
 	if firstUnreadable {
 		level.Warn(logger).Log("msg", "Word of a backend server cannot be read.", "id", requestID, "server", server.ID, "addr", server.Address, "err", head.Unreadable)
 	}
@@ -96,9 +104,25 @@
 	if reason != "" {
 		return errors.Errorf("backend server %s wants no requests: %s", server.ID, reason)
 	}
-	if a.paced {
-		return nil
+	if !a.begun && !f.brittle.Allows(server.ID, server.Incarnation, server.Capacity) {
+		a.withheld = withheldBrittle
+		return errors.Errorf("backend server %s is brittle and has its part of this entry's requests", server.ID)
+	}
+	if !a.paced {
+		if err := f.takePlace(now, a); err != nil {
+			return err
+		}
+	}
+	if !a.begun {
+		a.begun = true
+		f.brittle.Begin(server.ID)
 	}
+	return nil
+}
+
+// takePlace takes a place at a server that named a limit. Callers hold f.mu.
+func (f *forwarder) takePlace(now time.Time, a *attempt) error {
+	server := a.server
 	taken, ok := f.limiter.Take(now, server.ID, server.Incarnation)
 	if !ok {
 		a.withheld = withheldLimited
@@ -108,8 +132,22 @@
 	return nil
 }
 
-// withheldGone is why an attempt is not sent to a server that is not announced any more.
-const withheldGone = "gone"
+// The reasons why an attempt is not sent to a server that is not announced any more, and to
+// one that falls over when it has to reject too much.
+const (
+	withheldGone    = "gone"
+	withheldBrittle = "brittle"
+)
+
+// leave records that an attempt is not at its server any more.
+func (f *forwarder) leave(a *attempt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a.begun {
+		a.begun = false
+		f.brittle.End(a.server.ID)
+	}
+}
 
 // settle records that the attempt has its answer, or will get none.
 func (f *forwarder) settle(a *attempt, accepted bool) {
@@ -146,7 +184,7 @@
 // takers returns the servers of the list that may get a request now. Callers hold f.mu.
 func (f *forwarder) takers(now time.Time, list []roster.Record) []roster.Record {
 	return filterRecords(list, func(r roster.Record) bool {
-		return f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) == "" && f.limiter.Allows(now, r.Server.ID, r.Server.Incarnation)
+		return f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) == "" && f.limiter.Allows(now, r.Server.ID, r.Server.Incarnation) && f.brittle.Allows(r.Server.ID, r.Server.Incarnation, r.Server.Capacity)
 	})
 }
 
@@ -177,7 +215,11 @@
 			p.recovers = true
 		case "":
 			if f.limiter.Allows(now, r.Server.ID, r.Server.Incarnation) {
-				return prospect{}
+				if f.brittle.Allows(r.Server.ID, r.Server.Incarnation, r.Server.Capacity) {
+					return prospect{}
+				}
+				p.recovers = true
+				break
 			}
 			wait, rate := f.limiter.Wait(now, r.Server.ID, r.Server.Incarnation)
 			p.limited, p.rate = true, p.rate+rate
