Test that a short silence is waited for

A sound server that is silent for 1.4 s on all connections gets no successor and is not held responsible.

--- a/internal/entry/lost_answer_test.go
+++ b/internal/entry/lost_answer_test.go
@@ -143,6 +143,27 @@
 	}
 }
 
+// A sound server that is silent on all connections for a second or so gets no successor, though
+// another server and retries are there, and nothing is held against it.
+func TestShortSilenceIsWaitedFor(t *testing.T) {
+	p := newPausedStream(t, 50, refuse)
+	p.server("b", p.serve)
+	p.start()
+	start := p.clock.Now()
+	p.advanceUntil("the end of the silence", func() bool { return p.clock.Now().Sub(start) > 1400*time.Millisecond || len(p.ended) > 0 })
+	close(p.resume)
+	p.expectWhole()
+	if n := p.runs.Load(); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+	f := p.entry.forwarder
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.health.IsAvailable(p.clock.Now(), "a") || f.health.IsDegraded(p.clock.Now(), "a") {
+		t.Error("the server counts as failing")
+	}
+}
+
 // A successor that accepts the connection and then refuses the request has used up the
 // budget. The answer goes on when the budget allows the next retry.
 func TestBegunAnswerOutlastsRefusals(t *testing.T) {
