--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -30,6 +30,7 @@
 			boolFlag("standby", "wait with an empty data folder until \"control add\" adds this control to a group"),
 			flag("member-key", "", "key shared by rosereach's processes"),
 			flag("operator-key", "", "bootstrap key with all permissions, for use until operators have their own keys"),
+			boolFlag("forget-quarantine", "start without what this control had listed as crashing backend servers"),
 			metricsPortFlag(),
 		),
 		subs: []*command{cmdControlList(), cmdControlAdd(), cmdControlRemove()},
@@ -44,7 +45,7 @@
 	listen := s.address("listen")
 	cfg := control.Config{
 		ID: s.required("id"), Folder: s.required("data"), MemberKey: s.required("member-key"), OperatorKey: s.optional("operator-key"),
-		Peers: s.peers("peers"), Join: s.optionalAddresses("join"), Standby: c.Bool("standby"),
+		Peers: s.peers("peers"), Join: s.optionalAddresses("join"), Standby: c.Bool("standby"), ForgetQuarantine: c.Bool("forget-quarantine"),
 		Terms: lease.DefaultConfig(), Clock: clock.WallClock, Logger: newLogger(s, "control"),
 	}
 	files := s.tlsFiles()
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -28,8 +28,9 @@
 	now := p.settings()
 	node, err := control.Open(control.Config{
 		ID: now.Name, Folder: now.DataDir, Address: now.MemberAddress(), Region: now.Region, Zone: now.Zone, MemberKey: p.memberKey, OperatorKey: s.optional("operator-key"),
-		Seeds:     &control.Seeds{Addresses: p.memberAddresses, MayFound: now.Bootstrap, MinVoters: 2*now.FaultTolerance + 1},
-		MinVoters: min(len(now.Controls), foundingVoters), Terms: lease.DefaultConfig(), Clock: clock.WallClock, Logger: p.logger,
+		Seeds:            &control.Seeds{Addresses: p.memberAddresses, MayFound: now.Bootstrap, MinVoters: 2*now.FaultTolerance + 1},
+		ForgetQuarantine: c.Bool("forget-quarantine"),
+		MinVoters:        min(len(now.Controls), foundingVoters), Terms: lease.DefaultConfig(), Clock: clock.WallClock, Logger: p.logger,
 	})
 	if err != nil {
 		return err
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -52,6 +52,9 @@
 	Config struct {
 		ID string
 
+		// ForgetQuarantine starts this control without what it had listed.
+		ForgetQuarantine bool
+
 		// Folder is the data folder.
 		Folder string
 
@@ -125,6 +128,9 @@
 		snapshots     chan snapshot
 		flushRequests chan struct{}
 
+		// listedChanged makes the writer of the quarantine store it.
+		listedChanged chan struct{}
+
 		links *links
 
 		// joinMu serializes founding and joining a group.
@@ -191,6 +197,7 @@
 		synced:         make(chan uint64, 1),
 		snapshots:      make(chan snapshot, 1),
 		flushRequests:  make(chan struct{}, 1),
+		listedChanged:  make(chan struct{}, 1),
 		state:          state.New(),
 		pending:        make(map[uint64]pendingCommand),
 		watchers:       make(map[*member.Conn]bool),
@@ -202,6 +209,10 @@
 	n.metrics = newMetrics(n)
 	n.textMetrics = newTextMetrics(n)
 	n.links = newLinks(n)
+	if err := n.loadQuarantine(); err != nil {
+		store.Close()
+		return nil, err
+	}
 	if err := n.load(); err != nil {
 		store.Close()
 		return nil, err
@@ -220,6 +231,7 @@
 	defer stop()
 	g, runCtx := errgroup.WithContext(runCtx)
 	g.Go(func() error { return n.runWriter(runCtx) })
+	g.Go(func() error { return n.runQuarantineWriter(runCtx) })
 	g.Go(func() error { return n.joinGroup(runCtx) })
 	g.Go(func() error { return n.maintainFleet(runCtx) })
 	g.Go(func() error {
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -83,6 +83,9 @@
 	}
 	_, suspects := f.parts.Suspects()
 	if seen := [2]uint64{f.parts.List().Version(), suspects}; seen != f.partsSeen {
+		if seen[0] != f.partsSeen[0] {
+			n.saveListed()
+		}
 		f.partsSeen = seen
 		f.partsVersion++
 		close(f.judged)
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -1,11 +1,16 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
+
+	"rosereach/core/lease"
 	"rosereach/core/quarantine"
 	"rosereach/io/member"
 )
@@ -74,3 +79,35 @@
 		t.Fatal("an entry gets again what it has")
 	}
 }
+
+// What is listed outlasts the end of all processes at once: a control finds it on its disk.
+func TestListingOutlastsAllProcesses(t *testing.T) {
+	cfg := Config{ID: "control-1", Folder: t.TempDir(), MemberKey: "key", Terms: lease.DefaultConfig(), Clock: clock.WallClock, Logger: log.NewNopLogger()}
+	run := func(use func(n *Node)) {
+		n, err := Open(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- n.Run(ctx) }()
+		use(n)
+		cancel()
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+	}
+	run(func(n *Node) {
+		listed := quarantine.Report{Sender: "entry-0", Listed: []quarantine.Listing{{Key: quarantine.KeyOf("s", "bad"), Service: "s", Left: time.Hour}}}
+		n.receiveEvidence(listed) //nolint:errcheck // it returns none
+		waitFor(t, "the listing on disk", func() bool {
+			saved, err := n.store.Quarantine()
+			return err == nil && len(saved.Listings) == 1
+		})
+	})
+	run(func(n *Node) {
+		if !n.lists("bad") {
+			t.Error("the listing is gone")
+		}
+	})
+}
