--- a/internal/entry/turn.go
+++ b/internal/entry/turn.go
@@ -40,7 +40,7 @@
 			return nil
 		}
 		if asks == turnAsks || ctx.Err() != nil {
-			return f.suspectedFailure()
+			return x.suspectedFailure()
 		}
 		select {
 		case <-f.entry.cfg.Clock.After(turnPoll):
@@ -50,11 +50,12 @@
 	return nil
 }
 
-func (f *forwarder) suspectedFailure() *forward.Failure {
+func (x *activeRequest) suspectedFailure() *forward.Failure {
+	f := x.forwarder
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return &forward.Failure{
-		Code: forward.Quarantined, RetryAfter: retry.WithJitter(turnRetryAfter, f.random),
+		Code: forward.Quarantined, RetryAfter: min(retry.WithJitter(turnRetryAfter, f.random), x.deadline.Sub(x.now())/retryAfterDivisor),
 		Detail: "the request has been at backend servers that ended, and others are tried first",
 	}
 }
