--- a/core/health/pool.go
+++ b/core/health/pool.go
@@ -90,9 +90,9 @@
 	}
 
 	// view is what an entry last saw of each server, by its id.
-	view map[string]sight
+	view map[string]observation
 
-	sight struct {
+	observation struct {
 		at     time.Time
 		missed bool
 	}
@@ -149,11 +149,11 @@
 			s.add(now, entry, sample)
 		}
 	}
-	p.look(now, entry, samples)
+	p.updateView(now, entry, samples)
 }
 
-// look updates an entry's view, and forgets what is too old to count.
-func (p *Pool) look(now time.Time, entry string, samples []Sample) {
+// updateView updates an entry's view, and forgets what is too old to count.
+func (p *Pool) updateView(now time.Time, entry string, samples []Sample) {
 	v, ok := p.views[entry]
 	if !ok {
 		v = make(view)
@@ -161,11 +161,11 @@
 	}
 	for _, s := range samples {
 		if s.Answers > 0 || s.Unreachable > 0 {
-			v[s.Server] = sight{at: now, missed: s.Answers == 0}
+			v[s.Server] = observation{at: now, missed: s.Answers == 0}
 		}
 	}
 	for _, v := range p.views {
-		maps.DeleteFunc(v, func(_ string, s sight) bool { return now.Sub(s.at) >= unreachableWindow })
+		maps.DeleteFunc(v, func(_ string, s observation) bool { return now.Sub(s.at) >= unreachableWindow })
 	}
 	maps.DeleteFunc(p.views, func(_ string, v view) bool { return len(v) == 0 })
 }
--- a/core/pacing/brittle.go
+++ b/core/pacing/brittle.go
@@ -54,9 +54,9 @@
 // SetEntries sets the number of entries that are known to be live.
 func (b *Brittle) SetEntries(n int) { b.entries = max(n, 1) }
 
-// Hear records what the answer to a request that was sent at a time says, and reports whether
+// Observe records what the answer to a request that was sent at a time says, and reports whether
 // the server begins or ceases to be brittle.
-func (b *Brittle) Hear(now time.Time, server string, incarnation uint64, sentAt time.Time, st Statement) bool {
+func (b *Brittle) Observe(now time.Time, server string, incarnation uint64, sentAt time.Time, st Statement) bool {
 	s, was := b.servers[server]
 	switch {
 	case st.Kind == None, was && incarnation < s.incarnation:
--- a/core/pacing/brittle_test.go
+++ b/core/pacing/brittle_test.go
@@ -32,13 +32,13 @@
 	b := pacing.NewBrittle()
 	five, none := pacing.Statement{Kind: pacing.Limited, PerSecond: 5}, pacing.Statement{Kind: pacing.Unlimited}
 	now := time.Unix(1000, 0)
-	if !b.Hear(now, "s", 1, now, five) || b.Hear(now, "s", 1, now.Add(-time.Second), none) || b.HoldOff("s", 1) == 0 {
+	if !b.Observe(now, "s", 1, now, five) || b.Observe(now, "s", 1, now.Add(-time.Second), none) || b.HoldOff("s", 1) == 0 {
 		t.Fatal("an earlier answer ends it")
 	}
 	if b.HoldOff("s", 2) != 0 || !b.Allows("s", 2, 0) {
 		t.Fatal("it holds for another start")
 	}
-	if !b.Hear(now, "s", 1, now.Add(time.Second), none) || b.HoldOff("s", 1) != 0 {
+	if !b.Observe(now, "s", 1, now.Add(time.Second), none) || b.HoldOff("s", 1) != 0 {
 		t.Fatal("a later answer does not end it")
 	}
 }
@@ -83,7 +83,7 @@
 		}
 		counted, _ := e.restraints.Begin(f.now, s.id, 1)
 		st := pacing.Statement{Kind: pacing.Limited, PerSecond: brittleBears}
-		e.brittle.Hear(f.now, s.id, 1, f.now, st)
+		e.brittle.Observe(f.now, s.id, 1, f.now, st)
 		if len(s.running) >= brittleSlots+queue {
 			e.restraints.Hear(f.now, s.id, 1, health.Word{HoldOff: e.brittle.HoldOff(s.id, 1)})
 			if counted {
--- a/core/quarantine/pool.go
+++ b/core/quarantine/pool.go
@@ -41,7 +41,7 @@
 
 		repeats   map[Key]*repeat // by digest
 		repeatsOf map[uint64]int  // their number by workspace
-		turns     map[string]*turns
+		slots     map[string]*trialSlot
 		answered  map[string]recentAnswers // by service
 	}
 
@@ -68,7 +68,7 @@
 func NewPool() *Pool {
 	return &Pool{
 		list: NewList(), ends: make(map[endKey]*pooledEnd), sound: make(map[Key]map[string]float64), suspects: make(map[Key]time.Time),
-		repeats: make(map[Key]*repeat), repeatsOf: make(map[uint64]int), turns: make(map[string]*turns), answered: make(map[string]recentAnswers),
+		repeats: make(map[Key]*repeat), repeatsOf: make(map[uint64]int), slots: make(map[string]*trialSlot), answered: make(map[string]recentAnswers),
 	}
 }
 
@@ -149,7 +149,7 @@
 // Judge updates the suspects, and lists parts and returns them.
 func (p *Pool) Judge(now time.Time) []Listing {
 	p.expire(now)
-	added := p.convictRepeats(now)
+	added := p.listRepeats(now)
 	if !p.changed {
 		return added
 	}
--- a/core/quarantine/repeat.go
+++ b/core/quarantine/repeat.go
@@ -286,8 +286,8 @@
 // recency is the weight of what happened some time ago.
 func recency(age time.Duration) float64 { return math.Exp(-age.Seconds() / recentTime.Seconds()) }
 
-// convictRepeats lists the requests that trials show to crash servers, and returns them.
-func (p *Pool) convictRepeats(now time.Time) []Listing {
+// listRepeats lists the requests that trials show to crash servers, and returns them.
+func (p *Pool) listRepeats(now time.Time) []Listing {
 	var added []Listing
 	for _, k := range p.suspectRepeats() {
 		r := p.repeats[k]
--- a/core/quarantine/repeat_test.go
+++ b/core/quarantine/repeat_test.go
@@ -111,7 +111,7 @@
 		return
 	}
 	if e.suspects[r.digest] {
-		switch w.pool.Ask(w.now, service, r.digest, quarantine.NewRequest(r.id, "w", nil).ID) {
+		switch w.pool.Acquire(w.now, service, r.digest, quarantine.NewRequest(r.id, "w", nil).ID) {
 		case quarantine.RunAlone:
 			r.alone = true
 		case quarantine.Wait:
@@ -131,7 +131,7 @@
 		}
 	}
 	if len(up) == 0 {
-		w.endTurn(r, nil, false, false)
+		w.endTrial(r, nil, false, false)
 		w.refused[r.what]++
 		return
 	}
@@ -142,13 +142,13 @@
 	s.running = append(s.running, r)
 }
 
-func (w *repeatWorld) endTurn(r *repeatRequest, s *repeatServer, sound, ended bool) {
+func (w *repeatWorld) endTrial(r *repeatRequest, s *repeatServer, sound, ended bool) {
 	if !r.alone {
 		return
 	}
 	r.alone = false
 	id := quarantine.NewRequest(r.id, "w", nil).ID
-	w.pool.EndTurn(service, r.digest, id)
+	w.pool.Release(service, r.digest, id)
 	if sound || ended {
 		t := quarantine.Trial{Digest: r.digest, Service: service, ID: id, Server: s.name(), Incarnation: s.incarnation, Ended: ended}
 		w.pool.Add(w.now, quarantine.Report{Trials: []quarantine.Trial{t}})
@@ -168,7 +168,7 @@
 			e = quarantine.End{Service: service, Server: s.name(), Incarnation: s.incarnation}
 		}
 		byEntry[r.entry] = e.WithRequest(quarantine.NewRequest(r.id, "w", nil).WithDigest(r.digest))
-		w.endTurn(r, s, false, true)
+		w.endTrial(r, s, false, true)
 		if r.ends++; r.ends < 2 && !w.entries[r.entry].suspects[r.digest] {
 			r.at = w.now
 			w.waiting = append(w.waiting, r)
@@ -230,7 +230,7 @@
 		s.running = slices.DeleteFunc(s.running, func(other *repeatRequest) bool { return other == r })
 		w.answers[r.what]++
 		w.answered++
-		w.endTurn(r, s, true, false)
+		w.endTrial(r, s, true, false)
 	}
 }
 
--- a/core/quarantine/turn.go
+++ b/core/quarantine/slot.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// turnTime bounds a trial whose outcome is not reported.
-	turnTime = 5 * time.Second
+	// slotTime bounds a trial whose outcome is not reported.
+	slotTime = 5 * time.Second
 
-	// askTime is how long a request that asked for a turn counts as waiting for one.
-	askTime = 300 * time.Millisecond
+	// waiterTime is how long a request that asked for the slot counts as waiting for one.
+	waiterTime = 300 * time.Millisecond
 
-	// maxAsks bounds the requests that wait for the turns of one service.
-	maxAsks = 256
+	// maxWaiters bounds the requests that wait for the slot of one service.
+	maxWaiters = 256
 )
 
 // The answers to a request that asks to run.
@@ -32,22 +32,22 @@
 	// Permission tells whether a request may run.
 	Permission string
 
-	// turns lets suspects run one after the other at a service.
+	// trialSlot lets suspects run one after the other at a service.
 	//
 	// It answers a small service whose servers are all down for seconds, again and again:
 	// all that waited meanwhile comes back at once, and the crashing request with it, at many
 	// entries. Whoever has been at the fewest ends goes first, so that bystanders are cleared
 	// before the request that crashes servers takes the next one down.
-	turns struct {
-		holder Key
-		id     uint64
-		until  time.Time
-		asks   map[Key]time.Time
+	trialSlot struct {
+		holder  Key
+		id      uint64
+		until   time.Time
+		waiters map[Key]time.Time
 	}
 )
 
-// Ask decides whether a request may run now. A suspect that has to wait asks again.
-func (p *Pool) Ask(now time.Time, service string, digest Key, id uint64) Permission {
+// Acquire decides whether a request may run now. A suspect that has to wait asks again.
+func (p *Pool) Acquire(now time.Time, service string, digest Key, id uint64) Permission {
 	if _, listed := p.list.Find(now, []Key{digest}); listed {
 		return Wait
 	}
@@ -58,36 +58,36 @@
 	if r.isUnconfirmed(now) {
 		return Wait
 	}
-	t, ok := p.turns[service]
+	t, ok := p.slots[service]
 	if !ok {
-		t = &turns{asks: make(map[Key]time.Time)}
-		p.turns[service] = t
+		t = &trialSlot{waiters: make(map[Key]time.Time)}
+		p.slots[service] = t
 	}
-	maps.DeleteFunc(t.asks, func(k Key, at time.Time) bool { return now.Sub(at) > askTime || !p.mayAsk(now, k) })
-	if len(t.asks) < maxAsks {
-		t.asks[digest] = now
+	maps.DeleteFunc(t.waiters, func(k Key, at time.Time) bool { return now.Sub(at) > waiterTime || !p.mayWait(now, k) })
+	if len(t.waiters) < maxWaiters {
+		t.waiters[digest] = now
 	}
 	if now.Before(t.until) {
 		return Wait
 	}
-	for other := range t.asks {
+	for other := range t.waiters {
 		if other != digest && p.compareEnds(other, digest) < 0 {
 			return Wait
 		}
 	}
-	t.holder, t.id, t.until = digest, id, now.Add(turnTime)
-	delete(t.asks, digest)
+	t.holder, t.id, t.until = digest, id, now.Add(slotTime)
+	delete(t.waiters, digest)
 	return RunAlone
 }
 
-// EndTurn ends a trial, of which the outcome is added separately if there is one.
-func (p *Pool) EndTurn(service string, digest Key, id uint64) {
-	if t, ok := p.turns[service]; ok && t.holder == digest && t.id == id {
+// Release ends a trial, of which the outcome is added separately if there is one.
+func (p *Pool) Release(service string, digest Key, id uint64) {
+	if t, ok := p.slots[service]; ok && t.holder == digest && t.id == id {
 		t.until = time.Time{}
 	}
 }
 
-func (p *Pool) mayAsk(now time.Time, k Key) bool {
+func (p *Pool) mayWait(now time.Time, k Key) bool {
 	r, ok := p.repeats[k]
 	return ok && r.isSuspect() && !r.isUnconfirmed(now)
 }
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -62,10 +62,10 @@
 		return nil, decodeAndHandle(body, n.receivePresence)
 	case member.KindEvidence:
 		return nil, decodeAndHandle(body, n.receiveEvidence)
-	case member.KindTurn:
-		return decodeAndReply(body, func(r member.TurnRequest) (member.TurnReply, error) { return n.grantTurn(ctx, r) })
-	case member.KindTurnEnd:
-		return nil, decodeAndHandle(body, func(r member.TurnEnd) error { return n.endTurn(ctx, r) })
+	case member.KindTrial:
+		return decodeAndReply(body, func(r member.TrialRequest) (member.TrialReply, error) { return n.grantTrial(ctx, r) })
+	case member.KindTrialResult:
+		return nil, decodeAndHandle(body, func(r member.TrialResult) error { return n.endTrial(ctx, r) })
 	case member.KindLimits:
 		return nil, decodeAndHandle(body, n.receiveLimits)
 	case member.KindRouting:
--- a/internal/control/turn.go
+++ b/internal/control/trial.go
@@ -9,28 +9,28 @@
 	"rosereach/io/member"
 )
 
-// grantTurn decides whether a suspected request may run. The leader decides for all entries,
+// grantTrial decides whether a suspected request may run. The leader decides for all entries,
 // so that one of them runs at a time; a follower asks it.
-func (n *Node) grantTurn(ctx context.Context, r member.TurnRequest) (member.TurnReply, error) {
+func (n *Node) grantTrial(ctx context.Context, r member.TrialRequest) (member.TrialReply, error) {
 	if !n.IsLeader() {
-		var reply member.TurnReply
-		return reply, n.callLeader(ctx, member.KindTurn, r, &reply)
+		var reply member.TrialReply
+		return reply, n.callLeader(ctx, member.KindTrial, r, &reply)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	t := r.Trial
-	return member.TurnReply{Permission: n.fleet.parts.Ask(n.cfg.Clock.Now(), t.Service, t.Digest, t.ID)}, nil
+	return member.TrialReply{Permission: n.fleet.parts.Acquire(n.cfg.Clock.Now(), t.Service, t.Digest, t.ID)}, nil
 }
 
-// endTurn ends a turn and shares its outcome with the other controls.
-func (n *Node) endTurn(ctx context.Context, r member.TurnEnd) error {
+// endTrial frees the trial slot and shares its outcome with the other controls.
+func (n *Node) endTrial(ctx context.Context, r member.TrialResult) error {
 	if !n.IsLeader() {
-		return n.callLeader(ctx, member.KindTurnEnd, r, nil)
+		return n.callLeader(ctx, member.KindTrialResult, r, nil)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now, t := n.cfg.Clock.Now(), r.Trial
-	n.fleet.parts.EndTurn(t.Service, t.Digest, t.ID)
+	n.fleet.parts.Release(t.Service, t.Digest, t.ID)
 	if !r.HasOutcome {
 		return nil
 	}
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -67,7 +67,7 @@
 		service string
 		parts   []quarantine.Key // of the prompt, as far as other requests share them
 		digest  quarantine.Key   // of the whole request, the same when it comes again
-		hasTurn bool             // it runs as the only suspect of its service
+		hasSlot bool             // it runs as the only suspect of its service
 		ends    int              // servers that ended while they had the request
 		model   string
 		tried   []string // servers of the attempts so far
@@ -149,10 +149,10 @@
 		x.forwarder.metrics.attemptEnded(outcome)
 		if err == nil {
 			x.recordSound(a)
-			x.endTurn(a, true, false)
+			x.endTrial(a, true, false)
 			return nil
 		}
-		x.endTurn(a, false, x.ends > ends)
+		x.endTrial(a, false, x.ends > ends)
 		x.logFailedAttempt(a, outcome, err)
 		lastOutcome = outcome
 		if !x.maySpread() {
@@ -331,7 +331,7 @@
 	if failure := x.quarantinedFailure(); failure != nil {
 		return nil, failure
 	}
-	if failure := x.awaitTurn(ctx); failure != nil {
+	if failure := x.awaitTrial(ctx); failure != nil {
 		return nil, failure
 	}
 	if a := x.nextAttempt; a != nil {
@@ -346,7 +346,7 @@
 		a, ok = x.awaitRoom(ctx)
 	}
 	if !ok {
-		x.endTurn(nil, false, false)
+		x.endTrial(nil, false, false)
 		return nil, x.noServerFailure()
 	}
 	x.forwarder.markServiceUp(x.service)
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -80,23 +80,23 @@
 		return upstream.Dial(ctx, address)
 	}
 	if d.isCut(server.Service) {
-		return d.through(ctx, server)
+		return d.dialThrough(ctx, server)
 	}
-	conn, err := d.direct(ctx, server)
+	conn, err := d.dialDirect(ctx, server)
 	if err == nil || ctx.Err() != nil {
 		return conn, err
 	}
 	if d.judge(ctx, server) {
-		return d.through(ctx, server)
+		return d.dialThrough(ctx, server)
 	}
 	if upstream.IsTimeout(err) {
-		return d.direct(ctx, server)
+		return d.dialDirect(ctx, server)
 	}
 	return nil, err
 }
 
-// direct makes one attempt to connect without another entry.
-func (d *detours) direct(ctx context.Context, server backend.Announcement) (net.Conn, error) {
+// dialDirect makes one attempt to connect without another entry.
+func (d *detours) dialDirect(ctx context.Context, server backend.Announcement) (net.Conn, error) {
 	conn, err := upstream.DialOnce(ctx, server.Address)
 	if err == nil {
 		d.recordReached(server.Service)
@@ -108,8 +108,8 @@
 	return conn, err
 }
 
-// through opens a connection through another entry.
-func (d *detours) through(ctx context.Context, server backend.Announcement) (net.Conn, error) {
+// dialThrough opens a connection through another entry.
+func (d *detours) dialThrough(ctx context.Context, server backend.Announcement) (net.Conn, error) {
 	cfg := d.forwarder.entry.cfg
 	for range maxRelayTries {
 		relay, ok := d.pickRelay()
@@ -133,7 +133,7 @@
 	d.mu.Unlock()
 	if refused {
 		// An attempt that is refused costs no time, and all servers may have been down.
-		return d.direct(ctx, server)
+		return d.dialDirect(ctx, server)
 	}
 	return nil, errors.Trace(errNoPath)
 }
@@ -166,12 +166,12 @@
 	if d.isCut(server.Service) {
 		return nil, detour.CutOff
 	}
-	conn, err := d.direct(ctx, server)
+	conn, err := d.dialDirect(ctx, server)
 	if err != nil && d.judge(ctx, server) {
 		return nil, detour.CutOff
 	}
 	if err != nil && upstream.IsTimeout(err) {
-		conn, err = d.direct(ctx, server)
+		conn, err = d.dialDirect(ctx, server)
 	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/internal/entry/restraint.go
+++ b/internal/entry/restraint.go
@@ -49,7 +49,7 @@
 	f.hearLimit(server, sentAt, head.Limit, requestID)
 	now := f.entry.cfg.Clock.Now()
 	f.mu.Lock()
-	brittle := f.brittle.Hear(now, server.ID, server.Incarnation, sentAt, head.Brittle)
+	brittle := f.brittle.Observe(now, server.ID, server.Incarnation, sentAt, head.Brittle)
 	if head.IsFull() {
 		head.HoldOff = max(head.HoldOff, f.brittle.HoldOff(server.ID, server.Incarnation))
 	}
--- a/internal/entry/service_link.go
+++ b/internal/entry/service_link.go
@@ -66,7 +66,7 @@
 	results := make(chan bool, len(servers))
 	for _, server := range servers {
 		go func() {
-			conn, err := d.direct(d.forwarder.entry.ctx, server)
+			conn, err := d.dialDirect(d.forwarder.entry.ctx, server)
 			if err == nil {
 				d.forwarder.client.Keep(server.Address, conn)
 			}
--- a/internal/entry/turn.go
+++ b/internal/entry/trial.go
@@ -16,34 +16,35 @@
 )
 
 const (
-	// turnPoll is the pause before a suspected request asks for a turn again, and turnAsks how
-	// often it asks. Its caller is then told to come back after turnRetryAfter or so.
-	turnPoll       = 100 * time.Millisecond
-	turnAsks       = 3
-	turnRetryAfter = time.Second
+	// trialPoll is the pause before a suspected request asks for the trial slot again, and
+	// trialRequests how often it asks. Its caller is then told to come back after
+	// trialRetryAfter or so.
+	trialPoll       = 100 * time.Millisecond
+	trialRequests   = 3
+	trialRetryAfter = time.Second
 
-	// turnTimeout bounds the wait for a control's reply.
-	turnTimeout = 500 * time.Millisecond
+	// trialTimeout bounds the wait for a control's reply.
+	trialTimeout = 500 * time.Millisecond
 )
 
-// awaitTurn returns nil once the request may run: at once unless it has been at servers that
+// awaitTrial returns nil once the request may run: at once unless it has been at servers that
 // ended, else when the controls let it run as the only such request of its service.
-func (x *activeRequest) awaitTurn(ctx context.Context) *forward.Failure {
+func (x *activeRequest) awaitTrial(ctx context.Context) *forward.Failure {
 	f := x.forwarder
 	for asks := 1; f.isSuspected(x.digest); asks++ {
-		switch f.watcher.askTurn(ctx, x.trial(quarantine.Trial{})) {
+		switch f.watcher.requestTrial(ctx, x.trial(quarantine.Trial{})) {
 		case quarantine.RunFreely:
 			return nil
 		case quarantine.RunAlone:
-			x.hasTurn = true
+			x.hasSlot = true
 			level.Debug(x.log()).Log("msg", "Suspected request runs alone.", "id", x.req.ID, "digest", x.digest)
 			return nil
 		}
-		if asks == turnAsks || ctx.Err() != nil {
+		if asks == trialRequests || ctx.Err() != nil {
 			return x.suspectedFailure()
 		}
 		select {
-		case <-f.entry.cfg.Clock.After(turnPoll):
+		case <-f.entry.cfg.Clock.After(trialPoll):
 		case <-ctx.Done():
 		}
 	}
@@ -55,7 +56,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return &forward.Failure{
-		Code: forward.Quarantined, RetryAfter: min(retry.WithJitter(turnRetryAfter, f.random), x.deadline.Sub(x.now())/retryAfterDivisor),
+		Code: forward.Quarantined, RetryAfter: min(retry.WithJitter(trialRetryAfter, f.random), x.deadline.Sub(x.now())/retryAfterDivisor),
 		Detail: "the request has been at backend servers that ended, and others are tried first",
 	}
 }
@@ -73,45 +74,45 @@
 	return t
 }
 
-// endTurn gives the request's turn back with the outcome of its run: whether the answer was
+// endTrial gives the trial slot back with the outcome of its run: whether the answer was
 // sound or the server ended. Neither says nothing about the request.
-func (x *activeRequest) endTurn(a *attempt, sound, ended bool) {
-	if !x.hasTurn {
+func (x *activeRequest) endTrial(a *attempt, sound, ended bool) {
+	if !x.hasSlot {
 		return
 	}
-	x.hasTurn = false
-	r := member.TurnEnd{Trial: x.trial(quarantine.Trial{Ended: ended}), HasOutcome: sound || ended}
+	x.hasSlot = false
+	r := member.TrialResult{Trial: x.trial(quarantine.Trial{Ended: ended}), HasOutcome: sound || ended}
 	if a != nil {
 		r.Trial.Server, r.Trial.Incarnation = a.server.ID, a.server.Incarnation
 	}
 	f := x.forwarder
 	level.Debug(x.log()).Log("msg", "Suspected request has run alone.", "id", x.req.ID, "digest", x.digest, "srv", r.Trial.Server, "sound", sound, "ended", ended)
-	f.entry.cfg.Clock.AfterFunc(0, turnReport{forwarder: f, end: r}.send)
+	f.entry.cfg.Clock.AfterFunc(0, trialReport{forwarder: f, end: r}.send)
 }
 
-// turnReport gives a turn back to the controls. It outlives the request.
-type turnReport struct {
+// trialReport gives the trial slot back to the controls. It outlives the request.
+type trialReport struct {
 	forwarder *forwarder
-	end       member.TurnEnd
+	end       member.TrialResult
 }
 
-func (r turnReport) send() {
+func (r trialReport) send() {
 	e := r.forwarder.entry
 	ctx, cancel := context.WithTimeout(e.ctx, evidenceTimeout)
 	defer cancel()
-	if err := r.forwarder.watcher.callNearest(ctx, member.KindTurnEnd, r.end, nil); err != nil {
+	if err := r.forwarder.watcher.callNearest(ctx, member.KindTrialResult, r.end, nil); err != nil {
 		level.Debug(e.cfg.Logger).Log("msg", "Failed to report a trial.", "digest", r.end.Trial.Digest, "err", err)
 	}
 }
 
-// askTurn asks the controls whether a suspected request may run. Without an answer it has to
+// requestTrial asks the controls whether a suspected request may run. Without an answer it has to
 // wait.
-func (w *watcher) askTurn(ctx context.Context, t quarantine.Trial) quarantine.Permission {
-	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
+func (w *watcher) requestTrial(ctx context.Context, t quarantine.Trial) quarantine.Permission {
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	var reply member.TurnReply
-	if err := w.callNearest(ctx, member.KindTurn, member.TurnRequest{Trial: t}, &reply); err != nil {
-		level.Debug(w.entry.cfg.Logger).Log("msg", "No control grants a turn.", "digest", t.Digest, "err", err)
+	var reply member.TrialReply
+	if err := w.callNearest(ctx, member.KindTrial, member.TrialRequest{Trial: t}, &reply); err != nil {
+		level.Debug(w.entry.cfg.Logger).Log("msg", "No control grants a trial.", "digest", t.Digest, "err", err)
 		return quarantine.Wait
 	}
 	return reply.Permission
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -11,13 +11,13 @@
 
 // The kinds of message with which entries and controls follow a control.
 const (
-	KindWatch    Kind = "watch"
-	KindPresence Kind = "presence"
-	KindRouting  Kind = "routing"
-	KindEvidence Kind = "evidence"
-	KindLimits   Kind = "limits"
-	KindTurn     Kind = "turn"
-	KindTurnEnd  Kind = "turn_end"
+	KindWatch       Kind = "watch"
+	KindPresence    Kind = "presence"
+	KindRouting     Kind = "routing"
+	KindEvidence    Kind = "evidence"
+	KindLimits      Kind = "limits"
+	KindTrial       Kind = "trial"
+	KindTrialResult Kind = "trial_result"
 )
 
 type (
@@ -135,19 +135,19 @@
 		DirectVersion uint64              `json:"direct_version,omitempty"`
 	}
 
-	// TurnRequest asks whether a request that has been at servers that ended may run.
-	TurnRequest struct {
+	// TrialRequest asks whether a request that has been at servers that ended may run.
+	TrialRequest struct {
 		Trial quarantine.Trial `json:"trial"`
 	}
 
-	// TurnReply is the answer to a TurnRequest.
-	TurnReply struct {
+	// TrialReply is the answer to a TrialRequest.
+	TrialReply struct {
 		Permission quarantine.Permission `json:"permission"`
 	}
 
-	// TurnEnd gives a turn back. HasOutcome is set if the trial says something about the
+	// TrialResult gives the trial slot back. HasOutcome is set if the trial says something about the
 	// request.
-	TurnEnd struct {
+	TrialResult struct {
 		Trial      quarantine.Trial `json:"trial"`
 		HasOutcome bool             `json:"outcome,omitempty"`
 	}
