--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// judgeParts lists the prompt parts that crash servers and answers the watches that have
+// judgeParts lists the prompt parts and requests that crash servers and answers the watches that have
 // news. Every control judges for itself and passes on what it lists, so that no leader is
 // needed and none takes the list with it. Callers hold n.mu.
 func (n *Node) judgeParts(now time.Time) {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -33,7 +33,7 @@
 )
 
 type (
-	// partEvidence is what an entry knows about prompt parts that crash servers. Callers
+	// partEvidence is what an entry knows about prompt parts and requests that crash servers. Callers
 	// hold forwarder.mu.
 	partEvidence struct {
 		list     *quarantine.List
@@ -66,8 +66,8 @@
 	return quarantine.SharedKeys(x.service, ids)
 }
 
-// quarantinedFailure returns the failure of a request with a part that crashes servers, nil
-// if it has none. Its caller is told to come back when the listing ends.
+// quarantinedFailure returns the failure of a request that crashes servers, or has a part that
+// does, nil for any other. Its caller is told to come back when the listing ends.
 func (x *activeRequest) quarantinedFailure() *forward.Failure {
 	f := x.forwarder
 	f.mu.Lock()
@@ -161,8 +161,8 @@
 
 // maySpread reports whether the request may go to another server after those that ended
 // under it. Two ends need a reason to believe that it is not the cause: each of its shared
-// parts has been answered of late. After one end it is enough that no part without such an
-// answer is under suspicion.
+// parts has been answered of late. After one end it is enough that neither the request nor a
+// part without such an answer is under suspicion.
 func (x *activeRequest) maySpread() bool {
 	if x.ends == 0 {
 		return true
