--- a/core/pacing/brittle_test.go
+++ b/core/pacing/brittle_test.go
@@ -16,8 +16,15 @@
 		kind   pacing.Kind
 		n      float64
 	}{
-		{nil, pacing.Unlimited, 0}, {[]string{"5"}, pacing.Limited, 5}, {[]string{" 0 "}, pacing.Limited, 0}, {[]string{"0.5"}, pacing.Limited, 0.5},
-		{[]string{""}, pacing.None, 0}, {[]string{"-1"}, pacing.None, 0}, {[]string{"1", "2"}, pacing.None, 0}, {[]string{"NaN"}, pacing.None, 0}, {[]string{"1e3"}, pacing.None, 0},
+		{nil, pacing.Unlimited, 0},
+		{[]string{"5"}, pacing.Limited, 5},
+		{[]string{" 0 "}, pacing.Limited, 0},
+		{[]string{"0.5"}, pacing.Limited, 0.5},
+		{[]string{""}, pacing.None, 0},
+		{[]string{"-1"}, pacing.None, 0},
+		{[]string{"1", "2"}, pacing.None, 0},
+		{[]string{"NaN"}, pacing.None, 0},
+		{[]string{"1e3"}, pacing.None, 0},
 	} {
 		got, err := pacing.ParseBrittle(c.values)
 		if got.Kind != c.kind || got.PerSecond != c.n || (err != nil) != (c.kind == pacing.None) {
