--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -62,6 +62,8 @@
 		sightings uint64
 		// serving caches the results of Serving by service until a record changes.
 		serving map[string][]Record
+		// newest caches the newest server at each address likewise.
+		newest map[string]*serverEntry
 	}
 
 	// serverEntry is the state of one server.
@@ -185,7 +187,7 @@
 		}
 		if idle > r.cfg.RemoveAfter {
 			delete(r.servers, id)
-			r.serving = nil
+			r.clearCaches()
 		}
 	}
 }
@@ -198,7 +200,7 @@
 		gone := e.record.Silent || e.record.Server.State == backend.Leaving
 		if gone && now.Sub(e.lastAnnounced) > r.cfg.RemoveAfter {
 			delete(r.servers, id)
-			r.serving = nil
+			r.clearCaches()
 		}
 	}
 }
@@ -223,13 +225,12 @@
 }
 
 // At returns the newest server at an address, and false if there is none.
-func (r *Roster) At(address string) (newest backend.Announcement, ok bool) {
-	for _, e := range r.servers {
-		if s := e.record.Server; s.Address == address && (!ok || s.Incarnation > newest.Incarnation) {
-			newest, ok = s, true
-		}
+func (r *Roster) At(address string) (backend.Announcement, bool) {
+	e, ok := r.newestByAddress()[address]
+	if !ok {
+		return backend.Announcement{}, false
 	}
-	return newest, ok
+	return e.record.Server, true
 }
 
 // LastSeen returns when the last announcement of a start of a server arrived, zero for an
@@ -252,7 +253,7 @@
 	newest := r.newestByAddress()
 	var list []Record
 	for _, e := range r.servers {
-		if s := e.record.Server; s.Service == service && s.State == backend.Serving && newest[s.Address] <= s.Incarnation {
+		if s := e.record.Server; s.Service == service && s.State == backend.Serving && newest[s.Address].record.Server.Incarnation <= s.Incarnation {
 			list = append(list, e.record)
 		}
 	}
@@ -273,16 +274,24 @@
 	return list
 }
 
-// newestByAddress returns the newest incarnation at each address.
-func (r *Roster) newestByAddress() map[string]uint64 {
-	newest := make(map[string]uint64, len(r.servers))
+// newestByAddress returns the newest server at each address.
+func (r *Roster) newestByAddress() map[string]*serverEntry {
+	if r.newest != nil {
+		return r.newest
+	}
+	r.newest = make(map[string]*serverEntry, len(r.servers))
 	for _, e := range r.servers {
 		s := e.record.Server
-		newest[s.Address] = max(newest[s.Address], s.Incarnation)
+		if other, ok := r.newest[s.Address]; !ok || s.Incarnation > other.record.Server.Incarnation {
+			r.newest[s.Address] = e
+		}
 	}
-	return newest
+	return r.newest
 }
 
+// clearCaches drops what is derived from the records, after a change of one.
+func (r *Roster) clearCaches() { r.serving, r.newest = nil, nil }
+
 // merge stores a record unless it is outdated, and reports whether it did.
 func (r *Roster) merge(now time.Time, rec Record) bool {
 	e, ok := r.servers[rec.Server.ID]
@@ -303,7 +312,7 @@
 	}
 	e.record = rec
 	e.lastAnnounced, e.lastSeen = now, now
-	r.serving = nil
+	r.clearCaches()
 	if isSignificantChange(old, rec) {
 		r.bumpVersion(e)
 	}
@@ -330,7 +339,7 @@
 func (r *Roster) bumpVersion(e *serverEntry) {
 	r.version++
 	e.changedVersion = r.version
-	r.serving = nil
+	r.clearCaches()
 }
 
 func (r *Roster) ids() []string {
