Probe at the second server that fails, also just after a connection

Found while probes were tried one after the other. Change: two different servers that fail since the last one was reached call for probes. TestSecondFailureCallsForProbes.

--- a/core/reach/link.go
+++ b/core/reach/link.go
@@ -7,8 +7,9 @@
 
 const (
 	// trustTime is how long after a server has accepted a connection a failure of another
-	// is taken for that server's.
-	trustTime = time.Second
+	// is taken for that server's, unless doubtfulFailures of them have failed since.
+	trustTime        = time.Second
+	doubtfulFailures = 2
 
 	// ProbeInterval is the time between probes while an instance is cut off.
 	ProbeInterval = 500 * time.Millisecond
@@ -24,20 +25,34 @@
 // are down, costs a hop: the other instances see the same servers fail.
 type Link struct {
 	reachedAt time.Time
+	failed    map[string]bool // servers that failed since one was reached
 	cutSince  time.Time
 }
 
 // Reached records that a server accepted a new connection, and reports whether that ends a cut.
 func (l *Link) Reached(now time.Time) bool {
 	l.reachedAt = now
+	clear(l.failed)
 	wasCut := l.IsCut()
 	l.cutSince = time.Time{}
 	return wasCut
 }
 
-// NeedsProbes reports whether a failed connection calls for probes of other servers.
+// Failed records that a server accepted no connection.
+func (l *Link) Failed(server string) {
+	if l.failed == nil {
+		l.failed = make(map[string]bool)
+	}
+	if len(l.failed) < doubtfulFailures {
+		l.failed[server] = true
+	}
+}
+
+// NeedsProbes reports whether a failed connection calls for probes of other servers. A busy
+// instance has reached a server just before a cut begins; the second server that fails it
+// tells.
 func (l *Link) NeedsProbes(now time.Time) bool {
-	return !l.IsCut() && now.Sub(l.reachedAt) > trustTime
+	return !l.IsCut() && (now.Sub(l.reachedAt) > trustTime || len(l.failed) >= doubtfulFailures)
 }
 
 // Judge judges the link after probes, which began at a time and reached no server unless
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -34,6 +34,28 @@
 	}
 }
 
+// A cut begins just after a connection: the failure of one server is taken for that server's,
+// that of a second one calls for probes, until one is reached.
+func TestSecondFailureCallsForProbes(t *testing.T) {
+	var l reach.Link
+	l.Reached(start)
+	now := start.Add(10 * time.Millisecond)
+	l.Failed("a")
+	l.Failed("a")
+	if l.NeedsProbes(now) {
+		t.Fatal("the failure of one server calls for probes")
+	}
+	l.Failed("b")
+	if !l.NeedsProbes(now) {
+		t.Fatal("the failure of a second one does not")
+	}
+	l.Reached(now)
+	l.Failed("c")
+	if l.NeedsProbes(now) {
+		t.Fatal("earlier failures count")
+	}
+}
+
 func TestProbesLeaveOutTheFailedServer(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
 	all := []string{"a", "b", "c", "d", "e"}
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -102,7 +102,9 @@
 		d.recordReached(server.Service)
 	} else if ctx.Err() == nil {
 		d.mu.Lock()
-		d.link(server.Service).refused = errors.Is(err, syscall.ECONNREFUSED)
+		l := d.link(server.Service)
+		l.refused = errors.Is(err, syscall.ECONNREFUSED)
+		l.Failed(server.ID)
 		d.mu.Unlock()
 	}
 	return conn, err
