Probe servers one after the other, and spread the return of entries

Cause: an entry probed three servers at once and kept each connection, and two at once every half second while it was cut off. A small service bears few connections: 200 entries before three servers would have opened 400 when one of them failed, and as many at the same moments after all had. Change: the next server is probed when one has failed, or not answered for 75 ms; one probe at a time during a cut, 0.25 to 0.75 s apart. Result: TestFailedServerOpensOneProbe, three connections before, one now; TestReturningInstancesAreSpread.

--- a/core/reach/link.go
+++ b/core/reach/link.go
@@ -3,7 +3,10 @@
 // names are gray failure, for what only some observers see, and one-hop detours.
 package reach
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// trustTime is how long after a server has accepted a connection a failure of another
@@ -11,8 +14,12 @@
 	trustTime        = time.Second
 	doubtfulFailures = 2
 
-	// ProbeInterval is the time between probes while an instance is cut off.
-	ProbeInterval = 500 * time.Millisecond
+	// ProbeStagger is the time after which another server is probed beside those that have
+	// not answered. It covers a round trip between regions.
+	ProbeStagger = 75 * time.Millisecond
+
+	// returnInterval is the mean time between probes while an instance is cut off.
+	returnInterval = 500 * time.Millisecond
 )
 
 // Link is one instance's view of its own paths to the servers of one service. Only new
@@ -70,3 +77,12 @@
 
 // CutSince returns since when the instance has been cut off, zero if it is not.
 func (l *Link) CutSince() time.Time { return l.cutSince }
+
+// ReturnDelay returns the time until the next probe of an instance that is cut off, half of
+// returnInterval to one and a half times it.
+//
+// It answers a service whose servers all end at once: every instance takes it for a cut, and
+// comes back with a connection of its own. The servers are to accept these one after the other.
+func ReturnDelay(r *rand.Rand) time.Duration {
+	return returnInterval/2 + time.Duration(r.Int64N(int64(returnInterval)))
+}
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// All servers of a service end at once. The probes of 200 instances, which all begin to probe at
+// the same moment, spread over the interval.
+func TestReturningInstancesAreSpread(t *testing.T) {
+	const instances, slice = 200, 50 * time.Millisecond
+	r := rand.New(rand.NewPCG(1, 1))
+	probes := make(map[time.Duration]int)
+	for range instances {
+		for at := reach.ReturnDelay(r); at < 10*time.Second; at += reach.ReturnDelay(r) {
+			probes[at/slice]++
+		}
+	}
+	for at, n := range probes {
+		if mean := instances / 10; n > 3*mean {
+			t.Errorf("%d probes from %v on, %d on average", n, at*slice, mean)
+		}
+	}
+}
+
 // Most of an availability zone is cut off: its instances are spread over all others of the
 // region, and none of another region is burdened.
 func TestCutOffZoneIsSpreadOverTheRegion(t *testing.T) {
--- a/internal/entry/cut_off_test.go
+++ b/internal/entry/cut_off_test.go
@@ -22,6 +22,8 @@
 	*fleet
 	servers []backend.Announcement
 	runs    atomic.Int64
+	// connections is the number that the servers have accepted.
+	connections atomic.Int64
 }
 
 func newCutFleet(t *testing.T, servers int, h http.HandlerFunc) *cutFleet {
@@ -35,7 +37,11 @@
 		s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			c.runs.Add(1)
 			h(w, r)
-		})}
+		}), ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				c.connections.Add(1)
+			}
+		}}
 		go s.Serve(l)
 		t.Cleanup(func() { s.Close() })
 		a := backend.Announcement{
@@ -203,3 +209,24 @@
 	}
 	waitFor(t, "the end of the cut", func() bool { return send() == nil && !entries[0].forwarder.detours.isCutOff() })
 }
+
+// A server that fails makes an entry open one connection to another, and not one to each: a
+// small service has connections for few of hundreds of entries.
+func TestFailedServerOpensOneProbe(t *testing.T) {
+	c := newCutFleet(t, 4, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+	e := c.startForwardingEntry("forwarding-1")
+	c.startForwardingEntry("forwarding-2")
+	d := e.forwarder.detours
+	waitFor(t, "a relay", func() bool { return d.relayCount() > 0 })
+	failing := c.servers[0]
+	failing.Sequence, failing.Address = 1<<40, refusingAddress(t)
+	e.forwarder.updateRoster(time.Now(), roster.Delta{Records: []roster.Record{{Server: failing}}})
+	if conn, err := d.dial(context.Background(), failing.Address); err == nil {
+		conn.Close()
+		t.Fatal("the failing server accepts a connection")
+	}
+	time.Sleep(200 * time.Millisecond) // connections that are under way are established
+	if n := c.connections.Load(); n != 1 || d.isCut("s") {
+		t.Errorf("%d connections to the others, cut %v", n, d.isCut("s"))
+	}
+}
--- a/internal/entry/service_link.go
+++ b/internal/entry/service_link.go
@@ -10,9 +10,6 @@
 	"rosereach/core/reach"
 )
 
-// maxReturnProbes is the number of servers that are probed at once during a cut.
-const maxReturnProbes = 2
-
 // serviceLink is the entry's link to the servers of one service.
 type serviceLink struct {
 	reach.Link
@@ -60,26 +57,38 @@
 	}
 }
 
-// probe connects to servers and returns with the first that accepts, or when all have failed.
-// The connections are kept for requests.
+// probe connects to servers one after the other, and to the next one beside those that have
+// not answered in time, until one accepts or all have failed. The connection is kept for a
+// request.
 func (d *detours) probe(servers []backend.Announcement) {
 	results := make(chan bool, len(servers))
-	for _, server := range servers {
-		go func() {
-			conn, err := d.dialDirect(d.forwarder.entry.ctx, server)
-			if err == nil {
-				d.forwarder.client.Keep(server.Address, conn)
+	for started, ended := 0, 0; ended < len(servers); {
+		var next <-chan time.Time
+		if started < len(servers) {
+			server := servers[started]
+			go func() { results <- d.probeServer(server) }()
+			started++
+			next = d.forwarder.entry.cfg.Clock.After(reach.ProbeStagger)
+		}
+		select {
+		case reached := <-results:
+			if ended++; reached {
+				return
 			}
-			results <- err == nil
-		}()
-	}
-	for range servers {
-		if <-results {
-			return
+		case <-next:
 		}
 	}
 }
 
+func (d *detours) probeServer(server backend.Announcement) bool {
+	conn, err := d.dialDirect(d.forwarder.entry.ctx, server)
+	if err != nil {
+		return false
+	}
+	d.forwarder.client.Keep(server.Address, conn)
+	return true
+}
+
 // beginCut forgets what the entry has seen of the servers, which says nothing about them, and
 // closes idle connections, which may never answer.
 func (d *detours) beginCut(service string) {
@@ -97,19 +106,27 @@
 	f.mu.Unlock()
 	f.client.CloseIdle(func(address string) bool { return !addresses[address] })
 	f.watcher.announcePresence(f.entry.ctx)
-	f.entry.cfg.Clock.AfterFunc(reach.ProbeInterval, func() { d.probeReturn(service) })
+	d.scheduleReturn(service)
+}
+
+// scheduleReturn schedules the next probe of a service during a cut.
+func (d *detours) scheduleReturn(service string) {
+	d.mu.Lock()
+	delay := reach.ReturnDelay(d.random)
+	d.mu.Unlock()
+	d.forwarder.entry.cfg.Clock.AfterFunc(delay, func() { d.probeReturn(service) })
 }
 
-// probeReturn probes a few servers directly, again and again until one accepts.
+// probeReturn probes a server directly, again and again until one accepts.
 func (d *detours) probeReturn(service string) {
 	e := d.forwarder.entry
 	if e.ctx.Err() != nil || !d.isCut(service) {
 		return
 	}
 	probes := d.probes(service, "")
-	d.probe(probes[:min(len(probes), maxReturnProbes)])
+	d.probe(probes[:min(len(probes), 1)])
 	if d.isCut(service) {
-		e.cfg.Clock.AfterFunc(reach.ProbeInterval, func() { d.probeReturn(service) })
+		d.scheduleReturn(service)
 	}
 }
 
