--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -249,7 +249,7 @@
 		x.withhold(a)
 		return forward.NotSent, err
 	}
-	defer f.leave(a)
+	defer f.endAtServer(a)
 	defer f.settle(a, false)
 	remaining := x.deadline.Sub(now)
 	x.sends++
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -26,6 +26,7 @@
 	"rosereach/core/key"
 	"rosereach/core/lease"
 	"rosereach/core/limit"
+	"rosereach/core/pacing"
 	"rosereach/core/retry"
 	"rosereach/core/roster"
 	"rosereach/core/route"
@@ -63,6 +64,7 @@
 	if holdOff, err := time.ParseDuration(h.Get("Hold-Off")); err == nil {
 		head.HoldOff = holdOff
 	}
+	head.Brittle, _ = pacing.ParseBrittle(h.Values("Brittle"))
 	return head
 }
 
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -89,3 +89,10 @@
 	defer f.mu.Unlock()
 	return f.limiter.Count()
 }
+
+// countBrittle returns the number of brittle servers.
+func (f *forwarder) countBrittle() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.brittle.Count()
+}
--- a/internal/entry/restraint.go
+++ b/internal/entry/restraint.go
@@ -50,10 +50,11 @@
 	now := f.entry.cfg.Clock.Now()
 	f.mu.Lock()
 	brittle := f.brittle.Observe(now, server.ID, server.Incarnation, sentAt, head.Brittle)
+	var ownHoldOff time.Duration
 	if head.IsFull() {
-		head.HoldOff = max(head.HoldOff, f.brittle.HoldOff(server.ID, server.Incarnation))
+		ownHoldOff = f.brittle.HoldOff(server.ID, server.Incarnation)
 	}
-	changed := f.restraints.Hear(now, server.ID, server.Incarnation, health.Word{Leaving: head.Leaving, HoldOff: head.HoldOff, RequestID: requestID})
+	changed := f.restraints.Hear(now, server.ID, server.Incarnation, health.Word{Leaving: head.Leaving, HoldOff: max(head.HoldOff, ownHoldOff), RequestID: requestID})
 	restraint, _ := f.restraints.Get(server.ID, server.Incarnation)
 	firstUnreadable := head.Unreadable != "" && f.unreadable[server.ID] != server.Incarnation
 	if firstUnreadable {
@@ -66,14 +67,17 @@
 		level.Info(logger).Log("msg", "Backend server says that it leaves.", "id", requestID, "server", server.ID, "word", health.Leaves, "addr", server.Address,
 			"incarnation", server.Incarnation)
 	}
-	if changed && head.HoldOff > 0 {
-		level.Info(logger).Log("msg", "Backend server wants no requests.", "id", requestID, "server", server.ID, "word", health.HeldOff, "addr", server.Address,
-			"incarnation", server.Incarnation, "for", head.HoldOff, "until", restraint.HeldUntil)
-	}
 	if brittle {
 		level.Info(logger).Log("msg", "Backend server is brittle.", "id", requestID, "server", server.ID, "addr", server.Address,
 			"incarnation", server.Incarnation, "bears", head.Brittle.PerSecond, "brittle", head.Brittle.Kind == pacing.Limited)
 	}
+	if changed && ownHoldOff > head.HoldOff {
+		level.Info(logger).Log("msg", "Brittle backend server is left alone.", "id", requestID, "server", server.ID, "addr", server.Address,
+			"incarnation", server.Incarnation, "for", ownHoldOff, "until", restraint.HeldUntil)
+	} else if changed && head.HoldOff > 0 {
+		level.Info(logger).Log("msg", "Backend server wants no requests.", "id", requestID, "server", server.ID, "word", health.HeldOff, "addr", server.Address,
+			"incarnation", server.Incarnation, "for", head.HoldOff, "until", restraint.HeldUntil)
+	}
 	if firstUnreadable {
 		level.Warn(logger).Log("msg", "Word of a backend server cannot be read.", "id", requestID, "server", server.ID, "addr", server.Address, "err", head.Unreadable)
 	}
@@ -139,8 +143,8 @@
 	withheldBrittle = "brittle"
 )
 
-// leave records that an attempt is not at its server any more.
-func (f *forwarder) leave(a *attempt) {
+// endAtServer records that an attempt is not at its server any more.
+func (f *forwarder) endAtServer(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a.begun {
