Decide in core how much is passed on for other entries

Cause: io/detour held the bound of 256 connections, a decision about room for an entry's own callers, untested; and a comment named a bound that did not hold before the handshake: a deadline that can't be set left a peer without the key connected. Change: reach.Room decides, with its load pattern; a peer whose deadline can't be set is closed. The bound is the same. Result: TestRoomForOthersIsBounded, and a full relay in TestDetourIsRefused.

--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -137,3 +137,22 @@
 		t.Fatal("a relay rests for too long")
 	}
 }
+
+// Most instances are cut off and ask one for everything: it takes what leaves room for its own
+// callers, and takes more as connections end.
+func TestRoomForOthersIsBounded(t *testing.T) {
+	var r reach.Room
+	taken := 0
+	for range 5000 {
+		if r.Take() {
+			taken++
+		}
+	}
+	if taken != 256 {
+		t.Fatalf("%d connections are passed on at once", taken)
+	}
+	r.Release()
+	if !r.Take() || r.Take() {
+		t.Fatal("the room of one connection that ended is not taken once")
+	}
+}
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -43,8 +43,9 @@
 		mu       sync.Mutex
 		links    map[string]*serviceLink
 		relays   reach.Relays
-		relaysAt time.Time // when the relays were received
-		opened   int       // connections through other entries
+		room     reach.Room // for other entries
+		relaysAt time.Time  // when the relays were received
+		opened   int        // connections through other entries
 		random   *rand.Rand
 	}
 
@@ -69,7 +70,8 @@
 
 // ServeDetours connects other entries to backend servers until the context ends.
 func (e *Entry) ServeDetours(ctx context.Context, l net.Listener) error {
-	return detour.Server{Key: e.cfg.MemberKey, Connect: e.forwarder.detours.connectFor}.Serve(ctx, l)
+	d := e.forwarder.detours
+	return detour.Server{Key: e.cfg.MemberKey, Take: d.takeRoom, Release: d.releaseRoom, Connect: d.connectFor}.Serve(ctx, l)
 }
 
 // dial opens a connection to a server. Once it is known that the entry reaches none of the
@@ -159,6 +161,18 @@
 	}}
 }
 
+func (d *detours) takeRoom() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.room.Take()
+}
+
+func (d *detours) releaseRoom() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.room.Release()
+}
+
 // connectFor connects to a server for another entry.
 func (d *detours) connectFor(ctx context.Context, t detour.Target) (net.Conn, detour.Status) {
 	server, ok := d.forwarder.serverByID(t.Server)
--- a/io/detour/detour_test.go
+++ b/io/detour/detour_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -16,6 +17,9 @@
 
 const key = "member key"
 
+// full makes relays take no more connections.
+var full atomic.Bool
+
 // relay starts an instance that connects to the given servers by id.
 func relay(t *testing.T, servers map[string]string) string {
 	t.Helper()
@@ -24,7 +28,7 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := detour.Server{Key: key, Connect: func(ctx context.Context, target detour.Target) (net.Conn, detour.Status) {
+	s := detour.Server{Key: key, Take: func() bool { return !full.Load() }, Release: func() {}, Connect: func(ctx context.Context, target detour.Target) (net.Conn, detour.Status) {
 		address, ok := servers[target.Server]
 		if !ok {
 			return nil, detour.UnknownServer
@@ -142,6 +146,11 @@
 			t.Errorf("server %q: %v", c.server, err)
 		}
 	}
+	full.Store(true)
+	defer full.Store(false)
+	if _, err := detour.Dial(context.Background(), address, key, detour.Target{Server: "s", Incarnation: 1}); !errors.Is(err, detour.ErrNoDetour) {
+		t.Errorf("at a full relay: %v", err)
+	}
 	select {
 	case <-reached:
 		t.Error("the server was reached")
--- a/io/detour/server.go
+++ b/io/detour/server.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// maxDetours bounds the connections that are passed on at once. Each holds two
-	// descriptors and two buffers; the rest is left to this instance's own callers.
-	maxDetours = 256
-
 	copyBufferBytes = 8 << 10
 
 	// lingerTime bounds the wait for the dialing side to close after the server did.
@@ -27,6 +23,10 @@
 type Server struct {
 	// Key is the member key.
 	Key string
+	// Take takes the room of a connection, and reports whether there was any. Release gives
+	// it back when the connection has ended.
+	Take    func() bool
+	Release func()
 	// Connect opens a connection to a server, or returns why not. It takes no detour.
 	Connect func(ctx context.Context, t Target) (net.Conn, Status)
 }
@@ -37,7 +37,6 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { l.Close() }) //nolint:errcheck // Accept fails then
 	defer stop()
-	slots := make(chan struct{}, maxDetours)
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
@@ -48,26 +47,26 @@
 		if err != nil {
 			return errors.Annotate(err, "accept detours")
 		}
-		running.Go(func() { s.serve(ctx, conn, slots) })
+		running.Go(func() { s.serve(ctx, conn) })
 	}
 }
 
-func (s Server) serve(ctx context.Context, conn net.Conn, slots chan struct{}) {
+func (s Server) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()                                      //nolint:errcheck // the connection is not used again
 	stop := context.AfterFunc(ctx, func() { conn.Close() }) //nolint:errcheck // see above
 	defer stop()
 	upstream.LimitUnacked(conn)
-	conn.SetDeadline(time.Now().Add(handshakeTimeout)) //nolint:errcheck // a peer without the key is bounded by its slot only
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return // a peer that never ends the handshake would stay
+	}
 	t, err := answer(conn, s.Key)
 	if err != nil {
 		return
 	}
 	status, server := Busy, net.Conn(nil)
-	select {
-	case slots <- struct{}{}:
-		defer func() { <-slots }()
+	if s.Take() {
+		defer s.Release()
 		server, status = s.Connect(ctx, t)
-	default:
 	}
 	if server != nil {
 		defer server.Close() //nolint:errcheck // see above
