Ask for the open entries in one place

Cause: the choice of relays repeated the filter of live entries that take requests from the shares of limits, and told nearness in its own way. Change: fleet.open, and Presence.Distance for both.

--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -56,11 +56,8 @@
 // members returns the live entries that take requests, with their distances from a place.
 func (f *fleet) members(now time.Time, region, zone string) []pacing.Member {
 	var members []pacing.Member
-	for id, p := range f.entries {
-		if p.latest.Draining || now.Sub(p.lastReceived) >= presenceTTL {
-			continue
-		}
-		members = append(members, pacing.Member{ID: id, Distance: p.latest.Distance(region, zone)})
+	for _, p := range f.open(now) {
+		members = append(members, pacing.Member{ID: p.ID, Distance: p.Distance(region, zone)})
 	}
 	return members
 }
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -9,6 +9,9 @@
 	"rosereach/io/member"
 )
 
+// remote is the distance of an entry in another region, see member.Presence.Distance.
+const remote = 2
+
 // isAppliedByAll reports whether every entry whose presence was received within the
 // last presenceTTL applies the revision.
 func (f *fleet) isAppliedByAll(now time.Time, revision uint64) bool {
@@ -45,7 +48,7 @@
 	slices.SortFunc(live, func(a, b member.Presence) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
 	})
-	nearest := 2
+	nearest := remote
 	if len(live) > 0 {
 		nearest = rank(live[0])
 	}
@@ -61,15 +64,25 @@
 // relaysFor returns the entries through which an entry may reach backend servers.
 func (f *fleet) relaysFor(now time.Time, entry member.Presence) []reach.Relay {
 	var candidates []reach.Relay
-	for id, p := range f.entries {
-		if id == entry.ID || p.latest.Relay == "" || p.latest.CutOff || p.latest.Draining || now.Sub(p.lastReceived) >= presenceTTL {
-			continue
+	for _, p := range f.open(now) {
+		if p.ID != entry.ID && p.Relay != "" && !p.CutOff {
+			candidates = append(candidates, reach.Relay{ID: p.ID, Address: p.Relay, IsNear: p.Distance(entry.Region, entry.Zone) < remote})
 		}
-		candidates = append(candidates, reach.Relay{ID: id, Address: p.latest.Relay, IsNear: p.latest.Region == entry.Region})
 	}
 	return reach.ChooseRelays(entry.ID, candidates)
 }
 
+// open returns the latest presences of the live entries that take requests.
+func (f *fleet) open(now time.Time) []member.Presence {
+	var open []member.Presence
+	for _, p := range f.entries {
+		if !p.latest.Draining && now.Sub(p.lastReceived) < presenceTTL {
+			open = append(open, p.latest)
+		}
+	}
+	return open
+}
+
 // liveEntries counts the entries whose presence was received recently. Callers
 // hold n.mu.
 func (n *Node) liveEntries(now time.Time) int {
