Name the hash of a request's id

Cause: a trial was built from a request that was made for its hashed id alone, and comments kept a former word. Change: quarantine.RequestID. No behavior changes.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -119,9 +119,12 @@
 	return keys
 }
 
+// RequestID returns the hash of a request's id.
+func RequestID(id string) uint64 { return xxhash.Sum64String(id) }
+
 // NewRequest returns the record of a request with the given shared parts.
 func NewRequest(id, workspace string, parts []Key) Request {
-	return Request{ID: xxhash.Sum64String(id), Workspace: xxhash.Sum64String(workspace), Parts: parts}
+	return Request{ID: RequestID(id), Workspace: xxhash.Sum64String(workspace), Parts: parts}
 }
 
 // WithDigest returns the request with the key of the whole request.
--- a/core/quarantine/repeat.go
+++ b/core/quarantine/repeat.go
@@ -49,7 +49,7 @@
 		_       struct{} `cbor:",toarray"`
 		Digest  Key
 		Service string
-		// ID is a hash of the request's id.
+		// ID is the RequestID of its id.
 		ID uint64
 		// Server and Incarnation tell where it ran, and Ended whether that server ended.
 		Server      string
--- a/core/quarantine/repeat_test.go
+++ b/core/quarantine/repeat_test.go
@@ -111,7 +111,7 @@
 		return
 	}
 	if e.suspects[r.digest] {
-		switch w.pool.Acquire(w.now, service, r.digest, quarantine.NewRequest(r.id, "w", nil).ID) {
+		switch w.pool.Acquire(w.now, service, r.digest, quarantine.RequestID(r.id)) {
 		case quarantine.RunAlone:
 			r.alone = true
 		case quarantine.Wait:
@@ -147,7 +147,7 @@
 		return
 	}
 	r.alone = false
-	id := quarantine.NewRequest(r.id, "w", nil).ID
+	id := quarantine.RequestID(r.id)
 	w.pool.Release(service, r.digest, id)
 	if sound || ended {
 		t := quarantine.Trial{Digest: r.digest, Service: service, ID: id, Server: s.name(), Incarnation: s.incarnation, Ended: ended}
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -31,8 +31,8 @@
 // ended, else when the controls let it run as the only such request of its service.
 func (x *activeRequest) awaitTrial(ctx context.Context) *forward.Failure {
 	f := x.forwarder
-	for asks := 1; f.isSuspected(x.digest); asks++ {
-		switch f.watcher.requestTrial(ctx, x.trial(quarantine.Trial{})) {
+	for attempts := 1; f.isSuspected(x.digest); attempts++ {
+		switch f.watcher.requestTrial(ctx, x.trial()) {
 		case quarantine.RunFreely:
 			return nil
 		case quarantine.RunAlone:
@@ -40,7 +40,7 @@
 			level.Debug(x.log()).Log("msg", "Suspected request runs alone.", "id", x.req.ID, "digest", x.digest)
 			return nil
 		}
-		if asks == trialRequests || ctx.Err() != nil {
+		if attempts == trialRequests || ctx.Err() != nil {
 			return x.suspectedFailure()
 		}
 		select {
@@ -68,10 +68,9 @@
 	return f.suspects(digest)
 }
 
-// trial returns what the controls are told of the request's turn.
-func (x *activeRequest) trial(t quarantine.Trial) quarantine.Trial {
-	t.Digest, t.Service, t.ID = x.digest, x.service, quarantine.NewRequest(x.req.ID, x.workspace.Name, nil).ID
-	return t
+// trial returns the request's trial, before it has an outcome.
+func (x *activeRequest) trial() quarantine.Trial {
+	return quarantine.Trial{Digest: x.digest, Service: x.service, ID: quarantine.RequestID(x.req.ID)}
 }
 
 // endTrial gives the trial slot back with the outcome of its run: whether the answer was
@@ -81,7 +80,8 @@
 		return
 	}
 	x.hasSlot = false
-	r := member.TrialResult{Trial: x.trial(quarantine.Trial{Ended: ended}), HasOutcome: sound || ended}
+	r := member.TrialResult{Trial: x.trial(), HasOutcome: sound || ended}
+	r.Trial.Ended = ended
 	if a != nil {
 		r.Trial.Server, r.Trial.Incarnation = a.server.ID, a.server.Incarnation
 	}
