Check that requests wait for nothing while all entries are cut off

Cause: TestAllEntriesCutOffRejectAtOnce promised a rejection at once and checked its code only. Change: it counts the direct attempts of the request, which hang in that cut (none may be made), and checks that no server counts as failing. It passes; the code is unchanged but for the function that makes a direct attempt, which a test may replace.

--- a/internal/entry/cut_off_test.go
+++ b/internal/entry/cut_off_test.go
@@ -14,6 +14,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/forward"
 	"rosereach/core/roster"
+	"rosereach/io/upstream"
 )
 
 // cutFleet is a control, backend servers, and entries of which some are partitioned from all
@@ -177,11 +178,21 @@
 	}
 }
 
+// ofRequest marks the contexts of requests, apart from those of probes.
+type ofRequest struct{}
+
 // While all entries are cut off, requests are rejected at once and have not run; after the cut
 // they are served.
 func TestAllEntriesCutOffRejectAtOnce(t *testing.T) {
 	c := newCutFleet(t, 3, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
 	entries := []*Entry{c.startForwardingEntry("forwarding-1"), c.startForwardingEntry("forwarding-2")}
+	var waits atomic.Int64 // direct attempts of requests
+	entries[0].forwarder.detours.dialOnce = func(ctx context.Context, address string) (net.Conn, error) {
+		if ctx.Value(ofRequest{}) != nil {
+			waits.Add(1)
+		}
+		return upstream.DialOnce(ctx, address)
+	}
 	address := hangingAddress(t)
 	for _, e := range entries {
 		waitFor(t, "a relay", func() bool { return e.forwarder.detours.relayCount() > 0 })
@@ -189,7 +200,7 @@
 	}
 	send := func() error {
 		req := forward.Request{ID: "request", Method: http.MethodGet, Host: "h", Path: "/safe/x", Target: "/safe/x", Key: "k", Arrived: time.Now()}
-		return entries[0].Forward(context.Background(), req, &recordingSink{})
+		return entries[0].Forward(context.WithValue(context.Background(), ofRequest{}, true), req, &recordingSink{})
 	}
 	waitFor(t, "the knowledge of the cut", func() bool {
 		for _, e := range entries {
@@ -198,9 +209,18 @@
 		return entries[0].forwarder.detours.isCutOff() && entries[1].forwarder.detours.isCutOff()
 	})
 	send() // the relay says that it is cut off
-	if err := send(); codeOf(err) != forward.NoServer || c.runs.Load() != 0 {
-		t.Fatalf("%v, %d runs", err, c.runs.Load())
+	before := waits.Load()
+	if err := send(); codeOf(err) != forward.NoServer || c.runs.Load() != 0 || waits.Load() != before {
+		t.Fatalf("%v, %d runs, %d attempts that hang", err, c.runs.Load(), waits.Load()-before)
+	}
+	f := entries[0].forwarder
+	f.mu.Lock()
+	for _, s := range c.servers {
+		if !f.health.IsAvailable(time.Now(), s.ID) {
+			t.Errorf("%s counts as failing", s.ID)
+		}
 	}
+	f.mu.Unlock()
 	for i, a := range c.servers {
 		a.Sequence = 1<<41 + uint64(i)
 		for _, e := range entries {
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -40,6 +40,9 @@
 	detours struct {
 		forwarder *forwarder
 
+		// dialOnce makes one direct attempt to connect to an address.
+		dialOnce func(ctx context.Context, address string) (net.Conn, error)
+
 		mu       sync.Mutex
 		links    map[string]*serviceLink
 		relays   reach.Relays
@@ -63,7 +66,7 @@
 func newDetours(f *forwarder) *detours {
 	cfg := f.entry.cfg
 	return &detours{
-		forwarder: f, links: make(map[string]*serviceLink),
+		forwarder: f, dialOnce: upstream.DialOnce, links: make(map[string]*serviceLink),
 		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)), //nolint:gosec // only used to spread load
 	}
 }
@@ -99,7 +102,7 @@
 
 // dialDirect makes one attempt to connect without another entry.
 func (d *detours) dialDirect(ctx context.Context, server backend.Announcement) (net.Conn, error) {
-	conn, err := upstream.DialOnce(ctx, server.Address)
+	conn, err := d.dialOnce(ctx, server.Address)
 	if err == nil {
 		d.recordReached(server.Service)
 	} else if ctx.Err() == nil {
