--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -73,6 +73,9 @@
 		// Address is host:port.
 		Address string `json:"address"`
 		Load    Load   `json:"load"`
+		// Warmup is how much longer the server warms up, counted from when it sent the
+		// announcement. Records of servers leave it out.
+		Warmup time.Duration `json:"warmup,omitempty"`
 	}
 )
 
--- a/core/catalog/apply.go
+++ b/core/catalog/apply.go
@@ -50,6 +50,8 @@
 		return d.Operators[c.Name].Revision
 	case change.PutRollout, change.MoveRollout:
 		return d.Rollouts[c.Name].Revision
+	case change.PutEvacuation:
+		return d.Evacuations[c.Name].Revision
 	}
 	return d.Revision
 }
@@ -78,6 +80,8 @@
 		return d.putRollout(c, accepted)
 	case change.MoveRollout:
 		return d.moveRollout(c, accepted)
+	case change.PutEvacuation:
+		return d.putEvacuation(c, accepted)
 	case change.PutOperator:
 		return d.putOperator(c, accepted)
 	case change.AddOperatorKey, change.RemoveOperatorKey:
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"rosereach/core/evacuation"
 	"rosereach/core/key"
 	"rosereach/core/operator"
 	"rosereach/core/rollout"
@@ -43,6 +44,8 @@
 		SealKeys   []SealKey                      `json:"seal_keys"`
 		Routing    *route.Document                `json:"routing,omitempty"`
 		Rollouts   map[string]rollout.Order       `json:"rollouts,omitempty"`
+		// Evacuations are by availability zone. Those that were withdrawn are kept.
+		Evacuations map[string]evacuation.Order `json:"evacuations,omitempty"`
 	}
 
 	// SealKey signs session tokens. New tokens are signed with the newest key;
@@ -60,6 +63,7 @@
 		// workspacesByKey maps a key's hash to the name of its workspace.
 		workspacesByKey map[string]string
 		routes          *route.Table
+		evacuatedZones  []string // sorted
 	}
 )
 
@@ -71,6 +75,12 @@
 		policies:        make(map[string]template.Policy, len(docs.Workspaces)),
 		workspacesByKey: make(map[string]string),
 	}
+	for zone, o := range docs.Evacuations {
+		if o.Active {
+			c.evacuatedZones = append(c.evacuatedZones, zone)
+		}
+	}
+	slices.Sort(c.evacuatedZones)
 	if docs.Routing != nil {
 		c.routes = route.NewTable(docs.Routing.Config)
 	}
@@ -99,6 +109,14 @@
 	return o, ok
 }
 
+// IsEvacuated reports whether the backend servers of an availability zone are to get no
+// requests.
+func (c *Catalog) IsEvacuated(zone string) bool { return c.docs.Evacuations[zone].Active }
+
+// EvacuatedZones returns the availability zones whose servers are to get no requests,
+// sorted. Callers must not change the list.
+func (c *Catalog) EvacuatedZones() []string { return c.evacuatedZones }
+
 // Documents returns the documents. Callers must not change the maps.
 func (c *Catalog) Documents() Documents { return c.docs }
 
@@ -211,6 +229,7 @@
 	d.Operators = cloneMap(d.Operators)
 	d.SealKeys = slices.Clone(d.SealKeys)
 	d.Rollouts = cloneMap(d.Rollouts)
+	d.Evacuations = cloneMap(d.Evacuations)
 	return d
 }
 
--- a/core/catalog/record.go
+++ b/core/catalog/record.go
@@ -36,6 +36,8 @@
 		return restoreInto(d.Versions, name, record)
 	case change.Operator:
 		return restoreInto(d.Operators, name, record)
+	case change.Evacuation:
+		return restoreInto(d.Evacuations, name, record)
 	}
 	return nil
 }
@@ -79,6 +81,8 @@
 		document, ok = d.Versions[c.Name]
 	case change.Operator:
 		document, ok = d.Operators[c.Name]
+	case change.Evacuation:
+		document, ok = d.Evacuations[c.Name]
 	case change.Rollout:
 		document, ok = d.Rollouts[c.Name]
 	case change.Routing:
--- a/core/change/change.go
+++ b/core/change/change.go
@@ -26,7 +26,10 @@
 	PutRollout   Kind = "put_rollout"
 	MoveRollout  Kind = "move_rollout"
 	PutRouting   Kind = "put_routing"
-	PutOperator  Kind = "put_operator"
+
+	PutEvacuation Kind = "put_evacuation"
+
+	PutOperator Kind = "put_operator"
 
 	AddOperatorKey    Kind = "add_operator_key"
 	RemoveOperatorKey Kind = "remove_operator_key"
@@ -49,13 +52,15 @@
 	Rollout   = "rollout"
 	Routing   = "routing"
 	Operator  = "operator"
+
+	Evacuation = "evacuation"
 )
 
 // documentKinds maps each kind of change to the kind of document that it writes.
 var documentKinds = map[Kind]string{
 	PutTemplate: Template, PutWorkspace: Workspace, AddKey: Workspace, RemoveKey: Workspace, PutService: Service,
 	PutVersion: Version, MoveVersion: Version, PutRollout: Rollout, MoveRollout: Rollout, PutRouting: Routing, PutOperator: Operator,
-	AddOperatorKey: Operator, RemoveOperatorKey: Operator,
+	AddOperatorKey: Operator, RemoveOperatorKey: Operator, PutEvacuation: Evacuation,
 }
 
 type (
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -140,6 +140,8 @@
 		// Brittle is what the answer says about the rejections a second that the server
 		// bears.
 		Brittle pacing.Statement
+		// Warmup is how much longer the server warms up, 0 if it does not say so.
+		Warmup time.Duration
 		// Unreadable describes what the server says of itself but can't be read, empty
 		// for nothing.
 		Unreadable string
--- a/core/pacing/pool.go
+++ b/core/pacing/pool.go
@@ -118,29 +118,35 @@
 	return shares
 }
 
-// shareOf returns the part of a server's limit for an entry. The nearest entries share it,
-// in an order that differs from server to server among those that are equally near.
+// shareOf returns the part of a server's limit for an entry. The first entries share it.
 func shareOf(entry, server string, limit float64, members []Member) float64 {
 	n := sharers(limit, len(members))
-	rank := 0
-	own, ok := Member{}, false
-	for _, m := range members {
-		if m.ID == entry {
-			own, ok = m, true
-		}
-	}
-	if !ok {
+	rank := slices.IndexFunc(Order(server, members), func(m Member) bool { return m.ID == entry })
+	if rank < 0 || rank >= n {
 		return 0
 	}
-	for _, m := range members {
-		if m.ID != entry && cmp.Or(cmp.Compare(m.Distance, own.Distance), cmp.Compare(xxhash.Sum64String(server+m.ID), xxhash.Sum64String(server+entry))) < 0 {
-			rank++
-		}
+	return limit / float64(n)
+}
+
+// Order returns the entries in the order in which they share a server's rate: the nearest
+// first, and those that are equally near in an order that differs from server to server.
+func Order(server string, members []Member) []Member {
+	type keyed struct {
+		Member
+		key uint64
 	}
-	if rank >= n {
-		return 0
+	list := make([]keyed, len(members))
+	for i, m := range members {
+		list[i] = keyed{Member: m, key: xxhash.Sum64String(server + m.ID)}
 	}
-	return limit / float64(n)
+	slices.SortFunc(list, func(a, b keyed) int {
+		return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.key, b.key), cmp.Compare(a.ID, b.ID))
+	})
+	ordered := make([]Member, len(list))
+	for i, m := range list {
+		ordered[i] = m.Member
+	}
+	return ordered
 }
 
 func latest(a, b time.Time) time.Time {
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -101,7 +101,7 @@
 		var r reach.Relays
 		r.Set(reach.ChooseRelays(fmt.Sprint("cut-", i), candidates))
 		for range 100 {
-			relay, ok := r.Pick(start, random)
+			relay, ok := r.Pick(start, random, anywhere)
 			if !ok || !relay.IsNear {
 				t.Fatalf("picked %+v", relay)
 			}
@@ -125,15 +125,15 @@
 	r.Set(reach.ChooseRelays("cut", []reach.Relay{{ID: "far"}, {ID: "near", IsNear: true}}))
 	r.Fail(start, "near")
 	for range 20 {
-		if relay, ok := r.Pick(start.Add(500*time.Millisecond), random); !ok || relay.ID != "far" {
+		if relay, ok := r.Pick(start.Add(500*time.Millisecond), random, anywhere); !ok || relay.ID != "far" {
 			t.Fatalf("picked %+v", relay)
 		}
 	}
 	r.Fail(start, "far")
-	if relay, ok := r.Pick(start.Add(500*time.Millisecond), random); ok {
+	if relay, ok := r.Pick(start.Add(500*time.Millisecond), random, anywhere); ok {
 		t.Fatalf("picked %+v", relay)
 	}
-	if _, ok := r.Pick(start.Add(2*time.Second), random); !ok {
+	if _, ok := r.Pick(start.Add(2*time.Second), random, anywhere); !ok {
 		t.Fatal("a relay rests for too long")
 	}
 }
@@ -156,3 +156,24 @@
 		t.Fatal("the room of one connection that ended is not taken once")
 	}
 }
+
+// anywhere allows all relays.
+func anywhere(string) bool { return true }
+
+// A request that must not leave its home regions takes no relay elsewhere, also if it is the
+// only one that is left.
+func TestRelayInForbiddenRegionIsNotPicked(t *testing.T) {
+	var r reach.Relays
+	r.Set([]reach.Relay{{ID: "home"}, {ID: "abroad", IsNear: true}})
+	random := rand.New(rand.NewPCG(1, 1))
+	isHome := func(id string) bool { return id == "home" }
+	for range 50 {
+		if relay, ok := r.Pick(start, random, isHome); !ok || relay.ID != "home" {
+			t.Fatalf("picked %q, %v", relay.ID, ok)
+		}
+	}
+	r.Fail(start, "home")
+	if relay, ok := r.Pick(start, random, isHome); ok {
+		t.Fatalf("picked %q after the relay at home failed", relay.ID)
+	}
+}
--- a/core/reach/relay.go
+++ b/core/reach/relay.go
@@ -68,10 +68,14 @@
 	r.failed[id] = now
 }
 
-// Pick returns a relay at random, a near one if enough of them are left.
-func (r *Relays) Pick(now time.Time, random *rand.Rand) (Relay, bool) {
+// Pick returns a relay at random for which isAllowed returns true, a near one if enough of
+// them are left.
+func (r *Relays) Pick(now time.Time, random *rand.Rand, isAllowed func(id string) bool) (Relay, bool) {
 	var usable, near []Relay
 	for _, relay := range r.known {
+		if !isAllowed(relay.ID) {
+			continue
+		}
 		if at, ok := r.failed[relay.ID]; ok && now.Sub(at) < relayRest {
 			continue
 		}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -59,6 +59,9 @@
 		Public bool `json:"public,omitempty"`
 		// Resumable is set when a broken stream may be continued.
 		Resumable bool `json:"resumable,omitempty"`
+		// Regions are the home regions, in which alone requests may be handled, empty for
+		// any.
+		Regions []string `json:"regions,omitempty"`
 	}
 
 	// Model is a model that a service's engines run.
@@ -79,6 +82,10 @@
 		Slots       int     `json:"slots,omitempty"`
 		CacheTokens int64   `json:"cache_tokens,omitempty"`
 		Models      []Model `json:"models,omitempty"`
+		// WarmupTime is how long a server warms up after its start, and WarmupRate the
+		// number of requests a second that it bears meanwhile, 0 for any.
+		WarmupTime time.Duration `json:"warmup_time,omitempty"`
+		WarmupRate float64       `json:"warmup_rate,omitempty"`
 	}
 
 	// Limits are the limits on size and time of callers' requests. Zero is no
@@ -96,6 +103,8 @@
 		KeyHashes []string `json:"key_hashes"`
 		// Priority overrides the priority of routes when it is set.
 		Priority *int `json:"priority,omitempty"`
+		// Regions are the home regions, as those of a route. Both bind.
+		Regions []string `json:"regions,omitempty"`
 	}
 
 	// Config is the routing plan at one version. The plan with the highest version
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"rosereach/core/key"
+	"rosereach/core/residency"
 )
 
 // Table indexes a routing plan for lookups. It is immutable.
@@ -16,6 +17,8 @@
 	services     map[string]Service
 	// workspacesByKey maps a key's hash to its workspace.
 	workspacesByKey map[string]Workspace
+	// hasHomes is set if a route or a workspace has home regions.
+	hasHomes bool
 }
 
 // NewTable returns the table of a valid plan.
@@ -25,6 +28,7 @@
 	}
 	for _, r := range c.Routes {
 		t.routesByHost[r.Host] = append(t.routesByHost[r.Host], r)
+		t.hasHomes = t.hasHomes || len(r.Regions) > 0
 	}
 	for _, routes := range t.routesByHost {
 		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -33,6 +37,7 @@
 		t.services[s.Name] = s
 	}
 	for _, w := range c.Workspaces {
+		t.hasHomes = t.hasHomes || len(w.Regions) > 0
 		for _, hash := range w.KeyHashes {
 			t.workspacesByKey[hash] = w
 		}
@@ -93,10 +98,62 @@
 
 // Service returns a service of the plan.
 func (t *Table) Service(name string) (Service, bool) {
+	if t == nil {
+		return Service{}, false
+	}
 	s, ok := t.services[name]
 	return s, ok
 }
 
+// Homes returns the home regions of a workspace's requests on the route. Public
+// routes have the zero workspace.
+func Homes(r Route, w Workspace) residency.Homes {
+	return residency.Of(r.Regions).And(residency.Of(w.Regions))
+}
+
+// HasHomes reports whether a route or a workspace has home regions.
+func (t *Table) HasHomes() bool { return t != nil && t.hasHomes }
+
+// HostHomes returns the regions that are homes of all routes of a host. A caller looks up
+// addresses by the host alone.
+func (t *Table) HostHomes(host string) residency.Homes {
+	var homes residency.Homes
+	if t == nil {
+		return homes
+	}
+	for _, r := range t.routesByHost[host] {
+		homes = homes.And(residency.Of(r.Regions))
+	}
+	return homes
+}
+
+// NamedHomes returns the home regions of the routes and workspaces that have any, as "route
+// NAME" and "workspace NAME".
+func (t *Table) NamedHomes() map[string][]string {
+	if !t.HasHomes() {
+		return nil
+	}
+	homes := make(map[string][]string)
+	for _, r := range t.config.Routes {
+		if len(r.Regions) > 0 {
+			homes["route "+r.Name] = r.Regions
+		}
+	}
+	for _, w := range t.config.Workspaces {
+		if len(w.Regions) > 0 {
+			homes["workspace "+w.Name] = w.Regions
+		}
+	}
+	return homes
+}
+
+// WarmupRate returns the number of requests a second that servers of a service bear while
+// they warm up, 0 for any.
+func (t *Table) WarmupRate(service string) float64 {
+	s, _ := t.Service(service)
+	return s.WarmupRate
+}
+
 // Pick selects one of the route's services at random by weight. It returns an
 // empty name when no weight is above 0.
 func (r Route) Pick(random *rand.Rand) string {
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -48,7 +48,7 @@
 func commands() []*command {
 	return []*command{
 		cmdEntry(), cmdControl(), cmdDemo(), cmdFake(),
-		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(), cmdOperator(),
+		cmdTemplate(), cmdWorkspace(), cmdVersion(), cmdService(), cmdEvacuation(), cmdOperator(),
 		cmdBills(), cmdAudit(), cmdStatus(), cmdMan(),
 		cmdLoad(), cmdExperiment(), cmdExplain(), cmdSoak(),
 	}
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -24,6 +24,8 @@
 	Status          operator.Status            `json:"status"`
 	Controls        []operator.Control         `json:"controls"`
 	Versions        map[string]version.Version `json:"versions"`
+	EvacuatedZones  []string                   `json:"evacuated_zones,omitempty"`
+	Homes           map[string][]string        `json:"homes,omitempty"`
 	RequiredActions []string                   `json:"needs"`
 }
 
@@ -74,7 +76,7 @@
 		return err
 	}
 	o := overview{
-		Status: status, Controls: group.Controls, Versions: docs.Versions,
+		Status: status, Controls: group.Controls, Versions: docs.Versions, EvacuatedZones: catalog.New(docs.Catalog()).EvacuatedZones(), Homes: docs.Homes,
 		RequiredActions: append(controlGroupActions(group.Controls), requiredActions(status, docs)...),
 	}
 	if s.cmd.Bool("json") {
@@ -104,6 +106,7 @@
 	}
 	versions.print()
 	fmt.Println()
+	o.printLocations()
 	if len(o.RequiredActions) == 0 {
 		fmt.Println("nothing needs a person")
 		return
@@ -111,6 +114,30 @@
 	fmt.Println("needs a person:\n  " + strings.Join(o.RequiredActions, "\n  "))
 }
 
+// printLocations prints where requests may not go: evacuated zones, home regions, and the
+// servers that warm up. It prints nothing where there are none.
+func (o overview) printLocations() {
+	if len(o.EvacuatedZones) > 0 {
+		fmt.Printf("evacuated: %s\n\n", strings.Join(o.EvacuatedZones, ", "))
+	}
+	if len(o.Homes) > 0 {
+		homes := newTable("HOME REGIONS OF", "REGIONS")
+		for _, name := range slices.Sorted(maps.Keys(o.Homes)) {
+			homes.addRow(name, strings.Join(o.Homes[name], ","))
+		}
+		homes.print()
+		fmt.Println()
+	}
+	if len(o.Status.Warming) > 0 {
+		warming := newTable("WARMING SERVER", "INCARNATION", "FOR")
+		for _, n := range o.Status.Warming {
+			warming.addRow(n.Server, n.Incarnation, n.Remaining.Round(time.Millisecond))
+		}
+		warming.print()
+		fmt.Println()
+	}
+}
+
 // controlGroupActions lists the actions that the group of controls requires.
 func controlGroupActions(controls []operator.Control) []string {
 	list := []string{}
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,8 +10,12 @@
 	"rosereach/io/member"
 )
 
-// remote is the distance of an entry in another region, see member.Presence.Distance.
-const remote = 2
+// remote is the distance of an entry in another region, see member.Presence.Distance, and
+// abroad stands for one in a region that is not a home of the caller's routes.
+const (
+	remote = 2
+	abroad = 3
+)
 
 // isAppliedByAll reports whether every entry whose presence was received within the
 // last presenceTTL applies the revision.
@@ -23,14 +28,16 @@
 	return true
 }
 
-// Entries returns the addresses of the serving entries that are closest: those of
-// the availability zone, else those of the region, else all others. When fewer than
+// Entries returns the addresses of the serving entries that are closest to a caller of a
+// host: those of the availability zone, else those of the region, else those in home regions
+// of the host's routes, else all others. When fewer than
 // half of the known entries are live, this control itself is probably cut off, so
 // it counts all of them as serving.
-func (n *Node) Entries(region, zone string) []string {
+func (n *Node) Entries(host, region, zone string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.cfg.Clock.Now()
+	homes := n.state.Catalog().Routes().HostHomes(host)
 	var live, all []member.Presence
 	for _, p := range n.fleet.entries {
 		if p.latest.Draining {
@@ -44,11 +51,16 @@
 	if 2*len(live) < len(all) {
 		live = all
 	}
-	rank := func(p member.Presence) int { return p.Distance(region, zone) }
+	rank := func(p member.Presence) int {
+		if d := p.Distance(region, zone); d < remote || homes.Allows(p.Region) {
+			return d
+		}
+		return abroad
+	}
 	slices.SortFunc(live, func(a, b member.Presence) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
 	})
-	nearest := remote
+	nearest := abroad
 	if len(live) > 0 {
 		nearest = rank(live[0])
 	}
@@ -61,15 +73,22 @@
 	return addresses
 }
 
-// relaysFor returns the entries through which an entry may reach backend servers.
-func (f *fleet) relaysFor(now time.Time, entry member.Presence) []reach.Relay {
+// relaysFor returns the entries through which an entry may reach backend servers, and
+// their regions by id.
+func (f *fleet) relaysFor(now time.Time, entry member.Presence) (relays []reach.Relay, regions map[string]string) {
 	var candidates []reach.Relay
+	regions = make(map[string]string)
 	for _, p := range f.open(now) {
+		regions[p.ID] = p.Region
 		if p.ID != entry.ID && p.Relay != "" && !p.CutOff {
 			candidates = append(candidates, reach.Relay{ID: p.ID, Address: p.Relay, IsNear: p.Distance(entry.Region, entry.Zone) < remote})
 		}
 	}
-	return reach.ChooseRelays(entry.ID, candidates)
+	relays = reach.ChooseRelays(entry.ID, candidates)
+	maps.DeleteFunc(regions, func(id, _ string) bool {
+		return !slices.ContainsFunc(relays, func(r reach.Relay) bool { return r.ID == id })
+	})
+	return relays, regions
 }
 
 // open returns the latest presences of the live entries that take requests.
@@ -110,6 +129,7 @@
 	n.fleet.pool.Add(now, r.Entry.ID, r.Samples)
 	n.countAnswers(now, r.Samples)
 	n.mergeLimits(now, r.Limits)
+	n.mergeWarmups(now, r.Warmups)
 }
 
 // receivePresence stores the presence that an entry sends between two watches, and
--- a/internal/control/routing.go
+++ b/internal/control/routing.go
@@ -10,6 +10,7 @@
 
 	"rosereach/core/catalog"
 	"rosereach/core/change"
+	"rosereach/core/evacuation"
 	"rosereach/core/rollout"
 	"rosereach/core/route"
 	"rosereach/io/member"
@@ -46,6 +47,13 @@
 	return n.commitDocument(ctx, change.PutRollout, o.Service, o, actor, from)
 }
 
+// Evacuate begins or withdraws the evacuation of an availability zone. The result is a
+// Conflict when another order about the zone was accepted meanwhile.
+func (n *Node) Evacuate(ctx context.Context, zone string, active bool, actor, from string) (change.Result, error) {
+	order := evacuation.Order{Zone: zone, Active: active, SeenRevision: n.Catalog().Documents().Evacuations[zone].Revision}
+	return n.commitDocument(ctx, change.PutEvacuation, zone, order, actor, from)
+}
+
 // commitDocument commits a change under a new id. Its kind has to be idempotent, as a
 // sender's retry gets another id.
 func (n *Node) commitDocument(ctx context.Context, kind change.Kind, name string, document any, actor, from string) (change.Result, error) {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -115,7 +115,8 @@
 	docs := n.Catalog().Documents()
 	return operator.Documents{
 		Revision: docs.Revision, Templates: docs.Templates, Workspaces: docs.Workspaces,
-		Versions: docs.Versions, Services: docs.Services, Operators: docs.Operators,
+		Versions: docs.Versions, Services: docs.Services, Operators: docs.Operators, Evacuations: docs.Evacuations,
+		Homes: n.Catalog().Routes().NamedHomes(),
 	}
 }
 
@@ -130,6 +131,9 @@
 func (n *Node) Status(ctx context.Context) operator.Status {
 	s := n.group()
 	status := operator.Status{Control: n.cfg.ID, Leader: s.Leader.ID, Index: s.Applied, Revision: n.Catalog().Revision()}
+	n.mu.Lock()
+	status.Warming = n.fleet.warmups.Notices(n.cfg.Clock.Now())
+	n.mu.Unlock()
 	if entries, err := n.entries(); err == nil {
 		status.Entries = entries
 		return status
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -15,6 +15,7 @@
 	"rosereach/core/quarantine"
 	"rosereach/core/replica"
 	"rosereach/core/roster"
+	"rosereach/core/warmup"
 	"rosereach/io/member"
 )
 
@@ -75,6 +76,14 @@
 		limits *pacing.Pool
 		since  time.Time
 
+		// warmups are the servers that warm up, and rankings the positions of the entries
+		// that may use them, as of rankedAt. EvacuatedZones are those of the documents
+		// that warmups takes account of.
+		warmups        *warmup.Table
+		rankings       map[string]warmup.Ranking
+		rankedAt       time.Time
+		evacuatedZones []string
+
 		// changed is closed and replaced when the watchers have to be answered,
 		// judged when only entries have to, as the verdicts changed.
 		changed chan struct{}
@@ -121,6 +130,7 @@
 		parts:   quarantine.NewPool(),
 		limits:  pacing.NewPool(),
 		since:   now,
+		warmups: warmup.NewTable(),
 		changed: make(chan struct{}),
 		judged:  make(chan struct{}),
 	}
@@ -136,7 +146,10 @@
 func (n *Node) Announce(a backend.Announcement) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	news := n.fleet.roster.Observe(n.cfg.Clock.Now(), a)
+	now, remaining := n.cfg.Clock.Now(), a.Warmup
+	a.Warmup = 0
+	news := n.fleet.roster.Observe(now, a)
+	n.observeWarmup(now, a, remaining)
 	n.textMetrics.countAnnouncement(news)
 	if news {
 		n.cfg.Logger.Log("msg", "Backend server changes.", "server", a.ID, "state", a.State, "service", a.Service, "release", a.Release)
@@ -191,12 +204,12 @@
 // hasNews reports whether this control's roster differs from the one that the
 // watcher has or, for an entry, the documents or the verdicts on backend servers
 // differ from the watcher's, or the listed and suspected prompt parts, or the servers'
-// limits. A watcher that has the roster of another run always gets news. Callers hold n.mu.
+// limits or warm-ups. A watcher that has the roster of another run always gets news. Callers hold n.mu.
 func (n *Node) hasNews(r member.WatchRequest) bool {
 	if r.RunID != n.runID || r.RosterVersion != n.fleet.roster.Version() {
 		return true
 	}
-	return r.Entry != nil && (n.state.Documents().Revision > r.DocumentsRevision || n.fleet.verdictsVersion != r.VerdictsVersion || n.fleet.partsVersion != r.PartsVersion || n.fleet.limits.Version() != r.LimitsVersion)
+	return r.Entry != nil && (r.WarmupsVersion != 0 && n.fleet.warmups.Version() != r.WarmupsVersion || n.state.Documents().Revision > r.DocumentsRevision || n.fleet.verdictsVersion != r.VerdictsVersion || n.fleet.partsVersion != r.PartsVersion || n.fleet.limits.Version() != r.LimitsVersion)
 }
 
 // watchReply returns the reply to a watch: what changed since the watcher's roster
@@ -220,8 +233,9 @@
 		n.addEvidence(now, r, &reply)
 		n.addParts(now, r, &reply)
 		n.addShares(now, r.Entry.ID, &reply)
+		n.addWarmups(now, r.Entry.ID, &reply)
 		if r.WantsRelays {
-			reply.Relays = n.fleet.relaysFor(now, *r.Entry)
+			reply.Relays, reply.RelayRegions = n.fleet.relaysFor(now, *r.Entry)
 		}
 		return reply
 	}
@@ -244,6 +258,7 @@
 		}
 	}
 	reply.Limits = n.fleet.limits.Words(now)
+	reply.Warmups = n.fleet.warmups.DirectNotices(now)
 	for _, e := range n.fleet.evidence {
 		if e.directVersion > r.DirectVersion {
 			reply.Evidence = append(reply.Evidence, e.report)
@@ -283,6 +298,8 @@
 		n.judgeServers(now)
 		n.judgeParts(now)
 		n.dropExpiredEntries(now)
+		n.startWarmups(now)
+		n.fleet.warmups.Expire(now, 0)
 		n.startRolloutClocks(now)
 		n.watchPeers(ctx)
 		n.mu.Unlock()
@@ -360,6 +377,7 @@
 		n.fleet.parts.Add(now, r)
 	}
 	n.mergeLimits(now, reply.Limits)
+	n.mergeWarmups(now, reply.Warmups)
 	if n.fleet.roster.Version() != before {
 		n.fleet.wakeWatchers()
 	}
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -11,6 +11,7 @@
 	"rosereach/core/forward"
 	"rosereach/core/placement"
 	"rosereach/core/quarantine"
+	"rosereach/core/residency"
 	"rosereach/core/retry"
 	"rosereach/core/route"
 	"rosereach/io/upstream"
@@ -106,9 +107,11 @@
 		firstEventAt     time.Time
 		waitTallied      bool // the wait for the first byte was tallied before it came
 		pace             streamPace
-		counted          bool   // counted until its answer, as its server gets few requests after a hold-off
-		begun            bool   // it counts as being at its server
-		paced            bool   // it took a place at a server that named a limit
+		counted          bool // counted until its answer, as its server gets few requests after a hold-off
+		begun            bool // it counts as being at its server
+		paced            bool // it took a place at a server that named a limit
+		homes            residency.Homes
+		warming          bool   // it took a place at a server that warms up
 		withheld         string // why it was not sent, empty if it was
 
 		placedAt      time.Time
@@ -264,7 +267,7 @@
 		Header: f.entry.cfg.Forwarding.Dialect.Attempt(x.req, forward.Attempt{
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: -1, LastEventID: x.lastEventID,
 		}),
-		NewConn: x.sends > 1 && !x.route.IsRetryable(),
+		NewConn: x.sends > 1 && !x.route.IsRetryable(), Via: viaOf(a.homes),
 	}, func() error { return x.admit(a) })
 	if err != nil {
 		return x.handleSendError(ctx, a, err, x.takeOver(watch))
@@ -384,6 +387,9 @@
 	if failure, ok := x.restrainedFailure(); ok {
 		return failure
 	}
+	if failure, ok := x.unlocatedFailure(); ok {
+		return failure
+	}
 	f, now := x.forwarder, x.now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -63,7 +63,7 @@
 		spent := x.forwarder.entry.cfg.Clock.Now().Sub(x.req.Arrived)
 		lateRisk := placement.LateRisk(spent+next.expected, x.route.Objective)
 		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued) &&
-			(x.forwarder.client.HasIdle(next.server.Address) || x.connect(ctx, next)) && x.forwarder.takeRetry(x.service)
+			(x.forwarder.client.HasIdle(next.server.Address, viaOf(next.homes)) || x.connect(ctx, next)) && x.forwarder.takeRetry(x.service)
 		if ok {
 			x.logEscalation(a, lateRisk, next.meanQueued)
 		}
--- a/internal/entry/cut_off_test.go
+++ b/internal/entry/cut_off_test.go
@@ -241,7 +241,7 @@
 	failing := c.servers[0]
 	failing.Sequence, failing.Address = 1<<40, refusingAddress(t)
 	e.forwarder.updateRoster(time.Now(), roster.Delta{Records: []roster.Record{{Server: failing}}})
-	if conn, err := d.dial(context.Background(), failing.Address); err == nil {
+	if conn, err := d.dial(context.Background(), failing.Address, nil); err == nil {
 		conn.Close()
 		t.Fatal("the failing server accepts a connection")
 	}
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -46,15 +46,17 @@
 		mu       sync.Mutex
 		links    map[string]*serviceLink
 		relays   reach.Relays
-		room     reach.Room // for other entries
-		relaysAt time.Time  // when the relays were received
-		opened   int        // connections through other entries
+		regions  map[string]string // of the relays, by id
+		room     reach.Room        // for other entries
+		relaysAt time.Time         // when the relays were received
+		opened   int               // connections through other entries
 		random   *rand.Rand
 	}
 
-	// detouredConn is a connection through another entry.
+	// detouredConn is a connection through another entry in the given region.
 	detouredConn struct {
 		*net.TCPConn
+		region  string
 		isStale func() bool
 	}
 )
@@ -63,6 +65,10 @@
 // reached directly.
 func (c *detouredConn) IsStale() bool { return c.isStale() }
 
+// Via returns the region of the entry that the connection passes through. It is empty if the
+// control that named the entry did not tell.
+func (c *detouredConn) Via() string { return c.region }
+
 func newDetours(f *forwarder) *detours {
 	cfg := f.entry.cfg
 	return &detours{
@@ -78,21 +84,22 @@
 }
 
 // dial opens a connection to a server. Once it is known that the entry reaches none of the
-// service, no connection waits for a timeout.
-func (d *detours) dial(ctx context.Context, address string) (net.Conn, error) {
+// service, no connection waits for a timeout. Via restricts the regions of other entries,
+// nil for no restriction.
+func (d *detours) dial(ctx context.Context, address string, via func(region string) bool) (net.Conn, error) {
 	server, ok := d.forwarder.serverAt(address)
 	if !ok || d.relayCount() == 0 {
 		return upstream.Dial(ctx, address)
 	}
 	if d.isCut(server.Service) {
-		return d.dialThrough(ctx, server)
+		return d.dialThrough(ctx, server, via)
 	}
 	conn, err := d.dialDirect(ctx, server)
 	if err == nil || ctx.Err() != nil {
 		return conn, err
 	}
 	if d.judge(ctx, server) {
-		return d.dialThrough(ctx, server)
+		return d.dialThrough(ctx, server, via)
 	}
 	if upstream.IsTimeout(err) {
 		return d.dialDirect(ctx, server)
@@ -116,16 +123,16 @@
 }
 
 // dialThrough opens a connection through another entry.
-func (d *detours) dialThrough(ctx context.Context, server backend.Announcement) (net.Conn, error) {
+func (d *detours) dialThrough(ctx context.Context, server backend.Announcement, via func(region string) bool) (net.Conn, error) {
 	cfg := d.forwarder.entry.cfg
 	for range maxRelayTries {
-		relay, ok := d.pickRelay()
+		relay, region, ok := d.pickRelay(via)
 		if !ok {
 			break
 		}
 		conn, err := detour.Dial(ctx, relay.Address, cfg.MemberKey, detour.Target{Server: server.ID, Incarnation: server.Incarnation})
 		if err == nil {
-			return d.detoured(server.Service, conn), nil
+			return d.detoured(server.Service, region, conn), nil
 		}
 		level.Debug(cfg.Logger).Log("msg", "Another entry does not connect.", "srv", server.ID, "relay", relay.ID, "err", err)
 		if ctx.Err() != nil || errors.Is(err, detour.ErrServerUnreachable) {
@@ -147,7 +154,7 @@
 
 // detoured returns a connection through another entry that is replaced some time after the
 // cut, so that not all are replaced at once.
-func (d *detours) detoured(service string, conn net.Conn) net.Conn {
+func (d *detours) detoured(service, region string, conn net.Conn) net.Conn {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return conn
@@ -156,7 +163,7 @@
 	defer d.mu.Unlock()
 	d.opened++
 	spread := time.Duration(d.random.Int64N(int64(returnSpread)))
-	return &detouredConn{TCPConn: tcp, isStale: func() bool {
+	return &detouredConn{TCPConn: tcp, region: region, isStale: func() bool {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		l := d.link(service)
@@ -179,7 +186,7 @@
 // connectFor connects to a server for another entry.
 func (d *detours) connectFor(ctx context.Context, t detour.Target) (net.Conn, detour.Status) {
 	server, ok := d.forwarder.serverByID(t.Server)
-	if !ok || server.Incarnation != t.Incarnation {
+	if !ok || server.Incarnation != t.Incarnation || d.forwarder.entry.catalog.Load().IsEvacuated(server.Zone) {
 		return nil, detour.UnknownServer
 	}
 	if d.isCut(server.Service) {
@@ -214,10 +221,12 @@
 	return d.opened
 }
 
-func (d *detours) pickRelay() (reach.Relay, bool) {
+// pickRelay returns a relay in a region that via allows, and the region.
+func (d *detours) pickRelay(via func(region string) bool) (relay reach.Relay, region string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.relays.Pick(d.forwarder.entry.cfg.Clock.Now(), d.random)
+	relay, ok = d.relays.Pick(d.forwarder.entry.cfg.Clock.Now(), d.random, func(id string) bool { return via == nil || via(d.regions[id]) })
+	return relay, d.regions[relay.ID], ok
 }
 
 // wantsRelays reports whether the entry asks for other entries: from time to time, and at
@@ -229,10 +238,11 @@
 	return n > 0 || now.Sub(d.relaysAt) >= relaysInterval
 }
 
-func (d *detours) setRelays(now time.Time, relays []reach.Relay) {
+func (d *detours) setRelays(now time.Time, relays []reach.Relay, regions map[string]string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.relays.Set(relays)
+	d.regions = regions
 	d.relaysAt = now
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,6 +23,7 @@
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
 	"rosereach/core/route"
+	"rosereach/core/warmup"
 	"rosereach/io/member"
 	"rosereach/io/upstream"
 )
@@ -76,6 +78,8 @@
 		// ExposureShare is the maximum share of a service's requests that go to
 		// a new release until it is proven, from 0 to 1.
 		ExposureShare float64
+		// Warmup bounds the requests to servers that warm up.
+		Warmup warmup.Bounds
 	}
 
 	// forwarder is the state of an entry that forwards requests unchanged.
@@ -86,7 +90,8 @@
 		detours *detours
 		sizes   cascade.SizeCascade
 
-		metrics *forwardMetrics
+		metrics   *forwardMetrics
+		unlocated atomic.Int64 // requests rejected for their homes or evacuated zones
 
 		placement placement.Priced
 
@@ -95,6 +100,7 @@
 		health         *health.Tracker
 		restraints     *health.Restraints
 		limiter        *pacing.Limiter
+		warmups        *warmup.Limiter
 		brittle        *pacing.Brittle
 		unreadable     map[string]uint64 // incarnation of each server whose word could not be read
 		turnedAway     map[string]int    // requests of each service rejected since its servers last took work
@@ -124,6 +130,7 @@
 	f.startedAt = e.cfg.Clock.Now()
 	f.parts = newPartEvidence()
 	f.limiter = pacing.NewLimiter(e.cfg.ID)
+	f.warmups = warmup.NewLimiter(e.cfg.ID, e.cfg.Forwarding.Warmup)
 	f.brittle = pacing.NewBrittle()
 	f.watcher = newWatcher(e)
 	f.detours = newDetours(f)
@@ -305,6 +312,7 @@
 	f.health.Retain(isKnown)
 	f.restraints.Retain(now, isKnown)
 	f.limiter.Retain(isKnown)
+	f.warmups.Expire(now)
 	f.brittle.Retain(isKnown)
 	maps.DeleteFunc(f.unreadable, func(id string, _ uint64) bool { return !known[id] })
 	f.latencyModel.Retain(isKnown)
--- a/internal/entry/forward_metrics.go
+++ b/internal/entry/forward_metrics.go
@@ -68,6 +68,11 @@
 		metrics.NewGauge("rosereach_servers_leaving", "Backend servers that said that they leave.", func() float64 { n, _ := e.forwarder.countRestrained(); return float64(n) }),
 		metrics.NewGauge("rosereach_servers_held_off", "Backend servers that asked for no requests for a time that goes on.", func() float64 { _, n := e.forwarder.countRestrained(); return float64(n) }),
 		metrics.NewGauge("rosereach_servers_limited", "Backend servers that named a limit of requests a second that holds.", func() float64 { return float64(e.forwarder.countLimited()) }),
+		metrics.NewGauge("rosereach_servers_warming", "Backend servers that warm up and get few requests meanwhile.", func() float64 { return float64(e.forwarder.countWarming()) }),
+		metrics.NewGauge("rosereach_zones_evacuated", "Availability zones whose backend servers get no requests.", func() float64 { return float64(len(e.catalog.Load().EvacuatedZones())) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "rosereach_unlocated_requests_total", Help: "Requests that were rejected, as no server is in a home region and in a zone that is not evacuated.",
+		}, func() float64 { return float64(e.forwarder.unlocated.Load()) }),
 		metrics.NewGauge("rosereach_servers_brittle", "Backend servers that said that they fall over when they have to reject too much.", func() float64 { return float64(e.forwarder.countBrittle()) }),
 		metrics.NewGauge("rosereach_requests_running", "Requests that are being answered.", func() float64 { return float64(e.inFlight.Load()) }),
 		metrics.NewGauge("rosereach_requests_waiting", "Requests that wait for their turn.", func() float64 { return float64(e.engineAdmission.waitingCount() + e.plainAdmission.waitingCount()) }),
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -318,7 +318,7 @@
 // connect opens a connection for an attempt that is to replace a running one, and reports
 // whether that succeeded.
 func (x *activeRequest) connect(ctx context.Context, a *attempt) bool {
-	err := x.forwarder.client.Connect(ctx, a.server.Address)
+	err := x.forwarder.client.Connect(ctx, a.server.Address, viaOf(a.homes))
 	if err != nil && ctx.Err() == nil && !x.isAtDeadline() && !errors.Is(err, errNoPath) {
 		x.logUnreachable(a, err)
 		x.forwarder.recordFailure(a, x, true)
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -56,6 +56,7 @@
 	if reply.Current && reply.EntryCount > 0 {
 		f.limiter.SetEntries(reply.EntryCount)
 		f.brittle.SetEntries(reply.EntryCount)
+		f.warmups.SetEntries(reply.EntryCount)
 	}
 	changed := f.limiter.Apply(now, reply.Limits, shares)
 	f.mu.Unlock()
@@ -72,15 +73,19 @@
 	return f.limiter.IsLimited(server.ID, server.Incarnation)
 }
 
-// returnPlace gives back the place of an attempt at a limited server that was not sent.
+// returnPlace gives back the places of an attempt at a limited or warming server that was
+// not sent.
 func (f *forwarder) returnPlace(a *attempt) {
-	if !a.paced {
-		return
-	}
-	a.paced = false
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limiter.Return(a.server.ID, a.server.Incarnation)
+	if a.paced {
+		a.paced = false
+		f.limiter.Return(a.server.ID, a.server.Incarnation)
+	}
+	if a.warming {
+		a.warming = false
+		f.warmups.Return(a.server.ID, a.server.Incarnation)
+	}
 }
 
 // countLimited returns the number of servers that named a limit.
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -73,7 +73,7 @@
 	uncached := c.UncachedTokens(demand)
 	return &attempt{
 		server: c.Server, predicted: predicted, expected: f.expectedTime(now, x, c.Server.ID, predicted), uncachedTokens: uncached, cachedTokens: demand.InputTokens - uncached, equivalentTokens: f.equivalentTokens(x, uncached),
-		placedAt: now, candidates: len(candidates), meanQueued: choice.MeanQueued, homeRank: c.HomeRank, rosterVersion: version, prompt: prompt,
+		homes: x.homes(), placedAt: now, candidates: len(candidates), meanQueued: choice.MeanQueued, homeRank: c.HomeRank, rosterVersion: version, prompt: prompt,
 	}, true
 }
 
@@ -194,10 +194,10 @@
 }
 
 // assignedServers returns the servers of the request's service that have the release
-// assigned to the request by the service's roll-out, without those that said that they
-// leave. Others are the servers that it may go to instead. Callers hold f.mu.
+// assigned to the request by the service's roll-out, in its home regions and in zones that
+// are not evacuated, without those that said that they leave. Others are the servers that it may go to instead. Callers hold f.mu.
 func (f *forwarder) assignedServers(now time.Time, x *activeRequest) (list, others []roster.Record) {
-	all := f.staying(now, f.roster.Serving(x.service))
+	all := f.located(x.homes(), f.staying(now, f.roster.Serving(x.service)))
 	o, ordered := f.entry.catalog.Load().Rollout(x.service)
 	if !ordered {
 		return all, nil
--- a/internal/entry/restraint.go
+++ b/internal/entry/restraint.go
@@ -54,6 +54,7 @@
 	if head.IsFull() {
 		ownHoldOff = f.brittle.HoldOff(server.ID, server.Incarnation)
 	}
+	f.observeWarmup(now, server, head, requestID)
 	changed := f.restraints.Hear(now, server.ID, server.Incarnation, health.Word{Leaving: head.Leaving, HoldOff: max(head.HoldOff, ownHoldOff), RequestID: requestID})
 	restraint, _ := f.restraints.Get(server.ID, server.Incarnation)
 	firstUnreadable := head.Unreadable != "" && f.unreadable[server.ID] != server.Incarnation
@@ -112,6 +113,12 @@
 		a.withheld = withheldBrittle
 		return errors.Errorf("backend server %s is brittle and has its part of this entry's requests", server.ID)
 	}
+	if err := f.checkLocation(a); err != nil {
+		return err
+	}
+	if err := f.takeWarmupPlace(now, a); err != nil {
+		return err
+	}
 	if !a.paced {
 		if err := f.takePlace(now, a); err != nil {
 			return err
@@ -188,7 +195,7 @@
 // takers returns the servers of the list that may get a request now. Callers hold f.mu.
 func (f *forwarder) takers(now time.Time, list []roster.Record) []roster.Record {
 	return filterRecords(list, func(r roster.Record) bool {
-		return f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) == "" && f.limiter.Allows(now, r.Server.ID, r.Server.Incarnation) && f.brittle.Allows(r.Server.ID, r.Server.Incarnation, r.Server.Capacity)
+		return f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) == "" && f.allowsWarmup(now, r.Server) && f.limiter.Allows(now, r.Server.ID, r.Server.Incarnation) && f.brittle.Allows(r.Server.ID, r.Server.Incarnation, r.Server.Capacity)
 	})
 }
 
@@ -213,23 +220,9 @@
 	}
 	first := now.Add(retry.MaxAfter)
 	for _, r := range list {
-		at, _ := f.restraints.TakesWorkAt(now, r.Server.ID, r.Server.Incarnation)
-		switch f.restraints.Check(now, r.Server.ID, r.Server.Incarnation) {
-		case health.Recovers:
-			p.recovers = true
-		case "":
-			if f.limiter.Allows(now, r.Server.ID, r.Server.Incarnation) {
-				if f.brittle.Allows(r.Server.ID, r.Server.Incarnation, r.Server.Capacity) {
-					return prospect{}
-				}
-				p.recovers = true
-				break
-			}
-			wait, rate := f.limiter.Wait(now, r.Server.ID, r.Server.Incarnation)
-			p.limited, p.rate = true, p.rate+rate
-			if at = now.Add(wait); rate == 0 {
-				at = first
-			}
+		at, isOpen := f.addProspect(now, r.Server, first, &p)
+		if isOpen {
+			return prospect{}
 		}
 		if at.Before(first) {
 			first = at
@@ -246,6 +239,38 @@
 	return p
 }
 
+// addProspect adds to a prospect that a server takes no requests now, and returns when it
+// does, latest if this entry is not to send it any. IsOpen is set if it takes them now.
+// Callers hold f.mu.
+func (f *forwarder) addProspect(now time.Time, server backend.Announcement, latest time.Time, p *prospect) (at time.Time, isOpen bool) {
+	switch f.restraints.Check(now, server.ID, server.Incarnation) {
+	case health.Recovers:
+		p.recovers = true
+		return now, false
+	case "":
+	default:
+		at, _ = f.restraints.TakesWorkAt(now, server.ID, server.Incarnation)
+		return at, false
+	}
+	wait, rate := f.warmupWait(now, server)
+	if wait == 0 {
+		wait, rate = f.limiter.Wait(now, server.ID, server.Incarnation)
+		switch {
+		case !f.limiter.Allows(now, server.ID, server.Incarnation):
+			if rate == 0 {
+				wait = latest.Sub(now)
+			}
+		case f.brittle.Allows(server.ID, server.Incarnation, server.Capacity):
+			return now, true
+		default:
+			p.recovers = true
+			return now, false
+		}
+	}
+	p.limited, p.rate = true, p.rate+rate
+	return now.Add(wait), false
+}
+
 // round returns the time that the servers need for as many requests as there are places.
 func (p prospect) round(usual time.Duration) time.Duration {
 	if !p.limited {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,6 +67,7 @@
 	presenceSequence uint64                  // of the last presence
 	liveEntries      int                     // number of live entries
 	fetching         bool
+	planConfirmed    atomic.Bool // a control with a majority has named the revision in force, or an older one
 }
 
 // position is how far a control's roster was received. It outlasts a connection: a
@@ -88,6 +90,7 @@
 	verdicts        []health.Verdict // the control's
 	partsVersion    uint64           // version of the control's listed and suspected prompt parts
 	limitsVersion   uint64           // version of the control's limits of servers
+	warmupsVersion  uint64           // version of the control's servers that warm up
 }
 
 func newWatcher(e *Entry) *watcher {
@@ -204,13 +207,16 @@
 		RunID: state.controlRun, RosterVersion: state.rosterVersion, DocumentsRevision: e.catalog.Load().Revision(), Entry: w.presence(), Report: e.forwarder.rolloutReport(),
 	}
 	e.forwarder.addSamples(&request, state)
+	e.forwarder.addWarmups(&request, state)
 	request.WantsRelays = e.forwarder.detours.wantsRelays(e.cfg.Clock.Now())
 	var reply member.WatchReply
 	if err := conn.Call(ctx, member.KindWatch, request, &reply); err != nil {
 		return err
 	}
 	w.applyReply(ctx, reply, state)
-	return w.fetch(ctx, conn, reply.DocumentsRevision, state.distance)
+	err := w.fetch(ctx, conn, reply.DocumentsRevision, state.distance)
+	w.confirmPlan(reply)
+	return err
 }
 
 // distance returns 0 for a control in the entry's availability zone, 1 in its
@@ -285,12 +291,14 @@
 			reply.Roster.Records[i].Silent = false
 		}
 	}
+	// The warm-ups come first, so that no request is sent to a new server before.
+	e.forwarder.applyWarmups(now, reply, state)
 	e.forwarder.updateRoster(now, reply.Roster)
 	e.forwarder.applyEvidence(now, reply, state)
 	e.forwarder.applyParts(ctx, now, reply, state)
 	e.forwarder.applyLimits(now, reply, state)
 	if len(reply.Relays) > 0 {
-		e.forwarder.detours.setRelays(now, reply.Relays)
+		e.forwarder.detours.setRelays(now, reply.Relays, reply.RelayRegions)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -322,6 +330,7 @@
 			if next.Routes() != nil {
 				e.hasPlanOnce.Do(func() { close(e.hasPlan) })
 			}
+			e.forwarder.startWarmups(old, next)
 			e.cfg.Logger.Log("msg", "Documents come into force.", "revision", next.Revision(), "before", old.Revision(), "keys_added", added, "keys_removed", removed)
 			return
 		}
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -7,6 +7,7 @@
 	"rosereach/core/reach"
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
+	"rosereach/core/warmup"
 )
 
 // The kinds of message with which entries and controls follow a control.
@@ -82,6 +83,10 @@
 		// LimitsVersion the version of the limits that it has from this control.
 		Limits        []pacing.Word `json:"limits,omitempty"`
 		LimitsVersion uint64        `json:"limits_version,omitempty"`
+		// WarmupsVersion is the version of the servers that warm up that the entry has from
+		// this control, 0 for an entry of a build that knows none, and Warmups are those of which it heard itself.
+		WarmupsVersion uint64          `json:"warmups_version,omitempty"`
+		Warmups        []warmup.Notice `json:"warmups,omitempty"`
 		// WantsLoads asks for the load reports of all backend servers.
 		WantsLoads bool `json:"loads,omitempty"`
 		// WantsRelays asks for entries through which servers can be reached.
@@ -125,7 +130,16 @@
 		// Loads are recent load reports of backend servers, if they were requested.
 		Loads []health.LoadReport `json:"loads,omitempty"`
 		// Relays are entries through which servers can be reached, if they were requested.
-		Relays []reach.Relay `json:"relays,omitempty"`
+		// RelayRegions are their regions, by id.
+		Relays       []reach.Relay     `json:"relays,omitempty"`
+		RelayRegions map[string]string `json:"relay_regions,omitempty"`
+		// Warmups are the servers that warm up, at WarmupsVersion. Ranks are the positions
+		// of the entry among those that may use them, as far as they are small.
+		// HasRanks is set if the control knows the entries.
+		WarmupsVersion uint64          `json:"warmups_version,omitempty"`
+		Warmups        []warmup.Notice `json:"warmups,omitempty"`
+		Ranks          []warmup.Rank   `json:"ranks,omitempty"`
+		HasRanks       bool            `json:"has_ranks,omitempty"`
 		// Presences, Reports and Evidence hold what entries sent to the replying control
 		// directly, and what it listed itself, up to DirectVersion. They are set in replies
 		// to controls only.
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -14,6 +14,7 @@
 	"rosereach/core/audit"
 	"rosereach/core/catalog"
 	"rosereach/core/change"
+	"rosereach/core/evacuation"
 	"rosereach/core/key"
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
@@ -22,6 +23,7 @@
 	"rosereach/core/service"
 	"rosereach/core/template"
 	"rosereach/core/version"
+	"rosereach/core/warmup"
 	"rosereach/core/workspace"
 )
 
@@ -62,6 +64,10 @@
 		Versions   map[string]version.Version     `json:"versions"`
 		Services   map[string]service.Service     `json:"services"`
 		Operators  map[string]operator.Operator   `json:"operators"`
+		// Evacuations are by availability zone, and Homes the home regions of the routing
+		// plan's routes and workspaces, as "route NAME" or "workspace NAME".
+		Evacuations map[string]evacuation.Order `json:"evacuations,omitempty"`
+		Homes       map[string][]string         `json:"homes,omitempty"`
 	}
 
 	// Status is a control's view of the fleet.
@@ -71,6 +77,8 @@
 		Index    uint64        `json:"index"`
 		Revision uint64        `json:"revision"`
 		Entries  []lease.Entry `json:"entries"`
+		// Warming are the backend servers that warm up.
+		Warming []warmup.Notice `json:"warming,omitempty"`
 	}
 
 	// Answer is the answer to a change.
@@ -128,7 +136,7 @@
 func (d Documents) Catalog() catalog.Documents {
 	return catalog.Documents{
 		Revision: d.Revision, Templates: d.Templates, Workspaces: d.Workspaces, Versions: d.Versions,
-		Services: d.Services, Operators: d.Operators,
+		Services: d.Services, Operators: d.Operators, Evacuations: d.Evacuations,
 	}
 }
 
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -71,6 +72,9 @@
 		Body   []byte
 		// NewConn requires a new connection instead of an idle one.
 		NewConn bool
+		// Via restricts the regions of other instances that the connection may pass
+		// through. It is nil for no restriction.
+		Via func(region string) bool
 	}
 
 	// Answer is the head of an answer and a reader of its body. Close must be
@@ -108,9 +112,10 @@
 		// be set before the first request.
 		OnDial func()
 		// DialContext opens a connection to a server, by default with Dial. It must be set
-		// before the first request. A connection with a method IsStale() bool that returns
-		// true is not used for another request.
-		DialContext func(ctx context.Context, address string) (net.Conn, error)
+		// before the first request. Via is that of the call. A connection with a method
+		// IsStale() bool that returns true is not used for another request, and one with
+		// a method Via() string only for calls that allow that region.
+		DialContext func(ctx context.Context, address string, via func(region string) bool) (net.Conn, error)
 	}
 
 	conn struct {
@@ -124,7 +129,9 @@
 
 // NewClient returns a client without connections.
 func NewClient(c clock.Clock) *Client {
-	return &Client{clock: c, idle: make(map[string][]*conn), DialContext: Dial}
+	return &Client{clock: c, idle: make(map[string][]*conn), DialContext: func(ctx context.Context, address string, _ func(string) bool) (net.Conn, error) {
+		return Dial(ctx, address)
+	}}
 }
 
 // Do sends the request and reads the head of its answer. It calls beforeSend
@@ -157,8 +164,8 @@
 
 // Connect opens a new connection to the server and keeps it for the next request there. It
 // proves that the server can be reached now, which an idle connection does not.
-func (c *Client) Connect(ctx context.Context, address string) error {
-	conn, err := c.dial(ctx, address)
+func (c *Client) Connect(ctx context.Context, address string, via func(region string) bool) error {
+	conn, err := c.dial(ctx, address, via)
 	if err != nil {
 		return err
 	}
@@ -177,12 +184,12 @@
 // IsRefused reports whether the server refuses connections: its machine is there and no
 // process listens. If one does, the connection is kept for the next request.
 func (c *Client) IsRefused(ctx context.Context, address string) bool {
-	return errors.Is(c.Connect(ctx, address), syscall.ECONNREFUSED)
+	return errors.Is(c.Connect(ctx, address, nil), syscall.ECONNREFUSED)
 }
 
 // HasIdle reports whether an idle connection to the server is open.
-func (c *Client) HasIdle(address string) bool {
-	for idle := c.popIdle(address); idle != nil; idle = c.popIdle(address) {
+func (c *Client) HasIdle(address string, via func(region string) bool) bool {
+	for idle := c.popIdle(address, via); idle != nil; idle = c.popIdle(address, via) {
 		if idle.isReusable() {
 			c.release(address, idle)
 			return true
@@ -303,7 +310,7 @@
 // acquire returns an idle connection to the server, or a new one.
 func (c *Client) acquire(ctx context.Context, call Call) (*conn, error) {
 	for !call.NewConn {
-		idle := c.popIdle(call.Address)
+		idle := c.popIdle(call.Address, call.Via)
 		if idle == nil {
 			break
 		}
@@ -312,14 +319,14 @@
 		}
 		idle.discard()
 	}
-	return c.dial(ctx, call.Address)
+	return c.dial(ctx, call.Address, call.Via)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+func (c *Client) dial(ctx context.Context, address string, via func(region string) bool) (*conn, error) {
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	raw, err := c.DialContext(ctx, address)
+	raw, err := c.DialContext(ctx, address, via)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -368,18 +375,22 @@
 	}
 }
 
-// popIdle removes and returns the idle connection that was used last, or nil. It
-// closes expired ones.
-func (c *Client) popIdle(address string) *conn {
+// popIdle removes and returns the idle connection that was used last among those that
+// via allows, or nil. It closes expired ones.
+func (c *Client) popIdle(address string, via func(region string) bool) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	conns := c.idle[address]
-	for len(conns) > 0 {
-		last := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
+	for i := len(conns) - 1; i >= 0; i-- {
+		last := conns[i]
+		isExpired := !now.Before(last.expiresAt)
+		if !isExpired && !last.isAllowed(via) {
+			continue
+		}
+		conns = slices.Delete(conns, i, i+1)
 		c.idle[address] = conns
-		if now.Before(last.expiresAt) {
+		if !isExpired {
 			return last
 		}
 		last.discard()
@@ -387,6 +398,13 @@
 	return nil
 }
 
+// isAllowed reports whether a call may use the connection by the region that it passes
+// through.
+func (c *conn) isAllowed(via func(region string) bool) bool {
+	passing, ok := c.Conn.(interface{ Via() string })
+	return via == nil || !ok || via(passing.Via())
+}
+
 // release returns a connection to the pool, or closes it if it has expired.
 func (c *Client) release(address string, conn *conn) {
 	if !c.clock.Now().Before(conn.expiresAt) {
