Read four load figures, learn lasting speeds, name entries by size, tell servers the urgency

Cause: on engines of three speeds the load words were dropped, as they have four figures, and each entry learned a server's speed from one answer in ten seconds and forgot it within five.

Change: core/speed takes the median of what servers tell all entries; the expected time, homes of prompt parts and the decay of own ratios follow it. core/spread names larger entries more often. Servers are told the urgency where the settings name the contract pressure. An escalation leaves a retry in the budget for a refusal.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -131,6 +131,10 @@
 		Waiting int
 		// Slots is the server's capacity, 0 when the load is not reported.
 		Slots int
+		// Slowdown is how long work takes on the server's machine at this moment, relative to
+		// its usual time, 0 when it is not reported. It changes many times a second: it
+		// explains the answer that it came with, and forecasts nothing.
+		Slowdown float64
 		// Leaving means that the server wants no further requests: it is about to stop.
 		Leaving bool
 		// HoldOff is how long the server wants no further requests, 0 for not at all.
--- a/core/placement/homes.go
+++ b/core/placement/homes.go
@@ -10,18 +10,21 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// RankHomes ranks servers for a shared part of a prompt by rendezvous hashing and
-// returns the indices of the best n, the part's home first. All entries compute
-// the same homes without communication, and a server that is added or removed
-// moves only its own parts.
-func RankHomes(key uint64, ids []string, n int) []int {
+// RankHomes ranks servers for a shared part of a prompt by weighted rendezvous hashing
+// and returns the indices of the best n, the part's home first. All entries compute
+// the same homes without communication, and a server that is added or removed, or
+// whose weight changes, moves only its own parts. A server is the home of parts in
+// proportion to its weight, 1 for an average server.
+func RankHomes(key uint64, ids []string, weights []float64, n int) []int {
 	order := make([]int, len(ids))
-	weights := make([]uint64, len(ids))
+	scores := make([]float64, len(ids))
 	for i, id := range ids {
 		order[i] = i
-		weights[i] = homeHash(key, id)
+		// A hash of 2^64-1 must not count as 1, whose logarithm is 0.
+		drawn := (float64(homeHash(key, id)>>11) + 0.5) / (1 << 53)
+		scores[i] = -weights[i] / math.Log(drawn)
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
 	return order[:min(n, len(order))]
 }
 
--- a/core/placement/latency.go
+++ b/core/placement/latency.go
@@ -7,7 +7,7 @@
 
 const (
 	// ratioDecayTime is the time constant with which a server's ratio decays to
-	// 1, so that a slow server is tried again.
+	// its lasting one, so that a slow server is tried again.
 	ratioDecayTime = 5 * time.Second
 
 	// ratioGain is the weight of one answer in a server's ratio.
@@ -41,6 +41,9 @@
 	LatencyModel struct {
 		fits    map[string]*linearFit
 		servers map[string]*serverRatio
+		// lasting returns the logarithm of a server's lasting ratio, toward which its own
+		// one decays.
+		lasting func(server string) float64
 	}
 
 	// linearFit is a least-squares fit of measured seconds y to predicted seconds: x
@@ -59,9 +62,15 @@
 
 // NewLatencyModel returns a model without measurements: predictions are not corrected.
 func NewLatencyModel() *LatencyModel {
-	return &LatencyModel{fits: make(map[string]*linearFit), servers: make(map[string]*serverRatio)}
+	return &LatencyModel{
+		fits: make(map[string]*linearFit), servers: make(map[string]*serverRatio), lasting: func(string) float64 { return 0 },
+	}
 }
 
+// SetLasting sets the source of the servers' lasting ratios, as natural logarithms. Without
+// it all servers are average in the long run.
+func (m *LatencyModel) SetLasting(lasting func(server string) float64) { m.lasting = lasting }
+
 // Observe records the predicted and the measured time of an answer. A group is a set
 // of requests with a common cost model, such as those for one model.
 func (m *LatencyModel) Observe(now time.Time, group, server string, predicted Estimate, measured time.Duration) {
@@ -71,10 +80,10 @@
 	expected := m.ExpectedTime(now, group, server, predicted)
 	r, ok := m.servers[server]
 	if !ok {
-		r = &serverRatio{updated: now}
+		r = &serverRatio{logRatio: m.lasting(server), updated: now}
 		m.servers[server] = r
 	}
-	r.decay(now)
+	r.decay(now, m.lasting(server))
 	r.logRatio += ratioGain * math.Log(min(max(measured.Seconds()/expected.Seconds(), 1.0/maxRatio), maxRatio))
 	r.logRatio = min(max(r.logRatio, -math.Log(maxRatio)), math.Log(maxRatio))
 	m.fit(group).add(predicted.Own.Seconds(), predicted.Wait.Seconds(), measured.Seconds()/math.Exp(r.logRatio))
@@ -99,14 +108,14 @@
 	return time.Duration(own * float64(predicted))
 }
 
-// ServerRatio returns the ratio of the server's times to those of an average server, 1 for
-// an unknown server.
+// ServerRatio returns the ratio of the server's times to those of an average server, its
+// lasting one if it has not answered of late.
 func (m *LatencyModel) ServerRatio(now time.Time, server string) float64 {
 	r, ok := m.servers[server]
 	if !ok {
-		return 1
+		return math.Exp(m.lasting(server))
 	}
-	r.decay(now)
+	r.decay(now, m.lasting(server))
 	return math.Exp(r.logRatio)
 }
 
@@ -168,10 +177,10 @@
 	}
 }
 
-// decay moves the ratio back toward 1 with time.
-func (r *serverRatio) decay(now time.Time) {
+// decay moves the ratio back toward the lasting one with time.
+func (r *serverRatio) decay(now time.Time, lasting float64) {
 	if elapsed := now.Sub(r.updated); elapsed > 0 {
-		r.logRatio *= math.Exp(-elapsed.Seconds() / ratioDecayTime.Seconds())
+		r.logRatio = lasting + (r.logRatio-lasting)*math.Exp(-elapsed.Seconds()/ratioDecayTime.Seconds())
 		r.updated = now
 	}
 }
--- a/core/placement/priced_test.go
+++ b/core/placement/priced_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -74,8 +75,8 @@
 	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
 	moved := 0
 	for key := range uint64(1000) {
-		before := ids[placement.RankHomes(key, ids, 1)[0]]
-		after := ids[:8][placement.RankHomes(key, ids[:8], 1)[0]]
+		before := ids[placement.RankHomes(key, ids, equalWeights(len(ids)), 1)[0]]
+		after := ids[:8][placement.RankHomes(key, ids[:8], equalWeights(8), 1)[0]]
 		if before != "i" && before != after {
 			t.Fatalf("part %d moved from %s to %s", key, before, after)
 		}
@@ -142,3 +143,54 @@
 		}
 	}
 }
+
+// equalWeights returns the weights of average servers.
+func equalWeights(n int) []float64 {
+	weights := make([]float64, n)
+	for i := range weights {
+		weights[i] = 1
+	}
+	return weights
+}
+
+// A fast server is the home of more parts than a slow one, in proportion to its weight, and a
+// change of one weight moves only parts to or from that server.
+func TestHomesFollowWeights(t *testing.T) {
+	ids, weights := []string{"slow", "usual", "fast"}, []float64{0.6, 1, 1.6}
+	changed := []float64{0.6, 1, 0.8}
+	counts := map[string]int{}
+	const parts = 20_000
+	for key := range uint64(parts) {
+		before := ids[placement.RankHomes(key, ids, weights, 1)[0]]
+		counts[before]++
+		if after := ids[placement.RankHomes(key, ids, changed, 1)[0]]; after != before && before != "fast" {
+			t.Fatalf("part %d moves from %s to %s as another server turns slow", key, before, after)
+		}
+	}
+	for i, id := range ids {
+		want := weights[i] / 3.2
+		if got := float64(counts[id]) / parts; math.Abs(got-want) > 0.02 {
+			t.Errorf("%s is the home of %.3f of the parts, want %.3f", id, got, want)
+		}
+	}
+}
+
+// The lasting ratio of a server counts where it has not answered of late, and its own answers
+// count for a while.
+func TestRatioDecaysToLastingOne(t *testing.T) {
+	m := placement.NewLatencyModel()
+	m.SetLasting(func(server string) float64 { return map[string]float64{"slow": math.Log(2)}[server] })
+	now := time.Unix(1000, 0)
+	if got := m.ServerRatio(now, "slow"); math.Abs(got-2) > 1e-9 {
+		t.Errorf("ratio of an unknown server %v", got)
+	}
+	for range 10 {
+		m.Observe(now, "g", "slow", placement.Estimate{Own: 100 * time.Millisecond}, time.Second)
+	}
+	if got := m.ServerRatio(now, "slow"); got < 3 {
+		t.Errorf("ratio after slow answers %v", got)
+	}
+	if got := m.ServerRatio(now.Add(time.Minute), "slow"); math.Abs(got-2) > 0.01 {
+		t.Errorf("ratio after a minute %v", got)
+	}
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -65,7 +65,10 @@
 // Allows reports whether this member's part of the budget allows another retry. Members
 // is the number of members that share the slack. Of the slice that the window begins in
 // the retries count and the requests do not, so that the budget holds in any window.
-func (w *WindowBudget) Allows(now time.Time, members int) bool {
+func (w *WindowBudget) Allows(now time.Time, members int) bool { return w.allows(now, members, 1) }
+
+// allows reports whether the budget allows n more retries.
+func (w *WindowBudget) allows(now time.Time, members, n int) bool {
 	w.advance(now)
 	oldest := (w.current + 1) % keptSlices
 	var requests, retries float64
@@ -75,13 +78,19 @@
 			requests += w.requests[i]
 		}
 	}
-	return retries+1 <= w.cfg.Ratio*requests+w.cfg.Slack/float64(max(members, 1))
+	return retries+float64(n) <= w.cfg.Ratio*requests+w.cfg.Slack/float64(max(members, 1))
 }
 
 // TrySpend spends one retry if Allows reports that there is one, and reports whether it
 // did.
 func (w *WindowBudget) TrySpend(now time.Time, members int) bool {
-	if !w.Allows(now, members) {
+	return w.TrySpendLeaving(now, members, 0)
+}
+
+// TrySpendLeaving is TrySpend for a retry that needs others after it: it spends one only if
+// the given number is left.
+func (w *WindowBudget) TrySpendLeaving(now time.Time, members, left int) bool {
+	if !w.allows(now, members, 1+left) {
 		return false
 	}
 	w.retries[w.advance(now)]++
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -78,6 +78,7 @@
 			Dialect: platform.Dialect{}, Controls: p.memberAddresses, FailOpen: !now.Bounds.FailClosed,
 			Retries:       retry.WindowBudgetConfig{Ratio: now.Bounds.RetryBudgetRatio, Slack: now.Bounds.RetryBudgetSlack, Window: now.Bounds.RetryWindow},
 			ExposureShare: now.Bounds.ExposureShare, RelayAddress: now.RelayAddress(),
+			UnderPressure: now.UnderPressure, Cores: now.Cores, LinkMbps: now.LinkMbps,
 			Warmup: warmup.Bounds{Overshoot: now.Bounds.WarmupOvershoot, Slack: now.Bounds.WarmupSlack},
 		},
 	}
--- a/internal/control/evidence.go
+++ b/internal/control/evidence.go
@@ -17,13 +17,7 @@
 // Callers hold n.mu.
 func (n *Node) judgeServers(now time.Time) {
 	before := n.fleet.verdicts
-	verdicts := n.fleet.pool.Verdicts(now, func(server string) string {
-		rec, ok := n.fleet.roster.Find(server)
-		if !ok {
-			return ""
-		}
-		return rec.Server.Service
-	})
+	verdicts := n.fleet.pool.Verdicts(now, n.fleet.serviceOf)
 	if slices.Equal(before, verdicts) {
 		return
 	}
@@ -38,6 +32,25 @@
 	n.fleet.judged = make(chan struct{})
 }
 
+// judgeSpeeds updates the lasting speeds of the servers and logs those that change. Callers
+// hold n.mu.
+func (n *Node) judgeSpeeds(now time.Time) {
+	before := n.fleet.speeds.Version()
+	n.fleet.speeds.Judge(now, func(server string) bool { return n.fleet.serviceOf(server) != "" })
+	for _, e := range n.fleet.speeds.Since(before) {
+		n.cfg.Logger.Log("msg", "Speed of a backend server is learned.", "server", e.Server, "incarnation", e.Incarnation, "log_ratio", e.LogRatio)
+	}
+}
+
+// serviceOf returns the service of a server, empty if the server is not known.
+func (f *fleet) serviceOf(server string) string {
+	rec, ok := f.roster.Find(server)
+	if !ok {
+		return ""
+	}
+	return rec.Server.Service
+}
+
 func (n *Node) logVerdict(now time.Time, v health.Verdict) {
 	e := n.fleet.pool.Evidence(now, v.Server)
 	n.cfg.Logger.Log("msg", "Backend server fails at several entries.", "server", v.Server,
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rosereach/core/reach"
+	"rosereach/core/spread"
 	"rosereach/io/member"
 )
 
@@ -17,6 +18,9 @@
 	abroad = 3
 )
 
+// maxAddresses is the number of addresses that a caller is given.
+const maxAddresses = 64
+
 // isAppliedByAll reports whether every entry whose presence was received within the
 // last presenceTTL applies the revision.
 func (f *fleet) isAppliedByAll(now time.Time, revision uint64) bool {
@@ -64,13 +68,13 @@
 	if len(live) > 0 {
 		nearest = rank(live[0])
 	}
-	var addresses []string
+	var entries []spread.Entry
 	for _, p := range live {
 		if rank(p) == nearest {
-			addresses = append(addresses, p.Address)
+			entries = append(entries, spread.Entry{Address: p.Address, Cores: p.Cores, LinkMbps: p.LinkMbps})
 		}
 	}
-	return addresses
+	return spread.Addresses(entries, maxAddresses)
 }
 
 // relaysFor returns the entries through which an entry may reach backend servers, and
@@ -130,6 +134,7 @@
 	n.countAnswers(now, r.Samples)
 	n.mergeLimits(now, r.Limits)
 	n.mergeWarmups(now, r.Warmups)
+	n.fleet.speeds.Add(now, r.Speeds)
 }
 
 // receivePresence stores the presence that an entry sends between two watches, and
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -15,6 +15,7 @@
 	"rosereach/core/quarantine"
 	"rosereach/core/replica"
 	"rosereach/core/roster"
+	"rosereach/core/speed"
 	"rosereach/core/warmup"
 	"rosereach/io/member"
 )
@@ -84,6 +85,9 @@
 		rankedAt       time.Time
 		evacuatedZones []string
 
+		// speeds are the lasting speeds of the servers.
+		speeds *speed.Pool
+
 		// changed is closed and replaced when the watchers have to be answered,
 		// judged when only entries have to, as the verdicts changed.
 		changed chan struct{}
@@ -131,6 +135,7 @@
 		limits:  pacing.NewPool(),
 		since:   now,
 		warmups: warmup.NewTable(),
+		speeds:  speed.NewPool(),
 		changed: make(chan struct{}),
 		judged:  make(chan struct{}),
 	}
@@ -222,7 +227,7 @@
 	now := n.cfg.Clock.Now()
 	reply := member.WatchReply{RunID: n.runID, Current: n.fleet.isCurrent, EntryCount: n.liveEntries(now)}
 	if r.RunID != n.runID {
-		r.RosterVersion, r.SightingsVersion, r.DirectVersion = 0, 0, 0
+		r.RosterVersion, r.SightingsVersion, r.DirectVersion, r.SpeedsVersion = 0, 0, 0, 0
 	}
 	reply.Roster = n.fleet.roster.Delta(r.RosterVersion)
 	for _, m := range n.groupLocked().Members.All() {
@@ -234,6 +239,7 @@
 		n.addParts(now, r, &reply)
 		n.addShares(now, r.Entry.ID, &reply)
 		n.addWarmups(now, r.Entry.ID, &reply)
+		reply.SpeedsVersion, reply.Speeds = n.fleet.speeds.Version(), n.fleet.speeds.Since(r.SpeedsVersion)
 		if r.WantsRelays {
 			reply.Relays, reply.RelayRegions = n.fleet.relaysFor(now, *r.Entry)
 		}
@@ -296,6 +302,7 @@
 			n.fleet.wakeWatchers()
 		}
 		n.judgeServers(now)
+		n.judgeSpeeds(now)
 		n.judgeParts(now)
 		n.dropExpiredEntries(now)
 		n.startWarmups(now)
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -265,7 +265,7 @@
 	answer, err := f.client.Do(ctx, upstream.Call{
 		Address: a.server.Address, Method: x.req.Method, Host: x.req.Host, Target: x.req.Target, Body: x.req.Body,
 		Header: f.entry.cfg.Forwarding.Dialect.Attempt(x.req, forward.Attempt{
-			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: -1, LastEventID: x.lastEventID,
+			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: x.serverPriority(), LastEventID: x.lastEventID,
 		}),
 		NewConn: x.sends > 1 && !x.route.IsRetryable(), Via: viaOf(a.homes),
 	}, func() error { return x.admit(a) })
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -14,6 +14,11 @@
 	"rosereach/io/upstream"
 )
 
+// retriesAfterEscalation is the number of retries that an escalation leaves in the budget.
+// The answer at hand is dropped for it: if the larger model's server refuses, there has to
+// be a retry for another.
+const retriesAfterEscalation = 1
+
 // handleAnswer handles an answer whose header has arrived.
 func (x *activeRequest) handleAnswer(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
 	if a.head.Slots > 0 {
@@ -63,7 +68,7 @@
 		spent := x.forwarder.entry.cfg.Clock.Now().Sub(x.req.Arrived)
 		lateRisk := placement.LateRisk(spent+next.expected, x.route.Objective)
 		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued) &&
-			(x.forwarder.client.HasIdle(next.server.Address, viaOf(next.homes)) || x.connect(ctx, next)) && x.forwarder.takeRetry(x.service)
+			(x.forwarder.client.HasIdle(next.server.Address, viaOf(next.homes)) || x.connect(ctx, next)) && x.forwarder.takeRetryLeaving(x.service, retriesAfterEscalation)
 		if ok {
 			x.logEscalation(a, lateRisk, next.meanQueued)
 		}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -23,6 +23,7 @@
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
 	"rosereach/core/route"
+	"rosereach/core/speed"
 	"rosereach/core/warmup"
 	"rosereach/io/member"
 	"rosereach/io/upstream"
@@ -71,6 +72,9 @@
 		Controls func() []string
 		// RelayAddress is the host:port at which ServeDetours listens, empty if it doesn't.
 		RelayAddress string
+		// Cores and LinkMbps are what the instance can do, 0 for unknown.
+		Cores    float64
+		LinkMbps float64
 		// FailOpen lets the entry serve without a lease.
 		FailOpen bool
 		// Retries configures the retry budget shared by all entries.
@@ -78,6 +82,9 @@
 		// ExposureShare is the maximum share of a service's requests that go to
 		// a new release until it is proven, from 0 to 1.
 		ExposureShare float64
+		// UnderPressure means that callers compete for less room than they need: urgency
+		// decides who gets it, at the backend servers and before them.
+		UnderPressure bool
 		// Warmup bounds the requests to servers that warm up.
 		Warmup warmup.Bounds
 	}
@@ -107,6 +114,7 @@
 		evidence       evidence
 		parts          partEvidence
 		latencyModel   *placement.LatencyModel
+		speeds         *speed.Table
 		loads          map[string]backend.Load
 		lastActivity   map[string]time.Time // when each server last sent data
 		downSince      map[string]time.Time // since when each service has had no usable server
@@ -129,6 +137,8 @@
 	}
 	f.startedAt = e.cfg.Clock.Now()
 	f.parts = newPartEvidence()
+	f.speeds = speed.NewTable()
+	f.latencyModel.SetLasting(f.lastingRatio)
 	f.limiter = pacing.NewLimiter(e.cfg.ID)
 	f.warmups = warmup.NewLimiter(e.cfg.ID, e.cfg.Forwarding.Warmup)
 	f.brittle = pacing.NewBrittle()
@@ -267,6 +277,14 @@
 	return x.route.Priority
 }
 
+// serverPriority returns the urgency that a server is told, -1 to tell none.
+func (x *activeRequest) serverPriority() int {
+	if !x.forwarder.entry.cfg.Forwarding.UnderPressure {
+		return -1
+	}
+	return forward.ServerPriority(x.priority())
+}
+
 // cost estimates the request's work in prompt tokens.
 func (x *activeRequest) cost() float64 {
 	const perOutput = 10
@@ -316,6 +334,7 @@
 	f.brittle.Retain(isKnown)
 	maps.DeleteFunc(f.unreadable, func(id string, _ uint64) bool { return !known[id] })
 	f.latencyModel.Retain(isKnown)
+	f.speeds.Retain(isKnown)
 	maps.DeleteFunc(f.loads, func(id string, _ backend.Load) bool { return !known[id] })
 	f.forgetEnded(now)
 	maps.DeleteFunc(f.lastActivity, func(id string, _ time.Time) bool { return !known[id] })
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -45,11 +45,15 @@
 
 // takeRetry takes a retry from the budget of the service, which all entries share, and
 // reports whether there was one.
-func (f *forwarder) takeRetry(service string) bool {
+func (f *forwarder) takeRetry(service string) bool { return f.takeRetryLeaving(service, 0) }
+
+// takeRetryLeaving is takeRetry for a retry that needs others after it: it takes one only if
+// the given number is left.
+func (f *forwarder) takeRetryLeaving(service string, left int) bool {
 	members := f.watcher.liveEntryCount()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.retryBudgets.For(service).TrySpend(f.entry.cfg.Clock.Now(), members) {
+	if !f.retryBudgets.For(service).TrySpendLeaving(f.entry.cfg.Clock.Now(), members, left) {
 		f.metrics.retriesDenied.Inc()
 		return false
 	}
@@ -96,7 +100,8 @@
 	x.server, x.expected, x.firstByte, x.uncachedTokens = a.server.ID, a.expected, now.Sub(a.startedAt), a.uncachedTokens
 	f.tallyAttempt(a, x, false, now.Sub(a.startedAt))
 	f.record(func(r *health.Recorder) { r.RecordAnswer(a.server.ID, a.server.Incarnation) })
-	f.latencyModel.Observe(now, x.latencyGroup(), a.server.ID, a.predicted, now.Sub(a.startedAt))
+	f.recordPace(a)
+	f.latencyModel.Observe(now, x.latencyGroup(), a.server.ID, a.predicted, f.usualPaceTime(a, now.Sub(a.startedAt)))
 }
 
 // recordDropped records the time to the first byte of an answer that is not forwarded
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -147,12 +147,14 @@
 	} {
 		var indexes []int
 		var ids []string
+		var weights []float64
 		for i, c := range candidates {
 			if inGroup(c) {
 				indexes, ids = append(indexes, i), append(ids, c.Server.ID)
+				weights = append(weights, f.speeds.Weight(c.Server.ID, c.Server.Incarnation))
 			}
 		}
-		for rank, i := range placement.RankHomes(shared, ids, maxHomeRanks) {
+		for rank, i := range placement.RankHomes(shared, ids, weights, maxHomeRanks) {
 			c := &candidates[indexes[i]]
 			c.HomeRank = rank + 1
 			if rank == 0 {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -17,6 +17,7 @@
 	"rosereach/core/catalog"
 	"rosereach/core/health"
 	"rosereach/core/roster"
+	"rosereach/core/speed"
 	"rosereach/io/member"
 )
 
@@ -91,6 +92,8 @@
 	partsVersion    uint64           // version of the control's listed and suspected prompt parts
 	limitsVersion   uint64           // version of the control's limits of servers
 	warmupsVersion  uint64           // version of the control's servers that warm up
+	speedsVersion   uint64           // version of the control's speeds of servers
+	speeds          *speed.Recorder  // times of answers not yet reported to the control
 }
 
 func newWatcher(e *Entry) *watcher {
@@ -180,7 +183,7 @@
 	w.distances[address] = distance
 	reached := w.positions[address]
 	w.mu.Unlock()
-	state := &watchState{position: reached, address: address, distance: distance, lastCurrent: cfg.Clock.Now(), recorder: health.NewRecorder()}
+	state := &watchState{position: reached, address: address, distance: distance, lastCurrent: cfg.Clock.Now(), recorder: health.NewRecorder(), speeds: speed.NewRecorder()}
 	w.entry.forwarder.addEvidenceSource(state)
 	defer w.entry.forwarder.removeEvidenceSource(state)
 	w.entry.forwarder.reportListed(ctx, address)
@@ -208,6 +211,7 @@
 	}
 	e.forwarder.addSamples(&request, state)
 	e.forwarder.addWarmups(&request, state)
+	e.forwarder.addSpeeds(&request, state)
 	request.WantsRelays = e.forwarder.detours.wantsRelays(e.cfg.Clock.Now())
 	var reply member.WatchReply
 	if err := conn.Call(ctx, member.KindWatch, request, &reply); err != nil {
@@ -283,6 +287,7 @@
 func (w *watcher) applyReply(ctx context.Context, reply member.WatchReply, state *watchState) {
 	e := w.entry
 	now := e.cfg.Clock.Now()
+	runBefore := state.controlRun
 	state.controlRun, state.rosterVersion = reply.RunID, reply.Roster.Version
 	if reply.Current {
 		state.lastCurrent = now
@@ -293,6 +298,7 @@
 	}
 	// The warm-ups come first, so that no request is sent to a new server before.
 	e.forwarder.applyWarmups(now, reply, state)
+	e.forwarder.applySpeeds(reply, state, runBefore != reply.RunID)
 	e.forwarder.updateRoster(now, reply.Roster)
 	e.forwarder.applyEvidence(now, reply, state)
 	e.forwarder.applyParts(ctx, now, reply, state)
@@ -347,6 +353,7 @@
 		ID: cfg.ID, Incarnation: cfg.Incarnation, Sequence: w.presenceSequence, Address: cfg.Address, Region: cfg.Region, Zone: cfg.Zone,
 		AppliedRevision: w.entry.catalog.Load().Revision(), Draining: w.entry.draining.Load() || !w.entry.isServing(),
 		Relay: cfg.Forwarding.RelayAddress, CutOff: w.entry.forwarder.detours.isCutOff(),
+		Cores: cfg.Forwarding.Cores, LinkMbps: cfg.Forwarding.LinkMbps,
 	}
 }
 
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -7,6 +7,7 @@
 	"rosereach/core/reach"
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
+	"rosereach/core/speed"
 	"rosereach/core/warmup"
 )
 
@@ -39,6 +40,9 @@
 		// CutOff means that it reaches none itself.
 		Relay  string `json:"relay,omitempty"`
 		CutOff bool   `json:"cut_off,omitempty"`
+		// Cores and LinkMbps are what the entry's instance can do, 0 for unknown.
+		Cores    float64 `json:"cores,omitempty"`
+		LinkMbps float64 `json:"link_mbps,omitempty"`
 	}
 
 	// Report is one entry's counts of attempts at versions under roll-out,
@@ -87,6 +91,10 @@
 		// this control, 0 for an entry of a build that knows none, and Warmups are those of which it heard itself.
 		WarmupsVersion uint64          `json:"warmups_version,omitempty"`
 		Warmups        []warmup.Notice `json:"warmups,omitempty"`
+		// SpeedsVersion is the version of the servers' speeds that the entry has from this
+		// control, and Speeds are the times of its answers since its last watch.
+		SpeedsVersion uint64         `json:"speeds_version,omitempty"`
+		Speeds        []speed.Sample `json:"speeds,omitempty"`
 		// WantsLoads asks for the load reports of all backend servers.
 		WantsLoads bool `json:"loads,omitempty"`
 		// WantsRelays asks for entries through which servers can be reached.
@@ -140,6 +148,10 @@
 		Warmups        []warmup.Notice `json:"warmups,omitempty"`
 		Ranks          []warmup.Rank   `json:"ranks,omitempty"`
 		HasRanks       bool            `json:"has_ranks,omitempty"`
+		// Speeds are the servers' lasting speeds that changed after the requested version,
+		// and SpeedsVersion is the version with them.
+		SpeedsVersion uint64           `json:"speeds_version,omitempty"`
+		Speeds        []speed.Estimate `json:"speeds,omitempty"`
 		// Presences, Reports and Evidence hold what entries sent to the replying control
 		// directly, and what it listed itself, up to DirectVersion. They are set in replies
 		// to controls only.
