Let two builds run side by side, and stop at changes that a build does not know

Cause: a control refuses a kind of change that it does not know and goes on, so that its state differs from that of newer ones; put_evacuation is such a kind.

Change: kinds that came after belong to features. A leader enables a feature, as replicated state, when it is first needed and all members know it, by their handshakes; until then such changes are refused, also by followers. A control without an enabled feature can't join.

--- a/core/catalog/apply.go
+++ b/core/catalog/apply.go
@@ -82,6 +82,11 @@
 		return d.moveRollout(c, accepted)
 	case change.PutEvacuation:
 		return d.putEvacuation(c, accepted)
+	case change.EnableFeature:
+		if _, ok := d.Features[change.Feature(c.Name)]; !ok {
+			d.Features[change.Feature(c.Name)] = accepted.Revision
+		}
+		return accepted
 	case change.PutOperator:
 		return d.putOperator(c, accepted)
 	case change.AddOperatorKey, change.RemoveOperatorKey:
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"rosereach/core/change"
 	"rosereach/core/evacuation"
 	"rosereach/core/key"
 	"rosereach/core/operator"
@@ -46,6 +47,9 @@
 		Rollouts   map[string]rollout.Order       `json:"rollouts,omitempty"`
 		// Evacuations are by availability zone. Those that were withdrawn are kept.
 		Evacuations map[string]evacuation.Order `json:"evacuations,omitempty"`
+		// Features are those that all members of the group know, by the revision at which
+		// they were enabled.
+		Features map[change.Feature]uint64 `json:"features,omitempty"`
 	}
 
 	// SealKey signs session tokens. New tokens are signed with the newest key;
@@ -230,13 +234,14 @@
 	d.SealKeys = slices.Clone(d.SealKeys)
 	d.Rollouts = cloneMap(d.Rollouts)
 	d.Evacuations = cloneMap(d.Evacuations)
+	d.Features = cloneMap(d.Features)
 	return d
 }
 
 // cloneMap returns a copy of m, which is never nil.
-func cloneMap[V any](m map[string]V) map[string]V {
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
 	if m == nil {
-		return make(map[string]V)
+		return make(map[K]V)
 	}
 	return maps.Clone(m)
 }
--- a/core/change/change.go
+++ b/core/change/change.go
@@ -28,6 +28,7 @@
 	PutRouting   Kind = "put_routing"
 
 	PutEvacuation Kind = "put_evacuation"
+	EnableFeature Kind = "enable_feature"
 
 	PutOperator Kind = "put_operator"
 
--- /dev/null
+++ b/core/change/feature.go
@@ -0,0 +1,33 @@
+package change
+
+import "slices"
+
+// Evacuations is the feature of changes of kind PutEvacuation.
+const Evacuations Feature = "evacuations"
+
+// Feature names kinds of change that replicas of older builds can't apply. A group enables
+// it once all its members know it: replicas that apply a change differently would hold
+// different states, and older ones would refuse what newer ones accept.
+type Feature string
+
+// features maps each kind of change that came after the first release with recorded formats
+// to its feature.
+var features = map[Kind]Feature{PutEvacuation: Evacuations}
+
+// Features returns all features that this build knows.
+func Features() []Feature { return []Feature{Evacuations} }
+
+// Feature returns the feature that a kind of change belongs to, empty for one that every
+// build knows.
+func (k Kind) Feature() Feature { return features[k] }
+
+// IsKnown reports whether this build can apply changes of the kind.
+func (k Kind) IsKnown() bool {
+	_, writes := documentKinds[k]
+	return writes || k == RotateSeal || k == EnableFeature
+}
+
+// Missing returns the features of the list that a member doesn't know.
+func Missing(wanted, known []Feature) []Feature {
+	return slices.DeleteFunc(slices.Clone(wanted), func(f Feature) bool { return slices.Contains(known, f) })
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// Unsupported returns what of the command this build does not know, empty if it can apply
+// it. A replica that skipped such a command would hold another state than the others.
+func (c Command) Unsupported() string {
+	switch {
+	case c.Change != nil && !c.Change.Kind.IsKnown():
+		return "a change of kind " + string(c.Change.Kind)
+	case c.Change == nil && c.Begin == nil && c.Finish == nil && c.CloseOwner == nil && c.AuditEvent == nil:
+		return "a command"
+	}
+	return ""
+}
+
 // Apply executes the command at the given index of the log.
 func (s *State) Apply(index uint64, c Command) Result {
 	s.index = index
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -177,6 +177,9 @@
 		if err := cbor.Unmarshal(e.Data, &c); err != nil {
 			return errors.Annotatef(err, "log entry %d in %s: use the program version that wrote it, or repair this replica from the others", e.Index, n.cfg.Folder)
 		}
+		if what := c.Unsupported(); what != "" {
+			return errors.Errorf("log entry %d in %s has %s that this build does not know: use the program version that wrote it, or a newer one", e.Index, n.cfg.Folder, what)
+		}
 		result = n.state.Apply(e.Index, c)
 		if c.Change != nil {
 			n.changesSinceSnapshot++
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"rosereach/core/change"
 	"rosereach/core/replica"
 	"rosereach/io/member"
 	"rosereach/io/operator"
@@ -109,7 +110,7 @@
 	}
 	defer conn.Close()
 	m := replica.Member{Identity: n.self, Address: n.cfg.Address}
-	return reply, conn.Call(ctx, member.KindJoin, member.JoinRequest{Member: m}, &reply)
+	return reply, conn.Call(ctx, member.KindJoin, member.JoinRequest{Member: m, Features: change.Features()}, &reply)
 }
 
 // adoptGroup binds an empty folder to a group and starts its replica.
@@ -128,13 +129,17 @@
 
 // addLearner adds a replica to the group as a learner, which becomes a voter once it
 // has caught up.
-func (n *Node) addLearner(m replica.Member) (member.JoinReply, error) {
+func (n *Node) addLearner(r member.JoinRequest) (member.JoinReply, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	m := r.Member
 	reply := member.JoinReply{Group: n.store.Meta().Group}
 	if reply.Group == "" {
 		return reply, &member.Problem{Code: member.CodeNoGroup, Detail: "this control has no group"}
 	}
+	if missing := n.missingFeatures(r.Features); len(missing) > 0 {
+		return reply, &member.Problem{Code: member.CodeRefused, Detail: "the group uses " + string(missing[0]) + ", which the control's build does not know: start a newer one"}
+	}
 	if n.leadership == nil || !n.leadership.ready {
 		return reply, n.notLeader()
 	}
@@ -197,10 +202,10 @@
 	}
 	m := replica.Member{Identity: reply.Identity, Address: address}
 	if n.IsLeader() {
-		_, err := n.addLearner(m)
+		_, err := n.addLearner(member.JoinRequest{Member: m, Features: conn.Peer().Features})
 		return err
 	}
-	return n.callLeader(ctx, member.KindJoin, member.JoinRequest{Member: m}, nil)
+	return n.callLeader(ctx, member.KindJoin, member.JoinRequest{Member: m, Features: conn.Peer().Features}, nil)
 }
 
 // RemoveControl removes the control with the id from the group. The error is a
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/catalog"
+	"rosereach/core/change"
 	"rosereach/core/lease"
 	"rosereach/core/replica"
 	"rosereach/core/state"
@@ -221,7 +222,9 @@
 }
 
 // selfPeer describes this control to other members.
-func (c Config) selfPeer() member.Peer { return member.Peer{ID: c.ID, Region: c.Region, Zone: c.Zone} }
+func (c Config) selfPeer() member.Peer {
+	return member.Peer{ID: c.ID, Region: c.Region, Zone: c.Zone, Features: change.Features()}
+}
 
 // Run runs the control until the context ends. It then transfers its leadership,
 // if it leads, and closes the folder.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -49,7 +49,7 @@
 	case member.KindInForce:
 		return nil, decodeAndHandle(body, func(r member.InForceRequest) error { return n.waitAsLeader(ctx, r) })
 	case member.KindJoin:
-		return decodeAndReply(body, func(r member.JoinRequest) (member.JoinReply, error) { return n.addLearner(r.Member) })
+		return decodeAndReply(body, n.addLearner)
 	case member.KindAdopt:
 		return decodeAndReply(body, func(r member.AdoptRequest) (member.AdoptReply, error) {
 			return member.AdoptReply{Identity: n.self}, n.adoptGroup(r.Group)
@@ -85,6 +85,9 @@
 }
 
 func (n *Node) change(ctx context.Context, c change.Change) (change.Result, error) {
+	if !c.Kind.IsKnown() {
+		return change.RefuseFor("kind", "unknown kind "+string(c.Kind), "a kind of change"), nil
+	}
 	results, err := n.proposeOrForward(ctx, state.Command{Change: &c})
 	if err != nil {
 		return change.Result{}, err
@@ -170,6 +173,9 @@
 // time of an entry whose clock is far ahead would make ledger records expire too
 // early.
 func (n *Node) proposeLocally(ctx context.Context, commands []state.Command) ([]state.Result, error) {
+	if err := n.enableFeatures(ctx, commands); err != nil {
+		return nil, err
+	}
 	now := n.cfg.Clock.Now()
 	stamped := make([]state.Command, 0, len(commands))
 	for _, c := range commands {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -10,6 +10,7 @@
 
 	"rosereach/core/backend"
 	"rosereach/core/catalog"
+	"rosereach/core/change"
 	"rosereach/core/health"
 	"rosereach/core/pacing"
 	"rosereach/core/quarantine"
@@ -121,6 +122,8 @@
 	peerView struct {
 		next member.WatchRequest
 		stop context.CancelFunc
+		// features are those that the other control knows, nil until it was reached.
+		features []change.Feature
 	}
 )
 
@@ -352,6 +355,9 @@
 			n.pause(ctx, redialDelay)
 			continue
 		}
+		n.mu.Lock()
+		view.features = conn.Peer().Features
+		n.mu.Unlock()
 		level.Debug(n.cfg.Logger).Log("msg", "Watches a control.", "control", m.ID)
 		for n.pollPeer(ctx, conn, view) == nil {
 			n.pause(ctx, watchPause)
--- a/io/member/conn.go
+++ b/io/member/conn.go
@@ -10,6 +10,8 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"rosereach/core/change"
 )
 
 const (
@@ -33,6 +35,9 @@
 		ID     string `json:"id"`
 		Region string `json:"region"`
 		Zone   string `json:"availability_zone"`
+		// Features are the features of changes that a control can apply. Those of builds
+		// before there were any are empty.
+		Features []change.Feature `json:"features,omitempty"`
 	}
 
 	// Handler handles the messages of a peer. The reply to a notice is dropped.
--- a/io/member/message.go
+++ b/io/member/message.go
@@ -3,6 +3,7 @@
 import (
 	"rosereach/core/audit"
 	"rosereach/core/catalog"
+	"rosereach/core/change"
 	"rosereach/core/ledger"
 	"rosereach/core/replica"
 	"rosereach/core/state"
@@ -62,6 +63,8 @@
 	// has no group answers CodeNoGroup.
 	JoinRequest struct {
 		Member replica.Member `json:"member"`
+		// Features are the features of changes that the replica can apply.
+		Features []change.Feature `json:"features,omitempty"`
 	}
 
 	// JoinReply is the group that added the replica as a learner.
