--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"os/exec"
@@ -21,6 +22,8 @@
 	node   platform.SimulatedNode
 	folder string
 	binary string
+	// startWith is the program for the next start, empty for binary.
+	startWith string
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -63,7 +66,9 @@
 	if p.node.Control {
 		role = "control"
 	}
-	cmd := exec.Command(p.binary, role, "--member-key", "soak", "--log-level", "debug")
+	binary := cmp.Or(p.startWith, p.binary)
+	p.startWith = ""
+	cmd := exec.Command(binary, role, "--member-key", "soak", "--log-level", "debug")
 	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s", platform.SettingsVariable, p.settings()))
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,8 +55,14 @@
 type (
 	// Config holds the settings of a soak run. Folder receives settings, data
 	// and logs of all processes and is kept. Progress may be nil.
+	//
+	// OlderBinary is a program of another build, empty for none. All processes begin with
+	// it and are upgraded at their next start, so that both builds run side by side until
+	// the faults and planned stops have reached each of them.
 	Config struct {
-		Binary   string
+		Binary      string
+		OlderBinary string
+
 		Folder   string
 		Seed     uint64
 		Duration time.Duration
@@ -146,6 +152,7 @@
 		if err != nil {
 			return err
 		}
+		p.startWith = s.cfg.OlderBinary
 		if n.Control {
 			s.controls = append(s.controls, p)
 		} else {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"testing"
 	"time"
 )
@@ -29,6 +32,40 @@
 	}
 }
 
+// While processes of the build in production are replaced by this one, in the order in which
+// faults reach them, the guarantees hold. It is skipped where the older build can't be made,
+// as in a checkout without its commit.
+func TestTwoBuildsSideBySide(t *testing.T) {
+	folder := t.TempDir()
+	older, current := filepath.Join(folder, "older"), filepath.Join(folder, "current")
+	deploy, err := os.ReadFile("../../deploy/system.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	match := regexp.MustCompile(`(?m)^production = "([0-9a-f]+)"`).FindSubmatch(deploy)
+	if match == nil {
+		t.Fatal("the deploy file names no build in production")
+	}
+	sources := filepath.Join(folder, "sources")
+	steps := fmt.Sprintf("mkdir %[1]s && git -C ../.. archive %[2]s | tar -x -C %[1]s && cd %[1]s && go build -o %[3]s .", sources, match[1], older)
+	if out, err := exec.Command("sh", "-c", steps).CombinedOutput(); err != nil {
+		t.Skipf("the build in production can't be made: %v\n%s", err, out)
+	}
+	if out, err := exec.Command("go", "build", "-o", current, "../..").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	report, err := Run(context.Background(), Config{Binary: current, OlderBinary: older, Folder: folder, Seed: 3, Duration: 8 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range report.Violations {
+		t.Errorf("%s: request %s: %s", b.Guarantee, b.ID, b.Detail)
+	}
+	if report.Answered == 0 {
+		t.Error("nothing was answered")
+	}
+}
+
 // The checks report wrong, incomplete and unexecuted answers, repeated unsafe
 // requests and false not-run refusals, and nothing else.
 func TestChecksFindViolations(t *testing.T) {
