Enable evacuations as soon as the plan restricts where requests go

Cause: the feature was enabled with the first order to evacuate. While a control is down that the leader has not reached since it leads, its build is unknown, and the order is refused until that control is removed 20 s later: longer than an order may wait.

Change: a leader enables the feature in advance, once the plan in force has home regions or rates of servers that warm up and all members are known to have it. Plans without either add nothing to the log.

Result: TestFeatureIsEnabledInAdvance; an order is accepted although the builds of the others are not known any more.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -130,6 +131,14 @@
 // have run.
 func (r Route) IsRetryable() bool { return r.Kind == Safe || r.Kind == Streaming && r.Resumable }
 
+// UsesLocations reports whether the plan restricts where requests go: by home regions or by
+// the rates of servers that warm up.
+func (c Config) UsesLocations() bool {
+	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.WarmupRate > 0 }) ||
+		slices.ContainsFunc(c.Routes, func(r Route) bool { return len(r.Regions) > 0 }) ||
+		slices.ContainsFunc(c.Workspaces, func(w Workspace) bool { return len(w.Regions) > 0 })
+}
+
 // Check validates the plan and returns all findings.
 func (c Config) Check() finding.List {
 	var found finding.List
--- a/internal/control/feature.go
+++ b/internal/control/feature.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/oklog/ulid/v2"
 
@@ -29,6 +30,23 @@
 	return nil
 }
 
+// featureInterval is the pause between two tries to enable a feature in advance.
+const featureInterval = time.Second
+
+// prepareFeatures enables evacuations once the routing plan has home regions or servers with
+// a time to warm up. It answers an order that arrives while a control is down that the
+// leader has not reached yet: nobody can tell its build then. Callers hold n.mu.
+func (n *Node) prepareFeatures(ctx context.Context, now time.Time) {
+	docs := n.state.Documents()
+	if _, enabled := docs.Features[change.Evacuations]; enabled || docs.Routing == nil || now.Sub(n.featuresTriedAt) < featureInterval {
+		return
+	}
+	n.featuresTriedAt = now
+	if docs.Routing.Config.UsesLocations() && len(n.membersWithout(change.Evacuations)) == 0 {
+		go n.enableFeature(ctx, change.Evacuations) //nolint:errcheck // it is tried again
+	}
+}
+
 func (n *Node) enableFeature(ctx context.Context, f change.Feature) error {
 	n.mu.Lock()
 	_, enabled := n.state.Documents().Features[f]
--- a/internal/control/feature_test.go
+++ b/internal/control/feature_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -84,3 +85,33 @@
 		t.Error("the state has changed")
 	}
 }
+
+// A plan that restricts where requests go makes the leader enable evacuations before the first
+// order, so that one that arrives while a control is down and unknown is not refused. Other
+// plans change nothing in the log.
+func TestFeatureIsEnabledInAdvance(t *testing.T) {
+	g := startFiveControls(t)
+	g.putPlan("c0", 1)
+	enabled := func() bool {
+		l := g.leader()
+		return l != nil && len(l.Catalog().Documents().Features) > 0
+	}
+	time.Sleep(2 * featureInterval)
+	if enabled() {
+		t.Fatal("a plan without locations enables evacuations")
+	}
+	plan := testPlan(2)
+	plan.Config.Services[0].WarmupRate = 5
+	waitFor(t, "the plan with a warm-up", func() bool {
+		r, err := g.nodes["c0"].PutRouting(context.Background(), plan, "test", "test")
+		return err == nil && r.Status == change.Accepted
+	})
+	waitFor(t, "the feature", enabled)
+	l := g.leader()
+	l.mu.Lock()
+	for _, view := range l.fleet.peers {
+		view.features = nil
+	}
+	l.mu.Unlock()
+	g.evacuateAt(l, "z", true)
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -115,6 +115,7 @@
 	}
 	n.updateMembership(now)
 	n.advanceRollouts(ctx, now)
+	n.prepareFeatures(ctx, now)
 	n.recordMembership(ctx, now)
 	n.recordInForce(ctx, now)
 	n.wakeWaiters()
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -174,6 +174,9 @@
 		fleet         *fleet
 		rolloutClocks map[string]rolloutClock
 
+		// featuresTriedAt is when features were last to be enabled in advance.
+		featuresTriedAt time.Time
+
 		// runID identifies this run of the process; it grows with each start.
 		runID uint64
 
