--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,8 +35,9 @@
 }
 
 var cases = map[string]func(*scene) (broken bool, err error){
-	"additional-bytes": additionalBytes,
-	"lost-leave":       lostLeave,
+	"additional-bytes":  additionalBytes,
+	"lost-leave":        lostLeave,
+	"foreign-heartbeat": foreignHeartbeat,
 }
 
 func main() { os.Exit(play()) }
