--- a/review/standin/additional_bytes.go
+++ b/review/standin/additional_bytes.go
@@ -19,6 +19,7 @@
 var additional = []string{
 	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nOK",
 	"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
 }
 
 // additionalBytes: three of five workers send additional bytes after 3 in 100 of their
@@ -38,7 +39,7 @@
 	}
 	var workers []*worker
 	for i := range 5 {
-		w := newWorker(s.deployment, 100+i, "svc", "v1")
+		w := newWorker(s.deployment, 100+i, "v1")
 		if i < 3 {
 			w.spoils = spoil
 		}
@@ -64,15 +65,20 @@
 	return judgeAnswers(s, workers, traffic.sent), nil
 }
 
-// judgeAnswers counts the answers that break a rule: successes without a worker's stamp
-// (MIXED), and promises that an unsafe request did not run though it did (REFUSED).
+// judgeAnswers counts what breaks a rule: successes without a worker's stamp (MIXED),
+// promises that an unsafe request did not run though it did (REFUSED), and unsafe requests
+// that ran more than once (TWICE).
 func judgeAnswers(s *scene, workers []*worker, sent []request) bool {
-	mixed, refused, served := 0, 0, 0
+	mixed, refused, twice, served := 0, 0, 0, 0
 	for _, r := range sent {
-		ran := false
+		runs, unsafe := 0, r.method == http.MethodPost
 		for _, w := range workers {
-			_, found := w.find(r.id)
-			ran = ran || found
+			done, _ := w.find(r.id)
+			runs += done.n
+		}
+		if unsafe && runs > 1 {
+			twice++
+			s.rec.add("TWICE: attempt %s is unsafe and ran %d times", r.id, runs)
 		}
 		switch {
 		case r.status/100 == 2 && r.stamp == "":
@@ -80,11 +86,11 @@
 			s.rec.add("MIXED: attempt %s (%s) got a success without a stamp: %q", r.id, r.method, r.body)
 		case r.status/100 == 2:
 			served++
-		case r.method == http.MethodPost && ran && (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests):
+		case unsafe && runs > 0 && (r.status == http.StatusServiceUnavailable || r.status == http.StatusMisdirectedRequest):
 			refused++
 			s.rec.add("REFUSED: attempt %s is unsafe, was answered %d and has run", r.id, r.status)
 		}
 	}
-	s.rec.say("%d requests, %d served; MIXED: %d successes without a worker's stamp; REFUSED: %d unsafe requests answered 503 that have run", len(sent), served, mixed, refused)
+	s.rec.say("%d requests, %d served properly; MIXED: %d successes without a worker's stamp; REFUSED: %d unsafe requests answered 503 or 421 that have run; TWICE: %d unsafe requests that ran more than once", len(sent), served, mixed, refused, twice)
 	return mixed > 0
 }
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -74,7 +74,7 @@
 		r := c.next()
 		r.entry, r.id = e.name, fmt.Sprintf("%016x", rand.Uint64()) //nolint:gosec // it only has to differ
 		if !c.exchange(conn, in, &r) {
-			conn.Close()
+			conn.Close() //nolint:errcheck // it is not used again
 			conn = nil
 		}
 		c.d.rec.add("client: %s %s, attempt %s, sent to %s at %.4f s: status %d, stamp %q, body %q", r.method, r.path, r.id, r.entry, r.sentAt.Seconds(), r.status, r.stamp, r.body)
@@ -83,7 +83,7 @@
 		c.mu.Unlock()
 	}
 	if conn != nil {
-		conn.Close()
+		conn.Close() //nolint:errcheck // it is not used again
 	}
 }
 
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -196,7 +196,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer log.Close() //nolint:errcheck // the program has it open
 	r := p.d.roles[p.role]
 	words := strings.Fields(r.Run)
 	cmd := exec.Command(words[0], words[1:]...) //nolint:forbidigo,gosec // the cases start the programs that they break
--- a/review/standin/foreign_heartbeat.go
+++ b/review/standin/foreign_heartbeat.go
@@ -18,7 +18,7 @@
 func foreignHeartbeat(s *scene) (bool, error) {
 	var workers []*worker
 	for i := range 3 {
-		workers = append(workers, newWorker(s.deployment, 100+i, "svc", "v1"))
+		workers = append(workers, newWorker(s.deployment, 100+i, "v1"))
 	}
 	address := fmt.Sprintf("%s:8080", s.ip(120))
 	hits, err := foreignServer(s, address)
@@ -73,7 +73,7 @@
 		s.rec.add("the other writer's server got %s %s, attempt %s", r.Method, r.URL.Path, r.Header.Get("X-Rosereach-Attempt-Id"))
 		http.NotFound(w, r)
 	})}
-	context.AfterFunc(s.ctx, func() { server.Close() })
+	context.AfterFunc(s.ctx, func() { server.Close() }) //nolint:errcheck // it ends with the play
 	go server.Serve(l) //nolint:errcheck // it ends with the play
 	return hits, nil
 }
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -31,7 +31,7 @@
 func (r *record) add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.out, "%9.4f s  %s\n", r.now().Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.out, "%9.4f s  %s\n", r.now().Seconds(), fmt.Sprintf(format, args...)) //nolint:errcheck // close reports nothing either
 }
 
 // say adds a line and prints it.
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -51,10 +51,10 @@
 	}
 )
 
-// newWorker returns a worker with an address of its own.
-func newWorker(d *deployment, host int, service, version string) *worker {
+// newWorker returns a worker of the service svc with an address of its own.
+func newWorker(d *deployment, host int, version string) *worker {
 	return &worker{
-		d: d, id: fmt.Sprintf("i-%s-%d", version, host), service: service, version: version, address: fmt.Sprintf("%s:8080", d.ip(host)),
+		d: d, id: fmt.Sprintf("i-%s-%d", version, host), service: "svc", version: version, address: fmt.Sprintf("%s:8080", d.ip(host)),
 		zone: zoneOf(host), slots: 6, work: 20 * time.Millisecond, born: time.Now().UnixMilli(), state: "ready", runs: make(map[string]*run),
 	}
 }
@@ -70,7 +70,7 @@
 	w.mu.Unlock()
 	go func() {
 		<-ctx.Done()
-		l.Close()
+		l.Close() //nolint:errcheck // Accept fails then
 	}()
 	go func() {
 		for {
@@ -86,8 +86,8 @@
 
 // serve answers the requests on a connection, one at a time.
 func (w *worker) serve(ctx context.Context, conn net.Conn) {
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer conn.Close() //nolint:errcheck // the connection is not used again
+	stop := context.AfterFunc(ctx, func() { conn.Close() }) //nolint:errcheck // see above
 	defer stop()
 	in := bufio.NewReader(conn)
 	var late []byte
@@ -180,7 +180,7 @@
 		w.mu.Lock()
 		to := w.beatTo
 		w.mu.Unlock()
-		if !w.register(to) {
+		if !w.register(to) { //nolint:contextcheck // a call has a time limit of its own
 			w.mu.Lock()
 			w.beatTo = (w.beatTo + 1) % len(w.d.controls)
 			w.mu.Unlock()
