--- a/review/standin/additional_bytes.go
+++ b/review/standin/additional_bytes.go
@@ -39,7 +39,7 @@
 	}
 	var workers []*worker
 	for i := range 5 {
-		w := newWorker(s.deployment, 100+i, "v1")
+		w := newWorker(s.deployment, 100+i)
 		if i < 3 {
 			w.spoils = spoil
 		}
--- a/review/standin/foreign_heartbeat.go
+++ b/review/standin/foreign_heartbeat.go
@@ -18,7 +18,7 @@
 func foreignHeartbeat(s *scene) (bool, error) {
 	var workers []*worker
 	for i := range 3 {
-		workers = append(workers, newWorker(s.deployment, 100+i, "v1"))
+		workers = append(workers, newWorker(s.deployment, 100+i))
 	}
 	address := fmt.Sprintf("%s:8080", s.ip(120))
 	hits, err := foreignServer(s, address)
@@ -74,6 +74,6 @@
 		http.NotFound(w, r)
 	})}
 	context.AfterFunc(s.ctx, func() { server.Close() }) //nolint:errcheck // it ends with the play
-	go server.Serve(l) //nolint:errcheck // it ends with the play
+	go server.Serve(l)                                  //nolint:errcheck // it ends with the play
 	return hits, nil
 }
--- a/review/standin/lost_leave.go
+++ b/review/standin/lost_leave.go
@@ -30,7 +30,7 @@
 // on. The control that has acknowledged the DELETE loses power right after it.
 func lostLeave(s *scene) (bool, error) {
 	fails := func() bool { return rand.Float64() < lookupErrors } //nolint:gosec // traffic
-	stays, leaves, comes := newWorker(s.deployment, 100, "v1"), newWorker(s.deployment, 101, "v1"), newWorker(s.deployment, 102, "v1")
+	stays, leaves, comes := newWorker(s.deployment, 100), newWorker(s.deployment, 101), newWorker(s.deployment, 102)
 	for _, w := range []*worker{stays, leaves, comes} {
 		w.fails = fails
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -52,9 +52,9 @@
 )
 
 // newWorker returns a worker of the service svc with an address of its own.
-func newWorker(d *deployment, host int, version string) *worker {
+func newWorker(d *deployment, host int) *worker {
 	return &worker{
-		d: d, id: fmt.Sprintf("i-%s-%d", version, host), service: "svc", version: version, address: fmt.Sprintf("%s:8080", d.ip(host)),
+		d: d, id: fmt.Sprintf("i-%d", host), service: "svc", version: "v1", address: fmt.Sprintf("%s:8080", d.ip(host)),
 		zone: zoneOf(host), slots: 6, work: 20 * time.Millisecond, born: time.Now().UnixMilli(), state: "ready", runs: make(map[string]*run),
 	}
 }
@@ -86,7 +86,7 @@
 
 // serve answers the requests on a connection, one at a time.
 func (w *worker) serve(ctx context.Context, conn net.Conn) {
-	defer conn.Close() //nolint:errcheck // the connection is not used again
+	defer conn.Close()                                      //nolint:errcheck // the connection is not used again
 	stop := context.AfterFunc(ctx, func() { conn.Close() }) //nolint:errcheck // see above
 	defer stop()
 	in := bufio.NewReader(conn)
