--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -21,6 +21,7 @@
 		path    string
 		entry   string
 		session string
+		key     string
 		sentAt  time.Duration
 		status  int // 0 for no complete answer
 		stamp   string
@@ -77,7 +78,7 @@
 			conn.Close() //nolint:errcheck // it is not used again
 			conn = nil
 		}
-		c.d.rec.add("client: %s %s, attempt %s, sent to %s at %.4f s: status %d, stamp %q, body %q", r.method, r.path, r.id, r.entry, r.sentAt.Seconds(), r.status, r.stamp, r.body)
+		c.d.rec.add("client: %s %s, key %q, attempt %s, sent to %s at %.4f s: status %d, stamp %q, body %q", r.method, r.path, r.key, r.id, r.entry, r.sentAt.Seconds(), r.status, r.stamp, r.body)
 		c.mu.Lock()
 		c.sent = append(c.sent, r)
 		c.mu.Unlock()
@@ -96,6 +97,9 @@
 	if r.session != "" {
 		fmt.Fprintf(&b, "Session: %s\r\n", r.session)
 	}
+	if r.key != "" {
+		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", r.key)
+	}
 	body := ""
 	if r.method == http.MethodPost {
 		body = "listing " + r.id
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -26,6 +26,15 @@
 	portMetrics   = 9464
 )
 
+const (
+	// contact is contact_ms of the bounds: how long all has to be calm before machines count as
+	// in touch.
+	contact = 4 * time.Second
+
+	// margin is added to the time from which on requests are judged.
+	margin = 500 * time.Millisecond
+)
+
 // bounds are those of the site vitrina.
 const bounds = `
 [bounds]
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,8 +36,8 @@
 
 var cases = map[string]func(*scene) (broken bool, err error){
 	"additional-bytes":  additionalBytes,
-	"lost-leave":        lostLeave,
 	"foreign-heartbeat": foreignHeartbeat,
+	"lost-disk":         lostDisk,
 }
 
 func main() { os.Exit(play()) }
@@ -88,16 +88,17 @@
 		}
 		go w.beat(s.ctx)
 	}
-	config, err := json.Marshal(map[string]any{
-		"version": 1, "routes": routes, "tenants": []any{},
-		"services": []map[string]any{{"name": "svc", "health_path": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	return s.awaitService(config(1, routes, []map[string]any{}))
+}
+
+// awaitService puts the first configuration into force, and returns when all entries are ready.
+func (s *scene) awaitService(first map[string]any) error {
+	body, err := json.Marshal(first)
 	if err != nil {
 		return err
 	}
 	if !s.until(20*time.Second, func(i int) bool {
-		return call(http.MethodPut, s.controls[i%len(s.controls)].at(portControl), "/config", config) == http.StatusOK
+		return call(http.MethodPut, s.controls[i%len(s.controls)].at(portControl), "/config", body) == http.StatusOK
 	}) {
 		return fmt.Errorf("the configuration was not acknowledged")
 	}
@@ -112,6 +113,15 @@
 	return nil
 }
 
+// config returns a configuration with the routes, the tenants and one plain service.
+func config(version int, routes, tenants []map[string]any) map[string]any {
+	return map[string]any{
+		"version": version, "routes": routes, "tenants": tenants,
+		"services": []map[string]any{{"name": "svc", "health_path": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
+
 // until calls f, with the number of the call, until it returns true or the time is over.
 func (s *scene) until(limit time.Duration, f func(i int) bool) bool {
 	for i, end := 0, time.Now().Add(limit); time.Now().Before(end) && s.ctx.Err() == nil; i++ {
