--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 	"additional-bytes":  additionalBytes,
 	"foreign-heartbeat": foreignHeartbeat,
 	"lost-disk":         lostDisk,
+	"unreadable":        unreadableHeartbeat,
 }
 
 func main() { os.Exit(play()) }
