--- a/review/standin/lost_disk.go
+++ b/review/standin/lost_disk.go
@@ -23,8 +23,10 @@
 	// have down_s = 1.4.
 	diskDown = 1400 * time.Millisecond
 
-	// readBack is how long the operator reads back and sends the last configuration.
-	readBack = 20 * time.Second
+	// readBack is how long the operator reads back, and sendAgain how long it sends the last
+	// configuration.
+	readBack  = 20 * time.Second
+	sendAgain = 10 * time.Second
 )
 
 // lostDisk: one of three controls is replaced as planned, the new one first. When all of that
@@ -75,10 +77,13 @@
 	}
 	sleep(ctx, recoverTime)
 	version, read := s.readConfig(ctx, left, readBack)
-	acked := s.putConfig(ctx, left, newest+1, readBack)
+	acked := s.putConfig(ctx, left, newest+1, sendAgain)
+	if ctx.Err() != nil {
+		return false, fmt.Errorf("the time of the case is over")
+	}
 	stop()
 	s.rec.say("version %d was acknowledged; read back later than %v after all machines are back, for up to %v: version %d (found: %v); the next version was acknowledged within %v: %v",
-		newest, recoverTime, readBack, version, read, readBack, acked)
+		newest, recoverTime, readBack, version, read, sendAgain, acked)
 	return !read || version < newest, nil
 }
 
