--- a/review/standin/lost_disk.go
+++ b/review/standin/lost_disk.go
@@ -60,7 +60,7 @@
 	sleep(ctx, catchUp+contact)
 
 	newest := 2
-	if !s.putConfig(ctx, left, newest, recoverTime) {
+	if !s.putConfig(left, newest, recoverTime) {
 		return false, fmt.Errorf("version %d was not acknowledged", newest)
 	}
 	if s.trouble {
@@ -76,8 +76,8 @@
 		}
 	}
 	sleep(ctx, recoverTime)
-	version, read := s.readConfig(ctx, left, readBack)
-	acked := s.putConfig(ctx, left, newest+1, sendAgain)
+	version, read := s.readConfig(left, readBack)
+	acked := s.putConfig(left, newest+1, sendAgain)
 	if ctx.Err() != nil {
 		return false, fmt.Errorf("the time of the case is over")
 	}
@@ -89,7 +89,7 @@
 
 // putConfig sends a configuration to one control after the other until one acknowledges it,
 // for the given time at most, and reports whether one did.
-func (s *scene) putConfig(ctx context.Context, controls []*process, version int, limit time.Duration) bool {
+func (s *scene) putConfig(controls []*process, version int, limit time.Duration) bool {
 	body, err := json.Marshal(config(version, []map[string]any{plainRoute("r-lookup", "/lookup/", "safe", 2)}, []map[string]any{}))
 	if err != nil {
 		return false
@@ -98,23 +98,23 @@
 		c := controls[i%len(controls)]
 		status := call(http.MethodPut, c.at(portControl), "/config", body)
 		s.rec.add("operator: PUT /config, version %d, at %s: status %d", version, c.name, status)
-		return status == http.StatusOK || ctx.Err() != nil
-	}) && ctx.Err() == nil
+		return status == http.StatusOK
+	})
 }
 
 // readConfig reads the configuration at one control after the other until one answers, for
 // the given time at most, and returns its version.
-func (s *scene) readConfig(ctx context.Context, controls []*process, limit time.Duration) (version int, ok bool) {
+func (s *scene) readConfig(controls []*process, limit time.Duration) (version int, ok bool) {
 	ok = s.until(limit, func(i int) bool {
 		c := controls[i%len(controls)]
 		status, body := fetch(http.MethodGet, c.at(portControl), "/config", nil)
 		s.rec.add("operator: GET /config at %s: status %d, %d bytes", c.name, status, len(body))
 		var found struct{ Version int }
 		if status != http.StatusOK || json.Unmarshal(body, &found) != nil {
-			return ctx.Err() != nil
+			return false
 		}
 		version = found.Version
 		return true
 	})
-	return version, ok && ctx.Err() == nil
+	return version, ok
 }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -202,13 +202,6 @@
 	return err == nil && call(http.MethodPut, w.d.controls[control].at(portControl), "/instances/"+w.id, body) == http.StatusOK
 }
 
-// withdraw sends the DELETE of a worker that leaves, and reports whether it was
-// acknowledged.
-func (w *worker) withdraw(control int) bool {
-	body, err := json.Marshal(map[string]any{"born": w.born})
-	return err == nil && call(http.MethodDelete, w.d.controls[control].at(portControl), "/instances/"+w.id, body) == http.StatusOK
-}
-
 // caller makes the calls of workers and operators.
 var caller = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
