--- a/core/replica/append.go
+++ b/core/replica/append.go
@@ -316,11 +316,11 @@
 	return times[r.members.Quorum()-1]
 }
 
-// TransferLeadership starts a leadership transfer to the voter with the most of the log. It
-// returns false if the replica is not a leader, is already transferring, or is
-// the only voter. From now on it refuses proposals, and it steps down at the
+// TransferLeadership starts a leadership transfer to the voter with the most of the log,
+// to one of those to avoid only if there is no other. It returns false if the replica
+// is not a leader, is already transferring, or is the only voter. From now on it refuses proposals, and it steps down at the
 // transfer's timeout even if the target was not elected.
-func (r *Replica) TransferLeadership(now time.Time) bool {
+func (r *Replica) TransferLeadership(now time.Time, avoid ...Identity) bool {
 	r.now = now
 	if r.role != Leader || !r.transferTarget.IsZero() {
 		return false
@@ -330,7 +330,8 @@
 		if m.Identity == r.cfg.Self {
 			continue
 		}
-		if target.IsZero() || r.matchIndex(m.Identity) > r.matchIndex(target) {
+		avoided, targetAvoided := slices.Contains(avoid, m.Identity), slices.Contains(avoid, target)
+		if target.IsZero() || !avoided && targetAvoided || avoided == targetAvoided && r.matchIndex(m.Identity) > r.matchIndex(target) {
 			target = m.Identity
 		}
 	}
--- a/core/replica/membership.go
+++ b/core/replica/membership.go
@@ -130,6 +130,9 @@
 	return ok && p.match > 0 && p.match >= r.catchUpIndex
 }
 
+// HasPendingMembers reports whether the newest membership is not committed yet.
+func (r *Replica) HasPendingMembers() bool { return r.membersIndex > r.commit }
+
 // checkMembershipChange returns nil if a membership change may be proposed: one at a
 // time, and none before the leader has committed an entry of its own term.
 func (r *Replica) checkMembershipChange() error {
@@ -138,7 +141,7 @@
 		return errors.Trace(ErrNotLeader)
 	case !r.transferTarget.IsZero():
 		return errors.Trace(ErrTransferring)
-	case r.membersIndex > r.commit || r.commit < r.firstIndexOfTerm:
+	case r.HasPendingMembers() || r.commit < r.firstIndexOfTerm:
 		return errors.Trace(ErrPending)
 	}
 	return nil
--- a/core/replica/status.go
+++ b/core/replica/status.go
@@ -69,17 +69,11 @@
 	return !r.leader.IsZero() && now.Sub(r.lastContact) < r.cfg.ElectionTimeout
 }
 
-// SilentVoters returns the voters that have not answered this leader for longer
-// than the given time, in the order of the membership.
-func (r *Replica) SilentVoters(now time.Time, silence time.Duration) []Identity {
-	if r.role != Leader {
-		return nil
+// Silence returns for how long a member has not answered this leader, 0 for the leader
+// itself.
+func (r *Replica) Silence(now time.Time, id Identity) time.Duration {
+	if p, ok := r.peers[id]; ok {
+		return now.Sub(p.ackedSendTime)
 	}
-	var silent []Identity
-	for _, m := range r.members.Voters {
-		if p, ok := r.peers[m.Identity]; ok && now.Sub(p.ackedSendTime) > silence {
-			silent = append(silent, m.Identity)
-		}
-	}
-	return silent
+	return 0
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -10,6 +10,7 @@
 	"rosereach/core/audit"
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
+	"rosereach/core/membership"
 	"rosereach/core/replica"
 	"rosereach/core/state"
 	"rosereach/io/member"
@@ -24,6 +25,9 @@
 	leadership struct {
 		term uint64
 
+		// since is when the term began.
+		since time.Time
+
 		// newGroup marks a new group, in which no earlier leader granted leases.
 		newGroup bool
 
@@ -35,6 +39,9 @@
 		priorLeasesEnd time.Time
 		orphansClosed  bool
 
+		// members decides who votes.
+		members *membership.Manager
+
 		// nextUpkeep is when the next upkeep is due.
 		nextUpkeep time.Time
 
@@ -91,13 +98,21 @@
 func (n *Node) beginLeadership(term uint64) {
 	isNewGroup := n.leadership != nil && n.leadership.newGroup && n.leadership.term == term
 	now := n.cfg.Clock.Now()
-	n.leadership = &leadership{term: term, newGroup: isNewGroup, orphansClosed: isNewGroup, priorLeasesEnd: now, grantor: lease.NewGrantor(n.cfg.Terms)}
+	n.leadership = &leadership{term: term, since: now, newGroup: isNewGroup, orphansClosed: isNewGroup, priorLeasesEnd: now, grantor: lease.NewGrantor(n.cfg.Terms)}
 	if !isNewGroup {
 		n.leadership.priorLeasesEnd = now.Add(n.cfg.Terms.Duration)
 	}
+	n.leadership.members = membership.NewManager(n.membershipConfig(), now, isNewGroup)
 	n.cfg.Logger.Log("msg", "Leads.", "term", term)
 }
 
+func (n *Node) membershipConfig() membership.Config {
+	if n.cfg.Seeds == nil {
+		return membership.Config{Manual: true}
+	}
+	return membership.Config{MinVoters: max(n.cfg.Seeds.MinVoters, n.cfg.MinVoters), Tolerant: n.cfg.Seeds.MinVoters}
+}
+
 // runUpkeep closes the requests of entries whose lease expired, makes membership
 // changes that are due, advances roll-outs and records which revision is in
 // force. Callers hold n.mu.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -26,6 +26,11 @@
 	// handOverTimeout bounds how long a planned stop waits for a new leader.
 	handOverTimeout = 2 * electionTimeout
 
+	// retransferDelay is how long a control that stops leads before it transfers the
+	// leadership on, which another one that stops passed to it. By then that one has
+	// announced its stop.
+	retransferDelay = 4 * leaveInterval
+
 	// diskFullRetryDelay is the pause before a write to a full disk is retried.
 	diskFullRetryDelay = time.Second
 )
@@ -38,13 +43,21 @@
 }
 
 // loop feeds events to the replica and carries out the work that it returns.
-// When ctx ends, loop transfers the leadership before it returns; when running
-// ends, it returns at once.
+// When ctx ends, loop transfers the leadership and leaves the group before it returns;
+// when running ends, it returns at once.
 func (n *Node) loop(ctx, running context.Context) error {
 	tick := n.cfg.Clock.NewTimer(tickInterval)
 	defer tick.Stop()
 	stopping := ctx.Done()
 	var handOverTimedOut <-chan time.Time
+	var left chan struct{}
+	leave := func() {
+		left, handOverTimedOut = make(chan struct{}), nil
+		go func() {
+			defer close(left)
+			n.leaveGroup(running)
+		}()
+	}
 	for {
 		select {
 		case <-running.Done():
@@ -52,13 +65,19 @@
 		case <-stopping:
 			stopping = nil
 			if !n.transferLeadership() {
-				return nil
+				leave()
+				break
 			}
 			handOverTimedOut = n.cfg.Clock.After(handOverTimeout)
 		case <-handOverTimedOut:
+			leave()
+		case <-left:
 			return nil
 		case <-tick.Chan():
 			n.tick()
+			if stopping == nil && n.hasLedFor(retransferDelay) {
+				n.transferLeadership()
+			}
 			tick.Reset(tickInterval)
 		case batch := <-n.inbox:
 			n.receive(batch)
@@ -75,8 +94,8 @@
 		if err := n.flush(running); err != nil {
 			return err
 		}
-		if stopping == nil && n.hasSuccessor() {
-			return nil
+		if stopping == nil && left == nil && n.hasSuccessor() {
+			leave()
 		}
 	}
 }
@@ -88,12 +107,26 @@
 	return s.Role != replica.Leader && !s.Leader.IsZero()
 }
 
+// hasLedFor reports whether this control has been the leader for the given time.
+func (n *Node) hasLedFor(d time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leadership != nil && n.leadership.members != nil && n.cfg.Clock.Now().Sub(n.leadership.since) >= d
+}
+
 // transferLeadership starts a leadership transfer, and reports whether there is one to
 // wait for.
 func (n *Node) transferLeadership() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.replica != nil && n.replica.TransferLeadership(n.cfg.Clock.Now())
+	if n.replica == nil {
+		return false
+	}
+	var avoid []replica.Identity
+	if n.leadership != nil && n.leadership.members != nil {
+		avoid = n.leadership.members.Leaving()
+	}
+	return n.replica.TransferLeadership(n.cfg.Clock.Now(), avoid...)
 }
 
 func (n *Node) tick() {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"rosereach/core/change"
+	"rosereach/core/membership"
 	"rosereach/core/replica"
 	"rosereach/io/member"
 	"rosereach/io/operator"
@@ -18,6 +20,9 @@
 
 	// callTimeout bounds a call to another control.
 	callTimeout = 2 * time.Second
+
+	// leaveInterval is the pause between two announcements of a planned stop.
+	leaveInterval = 50 * time.Millisecond
 )
 
 // errOtherGroup is the cause when a control of one group is asked to join another.
@@ -150,36 +155,70 @@
 	return reply, nil
 }
 
-// updateMembership makes the next membership change that is due: it removes a silent
-// voter, removes the earlier incarnation of a learner that caught up, or
-// promotes such a learner to a voter. Callers hold n.mu.
+// updateMembership makes the next membership change that is due. Callers hold n.mu.
 func (n *Node) updateMembership(now time.Time) {
-	members := n.groupLocked().Members
-	if n.removeSilentVoter(now, members) {
+	step, err := n.leadership.members.Update(now, n.replica)
+	switch {
+	case errors.Is(err, replica.ErrPending):
+	case err != nil:
+		level.Debug(n.cfg.Logger).Log("msg", "Membership can't be changed yet.", "control", step.Member.ID, "change", step.Action, "err", err)
+	case step.Action != 0:
+		n.cfg.Logger.Log("msg", "Changes the membership.", "control", step.Member.ID, "change", step.Action, "reason", step.Reason, "voters", len(n.groupLocked().Members.Voters))
+	}
+}
+
+// leaveGroup announces this control's planned stop to the leader, and waits until a spare
+// control votes in its place, for membership.LeaveTimeout at most. Without a spare this
+// control keeps its vote. It does nothing in a group that operators manage.
+func (n *Node) leaveGroup(ctx context.Context) {
+	if members := n.group().Members; n.cfg.Seeds == nil || len(members.All()) <= 1 {
 		return
 	}
-	for _, learner := range members.Learners {
-		if !n.replica.IsCaughtUp(learner.Identity) {
-			continue
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := n.cfg.Clock.After(membership.LeaveTimeout)
+	go func() {
+		select {
+		case <-timeout:
+			cancel()
+		case <-ctx.Done():
 		}
-		if old, ok := otherIncarnation(members, learner.Identity); ok {
-			n.replica.Remove(now, old) //nolint:errcheck // the next upkeep retries
+	}()
+	for ctx.Err() == nil {
+		var reply member.LeaveReply
+		err := n.callLeader(ctx, member.KindLeave, member.LeaveRequest{Identity: n.self}, &reply)
+		var problem *member.Problem
+		switch {
+		case err == nil && !reply.Wait:
+			n.cfg.Logger.Log("msg", "Leaves the group.", "id", n.cfg.ID, "voter", reply.Voter)
 			return
+		case errors.As(err, &problem) && problem.Code == member.CodeRefused:
+			return // the leader is of a build that does not know the call
+		}
+		select {
+		case <-n.cfg.Clock.After(leaveInterval):
+		case <-ctx.Done():
 		}
-		n.replica.Promote(now, learner.Identity) //nolint:errcheck // the next upkeep retries
-		return
 	}
+	level.Warn(n.cfg.Logger).Log("msg", "Stops before another control has replaced it.", "id", n.cfg.ID)
 }
 
-// otherIncarnation returns the member with the same id but another incarnation: the
-// same control before or after it lost its folder.
-func otherIncarnation(members replica.Membership, id replica.Identity) (replica.Identity, bool) {
-	for _, m := range members.All() {
-		if m.ID == id.ID && m.Incarnation != id.Incarnation {
-			return m.Identity, true
-		}
+// announceLeave records the planned stop of a control, and makes the membership change
+// that is due for it.
+func (n *Node) announceLeave(r member.LeaveRequest) (member.LeaveReply, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leadership == nil || n.leadership.members == nil {
+		return member.LeaveReply{}, n.notLeader()
 	}
-	return replica.Identity{}, false
+	now := n.cfg.Clock.Now()
+	wait := n.leadership.members.Leave(now, n.replica, r.Identity)
+	if !n.replica.Status().Ready {
+		return member.LeaveReply{}, n.notLeader()
+	}
+	n.updateMembership(now)
+	n.requestFlush()
+	return member.LeaveReply{Wait: wait || n.replica.HasPendingMembers(), Voter: n.groupLocked().Members.IsVoter(r.Identity)}, nil
 }
 
 // AddControl adds the control at the address, host:port, to this group. That
--- a/internal/control/seeds.go
+++ b/internal/control/seeds.go
@@ -8,7 +8,6 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
-	"rosereach/core/replica"
 	"rosereach/io/member"
 )
 
@@ -20,12 +19,6 @@
 
 	// rejoinInterval is the pause between two attempts to join again.
 	rejoinInterval = time.Second
-
-	// replaceAfter and removeAfter are how long a voter has to be silent before
-	// it is removed: with a caught-up learner to replace it, and without one.
-	// Machines that restart or are cut off for a few seconds stay members.
-	replaceAfter = 3 * time.Second
-	removeAfter  = 20 * time.Second
 )
 
 // maintainMembership makes this control join the group of its seeds, and join it again
@@ -117,30 +110,3 @@
 	}
 	return append(addresses, n.cfg.Seeds.Addresses()...)
 }
-
-// removeSilentVoter removes a voter that has been silent for too long, and reports
-// whether it did. The limit is replaceAfter when a new control has caught up as a
-// learner and can replace the voter, else removeAfter. A learner that is the next
-// incarnation of a member doesn't count, as it replaces only that member. At least
-// Seeds.MinVoters voters are left. Callers hold n.mu.
-func (n *Node) removeSilentVoter(now time.Time, members replica.Membership) bool {
-	if n.cfg.Seeds == nil || len(members.Voters)-1 < n.cfg.Seeds.MinVoters {
-		return false
-	}
-	minSilence := removeAfter
-	for _, learner := range members.Learners {
-		if _, returned := otherIncarnation(members, learner.Identity); !returned && n.replica.IsCaughtUp(learner.Identity) {
-			minSilence = replaceAfter
-		}
-	}
-	silent := n.replica.SilentVoters(now, minSilence)
-	if len(silent) == 0 {
-		return false
-	}
-	if err := n.replica.Remove(now, silent[0]); err != nil {
-		level.Debug(n.cfg.Logger).Log("msg", "Silent control can't be removed yet.", "control", silent[0].ID, "err", err)
-		return false
-	}
-	level.Warn(n.cfg.Logger).Log("msg", "Removes a silent control.", "control", silent[0].ID, "voters", len(members.Voters)-1)
-	return true
-}
--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -240,6 +240,44 @@
 	waitFor(t, "version 3 at the new control", func() bool { return g.readVersion("c9") == 3 })
 }
 
+// Guards against a group that ends for good when a disk is lost right after a planned
+// replacement: the control that stops must have handed its vote to its successor by the
+// time it has stopped.
+func TestStoppedControlHandsOverItsVote(t *testing.T) {
+	g := newSeededGroup(t)
+	listeners := map[string]net.Listener{}
+	for i := range 3 {
+		id := fmt.Sprint("c", i)
+		listeners[id] = g.listen(id, true)
+	}
+	for id, l := range listeners {
+		g.start(id, l, true)
+	}
+	g.waitForLeader("three voters", func(l *Node) bool { return len(l.group().Members.Voters) == 3 })
+	g.start("c9", g.listen("c9", false), false)
+	successor, stopped := g.nodes["c9"].self, g.leader().cfg.ID
+	g.waitForLeader("the successor as a learner with the log", func(l *Node) bool {
+		return l.group().Members.IsMember(successor) && g.nodes["c9"].group().Applied >= l.group().Commit
+	})
+	old := g.nodes[stopped].self
+	g.stop(stopped)
+	g.waitForLeader("a leader", func(*Node) bool { return true })
+	members := g.leader().group().Members
+	if members.IsVoter(old) || !members.IsVoter(successor) || len(members.Voters) != 3 {
+		t.Fatalf("%s has stopped, and the voters are %+v", stopped, members.Voters)
+	}
+	g.putPlan("c9", 1)
+	lost := "c1"
+	if stopped == lost {
+		lost = "c2"
+	}
+	g.stop(lost)
+	g.folder += "-wiped"
+	g.start(lost, g.listen(lost, false), false)
+	g.putPlan("c9", 2)
+	waitFor(t, "the plan at the control that lost its disk", func() bool { return g.readVersion(lost) == 2 })
+}
+
 // A control that no majority answers refuses a read rather than return a plan
 // that may be stale.
 func TestReadNeedsMajority(t *testing.T) {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -56,6 +56,8 @@
 		})
 	case member.KindRemove:
 		return nil, decodeAndHandle(body, func(r member.RemoveRequest) error { return n.removeAsLeader(ctx, r) })
+	case member.KindLeave:
+		return decodeAndReply(body, n.announceLeave)
 	case member.KindWatch:
 		return n.handleWatch(ctx, body)
 	case member.KindPresence:
--- a/io/member/message.go
+++ b/io/member/message.go
@@ -21,6 +21,7 @@
 	KindAdopt            Kind = "adopt"
 	KindInForce          Kind = "in_force"
 	KindRemove           Kind = "remove"
+	KindLeave            Kind = "leave"
 	KindEntries          Kind = "entries"
 	KindServers          Kind = "servers"
 	KindLookup           Kind = "look"
@@ -92,6 +93,18 @@
 		ID string `json:"id"`
 	}
 
+	// LeaveRequest announces the planned stop of a replica to the leader.
+	LeaveRequest struct {
+		Identity replica.Identity `json:"identity"`
+	}
+
+	// LeaveReply tells the replica to announce its stop again, until a spare votes in
+	// its place, or that it may stop. Voter is set if it keeps its vote.
+	LeaveReply struct {
+		Wait  bool `json:"wait,omitempty"`
+		Voter bool `json:"voter,omitempty"`
+	}
+
 	// DocumentsRequest asks for the documents if they are newer than
 	// KnownRevision.
 	DocumentsRequest struct {
