--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -3,12 +3,32 @@
 package backend
 
 import (
+	"strconv"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"rosereach/core/finding"
 	"rosereach/core/version"
 )
 
+const (
+	// maxNameBytes bounds the names in an announcement. Every member sends them to every
+	// other.
+	maxNameBytes = 256
+
+	// maxModels and maxCapacity are far above what a server has.
+	maxModels   = 1024
+	maxCapacity = 1 << 20
+
+	// maxPort is the highest port.
+	maxPort = 1<<16 - 1
+
+	// MaxIncarnation bounds the incarnations and sequences of servers: they are times in
+	// nanoseconds at most, and leave room to count on.
+	MaxIncarnation = 1<<63 - 1
+)
+
 // The kinds of backend server.
 const (
 	// Engine is a model engine.
@@ -97,15 +117,65 @@
 	if a.State != Serving && a.State != Leaving {
 		found.Add("state", "unknown state "+string(a.State), "serving, leaving")
 	}
-	if a.Address == "" {
-		found.Add("address", "missing", "host:port")
+	if !isAddress(a.Address) {
+		found.Add("address", "not the address of a server: "+strconv.QuoteToASCII(a.Address), "host:port, with a port from 1 to 65535")
+	}
+	if a.Capacity < 1 || a.Capacity > maxCapacity {
+		found.Add("capacity", "out of range", "1 to "+strconv.Itoa(maxCapacity))
+	}
+	if a.Incarnation > MaxIncarnation || a.Sequence > MaxIncarnation {
+		found.Add("incarnation", "the incarnation or the sequence is too large", "less than 2 to the power of 63")
+	}
+	return append(found, a.checkNames()...)
+}
+
+// checkNames returns the findings on names that not every member can read or hold.
+func (a Announcement) checkNames() finding.List {
+	var found finding.List
+	names := map[string][]string{
+		"id": {a.ID}, "service": {a.Service}, "release": {a.Release}, "availability_zone": {a.Zone}, "region": {a.Region},
+		"address": {a.Address}, "models": a.Models,
+	}
+	for _, v := range a.Versions {
+		names["versions"] = append(names["versions"], v.String())
+	}
+	for place, list := range names {
+		for _, name := range list {
+			if !utf8.ValidString(name) || len(name) > maxNameBytes {
+				found.Add(place, "not a name: "+strconv.QuoteToASCII(name[:min(len(name), maxNameBytes)]), "UTF-8 text of at most 256 bytes")
+			}
+		}
 	}
-	if a.Capacity < 1 {
-		found.Add("capacity", "too small", "1 or more")
+	if len(a.Models) > maxModels || len(a.Versions) > maxModels {
+		found.Add("models", "too many", "at most "+strconv.Itoa(maxModels))
 	}
 	return found
 }
 
+// IsReadable reports whether every member can read the announcement's names. Members of
+// earlier builds pass on what they received.
+func (a Announcement) IsReadable() bool { return len(a.checkNames()) == 0 }
+
+// isAddress reports whether the text is a host and a port that a server can listen on. The
+// host of an IPv6 address stands in brackets.
+func isAddress(text string) bool {
+	colon := strings.LastIndexByte(text, ':')
+	if colon <= 0 {
+		return false
+	}
+	host := text[:colon]
+	if inner, ok := strings.CutPrefix(host, "["); ok {
+		host = strings.TrimSuffix(inner, "]")
+		if host == inner {
+			return false
+		}
+	} else if strings.ContainsAny(host, ":]") {
+		return false
+	}
+	n, err := strconv.ParseUint(text[colon+1:], 10, 64)
+	return err == nil && host != "" && n >= 1 && n <= maxPort
+}
+
 // Serves reports whether the server is an engine with the version loaded.
 func (a Announcement) Serves(ref version.Ref) bool {
 	if a.Kind != Engine {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -88,10 +88,10 @@
 
 // Observe records an announcement that a server sent to this member, and reports
 // whether it changed anything that other members need. Late and repeated ones are
-// ignored.
+// ignored, and so are those that other members could not read.
 func (r *Roster) Observe(now time.Time, a backend.Announcement) bool {
 	before := r.version
-	if r.merge(now, Record{Server: a}) {
+	if a.IsReadable() && r.merge(now, Record{Server: a}) {
 		r.markSighted(now, r.servers[a.ID])
 	}
 	return r.version != before
@@ -113,10 +113,13 @@
 	return true
 }
 
-// ApplyDelta merges another member's delta.
+// ApplyDelta merges another member's delta. It leaves out records that other members could
+// not read, so that one such record does not keep the others from them.
 func (r *Roster) ApplyDelta(now time.Time, d Delta) {
 	for _, rec := range d.Records {
-		r.merge(now, rec)
+		if rec.Server.IsReadable() {
+			r.merge(now, rec)
+		}
 	}
 	for _, s := range d.Sightings {
 		e, ok := r.servers[s.ID]
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -10,12 +10,12 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"rosereach/core/audit"
 	"rosereach/core/catalog"
 	"rosereach/core/change"
+	"rosereach/core/encoding"
 	"rosereach/core/ledger"
 	"rosereach/core/version"
 )
@@ -167,13 +167,13 @@
 		Index: s.index, Docs: s.docs.Clone(), Results: maps.Clone(s.results.byID), Trail: s.trail.Snapshot(),
 		Ledger: s.ledger.Snapshot(),
 	}
-	return func() ([]byte, error) { return cbor.Marshal(snap) }
+	return func() ([]byte, error) { return encoding.Marshal(snap) }
 }
 
 // Decode returns the state of a snapshot.
 func Decode(data []byte) (*State, error) {
 	var snap snapshot
-	if err := cbor.Unmarshal(data, &snap); err != nil {
+	if err := encoding.Unmarshal(data, &snap); err != nil {
 		return nil, errors.Annotate(err, "snapshot of the replicated state")
 	}
 	s := New()
@@ -190,6 +190,13 @@
 	if c.ID == "" {
 		return change.RefuseFor("change_id", "missing", "an id that is new for each change")
 	}
+	if err := encoding.CheckText(c); err != nil {
+		// Logs of earlier builds may hold such a change.
+		c.Name = strings.ToValidUTF8(c.Name, "\uFFFD")
+		result := change.RefuseFor("name", err.Error(), "UTF-8 text")
+		s.auditChange(c, result, nil)
+		return result
+	}
 	hash := c.Hash()
 	if first, ok := s.results.find(c.ID); ok {
 		return first.forResend(hash)
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
+	"rosereach/core/encoding"
 	"rosereach/core/replica"
 	"rosereach/core/state"
 	"rosereach/io/disk"
@@ -207,7 +207,7 @@
 	var result state.Result
 	if e.Kind == replica.Command {
 		var c state.Command
-		if err := cbor.Unmarshal(e.Data, &c); err != nil {
+		if err := encoding.Unmarshal(e.Data, &c); err != nil {
 			return errors.Annotatef(err, "log entry %d in %s: use the program version that wrote it, or repair this replica from the others", e.Index, n.cfg.Folder)
 		}
 		if what := c.Unsupported(); what != "" {
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"rosereach/core/encoding"
 	"rosereach/core/replica"
 	"rosereach/core/state"
 	"rosereach/io/member"
@@ -15,6 +16,10 @@
 // it.
 const maxBatch = 4096
 
+// maxCommandBytes bounds a command. A log entry that does not fit into a frame reaches no
+// other replica, and holds up all that follow it.
+const maxCommandBytes = member.MaxFrameBytes / 2
+
 // ErrLeadershipLost means that this control lost the leadership while a command was
 // in progress. The outcome of the command is unknown.
 const ErrLeadershipLost = errors.ConstError("the leadership was lost before the command was committed; its outcome is unknown: retry with the same id")
@@ -48,16 +53,17 @@
 
 // Propose commits commands and returns their results, in order. The error is a
 // *member.Problem with CodeNotLeader when this control doesn't lead, and with
-// CodeRefused when its disk is full; nothing was done in either case.
+// CodeRefused when its disk is full or not every replica could read a command; nothing was
+// done in either case.
 func (n *Node) Propose(ctx context.Context, commands ...state.Command) ([]state.Result, error) {
 	if len(commands) == 0 {
 		return nil, nil
 	}
 	p := &proposal{results: make([]state.Result, len(commands)), remaining: len(commands), done: make(chan error, 1)}
 	for _, c := range commands {
-		data, err := cbor.Marshal(c)
+		data, err := encodeCommand(c)
 		if err != nil {
-			return nil, errors.Trace(err)
+			return nil, err
 		}
 		p.data = append(p.data, data)
 	}
@@ -74,6 +80,22 @@
 	}
 }
 
+// encodeCommand encodes a command for the log. It refuses one that not every replica could
+// read: the log would end there for that replica, at each of its starts.
+func encodeCommand(c state.Command) ([]byte, error) {
+	if err := encoding.CheckText(c); err != nil {
+		return nil, &member.Problem{Code: member.CodeRefused, Detail: err.Error()}
+	}
+	data, err := encoding.Marshal(c)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(data) > maxCommandBytes {
+		return nil, &member.Problem{Code: member.CodeRefused, Detail: fmt.Sprintf("%d bytes are more than a command may have (%d)", len(data), maxCommandBytes)}
+	}
+	return data, nil
+}
+
 // proposeBatch proposes the commands of a proposal, and of others that are queued, to
 // the replica in one batch.
 func (n *Node) proposeBatch(first *proposal) {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/change"
+	"rosereach/core/encoding"
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
 	"rosereach/core/state"
@@ -259,7 +260,7 @@
 // decodeAndReply decodes a call's message and returns the reply of f.
 func decodeAndReply[Request, Reply any](body cbor.RawMessage, f func(Request) (Reply, error)) (any, error) {
 	var r Request
-	if err := cbor.Unmarshal(body, &r); err != nil {
+	if err := encoding.Unmarshal(body, &r); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return f(r)
@@ -268,7 +269,7 @@
 // decodeAndHandle decodes a message whose only reply is an error, and passes it to f.
 func decodeAndHandle[Request any](body cbor.RawMessage, f func(Request) error) error {
 	var r Request
-	if err := cbor.Unmarshal(body, &r); err != nil {
+	if err := encoding.Unmarshal(body, &r); err != nil {
 		return errors.Trace(err)
 	}
 	return f(r)
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/catalog"
+	"rosereach/core/encoding"
 	"rosereach/core/lease"
 	"rosereach/core/state"
 	"rosereach/io/member"
@@ -112,7 +113,7 @@
 		return nil, nil
 	case member.KindOutcomes:
 		var r member.OutcomesRequest
-		if err := cbor.Unmarshal(body, &r); err != nil {
+		if err := encoding.Unmarshal(body, &r); err != nil {
 			return nil, errors.Trace(err)
 		}
 		return l.entry.lookUpOutcomes(ctx, r), nil
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/backend"
+	"rosereach/core/encoding"
 	"rosereach/core/registry"
 	"rosereach/io/member"
 )
@@ -190,7 +191,7 @@
 		return nil, &member.Problem{Code: member.CodeRefused, Detail: "unknown message " + string(kind)}
 	}
 	var query registry.Query
-	if err := cbor.Unmarshal(body, &query); err != nil {
+	if err := encoding.Unmarshal(body, &query); err != nil {
 		return nil, &member.Problem{Code: member.CodeRefused, Detail: err.Error()}
 	}
 	e := r.entry
--- a/io/detour/detour.go
+++ b/io/detour/detour.go
@@ -16,8 +16,9 @@
 	"io"
 	"syscall"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"rosereach/core/encoding"
 )
 
 const (
@@ -113,7 +114,7 @@
 	if !hmac.Equal(reply[nonceBytes:], proof(key, acceptingSide, nonce, other, nil)) {
 		return errors.Annotate(ErrNoDetour, "the other instance doesn't hold the member key")
 	}
-	target, err := cbor.Marshal(t)
+	target, err := encoding.Marshal(t)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -155,5 +156,5 @@
 	if !hmac.Equal(head[:sha256.Size], proof(key, dialingSide, other, nonce, target)) {
 		return t, errors.New("the other instance doesn't hold the member key")
 	}
-	return t, errors.Trace(cbor.Unmarshal(target, &t))
+	return t, errors.Trace(encoding.Unmarshal(target, &t))
 }
--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -7,11 +7,11 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 	"go.etcd.io/bbolt"
 	bbolterrors "go.etcd.io/bbolt/errors"
 
+	"rosereach/core/encoding"
 	"rosereach/core/replica"
 )
 
@@ -30,7 +30,7 @@
 
 // putRecord writes a record, preceded by the checksum of its key and data.
 func putRecord(b *bbolt.Bucket, key []byte, record any) error {
-	data, err := cbor.Marshal(record)
+	data, err := encoding.Marshal(record)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -53,7 +53,7 @@
 	if binary.BigEndian.Uint64(value) != checksum(key, data) {
 		return s.damagedError("record "+place, "its checksum differs")
 	}
-	if err := cbor.Unmarshal(data, record); err != nil {
+	if err := encoding.Unmarshal(data, record); err != nil {
 		return s.damagedError("record "+place, err.Error())
 	}
 	return nil
--- a/io/member/conn.go
+++ b/io/member/conn.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/change"
+	"rosereach/core/encoding"
 )
 
 const (
@@ -135,7 +136,7 @@
 		}
 		bytesReceived.Add(int64(len(data)))
 		var f frame
-		if err := cbor.Unmarshal(data, &f); err != nil {
+		if err := encoding.Unmarshal(data, &f); err != nil {
 			return errors.Annotatef(err, "member %s: decode frame", c.peer.ID)
 		}
 		if f.Reply {
@@ -171,13 +172,13 @@
 // send writes the frame with the message, which may be nil, as its body.
 func (c *Conn) send(ctx context.Context, f frame, message any) error {
 	if message != nil {
-		body, err := cbor.Marshal(message)
+		body, err := encoding.Marshal(message)
 		if err != nil {
 			return errors.Annotatef(err, "encode message %s", f.Kind)
 		}
 		f.Body = body
 	}
-	data, err := cbor.Marshal(f)
+	data, err := encoding.Marshal(f)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -238,7 +239,7 @@
 	if reply == nil {
 		return nil
 	}
-	return errors.Trace(cbor.Unmarshal(f.Body, reply))
+	return errors.Trace(encoding.Unmarshal(f.Body, reply))
 }
 
 func newProblem(err error) *Problem {
--- a/io/member/handshake.go
+++ b/io/member/handshake.go
@@ -7,8 +7,9 @@
 	"crypto/sha256"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"rosereach/core/encoding"
 )
 
 const (
@@ -85,7 +86,7 @@
 }
 
 func writeHandshake(ctx context.Context, ws *websocket.Conn, m handshakeMessage) error {
-	data, err := cbor.Marshal(m)
+	data, err := encoding.Marshal(m)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -103,7 +104,7 @@
 	if err != nil {
 		return m, errors.Trace(err)
 	}
-	return m, errors.Trace(cbor.Unmarshal(data, &m))
+	return m, errors.Trace(encoding.Unmarshal(data, &m))
 }
 
 func newNonce() []byte {
--- a/io/member/loads.go
+++ b/io/member/loads.go
@@ -1,9 +1,9 @@
 package member
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"rosereach/core/encoding"
 	"rosereach/core/health"
 )
 
@@ -16,7 +16,7 @@
 
 // EncodeLoads returns the reports in their encoded form.
 func EncodeLoads(reports []health.LoadReport) (*Loads, error) {
-	data, err := cbor.Marshal(reports)
+	data, err := encoding.Marshal(reports)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -28,10 +28,10 @@
 	if l.encoded != nil {
 		return l.encoded, nil
 	}
-	return cbor.Marshal(l.Reports)
+	return encoding.Marshal(l.Reports)
 }
 
 // UnmarshalCBOR reads an array of reports.
 func (l *Loads) UnmarshalCBOR(data []byte) error {
-	return errors.Trace(cbor.Unmarshal(data, &l.Reports))
+	return errors.Trace(encoding.Unmarshal(data, &l.Reports))
 }
