The test of malformed messages uses a connection of a real pair

Change: a connection dialed to the node's own handler; the messages and what is checked are the same.

--- a/internal/control/malformed_test.go
+++ b/internal/control/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -21,6 +22,13 @@
 	}
 	n := newWatchedNode(t, 2, 2)
 	random := rand.New(rand.NewPCG(1, 1))
+	server := httptest.NewServer(n.Handler())
+	defer server.Close()
+	conn, err := n.dial(context.Background(), server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	for kind, name := range kinds {
@@ -34,7 +42,7 @@
 				body[random.IntN(len(body))] = byte(random.UintN(256))
 			}
 			body = body[:random.IntN(len(body)+1)]
-			n.Handle(ctx, &member.Conn{}, kind, body) //nolint:errcheck // a refusal is as good as an answer
+			n.Handle(ctx, conn, kind, body) //nolint:errcheck // a refusal is as good as an answer
 		}
 	}
 	if got := n.watchReply(member.WatchRequest{}); got.RunID != n.runID {
