Malformed messages and numbers out of range take no process down

Seen: a request that states tokens hung an entry for all (review, by hand); a replica's message without a chunk or a membership would end a control.

Cause: Priced.Choose drew a candidate for each 1,000 stated tokens under the lock. replica.Receive used parts of a message that it need not have, and believed replies beyond the log or from the future.

Change: counts out of range are unknown, the draws are bounded, malformed messages are dropped.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -152,9 +152,11 @@
 	return found
 }
 
-// IsReadable reports whether every member can read the announcement's names. Members of
-// earlier builds pass on what they received.
-func (a Announcement) IsReadable() bool { return len(a.checkNames()) == 0 }
+// IsReadable reports whether every member can read the announcement's names and hold its
+// numbers. Members of earlier builds pass on what they received.
+func (a Announcement) IsReadable() bool {
+	return len(a.checkNames()) == 0 && a.Capacity <= maxCapacity && a.Incarnation <= MaxIncarnation && a.Sequence <= MaxIncarnation
+}
 
 // isAddress reports whether the text is a host and a port that a server can listen on. The
 // host of an IPv6 address stands in brackets.
--- a/core/placement/priced.go
+++ b/core/placement/priced.go
@@ -71,6 +71,10 @@
 // ones, so that a wider choice pays for them.
 const tokensPerChoice = 1000
 
+// maxExtraChoices bounds these candidates: callers state the tokens, and the choice is made
+// under a lock.
+const maxExtraChoices = 256
+
 // latencyPrice is the price of a second of latency in addition to the risk of a
 // late answer. It is low, so that it mainly decides between servers that are
 // otherwise equal.
@@ -110,7 +114,7 @@
 			consider(i)
 		}
 	}
-	for range p.RandomChoices + int(d.UnsharedTokens/tokensPerChoice) {
+	for range p.RandomChoices + int(min(max(d.UnsharedTokens, 0)/tokensPerChoice, maxExtraChoices)) {
 		consider(random.IntN(len(candidates)))
 	}
 	return best
--- a/core/placement/priced_test.go
+++ b/core/placement/priced_test.go
@@ -194,3 +194,26 @@
 		t.Errorf("ratio after a minute %v", got)
 	}
 }
+
+// Guards against a request whose stated prompt makes each choice of a server take seconds.
+func TestStatedTokensBoundTheChoice(t *testing.T) {
+	candidates := engines(20)
+	counting := &countingSource{}
+	for _, tokens := range []int64{1 << 62, -1 << 62, 1<<63 - 1, -1 << 63} {
+		counting.n = 0
+		placement.NewPriced().Choose(time.Now(), placement.Demand{UnsharedTokens: tokens}, candidates, rand.New(counting))
+		if counting.n > 1000 {
+			t.Errorf("%d tokens: %d draws", tokens, counting.n)
+		}
+	}
+}
+
+// countingSource counts the numbers drawn, and ends a choice that draws without end.
+type countingSource struct{ n uint64 }
+
+func (s *countingSource) Uint64() uint64 {
+	if s.n++; s.n > 1_000_000 {
+		panic("over 1,000,000 draws")
+	}
+	return s.n * 0x9e3779b97f4a7c15
+}
--- a/core/replica/append.go
+++ b/core/replica/append.go
@@ -223,7 +223,7 @@
 		return
 	}
 	p := r.recordReply(m)
-	if p == nil {
+	if p == nil || m.Index > r.log.lastIndex() {
 		return
 	}
 	if m.Reject {
@@ -263,7 +263,7 @@
 	if m.Round == 0 {
 		return p
 	}
-	if sentAt := r.leaderSince.Add(time.Duration(m.Round - 1)); sentAt.After(p.ackedSendTime) {
+	if sentAt := r.leaderSince.Add(time.Duration(m.Round - 1)); sentAt.After(p.ackedSendTime) && !sentAt.After(r.now) {
 		p.ackedSendTime = sentAt
 	}
 	return p
--- a/core/replica/message.go
+++ b/core/replica/message.go
@@ -64,6 +64,24 @@
 	}
 )
 
+// isWellFormed reports whether a message has the parts that its kind needs. A faulty peer or
+// another build may send any.
+func (m Message) isWellFormed() bool {
+	switch m.Kind {
+	case InstallSnapshot:
+		return m.Chunk != nil && m.Chunk.Offset >= 0 && len(m.Chunk.Members.Voters) > 0
+	case InstallSnapshotReply:
+		return m.Chunk != nil && m.Chunk.Offset >= 0
+	case Append:
+		for i, e := range m.Entries {
+			if e.Index != m.Index+uint64(i)+1 || e.Kind == Members && (e.Members == nil || len(e.Members.Voters) == 0) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // send queues a message that may be sent without waiting for a write.
 func (r *Replica) send(m Message) { r.sendAfter(m, 0) }
 
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -159,11 +159,11 @@
 	}
 }
 
-// Receive processes a message. It drops messages of another group and those
-// addressed to another identity, such as an earlier incarnation.
+// Receive processes a message. It drops messages of another group, those addressed to
+// another identity, such as an earlier incarnation, and malformed ones.
 func (r *Replica) Receive(now time.Time, m Message) {
 	r.now = now
-	if m.Group != r.cfg.Group || m.To != r.cfg.Self {
+	if m.Group != r.cfg.Group || m.To != r.cfg.Self || !m.isWellFormed() {
 		return
 	}
 	switch m.Kind {
