--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -163,6 +163,15 @@
 // Error returns the code and the detail.
 func (f *Failure) Error() string { return string(f.Code) + ": " + f.Detail }
 
+// Answers reports whether the head is that of a server's answer to the request with the id.
+// A faulty server repeats earlier answers on a connection that is in use again, or writes
+// other bytes that look like an answer: servers name the request in each answer, and stamp
+// those of a request that they ran to a good end.
+func (h Head) Answers(requestID string) bool {
+	isSuccess := h.Status >= 200 && h.Status < 300
+	return h.RequestID == requestID && (h.Stamped || !isSuccess)
+}
+
 // IsFull reports whether the server turned the request away, for want of room as far as the
 // answer tells.
 func (h Head) IsFull() bool { return h.Refused && !h.Misdirected }
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -267,7 +268,7 @@
 		Header: f.entry.cfg.Forwarding.Dialect.Attempt(x.req, forward.Attempt{
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: x.serverPriority(), LastEventID: x.lastEventID,
 		}),
-		NewConn: x.sends > 1 && !x.route.IsRetryable(), Via: viaOf(a.homes),
+		NewConn: x.sends > 1 && (!x.route.IsRetryable() || slices.Contains(x.tried, a.server.ID)), Via: viaOf(a.homes),
 	}, func() error { return x.admit(a) })
 	if err != nil {
 		return x.handleSendError(ctx, a, err, x.takeOver(watch))
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -24,7 +24,7 @@
 	if a.head.Slots > 0 {
 		x.forwarder.recordLoad(a.server, a.head.Running, a.head.Waiting)
 	}
-	if a.head.RequestID != "" && a.head.RequestID != x.req.ID {
+	if !a.head.Answers(x.req.ID) {
 		answer.Discard()
 		x.runs++
 		x.tried = append(x.tried, a.server.ID)
--- a/internal/entry/crashing_part_test.go
+++ b/internal/entry/crashing_part_test.go
@@ -71,7 +71,7 @@
 	s.mu.Unlock()
 	server := &http.Server{ReadHeaderTimeout: time.Minute}
 	var end sync.Once
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server.Handler = naming(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !strings.Contains(r.URL.Path, crashingPart) {
 			io.WriteString(w, "done")
 			return
@@ -88,7 +88,7 @@
 			server.Close()
 			time.AfterFunc(restartTime, func() { s.startAt(l.Addr().String()) })
 		})
-	})
+	}))
 	go server.Serve(l)
 	s.t.Cleanup(func() { server.Close() })
 	s.control.Announce(backend.Announcement{
@@ -199,12 +199,12 @@
 		r.t.Fatal(err)
 	}
 	s := &http.Server{ReadHeaderTimeout: time.Minute}
-	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s.Handler = naming(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		ends.Add(1)
 		w.WriteHeader(http.StatusOK)
 		http.NewResponseController(w).Flush()
 		s.Close()
-	})
+	}))
 	go s.Serve(l)
 	r.t.Cleanup(func() { s.Close() })
 	r.announce(id, l.Addr().String(), 1, backend.Serving)
--- a/internal/entry/cut_off_test.go
+++ b/internal/entry/cut_off_test.go
@@ -35,10 +35,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: naming(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			c.runs.Add(1)
 			h(w, r)
-		}), ConnState: func(_ net.Conn, state http.ConnState) {
+		})), ConnState: func(_ net.Conn, state http.ConnState) {
 			if state == http.StateNew {
 				c.connections.Add(1)
 			}
--- a/internal/entry/dialect_test.go
+++ b/internal/entry/dialect_test.go
@@ -20,6 +20,7 @@
 		r.entry.cfg.Forwarding.Dialect = platform.Dialect{}
 		r.plan()
 		a := r.counted("a", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Rosereach-Attempt-Id", "id-1")
 			for name, values := range header {
 				w.Header()[name] = values
 			}
--- /dev/null
+++ b/internal/entry/foreign_answer_test.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rosereach/core/backend"
+	"rosereach/core/forward"
+	"rosereach/core/route"
+)
+
+// repeatingServer answers each request with its id. From the second request on a connection
+// on, it first writes the extra answer, which belongs to no request or to an earlier one.
+func (r *harness) repeatingServer(id string, extra func(requestID, earlierID string) string, runs *atomic.Int64) {
+	r.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { l.Close() })
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader, earlier := bufio.NewReader(conn), ""
+		for {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			requestID := req.Header.Get("Id")
+			if earlier != "" {
+				io.WriteString(conn, extra(requestID, earlier))
+				time.Sleep(20 * time.Millisecond)
+			}
+			runs.Add(1)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 3\r\n\r\nown", requestID)
+			earlier = requestID
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	r.announce(id, l.Addr().String(), 1, backend.Serving)
+}
+
+// extraAnswers are answers that a faulty server writes where the next answer is due.
+var extraAnswers = map[string]func(requestID, earlierID string) string{
+	"refusal without an id": func(_, _ string) string { return "HTTP/1.1 503 X\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n" },
+	"refusal of the earlier request": func(_, earlier string) string {
+		return "HTTP/1.1 503 X\r\nRefused: 1\r\nId: " + earlier + "\r\nContent-Length: 0\r\n\r\n"
+	},
+	"503 without an id":     func(_, _ string) string { return "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n" },
+	"429 without an id":     func(_, _ string) string { return "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n" },
+	"404 without an id":     func(_, _ string) string { return "HTTP/1.1 404 X\r\nContent-Length: 7\r\n\r\nforeign" },
+	"success without an id": func(_, _ string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign" },
+	"success of the earlier request": func(_, earlier string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + earlier + "\r\nContent-Length: 7\r\n\r\nforeign"
+	},
+	"success without a stamp": func(id, _ string) string {
+		return "HTTP/1.1 200 OK\r\nUnstamped: 1\r\nId: " + id + "\r\nContent-Length: 7\r\n\r\nforeign"
+	},
+	"switch of protocols": func(id, _ string) string { return "HTTP/1.1 101 X\r\nId: " + id + "\r\n\r\n" },
+	"no answer":           func(_, _ string) string { return "\x00\x01\r\n\r\n" },
+}
+
+// Guards against an answer of another request, or of none, that is taken for the answer to the
+// next one on the connection: its caller would be told that a request did not run which did, or
+// get foreign bytes, or the request would run at another server as well.
+func TestExtraAnswersBelongToNoRequest(t *testing.T) {
+	for name, extra := range extraAnswers {
+		for _, kind := range []route.Kind{route.Safe, route.Unsafe} {
+			t.Run(fmt.Sprint(name, "/", kind), func(t *testing.T) {
+				r := newHarness(t)
+				r.plan()
+				var runs atomic.Int64
+				r.repeatingServer("a", extra, &runs)
+				for n := range 4 {
+					before := runs.Load()
+					got, err := r.sendID(fmt.Sprint("id-", n), kind)
+					time.Sleep(30 * time.Millisecond) // the server may still run it
+					switch ran := runs.Load() - before; {
+					case err == nil && (got.status != http.StatusOK || got.text() != "own"):
+						t.Errorf("request %d: status %d, %q", n, got.status, got.text())
+					case err != nil && codeOf(err) != forward.AnswerLost:
+						t.Errorf("request %d: %v, and it ran %d times", n, err, ran)
+					case kind == route.Unsafe && ran > 1:
+						t.Errorf("request %d ran %d times", n, ran)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a refusal that is taken for that of a request's second attempt at the same
+// server: the attempt uses another connection, where no earlier answer can follow.
+func TestRetryAtSameServerUsesNewConnection(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	conns := make(chan string, 16)
+	r.server("a", func(w http.ResponseWriter, req *http.Request) {
+		conns <- req.RemoteAddr
+		if len(conns)%2 == 0 {
+			return
+		}
+		w.Header().Set("Refused", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	if _, err := r.send(route.Safe); err != nil && codeOf(err) != forward.NoServer {
+		t.Fatal(err)
+	}
+	close(conns)
+	seen := make(map[string]bool)
+	for c := range conns {
+		if seen[c] {
+			t.Error("a second attempt on the connection of the first")
+		}
+		seen[c] = true
+	}
+}
+
+func (r *harness) sendID(id string, kind route.Kind) (*recordingSink, error) {
+	path := "/" + string(kind) + "/x"
+	got := &recordingSink{}
+	return got, r.entry.Forward(context.Background(), forward.Request{ID: id, Method: "POST", Host: "h", Target: path, Path: path, Key: "k", Arrived: time.Now()}, got)
+}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -56,7 +56,7 @@
 
 func (testDialect) Head(status int, header map[string][]string) forward.Head {
 	h := http.Header(header)
-	head := forward.Head{Status: status, RequestID: h.Get("Id"), Refused: h.Get("Refused") != "", Confidence: -1}
+	head := forward.Head{Status: status, RequestID: h.Get("Id"), Refused: h.Get("Refused") != "", Stamped: h.Get("Unstamped") == "", Confidence: -1}
 	if n, err := strconv.Atoi(h.Get("Sure")); err == nil {
 		head.Confidence = n
 	}
@@ -132,6 +132,16 @@
 	}}})
 }
 
+// naming is a handler whose answers name their request, unless the handler says otherwise.
+func naming(h http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get("Id"); id != "" {
+			w.Header().Set("Id", id)
+		}
+		h.ServeHTTP(w, r)
+	}
+}
+
 // server starts a backend server and announces it.
 func (r *harness) server(id string, h http.HandlerFunc) {
 	r.t.Helper()
@@ -139,7 +149,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	s := &http.Server{Handler: naming(h), ReadHeaderTimeout: time.Minute}
 	go s.Serve(l)
 	r.t.Cleanup(func() { s.Close() })
 	r.announce(id, l.Addr().String(), 1, backend.Serving)
--- a/internal/entry/location_test.go
+++ b/internal/entry/location_test.go
@@ -220,12 +220,12 @@
 	const entries, rate = 40, 8.8
 	bounds := warmup.Bounds{Overshoot: 1.5, Slack: 5}
 	f := &coldFleet{}
-	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: naming(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		f.mu.Lock()
 		f.arrived = append(f.arrived, time.Now())
 		f.mu.Unlock()
 		io.WriteString(w, "done")
-	})}
+	}))}
 	l := listen(t)
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -263,10 +263,13 @@
 		if err != nil {
 			return nil, errors.Annotatef(ErrBadAnswer, "%v", err)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 		resp.Body.Close()
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.Annotatef(ErrBadAnswer, "it switches to another protocol unasked")
+		}
 	}
 }
 
