Only the rest of a stream continues a stream

Seen: reported by operators of similar systems: a stream broke off, the next server answered with an error, and its text got into the stream, or the stream ended as if it were complete. TestOnlyTheRestOfAStreamContinuesIt shows it here.

Cause: an answer other than 2xx is forwarded whole, also after a stream has begun; an empty 2xx ended it as complete.

Change: after a stream has begun, an answer with another status is a failed attempt: another server is tried, or the connection is cut.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -172,6 +172,10 @@
 	return h.RequestID == requestID && (h.Stamped || !isSuccess)
 }
 
+// Continues reports whether the answer can be the rest of a stream that began with the
+// status. Anything else, such as an error, does not belong into that stream.
+func (h Head) Continues(begun int) bool { return h.Status == begun }
+
 // IsFull reports whether the server turned the request away, for want of room as far as the
 // answer tells.
 func (h Head) IsFull() bool { return h.Refused && !h.Misdirected }
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -52,6 +52,7 @@
 	errWrongRequestID = errors.ConstError("the answer belongs to another request")
 	errIncomplete     = errors.ConstError("the answer broke off")
 	errLowConfidence  = errors.ConstError("the model reports low confidence in its answer")
+	errNotContinued   = errors.ConstError("the answer is not the rest of the stream that has begun")
 	errCallerWrite    = errors.ConstError("writing to the caller failed")
 )
 
@@ -79,6 +80,7 @@
 		pauses      int             // waits for a retry or a server
 		runs        int             // attempts that ran or may have run
 		headSent    bool            // the header of a stream was forwarded
+		sentStatus  int             // status in that header
 		lastEventID uint64          // ID of the last event forwarded
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
 		nextAttempt *attempt        // placed already, by an escalation or to replace a silent attempt
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -40,6 +40,14 @@
 		return forward.NotRun, errors.Errorf("the server did not run the request: status %d, draining its body: %v", a.head.Status, err)
 	}
 	x.runs++
+	if x.headSent && !a.head.Continues(x.sentStatus) {
+		answer.Discard()
+		x.tried = append(x.tried, a.server.ID)
+		if a.head.Status >= http.StatusInternalServerError {
+			x.forwarder.recordFailure(a, x, false)
+		}
+		return forward.Failed, errors.Annotatef(errNotContinued, "status %d", a.head.Status)
+	}
 	if x.escalate(ctx, a) {
 		answer.Discard()
 		return forward.Failed, errors.Trace(errLowConfidence)
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -87,7 +87,7 @@
 // first.
 func (x *activeRequest) forwardEvent(answer *upstream.Answer, raw []byte) error {
 	if !x.headSent {
-		x.headSent = true
+		x.headSent, x.sentStatus = true, answer.Status
 		x.sink.Begin(answer.Status, answer.Header, -1)
 	}
 	if err := x.sink.Write(raw); err != nil {
--- a/internal/entry/foreign_answer_test.go
+++ b/internal/entry/foreign_answer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -137,3 +138,72 @@
 	got := &recordingSink{}
 	return got, r.entry.Forward(context.Background(), forward.Request{ID: id, Method: "POST", Host: "h", Target: path, Path: path, Key: "k", Arrived: time.Now()}, got)
 }
+
+// Guards against an answer that is not the rest of a stream and gets into it: an error's text or
+// head in the middle of a stream, or a stream that ends as if it were complete. It holds as
+// well when no attempt is left.
+func TestOnlyTheRestOfAStreamContinuesIt(t *testing.T) {
+	const first = "id: 1\ndata: 1\n\n"
+	for _, status := range []int{201, 204, 206, 301, 304, 400, 401, 404, 408, 409, 421, 429, 500, 502, 503, 504} {
+		for _, framing := range []string{"length", "chunked", "closed"} {
+			for _, recovers := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d/%s/recovers=%v", status, framing, recovers), func(t *testing.T) {
+					r := newHarness(t)
+					r.plan()
+					var sent atomic.Int64
+					answer := func(w http.ResponseWriter, _ *http.Request) {
+						switch n := sent.Add(1); {
+						case n == 1:
+							event(w, 1)
+							hangUp(w)
+						case n > 2 && recovers:
+							event(w, 2)
+						default:
+							writeError(w, status, framing)
+						}
+					}
+					for _, id := range []string{"a", "b", "c"} {
+						r.server(id, answer)
+					}
+					ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+					defer cancel()
+					got, err := r.sendWith(ctx, forward.Request{Path: "/streaming/x", Key: "k"})
+					text := got.text()
+					switch {
+					case got.status != http.StatusOK:
+						t.Errorf("status %d", got.status)
+					case err == nil && text != first+"id: 2\ndata: 2\n\n":
+						t.Errorf("%q ends as complete", text)
+					case err != nil && text != first:
+						t.Errorf("%q, %v", text, err)
+					case recovers && err != nil:
+						t.Errorf("%v, although a third server has the rest", err)
+					}
+				})
+			}
+		}
+	}
+}
+
+// writeError writes an answer with the status whose text looks like an event.
+func writeError(w http.ResponseWriter, status int, framing string) {
+	const text = "data: error\n\n"
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\n", status, w.Header().Get("Id"))
+	hasBody := status != http.StatusNoContent && status != http.StatusNotModified
+	switch {
+	case !hasBody:
+		buffer.WriteString(head + "\r\n")
+	case framing == "length":
+		fmt.Fprintf(buffer, "%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
+	case framing == "chunked":
+		fmt.Fprintf(buffer, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(text), text)
+	default:
+		buffer.WriteString(head + "Connection: close\r\n\r\n" + strings.Repeat(text, 2))
+	}
+	buffer.Flush()
+}
