The test of a stopped control waits for its leaders

Cause: it read the leader outside the wait, so that an election in between, as load may cause, would end the test with a nil pointer. Change: it reads the leader inside the wait. What it checks is unchanged.

--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -17,6 +17,7 @@
 	"rosereach/core/catalog"
 	"rosereach/core/change"
 	"rosereach/core/lease"
+	"rosereach/core/replica"
 	"rosereach/core/rollout"
 	"rosereach/core/route"
 	"rosereach/internal/httpd"
@@ -255,14 +256,18 @@
 	}
 	g.waitForLeader("three voters", func(l *Node) bool { return len(l.group().Members.Voters) == 3 })
 	g.start("c9", g.listen("c9", false), false)
-	successor, stopped := g.nodes["c9"].self, g.leader().cfg.ID
+	successor, stopped := g.nodes["c9"].self, ""
 	g.waitForLeader("the successor as a learner with the log", func(l *Node) bool {
+		stopped = l.cfg.ID
 		return l.group().Members.IsMember(successor) && g.nodes["c9"].group().Applied >= l.group().Commit
 	})
 	old := g.nodes[stopped].self
 	g.stop(stopped)
-	g.waitForLeader("a leader", func(*Node) bool { return true })
-	members := g.leader().group().Members
+	var members replica.Membership
+	g.waitForLeader("another leader", func(l *Node) bool {
+		members = l.group().Members
+		return true
+	})
 	if members.IsVoter(old) || !members.IsVoter(successor) || len(members.Voters) != 3 {
 		t.Fatalf("%s has stopped, and the voters are %+v", stopped, members.Voters)
 	}
