A test of lost disks right after a kill beside the successor, known red

Cause: a voter that is killed, not stopped, is replaced by its running successor after 3 s of silence; a disk lost before that ends a group of 2f+1 voters.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -432,3 +432,29 @@
 		}
 	}
 }
+
+// Guards against the same end of a group when the replaced control is killed, not stopped, and
+// disks are lost before its silence shows that it has gone. Listed in KNOWN-RED.txt.
+func TestLostDisksAfterKillBesideSuccessorAreTolerated(t *testing.T) {
+	for _, voters := range []int{3, 5, 7} {
+		for wait := time.Duration(0); wait <= 6*time.Second; wait += time.Second {
+			t.Run(fmt.Sprintf("%d/%v", voters, wait), func(t *testing.T) {
+				g := newGroup(t, voters)
+				g.start("s1")
+				g.run(catchUp)
+				g.kill("c2")
+				g.controls["c2"].stopping = true
+				g.run(wait)
+				lost := g.running()[:g.tolerate]
+				for _, name := range lost {
+					g.loseDisk(name)
+				}
+				g.run(1400 * time.Millisecond)
+				for _, name := range lost {
+					g.start(name)
+				}
+				g.acknowledge("after the lost disks")
+			})
+		}
+	}
+}
