--- a/internal/control/unreadable_test.go
+++ b/internal/control/unreadable_test.go
@@ -109,3 +109,21 @@
 		t.Error("the record after it is missing")
 	}
 }
+
+// Guards against numbers of a server that overflow at the members that read them: such a record
+// of another member is left out as well.
+func TestRecordsOutOfRangeAreLeftOut(t *testing.T) {
+	n := newWatchedNode(t, 0, 1)
+	for name, change := range map[string]func(a *backend.Announcement){
+		"capacity":    func(a *backend.Announcement) { a.Capacity = 1 << 40 },
+		"incarnation": func(a *backend.Announcement) { a.Incarnation = 1 << 63 },
+		"sequence":    func(a *backend.Announcement) { a.Sequence = 1<<64 - 1 },
+	} {
+		a := backend.Announcement{ID: name, Incarnation: 1, Sequence: 1, State: backend.Serving, Service: "s", Capacity: 1}
+		change(&a)
+		n.fleet.roster.ApplyDelta(n.cfg.Clock.Now(), roster.Delta{Records: []roster.Record{{Server: a}}})
+		if _, ok := n.fleet.roster.Find(name); ok {
+			t.Errorf("%s: the record is kept", name)
+		}
+	}
+}
