--- a/core/catalog/routing.go
+++ b/core/catalog/routing.go
@@ -60,9 +60,13 @@
 		return change.Refuse(found)
 	}
 	next.Ordered = c.At
-	if old, ok := d.Rollouts[c.Name]; ok && old.IsSameOrder(next) {
-		accepted.Revision = old.Revision
-		return accepted
+	next.Share, next.RouteShares, next.RolledBack = 0, nil, nil
+	if old, ok := d.Rollouts[c.Name]; ok {
+		if old.IsSameOrder(next) {
+			accepted.Revision = old.Revision
+			return accepted
+		}
+		next.RolledBack = old.NotCompleted(next.Target)
 	}
 	next.Stage, next.Revision = rollout.StageOrdered, accepted.Revision
 	d.Rollouts[c.Name] = next
@@ -84,7 +88,7 @@
 	if !o.MayMove(move.Stage) {
 		return change.RefuseFor("stage", "cannot move from "+string(o.Stage)+" to "+string(move.Stage), "a later stage")
 	}
-	o.Stage, o.Reason, o.Revision = move.Stage, move.Reason, accepted.Revision
+	o.Stage, o.Reason, o.Share, o.RouteShares, o.Revision = move.Stage, move.Reason, move.Share, move.RouteShares, accepted.Revision
 	d.Rollouts[c.Name] = o
 	return accepted
 }
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,6 +13,9 @@
 	// StageOrdered sends no requests to the target yet: for the first half of the
 	// roll-out, sessions keep the release that they started with.
 	StageOrdered Stage = "ordered"
+	// StageProbe sends a share of the requests without a session to the target of a
+	// service that is too quiet to show its health in the second half.
+	StageProbe Stage = "probe"
 	// StageCanary sends a small share of the requests to the target.
 	StageCanary Stage = "canary"
 	// StageSpread sends the canary's share to twice as many servers.
@@ -26,17 +30,20 @@
 )
 
 const (
-	// canaryStart, spreadStart, fullStart and completionStart are points of a
-	// roll-out, as fractions of its duration. At canaryStart the target gets its
+	// probeStart, canaryStart, spreadStart, fullStart and completionStart are points of a
+	// roll-out, as fractions of its duration. At probeStart the target of a quiet service
+	// gets requests without a session. At canaryStart the target gets its
 	// first requests, at spreadStart they go to more of its servers, at fullStart it
-	// takes all requests if it has shown no fault, and at completionStart it is the
-	// only release left.
+	// takes all requests if its health is shown, or earlier if the operator's bound
+	// allows all of the remaining ones, and from completionStart on it becomes the only
+	// release left as soon as its health is shown.
 	//
 	// Sessions may move only in the second half. Operators limit the share of
 	// the roll-out's requests that a bad release may get. Some faults show late
 	// or never, so that all requests move only when those of the remaining time
 	// are within that limit. The old servers stop at completion, and requests
 	// that they have not finished continue at the target.
+	probeStart      = 0.15
 	canaryStart     = 0.51
 	spreadStart     = 0.68
 	fullStart       = 0.915
@@ -47,10 +54,13 @@
 	// or so, and one answer may be lost.
 	completionMargin = 1200 * time.Millisecond
 
-	// minTargetRequests is the number of requests that the target must have handled before
-	// it takes all. A release that fails half of its requests is detected with
-	// fewer.
-	minTargetRequests = 12
+	// fullMargin is the minimum time from the stage in which the target takes all requests
+	// to the completion, for the requests at the old servers.
+	fullMargin = 400 * time.Millisecond
+
+	// reportInterval is the longest time until the requests at an entry are counted at the
+	// leader.
+	reportInterval = time.Second
 
 	// coldWork is the work of a request at a server with an empty cache, compared to
 	// that at others.
@@ -60,13 +70,17 @@
 	// requests in the canary stage.
 	minCanaryServers = 2
 
+	// maxRolledBack is the number of releases that a roll-out remembers as not completed.
+	// The servers of a release drain soon after its roll-out.
+	maxRolledBack = 16
+
 	// resendWindow is how long after the end of a roll-out an identical order counts
 	// as a resend. Operators resend for a few seconds.
 	resendWindow = 10 * time.Second
 )
 
 // stageSequence lists the stages of a roll-out without faults.
-var stageSequence = []Stage{StageOrdered, StageCanary, StageSpread, StageFull, StageCompleted}
+var stageSequence = []Stage{StageOrdered, StageProbe, StageCanary, StageSpread, StageFull, StageCompleted}
 
 type (
 	// Stage is the stage of an ordered roll-out.
@@ -80,6 +94,15 @@
 		Target   string        `json:"target"`
 		Duration time.Duration `json:"duration"`
 		Stage    Stage         `json:"stage"`
+		// Share is the share of the sessions, 0 to 1, that the target gets in the probe,
+		// canary and spread stages; 0 stands for CanaryShare.
+		Share float64 `json:"share,omitempty"`
+		// RouteShares are the shares of the requests without a session in these stages,
+		// for busy routes of a quiet service.
+		RouteShares map[string]float64 `json:"route_shares,omitempty"`
+		// RolledBack lists the service's releases that earlier roll-outs did not complete.
+		// They get no requests.
+		RolledBack []string `json:"rolled_back,omitempty"`
 		// Ordered is the wall-clock time of the leader when it accepted the order.
 		Ordered time.Time `json:"ordered"`
 		// Reason says why the roll-out is in its stage.
@@ -89,8 +112,11 @@
 
 	// Move is the document that records a change of stage.
 	Move struct {
-		Stage  Stage  `json:"stage"`
-		Reason string `json:"reason"`
+		Stage  Stage   `json:"stage"`
+		Reason string  `json:"reason"`
+		Share  float64 `json:"share,omitempty"`
+
+		RouteShares map[string]float64 `json:"route_shares,omitempty"`
 	}
 )
 
@@ -121,11 +147,31 @@
 	return !o.IsFinal() || other.Ordered.Sub(o.Ordered) < o.Duration+resendWindow
 }
 
+// NotCompleted returns the service's releases that must get no requests while its next
+// roll-out, to the given target, is in progress: those that earlier roll-outs did not
+// complete. Their servers may still run when the next order comes.
+func (o Order) NotCompleted(nextTarget string) []string {
+	releases := slices.Clone(o.RolledBack)
+	if o.Stage != StageCompleted {
+		releases = append(releases, o.Target)
+	}
+	releases = slices.DeleteFunc(releases, func(release string) bool { return release == nextTarget })
+	return releases[max(len(releases)-maxRolledBack, 0):]
+}
+
+// MayServe reports whether a release other than the target may serve requests.
+func (o Order) MayServe(release string) bool {
+	return release != o.Target && !slices.Contains(o.RolledBack, release)
+}
+
 // TargetShare returns the share of the sessions, 0 to 1, that the target gets.
 // Allowed is the operator's bound for a release without evidence.
 func (o Order) TargetShare(allowed float64) float64 {
 	switch o.Stage {
-	case StageCanary, StageSpread:
+	case StageProbe, StageCanary, StageSpread:
+		if o.Share > 0 {
+			return min(o.Share, 1)
+		}
 		return CanaryShare(allowed)
 	case StageFull, StageCompleted:
 		return 1
@@ -133,53 +179,83 @@
 	return 0
 }
 
+// RouteShare returns the share of a route's requests without a session that the target
+// gets, as TargetShare.
+func (o Order) RouteShare(route string, allowed float64) float64 {
+	share := o.TargetShare(allowed)
+	if own, ok := o.RouteShares[route]; ok && (o.Stage == StageProbe || o.isCanary()) {
+		share = min(own, 1)
+	}
+	return share
+}
+
 // MayMove reports whether the roll-out may change to the stage: from the ordered
-// stage to the canary, from there to any later stage, and from every stage that is
-// not final to the rolled-back one.
+// stage to the probe or the canary, from there to any later stage, and from every stage
+// that is not final to the rolled-back one. A move to the same stage changes the shares.
 func (o Order) MayMove(to Stage) bool {
 	if o.IsFinal() {
 		return false
 	}
+	if to == o.Stage {
+		return o.Stage == StageProbe || o.isCanary()
+	}
 	from, next := slices.Index(stageSequence, o.Stage), slices.Index(stageSequence, to)
-	return to == StageRolledBack || next > from && (o.Stage != StageOrdered || to == StageCanary)
+	return to == StageRolledBack || next > from && (o.Stage != StageOrdered || to == StageProbe || to == StageCanary)
 }
 
-// Next returns the stage that the roll-out should be in and the reason, given the
-// time since the order and the tallies of attempts.
-func (o Order) Next(elapsed time.Duration, tallies []Tally) (Stage, string) {
+// Next returns the move that is due, given the time since the order, the attempts
+// observed since then, and the operator's bound. It has the order's stage if none is due.
+//
+// A release becomes the only one when its health is shown, not when no fault was seen:
+// at a quiet service a canary of a fixed share sees too few requests to tell a bad release
+// from a good one, and after completion there is no server to go back to. If the
+// health can't be shown within the duration, the target is rolled back.
+func (o Order) Next(elapsed time.Duration, m *Monitor, b Budget) Move {
+	stay := Move{Stage: o.Stage, Reason: o.Reason, Share: o.Share, RouteShares: o.RouteShares}
 	if o.IsFinal() {
-		return o.Stage, o.Reason
+		return stay
 	}
-	if reason := rollbackReason(o.Service, o.Target, tallies); reason != "" {
-		return StageRolledBack, reason
+	if reason := m.rollbackReason(o.Target); reason != "" {
+		return Move{Stage: StageRolledBack, Reason: reason}
 	}
+	seen, all := m.counts(o.Target)
+	p := progress{seen: seen, rate: rate(all+1, elapsed), completion: o.completionTime(), duration: o.Duration}
+	until := func(fraction float64) time.Duration { return fractionOf(o.Duration, fraction) - elapsed }
 	switch {
-	case elapsed >= o.Duration && !hasEnoughRequests(o, tallies, true):
-		return StageRolledBack, "no request reached the target in time"
-	case o.Stage == StageOrdered && elapsed >= fractionOf(o.Duration, canaryStart):
-		return StageCanary, "half of the time is over"
-	case o.isCanary() && elapsed >= fractionOf(o.Duration, fullStart) && hasEnoughRequests(o, tallies, elapsed >= o.completionTime()):
-		return StageFull, "no fault was seen"
-	case o.Stage == StageCanary && elapsed >= fractionOf(o.Duration, spreadStart):
-		return StageSpread, "no fault was seen under the usual number of requests"
-	case o.Stage == StageFull && elapsed >= o.completionTime():
-		return StageCompleted, "no fault was seen"
-	}
-	return o.Stage, o.Reason
+	case elapsed >= o.Duration && !m.isShownHealthy(o.Target, elapsed):
+		return Move{Stage: StageRolledBack, Reason: "its health was not shown in time"}
+	case o.Stage == StageOrdered && until(probeStart) <= 0 && until(canaryStart) > 0 && b.Slack > 0 && isQuiet(all, elapsed, o.Duration):
+		return Move{Stage: StageProbe, Reason: "the service is quiet", Share: b.canaryShare(p, until(canaryStart)), RouteShares: b.routeShares(p, until(canaryStart), m.busyRoutes(elapsed))}
+	case (o.Stage == StageOrdered || o.Stage == StageProbe) && until(canaryStart) <= 0:
+		return Move{Stage: StageCanary, Reason: "half of the time is over", Share: b.canaryShare(p, until(fullStart)), RouteShares: b.routeShares(p, until(fullStart), m.busyRoutes(elapsed))}
+	case o.isCanary() && o.mayTakeAll(elapsed, m, b):
+		return Move{Stage: StageFull, Reason: "no fault was seen"}
+	case (o.Stage == StageProbe || o.isCanary()) && len(o.RouteShares) > 0 && float64(seen) >= b.planned(p) && !o.isPaused():
+		return Move{Stage: o.Stage, Reason: "it has had the planned requests", Share: o.Share, RouteShares: b.routeShares(p, 0, m.busyRoutes(elapsed))}
+	case o.Stage == StageCanary && until(spreadStart) <= 0:
+		return Move{Stage: StageSpread, Reason: "no fault was seen under the usual number of requests", Share: o.Share, RouteShares: b.routeShares(p, until(fullStart), m.busyRoutes(elapsed))}
+	case o.Stage == StageFull && elapsed >= o.completionTime() && m.isShownHealthy(o.Target, elapsed):
+		return Move{Stage: StageCompleted, Reason: "its health is shown"}
+	}
+	return stay
 }
 
-// completionTime returns when the roll-out completes. Short ones keep the margin, but
-// not at the cost of the order of stages.
-func (o Order) completionTime() time.Duration {
-	return max(min(fractionOf(o.Duration, completionStart), o.Duration-completionMargin), fractionOf(o.Duration, fullStart))
+// mayTakeAll reports whether the target may take all requests: because the operator's
+// bound allows it for the rest of the duration, or because its health is shown. The
+// former is the strongest test of a release while the old servers still run, and the only
+// one of faults that show under load.
+func (o Order) mayTakeAll(elapsed time.Duration, m *Monitor, b Budget) bool {
+	seen, all := m.counts(o.Target)
+	if elapsed >= max(fractionOf(o.Duration, fullStart), o.completionTime()-fullMargin) && m.isShownHealthy(o.Target, elapsed) {
+		return true
+	}
+	return m.isLeaningGood(o.Target, elapsed) && b.allowsAll(seen, all, elapsed, o.Duration-elapsed)
 }
 
-// hasEnoughRequests reports whether the target has handled enough requests to take all. At
-// the end of the roll-out one request suffices, or none if the whole service had
-// none.
-func hasEnoughRequests(o Order, tallies []Tally, isEnd bool) bool {
-	seen, all := requestsOf(o.Service, tallies, o.Target)
-	return seen >= minTargetRequests || isEnd && (seen > 0 || all == 0)
+// completionTime returns when the roll-out completes at the earliest. Short ones keep the
+// margin.
+func (o Order) completionTime() time.Duration {
+	return min(fractionOf(o.Duration, completionStart), o.Duration-completionMargin)
 }
 
 // CanaryShare returns the share of a service's requests, 0 to 1, that the target
@@ -195,7 +271,7 @@
 // release.
 func (o Order) TargetServers(n int, share float64) int {
 	switch o.Stage {
-	case StageCanary:
+	case StageProbe, StageCanary:
 		return min(max(int(float64(n)*share), minCanaryServers), n)
 	case StageSpread:
 		return min(max(int(float64(n)*share*coldWork), minCanaryServers), n)
@@ -203,6 +279,28 @@
 	return n
 }
 
+// Changes reports whether a move changes the roll-out.
+func (o Order) Changes(m Move) bool {
+	return m.Stage != o.Stage || m.Share != o.Share || !maps.Equal(m.RouteShares, o.RouteShares)
+}
+
+// isPaused reports whether the target gets requests of sessions only.
+func (o Order) isPaused() bool {
+	for _, share := range o.RouteShares {
+		if share > 0 {
+			return false
+		}
+	}
+	return len(o.RouteShares) > 0
+}
+
+// isQuiet reports whether a service is quiet, given its requests in the time since the
+// order. Entries report about once a second.
+func isQuiet(requests uint64, elapsed, duration time.Duration) bool {
+	counted := elapsed - reportInterval
+	return counted >= reportInterval && highRate(requests+1, counted)*duration.Seconds() < quietRequests
+}
+
 func (o Order) isCanary() bool { return o.Stage == StageCanary || o.Stage == StageSpread }
 
 func fractionOf(d time.Duration, fraction float64) time.Duration {
--- a/core/rollout/order_test.go
+++ b/core/rollout/order_test.go
@@ -14,6 +14,15 @@
 	return rollout.Order{Service: "s", Target: "v2", Duration: duration, Stage: stage}
 }
 
+// next returns the stage that is due and its reason. An operator allows 15% of the
+// requests.
+func next(o rollout.Order, elapsed time.Duration, tallies ...rollout.Tally) (rollout.Stage, string) {
+	m := &rollout.Monitor{}
+	m.Observe(o, []rollout.Report{{Entry: "entry", Tallies: tallies}})
+	move := o.Next(elapsed, m, rollout.Budget{Share: 0.15})
+	return move.Stage, move.Reason
+}
+
 // expected is the expected time to the first byte.
 const expected = 100 * time.Millisecond
 
@@ -58,7 +67,7 @@
 	good := []rollout.Tally{tally("v1", "r", 300, 50, 100), tally("v2", "r", 30, 30, 110)}
 	var stages []rollout.Stage
 	for at := time.Duration(0); at < duration; at += 200 * time.Millisecond {
-		stage, _ := o.Next(at, good)
+		stage, _ := next(o, at, good...)
 		if stage != o.Stage {
 			if !o.MayMove(stage) {
 				t.Fatalf("%s cannot move to %s", o.Stage, stage)
@@ -90,7 +99,7 @@
 			o.Duration = length
 			var got float64
 			for at := time.Duration(0); at < length; at += interval {
-				o.Stage, _ = o.Next(at, good)
+				o.Stage, _ = next(o, at, good...)
 				requests := 1.0
 				if at >= length*9/10 {
 					requests = busier
@@ -115,7 +124,7 @@
 		o.Duration = length
 		completed := time.Duration(0)
 		for at := interval / 2; at < length && completed == 0; at += interval {
-			if o.Stage, _ = o.Next(at, good); o.Stage == rollout.StageCompleted {
+			if o.Stage, _ = next(o, at, good...); o.Stage == rollout.StageCompleted {
 				completed = at
 			}
 		}
@@ -161,10 +170,10 @@
 		"a third of them, under load":  {partlySlow("v1", "a", 300, 12), partlySlow("v2", "a", 60, 3)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if stage, reason := order(rollout.StageCanary).Next(duration/2, tallies); stage != rollout.StageRolledBack || reason == "" {
+			if stage, reason := next(order(rollout.StageCanary), duration/2, tallies...); stage != rollout.StageRolledBack || reason == "" {
 				t.Fatalf("stage %s, reason %q", stage, reason)
 			}
-			if stage, _ := order(rollout.StageFull).Next(duration*7/10, tallies); stage != rollout.StageRolledBack {
+			if stage, _ := next(order(rollout.StageFull), duration*7/10, tallies...); stage != rollout.StageRolledBack {
 				t.Fatalf("stage %s once it takes all", stage)
 			}
 		})
@@ -180,7 +189,7 @@
 		"slow under load": {partlySlow("v1", "a", 300, 8), partlySlow("v2", "a", 40, 7)},
 		"one failure":     {tally("v1", "a", 300, 0, 100), tally("v2", "a", 1, 1, 100)},
 	} {
-		if stage, reason := order(rollout.StageCanary).Next(duration*55/100, tallies); stage != rollout.StageCanary {
+		if stage, reason := next(order(rollout.StageCanary), duration*55/100, tallies...); stage != rollout.StageCanary {
 			t.Errorf("%s: stage %s, %s", name, stage, reason)
 		}
 	}
@@ -192,16 +201,16 @@
 	busy := []rollout.Tally{tally("v1", "a", 300, 0, 100)}
 	o := order(rollout.StageCanary)
 	for at := time.Duration(0); at < duration; at += 200 * time.Millisecond {
-		if o.Stage, _ = o.Next(at, busy); o.Stage != rollout.StageCanary && o.Stage != rollout.StageSpread {
+		if o.Stage, _ = next(o, at, busy...); o.Stage != rollout.StageCanary && o.Stage != rollout.StageSpread {
 			t.Fatalf("stage %s after %s", o.Stage, at)
 		}
 	}
 	for _, from := range []rollout.Stage{rollout.StageCanary, rollout.StageSpread} {
-		if stage, _ := order(from).Next(duration, busy); stage != rollout.StageRolledBack {
+		if stage, _ := next(order(from), duration, busy...); stage != rollout.StageRolledBack {
 			t.Fatalf("stage %s at the end, from %s", stage, from)
 		}
 	}
-	if stage, _ := order(rollout.StageCanary).Next(duration*97/100, nil); stage != rollout.StageFull {
+	if stage, _ := next(order(rollout.StageCanary), duration*97/100); stage != rollout.StageFull {
 		t.Fatalf("stage %s of an idle service", stage)
 	}
 }
--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -66,3 +66,10 @@
 	n, mean, deviation := c.gap()
 	return n >= minTimedAnswers && mean > slowPaceLogRatio && mean > slowSigmas*deviation
 }
+
+// showsUsualPace reports whether enough streams were compared and their pace excludes a
+// slow release.
+func (c *paceComparison) showsUsualPace() bool {
+	n, mean, deviation := c.gap()
+	return n >= minTimedAnswers && mean+slowBoundSigmas*deviation < badSlowLogRatio
+}
--- a/core/rollout/pace_test.go
+++ b/core/rollout/pace_test.go
@@ -52,7 +52,7 @@
 			[]rollout.Tally{pacedTally("v1", "m", 200, 0, 1), pacedTally("v2", "m", 4, 2, 1)}, rollout.StageCanary,
 		},
 	} {
-		if got, reason := order(rollout.StageCanary).Next(duration*55/100, c.tallies); got != c.want {
+		if got, reason := next(order(rollout.StageCanary), duration*55/100, c.tallies...); got != c.want {
 			t.Errorf("%s: %s (%s), want %s", name, got, reason, c.want)
 		}
 	}
--- a/core/rollout/tally.go
+++ b/core/rollout/tally.go
@@ -38,6 +38,15 @@
 	// because the test is repeated about fifty times.
 	slowSigmas = 2.5
 
+	// unsupportedSlowSigmas applies instead if the number of slow answers speaks against a
+	// slow release. With slowSigmas, one good release in ten was rolled back in
+	// simulations, mostly after six to ten answers.
+	unsupportedSlowSigmas = 4
+
+	// slowAnswerLogRatio is the log ratio from which an answer counts as slow: three times
+	// the expected time.
+	slowAnswerLogRatio = 1.1
+
 	// slowPaceLogRatio is the difference of the mean logarithms of the time between
 	// events from which a release counts as slow: e^0.5 is 65% longer. Servers whose
 	// caches are empty read whole prompts between the events of others.
@@ -59,14 +68,18 @@
 	Release string `json:"release"`
 	Route   string `json:"route"`
 	// Model is the model that was asked, empty on routes without one.
-	Model    string `json:"model,omitempty"`
-	Requests uint64 `json:"requests"`
-	Failures uint64 `json:"failures"`
+	Model string `json:"model,omitempty"`
+	// OrderedMS identifies the roll-out by the time of its order, in Unix milliseconds.
+	OrderedMS int64  `json:"ordered_ms,omitempty"`
+	Requests  uint64 `json:"requests"`
+	Failures  uint64 `json:"failures"`
 	// Timed is the number of answers that began. LogSum and LogSq are the sum and
 	// the sum of squares of ln(actual/expected), for their time to the first byte.
 	Timed  uint64  `json:"timed"`
 	LogSum float64 `json:"log_sum"`
 	LogSq  float64 `json:"log_sq"`
+	// Slow is the number of answers that took several times as long as expected.
+	Slow uint64 `json:"slow,omitempty"`
 	// Paced is the number of streams whose pace was measured. PaceLogSum and PaceLogSq
 	// are the sum and the sum of squares of the logarithm of the seconds between two of
 	// their events.
@@ -92,6 +105,9 @@
 	if firstByte > 0 && expected > 0 {
 		l := math.Log(firstByte.Seconds() / expected.Seconds())
 		t.Timed++
+		if l > slowAnswerLogRatio {
+			t.Slow++
+		}
 		t.LogSum += l
 		t.LogSq += l * l
 	}
@@ -116,6 +132,7 @@
 	t.Requests += other.Requests
 	t.Failures += other.Failures
 	t.Timed += other.Timed
+	t.Slow += other.Slow
 	t.LogSum += other.LogSum
 	t.LogSq += other.LogSq
 	t.Paced += other.Paced
@@ -126,9 +143,19 @@
 
 // Comparison is what a roll-out is judged by, for logs.
 type Comparison struct {
-	// Requests and Failures are the target's attempts.
-	Requests uint64
-	Failures uint64
+	// Requests and Failures are the target's attempts, Others and OtherFailures those of
+	// the other releases.
+	Requests      uint64
+	Failures      uint64
+	Others        uint64
+	OtherFailures uint64
+	// Slow and OtherSlow are the answers that took several times as long as expected.
+	Slow      uint64
+	OtherSlow uint64
+	// LogLikelihood is the logarithm of how much likelier the failures are for a bad
+	// release than for a good one, and Healthy whether the release counts as healthy.
+	LogLikelihood float64
+	Healthy       bool
 	// Timed and Paced are the numbers of answers of the target whose time to the first
 	// byte and whose pace are compared; TimeGap and PaceGap are the mean differences of
 	// the logarithms to the old release.
@@ -138,81 +165,24 @@
 	PaceGap float64
 }
 
-// Compare returns the comparison of the target of a service's roll-out.
-func Compare(service, target string, tallies []Tally) Comparison {
-	var next, old Tally
-	var paces paceComparison
-	for _, t := range tallies {
-		if t.Service != service {
-			continue
-		}
-		paces.add(t, target)
-		if t.Release == target {
-			next = next.add(t)
-		} else {
-			old = old.add(t)
-		}
-	}
-	e := Comparison{Requests: next.Requests, Failures: next.Failures, Timed: next.Timed}
-	if next.Timed > 0 && old.Timed > 0 {
-		nextMean, _ := next.moments()
-		oldMean, _ := old.moments()
-		e.TimeGap = nextMean - oldMean
+// Compare returns what the target of a roll-out is judged by.
+func (m *Monitor) Compare(target string, elapsed time.Duration) Comparison {
+	all, _ := m.compare(target)
+	e := Comparison{Requests: all.next.Requests, Failures: all.next.Failures, Timed: all.next.Timed, Others: all.old.Requests, OtherFailures: all.old.Failures}
+	e.LogLikelihood, e.Healthy = all.failures().logLikelihoodRatio(badFailureDifference), m.isShownHealthy(target, elapsed)
+	e.Slow, e.OtherSlow = all.next.Slow, all.old.Slow
+	if all.next.Timed > 0 && all.old.Timed > 0 {
+		e.TimeGap, _ = timeGap(all.next, all.old)
 	}
-	n, mean, _ := paces.gap()
+	n, mean, _ := m.paces(target).gap()
 	e.Paced, e.PaceGap = uint64(n), mean
 	return e
 }
 
-// rollbackReason returns the reason to roll the target back, or "". It compares the
-// releases over all routes and on each route, as a release can be bad on a single
-// one.
-func rollbackReason(service, target string, tallies []Tally) string {
-	var newAll, oldAll Tally
-	newBy, oldBy := make(map[string]Tally), make(map[string]Tally)
-	var paces paceComparison
-	for _, t := range tallies {
-		if t.Service != service {
-			continue
-		}
-		paces.add(t, target)
-		if t.Release == target {
-			newAll, newBy[t.Route] = newAll.add(t), newBy[t.Route].add(t)
-		} else {
-			oldAll, oldBy[t.Route] = oldAll.add(t), oldBy[t.Route].add(t)
-		}
-	}
-	switch {
-	case isFailing(newAll, oldAll):
-		return "requests fail"
-	case isSlow(newAll, oldAll):
-		return "requests are slow"
-	case paces.isSlow():
-		return "events are slow"
-	}
-	for name, t := range newBy {
-		switch {
-		case isFailing(t, oldBy[name]):
-			return "requests fail on route " + name
-		case isSlow(t, oldBy[name]):
-			return "requests are slow on route " + name
-		}
-	}
-	return ""
-}
-
 // isFailing reports whether the failures of the next release indicate a bad one, by a
-// likelihood ratio test. A good release fails as often as the old one, a bad one
-// more often by badFailureDifference.
-func isFailing(next, old Tally) bool {
-	good := minFailureRate
-	if old.Requests > 0 {
-		good = max(good, (float64(old.Failures)+1)/(float64(old.Requests)+2))
-	}
-	good = min(good, 1-badFailureDifference-0.05)
-	bad := good + badFailureDifference
-	failed, ok := float64(next.Failures), float64(next.Requests-next.Failures)
-	return failed*math.Log(bad/good)+ok*math.Log((1-bad)/(1-good)) > badLogLikelihood
+// likelihood ratio test.
+func (r releases) isFailing() bool {
+	return r.failures().logLikelihoodRatio(badFailureDifference) > badLogLikelihood
 }
 
 // isSlow reports whether the next release is slower than the old one: the
@@ -222,11 +192,20 @@
 	if next.Timed < minTimedAnswers || old.Timed < minTimedAnswers {
 		return false
 	}
+	gap, spread := timeGap(next, old)
+	sigmas := slowSigmas
+	if (releases{next: next, old: old}).slowAnswers().logLikelihoodRatio(badFailureDifference) < 0 {
+		sigmas = unsupportedSlowSigmas
+	}
+	return gap > slowLogRatio && gap > sigmas*spread
+}
+
+// timeGap returns the difference of the mean logarithms of two releases, and its standard
+// error.
+func timeGap(next, old Tally) (gap, spread float64) {
 	nextMean, nextVar := next.moments()
 	oldMean, oldVar := old.moments()
-	gap := nextMean - oldMean
-	spread := math.Sqrt(nextVar/float64(next.Timed) + oldVar/float64(old.Timed))
-	return gap > slowLogRatio && gap > slowSigmas*spread
+	return nextMean - oldMean, math.Sqrt(nextVar/float64(next.Timed) + oldVar/float64(old.Timed))
 }
 
 // moments returns the mean and the variance of the logarithms.
@@ -235,18 +214,3 @@
 	mean = t.LogSum / n
 	return mean, max(t.LogSq/n-mean*mean, 0.01)
 }
-
-// requestsOf returns the number of requests of a service at one release and at all
-// releases.
-func requestsOf(service string, tallies []Tally, release string) (one, all uint64) {
-	for _, t := range tallies {
-		if t.Service != service {
-			continue
-		}
-		all += t.Requests
-		if t.Release == release {
-			one += t.Requests
-		}
-	}
-	return one, all
-}
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/lease"
+	"rosereach/core/rollout"
 	"rosereach/internal/control"
 	"rosereach/platform"
 )
@@ -30,7 +31,7 @@
 		ID: now.Name, Folder: now.DataDir, Address: now.MemberAddress(), Region: now.Region, Zone: now.Zone, MemberKey: p.memberKey, OperatorKey: s.optional("operator-key"),
 		Seeds:            &control.Seeds{Addresses: p.memberAddresses, MayFound: now.Bootstrap, MinVoters: 2*now.FaultTolerance + 1},
 		ForgetQuarantine: c.Bool("forget-quarantine"),
-		MinVoters:        min(len(now.Controls), foundingVoters), Terms: lease.DefaultConfig(), Clock: clock.WallClock, Logger: p.logger,
+		MinVoters:        min(len(now.Controls), foundingVoters), Exposure: rollout.Budget{Share: now.Bounds.ExposureShare, Slack: now.Bounds.ExposureSlack}, Terms: lease.DefaultConfig(), Clock: clock.WallClock, Logger: p.logger,
 	})
 	if err != nil {
 		return err
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -21,6 +21,7 @@
 	"rosereach/core/change"
 	"rosereach/core/lease"
 	"rosereach/core/replica"
+	"rosereach/core/rollout"
 	"rosereach/core/state"
 	"rosereach/internal/metrics"
 	"rosereach/io/disk"
@@ -82,6 +83,9 @@
 		// roll-outs are acknowledged.
 		MinVoters int
 
+		// Exposure bounds the requests that an unproven release gets in a roll-out.
+		Exposure rollout.Budget
+
 		// MemberKey authenticates members, OperatorKey the first operator.
 		MemberKey   string
 		OperatorKey string
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -24,6 +24,9 @@
 
 	// elapsedBefore is how long the roll-out had been in progress by then.
 	elapsedBefore time.Duration
+
+	// monitor accumulates the attempts since the order.
+	monitor *rollout.Monitor
 }
 
 // advanceRollouts moves each roll-out to its next stage when the elapsed time and
@@ -34,15 +37,17 @@
 			delete(n.rolloutClocks, service)
 			continue
 		}
-		tallies := n.tallies()
-		stage, reason := o.Next(n.rolloutElapsed(now, o), tallies)
-		if stage == o.Stage {
+		elapsed := n.rolloutElapsed(now, o)
+		monitor := n.observeRollout(o)
+		move := o.Next(elapsed, monitor, n.cfg.Exposure)
+		if !o.Changes(move) {
 			continue
 		}
-		e := rollout.Compare(service, o.Target, tallies)
-		n.cfg.Logger.Log("msg", "Roll-out moves.", "service", service, "target", o.Target, "from", o.Stage, "to", stage, "reason", reason,
-			"requests", e.Requests, "failures", e.Failures, "timed", e.Timed, "time_gap", e.TimeGap, "paced", e.Paced, "pace_gap", e.PaceGap)
-		go n.commitRolloutMove(ctx, o, rollout.Move{Stage: stage, Reason: reason})
+		e := monitor.Compare(o.Target, elapsed)
+		n.cfg.Logger.Log("msg", "Roll-out moves.", "service", service, "target", o.Target, "from", o.Stage, "to", move.Stage, "reason", move.Reason,
+			"elapsed", elapsed, "share", move.Share, "requests", e.Requests, "failures", e.Failures, "others", e.Others, "other_failures", e.OtherFailures,
+			"log_likelihood", e.LogLikelihood, "healthy", e.Healthy, "slow", e.Slow, "other_slow", e.OtherSlow, "timed", e.Timed, "time_gap", e.TimeGap, "paced", e.Paced, "pace_gap", e.PaceGap)
+		go n.commitRolloutMove(ctx, o, move)
 	}
 }
 
@@ -52,7 +57,7 @@
 func (n *Node) rolloutElapsed(now time.Time, o rollout.Order) time.Duration {
 	start, ok := n.rolloutClocks[o.Service]
 	if !ok || start.orderedAt != o.Ordered {
-		start = rolloutClock{orderedAt: o.Ordered, firstSeen: now, elapsedBefore: min(max(now.Sub(o.Ordered), 0), o.Duration)}
+		start = rolloutClock{orderedAt: o.Ordered, firstSeen: now, elapsedBefore: min(max(now.Sub(o.Ordered), 0), o.Duration), monitor: &rollout.Monitor{}}
 		n.rolloutClocks[o.Service] = start
 	}
 	return start.elapsedBefore + now.Sub(start.firstSeen)
@@ -68,13 +73,16 @@
 	}
 }
 
-// tallies returns the tallies of all entries' reports. Callers hold n.mu.
-func (n *Node) tallies() []rollout.Tally {
-	var all []rollout.Tally
+// observeRollout adds the entries' reports to the monitor of a roll-out whose clock runs.
+// Callers hold n.mu.
+func (n *Node) observeRollout(o rollout.Order) *rollout.Monitor {
+	monitor := n.rolloutClocks[o.Service].monitor
+	reports := make([]rollout.Report, 0, len(n.fleet.reports))
 	for _, r := range n.fleet.reports {
-		all = append(all, r.latest.Tallies...)
+		reports = append(reports, rollout.Report{Entry: r.latest.Entry, Incarnation: r.latest.Incarnation, Tallies: r.latest.Tallies})
 	}
-	return all
+	monitor.Observe(o, reports)
+	return monitor
 }
 
 // commitRolloutMove commits a roll-out's move to another stage. The move fails if the
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"rosereach/core/backend"
@@ -172,9 +173,14 @@
 		maps.DeleteFunc(f.tallies, func(k tallyKey, _ rollout.Tally) bool { return k.service == x.service })
 		return
 	}
+	ordered := o.Ordered.UnixMilli()
+	maps.DeleteFunc(f.tallies, func(k tallyKey, t rollout.Tally) bool { return k.service == x.service && t.OrderedMS != ordered })
+	if slices.Contains(o.RolledBack, a.server.Release) {
+		return
+	}
 	key := tallyKey{service: x.service, release: a.server.Release, route: x.route.Name, model: x.model}
 	t := f.tallies[key]
-	t.Service, t.Release, t.Route, t.Model = key.service, key.release, key.route, key.model
+	t.Service, t.Release, t.Route, t.Model, t.OrderedMS = key.service, key.release, key.route, key.model, ordered
 	f.tallies[key] = update(t, o)
 }
 
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -221,8 +221,13 @@
 // release, which gets the given share of the sessions. All requests of a session
 // get the same result, and a session on the target stays there as the share grows.
 func (f *forwarder) goesToTarget(x *activeRequest, o rollout.Order, share float64) bool {
-	if x.req.Session == "" || share >= 1 {
-		return f.random.Float64() < share
+	switch {
+	case x.req.Session != "" && o.Stage == rollout.StageProbe:
+		return false
+	case x.req.Session == "":
+		return f.random.Float64() < o.RouteShare(x.route.Name, f.entry.cfg.Forwarding.ExposureShare)
+	case share >= 1:
+		return true
 	}
 	drawn := xxhash.Sum64String(x.req.Session + "\x00" + o.Target)
 	return float64(drawn)/math.MaxUint64 < share
