A detour passes a reset on that a write to the server took

Cause: the kernel reports the reset of a connection once. While a long request was being passed on, the write to the server got it, the read returned a clean end, and the detour closed the caller's side cleanly: an answer without a length that was cut looked complete.

--- a/io/detour/detour_test.go
+++ b/io/detour/detour_test.go
@@ -157,3 +157,32 @@
 	default:
 	}
 }
+
+// The reset of a server in the middle of its answer arrives as one while a long request is
+// still being passed on: the write to the server took the reset, and the answer, without a
+// length, ended as if it were complete.
+func TestResetWhileWritingIsPassedOn(t *testing.T) {
+	for range 10 {
+		blocked := make(chan struct{})
+		address := server(t, func(c *net.TCPConn) {
+			io.ReadFull(c, make([]byte, 4))
+			c.Write([]byte("part"))
+			<-blocked
+			c.SetLinger(0)
+			c.Close()
+		})
+		conn := dial(t, relay(t, map[string]string{"s": address}), "s")
+		// Writes until the relay waits for the server, and then only reads, so that no write
+		// of this side takes the reset in turn.
+		conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		for piece := make([]byte, 64<<10); ; {
+			if _, err := conn.Write(piece); err != nil {
+				break
+			}
+		}
+		close(blocked)
+		if got, err := io.ReadAll(conn); err == nil {
+			t.Fatalf("%q ends cleanly", got)
+		}
+	}
+}
--- a/io/detour/server.go
+++ b/io/detour/server.go
@@ -85,14 +85,15 @@
 	stop := context.AfterFunc(ctx, func() { server.Close() }) //nolint:errcheck // the copies end then
 	defer stop()
 	var toServer sync.WaitGroup
+	writer := &watchedWriter{w: server}
 	toServer.Go(func() {
-		if err := copyAll(server, dialing); err != nil {
+		if err := copyAll(writer, dialing); err != nil {
 			reset(server)
 		}
 		server.Close() //nolint:errcheck // see splice
 	})
 	defer toServer.Wait()
-	if err := copyAll(dialing, server); err != nil {
+	if err := copyAll(dialing, server); err != nil || writer.hasFailed() {
 		reset(dialing)
 		return
 	}
@@ -102,6 +103,31 @@
 	}
 }
 
+// watchedWriter remembers whether a write failed. The kernel reports the reset of a
+// connection once: if a write got it, a read returns the same as at a clean end.
+type watchedWriter struct {
+	w io.Writer
+
+	mu     sync.Mutex
+	failed bool
+}
+
+func (w *watchedWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.w.Write(p)
+	w.failed = w.failed || err != nil
+	return n, err
+}
+
+// hasFailed waits for a write in progress, which a connection that has ended does not hold
+// up.
+func (w *watchedWriter) hasFailed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed
+}
+
 func copyAll(to io.Writer, from io.Reader) error {
 	buffer := make([]byte, copyBufferBytes)
 	for {
