The end of a connection alone does not end a stream

Seen by users on real processes: streams ended as complete before their last event (ORDER).

Cause: an answer without a length that ended after a whole event counted as complete, also where its server had been killed; and a read returns the end of the connection where a write of the request took its reset.

Change: where a stream may be resumed, a server is asked for the rest, and one that has none proves the end. An answer without a length is whole only if its request was written completely. Request ends. says events and framing.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -50,6 +50,7 @@
 	errHeadTimeout    = errors.ConstError("timed out waiting for the answer's header")
 	errStalled        = errors.ConstError("timed out waiting for more of the answer")
 	errWrongRequestID = errors.ConstError("the answer belongs to another request")
+	errUnprovenEnd    = errors.ConstError("the answer ended with its connection, which may have been cut")
 	errIncomplete     = errors.ConstError("the answer broke off")
 	errLowConfidence  = errors.ConstError("the model reports low confidence in its answer")
 	errNotContinued   = errors.ConstError("the answer is not the rest of the stream that has begun")
@@ -82,6 +83,8 @@
 		headSent    bool            // the header of a stream was forwarded
 		sentStatus  int             // status in that header
 		lastEventID uint64          // ID of the last event forwarded
+		events      int             // events forwarded
+		framing     string          // of the last answer that was a stream, for the log
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
 		nextAttempt *attempt        // placed already, by an escalation or to replace a silent attempt
 		retryTaken  bool            // the retry for the next attempt was taken from the budget
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -111,7 +111,7 @@
 		logger = level.Warn(x.log())
 	}
 	logger.Log("msg", "Request ends.", "id", x.req.ID, "route", x.route.Name, "ws", x.workspace.Name, "sess", x.req.Session,
-		"srv", x.server, "model", x.model, "send", x.sends, "run", x.runs, "begun", x.headSent, "last", x.lastEventID, "exp", x.expected, "first", x.firstByte,
+		"srv", x.server, "model", x.model, "send", x.sends, "run", x.runs, "begun", x.headSent, "last", x.lastEventID, "events", x.events, "framing", x.framing, "output", x.req.OutputTokens, "exp", x.expected, "first", x.firstByte,
 		"unread", x.uncachedTokens, "took", x.now().Sub(x.req.Arrived), "err", err)
 }
 
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -24,6 +24,7 @@
 	defer watch.stop()
 	buffer := make([]byte, streamBufferBytes)
 	lastBefore := x.lastEventID
+	x.framing = answer.Framing.String()
 	for {
 		n, err := answer.Read(buffer)
 		events, tooLong := splitter.Push(buffer[:n])
@@ -44,10 +45,15 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && (order.LastID() > lastBefore || x.headSent && answer.Framed):
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && x.isEnd(answer, order.LastID() > lastBefore):
 			// A server that resumes a stream behind its last event has none to add.
 			answer.Close()
 			return "", nil
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && order.LastID() > lastBefore:
+			x.takeOver(watch)
+			answer.Close()
+			x.tried = append(x.tried, a.server.ID)
+			return forward.Incomplete, errors.Trace(errUnprovenEnd)
 		default:
 			h := x.takeOver(watch)
 			return x.handleBrokenStream(ctx, a, answer, errors.Annotatef(errIncomplete, "%v", err), h.serverDead)
@@ -55,6 +61,16 @@
 	}
 }
 
+// isEnd reports whether a stream is complete when its answer has ended after a whole event.
+// The end of a connection alone does not show it, as a killed server ends it in the same
+// way: where the stream may be resumed, a server is asked for the rest.
+func (x *activeRequest) isEnd(answer *upstream.Answer, hasNewEvents bool) bool {
+	if answer.Framing == upstream.ByClose {
+		return hasNewEvents && (!x.route.Resumable || x.route.MaxAttempts <= 1)
+	}
+	return hasNewEvents || x.headSent
+}
+
 // forwardEvents forwards the events that the caller has not received yet.
 func (x *activeRequest) forwardEvents(a *attempt, answer *upstream.Answer, order *stream.Sequencer, events []stream.Event) error {
 	for _, e := range events {
@@ -79,6 +95,7 @@
 			return err
 		}
 		x.lastEventID = order.LastID()
+		x.events++
 	}
 	return nil
 }
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -59,7 +59,19 @@
 	ErrBadAnswer = errors.ConstError("no proper answer")
 )
 
+// What marks the end of an answer's body.
+const (
+	// ByClose means that only the end of the connection does. A server that is killed ends
+	// it in the same way, so that such a body may have been cut off.
+	ByClose Framing = iota
+	ByLength
+	ByChunks
+)
+
 type (
+	// Framing is what marks the end of an answer's body.
+	Framing int
+
 	// Call is one request to one server.
 	Call struct {
 		Address string // host:port
@@ -84,9 +96,8 @@
 		Header http.Header
 		// Length is the length of the body in bytes, or -1 if it is unknown.
 		Length int64
-		// Framed is set when the end of the body is marked by its length or by chunks, and
-		// not by the end of the connection alone.
-		Framed bool
+		// Framing says what marks the end of the body.
+		Framing Framing
 
 		body    io.ReadCloser
 		conn    *conn
@@ -98,8 +109,10 @@
 		complete bool
 		// detach detaches the connection from the request's context.
 		detach func() bool
-		// writeResult gets the result of writing the request.
+		// writeResult gets the result of writing the request, and written is set when it
+		// was written completely.
 		writeResult chan error
+		written     bool
 	}
 
 	// Client pools connections to servers. It is safe for concurrent use.
@@ -248,9 +261,13 @@
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body,
 		conn: conn, client: c, address: call.Address, writeResult: wrote,
 	}
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.StatusCode == http.StatusNoContent
-	a.Framed = framed
-	a.keepAlive = framed && !resp.Close
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		a.Framing = ByChunks
+	case resp.ContentLength >= 0 || resp.StatusCode == http.StatusNoContent:
+		a.Framing = ByLength
+	}
+	a.keepAlive = a.Framing != ByClose && !resp.Close
 	conn.expiresAt = c.clock.Now().Add(idleTimeout(resp.Header))
 	return a, nil
 }
@@ -273,9 +290,17 @@
 	}
 }
 
-// Read reads the body. It returns io.EOF only when the body is complete.
+func (f Framing) String() string { return [...]string{"close", "length", "chunks"}[f] }
+
+// Read reads the body. It returns io.EOF only when the body is complete, as far as its
+// framing tells.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	if err == io.EOF && a.Framing == ByClose && !a.wroteAll() {
+		// The kernel reports a reset once. If the write of the request got it, a read
+		// returns the same as at the end of the connection.
+		err = io.ErrUnexpectedEOF
+	}
 	if err == io.EOF {
 		a.complete = true
 	}
@@ -290,19 +315,23 @@
 		a.conn.discard()
 		return
 	}
-	select {
-	case err := <-a.writeResult:
-		if err != nil {
-			a.conn.discard()
-			return
-		}
-	default:
+	if !a.wroteAll() {
 		a.conn.discard()
 		return
 	}
 	a.client.release(a.address, a.conn)
 }
 
+// wroteAll reports whether the request was written completely.
+func (a *Answer) wroteAll() bool {
+	select {
+	case err := <-a.writeResult:
+		a.written = err == nil
+	default:
+	}
+	return a.written
+}
+
 // Discard closes the connection, so that the server stops working on the
 // request.
 func (a *Answer) Discard() {
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/juju/clock"
 	"github.com/juju/errors"
@@ -208,3 +209,33 @@
 	fmt.Println(errors.Is(err, upstream.ErrNotSent))
 	// Output: true
 }
+
+// The kernel reports a reset once. While a long request was still being written, the write got
+// it, and the read returned the same as at the end of the connection: an answer without a
+// length that was cut by a reset looked complete.
+func TestResetWhileWritingIsNoEnd(t *testing.T) {
+	const answers = 40
+	for _, bodyBytes := range []int{0, 8 << 20} {
+		for range answers {
+			address := server(t, func(c net.Conn) {
+				r := bufio.NewReader(c)
+				if _, err := r.ReadString('\n'); err != nil {
+					return
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+				time.Sleep(5 * time.Millisecond)
+				c.(*net.TCPConn).SetLinger(0)
+			})
+			a, err := upstream.NewClient(clock.WallClock).Do(context.Background(), upstream.Call{
+				Address: address, Method: "POST", Host: "h", Target: "/", Body: make([]byte, bodyBytes),
+			}, func() error { return nil })
+			if err != nil {
+				continue // the head was lost as well
+			}
+			if body, err := io.ReadAll(a); err == nil {
+				t.Fatalf("a body of %d bytes: %q is complete", bodyBytes, body)
+			}
+			a.Discard()
+		}
+	}
+}
