Measured roll-outs are a feature that all controls have to know

Controls of older builds refuse a move that carries shares, and don't record the releases that were not completed: they would hold another state. The leader enables the feature once there is an order and all members know it; until then the canary has its usual share.

--- a/core/catalog/routing.go
+++ b/core/catalog/routing.go
@@ -66,7 +66,9 @@
 			accepted.Revision = old.Revision
 			return accepted
 		}
-		next.RolledBack = old.NotCompleted(next.Target)
+		if _, enabled := d.Features[change.MeasuredRollouts]; enabled {
+			next.RolledBack = old.NotCompleted(next.Target)
+		}
 	}
 	next.Stage, next.Revision = rollout.StageOrdered, accepted.Revision
 	d.Rollouts[c.Name] = next
--- a/core/change/feature.go
+++ b/core/change/feature.go
@@ -5,6 +5,10 @@
 // Evacuations is the feature of changes of kind PutEvacuation.
 const Evacuations Feature = "evacuations"
 
+// MeasuredRollouts is the feature of roll-outs whose moves carry shares and whose orders
+// remember the releases that were not completed.
+const MeasuredRollouts Feature = "measured_rollouts"
+
 // Feature names kinds of change that replicas of older builds can't apply. A group enables
 // it once all its members know it: replicas that apply a change differently would hold
 // different states, and older ones would refuse what newer ones accept.
@@ -15,7 +19,7 @@
 var features = map[Kind]Feature{PutEvacuation: Evacuations}
 
 // Features returns all features that this build knows.
-func Features() []Feature { return []Feature{Evacuations} }
+func Features() []Feature { return []Feature{Evacuations, MeasuredRollouts} }
 
 // Feature returns the feature that a kind of change belongs to, empty for one that every
 // build knows.
--- a/internal/control/feature.go
+++ b/internal/control/feature.go
@@ -34,19 +34,28 @@
 const featureInterval = time.Second
 
 // prepareFeatures enables evacuations once the routing plan has home regions or servers with
-// a time to warm up. It answers an order that arrives while a control is down that the
-// leader has not reached yet: nobody can tell its build then. Callers hold n.mu.
+// a time to warm up, and measured roll-outs once there is an order. It answers an order that
+// arrives while a control is down that the leader has not reached yet: nobody can tell its
+// build then. Callers hold n.mu.
 func (n *Node) prepareFeatures(ctx context.Context, now time.Time) {
 	docs := n.state.Documents()
-	if _, enabled := docs.Features[change.Evacuations]; enabled || docs.Routing == nil || now.Sub(n.featuresTriedAt) < featureInterval {
+	if docs.Routing == nil || now.Sub(n.featuresTriedAt) < featureInterval {
 		return
 	}
 	n.featuresTriedAt = now
-	if docs.Routing.Config.UsesLocations() && len(n.membersWithout(change.Evacuations)) == 0 {
-		go n.enableFeature(ctx, change.Evacuations) //nolint:errcheck // it is tried again
+	for f, isNeeded := range map[change.Feature]bool{change.Evacuations: docs.Routing.Config.UsesLocations(), change.MeasuredRollouts: len(docs.Rollouts) > 0} {
+		if !n.hasFeature(f) && isNeeded && len(n.membersWithout(f)) == 0 {
+			go n.enableFeature(ctx, f) //nolint:errcheck // it is tried again
+		}
 	}
 }
 
+// hasFeature reports whether the group has enabled a feature. Callers hold n.mu.
+func (n *Node) hasFeature(f change.Feature) bool {
+	_, enabled := n.state.Documents().Features[f]
+	return enabled
+}
+
 func (n *Node) enableFeature(ctx context.Context, f change.Feature) error {
 	n.mu.Lock()
 	_, enabled := n.state.Documents().Features[f]
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -39,7 +39,14 @@
 		}
 		elapsed := n.rolloutElapsed(now, o)
 		monitor := n.observeRollout(o)
-		move := o.Next(elapsed, monitor, n.cfg.Exposure)
+		budget, isMeasured := n.cfg.Exposure, n.hasFeature(change.MeasuredRollouts)
+		if !isMeasured {
+			budget.Slack = 0
+		}
+		move := o.Next(elapsed, monitor, budget)
+		if !isMeasured {
+			move.Share, move.RouteShares = 0, nil // controls of older builds refuse them
+		}
 		if !o.Changes(move) {
 			continue
 		}
