A release that was not completed gets no requests in the next roll-out

Cause: during a roll-out all servers of other releases counted as the old release's, also those that still drained after their roll-back.

Change: an order lists the releases that were not completed (feature measured_rollouts), and their servers are left out.

--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -205,7 +205,7 @@
 		return all, nil
 	}
 	target := filterRecords(all, func(r roster.Record) bool { return r.Server.Release == o.Target })
-	others = filterRecords(all, func(r roster.Record) bool { return r.Server.Release != o.Target })
+	others = filterRecords(all, func(r roster.Record) bool { return o.MayServe(r.Server.Release) })
 	exposureShare := f.entry.cfg.Forwarding.ExposureShare
 	switch share := o.TargetShare(exposureShare); {
 	case o.Stage == rollout.StageCompleted:
