--- a/core/rollout/evidence_test.go
+++ b/core/rollout/evidence_test.go
@@ -172,7 +172,13 @@
 
 // faults are the releases that are played at every rate and duration.
 var faults = []fault{
-	{}, {share: 0.2}, {share: 0.3}, {share: 0.4}, {share: 1}, {share: 0.4, oneRoute: true}, {share: 0.5, slow: true},
+	{},
+	{share: 0.2},
+	{share: 0.3},
+	{share: 0.4},
+	{share: 1},
+	{share: 0.4, oneRoute: true},
+	{share: 0.5, slow: true},
 	{share: 0.5, from: 3 * time.Second},
 }
 
