A stopping entry passes nothing on that it would cut

Another operator saw requests that were taken late in the grace time cut at its end (LOST). Here a stopping entry passed on what had arrived before the close and waited: in the queue, for a connection, or after a server's refusal.

--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -124,8 +124,9 @@
 // time, and removes the entry from the address lists.
 func (p *platformEntry) drain(ctx context.Context) {
 	p.process.logger.Log("msg", "Entry drains.", "id", p.process.settings().Name)
-	p.drainDeadline.Store(p.process.clock.Now().Add(p.process.settings().Bounds.GracePeriod - exitMargin).UnixNano())
-	p.entry.StopListing(ctx, delistTime)
+	exitAt := p.process.clock.Now().Add(p.process.settings().Bounds.GracePeriod - exitMargin)
+	p.drainDeadline.Store(exitAt.UnixNano())
+	p.entry.StopListing(ctx, delistTime, exitAt)
 }
 
 // remainingTime returns how long running requests may still take.
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -67,6 +68,7 @@
 		workspace route.Workspace
 		sink      forward.Sink
 		deadline  time.Time
+		startedAt time.Time // when it left the queue
 
 		service string
 		parts   []quarantine.Key // of the prompt, as far as other requests share them
@@ -139,7 +141,7 @@
 
 // run makes attempts until one is answered or no further attempt is allowed.
 func (x *activeRequest) run(ctx context.Context) error {
-	x.lastEventID = x.req.LastEventID
+	x.lastEventID, x.startedAt = x.req.LastEventID, x.now()
 	x.forwarder.countRequest(x.service)
 	if x.req.AnyModel {
 		x.model = x.forwarder.sizes.First(x.route.Models)
@@ -274,7 +276,7 @@
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: x.serverPriority(), LastEventID: x.lastEventID,
 		}),
 		NewConn: x.sends > 1 && (!x.route.IsRetryable() || slices.Contains(x.tried, a.server.ID)), Via: viaOf(a.homes),
-	}, func() error { return x.admit(a) })
+	}, func() error { return x.admitToSend(a) })
 	if err != nil {
 		return x.handleSendError(ctx, a, err, x.takeOver(watch))
 	}
@@ -337,11 +339,16 @@
 	if ctx.Err() != nil || !x.now().Before(x.deadline) {
 		return nil, &forward.Failure{Code: forward.TimedOut, Detail: "the deadline has passed"}
 	}
-	if failure := x.quarantinedFailure(); failure != nil {
+	if failure := cmp.Or(x.drainingFailure(), x.quarantinedFailure()); failure != nil {
 		return nil, failure
 	}
+	if x.runs == 0 {
+		var endWait context.CancelFunc
+		ctx, endWait = x.forwarder.entry.untilClosed(ctx)
+		defer endWait()
+	}
 	if failure := x.awaitTrial(ctx); failure != nil {
-		return nil, failure
+		return nil, cmp.Or(x.drainingFailure(), failure)
 	}
 	if a := x.nextAttempt; a != nil {
 		x.nextAttempt = nil
@@ -356,7 +363,7 @@
 	}
 	if !ok {
 		x.endTrial(nil, false, false)
-		return nil, x.noServerFailure()
+		return nil, cmp.Or(x.drainingFailure(), x.noServerFailure())
 	}
 	x.forwarder.markServiceUp(x.service)
 	return a, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,6 +83,7 @@
 		hasPlanOnce   sync.Once
 		draining      atomic.Bool  // removed from the address list
 		closed        atomic.Bool  // refuses new requests
+		stopping      *stopping    // of forwarding
 		inFlight      atomic.Int64 // requests being answered
 
 		mu              sync.Mutex
@@ -111,6 +112,7 @@
 		cfg:             cfg,
 		executions:      newExecutionTable(),
 		hasPlan:         make(chan struct{}),
+		stopping:        newStopping(),
 		backends:        iobackend.NewClient(cfg.Clock, maxIdleConns),
 		retryBudgets:    retry.NewBudgets(retry.EntryBudgetConfig, retry.WorkspaceBudgetConfig),
 		registry:        registry.New(backendLease).WithSubset(cfg.ID, cfg.Incarnation, subsetSize),
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -98,6 +98,7 @@
 		sizes   cascade.SizeCascade
 
 		metrics   *forwardMetrics
+		durations forward.Durations
 		unlocated atomic.Int64 // requests rejected for their homes or evacuated zones
 
 		placement placement.Priced
@@ -190,7 +191,12 @@
 	if failure := x.quarantinedFailure(); failure != nil {
 		return e.reject(req, x.route, failure)
 	}
-	leave, err := e.admissionForRoute(x.route).enter(ctx, e.cfg.Clock, x.ticket())
+	waiting, endWait := e.untilClosed(ctx)
+	leave, err := e.admissionForRoute(x.route).enter(waiting, e.cfg.Clock, x.ticket())
+	endWait()
+	if err != nil && e.stopping.isClosed() && ctx.Err() == nil {
+		return e.reject(req, x.route, newDrainingFailure())
+	}
 	if err != nil {
 		return e.reject(req, x.route, overloadFailure(err))
 	}
@@ -198,6 +204,9 @@
 	x.logAdmitted(req.Arrived)
 	err = x.run(ctx)
 	x.logEnd(err)
+	if err == nil {
+		x.forwarder.durations.Observe(x.route.Name, x.now().Sub(x.startedAt))
+	}
 	x.forwarder.metrics.requestEnded(x.route, err, x.now().Sub(req.Arrived))
 	return err
 }
@@ -228,7 +237,7 @@
 	table := e.catalog.Load().Routes()
 	switch {
 	case e.closed.Load():
-		return nil, &forward.Failure{Code: forward.Draining, Detail: "this entry is shutting down; use another", RetryAfter: drainingRetryAfter}
+		return nil, newDrainingFailure()
 	case table == nil:
 		return nil, &forward.Failure{Code: forward.NotReady, Detail: "this entry has no routing plan yet; use another", RetryAfter: notReadyRetryAfter}
 	}
--- /dev/null
+++ b/internal/entry/stop_test.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rosereach/core/forward"
+	"rosereach/core/limit"
+	"rosereach/core/route"
+)
+
+// stoppingEntry is an entry whose planned stop the test makes.
+type stoppingEntry struct {
+	*harness
+
+	runs atomic.Int64 // of requests at servers
+}
+
+func newStoppingEntry(t *testing.T) *stoppingEntry {
+	s := &stoppingEntry{harness: newHarness(t)}
+	s.plan()
+	return s
+}
+
+func (s *stoppingEntry) counting(id string, h http.HandlerFunc) {
+	s.server(id, func(w http.ResponseWriter, r *http.Request) {
+		s.runs.Add(1)
+		h(w, r)
+	})
+}
+
+// close closes the entry, which has the given time until it exits.
+func (s *stoppingEntry) close(left time.Duration) {
+	s.entry.StopListing(context.Background(), time.Millisecond, time.Now().Add(left))
+}
+
+// start sends a request and returns its error when it has ended.
+func (s *stoppingEntry) start(kind route.Kind) chan error {
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.send(kind)
+		ended <- err
+	}()
+	return ended
+}
+
+// expectRefused expects that a request ends soon, refused as not run as the entry stops.
+func (s *stoppingEntry) expectRefused(ended chan error) {
+	s.t.Helper()
+	select {
+	case err := <-ended:
+		if codeOf(err) != forward.Draining {
+			s.t.Errorf("%v, want a refusal as the entry stops", err)
+		}
+	case <-time.After(2 * time.Second):
+		s.t.Error("the request still waits")
+	}
+}
+
+var stopKinds = []route.Kind{route.Safe, route.Unsafe, route.Streaming}
+
+// In the planned stop of another system's instance, requests that came late were passed on and
+// then cut without an answer as the process exited, among them ones that may run once. Here
+// a request that has not run when the entry closes is refused at once, wherever it waits.
+func TestWaitingRequestsAreRefusedAtTheStop(t *testing.T) {
+	for _, kind := range stopKinds {
+		t.Run("arrives later/"+string(kind), func(t *testing.T) {
+			s := newStoppingEntry(t)
+			s.counting("a", succeed)
+			s.close(time.Minute)
+			s.expectRefused(s.start(kind))
+			if n := s.runs.Load(); n != 0 {
+				t.Errorf("%d runs", n)
+			}
+		})
+		t.Run("waits in the queue/"+string(kind), func(t *testing.T) {
+			s := newStoppingEntry(t)
+			s.entry.plainAdmission, s.entry.engineAdmission = newAdmission(limit.NewFIFO(1, 10)), newAdmission(limit.NewFIFO(1, 10))
+			release := make(chan struct{})
+			s.counting("a", func(w http.ResponseWriter, r *http.Request) {
+				<-release
+				event(w, 1)
+			})
+			first := s.start(kind)
+			waitFor(t, "the first run", func() bool { return s.runs.Load() == 1 })
+			second := s.start(kind)
+			waitFor(t, "the second request in the queue", func() bool {
+				return s.entry.plainAdmission.waitingCount()+s.entry.engineAdmission.waitingCount() == 1
+			})
+			s.close(time.Minute)
+			s.expectRefused(second)
+			close(release)
+			if err := <-first; err != nil || s.runs.Load() != 1 {
+				t.Errorf("the running request: %v; %d runs", err, s.runs.Load())
+			}
+		})
+		t.Run("waits for the first server/"+string(kind), func(t *testing.T) {
+			s := newStoppingEntry(t)
+			ended := s.start(kind)
+			time.Sleep(20 * time.Millisecond)
+			s.close(time.Minute)
+			s.expectRefused(ended)
+		})
+		t.Run("connects/"+string(kind), func(t *testing.T) {
+			s := newStoppingEntry(t)
+			s.counting("a", succeed)
+			dialing, goOn := make(chan struct{}, 8), make(chan struct{})
+			s.entry.forwarder.client.DialContext = func(ctx context.Context, address string, _ func(string) bool) (net.Conn, error) {
+				dialing <- struct{}{}
+				<-goOn
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			}
+			ended := s.start(kind)
+			<-dialing
+			s.close(time.Minute)
+			close(goOn)
+			s.expectRefused(ended)
+			if n := s.runs.Load(); n != 0 {
+				t.Errorf("%d runs", n)
+			}
+		})
+		t.Run("is refused by a server/"+string(kind), func(t *testing.T) {
+			s := newStoppingEntry(t)
+			began, goOn := make(chan struct{}, 8), make(chan struct{})
+			for _, id := range []string{"a", "b"} {
+				s.counting(id, func(w http.ResponseWriter, r *http.Request) {
+					began <- struct{}{}
+					<-goOn
+					w.Header().Set("Refused", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				})
+			}
+			ended := s.start(kind)
+			<-began
+			s.close(time.Minute)
+			close(goOn)
+			s.expectRefused(ended)
+			if n := s.runs.Load(); n != 1 {
+				t.Errorf("%d servers got the request", n)
+			}
+		})
+	}
+}
+
+// A request that can't end before the process exits is refused, not passed on and cut, also
+// while the entry is still listed. One that can is served.
+func TestRequestsThatEndAfterTheExitAreRefused(t *testing.T) {
+	for _, kind := range stopKinds {
+		for _, c := range []struct {
+			left, takes time.Duration
+			want        forward.Code
+		}{{10 * time.Second, time.Second, ""}, {time.Second, 2 * time.Second, forward.Draining}} {
+			s := newStoppingEntry(t)
+			s.counting("a", func(w http.ResponseWriter, _ *http.Request) { event(w, 1) })
+			for range 50 {
+				s.entry.forwarder.durations.Observe(string(kind), c.takes)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			listed := make(chan struct{})
+			go func() {
+				defer close(listed)
+				s.entry.StopListing(ctx, time.Hour, time.Now().Add(c.left))
+			}()
+			waitFor(t, "the stop", s.entry.IsDraining)
+			if _, err := s.send(kind); codeOf(err) != c.want || s.runs.Load() != map[forward.Code]int64{"": 1}[c.want] {
+				t.Errorf("%s, %s left for %s: %v, %d runs", kind, c.left, c.takes, err, s.runs.Load())
+			}
+			cancel()
+			<-listed
+		}
+	}
+}
+
+// A safe request whose first server failed is sent again after the close if it can end
+// before the exit, and ends with the failure otherwise: it may have run.
+func TestRetriesAfterTheCloseEndBeforeTheExit(t *testing.T) {
+	for _, c := range []struct {
+		left time.Duration
+		runs int64
+	}{{10 * time.Second, 2}, {500 * time.Millisecond, 1}} {
+		s := newStoppingEntry(t)
+		began, goOn := make(chan struct{}, 8), make(chan struct{})
+		for _, id := range []string{"a", "b"} {
+			s.counting(id, func(w http.ResponseWriter, _ *http.Request) {
+				if s.runs.Load() == 1 {
+					began <- struct{}{}
+					<-goOn
+					hangUp(w)
+				}
+				io.WriteString(w, "done")
+			})
+		}
+		for range 50 {
+			s.entry.forwarder.durations.Observe(string(route.Safe), time.Second)
+		}
+		ended := s.start(route.Safe)
+		<-began
+		s.close(c.left)
+		close(goOn)
+		if err := <-ended; s.runs.Load() != c.runs || (err == nil) != (c.runs == 2) || err != nil && codeOf(err) != forward.AnswerLost {
+			t.Errorf("%s left: %d runs, %v", c.left, s.runs.Load(), err)
+		}
+	}
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -378,19 +378,6 @@
 	return roster.New(roster.Config{RemoveAfter: serverRemoveAfter}, start)
 }
 
-// StopListing removes the entry from the address list and waits for the given time,
-// until callers no longer use an old list. Afterward the entry refuses new
-// requests.
-func (e *Entry) StopListing(ctx context.Context, addressTTL time.Duration) {
-	e.draining.Store(true)
-	e.forwarder.watcher.announcePresence(ctx)
-	select {
-	case <-e.cfg.Clock.After(addressTTL):
-	case <-ctx.Done():
-	}
-	e.closed.Store(true)
-}
-
 // IsDraining reports whether the entry is shutting down.
 func (e *Entry) IsDraining() bool { return e.draining.Load() }
 
