--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -50,7 +51,8 @@
 
 	// answerPlan is how a server answers one request. Fault is 1 for a refusal
 	// without a run, 2 for a connection closed before the answer, 3 for an answer
-	// cut short.
+	// cut short, 4 for a server that is killed: its connection closes cleanly in the
+	// head of an answer, or after an event of a stream without a length.
 	answerPlan struct {
 		fault      int
 		leaving    bool
@@ -163,7 +165,7 @@
 	if left := time.Until(s.heldUntil); left >= time.Millisecond {
 		plan.fault, plan.retryAfter = 1, left
 	} else if s.faulty && s.random.Float64() <= faultShare {
-		plan.fault = 1 + s.random.IntN(3)
+		plan.fault = 1 + s.random.IntN(4)
 	}
 	return plan
 }
@@ -196,6 +198,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case plan.fault == 2:
 		panic(http.ErrAbortHandler)
+	case plan.fault == 4:
+		writeKilled(w, len(r.URL.Path) >= 10, after)
 	case len(r.URL.Path) < 10:
 		s.writeAnswer(w, id, plan.fault)
 	default:
@@ -213,6 +217,27 @@
 	io.WriteString(w, id) //nolint:errcheck // see above
 }
 
+// writeKilled ends as if the process were killed: in the head of an answer, or after some
+// events of a stream of which only the connection marks the end.
+func writeKilled(w http.ResponseWriter, isStream bool, after uint64) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close() //nolint:errcheck // the connection is not used again
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
+	w.Header().Write(&head) //nolint:errcheck // a buffer takes all bytes
+	if isStream {
+		head.WriteString("\r\n")
+		for id := after + 1; id <= min(after+3, streamEvents); id++ {
+			fmt.Fprintf(&head, "id: %d\ndata: %d\n\n", id, id)
+		}
+	}
+	buffered.Write(head.Bytes()) //nolint:errcheck // the caller may have disconnected
+	buffered.Flush()             //nolint:errcheck // see above
+}
+
 // writeStream sends the events that follow event number after. Fault 3 cuts it
 // short after three events.
 func writeStream(ctx context.Context, w http.ResponseWriter, after uint64, fault int) {
