--- a/internal/entry/rollout_test.go
+++ b/internal/entry/rollout_test.go
@@ -119,3 +119,39 @@
 		before = got
 	}
 }
+
+// Entries learn of a stage at different times. A session that has moved to the target at one
+// entry must not move back at another that does not know the stage yet: not in one order, and
+// not in the next one after a roll-back, when it goes back to the old release once.
+func TestSessionKeepsItsReleaseAcrossEntries(t *testing.T) {
+	const sessions = 60
+	rolledBack := rollout.Order{Target: "v2", Stage: rollout.StageRolledBack}
+	stages := []rollout.Order{
+		{Target: "v2", Stage: rollout.StageOrdered}, {Target: "v2", Stage: rollout.StageCanary}, {Target: "v2", Stage: rollout.StageSpread}, rolledBack,
+		{Target: "v3", Stage: rollout.StageOrdered}, {Target: "v3", Stage: rollout.StageCanary}, {Target: "v3", Stage: rollout.StageSpread},
+		{Target: "v3", Stage: rollout.StageFull}, {Target: "v3", Stage: rollout.StageCompleted},
+	}
+	first, second := newRolloutFleet(t, "v1", "v2", "v3"), newRolloutFleet(t, "v1", "v2", "v3")
+	put := func(f *rolloutFleet, o rollout.Order) {
+		o.Service = "s"
+		if o.Target == "v3" {
+			o.RolledBack = rolledBack.NotCompleted("v3")
+		}
+		f.put(o)
+	}
+	put(second, stages[0])
+	for i, o := range stages {
+		put(first, o)
+		early, late := first.sendAll(t, sessions), second.sendAll(t, sessions)
+		var movedBack int
+		for n := range early {
+			if early[n] == o.Target && late[n] != o.Target {
+				movedBack++
+			}
+		}
+		if movedBack > 0 {
+			t.Errorf("stage %s of %s at one entry, %s of %s at the other: %d of %d sessions move back", o.Stage, o.Target, stages[max(i-1, 0)].Stage, stages[max(i-1, 0)].Target, movedBack, sessions)
+		}
+		put(second, o)
+	}
+}
