--- a/internal/entry/rollout_test.go
+++ b/internal/entry/rollout_test.go
@@ -127,9 +127,15 @@
 	const sessions = 60
 	rolledBack := rollout.Order{Target: "v2", Stage: rollout.StageRolledBack}
 	stages := []rollout.Order{
-		{Target: "v2", Stage: rollout.StageOrdered}, {Target: "v2", Stage: rollout.StageCanary}, {Target: "v2", Stage: rollout.StageSpread}, rolledBack,
-		{Target: "v3", Stage: rollout.StageOrdered}, {Target: "v3", Stage: rollout.StageCanary}, {Target: "v3", Stage: rollout.StageSpread},
-		{Target: "v3", Stage: rollout.StageFull}, {Target: "v3", Stage: rollout.StageCompleted},
+		{Target: "v2", Stage: rollout.StageOrdered},
+		{Target: "v2", Stage: rollout.StageCanary},
+		{Target: "v2", Stage: rollout.StageSpread},
+		rolledBack,
+		{Target: "v3", Stage: rollout.StageOrdered},
+		{Target: "v3", Stage: rollout.StageCanary},
+		{Target: "v3", Stage: rollout.StageSpread},
+		{Target: "v3", Stage: rollout.StageFull},
+		{Target: "v3", Stage: rollout.StageCompleted},
 	}
 	first, second := newRolloutFleet(t, "v1", "v2", "v3"), newRolloutFleet(t, "v1", "v2", "v3")
 	put := func(f *rolloutFleet, o rollout.Order) {
