--- a/core/rollout/evidence_test.go
+++ b/core/rollout/evidence_test.go
@@ -205,10 +205,22 @@
 	}
 }
 
+// check reports bad releases that got more than operators allow. One good release in 20 may
+// miss its time: the tests err that often.
+func (s *summary) check(t *testing.T) {
+	t.Helper()
+	if s.exposedTooMuch > 0 || s.tooLate > 0 {
+		t.Errorf("%d of %d bad releases got more requests than allowed, %d got some too late", s.exposedTooMuch, s.bad, s.tooLate)
+	}
+	if s.goodInTime*20 < s.good*19 {
+		t.Errorf("%d of %d good releases were completed in time", s.goodInTime, s.good)
+	}
+}
+
 // playAll plays all faults at the rates and durations, two orders in series each.
-func playAll(t *testing.T, seeds uint64, rates []float64, lengths []time.Duration) summary {
+func playAll(t *testing.T, seeds uint64, rates []float64, lengths []time.Duration) *summary {
 	t.Helper()
-	var total summary
+	total := &summary{}
 	for _, length := range lengths {
 		for _, perSecond := range rates {
 			for i, f := range faults {
@@ -240,26 +252,13 @@
 // the requests that a bad release gets until the end of its roll-out, and those after its
 // 50th bad answer.
 func TestBadReleaseIsFoundAtEachRate(t *testing.T) {
-	total := playAll(t, 10, []float64{17, 47, 150}, []time.Duration{12 * time.Second, 16 * time.Second, 24 * time.Second, time.Minute})
-	if total.exposedTooMuch > 0 || total.tooLate > 0 {
-		t.Errorf("%d of %d bad releases got more requests than allowed, %d got some too late", total.exposedTooMuch, total.bad, total.tooLate)
-	}
-	// One good release in 20 may miss its time: the tests err that often.
-	if total.goodInTime*20 < total.good*19 {
-		t.Errorf("%d of %d good releases were completed in time", total.goodInTime, total.good)
-	}
+	playAll(t, 10, []float64{17, 47, 150}, []time.Duration{12 * time.Second, 16 * time.Second, 24 * time.Second, time.Minute}).check(t)
 }
 
 // The same for services and durations with so few requests that no test can tell all
 // releases apart: 4 to 300 requests from the order to the end.
 func TestBadReleaseIsFoundAmongFewRequests(t *testing.T) {
-	total := playAll(t, 10, []float64{0.5, 2, 5}, []time.Duration{8 * time.Second, 12 * time.Second, 24 * time.Second, time.Minute})
-	if total.exposedTooMuch > 0 || total.tooLate > 0 {
-		t.Errorf("%d of %d bad releases got more requests than allowed, %d got some too late", total.exposedTooMuch, total.bad, total.tooLate)
-	}
-	if total.goodInTime*20 < total.good*19 {
-		t.Errorf("%d of %d good releases were completed in time", total.goodInTime, total.good)
-	}
+	playAll(t, 10, []float64{0.5, 2, 5}, []time.Duration{8 * time.Second, 12 * time.Second, 24 * time.Second, time.Minute}).check(t)
 }
 
 // The failures of a release that an earlier roll-out did not complete counted as those of
