Repeats of a failing release count in what the target may still get

Cause: the release fails half of its requests once it has all of them, and each is sent once more: 1.43 times the average, where 1.1 times was expected.

Change: 1.25 times the average has to fit into 95% of the share.

--- a/core/rollout/budget.go
+++ b/core/rollout/budget.go
@@ -9,13 +9,13 @@
 	// evidenceRequests is the number of requests that the target of a quiet service gets
 	// before it takes all, if the bound allows them: about three times what showsHealth
 	// needs without a failure, so that each of three routes has enough.
-	evidenceRequests = 36
+	evidenceRequests = 40
 
 	// usualEvidence is the number of requests from which the usual share of the canary is
 	// enough. A larger share overloads the canary of an engine service, whose caches are
 	// empty: its good releases looked slow in 5 of 8 roll-outs, and in none of 8 with
 	// the usual share.
-	usualEvidence = 17
+	usualEvidence = 20
 
 	// canaryBudgetFraction is the part of the bound, less what the end of the roll-out
 	// needs, that the canary is planned to use. The rest is for the scatter of both.
@@ -36,6 +36,12 @@
 
 	// busierEnd is how much busier the end of a roll-out may be than its mean.
 	busierEnd = 1.1
+
+	// repeatedEnd is the same for the time in which the target takes all requests. A release
+	// that fails half of them under load gets each of those once more: 1.43 times the average
+	// on a day with such a release. What is above it has to fit into safeShare and
+	// boundSigmas.
+	repeatedEnd = 1.25
 )
 
 // Budget is the operator's bound on the requests that a bad release may get between the
@@ -116,6 +122,6 @@
 // so far.
 func (b Budget) allowsAll(seen, all uint64, elapsed, rest time.Duration) bool {
 	expected := highRate(all, elapsed) * rest.Seconds()
-	most := float64(seen) + busierEnd*expected + boundSigmas*math.Sqrt(expected)
+	most := float64(seen) + repeatedEnd*expected + boundSigmas*math.Sqrt(expected)
 	return most <= safeShare*b.Share*(float64(all)+expected)+b.Slack
 }
--- a/core/rollout/monitor.go
+++ b/core/rollout/monitor.go
@@ -10,8 +10,8 @@
 const (
 	// healthLogLikelihood is the log-likelihood ratio from which a release counts as
 	// healthy: a bad one, see badDifference, reaches it with a probability of at most
-	// e^-3.9, 2%. At a busy service it takes 17 answers without a failure.
-	healthLogLikelihood = 3.9
+	// e^-4.1, 2%. At a busy service it takes 18 answers without a failure.
+	healthLogLikelihood = 4.1
 
 	// routeLogLikelihood is the same on one route. A fault of one route reaches it with
 	// at most 10%, and has to hide from the other tests as well.
@@ -22,10 +22,6 @@
 	// without a failure.
 	leaningLogLikelihood = 1.6
 
-	// plentyRequests is the number of a service's requests from which the bounds are twice as
-	// high: where there is evidence enough, a bad release is not completed by chance.
-	plentyRequests = 2000
-
 	// visibleFraction is the part of a service's requests that has to show its health
 	// if there are too few for the other bounds.
 	visibleFraction = 0.5
@@ -284,7 +280,6 @@
 	all := b.next + b.old
 	difference := max(badDifference(highRate(all, elapsed)), noisyDifference*b.usualRate())
 	possible := binary{next: uint64(visibleFraction * float64(all)), oldBad: b.oldBad, old: b.old}
-	bound *= 1 + min(float64(all)/plentyRequests, 1)
 	return b.logLikelihoodRatio(difference) <= max(-bound, possible.logLikelihoodRatio(difference))
 }
 
