--- a/core/rollout/budget.go
+++ b/core/rollout/budget.go
@@ -7,8 +7,8 @@
 
 const (
 	// evidenceRequests is the number of requests that the target of a quiet service gets
-	// before it takes all, if the bound allows them: about three times what showsHealth
-	// needs without a failure, so that each of three routes has enough.
+	// before it takes all, if the bound allows them: about twice what showsHealth needs
+	// without a failure.
 	evidenceRequests = 40
 
 	// usualEvidence is the number of requests from which the usual share of the canary is
