The target takes all requests from 91.5% of the time on, as before

Cause: where the bound allows all requests only late, they went to the target 0.4 s before the completion, and the old servers stop at it: 22.4 s of 24 s in the log.

Change: the target that is shown healthy takes all from 91.5% of the time on.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -54,10 +54,6 @@
 	// or so, and one answer may be lost.
 	completionMargin = 1200 * time.Millisecond
 
-	// fullMargin is the minimum time from the stage in which the target takes all requests
-	// to the completion, for the requests at the old servers.
-	fullMargin = 400 * time.Millisecond
-
 	// reportInterval is the longest time until the requests at an entry are counted at the
 	// leader.
 	reportInterval = time.Second
@@ -246,7 +242,7 @@
 // one of faults that show under load.
 func (o Order) mayTakeAll(elapsed time.Duration, m *Monitor, b Budget) bool {
 	seen, all := m.counts(o.Target)
-	if elapsed >= max(fractionOf(o.Duration, fullStart), o.completionTime()-fullMargin) && m.isShownHealthy(o.Target, elapsed) {
+	if elapsed >= fractionOf(o.Duration, fullStart) && m.isShownHealthy(o.Target, elapsed) {
 		return true
 	}
 	return m.isLeaningGood(o.Target, elapsed) && b.allowsAll(seen, all, elapsed, o.Duration-elapsed)
