The check for text leaves out times

Cause: CheckText walked by reflection into the location of a time, whose name the first use of the local time sets. The encoding does not hold the location.

Change: a time is not walked into. TestLocationOfTimeIsNotChecked fails without it; core/encoding and core/state pass with the race detector.

--- a/core/encoding/encoding.go
+++ b/core/encoding/encoding.go
@@ -8,6 +8,7 @@
 	"math"
 	"reflect"
 	"strconv"
+	"time"
 	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,7 +21,10 @@
 // maxNestedLevels is far above the depth of any type that is encoded.
 const maxNestedLevels = 256
 
-var decoder = newDecoder()
+var (
+	decoder  = newDecoder()
+	timeType = reflect.TypeFor[time.Time]()
+)
 
 func newDecoder() cbor.DecMode {
 	mode, err := cbor.DecOptions{
@@ -47,6 +51,9 @@
 func CheckText(v any) error { return checkText(reflect.ValueOf(v), "") }
 
 func checkText(v reflect.Value, path string) error {
+	if v.IsValid() && v.Type() == timeType {
+		return nil // its location is no part of the encoding, and another goroutine may be setting it
+	}
 	switch v.Kind() {
 	case reflect.String:
 		if !utf8.ValidString(v.String()) {
--- a/core/encoding/encoding_test.go
+++ b/core/encoding/encoding_test.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -63,3 +64,12 @@
 		t.Fatal(err)
 	}
 }
+
+// Text is not looked for in the location of a time: the first use of the local time sets its
+// name, which the race detector found in a read beside it.
+func TestLocationOfTimeIsNotChecked(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.FixedZone("\xff", 0))
+	if err := CheckText(struct{ At []time.Time }{[]time.Time{at}}); err != nil {
+		t.Fatal(err)
+	}
+}
