A good release may replace one that fails most of its requests

Seen: by reading, shown by TestGoodReleaseReplacesFailingOne: where the old release fails every or every second request, a release without a failure in 40 requests is not completed and is rolled back at the end of its time.

Cause: the health test asks for a difference of twice the usual failure rate. From a rate of about a half on, the bad rate exceeds 1 and the likelihood ratio is no number.

Change: the difference is at most maxBadDifference.

--- a/core/rollout/evidence_test.go
+++ b/core/rollout/evidence_test.go
@@ -366,3 +366,16 @@
 		}
 	}
 }
+
+// A good release that replaces one that fails most of its requests was never completed: the
+// difference that was tested against exceeded 1, so that no number of good answers was enough.
+func TestGoodReleaseReplacesFailingOne(t *testing.T) {
+	for _, failEvery := range []int{1, 2, 3} {
+		o := order(rollout.StageFull)
+		var m rollout.Monitor
+		m.Observe(o, []rollout.Report{{Entry: "e", Tallies: []rollout.Tally{tally("v1", "r", 300, failEvery, 100), tally("v2", "r", 40, 0, 100)}}})
+		if move := o.Next(duration*19/20, &m, rollout.Budget{Share: 0.15}); move.Stage != rollout.StageCompleted {
+			t.Errorf("the old release fails one request in %d: stage %s, %+v", failEvery, move.Stage, m.Compare("v2", duration))
+		}
+	}
+}
--- a/core/rollout/monitor.go
+++ b/core/rollout/monitor.go
@@ -278,7 +278,7 @@
 // what a part of the few requests of a quiet service could show.
 func (b binary) showsHealth(bound float64, elapsed time.Duration) bool {
 	all := b.next + b.old
-	difference := max(badDifference(highRate(all, elapsed)), noisyDifference*b.usualRate())
+	difference := min(max(badDifference(highRate(all, elapsed)), noisyDifference*b.usualRate()), maxBadDifference)
 	possible := binary{next: uint64(visibleFraction * float64(all)), oldBad: b.oldBad, old: b.old}
 	return b.logLikelihoodRatio(difference) <= max(-bound, possible.logLikelihoodRatio(difference))
 }
