The log tells how each server's answer and the caller's ended

Each attempt now has status, mark, end, events and whether bytes of a further event followed; Attempt is placed. names the last event, Request ends. all answers and what the caller's connection got. framing.Mark moves from io/upstream to core/framing, as more than the client of the servers needs it. No decision is changed.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -11,6 +11,7 @@
 
 	"rosereach/core/backend"
 	"rosereach/core/forward"
+	"rosereach/core/framing"
 	"rosereach/core/placement"
 	"rosereach/core/quarantine"
 	"rosereach/core/residency"
@@ -86,7 +87,8 @@
 		sentStatus  int             // status in that header
 		lastEventID uint64          // ID of the last event forwarded
 		events      int             // events forwarded
-		framing     string          // of the last answer that was a stream, for the log
+		answers     []string        // of servers, as far as their ends are concerned, for the log
+		callerMark  string          // what marks the end of the caller's answer, for the log
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
 		nextAttempt *attempt        // placed already, by an escalation or to replace a silent attempt
 		retryTaken  bool            // the retry for the next attempt was taken from the budget
@@ -110,6 +112,7 @@
 		equivalentTokens int64              // tokens of a typical model that take as long as the uncached ones
 		startedAt        time.Time
 		head             forward.Head
+		answer           framing.Answer
 		successRecorded  bool // success was recorded
 		soundRecorded    bool // it was recorded as an answer that speaks for its prompt
 		firstEventAt     time.Time
@@ -231,7 +234,7 @@
 	case x.headSent:
 		return errors.Trace(errIncomplete)
 	case x.fallback != nil:
-		x.sink.Begin(x.fallback.status, x.fallback.header, int64(len(x.fallback.body)))
+		x.begin(x.fallback.status, x.fallback.header, framing.ByLength, int64(len(x.fallback.body)))
 		return x.sink.Write(x.fallback.body)
 	case refused != nil && refused.IsNotRun() && x.runs == 0:
 		return refused
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/forward"
+	"rosereach/core/framing"
 	"rosereach/core/placement"
 	"rosereach/core/route"
 	"rosereach/io/upstream"
@@ -21,6 +22,8 @@
 
 // handleAnswer handles an answer whose header has arrived.
 func (x *activeRequest) handleAnswer(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
+	a.answer = framing.Answer{Status: a.head.Status, Mark: answer.Framing, End: framing.Canceled}
+	defer func() { x.answers = append(x.answers, a.answer.String()) }()
 	if a.head.Slots > 0 {
 		x.forwarder.recordLoad(a.server, a.head.Running, a.head.Waiting)
 	}
@@ -32,6 +35,7 @@
 	}
 	if a.head.Refused {
 		_, err := io.CopyN(io.Discard, answer, maxBufferedBytes)
+		a.answer.End = answer.EndBy(err)
 		answer.Close()
 		x.tried = append(x.tried, a.server.ID)
 		if a.head.Misdirected {
@@ -58,6 +62,12 @@
 	return x.forwardWhole(ctx, cancel, a, answer)
 }
 
+// begin sends the head of an answer to the caller.
+func (x *activeRequest) begin(status int, header http.Header, mark framing.Mark, length int64) {
+	x.callerMark = mark.String()
+	x.sink.Begin(status, header, length)
+}
+
 // escalate decides whether to drop a low-confidence answer and ask a larger
 // model. If so, it places the next attempt, at a server that can be reached. The answer
 // must not have been forwarded in part.
@@ -99,6 +109,12 @@
 	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.bodyTimeouts())
 	defer watch.stop()
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
+	switch {
+	case err != nil:
+		a.answer.End = answer.EndBy(err)
+	case len(body) <= maxBufferedBytes:
+		a.answer.End = answer.EndBy(io.EOF)
+	}
 	x.takeOver(watch)
 	x.tried = append(x.tried, a.server.ID)
 	if err != nil || len(body) > maxBufferedBytes {
@@ -118,7 +134,7 @@
 		return forward.Failed, errors.Errorf("status %d", a.head.Status)
 	}
 	x.forwarder.recordSuccess(a, x)
-	x.sink.Begin(answer.Status, answer.Header, int64(len(body)))
+	x.begin(answer.Status, answer.Header, framing.ByLength, int64(len(body)))
 	if err := x.sink.Write(body); err != nil {
 		level.Debug(x.forwarder.entry.cfg.Logger).Log("msg", "Failed to write the answer to the caller.", "id", x.req.ID, "err", err)
 	}
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -34,7 +35,7 @@
 func (x *activeRequest) logPlaced(a *attempt) {
 	level.Debug(x.log()).Log("msg", "Attempt is placed.", "id", x.req.ID, "send", x.sends, "srv", a.server.ID, "addr", a.server.Address,
 		"rel", a.server.Release, "model", x.model, "exp", a.expected, "unread", a.uncachedTokens, "of", a.candidates, "home", a.homeRank, "tried", len(x.tried),
-		"roster", a.rosterVersion, "running", a.server.Load.Running, "waiting", a.server.Load.Queued, "load_age", a.loadAge(), "plan", x.revision())
+		"last", x.lastEventID, "roster", a.rosterVersion, "running", a.server.Load.Running, "waiting", a.server.Load.Queued, "load_age", a.loadAge(), "plan", x.revision())
 }
 
 // logEscalation logs that a larger model is asked.
@@ -101,7 +102,7 @@
 		return
 	}
 	level.Warn(x.log()).Log("msg", "Attempt brings no answer.", "id", x.req.ID, "route", x.route.Name, "srv", a.server.ID,
-		"model", x.model, "out", o, "send", x.sends, "run", x.runs, "begun", x.headSent, "last", x.lastEventID, "took", x.now().Sub(a.startedAt), "err", err)
+		"model", x.model, "out", o, "send", x.sends, "run", x.runs, "begun", x.headSent, "last", x.lastEventID, "answer", a.answerText(), "took", x.now().Sub(a.startedAt), "err", err)
 }
 
 // logEnd logs the result of the request.
@@ -111,14 +112,34 @@
 		logger = level.Warn(x.log())
 	}
 	logger.Log("msg", "Request ends.", "id", x.req.ID, "route", x.route.Name, "ws", x.workspace.Name, "sess", x.req.Session,
-		"srv", x.server, "model", x.model, "send", x.sends, "run", x.runs, "begun", x.headSent, "last", x.lastEventID, "events", x.events, "framing", x.framing, "output", x.req.OutputTokens, "exp", x.expected, "first", x.firstByte,
+		"srv", x.server, "model", x.model, "send", x.sends, "run", x.runs, "begun", x.headSent, "last", x.lastEventID, "events", x.events, "answers", strings.Join(x.answers, ","), "caller", x.callerEnd(err), "output", x.req.OutputTokens, "exp", x.expected, "first", x.firstByte,
 		"unread", x.uncachedTokens, "took", x.now().Sub(x.req.Arrived), "err", err)
 }
 
+// callerEnd returns what marks the end of the answer that the caller got, and whether it is
+// cut, empty if none was begun.
+func (x *activeRequest) callerEnd(err error) string {
+	switch {
+	case x.callerMark == "":
+		return ""
+	case err != nil:
+		return x.callerMark + ":cut"
+	}
+	return x.callerMark + ":whole"
+}
+
 func (x *activeRequest) log() log.Logger  { return x.forwarder.entry.cfg.Logger }
 func (x *activeRequest) now() time.Time   { return x.forwarder.entry.cfg.Clock.Now() }
 func (x *activeRequest) revision() uint64 { return x.forwarder.entry.catalog.Load().Revision() }
 
+// answerText returns the attempt's answer for the log, empty if none has begun.
+func (a *attempt) answerText() string {
+	if a.answer.Status == 0 {
+		return ""
+	}
+	return a.answer.String()
+}
+
 // loadAge returns the age of the server's load report when the attempt was
 // placed, 0 without a report.
 func (a *attempt) loadAge() time.Duration {
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/forward"
+	"rosereach/core/framing"
 	"rosereach/core/stream"
 	"rosereach/io/upstream"
 )
@@ -24,11 +25,11 @@
 	defer watch.stop()
 	buffer := make([]byte, streamBufferBytes)
 	lastBefore := x.lastEventID
-	x.framing = answer.Framing.String()
 	for {
 		n, err := answer.Read(buffer)
 		events, tooLong := splitter.Push(buffer[:n])
 		failed := x.forwardEvents(a, answer, &order, events)
+		a.answer.Partial = splitter.Buffered() > 0
 		switch {
 		case len(events) > 0:
 			watch.reset(x.headSent)
@@ -43,6 +44,9 @@
 			x.takeOver(watch)
 			return x.handleBrokenStream(ctx, a, answer, failed, false)
 		}
+		if err != nil {
+			a.answer.End = answer.EndBy(err)
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && x.isEnd(answer, order.LastID() > lastBefore):
@@ -65,7 +69,7 @@
 // The end of a connection alone does not show it, as a killed server ends it in the same
 // way: where the stream may be resumed, a server is asked for the rest.
 func (x *activeRequest) isEnd(answer *upstream.Answer, hasNewEvents bool) bool {
-	if answer.Framing == upstream.ByClose {
+	if answer.Framing == framing.ByClose {
 		return hasNewEvents && (!x.route.Resumable || x.route.MaxAttempts <= 1)
 	}
 	return hasNewEvents || x.headSent
@@ -96,6 +100,7 @@
 		}
 		x.lastEventID = order.LastID()
 		x.events++
+		a.answer.Events++
 	}
 	return nil
 }
@@ -105,7 +110,7 @@
 func (x *activeRequest) forwardEvent(answer *upstream.Answer, raw []byte) error {
 	if !x.headSent {
 		x.headSent, x.sentStatus = true, answer.Status
-		x.sink.Begin(answer.Status, answer.Header, -1)
+		x.begin(answer.Status, answer.Header, framing.ByChunks, -1)
 	}
 	if err := x.sink.Write(raw); err != nil {
 		return errors.Annotatef(errCallerWrite, "%v", err)
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -19,6 +19,8 @@
 
 	"github.com/juju/clock"
 	"github.com/juju/errors"
+
+	"rosereach/core/framing"
 )
 
 const (
@@ -59,19 +61,7 @@
 	ErrBadAnswer = errors.ConstError("no proper answer")
 )
 
-// What marks the end of an answer's body.
-const (
-	// ByClose means that only the end of the connection does. A server that is killed ends
-	// it in the same way, so that such a body may have been cut off.
-	ByClose Framing = iota
-	ByLength
-	ByChunks
-)
-
 type (
-	// Framing is what marks the end of an answer's body.
-	Framing int
-
 	// Call is one request to one server.
 	Call struct {
 		Address string // host:port
@@ -97,7 +87,7 @@
 		// Length is the length of the body in bytes, or -1 if it is unknown.
 		Length int64
 		// Framing says what marks the end of the body.
-		Framing Framing
+		Framing framing.Mark
 
 		body    io.ReadCloser
 		conn    *conn
@@ -263,11 +253,11 @@
 	}
 	switch {
 	case len(resp.TransferEncoding) > 0:
-		a.Framing = ByChunks
+		a.Framing = framing.ByChunks
 	case resp.ContentLength >= 0 || resp.StatusCode == http.StatusNoContent:
-		a.Framing = ByLength
+		a.Framing = framing.ByLength
 	}
-	a.keepAlive = a.Framing != ByClose && !resp.Close
+	a.keepAlive = a.Framing != framing.ByClose && !resp.Close
 	conn.expiresAt = c.clock.Now().Add(idleTimeout(resp.Header))
 	return a, nil
 }
@@ -290,13 +280,11 @@
 	}
 }
 
-func (f Framing) String() string { return [...]string{"close", "length", "chunks"}[f] }
-
 // Read reads the body. It returns io.EOF only when the body is complete, as far as its
 // framing tells.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
-	if err == io.EOF && a.Framing == ByClose && !a.wroteAll() {
+	if err == io.EOF && a.Framing == framing.ByClose && !a.wroteAll() {
 		// The kernel reports a reset once. If the write of the request got it, a read
 		// returns the same as at the end of the connection.
 		err = io.ErrUnexpectedEOF
@@ -307,6 +295,21 @@
 	return n, err
 }
 
+// EndBy returns how the body ended, by the error with which a read of it did.
+func (a *Answer) EndBy(err error) framing.End {
+	switch {
+	case errors.Is(err, io.EOF) && a.Framing == framing.ByClose:
+		return framing.Closed
+	case errors.Is(err, io.EOF):
+		return framing.Marked
+	case errors.Is(err, syscall.ECONNRESET):
+		return framing.Reset
+	case errors.Is(err, net.ErrClosed):
+		return framing.Canceled
+	}
+	return framing.Truncated
+}
+
 // Close releases the answer's connection for reuse. It closes the connection
 // instead if the body was not read to its end, if the request was not written
 // completely, or if more bytes follow the answer.
