An answer that contradicts a partial event does not end its stream

Callers got a stream that ended as complete after event 1: its server had been cut in the middle of event 2, and the next one answered with an empty, framed 200, though a third had the rest. Any whole answer without events counted as the end of a begun stream. Bytes of an event that the caller does not have prove that there is more: such an answer is now a failed attempt of its server, another is asked, and without one the caller's answer is cut, so that it can resume.

--- a/core/framing/framing.go
+++ b/core/framing/framing.go
@@ -47,10 +47,37 @@
 		// Partial means that bytes of a further event followed them.
 		Partial bool
 	}
+
+	// Stream is what is known of a stream of events when an answer to it ends in order
+	// after a whole event.
+	Stream struct {
+		// Extended means that the answer had events that the caller did not have.
+		Extended bool
+		// Begun means that the caller has events, of this answer or of others.
+		Begun bool
+		// MoreSeen means that bytes of an event were seen that the caller does not have.
+		MoreSeen bool
+		// CanAsk means that another server may be asked for what follows.
+		CanAsk bool
+	}
 )
 
 func (m Mark) String() string { return [...]string{"close", "length", "chunks"}[m] }
 
+// EndsStream reports whether the end of an answer with the mark ends the stream. Servers that
+// are killed, and those that fail at once, end answers in order as well: where another server
+// may be asked, the end of a connection is no end, and an answer without events is none if it
+// contradicts what was seen.
+func (m Mark) EndsStream(s Stream) bool {
+	switch {
+	case m == ByClose:
+		return s.Extended && !s.CanAsk
+	case s.Extended:
+		return true
+	}
+	return s.Begun && !s.MoreSeen
+}
+
 // String returns the fields for a log, separated by colons.
 func (a Answer) String() string {
 	fields := []string{strconv.Itoa(a.Status), a.Mark.String(), string(a.End), strconv.Itoa(a.Events)}
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -49,14 +49,15 @@
 
 // Reasons for which the entry ends an attempt.
 const (
-	errHeadTimeout    = errors.ConstError("timed out waiting for the answer's header")
-	errStalled        = errors.ConstError("timed out waiting for more of the answer")
-	errWrongRequestID = errors.ConstError("the answer belongs to another request")
-	errUnprovenEnd    = errors.ConstError("the answer ended with its connection, which may have been cut")
-	errIncomplete     = errors.ConstError("the answer broke off")
-	errLowConfidence  = errors.ConstError("the model reports low confidence in its answer")
-	errNotContinued   = errors.ConstError("the answer is not the rest of the stream that has begun")
-	errCallerWrite    = errors.ConstError("writing to the caller failed")
+	errHeadTimeout     = errors.ConstError("timed out waiting for the answer's header")
+	errStalled         = errors.ConstError("timed out waiting for more of the answer")
+	errWrongRequestID  = errors.ConstError("the answer belongs to another request")
+	errUnprovenEnd     = errors.ConstError("the answer ended with its connection, which may have been cut")
+	errContradictedEnd = errors.ConstError("the answer ends a stream of which more was seen")
+	errIncomplete      = errors.ConstError("the answer broke off")
+	errLowConfidence   = errors.ConstError("the model reports low confidence in its answer")
+	errNotContinued    = errors.ConstError("the answer is not the rest of the stream that has begun")
+	errCallerWrite     = errors.ConstError("writing to the caller failed")
 )
 
 type (
@@ -87,6 +88,7 @@
 		sentStatus  int             // status in that header
 		lastEventID uint64          // ID of the last event forwarded
 		events      int             // events forwarded
+		moreSeen    bool            // bytes of an event after the last one forwarded were seen
 		answers     []string        // of servers, as far as their ends are concerned, for the log
 		callerMark  string          // what marks the end of the caller's answer, for the log
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -30,6 +30,7 @@
 		events, tooLong := splitter.Push(buffer[:n])
 		failed := x.forwardEvents(a, answer, &order, events)
 		a.answer.Partial = splitter.Buffered() > 0
+		x.moreSeen = x.moreSeen || a.answer.Partial
 		switch {
 		case len(events) > 0:
 			watch.reset(x.headSent)
@@ -49,8 +50,7 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && x.isEnd(answer, order.LastID() > lastBefore):
-			// A server that resumes a stream behind its last event has none to add.
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && answer.Framing.EndsStream(x.streamAfter(order.LastID() > lastBefore)):
 			answer.Close()
 			return "", nil
 		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && order.LastID() > lastBefore:
@@ -58,6 +58,12 @@
 			answer.Close()
 			x.tried = append(x.tried, a.server.ID)
 			return forward.Incomplete, errors.Trace(errUnprovenEnd)
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && answer.Framing != framing.ByClose && x.moreSeen:
+			x.takeOver(watch)
+			answer.Close()
+			x.tried = append(x.tried, a.server.ID)
+			x.forwarder.recordFailure(a, x, false)
+			return forward.Incomplete, errors.Trace(errContradictedEnd)
 		default:
 			h := x.takeOver(watch)
 			return x.handleBrokenStream(ctx, a, answer, errors.Annotatef(errIncomplete, "%v", err), h.serverDead)
@@ -65,16 +71,14 @@
 	}
 }
 
-// isEnd reports whether a stream is complete when its answer has ended after a whole event.
-// The end of a connection alone does not show it, as a killed server ends it in the same
-// way: where the stream may be resumed, a server is asked for the rest.
-func (x *activeRequest) isEnd(answer *upstream.Answer, hasNewEvents bool) bool {
-	if answer.Framing == framing.ByClose {
-		return hasNewEvents && (!x.route.Resumable || x.route.MaxAttempts <= 1)
-	}
-	return hasNewEvents || x.headSent
+// streamAfter returns what is known of the stream after an answer that extended it or not.
+func (x *activeRequest) streamAfter(extended bool) framing.Stream {
+	return framing.Stream{Extended: extended, Begun: x.headSent, MoreSeen: x.moreSeen, CanAsk: x.canAskForRest()}
 }
 
+// canAskForRest reports whether another server may be asked for the rest of a stream.
+func (x *activeRequest) canAskForRest() bool { return x.route.Resumable && x.route.MaxAttempts > 1 }
+
 // forwardEvents forwards the events that the caller has not received yet.
 func (x *activeRequest) forwardEvents(a *attempt, answer *upstream.Answer, order *stream.Sequencer, events []stream.Event) error {
 	for _, e := range events {
@@ -98,7 +102,7 @@
 		if err := x.forwardEvent(answer, e.Raw); err != nil {
 			return err
 		}
-		x.lastEventID = order.LastID()
+		x.lastEventID, x.moreSeen = order.LastID(), false
 		x.events++
 		a.answer.Events++
 	}
