An answer without a length is passed on without one

A server that is killed closes its connection as at the end of an answer without a length. The entry gave such an answer a length of its own, and a stream that may not be resumed the last chunk: callers got a proof of the end that nobody had. What marks the end is now passed on as it is: neither length nor chunks, the connection's end. A stream that may be resumed keeps its chunks, as another server is asked before it ends. forward.Sink names the mark, and returns what the caller's protocol made of it, which the log shows.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"rosereach/core/framing"
 	"rosereach/core/pacing"
 	"rosereach/core/route"
 )
@@ -215,8 +216,10 @@
 
 // Sink writes an answer to the caller.
 type Sink interface {
-	// Begin writes the status and the header. Length is -1 when it is unknown.
-	Begin(status int, header map[string][]string, length int64)
+	// Begin writes the status and the header. The mark is what may mark the end of the
+	// body; length is -1 for another one than framing.ByLength. It returns what marks the
+	// end for the caller.
+	Begin(status int, header map[string][]string, mark framing.Mark, length int64) framing.Mark
 	// Write writes a part of the body and flushes it.
 	Write(p []byte) error
 }
--- a/core/framing/framing_test.go
+++ b/core/framing/framing_test.go
@@ -13,13 +13,13 @@
 		stream framing.Stream
 		want   bool
 	}{
-		"whole stream":                                  {framing.ByChunks, framing.Stream{Extended: true, Begun: true, CanAsk: true}, true},
-		"its rest, after a partial event":               {framing.ByLength, framing.Stream{Extended: true, Begun: true, CanAsk: true}, true},
-		"nothing follows the last event":                {framing.ByLength, framing.Stream{Begun: true, CanAsk: true}, true},
-		"nothing follows a partial event":               {framing.ByChunks, framing.Stream{Begun: true, MoreSeen: true, CanAsk: true}, false},
-		"no event at all":                               {framing.ByLength, framing.Stream{CanAsk: true}, false},
-		"the connection ends, others can be asked":      {framing.ByClose, framing.Stream{Extended: true, Begun: true, CanAsk: true}, false},
-		"the connection ends, no other may be asked":    {framing.ByClose, framing.Stream{Extended: true, Begun: true}, true},
+		"whole stream":                                   {framing.ByChunks, framing.Stream{Extended: true, Begun: true, CanAsk: true}, true},
+		"its rest, after a partial event":                {framing.ByLength, framing.Stream{Extended: true, Begun: true, CanAsk: true}, true},
+		"nothing follows the last event":                 {framing.ByLength, framing.Stream{Begun: true, CanAsk: true}, true},
+		"nothing follows a partial event":                {framing.ByChunks, framing.Stream{Begun: true, MoreSeen: true, CanAsk: true}, false},
+		"no event at all":                                {framing.ByLength, framing.Stream{CanAsk: true}, false},
+		"the connection ends, others can be asked":       {framing.ByClose, framing.Stream{Extended: true, Begun: true, CanAsk: true}, false},
+		"the connection ends, no other may be asked":     {framing.ByClose, framing.Stream{Extended: true, Begun: true}, true},
 		"the connection of a second server says nothing": {framing.ByClose, framing.Stream{Begun: true, CanAsk: true}, false},
 	} {
 		if got := c.mark.EndsStream(c.stream); got != c.want {
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -140,6 +140,7 @@
 	fallbackAnswer struct {
 		status int
 		header http.Header
+		mark   framing.Mark
 		body   []byte
 	}
 )
@@ -236,7 +237,7 @@
 	case x.headSent:
 		return errors.Trace(errIncomplete)
 	case x.fallback != nil:
-		x.begin(x.fallback.status, x.fallback.header, framing.ByLength, int64(len(x.fallback.body)))
+		x.beginWhole(x.fallback.status, x.fallback.header, x.fallback.mark, x.fallback.body)
 		return x.sink.Write(x.fallback.body)
 	case refused != nil && refused.IsNotRun() && x.runs == 0:
 		return refused
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -64,8 +64,17 @@
 
 // begin sends the head of an answer to the caller.
 func (x *activeRequest) begin(status int, header http.Header, mark framing.Mark, length int64) {
-	x.callerMark = mark.String()
-	x.sink.Begin(status, header, length)
+	x.callerMark = x.sink.Begin(status, header, mark, length).String()
+}
+
+// beginWhole sends the head of an answer whose body has been read. One whose end nothing but
+// its connection marks may have been cut: it gets no other mark from this entry.
+func (x *activeRequest) beginWhole(status int, header http.Header, mark framing.Mark, body []byte) {
+	if mark == framing.ByClose {
+		x.begin(status, header, framing.ByClose, -1)
+		return
+	}
+	x.begin(status, header, framing.ByLength, int64(len(body)))
 }
 
 // escalate decides whether to drop a low-confidence answer and ask a larger
@@ -130,11 +139,11 @@
 	answer.Close()
 	if a.head.Status >= http.StatusInternalServerError {
 		x.forwarder.recordFailure(a, x, false)
-		x.fallback = &fallbackAnswer{status: answer.Status, header: answer.Header, body: body}
+		x.fallback = &fallbackAnswer{status: answer.Status, header: answer.Header, mark: answer.Framing, body: body}
 		return forward.Failed, errors.Errorf("status %d", a.head.Status)
 	}
 	x.forwarder.recordSuccess(a, x)
-	x.begin(answer.Status, answer.Header, framing.ByLength, int64(len(body)))
+	x.beginWhole(answer.Status, answer.Header, answer.Framing, body)
 	if err := x.sink.Write(body); err != nil {
 		level.Debug(x.forwarder.entry.cfg.Logger).Log("msg", "Failed to write the answer to the caller.", "id", x.req.ID, "err", err)
 	}
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -114,7 +114,11 @@
 func (x *activeRequest) forwardEvent(answer *upstream.Answer, raw []byte) error {
 	if !x.headSent {
 		x.headSent, x.sentStatus = true, answer.Status
-		x.begin(answer.Status, answer.Header, framing.ByChunks, -1)
+		mark := framing.ByChunks
+		if answer.Framing == framing.ByClose && !x.canAskForRest() {
+			mark = framing.ByClose
+		}
+		x.begin(answer.Status, answer.Header, mark, -1)
 	}
 	if err := x.sink.Write(raw); err != nil {
 		return errors.Annotatef(errCallerWrite, "%v", err)
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -23,6 +23,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/catalog"
 	"rosereach/core/forward"
+	"rosereach/core/framing"
 	"rosereach/core/key"
 	"rosereach/core/lease"
 	"rosereach/core/limit"
@@ -82,10 +83,11 @@
 	return s, nil
 }
 
-func (c *recordingSink) Begin(status int, _ map[string][]string, _ int64) {
+func (c *recordingSink) Begin(status int, _ map[string][]string, mark framing.Mark, _ int64) framing.Mark {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.status = status
+	return mark
 }
 
 func (c *recordingSink) Write(p []byte) error {
