--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -142,6 +142,15 @@
 	return nil
 }
 
+// SetLinger sets what becomes of data that is not sent yet when the connection is closed; 0
+// resets the connection.
+func (t *trackedConn) SetLinger(seconds int) error {
+	if c, ok := t.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return c.SetLinger(seconds)
+	}
+	return nil
+}
+
 // awaitRequest closes the connection if no byte of a request arrives within the timeout,
 // which is negative for none.
 func (t *trackedConn) awaitRequest(timeout time.Duration) {
--- a/internal/httpd/conns_test.go
+++ b/internal/httpd/conns_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -324,3 +326,39 @@
 	cancel()
 	<-served
 }
+
+// A handler that cuts an answer which ends with its connection has to reset it: the wrapped
+// connection hid the way to do so.
+func TestHandlerResetsConnection(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := httpd.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	serveErr := make(chan error, 1)
+	go func() {
+		serveErr <- httpd.ServeWithTimeouts(ctx, l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			if err := conn.(interface{ SetLinger(int) error }).SetLinger(0); err != nil {
+				t.Error(err)
+			}
+		}), httpd.Timeouts{Shutdown: func() time.Duration { return 0 }, Idle: func() time.Duration { return time.Hour }})
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if _, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ends with %v", err)
+	}
+	cancel()
+	<-serveErr
+}
