An answer without events ends a stream whose caller resumes it behind its last event

A caller that has all events and lost only the end resumes behind the last one. The caller's events count as the begin of the stream now, so that the answer ends it, and its head is passed on with a length of 0.

--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -52,6 +52,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && answer.Framing.EndsStream(x.streamAfter(order.LastID() > lastBefore)):
 			answer.Close()
+			x.endStream(a, answer)
 			return "", nil
 		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && order.LastID() > lastBefore:
 			x.takeOver(watch)
@@ -73,7 +74,17 @@
 
 // streamAfter returns what is known of the stream after an answer that extended it or not.
 func (x *activeRequest) streamAfter(extended bool) framing.Stream {
-	return framing.Stream{Extended: extended, Begun: x.headSent, MoreSeen: x.moreSeen, CanAsk: x.canAskForRest()}
+	return framing.Stream{Extended: extended, Begun: x.headSent || x.req.LastEventID > 0, MoreSeen: x.moreSeen, CanAsk: x.canAskForRest()}
+}
+
+// endStream passes on the head of an answer without events: its caller had all of them.
+func (x *activeRequest) endStream(a *attempt, answer *upstream.Answer) {
+	if x.headSent {
+		return
+	}
+	x.forwarder.recordSuccess(a, x)
+	x.headSent, x.sentStatus = true, answer.Status
+	x.begin(answer.Status, answer.Header, framing.ByLength, 0)
 }
 
 // canAskForRest reports whether another server may be asked for the rest of a stream.
