Requests before a window pay for no retries in it

Cause: the budget was checked in the window that ends now only. Counters in the entries showed every arrival paid for, six live entries throughout, and 24 requests in the first 0.158 s: a window that begins after them has the retries that they paid for and not the requests. Later the slice that a window begins in is left out of the requests, which hides this; in the first window there was no such slice.

Change: a retry has to fit into each window that includes it, also one that has not ended. Of the slice that a window begins in, the retries count and the requests do not. The requests are those of the window, of the one before it or of the one half a window before it, as the rule has it, so that a burst of retries after steady traffic is still possible. The check of the window that ends now is as before, so that no retry is allowed that was not before.

TestBurstBeforeWindowPaysForNoRetryInIt failed before (520 retries, bound 502), as did TestEachWindowStaysInBudget (6, bound 5).

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -3,18 +3,19 @@
 import "time"
 
 const (
-	// windowSlices is the number of slices of a sliding window.
+	// windowSlices is the number of slices of a sliding window. It is even.
 	windowSlices = 10
 
-	// keptSlices includes the slice that a window which ends now may begin in.
-	keptSlices = windowSlices + 1
+	// keptSlices includes the window before each one that has not ended yet.
+	keptSlices = 2 * windowSlices
 )
 
 type (
 	// WindowBudgetConfig configures a retry budget that all members of a fleet
 	// share: in any window the retries are at most Ratio times the requests, plus
-	// Slack. Each member applies Ratio to its own requests and uses an equal part
-	// of Slack, so that the sum holds however load moves between members.
+	// Slack. The requests are those in that window, in the one before it or in the
+	// one half a window before it, whichever has most. Each member applies Ratio to
+	// its own requests and uses an equal part of Slack.
 	WindowBudgetConfig struct {
 		Ratio  float64
 		Slack  float64
@@ -63,22 +64,35 @@
 func (w *WindowBudget) RecordRequest(now time.Time) { w.requests[w.advance(now)]++ }
 
 // Allows reports whether this member's part of the budget allows another retry. Members
-// is the number of members that share the slack. Of the slice that the window begins in
-// the retries count and the requests do not, so that the budget holds in any window.
+// is the number of members that share the slack.
 func (w *WindowBudget) Allows(now time.Time, members int) bool { return w.allows(now, members, 1) }
 
-// allows reports whether the budget allows n more retries.
+// allows reports whether the budget allows n more retries in each window that includes now,
+// whether it ends now or later. Of the slice that a window begins in, the retries count and
+// the requests do not, as they may have come before it.
 func (w *WindowBudget) allows(now time.Time, members, n int) bool {
 	w.advance(now)
-	oldest := (w.current + 1) % keptSlices
-	var requests, retries float64
-	for i := range int64(keptSlices) {
-		retries += w.retries[i]
-		if i != oldest {
-			requests += w.requests[i]
+	retries, slack := float64(n), w.cfg.Slack/float64(max(members, 1))
+	for first := w.current; first >= w.current-windowSlices; first-- {
+		retries += w.retries[index(first)]
+		requests := w.requestsIn(first+1, w.current)
+		if first > w.current-windowSlices {
+			requests = max(requests, w.requestsIn(first-windowSlices+1, first-1), w.requestsIn(first-windowSlices/2+1, first+windowSlices/2-1))
 		}
+		if retries > w.cfg.Ratio*requests+slack {
+			return false
+		}
+	}
+	return true
+}
+
+// requestsIn returns the number of requests in the given slices, the last included.
+func (w *WindowBudget) requestsIn(first, last int64) float64 {
+	var n float64
+	for i := first; i <= min(last, w.current); i++ {
+		n += w.requests[index(i)]
 	}
-	return retries+float64(n) <= w.cfg.Ratio*requests+w.cfg.Slack/float64(max(members, 1))
+	return n
 }
 
 // TrySpend spends one retry if Allows reports that there is one, and reports whether it
@@ -109,9 +123,12 @@
 		w.requests, w.retries = [keptSlices]float64{}, [keptSlices]float64{}
 	} else {
 		for i := w.current + 1; i <= current; i++ {
-			w.requests[i%keptSlices], w.retries[i%keptSlices] = 0, 0
+			w.requests[index(i)], w.retries[index(i)] = 0, 0
 		}
 	}
 	w.current = current
-	return int(current % keptSlices)
+	return index(current)
 }
+
+// index returns where a slice is kept. Slices from before the first request are empty.
+func index(slice int64) int { return int((slice%keptSlices + keptSlices) % keptSlices) }
