A roll-out begins with its order, not with the full second before it

The order came at 3.66 s, and all stages came 0.66 s early: the target had all requests from 28.16 s in place of 28.8 s on, and sessions moved 0.4 s before half of the time was over.

Cause: committed times are CBOR and have no fraction of a second. The leader took the time since the rounded time of the order as the elapsed time, so that its clock was ahead by up to a second, and the rest that the bound was compared with too short.

Change: a control that sees an order within two seconds of its time sees it as it is committed, and begins with the least that may have passed; the clocks start at the commit itself. One that starts later keeps the former time, which is at most a second ahead, never behind, so that completion stays in time.

Evidence: TestRolloutBeginsWithItsOrder fails with the former rule (0.34, 0.70 and 1.03 s ahead). Not mended: a control that takes over after a restart stays ahead.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -58,6 +58,10 @@
 	// leader.
 	reportInterval = time.Second
 
+	// orderedResolution is the resolution of the time of an order: committed times are
+	// rounded down to full seconds.
+	orderedResolution = time.Second
+
 	// coldWork is the work of a request at a server with an empty cache, compared to
 	// that at others.
 	coldWork = 2
@@ -185,6 +189,16 @@
 	return share
 }
 
+// ElapsedWhenSeen returns how long the roll-out had been in progress when a control saw its
+// order for the first time, by the control's wall clock.
+func (o Order) ElapsedWhenSeen(now time.Time) time.Duration {
+	elapsed := now.Sub(o.Ordered)
+	if elapsed < 2*orderedResolution {
+		elapsed -= orderedResolution // seen as it was committed, at any time in the second of Ordered
+	}
+	return min(max(elapsed, 0), o.Duration)
+}
+
 // MayMove reports whether the roll-out may change to the stage: from the ordered
 // stage to the probe or the canary, from there to any later stage, and from every stage
 // that is not final to the rolled-back one. A move to the same stage changes the shares.
--- a/core/rollout/order_test.go
+++ b/core/rollout/order_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"rosereach/core/encoding"
 	"rosereach/core/rollout"
 )
 
@@ -215,6 +216,31 @@
 	}
 }
 
+// The stages of an order late in its second came up to a second early, as a committed time
+// has no fraction of a second: sessions moved in the first half, and the target had all
+// requests for longer than the bound allows.
+func TestRolloutBeginsWithItsOrder(t *testing.T) {
+	const seenAfter = 40 * time.Millisecond
+	for _, late := range []time.Duration{0, 300 * time.Millisecond, 660 * time.Millisecond, 990 * time.Millisecond} {
+		at := time.Unix(1000, 0).Add(late)
+		data, err := encoding.Marshal(at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := order(rollout.StageOrdered)
+		if err := encoding.Unmarshal(data, &o.Ordered); err != nil {
+			t.Fatal(err)
+		}
+		if got := o.ElapsedWhenSeen(at.Add(seenAfter)); got > seenAfter {
+			t.Errorf("ordered %s after a full second: begins at %s", late, got)
+		}
+		// A control that starts later may be ahead by the fraction, and must not be behind.
+		if got := o.ElapsedWhenSeen(at.Add(duration / 2)); got < duration/2 {
+			t.Errorf("ordered %s after a full second: %s at half of the time", late, got)
+		}
+	}
+}
+
 func TestResentOrderIsTheSame(t *testing.T) {
 	o := order(rollout.StageRolledBack)
 	o.Ordered = time.Unix(1000, 0)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -173,6 +173,7 @@
 		n.leadership.commits = append(n.leadership.commits, commit{revision: revision, committedAt: n.cfg.Clock.Now()})
 	}
 	n.cfg.Logger.Log("msg", "Documents are committed.", "revision", revision)
+	n.startRolloutClocks(n.cfg.Clock.Now())
 	n.fleet.wakeWatchers()
 	for c := range n.watchers {
 		go c.Notify(ctx, member.KindDocumentsChanged, member.DocumentsChanged{Revision: revision}) //nolint:errcheck // an entry that misses the notice gets the revision with its next lease
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -58,13 +58,11 @@
 	}
 }
 
-// rolloutElapsed returns how long a roll-out has been in progress. The time before
-// this control first saw the order is taken from the wall clock, and capped at
-// the roll-out's duration. Callers hold n.mu.
+// rolloutElapsed returns how long a roll-out has been in progress. Callers hold n.mu.
 func (n *Node) rolloutElapsed(now time.Time, o rollout.Order) time.Duration {
 	start, ok := n.rolloutClocks[o.Service]
 	if !ok || start.orderedAt != o.Ordered {
-		start = rolloutClock{orderedAt: o.Ordered, firstSeen: now, elapsedBefore: min(max(now.Sub(o.Ordered), 0), o.Duration), monitor: &rollout.Monitor{}}
+		start = rolloutClock{orderedAt: o.Ordered, firstSeen: now, elapsedBefore: o.ElapsedWhenSeen(now), monitor: &rollout.Monitor{}}
 		n.rolloutClocks[o.Service] = start
 	}
 	return start.elapsedBefore + now.Sub(start.firstSeen)
