A release that is shown healthy gets all requests within the bound only

Cause: from 91.5% of the time on, a target that was shown healthy got all requests without a look at the bound. That is 8.5% of the time after a canary of 1.6% of the requests; shares of 0.12 and 0.15 have room for both, 0.0975 has not.

Change: such a target needs the bound's leave as well, with 1.1 times the average and two standard deviations, up to 0.4 s before the completion. As it has all requests for a shorter time then, completion waits until that has been 0.75 s, up to 1 s before the end: a fault that shows under load would be missed otherwise, and the old servers stop while entries still send to them, which had to take back.

--- a/core/rollout/budget.go
+++ b/core/rollout/budget.go
@@ -125,3 +125,11 @@
 	most := float64(seen) + repeatedEnd*expected + boundSigmas*math.Sqrt(expected)
 	return most <= safeShare*b.Share*(float64(all)+expected)+b.Slack
 }
+
+// allowsHealthy is allowsAll for a release that is shown healthy: one that is not would have
+// to hide its fault until it has all requests, and the whole bound may be used.
+func (b Budget) allowsHealthy(seen, all uint64, elapsed, rest time.Duration) bool {
+	expected := rate(all, elapsed) * rest.Seconds()
+	most := float64(seen) + busierEnd*expected + boundSigmas*math.Sqrt(expected)
+	return most <= b.Share*(float64(all)+expected)+b.Slack
+}
--- a/core/rollout/evidence_test.go
+++ b/core/rollout/evidence_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -47,6 +48,8 @@
 		rate   float64
 		// busierFrom is when the service has a fifth more requests, 0 for never.
 		busierFrom time.Duration
+		// share is the operator's bound, exposureShare if it is 0.
+		share float64
 	}
 
 	// answered is an attempt that the leader doesn't know of yet.
@@ -90,7 +93,8 @@
 		states  []rollout.Order
 	)
 	tallies := make(map[string]rollout.Tally)
-	budget := rollout.Budget{Share: exposureShare, Slack: exposureSlack}
+	share := cmp.Or(s.share, exposureShare)
+	budget := rollout.Budget{Share: share, Slack: exposureSlack}
 	phase := time.Duration(s.random.Int64N(int64(pollInterval)))
 	nextLook, nextRequest := lookInterval, s.gap(0)
 	for at := time.Duration(0); at < o.Duration+afterwards; {
@@ -133,7 +137,7 @@
 			atEntry, moves, states = states[0], moves[1:], states[1:]
 		}
 		a := answered{isQuiet: s.random.Float64() < quietRoute}
-		a.target = s.random.Float64() < atEntry.RouteShare(fmt.Sprint(a.isQuiet), exposureShare)
+		a.target = s.random.Float64() < atEntry.RouteShare(fmt.Sprint(a.isQuiet), share)
 		a.took = time.Duration(float64(usualAnswer) * math.Exp(0.4*s.random.NormFloat64()))
 		isBad := false
 		if a.target && at >= f.from && (!f.oneRoute || a.isQuiet) && s.random.Float64() < f.share {
@@ -164,7 +168,7 @@
 			pending = append(pending, a)
 		}
 	}
-	out.allowed = exposureShare*all + exposureSlack
+	out.allowed = share*all + exposureSlack
 	return out
 }
 
@@ -258,23 +262,31 @@
 // release got more than operators allow, as all requests went to it as soon as the bound
 // seemed to allow the rest. The end of a roll-out may be busier than the part before.
 func TestReleaseWithoutVisibleFaultStaysWithinTheBound(t *testing.T) {
-	checkWithoutVisibleFault(t, 47, 150, 600)
+	checkWithoutVisibleFault(t, exposureShare, 47, 150, 600)
+}
+
+// The same where operators allow less: from 91.5% of the time on, the target that was shown
+// healthy got all requests whatever the bound, and in 24 s a share of 0.0975 was exceeded.
+func TestSmallBoundHoldsWithoutVisibleFault(t *testing.T) {
+	for _, share := range []float64{0.0975, 0.12} {
+		checkWithoutVisibleFault(t, share, 150, 410)
+	}
 }
 
 // The same at a quiet service, where the number of requests scatters more.
 func TestQuietReleaseWithoutVisibleFaultStaysWithinTheBound(t *testing.T) {
-	checkWithoutVisibleFault(t, 17)
+	checkWithoutVisibleFault(t, exposureShare, 17)
 }
 
-func checkWithoutVisibleFault(t *testing.T, rates ...float64) {
+func checkWithoutVisibleFault(t *testing.T, share float64, rates ...float64) {
 	t.Helper()
 	for _, perSecond := range rates {
 		for _, length := range []time.Duration{12 * time.Second, 16 * time.Second, 24 * time.Second} {
 			for seed := range uint64(8) {
-				s := simulation{random: rand.New(rand.NewPCG(seed, 1)), rate: perSecond, busierFrom: length * 85 / 100}
+				s := simulation{random: rand.New(rand.NewPCG(seed, 1)), rate: perSecond, busierFrom: length * 85 / 100, share: share}
 				p := s.play(rollout.Order{Service: "s", Target: "v2", Duration: length, Stage: rollout.StageOrdered}, fault{})
 				if p.exposed > p.allowed {
-					t.Errorf("%s at %.0f/s, seed %d: %.0f requests, %.0f allowed", length, perSecond, seed, p.exposed, p.allowed)
+					t.Errorf("share %.4f, %s at %.0f/s, seed %d: %.0f requests, %.0f allowed", share, length, perSecond, seed, p.exposed, p.allowed)
 				}
 			}
 		}
--- a/core/rollout/monitor.go
+++ b/core/rollout/monitor.go
@@ -73,6 +73,9 @@
 		// below 0, by route, and over all routes under "". They show a fault that begins
 		// after many good answers.
 		changes map[string]float64
+		// fullSince is the time after the order at which the target was to take all
+		// requests, 0 if this control did not decide it.
+		fullSince time.Duration
 	}
 
 	reporter struct {
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -58,6 +58,19 @@
 	// leader.
 	reportInterval = time.Second
 
+	// fullMargin is the time before completionTime from which a target that is shown healthy
+	// takes all requests, even if the bound leaves no room for a busy end: entries that learn
+	// of it later send requests to old servers that stop.
+	fullMargin = 400 * time.Millisecond
+
+	// fullTime is how long the target has all requests before it becomes the only release, so
+	// that the entries learn of it and a fault under load reaches the leader.
+	fullTime = 750 * time.Millisecond
+
+	// lastCompletion is the time before the end of the duration from which completion does
+	// not wait for fullTime: operators ask every half second or so.
+	lastCompletion = time.Second
+
 	// orderedResolution is the resolution of the time of an order: committed times are
 	// rounded down to full seconds.
 	orderedResolution = time.Second
@@ -239,12 +252,13 @@
 	case (o.Stage == StageOrdered || o.Stage == StageProbe) && until(canaryStart) <= 0:
 		return Move{Stage: StageCanary, Reason: "half of the time is over", Share: b.canaryShare(p, until(fullStart)), RouteShares: b.routeShares(p, until(fullStart), m.busyRoutes(elapsed))}
 	case o.isCanary() && o.mayTakeAll(elapsed, m, b):
+		m.fullSince = elapsed
 		return Move{Stage: StageFull, Reason: "no fault was seen"}
 	case (o.Stage == StageProbe || o.isCanary()) && len(o.RouteShares) > 0 && float64(seen) >= b.planned(p) && !o.isPaused():
 		return Move{Stage: o.Stage, Reason: "it has had the planned requests", Share: o.Share, RouteShares: b.routeShares(p, 0, m.busyRoutes(elapsed))}
 	case o.Stage == StageCanary && until(spreadStart) <= 0:
 		return Move{Stage: StageSpread, Reason: "no fault was seen under the usual number of requests", Share: o.Share, RouteShares: b.routeShares(p, until(fullStart), m.busyRoutes(elapsed))}
-	case o.Stage == StageFull && elapsed >= o.completionTime() && m.isShownHealthy(o.Target, elapsed):
+	case o.Stage == StageFull && elapsed >= o.completionTime() && (elapsed-m.fullSince >= fullTime || until(1) <= lastCompletion) && m.isShownHealthy(o.Target, elapsed):
 		return Move{Stage: StageCompleted, Reason: "its health is shown"}
 	}
 	return stay
@@ -256,10 +270,11 @@
 // one of faults that show under load.
 func (o Order) mayTakeAll(elapsed time.Duration, m *Monitor, b Budget) bool {
 	seen, all := m.counts(o.Target)
+	rest := o.Duration - elapsed
 	if elapsed >= fractionOf(o.Duration, fullStart) && m.isShownHealthy(o.Target, elapsed) {
-		return true
+		return elapsed >= o.completionTime()-fullMargin || b.allowsHealthy(seen, all, elapsed, rest)
 	}
-	return m.isLeaningGood(o.Target, elapsed) && b.allowsAll(seen, all, elapsed, o.Duration-elapsed)
+	return m.isLeaningGood(o.Target, elapsed) && b.allowsAll(seen, all, elapsed, rest)
 }
 
 // completionTime returns when the roll-out completes at the earliest. Short ones keep the
