--- a/core/rollout/evidence_test.go
+++ b/core/rollout/evidence_test.go
@@ -33,12 +33,13 @@
 
 type (
 	// fault is what is wrong with a release: a share of its requests fail, or are slow,
-	// on one route only or after a while.
+	// on one route only, after a while, or only while it has all requests.
 	fault struct {
-		share    float64
-		slow     bool
-		oneRoute bool
-		from     time.Duration
+		share     float64
+		slow      bool
+		oneRoute  bool
+		from      time.Duration
+		underLoad bool
 	}
 
 	// simulation plays roll-outs of one service with two routes. The second one gets
@@ -136,11 +137,12 @@
 		for len(moves) > 0 && moves[0] <= at {
 			atEntry, moves, states = states[0], moves[1:], states[1:]
 		}
+		sent := 1.0
 		a := answered{isQuiet: s.random.Float64() < quietRoute}
 		a.target = s.random.Float64() < atEntry.RouteShare(fmt.Sprint(a.isQuiet), share)
 		a.took = time.Duration(float64(usualAnswer) * math.Exp(0.4*s.random.NormFloat64()))
 		isBad := false
-		if a.target && at >= f.from && (!f.oneRoute || a.isQuiet) && s.random.Float64() < f.share {
+		if a.target && at >= f.from && (!f.oneRoute || a.isQuiet) && (!f.underLoad || atEntry.TargetShare(share) == 1) && s.random.Float64() < f.share {
 			isBad = true
 			if f.slow {
 				a.took *= slowFactor
@@ -151,13 +153,16 @@
 		if !isBad && s.random.Float64() < 0.005 {
 			a.failed = true
 		}
+		if f.underLoad && a.failed {
+			sent++ // the client or the entry repeats it
+		}
 		if a.target && isBad {
 			bad = append(bad, at+a.took)
 		}
 		if at < o.Duration {
-			all++
+			all += sent
 			if a.target {
-				out.exposed++
+				out.exposed += sent
 			}
 		}
 		if a.target && len(bad) >= badAnswers && at > bad[badAnswers-1]+rollbackTime {
@@ -278,6 +283,28 @@
 	checkWithoutVisibleFault(t, exposureShare, 17)
 }
 
+// A release that fails half of its requests as soon as it has all of them, each of which is
+// sent once more.
+func TestReleaseThatIsBadUnderLoadStaysWithinTheBound(t *testing.T) {
+	var total summary
+	for _, share := range []float64{0.0975, 0.12, exposureShare} {
+		for _, perSecond := range []float64{47, 150, 410} {
+			for _, length := range []time.Duration{12 * time.Second, 16 * time.Second, 24 * time.Second, 28 * time.Second} {
+				for seed := range uint64(8) {
+					s := simulation{random: rand.New(rand.NewPCG(seed, 1)), rate: perSecond, busierFrom: length * 85 / 100, share: share}
+					f := fault{share: 0.5, underLoad: true}
+					p := s.play(rollout.Order{Service: "s", Target: "v2", Duration: length, Stage: rollout.StageOrdered}, f)
+					total.add(f, p, length)
+					if p.exposed > p.allowed {
+						t.Errorf("share %.4f, %s at %.0f/s, seed %d: %.0f requests, %.0f allowed, %s", share, length, perSecond, seed, p.exposed, p.allowed, p.stage)
+					}
+				}
+			}
+		}
+	}
+	t.Logf("%+v", total)
+}
+
 func checkWithoutVisibleFault(t *testing.T, share float64, rates ...float64) {
 	t.Helper()
 	for _, perSecond := range rates {
