Every event that was seen shows that its stream goes on

Only bytes behind the last event counted as a proof of more: a comment from a server without the rest hid them, an event behind a gap was not counted at all, and a comment alone began a stream that an empty answer then ended: callers got a stream that ended as complete too early. The other way round, a server that repeats events in pieces contradicted nothing, but its end did not count. The highest event of which a part was seen is kept now, an end before it is none, and comments are no events. TestCommentDoesNotEndStreamInAPartialEvent, TestEventBehindAGapContradictsTheEnd, TestCommentBeginsNoStreamThatAnEmptyAnswerEnds, TestRepeatedEventsInPiecesEndStream, TestCutInARepeatedEventContradictsNoEnd and TestStreamWithoutIDsEndsWithItsConnection failed before.

--- a/core/framing/framing.go
+++ b/core/framing/framing.go
@@ -55,7 +55,8 @@
 		Extended bool
 		// Begun means that the caller has events, of this answer or of others.
 		Begun bool
-		// MoreSeen means that bytes of an event were seen that the caller does not have.
+		// MoreSeen means that an event, or a part of one, was seen that the caller does not
+		// have.
 		MoreSeen bool
 		// CanAsk means that another server may be asked for what follows.
 		CanAsk bool
@@ -70,12 +71,12 @@
 // contradicts what was seen.
 func (m Mark) EndsStream(s Stream) bool {
 	switch {
+	case s.MoreSeen:
+		return false
 	case m == ByClose:
 		return s.Extended && !s.CanAsk
-	case s.Extended:
-		return true
 	}
-	return s.Begun && !s.MoreSeen
+	return s.Extended || s.Begun
 }
 
 // String returns the fields for a log, separated by colons.
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -69,6 +69,41 @@
 // surrounding white space.
 func (s *Splitter) Buffered() int { return len(bytes.TrimSpace(s.buffer)) }
 
+// Partial returns the id of the incomplete event that is buffered, 0 if it is not known, and
+// whether there is one. A comment is none.
+func (s *Splitter) Partial() (id uint64, ok bool) {
+	if !hasField(s.buffer) {
+		return 0, false
+	}
+	// The last line may be cut.
+	whole := s.buffer[:bytes.LastIndexByte(s.buffer, '\n')+1]
+	return eventID(whole), true
+}
+
+// IsContent reports whether the event has an id or data. Comments and changes of the retry
+// time have neither.
+func (e Event) IsContent() bool {
+	if e.ID > 0 {
+		return true
+	}
+	for line := range bytes.Lines(e.Raw) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasField reports whether the text has a line that is neither empty nor a comment.
+func hasField(text []byte) bool {
+	for line := range bytes.Lines(text) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // NewSequencer returns a sequencer for a stream whose caller has received the
 // events up to the id after, 0 for none.
 func NewSequencer(after uint64) Sequencer { return Sequencer{lastID: after} }
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -88,7 +88,7 @@
 		sentStatus  int             // status in that header
 		lastEventID uint64          // ID of the last event forwarded
 		events      int             // events forwarded
-		moreSeen    bool            // bytes of an event after the last one forwarded were seen
+		seenEventID uint64          // highest ID of an event of which at least a part was seen
 		answers     []string        // of servers, as far as their ends are concerned, for the log
 		callerMark  string          // what marks the end of the caller's answer, for the log
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -24,13 +24,14 @@
 	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.eventTimeouts())
 	defer watch.stop()
 	buffer := make([]byte, streamBufferBytes)
-	lastBefore := x.lastEventID
 	for {
 		n, err := answer.Read(buffer)
 		events, tooLong := splitter.Push(buffer[:n])
 		failed := x.forwardEvents(a, answer, &order, events)
 		a.answer.Partial = splitter.Buffered() > 0
-		x.moreSeen = x.moreSeen || a.answer.Partial
+		if err != nil || failed != nil || tooLong != nil {
+			x.recordPartial(&splitter)
+		}
 		switch {
 		case len(events) > 0:
 			watch.reset(x.headSent)
@@ -50,16 +51,16 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && answer.Framing.EndsStream(x.streamAfter(order.LastID() > lastBefore)):
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && answer.Framing.EndsStream(x.streamAfter(a)):
 			answer.Close()
 			x.endStream(a, answer)
 			return "", nil
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && order.LastID() > lastBefore:
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && a.answer.Events > 0:
 			x.takeOver(watch)
 			answer.Close()
 			x.tried = append(x.tried, a.server.ID)
 			return forward.Incomplete, errors.Trace(errUnprovenEnd)
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && answer.Framing != framing.ByClose && x.moreSeen:
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && answer.Framing != framing.ByClose && x.moreSeen():
 			x.takeOver(watch)
 			answer.Close()
 			x.tried = append(x.tried, a.server.ID)
@@ -72,9 +73,22 @@
 	}
 }
 
-// streamAfter returns what is known of the stream after an answer that extended it or not.
-func (x *activeRequest) streamAfter(extended bool) framing.Stream {
-	return framing.Stream{Extended: extended, Begun: x.headSent || x.req.LastEventID > 0, MoreSeen: x.moreSeen, CanAsk: x.canAskForRest()}
+// streamAfter returns what is known of the stream after the answer of an attempt.
+func (x *activeRequest) streamAfter(a *attempt) framing.Stream {
+	return framing.Stream{Extended: a.answer.Events > 0, Begun: x.events > 0 || x.req.LastEventID > 0, MoreSeen: x.moreSeen(), CanAsk: x.canAskForRest()}
+}
+
+// moreSeen reports whether an event was seen that the caller does not have.
+func (x *activeRequest) moreSeen() bool { return x.seenEventID > x.lastEventID }
+
+// recordPartial records the event in which an answer has ended. One whose id was not seen is
+// taken for the next one.
+func (x *activeRequest) recordPartial(s *stream.Splitter) {
+	id, ok := s.Partial()
+	if ok && id == 0 {
+		id = x.lastEventID + 1
+	}
+	x.seenEventID = max(x.seenEventID, id)
 }
 
 // endStream passes on the head of an answer without events: its caller had all of them.
@@ -96,6 +110,7 @@
 		if gap, ok := a.pace.observe(x.now()); ok {
 			x.forwarder.tallyPace(a, x, gap)
 		}
+		x.seenEventID = max(x.seenEventID, e.ID)
 		isNew, err := order.Admit(e)
 		if err != nil {
 			return err
@@ -113,9 +128,11 @@
 		if err := x.forwardEvent(answer, e.Raw); err != nil {
 			return err
 		}
-		x.lastEventID, x.moreSeen = order.LastID(), false
-		x.events++
-		a.answer.Events++
+		x.lastEventID = order.LastID()
+		if e.IsContent() {
+			x.events++
+			a.answer.Events++
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/entry/stream_end_test.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rosereach/core/backend"
+)
+
+const chunkedHead = "HTTP/1.1 200 OK\r\nId: id-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// chunk writes a chunk of an answer.
+func chunk(w io.Writer, text string) { fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text) }
+
+// inTurn answers the n-th request with the n-th function, and later ones with the last.
+func (r *harness) inTurn(path string, answers ...func(conn net.Conn)) (callerAnswer, int64) {
+	r.t.Helper()
+	r.plan()
+	var runs atomic.Int64
+	for _, id := range []string{"a", "b", "c"} {
+		r.announce(id, listenRaw(r.t, func(conn net.Conn) {
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				return
+			}
+			n := int(runs.Add(1))
+			answers[min(n, len(answers))-1](conn)
+		}), 1, backend.Serving)
+	}
+	return r.ask("HTTP/1.1", path), runs.Load()
+}
+
+func cutInEvent2(conn net.Conn) {
+	io.WriteString(conn, chunkedHead)
+	chunk(conn, streamText(1, 1)+"id: 2\nda")
+}
+
+func emptyAnswer(conn net.Conn) {
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length: 0\r\n\r\n")
+}
+
+func restFrom(first int) func(net.Conn) {
+	return func(conn net.Conn) {
+		io.WriteString(conn, chunkedHead)
+		if first <= eventsOfStream {
+			chunk(conn, streamText(first, eventsOfStream))
+		}
+		io.WriteString(conn, "0\r\n\r\n")
+	}
+}
+
+// A comment from a server without the rest hid the partial event that had been seen, and the
+// stream ended as complete before it.
+func TestCommentDoesNotEndStreamInAPartialEvent(t *testing.T) {
+	for _, comment := range []string{": ping\n\n", "retry: 100\n\n"} {
+		got, runs := newHarness(t).inTurn("/streaming/x", cutInEvent2, func(conn net.Conn) {
+			io.WriteString(conn, chunkedHead)
+			chunk(conn, comment)
+			io.WriteString(conn, "0\r\n\r\n")
+		}, restFrom(2))
+		if got.err == nil && got.body != streamText(1, 1)+comment+streamText(2, 3) {
+			t.Errorf("%q ends as complete after %d runs", got.body, runs)
+		}
+	}
+}
+
+// An event behind a gap shows that there is more; the stream ended as complete before it.
+func TestEventBehindAGapContradictsTheEnd(t *testing.T) {
+	for name, next := range map[string]func(net.Conn){"empty": emptyAnswer, "event 2 only": func(conn net.Conn) {
+		io.WriteString(conn, chunkedHead)
+		chunk(conn, streamText(2, 2))
+		io.WriteString(conn, "0\r\n\r\n")
+	}} {
+		r := newHarness(t)
+		got, runs := r.inTurn("/streaming/x", func(conn net.Conn) {
+			io.WriteString(conn, chunkedHead)
+			chunk(conn, streamText(1, 1)+streamText(3, 3))
+			io.WriteString(conn, "0\r\n\r\n")
+		}, next, restFrom(2))
+		if got.err == nil && got.body != streamText(1, 3) {
+			t.Errorf("%s: %q ends as complete after %d runs", name, got.body, runs)
+		}
+	}
+}
+
+// A stream of which the caller has only a comment ended as complete with an empty answer.
+func TestCommentBeginsNoStreamThatAnEmptyAnswerEnds(t *testing.T) {
+	got, runs := newHarness(t).inTurn("/streaming/x", func(conn net.Conn) {
+		io.WriteString(conn, chunkedHead)
+		chunk(conn, ": ping\n\n")
+	}, emptyAnswer, restFrom(1))
+	if got.err == nil && got.body != ": ping\n\n"+streamText(1, 3) {
+		t.Errorf("%q ends as complete after %d runs", got.body, runs)
+	}
+}
+
+// A server that repeats events which the caller has, in pieces, contradicted nothing, but its
+// end did not count, and the whole stream looked cut.
+func TestRepeatedEventsInPiecesEndStream(t *testing.T) {
+	got, runs := newHarness(t).inTurn("/streaming/x", func(conn net.Conn) {
+		io.WriteString(conn, chunkedHead)
+		chunk(conn, streamText(1, 3))
+	}, func(conn net.Conn) {
+		io.WriteString(conn, chunkedHead)
+		chunk(conn, streamText(1, 1)+"id: 2\nda")
+		time.Sleep(20 * time.Millisecond)
+		chunk(conn, "ta: 2\n\n"+streamText(3, 3))
+		io.WriteString(conn, "0\r\n\r\n")
+	})
+	if got.err != nil || runs != 2 {
+		t.Errorf("%q after %d runs, %v", got.body, runs, got.err)
+	}
+}
+
+// The same where the server that repeats is cut in an event that the caller has.
+func TestCutInARepeatedEventContradictsNoEnd(t *testing.T) {
+	got, runs := newHarness(t).inTurn("/streaming/x", func(conn net.Conn) {
+		io.WriteString(conn, chunkedHead)
+		chunk(conn, streamText(1, 3))
+	}, cutInEvent2, emptyAnswer)
+	if got.err != nil || runs != 3 {
+		t.Errorf("%q after %d runs, %v", got.body, runs, got.err)
+	}
+}
+
+// A whole stream without ids and without a length that may not be resumed looked cut.
+func TestStreamWithoutIDsEndsWithItsConnection(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	r.withoutResumption()
+	var runs atomic.Int64
+	for _, id := range []string{"a", "b", "c"} {
+		r.announce(id, listenRaw(t, func(conn net.Conn) {
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				return
+			}
+			runs.Add(1)
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\n\r\ndata: 1\n\ndata: 2\n\n")
+		}), 1, backend.Serving)
+	}
+	got := r.ask("HTTP/1.1", "/streaming/x")
+	if got.err != nil || got.body != "data: 1\n\ndata: 2\n\n" {
+		t.Errorf("%q after %d runs, %v", got.body, runs.Load(), got.err)
+	}
+}
