A relay that stops resets the answers that it passes on

A relay that stopped while it passed an answer on closed its connection in order, which is how a server ends an answer without a length: the entry behind it took a part for the whole. Connections that a stop ends are reset now.

--- a/io/detour/server.go
+++ b/io/detour/server.go
@@ -52,8 +52,8 @@
 }
 
 func (s Server) serve(ctx context.Context, conn net.Conn) {
-	defer conn.Close()                                      //nolint:errcheck // the connection is not used again
-	stop := context.AfterFunc(ctx, func() { conn.Close() }) //nolint:errcheck // see above
+	defer conn.Close()                                     //nolint:errcheck // the connection is not used again
+	stop := context.AfterFunc(ctx, func() { reset(conn) }) // an answer may be cut
 	defer stop()
 	upstream.LimitUnacked(conn)
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
