A stop resets the answers that it cuts

What was still running at the end of a stop's grace was closed in order, so that a caller whose answer ends with its connection, such as one of HTTP/1.0, took a part for the whole. Connections with a request are reset now when the server closes them at last; an answer that ends before is as it was.

--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -107,6 +107,18 @@
 	return len(s.open)
 }
 
+// resetOnClose lets connections with a running request be reset when they are closed: an
+// answer that ends with its connection must not look whole.
+func (s *conns) resetOnClose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.open {
+		if !t.isWaiting() {
+			t.SetLinger(0) //nolint:errcheck // fails only on a closed connection
+		}
+	}
+}
+
 // Read implements net.Conn.
 func (t *trackedConn) Read(p []byte) (int, error) {
 	n, err := t.Conn.Read(p)
@@ -168,6 +180,12 @@
 	}
 }
 
+func (t *trackedConn) isWaiting() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.waiting
+}
+
 func (t *trackedConn) stopWaiting() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -59,6 +59,7 @@
 	}
 	l.Close() //nolint:errcheck // no request is lost if it fails
 	open.drain(t.Shutdown())
+	open.resetOnClose()
 	if err := server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Trace(err)
 	}
