A plain answer without a length is not taken for whole

Its outcome is unknown now, as that of any other answer that may be cut. TestAnswerWithoutLengthIsNotTakenForWhole failed before.

--- a/io/backend/engine.go
+++ b/io/backend/engine.go
@@ -32,6 +32,8 @@
 const (
 	// ErrTruncated means that the stream ended without usage and end marker.
 	ErrTruncated = errors.ConstError("the answer was cut")
+	// ErrUnproven means that only the end of the connection marks the end of the answer.
+	ErrUnproven = errors.ConstError("the answer has neither a length nor chunks and may be cut")
 	// ErrRunLost means that the engine did not resume the requested run.
 	ErrRunLost = errors.ConstError("the engine has lost the run")
 	// ErrStalled means that no token arrived within stallTimeout.
@@ -142,6 +144,9 @@
 	if err != nil {
 		return PlainAnswer{}, unknown(err)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead {
+		return PlainAnswer{}, unknown(ErrUnproven)
+	}
 	if len(body) > maxAnswerBytes {
 		return PlainAnswer{}, unknown(errors.Errorf("answer exceeds %d bytes", maxAnswerBytes))
 	}
