The fault proxy passes a reset on

A stand-in server that reset its connection was seen as one that closed it: the proxy in front of it closed the other side, which ends an answer without a length cleanly.

TestProxyPassesResetOn failed before ("after a reset: EOF"). The proxy now resets both sides when a read of one was reset.

--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -185,6 +186,10 @@
 			p.forwardEOF(ctx, d.to)
 			return
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			pr.reset()
+			return
+		}
 		if err != nil {
 			pr.close()
 			return
--- a/internal/fault/proxy_test.go
+++ b/internal/fault/proxy_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -117,3 +118,37 @@
 		t.Errorf("no reset after the response: %v", err)
 	}
 }
+
+// A target that resets its connection resets the client's: a close in its place would look like
+// the end of an answer without a length.
+func TestProxyPassesResetOn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	read := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		io.WriteString(c, "hello")
+		<-read
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}()
+	p, err := Start(t.Context(), l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, p)
+	got := make([]byte, 5)
+	if _, err := io.ReadFull(c, got); err != nil {
+		t.Fatal(err)
+	}
+	close(read)
+	if _, err := c.Read(got); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("after a reset: %v", err)
+	}
+}
