Soak: several servers that fail at once, and more ways to end an answer

Half of the servers now fail 45 % of their answers in overlapping periods, and answer in three more ways: HTTP/1.0 that ends by a reset, a status that can't be the rest of a stream, and an extra answer that names no request, sent to the next request on the connection. A stream that is cut now breaks off in the middle of an event. The faults of a seed stay as they are, as the periods draw from a source of their own.

Beside the build in production, which lacks the fixes for these faults, servers show the former four kinds only, one server at a time, so that TestTwoBuildsSideBySide checks what it checked before.

--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -162,21 +162,43 @@
 // faults. It draws from a source of its own, so that the faults of a seed stay as they are.
 func (s *soak) nameLimits(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.cfg.Seed, 11)) //nolint:gosec // deterministic faults for a given seed
-	pause := func(d time.Duration) {
-		select {
-		case <-time.After(d):
-		case <-ctx.Done():
-		}
-	}
 	for ctx.Err() == nil {
-		pause(time.Duration(random.IntN(4000)) * time.Millisecond)
+		sleep(ctx, time.Duration(random.IntN(4000))*time.Millisecond)
 		srv := s.servers[random.IntN(serverCount)]
 		srv.nameLimit(0.5 + float64(random.IntN(10))/2)
-		pause(contactTime + limitWindow + drawPause(random))
+		sleep(ctx, contactTime+limitWindow+drawPause(random))
 		srv.nameLimit(0)
 	}
 }
 
+// failTogether lets half of the servers fail in overlapping periods, again and again, beside all
+// other faults. It draws from a source of its own, so that the faults of a seed stay as they are.
+func (s *soak) failTogether(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.cfg.Seed, 13)) //nolint:gosec // deterministic faults for a given seed
+	for ctx.Err() == nil {
+		sleep(ctx, 2*drawPause(random))
+		var failing sync.WaitGroup
+		for _, i := range random.Perm(serverCount)[:serverCount/2] {
+			offset, period := drawPause(random)/4, drawPause(random)+time.Second
+			failing.Go(func() {
+				sleep(ctx, offset)
+				s.servers[i].setFailing(true)
+				sleep(ctx, period)
+				s.servers[i].setFailing(false)
+			})
+		}
+		failing.Wait()
+	}
+}
+
+// sleep waits for some time, or until the context is canceled.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // drawReload draws a change of a process's settings file: other seeds, with SIGHUP or
 // without.
 func (s *soak) drawReload(p *process, random *rand.Rand) plannedFault {
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,10 +26,22 @@
 	// streamEvents is the number of events in a complete stream.
 	streamEvents = 8
 
-	// faultShare is the probability that a faulty server fails a request.
-	faultShare = 0.25
+	// faultShare is the probability that a faulty server fails a request, and
+	// sharedFaultShare that one of several servers that fail at once does.
+	faultShare, sharedFaultShare = 0.25, 0.45
+
+	// faultKinds is the number of kinds of faults of an answer, and olderFaultKinds of those
+	// that the build in production was made for as well.
+	faultKinds, olderFaultKinds = 7, 4
+
+	// extraAnswerTime is how long a server waits for the next request on a connection to
+	// answer it with what belongs to none.
+	extraAnswerTime = 300 * time.Millisecond
 )
 
+// otherStatuses are the statuses of answers that can't be the rest of a stream.
+var otherStatuses = []int{http.StatusNotFound, http.StatusNoContent, http.StatusNotModified, http.StatusGone, http.StatusPartialContent, http.StatusFound, http.StatusBadGateway}
+
 type (
 	// server is a fake backend server behind a proxy. It records the requests that
 	// reach it.
@@ -38,11 +51,13 @@
 		http     *http.Server
 		proxy    *fault.Proxy
 		client   *http.Client
+		kinds    int // of faults
 
 		mu           sync.Mutex
 		announcement platform.SimulatedServer
 		silent       bool
 		faulty       bool
+		failing      bool // with other servers
 		leaving      bool
 		heldUntil    time.Time
 		limit        float64
@@ -52,7 +67,9 @@
 	// answerPlan is how a server answers one request. Fault is 1 for a refusal
 	// without a run, 2 for a connection closed before the answer, 3 for an answer
 	// cut short, 4 for a server that is killed: its connection closes cleanly in the
-	// head of an answer, or after an event of a stream without a length.
+	// head of an answer, or after an event of a stream without a length. 5 is the same
+	// in HTTP/1.0, with a reset, 6 an answer of a status that can't be the rest of a
+	// stream, 7 a whole answer and another one, of no request, to the request after it.
 	answerPlan struct {
 		fault      int
 		leaving    bool
@@ -71,7 +88,7 @@
 		return nil, errors.Trace(err)
 	}
 	s := &server{
-		name: name, arrivals: a, proxy: proxy, client: &http.Client{Timeout: time.Second},
+		name: name, arrivals: a, proxy: proxy, client: &http.Client{Timeout: time.Second}, kinds: faultKinds,
 		announcement: platform.SimulatedServer{ID: name, Service: "s", Address: proxy.Address(), Zone: "z", Incarnation: time.Now().UnixMilli()},
 		random:       rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // deterministic faults for a given seed
 	}
@@ -115,6 +132,13 @@
 	s.faulty = faulty
 }
 
+// setFailing lets the server fail most of its requests, as others do, or ends that.
+func (s *server) setFailing(failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = failing
+}
+
 // setSilent holds back all bytes to and from the server, and its announcements, as if
 // its process were paused, or lets them go on.
 func (s *server) setSilent(silent bool) {
@@ -164,8 +188,8 @@
 	plan := answerPlan{leaving: s.leaving, limit: s.limit}
 	if left := time.Until(s.heldUntil); left >= time.Millisecond {
 		plan.fault, plan.retryAfter = 1, left
-	} else if s.faulty && s.random.Float64() <= faultShare {
-		plan.fault = 1 + s.random.IntN(4)
+	} else if x := s.random.Float64(); s.faulty && x <= faultShare || s.failing && x <= sharedFaultShare {
+		plan.fault = 1 + s.random.IntN(s.kinds)
 	}
 	return plan
 }
@@ -198,8 +222,17 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case plan.fault == 2:
 		panic(http.ErrAbortHandler)
-	case plan.fault == 4:
-		writeKilled(w, len(r.URL.Path) >= 10, after)
+	case plan.fault == 4 || plan.fault == 5:
+		writeKilled(w, len(r.URL.Path) >= 10, after, plan.fault == 5)
+	case plan.fault == 6:
+		w.WriteHeader(otherStatuses[int(after)%len(otherStatuses)])
+	case plan.fault == 7:
+		body := id
+		if len(r.URL.Path) >= 10 {
+			body = events(after, streamEvents)
+		}
+		answer.RequestID = ""
+		writeTwice(w, body, answer)
 	case len(r.URL.Path) < 10:
 		s.writeAnswer(w, id, plan.fault)
 	default:
@@ -218,33 +251,74 @@
 }
 
 // writeKilled ends as if the process were killed: in the head of an answer, or after some
-// events of a stream of which only the connection marks the end.
-func writeKilled(w http.ResponseWriter, isStream bool, after uint64) {
+// events of a stream of which only the connection marks the end. With reset, it answers in
+// HTTP/1.0 and resets the connection.
+func writeKilled(w http.ResponseWriter, isStream bool, after uint64, reset bool) {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer conn.Close() //nolint:errcheck // the connection is not used again
 	var head bytes.Buffer
-	head.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
+	version := "1.1"
+	if tcp, ok := conn.(*net.TCPConn); ok && reset {
+		version = "1.0"
+		tcp.SetLinger(0) //nolint:errcheck // the caller may have disconnected
+	}
+	fmt.Fprintf(&head, "HTTP/%s 200 OK\r\nContent-Type: text/event-stream\r\n", version)
 	w.Header().Write(&head) //nolint:errcheck // a buffer takes all bytes
 	if isStream {
-		head.WriteString("\r\n")
-		for id := after + 1; id <= min(after+3, streamEvents); id++ {
-			fmt.Fprintf(&head, "id: %d\ndata: %d\n\n", id, id)
-		}
+		head.WriteString("\r\n" + events(after, min(after+3, streamEvents)))
 	}
 	buffered.Write(head.Bytes()) //nolint:errcheck // the caller may have disconnected
 	buffered.Flush()             //nolint:errcheck // see above
+	if reset {
+		time.Sleep(20 * time.Millisecond) // a reset may overtake bytes that are not read yet
+	}
+}
+
+// writeTwice sends a whole answer, and the same bytes with the headers of another one when the
+// next request arrives on the connection.
+func writeTwice(w http.ResponseWriter, body string, extra platform.SimulatedAnswer) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close() //nolint:errcheck // the connection is not used again
+	extraHeader := make(http.Header)
+	extra.SetHeaders(extraHeader)
+	for _, h := range []http.Header{w.Header(), extraHeader} {
+		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(body)) //nolint:errcheck // the caller may have disconnected
+		h.Write(buffered)                                                             //nolint:errcheck // see above
+		fmt.Fprintf(buffered, "\r\n%s", body)                                         //nolint:errcheck // see above
+		buffered.Flush()                                                              //nolint:errcheck // see above
+		conn.SetReadDeadline(time.Now().Add(extraAnswerTime))                         //nolint:errcheck // see above
+		if _, err := buffered.Peek(1); err != nil {
+			return
+		}
+	}
+}
+
+// events returns the events of a stream that follow one, up to another.
+func events(after, last uint64) string {
+	var text strings.Builder
+	for id := after + 1; id <= last; id++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %d\n\n", id, id)
+	}
+	return text.String()
 }
 
 // writeStream sends the events that follow event number after. Fault 3 cuts it
-// short after three events.
+// short in the event after the third.
 func writeStream(ctx context.Context, w http.ResponseWriter, after uint64, fault int) {
 	for id := after + 1; id <= streamEvents; id++ {
-		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id) //nolint:errcheck // the caller may have disconnected
-		http.NewResponseController(w).Flush()          //nolint:errcheck // the caller may have disconnected
+		io.WriteString(w, events(id-1, id))   //nolint:errcheck // the caller may have disconnected
+		http.NewResponseController(w).Flush() //nolint:errcheck // the caller may have disconnected
 		if fault == 3 && id > after+2 {
+			if id < streamEvents {
+				fmt.Fprintf(w, "id: %d\nda", id+1)    //nolint:errcheck // the caller may have disconnected
+				http.NewResponseController(w).Flush() //nolint:errcheck // see above
+			}
 			panic(http.ErrAbortHandler)
 		}
 		select {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,7 +58,8 @@
 	//
 	// OlderBinary is a program of another build, empty for none. All processes begin with
 	// it and are upgraded at their next start, so that both builds run side by side until
-	// the faults and planned stops have reached each of them.
+	// the faults and planned stops have reached each of them. Servers then show only faults
+	// that both builds were made for.
 	Config struct {
 		Binary      string
 		OlderBinary string
@@ -123,6 +124,9 @@
 	clients.Go(func() { s.runOperator(loadCtx) })
 	clients.Go(func() { s.runResolver(loadCtx) })
 	clients.Go(func() { s.nameLimits(loadCtx) })
+	if s.cfg.OlderBinary == "" {
+		clients.Go(func() { s.failTogether(loadCtx) })
+	}
 	s.injectFaults(ctx)
 	stopLoad()
 	clients.Wait()
@@ -167,6 +171,9 @@
 		if err != nil {
 			return err
 		}
+		if s.cfg.OlderBinary != "" {
+			srv.kinds = olderFaultKinds
+		}
 		s.servers = append(s.servers, srv)
 	}
 	return nil
--- a/internal/soak/violation.go
+++ b/internal/soak/violation.go
@@ -47,10 +47,7 @@
 	}
 	want := o.id
 	if o.kind == "streaming" {
-		want = ""
-		for id := 1; id <= streamEvents; id++ {
-			want += fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
-		}
+		want = events(0, streamEvents)
 	}
 	if o.body != want {
 		v.add("complete answer to the right request", o.id, "%s request got the answer %q", o.kind, o.body)
