Two answers have to agree that nothing follows a stream's last event

Callers got a stream that ended as complete too early: its server had been cut between two events, and the next one, which failed at once, answered the request for the rest with an empty, framed 200. Nothing contradicts such an answer. A second answer has to agree now; without one the caller's answer is cut, and a caller that resumes behind the last event gets its end in the same way. This takes one more retry for each end that is lost, none for others. TestNoCutAnswerLooksWhole: the courses 'empty, then the rest' have to be whole now, where one server's word was enough before; TestOneEmptyAnswerDoesNotEndACallersResumption failed before.

--- a/core/framing/framing.go
+++ b/core/framing/framing.go
@@ -58,6 +58,9 @@
 		// MoreSeen means that an event, or a part of one, was seen that the caller does not
 		// have.
 		MoreSeen bool
+		// Confirmations is the number of framed answers, this one included, by which nothing
+		// follows the last event.
+		Confirmations int
 		// CanAsk means that another server may be asked for what follows.
 		CanAsk bool
 	}
@@ -65,10 +68,14 @@
 
 func (m Mark) String() string { return [...]string{"close", "length", "chunks"}[m] }
 
+// minConfirmations is the number of answers without events that end a stream. One may come
+// from a server that fails at once.
+const minConfirmations = 2
+
 // EndsStream reports whether the end of an answer with the mark ends the stream. Servers that
 // are killed, and those that fail at once, end answers in order as well: where another server
-// may be asked, the end of a connection is no end, and an answer without events is none if it
-// contradicts what was seen.
+// may be asked, the end of a connection is no end, and an answer without events needs another
+// one that agrees. None ends a stream of which more was seen.
 func (m Mark) EndsStream(s Stream) bool {
 	switch {
 	case s.MoreSeen:
@@ -76,7 +83,7 @@
 	case m == ByClose:
 		return s.Extended && !s.CanAsk
 	}
-	return s.Extended || s.Begun
+	return s.Extended || s.Begun && (s.Confirmations >= minConfirmations || !s.CanAsk)
 }
 
 // String returns the fields for a log, separated by colons.
--- a/core/framing/framing_test.go
+++ b/core/framing/framing_test.go
@@ -15,8 +15,10 @@
 	}{
 		"whole stream":                                   {framing.ByChunks, framing.Stream{Extended: true, Begun: true, CanAsk: true}, true},
 		"its rest, after a partial event":                {framing.ByLength, framing.Stream{Extended: true, Begun: true, CanAsk: true}, true},
-		"nothing follows the last event":                 {framing.ByLength, framing.Stream{Begun: true, CanAsk: true}, true},
-		"nothing follows a partial event":                {framing.ByChunks, framing.Stream{Begun: true, MoreSeen: true, CanAsk: true}, false},
+		"nothing follows the last event":                 {framing.ByLength, framing.Stream{Begun: true, Confirmations: 2, CanAsk: true}, true},
+		"one server says that nothing follows":           {framing.ByLength, framing.Stream{Begun: true, Confirmations: 1, CanAsk: true}, false},
+		"the only one that may be asked says so":         {framing.ByLength, framing.Stream{Begun: true, Confirmations: 1}, true},
+		"nothing follows a partial event":                {framing.ByChunks, framing.Stream{Begun: true, Confirmations: 2, MoreSeen: true, CanAsk: true}, false},
 		"no event at all":                                {framing.ByLength, framing.Stream{CanAsk: true}, false},
 		"the connection ends, others can be asked":       {framing.ByClose, framing.Stream{Extended: true, Begun: true, CanAsk: true}, false},
 		"the connection ends, no other may be asked":     {framing.ByClose, framing.Stream{Extended: true, Begun: true}, true},
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -89,6 +89,7 @@
 		lastEventID uint64          // ID of the last event forwarded
 		events      int             // events forwarded
 		seenEventID uint64          // highest ID of an event of which at least a part was seen
+		confirmed   int             // answers by which nothing follows the last event
 		answers     []string        // of servers, as far as their ends are concerned, for the log
 		callerMark  string          // what marks the end of the caller's answer, for the log
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -51,21 +51,8 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && answer.Framing.EndsStream(x.streamAfter(a)):
-			answer.Close()
-			x.endStream(a, answer)
-			return "", nil
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && a.answer.Events > 0:
-			x.takeOver(watch)
-			answer.Close()
-			x.tried = append(x.tried, a.server.ID)
-			return forward.Incomplete, errors.Trace(errUnprovenEnd)
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && answer.Framing != framing.ByClose && x.moreSeen():
-			x.takeOver(watch)
-			answer.Close()
-			x.tried = append(x.tried, a.server.ID)
-			x.forwarder.recordFailure(a, x, false)
-			return forward.Incomplete, errors.Trace(errContradictedEnd)
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && (a.answer.Events > 0 || answer.Framing != framing.ByClose && x.hasBegun()):
+			return x.handleStreamEnd(a, answer, watch)
 		default:
 			h := x.takeOver(watch)
 			return x.handleBrokenStream(ctx, a, answer, errors.Annotatef(errIncomplete, "%v", err), h.serverDead)
@@ -73,11 +60,31 @@
 	}
 }
 
-// streamAfter returns what is known of the stream after the answer of an attempt.
-func (x *activeRequest) streamAfter(a *attempt) framing.Stream {
-	return framing.Stream{Extended: a.answer.Events > 0, Begun: x.events > 0 || x.req.LastEventID > 0, MoreSeen: x.moreSeen(), CanAsk: x.canAskForRest()}
+// handleStreamEnd handles an answer to a stream that has ended in order after a whole event.
+func (x *activeRequest) handleStreamEnd(a *attempt, answer *upstream.Answer, watch *idleTimer) (forward.Outcome, error) {
+	answer.Close()
+	extended := a.answer.Events > 0
+	if !extended && !x.moreSeen() {
+		x.confirmed++
+	}
+	if answer.Framing.EndsStream(framing.Stream{
+		Extended: extended, Begun: x.hasBegun(), MoreSeen: x.moreSeen(), Confirmations: x.confirmed, CanAsk: x.canAskForRest(),
+	}) {
+		x.endStream(a, answer)
+		return "", nil
+	}
+	x.takeOver(watch)
+	x.tried = append(x.tried, a.server.ID)
+	if extended || !x.moreSeen() {
+		return forward.Incomplete, errors.Trace(errUnprovenEnd)
+	}
+	x.forwarder.recordFailure(a, x, false)
+	return forward.Incomplete, errors.Trace(errContradictedEnd)
 }
 
+// hasBegun reports whether the caller has events of the stream.
+func (x *activeRequest) hasBegun() bool { return x.events > 0 || x.req.LastEventID > 0 }
+
 // moreSeen reports whether an event was seen that the caller does not have.
 func (x *activeRequest) moreSeen() bool { return x.seenEventID > x.lastEventID }
 
@@ -130,6 +137,7 @@
 		}
 		x.lastEventID = order.LastID()
 		if e.IsContent() {
+			x.confirmed = 0
 			x.events++
 			a.answer.Events++
 		}
--- a/internal/entry/answer_end_test.go
+++ b/internal/entry/answer_end_test.go
@@ -19,6 +19,7 @@
 
 	"rosereach/core/backend"
 	"rosereach/core/forward"
+	"rosereach/core/route"
 	"rosereach/platform"
 )
 
@@ -192,8 +193,8 @@
 	whole, _ := c.body()
 	// Nothing shows that more was to come.
 	mayBeWhole := c.mark == "close" && c.end == "closed" && !c.partial
-	// A server says that nothing follows, and nothing contradicts it.
-	isVouchedFor := c.resumable && !c.partial && strings.HasPrefix(c.next, "empty")
+	// All servers say that nothing follows, and nothing contradicts them.
+	isVouchedFor := c.resumable && !c.partial && c.next == "empty"
 	// No server says so.
 	isUnproven := c.resumable && c.mark == "close" && (c.next == "error" || c.next == "gone")
 	switch {
@@ -244,11 +245,21 @@
 
 // withoutResumption puts a plan into force whose streams may not be resumed.
 func (r *harness) withoutResumption() {
+	r.withRoutes(func(one *route.Route) { one.Resumable = false })
+}
+
+// withAttempts puts a plan into force whose requests may be sent to n servers.
+func (r *harness) withAttempts(n int) {
+	r.withRoutes(func(one *route.Route) { one.MaxAttempts = n })
+}
+
+// withRoutes changes the routes of the plan in force.
+func (r *harness) withRoutes(change func(*route.Route)) {
 	docs := r.entry.catalog.Load().Documents()
 	plan := *docs.Routing
 	plan.Config.Routes = slices.Clone(plan.Config.Routes)
 	for i := range plan.Config.Routes {
-		plan.Config.Routes[i].Resumable = false
+		change(&plan.Config.Routes[i])
 	}
 	docs.Routing = &plan
 	docs.Revision++
@@ -256,7 +267,7 @@
 }
 
 // A caller that lost only the end of a stream asks for what follows its last event. It got an
-// error after three runs, as an answer without events counted as broken.
+// error after three runs, as an answer without events counted as broken. Two that agree end it.
 func TestResumptionBehindTheLastEventIsWhole(t *testing.T) {
 	for _, head := range []string{"Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"} {
 		r := newHarness(t)
@@ -273,7 +284,7 @@
 			}), 1, backend.Serving)
 		}
 		got, err := r.sendWith(context.Background(), forward.Request{Path: "/streaming/x", Key: "k", LastEventID: 3})
-		if err != nil || got.status != http.StatusOK || got.text() != "" || runs.Load() != 1 {
+		if err != nil || got.status != http.StatusOK || got.text() != "" || runs.Load() != 2 {
 			t.Errorf("%q: status %d, %q after %d runs, %v", head, got.status, got.text(), runs.Load(), err)
 		}
 	}
--- a/internal/entry/stream_end_test.go
+++ b/internal/entry/stream_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"time"
 
 	"rosereach/core/backend"
+	"rosereach/core/forward"
 )
 
 const chunkedHead = "HTTP/1.1 200 OK\r\nId: id-1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -22,8 +24,9 @@
 func (r *harness) inTurn(path string, answers ...func(conn net.Conn)) (callerAnswer, int64) {
 	r.t.Helper()
 	r.plan()
+	r.withAttempts(max(len(answers), 3))
 	var runs atomic.Int64
-	for _, id := range []string{"a", "b", "c"} {
+	for _, id := range []string{"a", "b", "c", "d"} {
 		r.announce(id, listenRaw(r.t, func(conn net.Conn) {
 			defer conn.Close()
 			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
@@ -112,8 +115,8 @@
 		time.Sleep(20 * time.Millisecond)
 		chunk(conn, "ta: 2\n\n"+streamText(3, 3))
 		io.WriteString(conn, "0\r\n\r\n")
-	})
-	if got.err != nil || runs != 2 {
+	}, emptyAnswer)
+	if got.err != nil || runs != 3 {
 		t.Errorf("%q after %d runs, %v", got.body, runs, got.err)
 	}
 }
@@ -123,8 +126,8 @@
 	got, runs := newHarness(t).inTurn("/streaming/x", func(conn net.Conn) {
 		io.WriteString(conn, chunkedHead)
 		chunk(conn, streamText(1, 3))
-	}, cutInEvent2, emptyAnswer)
-	if got.err != nil || runs != 3 {
+	}, cutInEvent2, emptyAnswer, emptyAnswer)
+	if got.err != nil || runs != 4 {
 		t.Errorf("%q after %d runs, %v", got.body, runs, got.err)
 	}
 }
@@ -150,3 +153,28 @@
 		t.Errorf("%q after %d runs, %v", got.body, runs.Load(), got.err)
 	}
 }
+
+// A caller that asks for what follows event 1 got a whole answer without events from a server
+// that fails at once, although another one has the rest.
+func TestOneEmptyAnswerDoesNotEndACallersResumption(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	var runs atomic.Int64
+	for _, id := range []string{"a", "b", "c"} {
+		r.announce(id, listenRaw(t, func(conn net.Conn) {
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				return
+			}
+			if runs.Add(1) == 1 {
+				emptyAnswer(conn)
+				return
+			}
+			restFrom(2)(conn)
+		}), 1, backend.Serving)
+	}
+	got, err := r.sendWith(context.Background(), forward.Request{Path: "/streaming/x", Key: "k", LastEventID: 1})
+	if err == nil && got.text() != streamText(2, 3) {
+		t.Errorf("status %d, %q ends as complete after %d runs", got.status, got.text(), runs.Load())
+	}
+}
