--- a/internal/entry/answer_end_test.go
+++ b/internal/entry/answer_end_test.go
@@ -179,7 +179,7 @@
 	}
 	got := r.ask(c.protocol, map[bool]string{true: "/safe/x", false: "/streaming/x"}[c.plain])
 	if got.status != http.StatusOK {
-		if c.isWhole() || !c.plain && !c.resumable && c.after > 0 {
+		if c.isWhole() || !c.plain && !c.resumable && c.after > 0 || (c.plain || c.resumable) && c.next == "the rest" {
 			t.Fatalf("status %d after %d runs, %v", got.status, runs.Load(), got.err)
 		}
 		return
@@ -198,6 +198,8 @@
 	// No server says so.
 	isUnproven := c.resumable && c.mark == "close" && (c.next == "error" || c.next == "gone")
 	switch {
+	case !strings.HasPrefix(whole, got.body):
+		t.Errorf("the answer is no part of the whole one: %+v after %d runs", got, runs)
 	case got.body == whole && got.err == nil:
 	case got.body == whole && !isUnproven:
 		t.Errorf("the whole answer looks cut: %+v after %d runs", got, runs)
