The test of refused detours keeps its port to itself

It closed a listener to get a port that refuses connections, and the next listener of the test, or of another process, got that port.

--- a/io/detour/detour_test.go
+++ b/io/detour/detour_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -50,6 +51,25 @@
 	return l.Addr().String()
 }
 
+// refusing returns an address that refuses connections. Its port is taken until the test ends,
+// so that no listener gets it.
+func refusing(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	address, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", address.(*syscall.SockaddrInet4).Port)
+}
+
 // server serves one connection.
 func server(t *testing.T, serve func(*net.TCPConn)) string {
 	t.Helper()
@@ -129,13 +149,8 @@
 // Nothing reaches a server for an instance without the member key, and only servers that the
 // relay knows are connected to.
 func TestDetourIsRefused(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	closed.Close()
 	reached := make(chan struct{}, 1)
-	address := relay(t, map[string]string{"s": server(t, func(*net.TCPConn) { reached <- struct{}{} }), "gone": closed.Addr().String()})
+	address := relay(t, map[string]string{"s": server(t, func(*net.TCPConn) { reached <- struct{}{} }), "gone": refusing(t)})
 	for _, c := range []struct {
 		key, server string
 		want        error
