Text that is no event ends the attempt that brought it

A server that was asked for the rest of a stream answered 200 with a text, and callers got the text in their stream: any block without an id passed as an event. A block without a field is none; the attempt has failed and another server is asked.

--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -13,6 +13,9 @@
 	// ErrGap is the cause of an error when events are missing from a stream.
 	ErrGap = errors.ConstError("events are missing from the stream")
 
+	// ErrNoEvent is the cause of an error when bytes are no event of a stream.
+	ErrNoEvent = errors.ConstError("the stream holds something else than events")
+
 	// ErrTooLong is the cause of an error when an event is longer than MaxEventBytes.
 	ErrTooLong = errors.ConstError("an event of the stream is too long")
 )
@@ -112,10 +115,13 @@
 func (s *Sequencer) LastID() uint64 { return s.lastID }
 
 // Admit reports whether to pass the event on. It returns false for a duplicate, and
-// an error with the cause ErrGap when events are missing before this one. Events
-// without an id always pass, and so does the first event of a caller that has none.
+// an error with the cause ErrGap when events are missing before this one, or ErrNoEvent when
+// it has no field. Events without an id always pass, and so does the first event of a caller
+// that has none.
 func (s *Sequencer) Admit(e Event) (bool, error) {
 	switch {
+	case !bytes.ContainsRune(e.Raw, ':') && e.ID == 0 && len(bytes.TrimSpace(e.Raw)) > 0:
+		return false, errors.Annotatef(ErrNoEvent, "%.40q", e.Raw)
 	case e.ID == 0:
 		return true, nil
 	case e.ID <= s.lastID:
