Chunks in an answer of HTTP/1.0 are no proper answer

RFC 9112 calls such framing faulty; the answer counts as none now, and the request is sent elsewhere.

--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -266,6 +266,9 @@
 // informational ones (1xx). The caller closes the body.
 func readHead(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
+		if hasUndefinedFraming(r) {
+			return nil, errors.Annotatef(ErrBadAnswer, "it has chunks in HTTP/1.0")
+		}
 		resp, err := http.ReadResponse(r, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Annotatef(ErrBadAnswer, "%v", err)
@@ -280,6 +283,22 @@
 	}
 }
 
+// hasUndefinedFraming reports whether the answer that is read next is one of HTTP/1.0 with
+// chunks (RFC 9112, section 6.1): net/http would read their sizes as a part of the body.
+func hasUndefinedFraming(r *bufio.Reader) bool {
+	const protocol = "HTTP/1.0"
+	if p, err := r.Peek(len(protocol)); err != nil || string(p) != protocol {
+		return false
+	}
+	for n := len(protocol) + 1; n <= r.Size(); n++ {
+		head, err := r.Peek(n)
+		if err != nil || bytes.HasSuffix(head, []byte("\n\r\n")) || bytes.HasSuffix(head, []byte("\n\n")) {
+			return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:"))
+		}
+	}
+	return false
+}
+
 // Read reads the body. It returns io.EOF only when the body is complete, as far as its
 // framing tells.
 func (a *Answer) Read(p []byte) (int, error) {
