A stream whose chunks end when its time is over is not complete

Such an end proves nothing but that the time is over; the caller's answer is cut. A length that is reached still counts.

--- a/core/framing/framing.go
+++ b/core/framing/framing.go
@@ -63,6 +63,8 @@
 		Confirmations int
 		// CanAsk means that another server may be asked for what follows.
 		CanAsk bool
+		// TimeUp means that the time that the server was given is over.
+		TimeUp bool
 	}
 )
 
@@ -75,10 +77,11 @@
 // EndsStream reports whether the end of an answer with the mark ends the stream. Servers that
 // are killed, and those that fail at once, end answers in order as well: where another server
 // may be asked, the end of a connection is no end, and an answer without events needs another
-// one that agrees. None ends a stream of which more was seen.
+// one that agrees. None ends a stream of which more was seen. A server whose time is over may
+// have stopped in the middle, which a length shows and chunks don't.
 func (m Mark) EndsStream(s Stream) bool {
 	switch {
-	case s.MoreSeen:
+	case s.MoreSeen, s.TimeUp && m != ByLength:
 		return false
 	case m == ByClose:
 		return s.Extended && !s.CanAsk
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -68,7 +68,7 @@
 		x.confirmed++
 	}
 	if answer.Framing.EndsStream(framing.Stream{
-		Extended: extended, Begun: x.hasBegun(), MoreSeen: x.moreSeen(), Confirmations: x.confirmed, CanAsk: x.canAskForRest(),
+		Extended: extended, Begun: x.hasBegun(), MoreSeen: x.moreSeen(), Confirmations: x.confirmed, CanAsk: x.canAskForRest(), TimeUp: x.isAtDeadline(),
 	}) {
 		x.endStream(a, answer)
 		return "", nil
