The log names attempts without an answer, and answers that a caller did not take

Found by the review: a whole answer whose write to the caller had failed was logged as length:whole, and an attempt that was reset before its head was missing from answers, so that two attempts of one request could not be seen. Log lines only.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -92,6 +92,7 @@
 		confirmed   int             // answers by which nothing follows the last event
 		answers     []string        // of servers, as far as their ends are concerned, for the log
 		callerMark  string          // what marks the end of the caller's answer, for the log
+		callerCut   bool            // the caller did not take its whole answer
 		fallback    *fallbackAnswer // forwarded if no later attempt succeeds
 		nextAttempt *attempt        // placed already, by an escalation or to replace a silent attempt
 		retryTaken  bool            // the retry for the next attempt was taken from the budget
@@ -311,6 +312,7 @@
 		x.unreachable = append(x.unreachable, a.server.ID)
 		return forward.NotSent, err
 	}
+	x.answers = append(x.answers, noAnswer)
 	x.runs++
 	x.tried = append(x.tried, a.server.ID)
 	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && !h.moved {
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -145,6 +145,7 @@
 	x.forwarder.recordSuccess(a, x)
 	x.beginWhole(answer.Status, answer.Header, answer.Framing, body)
 	if err := x.sink.Write(body); err != nil {
+		x.callerCut = true
 		level.Debug(x.forwarder.entry.cfg.Logger).Log("msg", "Failed to write the answer to the caller.", "id", x.req.ID, "err", err)
 	}
 	return "", nil
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -13,6 +13,9 @@
 	"rosereach/core/health"
 )
 
+// noAnswer stands in the log for an attempt that was sent and got no answer.
+const noAnswer = "none"
+
 // All log lines about a request carry its ID. docs/OPERATIONS.md lists the
 // fields. Keys and bodies are never logged.
 
@@ -122,7 +125,7 @@
 	switch {
 	case x.callerMark == "":
 		return ""
-	case err != nil:
+	case err != nil || x.callerCut:
 		return x.callerMark + ":cut"
 	}
 	return x.callerMark + ":whole"
