The error of an unproven end names all its causes

The end of a connection is one of three by now: an answer without events that no other confirms, and chunks that end when the server's time is over, had its text too. No decision is changed.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -52,7 +52,7 @@
 	errHeadTimeout     = errors.ConstError("timed out waiting for the answer's header")
 	errStalled         = errors.ConstError("timed out waiting for more of the answer")
 	errWrongRequestID  = errors.ConstError("the answer belongs to another request")
-	errUnprovenEnd     = errors.ConstError("the answer ended with its connection, which may have been cut")
+	errUnprovenEnd     = errors.ConstError("nothing proves that the stream has ended")
 	errContradictedEnd = errors.ConstError("the answer ends a stream of which more was seen")
 	errIncomplete      = errors.ConstError("the answer broke off")
 	errLowConfidence   = errors.ConstError("the model reports low confidence in its answer")
