--- a/internal/entry/cut_off_test.go
+++ b/internal/entry/cut_off_test.go
@@ -62,20 +62,9 @@
 	}
 }
 
-// refusingAddress returns an address that refuses connections.
-func refusingAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
-// hangingAddress returns an address at which connections are not established: its queue of new
-// connections is full.
-func hangingAddress(t *testing.T) string {
+// boundAddress returns a socket that is bound and does not listen, and its address, which
+// refuses connections. No other listener gets its port.
+func boundAddress(t *testing.T) (fd int, address string) {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
@@ -85,14 +74,28 @@
 	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
 	name, err := syscall.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	return fd, fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+}
+
+// refusingAddress returns an address that refuses connections.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	_, address := boundAddress(t)
+	return address
+}
+
+// hangingAddress returns an address at which connections are not established: its queue of new
+// connections is full.
+func hangingAddress(t *testing.T) string {
+	t.Helper()
+	fd, address := boundAddress(t)
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
 	for range 3 {
 		d := net.Dialer{Timeout: 100 * time.Millisecond}
 		if conn, err := d.Dial("tcp", address); err == nil {
