Tests of ends of streams share their servers

serveInTurn in place of four copies; TestOneEmptyAnswerDoesNotEndACallersResumption asks for the whole rest now, where an error passed as well.

--- a/internal/entry/answer_end_test.go
+++ b/internal/entry/answer_end_test.go
@@ -274,17 +274,7 @@
 	for _, head := range []string{"Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"} {
 		r := newHarness(t)
 		r.plan()
-		var runs atomic.Int64
-		for _, id := range []string{"a", "b", "c"} {
-			r.announce(id, listenRaw(t, func(conn net.Conn) {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				runs.Add(1)
-				io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\n"+head)
-			}), 1, backend.Serving)
-		}
+		runs := r.serveInTurn(func(conn net.Conn) { io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\n"+head) })
 		got, err := r.sendWith(context.Background(), forward.Request{Path: "/streaming/x", Key: "k", LastEventID: 3})
 		if err != nil || got.status != http.StatusOK || got.text() != "" || runs.Load() != 2 {
 			t.Errorf("%q: status %d, %q after %d runs, %v", head, got.status, got.text(), runs.Load(), err)
--- a/internal/entry/stream_end_test.go
+++ b/internal/entry/stream_end_test.go
@@ -20,11 +20,19 @@
 // chunk writes a chunk of an answer.
 func chunk(w io.Writer, text string) { fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text) }
 
-// inTurn answers the n-th request with the n-th function, and later ones with the last.
+// inTurn sends a request that serveInTurn answers.
 func (r *harness) inTurn(path string, answers ...func(conn net.Conn)) (callerAnswer, int64) {
 	r.t.Helper()
 	r.plan()
 	r.withAttempts(max(len(answers), 3))
+	runs := r.serveInTurn(answers...)
+	return r.ask("HTTP/1.1", path), runs.Load()
+}
+
+// serveInTurn starts servers that answer the n-th request with the n-th function, and later ones
+// with the last. It returns the number of requests.
+func (r *harness) serveInTurn(answers ...func(conn net.Conn)) *atomic.Int64 {
+	r.t.Helper()
 	var runs atomic.Int64
 	for _, id := range []string{"a", "b", "c", "d"} {
 		r.announce(id, listenRaw(r.t, func(conn net.Conn) {
@@ -36,7 +44,7 @@
 			answers[min(n, len(answers))-1](conn)
 		}), 1, backend.Serving)
 	}
-	return r.ask("HTTP/1.1", path), runs.Load()
+	return &runs
 }
 
 func cutInEvent2(conn net.Conn) {
@@ -137,17 +145,9 @@
 	r := newHarness(t)
 	r.plan()
 	r.withoutResumption()
-	var runs atomic.Int64
-	for _, id := range []string{"a", "b", "c"} {
-		r.announce(id, listenRaw(t, func(conn net.Conn) {
-			defer conn.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-				return
-			}
-			runs.Add(1)
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\n\r\ndata: 1\n\ndata: 2\n\n")
-		}), 1, backend.Serving)
-	}
+	runs := r.serveInTurn(func(conn net.Conn) {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\n\r\ndata: 1\n\ndata: 2\n\n")
+	})
 	got := r.ask("HTTP/1.1", "/streaming/x")
 	if got.err != nil || got.body != "data: 1\n\ndata: 2\n\n" {
 		t.Errorf("%q after %d runs, %v", got.body, runs.Load(), got.err)
@@ -159,22 +159,9 @@
 func TestOneEmptyAnswerDoesNotEndACallersResumption(t *testing.T) {
 	r := newHarness(t)
 	r.plan()
-	var runs atomic.Int64
-	for _, id := range []string{"a", "b", "c"} {
-		r.announce(id, listenRaw(t, func(conn net.Conn) {
-			defer conn.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-				return
-			}
-			if runs.Add(1) == 1 {
-				emptyAnswer(conn)
-				return
-			}
-			restFrom(2)(conn)
-		}), 1, backend.Serving)
-	}
+	runs := r.serveInTurn(emptyAnswer, restFrom(2))
 	got, err := r.sendWith(context.Background(), forward.Request{Path: "/streaming/x", Key: "k", LastEventID: 1})
-	if err == nil && got.text() != streamText(2, 3) {
-		t.Errorf("status %d, %q ends as complete after %d runs", got.status, got.text(), runs.Load())
+	if err != nil || got.text() != streamText(2, 3) {
+		t.Errorf("status %d, %q after %d runs, %v", got.status, got.text(), runs.Load(), err)
 	}
 }
