--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
-.PHONY: build test race format lint ci demo property soak regress
+.PHONY: build test crowd race format lint ci demo property soak regress
 
 build: ; go build -o bin/rosereach .
 test: ; go test ./...
+crowd: ; go test -tags crowd ./test/crowd -count=1 -timeout 20m
 race: ; go test -race ./...
 format: ; go tool -modfile=tools/go.mod gofumpt -w $$(git ls-files '*.go')
-lint: ; go tool -modfile=tools/go.mod golangci-lint run --allow-parallel-runners ./...
+lint: ; go tool -modfile=tools/go.mod golangci-lint run --allow-parallel-runners --build-tags crowd ./...
 ci: ; .ci/run
 demo: ; go run . demo
 
