Bound the head of a request as it arrives

What callers saw: a process whose memory clients without manners took, and then none at all. Cause: net/http reads up to 1 MiB of a head, and the limit of the configuration was looked at after that; header_timeout_ms was read and used by nobody. Change: a connection counts the bytes of a head as they arrive, empty lines too, and refuses it with 431 at the limit in force, 64 KiB while there is none; a head has its own time from its first byte on. Both may change while the connection is open, and hold at every port.

--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	return serveUntil(ctx, l, h, noWait)
+	return serveUntil(ctx, l, httpd.Server{Handler: h, Timeouts: noWait})
 }
 
 // openPlatformProcess reads the settings file and sets the runtime's memory limit.
@@ -173,10 +173,9 @@
 	return listeners, nil
 }
 
-// serveUntil serves until the context ends, with the timeouts t. A closed server is
-// not an error.
-func serveUntil(ctx context.Context, l net.Listener, h http.Handler, t httpd.Timeouts) error {
-	err := httpd.ServeWithTimeouts(ctx, l, h, t)
+// serveUntil serves until the context ends. A closed server is not an error.
+func serveUntil(ctx context.Context, l net.Listener, s httpd.Server) error {
+	err := s.Serve(ctx, l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -10,6 +10,7 @@
 	"rosereach/core/lease"
 	"rosereach/core/rollout"
 	"rosereach/internal/control"
+	"rosereach/internal/httpd"
 	"rosereach/platform"
 )
 
@@ -49,11 +50,15 @@
 		g, ctx := errgroup.WithContext(ctx)
 		g.Go(func() error { return p.watchSettings(ctx) })
 		g.Go(func() error { return p.serveMetrics(ctx, node.TextMetrics()) })
-		g.Go(func() error { return serveUntil(ctx, listeners[0], node.Handler(), noWait) })
-		g.Go(func() error { return serveUntil(ctx, listeners[1], platform.ControlHandler(node, p.regions), noWait) })
+		g.Go(func() error {
+			return serveUntil(ctx, listeners[0], httpd.Server{Handler: node.Handler(), Timeouts: noWait})
+		})
+		g.Go(func() error {
+			return serveUntil(ctx, listeners[1], httpd.Server{Handler: platform.ControlHandler(node, p.regions), Timeouts: noWait})
+		})
 		if len(listeners) > 2 {
 			g.Go(func() error {
-				return serveUntil(ctx, listeners[2], platform.DirectoryHandler(node, addressTTL), noWait)
+				return serveUntil(ctx, listeners[2], httpd.Server{Handler: platform.DirectoryHandler(node, addressTTL), Timeouts: noWait})
 			})
 		}
 		return g.Wait()
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -96,7 +96,7 @@
 	g.Go(func() error { return p.process.watchSettings(running) })
 	g.Go(func() error { return p.entry.Run(running) })
 	g.Go(func() error {
-		return serveUntil(running, p.readinessListener, platform.ReadinessHandler(p.entry.IsOpen), noWait)
+		return serveUntil(running, p.readinessListener, httpd.Server{Handler: platform.ReadinessHandler(p.entry.IsOpen), Timeouts: noWait})
 	})
 	for _, l := range p.relayListeners {
 		g.Go(func() error { return p.entry.ServeDetours(running, l) })
@@ -104,8 +104,7 @@
 	g.Go(func() error { return p.process.serveMetrics(running, p.entry.ForwardMetrics()) })
 	g.Go(func() error {
 		defer stop()
-		handler := platform.CallerHandler(p.entry, p.process.clock, p.entry.IsDraining)
-		return serveUntil(accepting, p.callerListener, handler, httpd.Timeouts{Shutdown: p.remainingTime, Idle: p.entry.IdleTime})
+		return serveUntil(accepting, p.callerListener, p.callerServer())
 	})
 	g.Go(func() error {
 		select {
@@ -120,6 +119,19 @@
 	return g.Wait()
 }
 
+// callerServer returns the server for callers. The limits are those of the routing plan in force.
+func (p *platformEntry) callerServer() httpd.Server {
+	return httpd.Server{
+		Handler: platform.CallerHandler(p.entry, p.process.clock, p.entry.IsDraining),
+		Timeouts: httpd.Timeouts{
+			Shutdown: p.remainingTime,
+			Header:   func() time.Duration { return p.entry.Limits().HeaderTimeout },
+			Idle:     p.entry.IdleTime,
+		},
+		MaxHeaderBytes: func() int { return p.entry.Limits().MaxHeaderBytes },
+	}
+}
+
 // drain sets the deadline for running requests to the end of the settings' grace
 // time, and removes the entry from the address lists.
 func (p *platformEntry) drain(ctx context.Context) {
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -2,18 +2,36 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
 
-// drainPoll is the pause between two looks at the connections of a server that stops.
-const drainPoll = 5 * time.Millisecond
+const (
+	// drainPoll is the pause between two looks at the connections of a server that stops.
+	drainPoll = 5 * time.Millisecond
+
+	// readAheadBytes is how much of what follows a head http.Server may read with it.
+	readAheadBytes = 4 << 10
+
+	// refusalDrainTime and refusalDrainBytes bound what is read after a refused head. A
+	// connection that is closed with unread data is reset, and the refusal may get lost.
+	refusalDrainTime  = 500 * time.Millisecond
+	refusalDrainBytes = 256 << 10
+
+	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
+		"Connection: close\r\n\r\nthe header is over the limit\n"
+)
 
 type (
 	// trackedListener tracks the connections that it accepts.
-	trackedListener struct{ net.Listener }
+	trackedListener struct {
+		net.Listener
+		server Server
+	}
 
 	// conns are the open connections of a server. It closes idle ones after a timeout,
 	// which, unlike http.Server.IdleTimeout, may change while connections are open.
@@ -21,7 +39,7 @@
 	// It also replaces http.Server.Shutdown, which drops requests that are read while it
 	// runs: their callers get neither an answer nor a refusal.
 	conns struct {
-		timeout func() time.Duration // nil for no timeout
+		server Server
 
 		mu       sync.Mutex
 		open     map[*trackedConn]bool
@@ -33,17 +51,19 @@
 	// next request has been read.
 	trackedConn struct {
 		net.Conn
+		server Server
 
-		mu      sync.Mutex
-		waiting bool // no byte has arrived since the last answer
-		ahead   bool // a byte of the next request has arrived before the last answer ended
-		timer   *time.Timer
+		mu       sync.Mutex
+		waiting  bool // no byte has arrived since the last answer
+		ahead    bool // a byte of the next request has arrived before the last answer ended
+		inHead   bool // the head of a request is being read
+		headSize int  // bytes read of it
+		ended    bool // no more is read
+		timer    *time.Timer
 	}
 )
 
-func newConns(timeout func() time.Duration) *conns {
-	return &conns{timeout: timeout, open: make(map[*trackedConn]bool)}
-}
+func newConns(s Server) *conns { return &conns{server: s, open: make(map[*trackedConn]bool)} }
 
 // Accept implements net.Listener.
 func (l trackedListener) Accept() (net.Conn, error) {
@@ -51,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: c, waiting: true}, nil
+	return &trackedConn{Conn: c, server: l.server, waiting: true, inHead: true}, nil
 }
 
 // onStateChange is an http.Server.ConnState hook.
@@ -65,6 +85,7 @@
 	switch state {
 	case http.StateNew:
 		s.open[t] = true
+		t.awaitRequest(s.firstTimeout())
 	case http.StateActive:
 		t.beginRequest() // the server may have read the request ahead
 	case http.StateIdle:
@@ -81,10 +102,19 @@
 	if s.draining {
 		return 0
 	}
-	if s.timeout == nil || s.timeout() <= 0 {
-		return -1
+	if d := s.server.idleTimeout(); d > 0 {
+		return d
 	}
-	return s.timeout()
+	return -1
+}
+
+// firstTimeout returns how long a new connection may wait for its first request. Callers hold
+// s.mu.
+func (s *conns) firstTimeout() time.Duration {
+	if s.draining {
+		return 0
+	}
+	return max(s.server.idleTimeout(), s.server.headerTimeout())
 }
 
 // drain closes connections that wait for a request, and waits until the others have had
@@ -119,30 +149,84 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It ends a request whose head is over the limit, or is not complete
+// in time.
 func (t *trackedConn) Read(p []byte) (int, error) {
+	if t.hasEnded() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := t.Conn.Read(p)
 	if len(bytes.Trim(p[:n], "\r\n")) > 0 { // empty lines belong to no request
 		t.receive(len(p) == 1)
 	}
+	if n > 0 && !t.countHead(n) {
+		t.refuseHead()
+		return 0, os.ErrDeadlineExceeded
+	}
 	return n, err
 }
 
+// countHead adds n bytes to the head that is being read, and reports whether it is inside the
+// limit. Empty lines before a request count as well.
+func (t *trackedConn) countHead(n int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.inHead {
+		return true
+	}
+	t.headSize += n
+	return t.headSize <= t.server.maxHeaderBytes()+readAheadBytes
+}
+
+// refuseHead answers a head that is over the limit, which http.Server would read on, up to a limit
+// of its own that cannot change while connections are open.
+func (t *trackedConn) refuseHead() {
+	t.end()
+	t.SetDeadline(time.Now().Add(refusalDrainTime)) //nolint:errcheck // fails only on a closed connection
+	if _, err := io.WriteString(t.Conn, headTooLarge); err != nil {
+		return
+	}
+	t.CloseWrite()                                  //nolint:errcheck // see SetDeadline
+	io.CopyN(io.Discard, t.Conn, refusalDrainBytes) //nolint:errcheck // the connection is closed next
+}
+
+// end lets nothing more be read.
+func (t *trackedConn) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended = true
+}
+
+func (t *trackedConn) hasEnded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended
+}
+
 // receive records that data has arrived. While a handler runs, http.Server reads a single
 // byte to see whether the caller leaves; it is the first of the next request.
 func (t *trackedConn) receive(single bool) {
 	t.mu.Lock()
-	t.ahead = t.ahead || single && !t.waiting
-	t.mu.Unlock()
-	t.stopWaiting()
+	defer t.mu.Unlock()
+	t.ahead = t.ahead || single && !t.inHead
+	if t.waiting {
+		t.beginHead()
+	}
+}
+
+// beginHead starts the time in which the head of a request has to be complete. Callers hold t.mu.
+func (t *trackedConn) beginHead() {
+	t.waiting = false
+	t.stopTimer()
+	t.timer = time.AfterFunc(t.server.headerTimeout(), t.closeIfInHead)
 }
 
 // beginRequest records that the header of a request has been read.
 func (t *trackedConn) beginRequest() {
 	t.mu.Lock()
-	t.ahead = false
-	t.mu.Unlock()
-	t.stopWaiting()
+	defer t.mu.Unlock()
+	t.ahead, t.waiting, t.inHead, t.headSize = false, false, false, 0
+	t.stopTimer()
 }
 
 // CloseWrite closes the sending side, which http.Server does before it closes a connection
@@ -168,10 +252,11 @@
 func (t *trackedConn) awaitRequest(timeout time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer != nil {
-		t.timer.Stop()
-	}
+	t.stopTimer()
+	t.inHead = true
 	if t.ahead {
+		t.ahead, t.headSize = false, 1
+		t.beginHead()
 		return
 	}
 	t.waiting = true
@@ -189,13 +274,28 @@
 func (t *trackedConn) stopWaiting() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.waiting = false
+	t.waiting, t.inHead = false, false
+	t.stopTimer()
+}
+
+// stopTimer ends the time for a request or its head. Callers hold t.mu.
+func (t *trackedConn) stopTimer() {
 	if t.timer != nil {
 		t.timer.Stop()
 		t.timer = nil
 	}
 }
 
+// closeIfInHead ends a request whose head is not complete.
+func (t *trackedConn) closeIfInHead() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.inHead && !t.waiting {
+		t.ended = true
+		t.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
+	}
+}
+
 // closeIfWaiting ends the wait for a request. It lets the pending read time out, upon which
 // the server closes the connection: a read that has returned data wins, because the server
 // sets a new deadline before it reads on.
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -4,8 +4,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -275,8 +277,7 @@
 func isOpen(c net.Conn) bool {
 	c.SetReadDeadline(time.Now().Add(time.Millisecond))
 	_, err := c.Read(make([]byte, 1))
-	e, ok := err.(net.Error)
-	return ok && e.Timeout()
+	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // timedConn limits the time of each write.
