--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -34,6 +34,8 @@
 	NoRoute Code = "no_route"
 	// Unauthorized: the key belongs to no workspace.
 	Unauthorized Code = "unauthorized"
+	// TooSlow: the body was not complete when the request's time was over. Not run.
+	TooSlow Code = "too_slow"
 	// TooLarge: the body is over the limit.
 	TooLarge Code = "too_large"
 	// HeaderTooLarge: the header is over the limit.
@@ -81,7 +83,7 @@
 		Path   string
 		// Header holds the header fields to pass on.
 		Header   map[string][]string
-		Body     []byte
+		Body     Body
 		Key      string
 		Arrived  time.Time
 		Deadline time.Time
@@ -184,7 +186,7 @@
 // IsNotRun reports whether the failure guarantees that the request did not run.
 func (f *Failure) IsNotRun() bool {
 	switch f.Code {
-	case NotReady, Overloaded, NoServer, Draining, Quarantined:
+	case NotReady, Overloaded, NoServer, Draining, Quarantined, TooSlow:
 		return true
 	}
 	return false
--- /dev/null
+++ b/core/overload/overload.go
@@ -0,0 +1,336 @@
+// Package overload decides what a process holds for requests that are not complete or not answered
+// yet: which connections it closes, and which requests it rejects, when callers use up its memory
+// or its descriptors.
+//
+// The load that it answers is a crowd of clients that open many connections, send large bodies or
+// heads, and never end them. Requests that bring nothing yield first, then new large ones; small
+// requests have a reserved part, so that ordinary callers still get answers.
+package overload
+
+import (
+	"container/list"
+	"math"
+	"time"
+)
+
+const (
+	// workingBytes is the memory of a process without requests.
+	workingBytes = 32 << 20
+
+	// softLimitShare is the share of an instance's memory at which the garbage collector works
+	// harder. Requests end well before, because a collector that is always busy stops the process
+	// as well.
+	softLimitShare = 0.7
+
+	// The shares of what is left for requests' bytes and for connections. The rest is garbage that
+	// is not collected yet, and the work on the requests.
+	requestShare    = 0.4
+	connectionShare = 0.2
+	reservedShare   = 0.25
+
+	// connectionBytes is the memory of a connection: its buffers and the stack that serves it.
+	connectionBytes = 16 << 10
+
+	// reservedFiles are descriptors for files. Of the others, callerFileShare are for connections
+	// that others open; the process needs the rest for its own.
+	reservedFiles   = 200
+	callerFileShare = 2.0 / 3
+
+	// closingShare is the part of the connections that may be evicted and not closed yet.
+	closingShare = 8
+
+	smallBytes = 64 << 10
+
+	// stallTime is far above the pauses of a client on a slow link that it shares with others: a
+	// lost packet is sent again within a second.
+	stallTime = 2 * time.Second
+
+	// The limits of an instance that are not known.
+	defaultMemoryBytes = 512 << 20
+	defaultFiles       = 1024
+)
+
+// The states of a connection.
+const (
+	// Idle connections wait for a request.
+	Idle State = iota
+	// Reading connections have brought a part of a request.
+	Reading
+	// Busy connections have brought a whole request, or belong to a proven member. They are never
+	// evicted.
+	Busy
+	// Evicted connections are about to be closed.
+	Evicted
+)
+
+// The reasons why a connection or a request yields.
+const (
+	// NoRoom means that the memory for requests is in use.
+	NoRoom Reason = "no_room"
+	// Stalled means that the request brought nothing while others needed its memory.
+	Stalled Reason = "stalled"
+	// NoDescriptor means that too many connections are open.
+	NoDescriptor Reason = "no_descriptor"
+	// TooSlow means that the request was not complete in time.
+	TooSlow Reason = "too_slow"
+	// HeadTooLarge means that the head is over the limit.
+	HeadTooLarge Reason = "head_too_large"
+)
+
+// Reasons are all reasons.
+var Reasons = []Reason{NoRoom, Stalled, NoDescriptor, TooSlow, HeadTooLarge}
+
+type (
+	// State is the state of a connection.
+	State int
+
+	// Reason is why a connection or a request yields.
+	Reason string
+
+	// Limits are the limits of a process.
+	Limits struct {
+		// Bytes is the memory for the heads and bodies of requests, and Reserved the part of it
+		// that only requests of up to SmallBytes get.
+		Bytes      int64
+		Reserved   int64
+		SmallBytes int64
+		// Connections is the number of connections that others may open.
+		Connections int
+		// StallTime is how long a request may bring nothing before it yields to others.
+		StallTime time.Duration
+	}
+
+	// Account holds the connections of a process and what their requests hold. It is not safe for
+	// concurrent use.
+	Account struct {
+		limits Limits
+
+		open       int // all connections, evicted ones too
+		closing    int // evicted ones
+		bytes      int64
+		largeBytes int64 // of requests over SmallBytes
+
+		idle    list.List // *Connection by when they began to wait
+		reading list.List // *Connection by when the request began
+		quiet   list.List // *Connection that read, by when they last brought a byte
+	}
+
+	// Connection is a connection of an Account.
+	Connection struct {
+		// Evict closes the connection. The owner calls it for the connections that a method of
+		// the Account returns, after it has released its locks.
+		Evict func(Reason)
+
+		state      State
+		bytes      int64
+		since      time.Time // when the state began
+		progressAt time.Time
+		queue      *list.Element // in idle or reading
+		quiet      *list.Element
+	}
+)
+
+// LimitsFor returns the limits of a process on an instance with the given memory in bytes and
+// number of descriptors, 0 for unknown.
+func LimitsFor(memory int64, files int) Limits {
+	if memory <= 0 {
+		memory = defaultMemoryBytes
+	}
+	left := max(softLimitShare*float64(memory)-workingBytes, float64(memory)/8)
+	return Limits{
+		Bytes: int64(requestShare * left), Reserved: int64(reservedShare * requestShare * left), SmallBytes: smallBytes,
+		Connections: math.MaxInt32, StallTime: stallTime,
+	}
+}
+
+// NewAccount returns an account without connections.
+func NewAccount(l Limits) *Account { return &Account{limits: l} }
+
+// Open adds a connection that waits for a request. At the limit another one is evicted: one whose
+// request has stalled, else the one that has waited longest for a request or for its end. Open
+// returns nil if there is none.
+func (a *Account) Open(now time.Time) (c, evicted *Connection) {
+	if a.open-a.closing >= a.limits.Connections {
+		evicted = a.longestWaiting(now)
+		if evicted == nil || a.closing > a.limits.Connections/closingShare {
+			return nil, nil
+		}
+		a.evict(evicted)
+	}
+	c = &Connection{since: now}
+	a.open++
+	a.enqueue(c, &a.idle)
+	return c, evicted
+}
+
+// longestWaiting returns the connection that yields its descriptor, nil for none.
+func (a *Account) longestWaiting(now time.Time) *Connection {
+	if c := front(&a.quiet); c != nil && now.Sub(c.progressAt) >= a.limits.StallTime {
+		return c
+	}
+	idle, reading := front(&a.idle), front(&a.reading)
+	if idle == nil || reading != nil && reading.since.Before(idle.since) {
+		return reading
+	}
+	return idle
+}
+
+// Close removes a connection that is closed.
+func (a *Account) Close(c *Connection) {
+	if c.state == Evicted {
+		a.closing--
+	}
+	a.release(c)
+	a.dequeue(c)
+	a.open--
+}
+
+// Await lets a connection wait for a request: the last one is answered.
+func (a *Account) Await(now time.Time, c *Connection) { a.move(now, c, Idle) }
+
+// Complete records that a connection has brought a whole request, or has proved that it belongs
+// to a member.
+func (a *Account) Complete(now time.Time, c *Connection) { a.move(now, c, Busy) }
+
+// Read records that a connection has brought a part of a request. It reports whether the
+// connection is not evicted.
+func (a *Account) Read(now time.Time, c *Connection) bool {
+	if c.state == Idle {
+		a.move(now, c, Reading)
+	}
+	if c.state == Reading {
+		c.progressAt = now
+		a.quiet.MoveToBack(c.quiet)
+	}
+	return c.state != Evicted
+}
+
+// Take takes n bytes for the request of a connection and reports whether there was room. Evicted
+// are the connections that yield theirs: stalled ones, and to a small request other small ones
+// that have been incomplete for longest. A large request that is the only one always gets room.
+func (a *Account) Take(now time.Time, c *Connection, n int64) (evicted []*Connection, ok bool) {
+	if c.state == Evicted {
+		return nil, false
+	}
+	for !a.hasRoom(c, n) {
+		victim := a.yielding(now, c, n)
+		if victim == nil {
+			return evicted, false
+		}
+		a.evict(victim)
+		evicted = append(evicted, victim)
+	}
+	a.add(c, n)
+	return evicted, true
+}
+
+// Release gives back what the request of a connection holds, when it is rejected.
+func (a *Account) Release(c *Connection) { a.release(c) }
+
+// hasRoom reports whether the request of c may hold n bytes more.
+func (a *Account) hasRoom(c *Connection, n int64) bool {
+	unreserved := a.limits.Bytes - a.limits.Reserved
+	if a.isSmall(c.bytes + n) {
+		// A single large request may hold more than its part.
+		return a.bytes-a.largeBytes+min(a.largeBytes, unreserved)+n <= a.limits.Bytes
+	}
+	others := a.largeBytes
+	if !a.isSmall(c.bytes) {
+		others -= c.bytes
+	}
+	return others == 0 || others+c.bytes+n <= unreserved && a.bytes+n <= a.limits.Bytes
+}
+
+// yielding returns the connection that yields its memory to a request that needs n bytes more, nil
+// for none.
+func (a *Account) yielding(now time.Time, c *Connection, n int64) *Connection {
+	for e := a.quiet.Front(); e != nil; e = e.Next() {
+		quiet := connectionOf(e)
+		if now.Sub(quiet.progressAt) < a.limits.StallTime {
+			break
+		}
+		if quiet != c && quiet.bytes > 0 {
+			return quiet
+		}
+	}
+	if !a.isSmall(c.bytes + n) {
+		return nil
+	}
+	for e := a.reading.Front(); e != nil; e = e.Next() {
+		if oldest := connectionOf(e); oldest != c && oldest.bytes > 0 && a.isSmall(oldest.bytes) {
+			return oldest
+		}
+	}
+	return nil
+}
+
+func (a *Account) isSmall(n int64) bool { return n <= a.limits.SmallBytes }
+
+func (a *Account) evict(c *Connection) {
+	a.release(c)
+	a.dequeue(c)
+	c.state = Evicted
+	a.closing++
+}
+
+func (a *Account) add(c *Connection, n int64) {
+	if !a.isSmall(c.bytes) {
+		a.largeBytes -= c.bytes
+	}
+	c.bytes += n
+	a.bytes += n
+	if !a.isSmall(c.bytes) {
+		a.largeBytes += c.bytes
+	}
+}
+
+func (a *Account) release(c *Connection) { a.add(c, -c.bytes) }
+
+// move changes the state of a connection that is not evicted.
+func (a *Account) move(now time.Time, c *Connection, s State) {
+	if c.state == Evicted || c.state == s {
+		return
+	}
+	a.dequeue(c)
+	c.state, c.since = s, now
+	switch s {
+	case Idle:
+		a.release(c)
+		a.enqueue(c, &a.idle)
+	case Reading:
+		a.enqueue(c, &a.reading)
+		c.quiet = a.quiet.PushBack(c)
+	}
+}
+
+func (a *Account) enqueue(c *Connection, l *list.List) { c.queue = l.PushBack(c) }
+
+func (a *Account) dequeue(c *Connection) {
+	if c.queue != nil {
+		a.idle.Remove(c.queue) // without effect on an element of another list
+		a.reading.Remove(c.queue)
+		c.queue = nil
+	}
+	if c.quiet != nil {
+		a.quiet.Remove(c.quiet)
+		c.quiet = nil
+	}
+}
+
+// Bytes returns the memory that requests hold.
+func (a *Account) Bytes() int64 { return a.bytes }
+
+// Connections returns the numbers of all connections and of those whose request is incomplete.
+func (a *Account) Connections() (open, reading int) { return a.open, a.reading.Len() }
+
+func front(l *list.List) *Connection {
+	if e := l.Front(); e != nil {
+		return connectionOf(e)
+	}
+	return nil
+}
+
+func connectionOf(e *list.Element) *Connection {
+	c, _ := e.Value.(*Connection) //nolint:errcheck // the lists hold nothing else
+	return c
+}
--- /dev/null
+++ b/core/overload/overload_test.go
@@ -0,0 +1,249 @@
+package overload_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rosereach/core/overload"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// limits are those of a small instance.
+var limits = overload.LimitsFor(144<<20, 4100)
+
+// client is a client of a simulated process.
+type client struct {
+	conn  *overload.Connection
+	left  int64 // bytes that it still sends
+	piece int64 // bytes that it sends at a time
+	shed  bool
+}
+
+// world is a process and its clients.
+type world struct {
+	t       *testing.T
+	now     time.Time
+	account *overload.Account
+	clients map[*overload.Connection]*client
+}
+
+func newWorld(t *testing.T, l overload.Limits) *world {
+	return &world{t: t, now: start, account: overload.NewAccount(l), clients: make(map[*overload.Connection]*client)}
+}
+
+// connect opens the connection of a client, which stays nil if there is no room.
+func (w *world) connect(left, piece int64) *client {
+	c := &client{left: left, piece: piece}
+	conn, evicted := w.account.Open(w.now)
+	w.shed(evicted)
+	if conn != nil {
+		c.conn = conn
+		w.clients[conn] = c
+	}
+	return c
+}
+
+func (w *world) shed(evicted ...*overload.Connection) {
+	for _, e := range evicted {
+		if e != nil {
+			w.clients[e].shed = true
+			w.account.Close(e)
+			delete(w.clients, e)
+		}
+	}
+}
+
+// send lets a client send its next piece, and reports whether there was room.
+func (w *world) send(c *client) bool {
+	if c.shed || c.conn == nil {
+		return false
+	}
+	w.account.Read(w.now, c.conn)
+	n := min(c.piece, c.left)
+	evicted, ok := w.account.Take(w.now, c.conn, n)
+	w.shed(evicted...)
+	if !ok {
+		w.close(c)
+		return false
+	}
+	if c.left -= n; c.left == 0 {
+		w.account.Complete(w.now, c.conn)
+	}
+	return true
+}
+
+func (w *world) close(c *client) {
+	w.account.Close(c.conn)
+	delete(w.clients, c.conn)
+	c.shed = true
+}
+
+// sendAll sends until the client has no more, and reports whether all had room.
+func (w *world) sendAll(c *client) bool {
+	for c.left > 0 {
+		if !w.send(c) {
+			return false
+		}
+	}
+	return true
+}
+
+// A crowd of large bodies that stop short of their end holds no more than its part. Ordinary
+// requests are served beside it, and a large one once it has stalled.
+func TestCrowdOfUnfinishedBodies(t *testing.T) {
+	w := newWorld(t, limits)
+	const body = 4 << 20
+	var crowd []*client
+	for range 150 {
+		crowd = append(crowd, w.connect(body, 64<<10))
+	}
+	for range body/(64<<10) - 1 {
+		for _, c := range crowd {
+			w.send(c)
+		}
+		w.now = w.now.Add(10 * time.Millisecond)
+	}
+	if held := w.account.Bytes(); held > limits.Bytes {
+		t.Errorf("%d bytes are held, %d are allowed", held, limits.Bytes)
+	}
+	for i := range 1000 {
+		c := w.connect(20<<10, 4<<10)
+		if !w.sendAll(c) {
+			t.Fatalf("ordinary request %d is shed", i)
+		}
+		w.close(c)
+	}
+	if w.sendAll(w.connect(body, 64<<10)) {
+		t.Error("a large body gets room that others are using")
+	}
+	w.now = w.now.Add(limits.StallTime)
+	if !w.sendAll(w.connect(body, 64<<10)) {
+		t.Error("a large body gets no room beside stalled ones")
+	}
+}
+
+// Small requests that stop short of their end yield to newer ones, oldest first; large ones that
+// go on do not yield to them.
+func TestCrowdOfSmallRequests(t *testing.T) {
+	w := newWorld(t, limits)
+	large := w.connect(4<<20, 64<<10)
+	for range 32 {
+		w.send(large)
+	}
+	for i := range 3000 {
+		c := w.connect(50<<10, 25<<10)
+		if !w.send(c) {
+			t.Fatalf("small request %d is shed when it comes", i)
+		}
+		w.send(large)
+		w.now = w.now.Add(time.Millisecond)
+	}
+	if large.shed {
+		t.Error("a large request that goes on has yielded to small ones")
+	}
+	if held := w.account.Bytes(); held > limits.Bytes {
+		t.Errorf("%d bytes are held, %d are allowed", held, limits.Bytes)
+	}
+}
+
+// A single request of any size is served, and small ones beside it.
+func TestSingleRequestIsServed(t *testing.T) {
+	w := newWorld(t, limits)
+	if !w.sendAll(w.connect(10*limits.Bytes, 1<<20)) {
+		t.Error("a single large request is shed")
+	}
+	if !w.sendAll(w.connect(20<<10, 4<<10)) {
+		t.Error("a small request beside it is shed")
+	}
+}
+
+// At the limit of connections, the one that has waited longest yields to a new one, and a stalled
+// one before it. Requests that are complete never yield.
+func TestConnectionsYield(t *testing.T) {
+	l := overload.Limits{Bytes: 1 << 20, Reserved: 1 << 18, SmallBytes: 1 << 16, Connections: 4, StallTime: 2 * time.Second}
+	w := newWorld(t, l)
+	next := func() { w.now = w.now.Add(100 * time.Millisecond) }
+	idle := w.connect(100, 10)
+	next()
+	reading := w.connect(100, 10)
+	w.send(reading)
+	next()
+	complete := w.connect(100, 100)
+	w.send(complete)
+	next()
+	newer := w.connect(100, 10)
+	for _, want := range []*client{idle, reading, newer} {
+		next()
+		w.connect(100, 100).piece = 100
+		if !want.shed {
+			t.Fatalf("%+v has not yielded", want)
+		}
+	}
+	if complete.shed {
+		t.Error("a complete request has yielded")
+	}
+	w = newWorld(t, l)
+	stalled := w.connect(100, 10)
+	waiting := w.connect(100, 10)
+	w.send(stalled)
+	w.now = w.now.Add(l.StallTime)
+	for range 3 {
+		w.connect(100, 10)
+	}
+	if !stalled.shed || waiting.shed {
+		t.Errorf("stalled %v, waiting %v", stalled.shed, waiting.shed)
+	}
+	w = newWorld(t, l)
+	for range l.Connections {
+		w.send(w.connect(100, 100))
+	}
+	if w.connect(100, 100).conn != nil {
+		t.Error("a connection is accepted though none can yield")
+	}
+}
+
+// Whatever clients do, the account stays within its limits and ends empty.
+func TestAccountBalances(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		l := overload.Limits{Bytes: 1 << 20, Reserved: 1 << 18, SmallBytes: 1 << 14, Connections: 20, StallTime: time.Second}
+		w := newWorld(t, l)
+		var clients []*client
+		for range 2000 {
+			w.now = w.now.Add(time.Duration(random.IntN(100)) * time.Millisecond)
+			if len(clients) == 0 || random.IntN(4) == 0 {
+				clients = append(clients, w.connect(1+random.Int64N(1<<18), 1+random.Int64N(1<<14)))
+				continue
+			}
+			c := clients[random.IntN(len(clients))]
+			switch random.IntN(10) {
+			case 0:
+				if !c.shed && c.conn != nil {
+					w.close(c)
+				}
+			case 1:
+				if !c.shed && c.conn != nil {
+					w.account.Await(w.now, c.conn)
+					c.left = 1 + random.Int64N(1<<18)
+				}
+			default:
+				if c.left > 0 {
+					w.send(c)
+				}
+			}
+			if open, _ := w.account.Connections(); w.account.Bytes() > l.Bytes || open > l.Connections+l.Connections/8 || open != len(w.clients) {
+				t.Fatalf("seed %d: %d bytes, %d connections, %d clients", seed, w.account.Bytes(), open, len(w.clients))
+			}
+		}
+		for _, c := range clients {
+			if !c.shed && c.conn != nil {
+				w.close(c)
+			}
+		}
+		if open, reading := w.account.Connections(); w.account.Bytes() != 0 || open != 0 || reading != 0 {
+			t.Fatalf("seed %d: %d bytes, %d connections, %d unfinished are left", seed, w.account.Bytes(), open, reading)
+		}
+	}
+}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -95,10 +95,12 @@
 
 // DigestOf returns the key of a whole request to a service: a request that comes again has the
 // same one, whatever its id. It needs no prompt.
-func DigestOf(service, workspace, method, target string, body []byte) Key {
+func DigestOf(service, workspace, method, target string, body [][]byte) Key {
 	h := xxhash.New()
 	h.WriteString(service + "\x00" + workspace + "\x00" + method + "\x00" + target + "\x00") //nolint:errcheck // a hash takes all bytes
-	h.Write(body)                                                                            //nolint:errcheck // a hash takes all bytes
+	for _, piece := range body {
+		h.Write(piece) //nolint:errcheck // a hash takes all bytes
+	}
 	return Key(h.Sum64())
 }
 
--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -65,7 +65,8 @@
 	fmt.Println(l.Addr())
 	cfg.Logger.Log("msg", "Control serves.", "id", cfg.ID, "address", cfg.Address)
 	return serveControl(ctx, cfg.Logger, node, func(ctx context.Context) error {
-		return httpd.Serve(ctx, files.WrapListener(l, cfg.Clock), node.Handler())
+		guard := newGuard(0, 0, cfg.Clock, cfg.Logger)
+		return httpd.ServeGuarded(ctx, files.WrapListener(l, cfg.Clock), node.Handler(), guard)
 	})
 }
 
--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -70,8 +70,9 @@
 	}
 	return serveEntry(ctx, cfg, func(ctx context.Context, e *entry.Entry) error {
 		g, ctx := errgroup.WithContext(ctx)
-		g.Go(func() error { return serveMetrics(ctx, metricsListener, e.Metrics()) })
-		g.Go(func() error { return httpd.Serve(ctx, files.WrapListener(l, cfg.Clock), e.Handler()) })
+		guard := newGuard(0, 0, cfg.Clock, cfg.Logger)
+		g.Go(func() error { return serveMetrics(ctx, metricsListener, e.Metrics(), guard) })
+		g.Go(func() error { return httpd.ServeGuarded(ctx, files.WrapListener(l, cfg.Clock), e.Handler(), guard) })
 		return g.Wait()
 	})
 }
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -48,6 +48,7 @@
 	current        atomic.Pointer[platform.Settings]
 	memberKey      string
 	metricsAddress string
+	guard          *httpd.Guard // of all listeners
 	flushLogs      func()
 }
 
@@ -89,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	return serveUntil(ctx, l, httpd.Server{Handler: h, Timeouts: noWait})
+	return p.serve(ctx, l, h)
 }
 
 // openPlatformProcess reads the settings file and sets the runtime's memory limit.
@@ -100,6 +101,7 @@
 		return nil, withExitCode(exitSettings, err)
 	}
 	p.current.Store(&s)
+	p.guard = newGuard(s.MemoryLimitBytes, s.MaxOpenFiles, p.clock, logger)
 	if s.MemoryLimitBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryLimitBytes)))
 	}
@@ -173,6 +175,11 @@
 	return listeners, nil
 }
 
+// serve serves until the context ends, without waiting for open requests.
+func (p *platformProcess) serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	return serveUntil(ctx, l, httpd.Server{Handler: h, Timeouts: noWait, Guard: p.guard})
+}
+
 // serveUntil serves until the context ends. A closed server is not an error.
 func serveUntil(ctx context.Context, l net.Listener, s httpd.Server) error {
 	err := s.Serve(ctx, l)
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -10,7 +10,6 @@
 	"rosereach/core/lease"
 	"rosereach/core/rollout"
 	"rosereach/internal/control"
-	"rosereach/internal/httpd"
 	"rosereach/platform"
 )
 
@@ -37,6 +36,7 @@
 	if err != nil {
 		return err
 	}
+	node.RegisterMetrics(p.guard)
 	addresses := []string{now.MemberAddress(), now.Listen.Control}
 	if now.Listen.Directory != "" {
 		addresses = append(addresses, now.Listen.Directory)
@@ -51,14 +51,14 @@
 		g.Go(func() error { return p.watchSettings(ctx) })
 		g.Go(func() error { return p.serveMetrics(ctx, node.TextMetrics()) })
 		g.Go(func() error {
-			return serveUntil(ctx, listeners[0], httpd.Server{Handler: node.Handler(), Timeouts: noWait})
+			return p.serve(ctx, listeners[0], node.Handler())
 		})
 		g.Go(func() error {
-			return serveUntil(ctx, listeners[1], httpd.Server{Handler: platform.ControlHandler(node, p.regions), Timeouts: noWait})
+			return p.serve(ctx, listeners[1], platform.ControlHandler(node, p.regions))
 		})
 		if len(listeners) > 2 {
 			g.Go(func() error {
-				return serveUntil(ctx, listeners[2], httpd.Server{Handler: platform.DirectoryHandler(node, addressTTL), Timeouts: noWait})
+				return p.serve(ctx, listeners[2], platform.DirectoryHandler(node, addressTTL))
 			})
 		}
 		return g.Wait()
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -24,6 +24,10 @@
 	// Requests that arrive later could not end within the grace time.
 	delistTime = 3 * addressTTL
 
+	// forwardedBodyCost is the memory for a byte of a body that is forwarded, which is never
+	// copied.
+	forwardedBodyCost = 1
+
 	// exitMargin is the part of the grace time that is reserved for closing
 	// connections and exiting, on a machine with a fifth of a core.
 	exitMargin = 700 * time.Millisecond
@@ -62,6 +66,7 @@
 	cfg := process.entryConfig(incarnation())
 	p := &platformEntry{process: process, entry: entry.New(cfg), callerListener: listeners[0], readinessListener: listeners[1], relayListeners: relays}
 	p.drainDeadline.Store(math.MaxInt64)
+	p.entry.RegisterMetrics(process.guard)
 	process.logger.Log("msg", "Entry serves.", "id", now.Name, "address", now.Listen.Callers, "incarnation", cfg.Incarnation)
 	return p.run(ctx)
 }
@@ -96,7 +101,7 @@
 	g.Go(func() error { return p.process.watchSettings(running) })
 	g.Go(func() error { return p.entry.Run(running) })
 	g.Go(func() error {
-		return serveUntil(running, p.readinessListener, httpd.Server{Handler: platform.ReadinessHandler(p.entry.IsOpen), Timeouts: noWait})
+		return p.process.serve(running, p.readinessListener, platform.ReadinessHandler(p.entry.IsOpen))
 	})
 	for _, l := range p.relayListeners {
 		g.Go(func() error { return p.entry.ServeDetours(running, l) })
@@ -129,6 +134,8 @@
 			Idle:     p.entry.IdleTime,
 		},
 		MaxHeaderBytes: func() int { return p.entry.Limits().MaxHeaderBytes },
+		BodyCost:       forwardedBodyCost,
+		Guard:          p.process.guard,
 	}
 }
 
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"math"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -16,6 +18,7 @@
 	"github.com/juju/clock"
 	"github.com/urfave/cli/v3"
 
+	"rosereach/core/overload"
 	"rosereach/internal/httpd"
 	"rosereach/internal/logs"
 	"rosereach/internal/metrics"
@@ -64,15 +67,28 @@
 	return l
 }
 
+// newGuard returns the guard of a process on an instance with the given memory in bytes and number
+// of descriptors, 0 for unknown. The kernel's limit of descriptors counts if it is lower.
+func newGuard(memory int64, files int, c clock.Clock, logger log.Logger) *httpd.Guard {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+		allowed := int(min(limit.Cur, math.MaxInt32))
+		if files <= 0 || allowed < files {
+			files = allowed
+		}
+	}
+	return httpd.NewGuard(overload.LimitsFor(memory, files), c, logger)
+}
+
 // serveMetrics serves metrics until the context ends; without a listener it
 // returns at once.
-func serveMetrics(ctx context.Context, l net.Listener, h http.Handler) error {
+func serveMetrics(ctx context.Context, l net.Listener, h http.Handler, g *httpd.Guard) error {
 	if l == nil {
 		return nil
 	}
 	r := chi.NewRouter()
 	r.Get(metrics.Path, h.ServeHTTP)
-	return httpd.Serve(ctx, l, r)
+	return httpd.ServeGuarded(ctx, l, r, g)
 }
 
 // tlsFlags returns the TLS flags of a process that serves requests.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -13,6 +13,7 @@
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
 	"rosereach/core/state"
+	"rosereach/internal/httpd"
 	"rosereach/io/member"
 	"rosereach/io/operator"
 )
@@ -25,7 +26,10 @@
 func (n *Node) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(member.Path, func(w http.ResponseWriter, req *http.Request) {
-		member.Accept(w, req, n.cfg.MemberKey, n.cfg.selfPeer(), n, n.addWatcher)
+		member.Accept(w, req, n.cfg.MemberKey, n.cfg.selfPeer(), n, func(ctx context.Context, c *member.Conn) func() {
+			httpd.Established(ctx)
+			return n.addWatcher(c)
+		})
 	})
 	operator.Mount(r, operator.Options{BootstrapKey: n.cfg.OperatorKey, Clock: n.cfg.Clock, Metrics: n.metrics}, n)
 	return r
--- a/internal/control/text_metrics.go
+++ b/internal/control/text_metrics.go
@@ -59,6 +59,9 @@
 	return m
 }
 
+// RegisterMetrics adds metrics to those of TextMetrics.
+func (n *Node) RegisterMetrics(c prometheus.Collector) { n.textMetrics.registry.MustRegister(c) }
+
 // TextMetrics returns the handler that serves the control's counters, gauges and
 // histograms in the Prometheus text format.
 func (n *Node) TextMetrics() http.Handler { return metrics.PrometheusHandler(n.textMetrics.registry) }
--- a/internal/entry/crashing_part_test.go
+++ b/internal/entry/crashing_part_test.go
@@ -143,7 +143,7 @@
 func forwardPart(e *Entry, n int, part string) error {
 	req := forward.Request{
 		ID: fmt.Sprintf("%s-%s-%d", e.cfg.ID, part, n), Method: http.MethodPost, Host: "h", Path: "/safe/" + part, Target: "/safe/" + part,
-		Key: "k", Arrived: time.Now(), Body: fmt.Append(nil, e.cfg.ID, part, n), Prompt: []forward.Part{{ID: "common", Tokens: 10}, {ID: part, Tokens: 10}, {ID: fmt.Sprint(e.cfg.ID, part, n), Tokens: 1}},
+		Key: "k", Arrived: time.Now(), Body: forward.BodyOf(fmt.Append(nil, e.cfg.ID, part, n)), Prompt: []forward.Part{{ID: "common", Tokens: 10}, {ID: part, Tokens: 10}, {ID: fmt.Sprint(e.cfg.ID, part, n), Tokens: 1}},
 	}
 	return e.Forward(context.Background(), req, &recordingSink{})
 }
--- a/internal/entry/cut_off_test.go
+++ b/internal/entry/cut_off_test.go
@@ -148,7 +148,7 @@
 	waitFor(t, "a relay", func() bool { return e.forwarder.detours.relayCount() > 0 })
 	c.cut(e, refusingAddress(t))
 	req := forward.Request{
-		ID: "request", Method: http.MethodPost, Host: "h", Path: "/" + kind + "/x", Target: "/" + kind + "/x", Key: "k", Arrived: time.Now(), Body: []byte("body"),
+		ID: "request", Method: http.MethodPost, Host: "h", Path: "/" + kind + "/x", Target: "/" + kind + "/x", Key: "k", Arrived: time.Now(), Body: forward.BodyOf([]byte("body")),
 	}
 	return e.Forward(context.Background(), req, sink)
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -182,13 +182,18 @@
 	e.awaitPlan(ctx)
 	r, _, failure := e.matchRoute(req)
 	if failure != nil {
-		e.logRejected(req, failure)
-		e.forwarder.metrics.requestEnded(route.Route{}, failure, e.cfg.Clock.Now().Sub(req.Arrived))
+		e.Reject(req, failure)
 		return time.Time{}, failure
 	}
 	return deadlineOf(req, r), nil
 }
 
+// Reject records that a request is rejected before it is forwarded.
+func (e *Entry) Reject(req forward.Request, f *forward.Failure) {
+	e.logRejected(req, f)
+	e.forwarder.metrics.requestEnded(route.Route{}, f, e.cfg.Clock.Now().Sub(req.Arrived))
+}
+
 // Forward sends a request to a backend server of its route and forwards the
 // answer to the sink. The error is a *forward.Failure if nothing was forwarded
 // yet.
--- a/internal/entry/forward_metrics.go
+++ b/internal/entry/forward_metrics.go
@@ -86,6 +86,9 @@
 	return metrics.PrometheusHandler(e.forwarder.metrics.registry)
 }
 
+// RegisterMetrics adds metrics to those of ForwardMetrics.
+func (e *Entry) RegisterMetrics(c prometheus.Collector) { e.forwarder.metrics.registry.MustRegister(c) }
+
 // requestEnded counts a request by its result and records its duration.
 func (m *forwardMetrics) requestEnded(r route.Route, err error, took time.Duration) {
 	code := "answered"
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -98,7 +98,7 @@
 func (x *activeRequest) demand(prompt []placement.Chunk) placement.Demand {
 	d := placement.Demand{
 		InputTokens: x.req.InputTokens, UnsharedTokens: x.req.InputTokens, OutputTokens: x.req.OutputTokens, Priority: x.priority(),
-		Objective: x.route.Objective, ServiceTime: defaultCallTime, Bytes: int64(len(x.req.Body)),
+		Objective: x.route.Objective, ServiceTime: defaultCallTime, Bytes: int64(x.req.Body.Len()),
 	}
 	if len(prompt) > 0 {
 		d.InputTokens = 0
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -12,6 +12,7 @@
 	"rosereach/core/backend"
 	"rosereach/core/encoding"
 	"rosereach/core/registry"
+	"rosereach/internal/httpd"
 	"rosereach/io/member"
 )
 
@@ -182,7 +183,10 @@
 
 // serve accepts connections from other entries.
 func (r *relay) serve(w http.ResponseWriter, req *http.Request) {
-	member.Accept(w, req, r.entry.cfg.MemberKey, r.entry.cfg.peer(), r, func(*member.Conn) func() { return func() {} })
+	member.Accept(w, req, r.entry.cfg.MemberKey, r.entry.cfg.peer(), r, func(ctx context.Context, _ *member.Conn) func() {
+		httpd.Established(ctx)
+		return func() {}
+	})
 }
 
 // Handle answers another entry's query for backend servers.
--- a/internal/entry/watch_test.go
+++ b/internal/entry/watch_test.go
@@ -43,7 +43,7 @@
 	t.Helper()
 	c.answered = make(map[*member.Conn]bool)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		member.Accept(w, r, "", member.Peer{ID: "control-1"}, c, func(*member.Conn) func() { return func() {} })
+		member.Accept(w, r, "", member.Peer{ID: "control-1"}, c, func(context.Context, *member.Conn) func() { return func() {} })
 	}))
 	h := newHarness(t)
 	h.entry.cfg.Forwarding.Controls = func() []string { return []string{s.Listener.Addr().String()} }
--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -1,10 +1,16 @@
 package httpd
 
 import (
+	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
+
+	"rosereach/core/overload"
 )
 
 const (
@@ -14,42 +20,98 @@
 	// inlineBodyBytes is the largest body that is read before an answer which does not need it.
 	// It arrives with the head, and the connection stays in use.
 	inlineBodyBytes = 16 << 10
+
+	// growingBytes is how much of a body is read into buffers that grow.
+	growingBytes = 64 << 10
 )
 
-// requestBody is the body of a request. It knows whether the body was read to its end.
-type requestBody struct {
-	io.ReadCloser
-	hasEnded bool
-	onEnd    func()
+type (
+	// connKey is the context key of a request's connection.
+	connKey struct{}
+
+	// requestBody is the body of a request. It counts what it brings.
+	requestBody struct {
+		io.ReadCloser
+		conn     *trackedConn
+		cost     int64 // memory that a byte takes
+		size     int64 // bytes so far
+		hasEnded bool
+		onEnd    func()
+		refusal  *overload.Refusal
+	}
+)
+
+// withConn adds the connection to the context of its requests.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. The error is an *overload.Refusal when the request is shed or too
+// slow.
 func (b *requestBody) Read(p []byte) (int, error) {
+	if b.refusal != nil {
+		return 0, b.refusal
+	}
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && !b.hasEnded {
-		b.hasEnded = true
-		b.onEnd()
+	switch {
+	case n > 0 && !b.take(int64(n)):
+		b.refusal = b.conn.guard.refusal(overload.NoRoom)
+	case err == io.EOF:
+		b.end()
+	case err != nil && b.conn.isShed():
+		b.refusal = b.conn.guard.refusal(overload.Stalled)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		b.conn.guard.recordShed(overload.TooSlow)
+		b.refusal = b.conn.guard.refusal(overload.TooSlow)
+	}
+	if b.refusal != nil {
+		return 0, b.refusal
 	}
 	return n, err
 }
 
-// serveBodies returns a handler that answers a request whose body it does not need without waiting
-// for the body. By itself, http.Server reads on before it sends an answer, for as long as the
-// client likes.
-func serveBodies(h http.Handler) http.Handler {
+// take takes memory for n bytes. The first ones are read into buffers that grow, so that they take
+// twice their size.
+func (b *requestBody) take(n int64) bool {
+	bytes := b.cost * n
+	if b.size += n; b.size <= growingBytes {
+		bytes += n
+	}
+	return b.conn.guard.take(b.conn.held, bytes)
+}
+
+// end records that the body was read to its end.
+func (b *requestBody) end() {
+	if b.hasEnded {
+		return
+	}
+	b.hasEnded = true
+	b.conn.SetReadDeadline(time.Time{}) //nolint:errcheck // fails only on a closed connection
+	b.conn.complete()
+	b.onEnd()
+}
+
+// serveBodies returns the server's handler for requests with bodies. It answers a request whose
+// body it does not need without waiting for the body: by itself, http.Server reads on before it
+// sends an answer, for as long as the client likes.
+func (s Server) serveBodies() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength == 0 {
-			h.ServeHTTP(w, r)
+		conn, ok := r.Context().Value(connKey{}).(*trackedConn)
+		if !ok || r.ContentLength == 0 {
+			if ok && r.Header.Get("Upgrade") == "" { // a member still has to prove its key
+				conn.complete()
+			}
+			s.Handler.ServeHTTP(w, r)
 			return
 		}
 		rc := http.NewResponseController(w)
-		body := &requestBody{ReadCloser: r.Body, onEnd: func() {}}
+		body := &requestBody{ReadCloser: r.Body, conn: conn, cost: s.bodyCost(), onEnd: func() {}}
 		if !isInline(r) && !expectsContinue(r) && rc.EnableFullDuplex() == nil {
 			body.onEnd = closeUntil(w.Header())
 		}
 		wrapped := *r // http.Server looks at its own request for what was read of the body
 		wrapped.Body = body
-		h.ServeHTTP(w, &wrapped)
+		s.Handler.ServeHTTP(w, &wrapped)
 		if !body.hasEnded {
 			rc.SetReadDeadline(time.Now().Add(bodyEndTime)) //nolint:errcheck // fails only on a closed connection
 		}
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"rosereach/core/overload"
 )
 
 const (
@@ -23,6 +25,9 @@
 	lingerTime  = 5 * time.Second
 	lingerBytes = 5 << 20
 
+	// headLineBytes is the memory that a line of a head takes beside its text.
+	headLineBytes = 160
+
 	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
 		"Connection: close\r\n\r\nthe header is over the limit\n"
 )
@@ -32,6 +37,7 @@
 	trackedListener struct {
 		net.Listener
 		server Server
+		guard  *Guard
 	}
 
 	// conns are the open connections of a server. It closes idle ones after a timeout,
@@ -53,6 +59,9 @@
 	trackedConn struct {
 		net.Conn
 		server Server
+		guard  *Guard
+		held   *overload.Connection // its part of the guard's account
+		closed sync.Once
 
 		mu       sync.Mutex
 		waiting  bool // no byte has arrived since the last answer
@@ -60,6 +69,8 @@
 		inHead   bool // the head of a request is being read
 		headSize int  // bytes read of it
 		ended    bool // no more is read
+		shed     bool // the guard has ended it
+		hijacked bool // no handler answers
 		lingers  bool // what still arrives is read and dropped before the connection is closed
 		timer    *time.Timer
 	}
@@ -67,13 +78,20 @@
 
 func newConns(s Server) *conns { return &conns{server: s, open: make(map[*trackedConn]bool)} }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which there is no room: one that is
+// not accepted would wait in the kernel's queue and keep others from it.
 func (l trackedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		t := &trackedConn{Conn: c, server: l.server, guard: l.guard, waiting: true, inHead: true}
+		if l.guard.open(t) {
+			return t, nil
+		}
+		c.Close() //nolint:errcheck // nothing was read
 	}
-	return &trackedConn{Conn: c, server: l.server, waiting: true, inHead: true}, nil
 }
 
 // onStateChange is an http.Server.ConnState hook.
@@ -92,7 +110,11 @@
 		t.beginRequest() // the server may have read the request ahead
 	case http.StateIdle:
 		t.awaitRequest(s.idleTimeout())
-	case http.StateClosed, http.StateHijacked:
+	case http.StateHijacked:
+		delete(s.open, t)
+		t.stopWaiting()
+		t.hijack()
+	case http.StateClosed:
 		delete(s.open, t)
 		t.stopWaiting()
 	}
@@ -152,44 +174,68 @@
 }
 
 // Read implements net.Conn. It ends a request whose head is over the limit, or is not complete
-// in time.
+// in time, and one that the guard sheds.
 func (t *trackedConn) Read(p []byte) (int, error) {
 	if t.hasEnded() {
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := t.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
 	if len(bytes.Trim(p[:n], "\r\n")) > 0 { // empty lines belong to no request
 		t.receive(len(p) == 1)
 	}
-	if n > 0 && !t.countHead(n) {
+	if !t.guard.read(t.held) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	isHead, isSmall := t.countHead(n)
+	if !isSmall {
 		t.refuseHead()
 		return 0, os.ErrDeadlineExceeded
 	}
+	if isHead && !t.guard.take(t.held, headCost(p[:n])) {
+		t.end()
+		return 0, os.ErrDeadlineExceeded
+	}
 	return n, err
 }
 
-// countHead adds n bytes to the head that is being read, and reports whether it is inside the
-// limit. Empty lines before a request count as well.
-func (t *trackedConn) countHead(n int) bool {
+// headCost returns the memory that a part of a head takes once it is decoded.
+func headCost(part []byte) int64 {
+	return 2*int64(len(part)) + headLineBytes*int64(bytes.Count(part, []byte("\n")))
+}
+
+// countHead reports whether a head is being read, and adds n bytes to it and reports whether it is
+// inside the limit. Empty lines before a request count as well.
+func (t *trackedConn) countHead(n int) (isHead, isSmall bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.inHead {
-		return true
+		return false, true
 	}
 	t.headSize += n
-	return t.headSize <= t.server.maxHeaderBytes()+readAheadBytes
+	return true, t.headSize <= t.server.maxHeaderBytes()+readAheadBytes
 }
 
 // refuseHead answers a head that is over the limit, which http.Server would read on, up to a limit
 // of its own that cannot change while connections are open.
 func (t *trackedConn) refuseHead() {
 	t.end()
+	t.guard.recordShed(overload.HeadTooLarge)
 	t.SetWriteDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // fails only on a closed connection
 	if _, err := io.WriteString(t.Conn, headTooLarge); err == nil {
 		t.CloseWrite() //nolint:errcheck // the connection is closed next
 	}
 }
 
+// hijack records that the connection is no longer http.Server's.
+func (t *trackedConn) hijack() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hijacked = true
+}
+
 // end lets nothing more be read.
 func (t *trackedConn) end() {
 	t.mu.Lock()
@@ -246,19 +292,53 @@
 // request.
 func (t *trackedConn) Close() error {
 	t.mu.Lock()
-	lingers := t.lingers
-	t.lingers = false
+	lingers := t.lingers && !t.shed
+	t.lingers, t.inHead = false, false
 	t.mu.Unlock()
+	t.guard.release(t.held)
 	if !lingers || t.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
-		return t.Conn.Close()
+		return t.closeNow()
 	}
 	go func() {
 		io.CopyN(io.Discard, t.Conn, lingerBytes) //nolint:errcheck // the connection is closed next
-		t.Conn.Close()                            //nolint:errcheck // the answer was sent or is lost
+		t.closeNow()                              //nolint:errcheck // the answer was sent or is lost
 	}()
 	return nil
 }
 
+// closeNow closes the connection and ends its part of the account.
+func (t *trackedConn) closeNow() error {
+	t.closed.Do(func() { t.guard.close(t.held) })
+	return t.Conn.Close()
+}
+
+// evict ends the connection for the guard. A request whose body is being read is still answered.
+func (t *trackedConn) evict(overload.Reason) {
+	t.mu.Lock()
+	hasHandler := !t.inHead && !t.hijacked
+	t.ended, t.shed = true, true
+	t.mu.Unlock()
+	if hasHandler {
+		t.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
+		return
+	}
+	socket := t.Conn
+	if c, ok := socket.(interface{ NetConn() net.Conn }); ok {
+		socket = c.NetConn() // TLS would first write an alert, and wait for it
+	}
+	socket.Close() //nolint:errcheck // see above
+}
+
+// isShed reports whether the guard has ended the connection.
+func (t *trackedConn) isShed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.shed
+}
+
+// complete records that the whole request was read.
+func (t *trackedConn) complete() { t.guard.complete(t.held) }
+
 // SetLinger sets what becomes of data that is not sent yet when the connection is closed; 0
 // resets the connection.
 func (t *trackedConn) SetLinger(seconds int) error {
@@ -275,8 +355,10 @@
 	defer t.mu.Unlock()
 	t.stopTimer()
 	t.inHead = true
+	t.guard.await(t.held)
 	if t.ahead {
 		t.ahead, t.headSize = false, 1
+		t.guard.read(t.held)
 		t.beginHead()
 		return
 	}
@@ -313,6 +395,7 @@
 	defer t.mu.Unlock()
 	if t.inHead && !t.waiting {
 		t.ended = true
+		t.guard.recordShed(overload.TooSlow)
 		t.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
 	}
 }
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -3,12 +3,17 @@
 package httpd
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
 	"github.com/juju/errors"
+
+	"rosereach/core/overload"
 )
 
 const (
@@ -21,6 +26,9 @@
 	// was closed opens a new one.
 	idleTimeout = 60 * time.Second
 
+	// defaultBodyCost is the memory for a byte of a body that is read as a whole and decoded.
+	defaultBodyCost = 4
+
 	// shutdownTimeout limits the wait for open requests after the context ended.
 	shutdownTimeout = 5 * time.Second
 )
@@ -46,6 +54,12 @@
 		// MaxHeaderBytes returns how large the head of a request may be. It is
 		// defaultHeaderBytes if it is nil or returns zero.
 		MaxHeaderBytes func() int
+		// BodyCost is the memory that a byte of a body takes while its request is handled,
+		// defaultBodyCost if it is 0.
+		BodyCost int64
+		// Guard is shared by the servers of a process. A server without one has its own, with
+		// the limits of an instance that is not known.
+		Guard *Guard
 	}
 )
 
@@ -59,7 +73,12 @@
 // Serve serves on the listener until the context ends, then gives open requests
 // up to shutdownTimeout to complete.
 func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	return ServeWithTimeouts(ctx, l, h, Timeouts{Shutdown: func() time.Duration { return shutdownTimeout }})
+	return ServeGuarded(ctx, l, h, nil)
+}
+
+// ServeGuarded is Serve with a guard that the servers of the process share.
+func ServeGuarded(ctx context.Context, l net.Listener, h http.Handler, g *Guard) error {
+	return Server{Handler: h, Timeouts: Timeouts{Shutdown: func() time.Duration { return shutdownTimeout }}, Guard: g}.Serve(ctx, l)
 }
 
 // ServeWithTimeouts is Serve with the given timeouts.
@@ -69,11 +88,17 @@
 
 // Serve serves on the listener until the context ends, then gives open requests time to complete.
 func (s Server) Serve(ctx context.Context, l net.Listener) error {
+	guard := s.Guard
+	if guard == nil {
+		guard = NewGuard(overload.LimitsFor(0, 0), clock.WallClock, log.NewNopLogger())
+	}
 	open := newConns(s)
 	// The connections limit the time of a head themselves, as the limit may change.
-	server := &http.Server{Handler: serveBodies(s.Handler), ConnState: open.onStateChange, IdleTimeout: idleTimeout} //nolint:gosec // see above
+	server := &http.Server{ //nolint:gosec // see above
+		Handler: s.serveBodies(), ConnState: open.onStateChange, ConnContext: withConn, IdleTimeout: idleTimeout,
+	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(trackedListener{l, s}) }()
+	go func() { failed <- server.Serve(trackedListener{l, s, guard}) }()
 	select {
 	case err := <-failed:
 		return errors.Trace(err)
@@ -94,6 +119,8 @@
 
 func (s Server) maxHeaderBytes() int { return valueOf(s.MaxHeaderBytes, defaultHeaderBytes) }
 
+func (s Server) bodyCost() int64 { return cmp.Or(s.BodyCost, defaultBodyCost) }
+
 // idleTimeout returns how long a connection may wait for a request, 0 for no limit.
 func (s Server) idleTimeout() time.Duration { return valueOf(s.Timeouts.Idle, 0) }
 
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/backend"
+	"rosereach/core/overload"
 )
 
 // maxAnnouncementBytes is the maximum size of an announcement's body.
@@ -26,7 +27,7 @@
 		}
 		var a backend.Announcement
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)).Decode(&a); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+			http.Error(w, err.Error(), bodyErrorStatus(err))
 			return
 		}
 		if err := a.Check().Err(); err != nil {
@@ -38,6 +39,15 @@
 	}
 }
 
+// bodyErrorStatus returns the status for an announcement that can't be read.
+func bodyErrorStatus(err error) int {
+	var refusal *overload.Refusal
+	if errors.As(err, &refusal) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
+
 // Announce sends an announcement to the entry at the address.
 func Announce(ctx context.Context, client *http.Client, address, key string, a backend.Announcement) error {
 	body, err := json.Marshal(a)
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"rosereach/core/overload"
 	"rosereach/core/request"
 )
 
@@ -101,6 +102,13 @@
 	if errors.As(err, &tooLarge) {
 		return nil, request.NewNotRun(request.CodeTooLarge, "the body is over "+strconv.FormatInt(limit, 10)+" bytes")
 	}
+	var refusal *overload.Refusal
+	if errors.As(err, &refusal) && refusal.Reason == overload.TooSlow {
+		return nil, request.NewNotRun(request.CodeDeadlinePassed, refusal.Error())
+	}
+	if refusal != nil {
+		return nil, request.NewNotRun(request.CodeOverloaded, refusal.Error()).WithRetryAfter(refusal.RetryAfter)
+	}
 	if err != nil {
 		return nil, request.NewNotRun(request.CodeBadRequest, "the body could not be read")
 	}
--- a/io/member/dial.go
+++ b/io/member/dial.go
@@ -122,9 +122,9 @@
 }
 
 // Accept accepts a connection that a member opened and serves it until it ends.
-// It calls onJoin after the handshake, and the function that onJoin returns when
-// the connection has ended.
-func Accept(w http.ResponseWriter, r *http.Request, key string, self Peer, h Handler, onJoin func(*Conn) func()) {
+// It calls onJoin with the request's context after the handshake, and the function
+// that onJoin returns when the connection has ended.
+func Accept(w http.ResponseWriter, r *http.Request, key string, self Peer, h Handler, onJoin func(context.Context, *Conn) func()) {
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: compression, CompressionThreshold: compressionThreshold})
 	if err != nil {
 		return
@@ -137,7 +137,7 @@
 		return
 	}
 	c := newConn(peer, ws, h)
-	onLeave := onJoin(c)
+	onLeave := onJoin(r.Context(), c)
 	defer onLeave()
 	c.Run(r.Context()) //nolint:errcheck // the connection has ended; the peer dials again
 }
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	joined := make(chan Peer, 1)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		Accept(w, r, key, Peer{ID: "control-1"}, echo{}, func(c *Conn) func() {
+		Accept(w, r, key, Peer{ID: "control-1"}, echo{}, func(_ context.Context, c *Conn) func() {
 			joined <- c.Peer()
 			return func() {}
 		})
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
 
 	"rosereach/core/audit"
 	"rosereach/core/catalog"
@@ -19,6 +20,7 @@
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
 	"rosereach/core/operator"
+	"rosereach/core/overload"
 	"rosereach/core/request"
 	"rosereach/core/service"
 	"rosereach/core/template"
@@ -143,7 +145,7 @@
 func (s *server) postChange(w http.ResponseWriter, r *http.Request) {
 	var c change.Change
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxChangeBytes)).Decode(&c); err != nil {
-		writeProblem(w, Problem{Status: http.StatusBadRequest, Code: "bad_request", Detail: err.Error()})
+		writeProblem(w, bodyProblem(err))
 		return
 	}
 	c.From, c.Actor = r.RemoteAddr, actorName(r, c.Actor)
@@ -166,6 +168,18 @@
 	writeJSON(w, httpStatus(result), answer)
 }
 
+// bodyProblem returns why a change can't be read.
+func bodyProblem(err error) Problem {
+	var refusal *overload.Refusal
+	switch {
+	case errors.As(err, &refusal) && refusal.Reason == overload.TooSlow:
+		return Problem{Status: http.StatusRequestTimeout, Code: "too_slow", Detail: err.Error()}
+	case refusal != nil:
+		return Problem{Status: http.StatusServiceUnavailable, Code: "overloaded", Detail: err.Error() + "; send the same change again"}
+	}
+	return Problem{Status: http.StatusBadRequest, Code: "bad_request", Detail: err.Error()}
+}
+
 func (s *server) getDocuments(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, s.backend.Documents())
 }
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -71,7 +71,8 @@
 		Target string
 		// Header is sent unchanged; Do adds Host and Content-Length.
 		Header map[string][]string
-		Body   []byte
+		// Body is sent in pieces, in order, and not copied.
+		Body [][]byte
 		// NewConn requires a new connection instead of an idle one.
 		NewConn bool
 		// Via restricts the regions of other instances that the connection may pass
@@ -229,16 +230,15 @@
 func (c *Client) exchange(conn *conn, call Call) (*Answer, error) {
 	head := encodeHead(call)
 	wrote := make(chan error, 1)
-	if len(call.Body) <= maxInlineBodyBytes {
-		n, err := conn.Write(append(head, call.Body...))
+	if bodyBytes(call.Body) <= maxInlineBodyBytes {
+		n, err := conn.Write(append(head, bytes.Join(call.Body, nil)...))
 		if err != nil && n == 0 {
 			return nil, errors.Annotatef(ErrNotSent, "%v", err)
 		}
 		wrote <- err
 	} else {
 		go func() {
-			_, err := conn.Write(append(head, call.Body...))
-			wrote <- err
+			wrote <- conn.writeAll(head, call.Body)
 		}()
 	}
 	conn.source.bound(maxHeadBytes)
@@ -470,6 +470,27 @@
 	c.idle[address] = append(c.idle[address], conn)
 }
 
+// writeAll writes a head and the pieces of a body.
+func (c *conn) writeAll(head []byte, body [][]byte) error {
+	if _, err := c.Write(head); err != nil {
+		return err
+	}
+	for _, piece := range body {
+		if _, err := c.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func bodyBytes(body [][]byte) int {
+	n := 0
+	for _, piece := range body {
+		n += len(piece)
+	}
+	return n
+}
+
 // discard closes the connection and ignores the error, which no caller can act on.
 func (c *conn) discard() { c.Close() } //nolint:errcheck // see above
 
@@ -506,8 +527,8 @@
 			b.WriteString(name + ": " + v + "\r\n")
 		}
 	}
-	if len(call.Body) > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	if bodyBytes(call.Body) > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(bodyBytes(call.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -227,7 +227,7 @@
 				c.(*net.TCPConn).SetLinger(0)
 			})
 			a, err := upstream.NewClient(clock.WallClock).Do(context.Background(), upstream.Call{
-				Address: address, Method: "POST", Host: "h", Target: "/", Body: make([]byte, bodyBytes),
+				Address: address, Method: "POST", Host: "h", Target: "/", Body: [][]byte{make([]byte, bodyBytes)},
 			}, func() error { return nil })
 			if err != nil {
 				continue // the head was lost as well
