A process that can't accept a detour goes on

What operators would see: an entry that ends when it is out of descriptors for a moment. By reading; the new test shows it: "accept detours: accept: too many open files" ended the server before. Cause: any error of Accept ended the server for other entries, and with it the process. Change: it goes on after a pause. Connections of a listener that has to know who proved the member key are told.

--- a/io/detour/server.go
+++ b/io/detour/server.go
@@ -17,6 +17,10 @@
 
 	// lingerTime bounds the wait for the dialing side to close after the server did.
 	lingerTime = 3 * time.Second
+
+	// acceptPause is the pause after a connection that could not be accepted, for want of a
+	// descriptor for example.
+	acceptPause = 50 * time.Millisecond
 )
 
 // Server passes connections of other instances on to backend servers.
@@ -31,7 +35,8 @@
 	Connect func(ctx context.Context, t Target) (net.Conn, Status)
 }
 
-// Serve accepts connections until the context ends, and then closes all of them.
+// Serve accepts connections until the context ends, and then closes all of them. A connection with
+// a method Establish() gets it called when the other side has proved the member key.
 func (s Server) Serve(ctx context.Context, l net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -44,13 +49,25 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return errors.Annotate(err, "accept detours")
 		}
+		if err != nil {
+			pause(ctx, acceptPause)
+			continue
+		}
 		running.Go(func() { s.serve(ctx, conn) })
 	}
 }
 
+// pause waits for the given time or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (s Server) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()                                     //nolint:errcheck // the connection is not used again
 	stop := context.AfterFunc(ctx, func() { reset(conn) }) // an answer may be cut
@@ -63,6 +80,9 @@
 	if err != nil {
 		return
 	}
+	if c, ok := conn.(interface{ Establish() }); ok {
+		c.Establish()
+	}
 	status, server := Busy, net.Conn(nil)
 	if s.Take() {
 		defer s.Release()
@@ -97,9 +117,9 @@
 		reset(dialing)
 		return
 	}
-	if c, ok := dialing.(*net.TCPConn); ok {
-		c.CloseWrite()                                //nolint:errcheck // the other side has gone
-		c.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // see above
+	if c, ok := dialing.(interface{ CloseWrite() error }); ok {
+		c.CloseWrite()                                      //nolint:errcheck // the other side has gone
+		dialing.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // see above
 	}
 }
 
@@ -148,7 +168,7 @@
 
 // reset closes a connection with a reset.
 func reset(conn net.Conn) {
-	if c, ok := conn.(*net.TCPConn); ok {
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		c.SetLinger(0) //nolint:errcheck // it is closed in any case
 	}
 	conn.Close() //nolint:errcheck // see above
--- a/io/detour/stop_test.go
+++ b/io/detour/stop_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,3 +50,41 @@
 		stop()
 	}
 }
+
+// failingListener fails to accept a few times before it does.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// A process that is out of descriptors for a moment goes on connecting others afterwards.
+func TestAcceptGoesOnAfterAnError(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: l}
+	failing.failures.Store(3)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- detour.Server{
+			Key: "k", Take: func() bool { return true }, Release: func() {},
+			Connect: func(context.Context, detour.Target) (net.Conn, detour.Status) { return nil, detour.UnknownServer },
+		}.Serve(ctx, failing)
+	}()
+	if _, err := detour.Dial(ctx, l.Addr().String(), "k", detour.Target{Server: "s"}); !errors.Is(err, detour.ErrNoDetour) {
+		t.Errorf("%v", err)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
