Limit the connections that others open

What callers saw: a crowd of small bodies short of their end took all descriptors of an entry for good, and an ordinary request got no connection. Cause: max_fds was read and used by nobody; nothing closed a connection for another one. Change: two thirds of the descriptors beside the 200 for files, or what the memory allows, are for connections that others open, at all listeners together. At the limit a stalled one yields, else the one that has waited longest for a request or its end; members count until they have proved the key.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -9,7 +9,6 @@
 
 import (
 	"container/list"
-	"math"
 	"time"
 )
 
@@ -136,10 +135,14 @@
 	if memory <= 0 {
 		memory = defaultMemoryBytes
 	}
+	if files <= 0 {
+		files = defaultFiles
+	}
 	left := max(softLimitShare*float64(memory)-workingBytes, float64(memory)/8)
+	callerFiles := callerFileShare * float64(max(files-reservedFiles, files/2))
 	return Limits{
 		Bytes: int64(requestShare * left), Reserved: int64(reservedShare * requestShare * left), SmallBytes: smallBytes,
-		Connections: math.MaxInt32, StallTime: stallTime,
+		Connections: int(min(callerFiles, connectionShare*left/connectionBytes)), StallTime: stallTime,
 	}
 }
 
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -1,6 +1,7 @@
 package overload_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -247,3 +248,15 @@
 		}
 	}
 }
+
+// An instance of any size has room for a body of usual size and for small requests beside it.
+func ExampleLimitsFor() {
+	for _, mb := range []int64{144, 284, 424} {
+		l := overload.LimitsFor(mb<<20, 4100)
+		fmt.Printf("%d MB: %d MB of requests, %d of them reserved, %d connections\n", mb, l.Bytes>>20, l.Reserved>>20, l.Connections)
+	}
+	// Output:
+	// 144 MB: 27 MB of requests, 6 of them reserved, 880 connections
+	// 284 MB: 66 MB of requests, 16 of them reserved, 2135 connections
+	// 424 MB: 105 MB of requests, 26 of them reserved, 2600 connections
+}
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -104,7 +104,7 @@
 		return p.process.serve(running, p.readinessListener, platform.ReadinessHandler(p.entry.IsOpen))
 	})
 	for _, l := range p.relayListeners {
-		g.Go(func() error { return p.entry.ServeDetours(running, l) })
+		g.Go(func() error { return p.entry.ServeDetours(running, p.process.guard.Listener(l)) })
 	}
 	g.Go(func() error { return p.process.serveMetrics(running, p.entry.ForwardMetrics()) })
 	g.Go(func() error {
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+
 	"rosereach/core/overload"
 )
 
@@ -292,7 +295,7 @@
 // request.
 func (t *trackedConn) Close() error {
 	t.mu.Lock()
-	lingers := t.lingers && !t.shed
+	lingers := t.lingers && !t.shed && !t.hijacked
 	t.lingers, t.inHead = false, false
 	t.mu.Unlock()
 	t.guard.release(t.held)
@@ -336,6 +339,21 @@
 	return t.shed
 }
 
+// Establish records that the peer has proved that it belongs to the system.
+func (t *trackedConn) Establish() {
+	t.stopWaiting()
+	t.hijack()
+	t.complete()
+}
+
+// SyscallConn implements syscall.Conn.
+func (t *trackedConn) SyscallConn() (syscall.RawConn, error) {
+	if c, ok := t.Conn.(syscall.Conn); ok {
+		return c.SyscallConn()
+	}
+	return nil, errors.NotSupportedf("socket of %T", t.Conn)
+}
+
 // complete records that the whole request was read.
 func (t *trackedConn) complete() { t.guard.complete(t.held) }
 
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -52,10 +53,14 @@
 // belongs to another process of the system. It is not shed any more.
 func Established(ctx context.Context) {
 	if t, ok := ctx.Value(connKey{}).(*trackedConn); ok {
-		t.complete()
+		t.Establish()
 	}
 }
 
+// Listener returns a listener of another protocol than HTTP whose connections the guard limits. A
+// connection has a method Establish() to call when its peer has proved who it is.
+func (g *Guard) Listener(l net.Listener) net.Listener { return trackedListener{l, Server{}, g} }
+
 // open adds a connection and reports whether there was room.
 func (g *Guard) open(t *trackedConn) bool {
 	g.mu.Lock()
