--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// bodyTimeout bounds the time in which a body arrives, unless its handler sets a deadline.
+	bodyTimeout = 30 * time.Second
+
 	// bodyEndTime bounds the wait for the rest of a body whose request was answered.
 	bodyEndTime = 5 * time.Second
 
@@ -109,7 +112,8 @@
 		if !isInline(r) && !expectsContinue(r) && rc.EnableFullDuplex() == nil {
 			body.onEnd = closeUntil(w.Header())
 		}
-		wrapped := *r // http.Server looks at its own request for what was read of the body
+		rc.SetReadDeadline(time.Now().Add(bodyTimeout)) //nolint:errcheck // fails only on a closed connection
+		wrapped := *r                                   // http.Server looks at its own request for what was read of the body
 		wrapped.Body = body
 		s.Handler.ServeHTTP(w, &wrapped)
 		if !body.hasEnded {
