An answer of which the client takes nothing ends

What callers saw: nothing yet; the mirror image of a body that stands still. A request whose answer is not read kept its connections, its body and the answer for good. Cause: writes to a client had no time. Change: the client has 30 s for each piece of 32 KiB; a slow one that goes on is never cut. TestUnreadAnswerIsEnded fails without the time (the answer waits 10 s for its client), and with a time for a whole write, which cut a slow client in the first try.

--- a/internal/httpd/body_test.go
+++ b/internal/httpd/body_test.go
@@ -86,3 +86,40 @@
 		}
 	}
 }
+
+// An answer ends when its client takes nothing of it for a while, and not when the client is slow.
+func TestUnreadAnswerIsEnded(t *testing.T) {
+	const allowed = 300 * time.Millisecond
+	const size = 16 << 20
+	written := make(chan error, 2)
+	address := startServer(t, httpd.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, err := w.Write(make([]byte, size))
+			written <- err
+		}),
+		Timeouts: httpd.Timeouts{Write: func() time.Duration { return allowed }},
+	})
+	slow := dial(t, address)
+	io.WriteString(slow, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	for n, began := 0, time.Now(); n < size; {
+		m, err := slow.Read(make([]byte, 1<<20))
+		if err != nil {
+			t.Fatalf("slow client: %v after %s", err, time.Since(began))
+		}
+		n += m
+		time.Sleep(allowed / 20)
+	}
+	if err := <-written; err != nil {
+		t.Errorf("slow client: %v", err)
+	}
+	stopped := dial(t, address)
+	io.WriteString(stopped, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	select {
+	case err := <-written:
+		if err == nil {
+			t.Error("an answer that nobody reads was written whole")
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the answer waits for its client")
+	}
+}
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -28,6 +28,9 @@
 	lingerTime  = 5 * time.Second
 	lingerBytes = 5 << 20
 
+	// writePieceBytes is how much of an answer is written at a time.
+	writePieceBytes = 32 << 10
+
 	// headLineBytes is the memory that a line of a head takes beside its text.
 	headLineBytes = 160
 
@@ -205,6 +208,20 @@
 	return n, err
 }
 
+// Write implements net.Conn. It ends an answer of which the client takes nothing for a while; a
+// slow client has that time for each piece.
+func (t *trackedConn) Write(p []byte) (written int, err error) {
+	for first := true; first || written < len(p) && err == nil; first = false {
+		if err := t.SetWriteDeadline(time.Now().Add(t.server.writeTimeout())); err != nil {
+			return written, err
+		}
+		var n int
+		n, err = t.Conn.Write(p[written:min(written+writePieceBytes, len(p))])
+		written += n
+	}
+	return written, err
+}
+
 // headCost returns the memory that a part of a head takes once it is decoded.
 func headCost(part []byte) int64 {
 	return 2*int64(len(part)) + headLineBytes*int64(bytes.Count(part, []byte("\n")))
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -22,6 +22,10 @@
 	defaultHeaderTimeout = 5 * time.Second
 	defaultHeaderBytes   = 64 << 10
 
+	// defaultWriteTimeout ends an answer of which the client takes nothing. Other than a slow
+	// reader, it has stopped reading.
+	defaultWriteTimeout = 30 * time.Second
+
 	// idleTimeout closes connections without requests. A caller whose connection
 	// was closed opens a new one.
 	idleTimeout = 60 * time.Second
@@ -42,6 +46,9 @@
 		// Header returns how long the head of a request may take from its first byte on, by
 		// default defaultHeaderTimeout.
 		Header func() time.Duration
+		// Write returns how long a client may take nothing of an answer, by default
+		// defaultWriteTimeout.
+		Write func() time.Duration
 		// Idle returns how long a connection may be without a request. By default, only
 		// idleTimeout applies.
 		Idle func() time.Duration
@@ -117,6 +124,10 @@
 	return valueOf(s.Timeouts.Header, defaultHeaderTimeout)
 }
 
+func (s Server) writeTimeout() time.Duration {
+	return valueOf(s.Timeouts.Write, defaultWriteTimeout)
+}
+
 func (s Server) maxHeaderBytes() int { return valueOf(s.MaxHeaderBytes, defaultHeaderBytes) }
 
 func (s Server) bodyCost() int64 { return cmp.Or(s.BodyCost, defaultBodyCost) }
