A request that was shed as its body ended is not run

By reading: a connection could be evicted between the last byte of its body and the handler's look at it, and the request ran although its connection was closed. It is refused as not run now; without a body it is not handled.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -68,7 +68,8 @@
 const (
 	// NoRoom means that the memory for requests is in use.
 	NoRoom Reason = "no_room"
-	// Stalled means that the request brought nothing while others needed its memory.
+	// Stalled means that the request was incomplete while others needed its memory, and had
+	// brought nothing for a while or was the oldest small one.
 	Stalled Reason = "stalled"
 	// NoDescriptor means that too many connections are open.
 	NoDescriptor Reason = "no_descriptor"
@@ -198,8 +199,11 @@
 func (a *Account) Await(now time.Time, c *Connection) { a.move(now, c, Idle) }
 
 // Complete records that a connection has brought a whole request, or has proved that it belongs
-// to a member.
-func (a *Account) Complete(now time.Time, c *Connection) { a.move(now, c, Busy) }
+// to a member. It reports whether the connection is not evicted.
+func (a *Account) Complete(now time.Time, c *Connection) bool {
+	a.move(now, c, Busy)
+	return c.state != Evicted
+}
 
 // Begin records that a connection that was answered begins another protocol, whose peer has to
 // prove itself first.
--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -59,8 +59,7 @@
 	switch {
 	case n > 0 && !b.take(int64(n)):
 		b.refusal = b.conn.guard.refusal(overload.NoRoom)
-	case err == io.EOF:
-		b.end()
+	case err == io.EOF && b.end():
 	case err != nil && b.conn.isShed():
 		b.refusal = b.conn.guard.refusal(overload.Stalled)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -83,15 +82,18 @@
 	return b.conn.guard.take(b.conn.held, bytes)
 }
 
-// end records that the body was read to its end.
-func (b *requestBody) end() {
+// end records that the body was read to its end, and reports whether the request goes on.
+func (b *requestBody) end() bool {
 	if b.hasEnded {
-		return
+		return true
+	}
+	if !b.conn.guard.complete(b.conn.held) {
+		return false
 	}
 	b.hasEnded = true
 	b.conn.SetReadDeadline(time.Time{}) //nolint:errcheck // fails only on a closed connection
-	b.conn.complete()
 	b.onEnd()
+	return true
 }
 
 // serveBodies returns the server's handler for requests with bodies. It answers a request whose
@@ -101,8 +103,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connKey{}).(*trackedConn)
 		if !ok || r.ContentLength == 0 {
-			if ok {
-				conn.complete()
+			if ok && !conn.guard.complete(conn.held) {
+				panic(http.ErrAbortHandler) // it was closed meanwhile
 			}
 			s.Handler.ServeHTTP(w, r)
 			return
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -362,7 +362,7 @@
 func (t *trackedConn) Establish() {
 	t.stopWaiting()
 	t.hijack()
-	t.complete()
+	t.guard.complete(t.held)
 }
 
 // SyscallConn implements syscall.Conn.
@@ -373,9 +373,6 @@
 	return nil, errors.NotSupportedf("socket of %T", t.Conn)
 }
 
-// complete records that the whole request was read.
-func (t *trackedConn) complete() { t.guard.complete(t.held) }
-
 // SetLinger sets what becomes of data that is not sent yet when the connection is closed; 0
 // resets the connection.
 func (t *trackedConn) SetLinger(seconds int) error {
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -111,10 +111,11 @@
 	g.account.Await(g.clock.Now(), c)
 }
 
-func (g *Guard) complete(c *overload.Connection) {
+// complete records that the whole request was read, and reports whether it goes on.
+func (g *Guard) complete(c *overload.Connection) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.account.Complete(g.clock.Now(), c)
+	return g.account.Complete(g.clock.Now(), c)
 }
 
 func (g *Guard) begin(c *overload.Connection) {
