A rejected body is read on at once

Cause: net/http sleeps half a second before it closes a connection whose body it has not read; what arrives meanwhile stays in the kernel's buffers, which count as memory, and fills the window of a client that still writes. Change: reading and dropping begins as soon as the answer is sent.

--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -77,7 +77,7 @@
 		ended    bool // no more is read
 		shed     bool // the guard has ended it
 		hijacked bool // no handler answers
-		lingers  bool // what still arrives is read and dropped before the connection is closed
+		lingers  bool // what still arrives is read and dropped, then the connection is closed
 		timer    *time.Timer
 	}
 )
@@ -296,35 +296,47 @@
 	t.stopTimer()
 }
 
-// CloseWrite closes the sending side. http.Server does so before it closes a connection whose
-// request it has not read to the end.
+// CloseWrite closes the sending side, and reads on for a while without the memory of the request
+// before it closes the connection. http.Server calls it before Close for a connection whose request
+// it has not read to the end.
 func (t *trackedConn) CloseWrite() error {
 	c, ok := t.Conn.(interface{ CloseWrite() error })
 	if !ok {
 		return nil
 	}
+	if err := c.CloseWrite(); err != nil || !t.beginLinger() {
+		return err
+	}
+	go func() {
+		io.CopyN(io.Discard, t.Conn, lingerBytes) //nolint:errcheck // the connection is closed next
+		t.closeNow()                              //nolint:errcheck // the answer was sent or is lost
+	}()
+	return nil
+}
+
+// beginLinger reports whether the connection lingers, and lets it do so for lingerTime at most.
+func (t *trackedConn) beginLinger() bool {
 	t.mu.Lock()
-	t.lingers = true
-	t.mu.Unlock()
-	return c.CloseWrite()
+	defer t.mu.Unlock()
+	if t.shed || t.hijacked || t.lingers || t.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return false
+	}
+	t.lingers, t.ended, t.inHead = true, true, false
+	t.guard.release(t.held)
+	return true
 }
 
-// Close closes the connection. After CloseWrite it reads on for a while, without the memory of the
-// request.
+// Close closes the connection, unless it lingers.
 func (t *trackedConn) Close() error {
 	t.mu.Lock()
-	lingers := t.lingers && !t.shed && !t.hijacked
-	t.lingers, t.inHead = false, false
+	lingers := t.lingers
+	t.inHead = false
 	t.mu.Unlock()
-	t.guard.release(t.held)
-	if !lingers || t.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
-		return t.closeNow()
+	if lingers {
+		return nil
 	}
-	go func() {
-		io.CopyN(io.Discard, t.Conn, lingerBytes) //nolint:errcheck // the connection is closed next
-		t.closeNow()                              //nolint:errcheck // the answer was sent or is lost
-	}()
-	return nil
+	t.guard.release(t.held)
+	return t.closeNow()
 }
 
 // closeNow closes the connection and ends its part of the account.
@@ -337,7 +349,7 @@
 // unless too many are.
 func (t *trackedConn) evict() {
 	t.mu.Lock()
-	hasHandler := !t.inHead && !t.hijacked
+	hasHandler := !t.inHead && !t.hijacked && !t.lingers
 	t.ended, t.shed = true, true
 	t.mu.Unlock()
 	if hasHandler && t.held.MayAnswer() {
