The memory of instances without settings, and what was shed, are shown

--memory bounds what clients may take where no settings say it; the pages of the manual list the limits. explain shows what a process shed beside the requests that it rejected.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -35,6 +35,8 @@
 		flags  []cli.Flag
 		action cli.ActionFunc
 		subs   []*command
+		// notes end the command's page of the manual, in Markdown.
+		notes string
 	}
 
 	// exitError is an error that sets the program's exit code.
--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -32,8 +32,10 @@
 			flag("operator-key", "", "bootstrap key with all permissions, for use until operators have their own keys"),
 			boolFlag("forget-quarantine", "start without what this control had listed as crashing backend servers"),
 			metricsPortFlag(),
+			memoryFlag(),
 		),
-		subs: []*command{cmdControlList(), cmdControlAdd(), cmdControlRemove()},
+		notes: clientLimits,
+		subs:  []*command{cmdControlList(), cmdControlAdd(), cmdControlRemove()},
 	}
 }
 
@@ -48,7 +50,7 @@
 		Peers: s.peers("peers"), Join: s.optionalAddresses("join"), Standby: c.Bool("standby"), ForgetQuarantine: c.Bool("forget-quarantine"),
 		Terms: lease.DefaultConfig(), Clock: clock.WallClock, Logger: newLogger(s, "control"),
 	}
-	files := s.tlsFiles()
+	files, guard := s.tlsFiles(), s.guard(cfg.Logger)
 	cfg.TLS = s.clientTLS(files)
 	if err := s.err(); err != nil {
 		return err
@@ -65,7 +67,6 @@
 	fmt.Println(l.Addr())
 	cfg.Logger.Log("msg", "Control serves.", "id", cfg.ID, "address", cfg.Address)
 	return serveControl(ctx, cfg.Logger, node, func(ctx context.Context) error {
-		guard := newGuard(0, 0, cfg.Clock, cfg.Logger)
 		return httpd.ServeGuarded(ctx, files.WrapListener(l, cfg.Clock), node.Handler(), guard)
 	})
 }
--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -34,7 +34,9 @@
 			flag("max-body", "1048576", "maximum size of a request body, in bytes"),
 			flag("max-running", "1024", "maximum number of requests that run at once"),
 			flag("max-waiting", "1024", "maximum number of requests that wait at once"),
+			memoryFlag(),
 		),
+		notes: clientLimits,
 	}
 }
 
@@ -54,6 +56,7 @@
 		MaxWaiting: int(s.number("max-waiting", 0, math.MaxInt32)), Seed: started,
 		TLS: files.ClientConfig, Clock: clock.WallClock, Logger: newLogger(s, "entry"),
 	}
+	guard := s.guard(cfg.Logger)
 	metricsListener := s.metricsListener(ctx)
 	if err := s.err(); err != nil {
 		return err
@@ -70,7 +73,6 @@
 	}
 	return serveEntry(ctx, cfg, func(ctx context.Context, e *entry.Entry) error {
 		g, ctx := errgroup.WithContext(ctx)
-		guard := newGuard(0, 0, cfg.Clock, cfg.Logger)
 		g.Go(func() error { return serveMetrics(ctx, metricsListener, e.Metrics(), guard) })
 		g.Go(func() error { return httpd.ServeGuarded(ctx, files.WrapListener(l, cfg.Clock), e.Handler(), guard) })
 		return g.Wait()
--- a/internal/cmd/cmd_man.go
+++ b/internal/cmd/cmd_man.go
@@ -77,6 +77,9 @@
 		fmt.Fprintf(&b, "\n## %s\n\n%s\n", name, sub.short)
 		writeUsage(&b, name, sub)
 	}
+	if c.notes != "" {
+		fmt.Fprintf(&b, "\n%s", c.notes)
+	}
 	fmt.Fprintf(&b, "\n## Exit codes\n\n| code | meaning |\n|---|---|\n")
 	for _, e := range exitCodes {
 		fmt.Fprintf(&b, "| %d | %s |\n", e.code, e.meaning)
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -24,9 +24,31 @@
 	"rosereach/internal/metrics"
 )
 
-// logFlushTimeout bounds how long a process waits at its end until its last log lines
-// are written.
-const logFlushTimeout = 100 * time.Millisecond
+const (
+	// logFlushTimeout bounds how long a process waits at its end until its last log lines
+	// are written.
+	logFlushTimeout = 100 * time.Millisecond
+
+	// defaultMemoryMB is the memory of an instance that nothing else is known of.
+	defaultMemoryMB = "512"
+
+	// clientLimits are the notes on the limits of clients in the pages of the manual.
+	clientLimits = `## Limits on clients
+
+They hold at all ports together; docs/OPERATIONS.md says what follows from them.
+
+| limit | value |
+|---|---|
+| memory for heads and bodies | 0.4 of what 0.7 of the instance's memory leaves beside 32 MiB; a quarter of it is for requests of up to 64 KiB |
+| connections that others open | 0.45 of the descriptors beside 200, and a fifth of the same memory at 16 KiB each |
+| head of a request | on the platform the configuration's, else 64 KiB, in 5 s |
+| time for a body | on the platform the caller's deadline or the route's timeout; 30 s at other ports |
+| time in which a client takes nothing of an answer | 30 s |
+
+On the platform the settings name the memory and the descriptors, else --memory and the kernel's
+limit of open files count.
+`
+)
 
 // commonFlags returns the flags of every process that serves requests.
 func commonFlags() []cli.Flag {
@@ -47,6 +69,16 @@
 	return flag("metrics-listen", "", "loopback host:port to serve metrics on (none when empty)")
 }
 
+// memoryFlag returns the flag of the instance's memory.
+func memoryFlag() cli.Flag {
+	return flag("memory", defaultMemoryMB, "MB of memory of the instance, which bound what clients may take; on the platform the settings say")
+}
+
+// guard returns the guard of a process that runs without settings of the platform.
+func (s *settings) guard(logger log.Logger) *httpd.Guard {
+	return newGuard(s.number("memory", 64, math.MaxInt32)<<20, 0, clock.WallClock, logger)
+}
+
 // metricsListener opens the metrics listener. It returns nil when none is
 // configured or when its address is invalid, which adds a finding.
 func (s *settings) metricsListener(ctx context.Context) net.Listener {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -39,8 +39,12 @@
 	fieldUntil    = "until"
 	fieldPrompt   = "prompt"
 	fieldDigest   = "digest"
-	fieldMessage  = "msg"
-	fieldLevel    = "level"
+
+	// fieldUnfinished is in lines about requests that a process sheds.
+	fieldUnfinished = "unfinished"
+
+	fieldMessage = "msg"
+	fieldLevel   = "level"
 )
 
 type (
@@ -89,8 +93,8 @@
 
 // Timeline returns, in order of time, the lines about the request, the changes of the
 // backend servers that it was sent to or kept from, and, from the processes that handled
-// it, the lines about the documents' revisions that it was handled with and about the
-// words of those servers that still held, however old. Lines that list it or a part
+// it, the lines about the documents' revisions that it was handled with, about requests
+// that were shed, and about the words of those servers that still held, however old. Lines that list it or a part
 // of its prompt are included from all processes. It returns nil when no line is
 // about the request.
 func (l *Log) Timeline(id string) []Line {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -139,3 +139,22 @@
 		t.Fatalf("%v", lines)
 	}
 }
+
+// A request that was rejected for want of room is shown with what its process shed at that time.
+func TestTimelineHoldsWhatWasShed(t *testing.T) {
+	const text = `level=warn part=entry ts=2026-01-01T10:00:00Z msg="Requests of clients are shed." held=900 open=10 unfinished=9 stalled=3
+level=warn part=entry ts=2026-01-01T10:01:00Z msg="Requests of clients are shed." held=1000 open=12 unfinished=11 no_room=2
+level=warn part=entry ts=2026-01-01T10:01:01Z msg="Request is rejected." id=a1 code=overloaded
+`
+	var l explain.Log
+	if err := l.Read("entry.log", strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Read("other.log", strings.NewReader(text[:strings.Index(text, "Request is rejected.")])); err != nil {
+		t.Fatal(err)
+	}
+	timeline := l.Timeline("a1")
+	if len(timeline) != 2 || timeline[0].Get("held") != "1000" || timeline[0].Source != "entry.log" {
+		t.Errorf("%v", timeline)
+	}
+}
--- a/internal/explain/traces.go
+++ b/internal/explain/traces.go
@@ -42,5 +42,6 @@
 	aboutWord := t.sources[line.Source] && t.servers[line.Get(fieldSubject)] && line.holdsAt(t.first)
 	aboutPlan := t.sources[line.Source] && line.Get(fieldRevision) != "" && t.plans[line.Get(fieldRevision)]
 	aboutPart := line.Get(fieldID) == "" && (t.parts[line.Get(fieldPrompt)] || t.parts[line.Get(fieldDigest)])
-	return aboutServer || aboutWord || aboutPlan || aboutPart
+	aboutLoad := recent && t.sources[line.Source] && line.Get(fieldUnfinished) != ""
+	return aboutServer || aboutWord || aboutPlan || aboutPart || aboutLoad
 }
