Answers that callers do not take are in the account

Cause: a plain answer is held whole until it is taken, and nothing added it up. Change: what is over 64 KiB of an answer takes room in the account as it arrives, in pieces that are not copied. Callers that have taken nothing for 10 s yield. Without room the answer is given up with 502, and no other server is asked. Smaller answers always have room.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -46,6 +46,10 @@
 	// lost packet is sent again within a second.
 	stallTime = 2 * time.Second
 
+	// sendStallTime is longer, as a kernel with full buffers takes more only once a third of them
+	// is free again.
+	sendStallTime = 10 * time.Second
+
 	// The limits of an instance that are not known.
 	defaultMemoryBytes = 512 << 20
 	defaultFiles       = 1024
@@ -100,6 +104,8 @@
 		Connections int
 		// StallTime is how long a request may bring nothing before it yields to others.
 		StallTime time.Duration
+		// SendStallTime is how long a client may take nothing of its answer before it yields.
+		SendStallTime time.Duration
 	}
 
 	// Account holds the connections of a process and what their requests hold. It is not safe for
@@ -116,6 +122,7 @@
 		idle    list.List // *Connection by when they began to wait
 		reading list.List // *Connection by when the request began
 		quiet   list.List // *Connection that read, by when they last brought a byte
+		sending list.List // *Connection that are written to, by when they last took something
 	}
 
 	// Connection is a connection of an Account.
@@ -131,6 +138,8 @@
 		progressAt time.Time
 		queue      *list.Element // in idle or reading
 		quiet      *list.Element
+		sentAt     time.Time
+		sending    *list.Element
 	}
 )
 
@@ -148,6 +157,7 @@
 	return Limits{
 		Bytes: int64(requestShare * left), Reserved: int64(reservedShare * requestShare * left), SmallBytes: smallBytes,
 		Connections: int(min(clientFiles, connectionShare*left/connectionBytes)), StallTime: stallTime,
+		SendStallTime: sendStallTime,
 	}
 }
 
@@ -175,6 +185,9 @@
 	if c := front(&a.quiet); c != nil && now.Sub(c.progressAt) >= a.limits.StallTime {
 		return c
 	}
+	if c := a.stalledSender(now); c != nil {
+		return c
+	}
 	idle, reading := front(&a.idle), front(&a.reading)
 	if idle == nil || reading != nil && reading.since.Before(idle.since) {
 		return reading
@@ -182,6 +195,15 @@
 	return idle
 }
 
+// stalledSender returns the connection whose client has taken nothing of its answer for longest, nil
+// for none for which that is too long.
+func (a *Account) stalledSender(now time.Time) *Connection {
+	if c := front(&a.sending); c != nil && now.Sub(c.sentAt) >= a.limits.SendStallTime {
+		return c
+	}
+	return nil
+}
+
 // Close removes a connection that is closed.
 func (a *Account) Close(c *Connection) {
 	if c.state == Evicted {
@@ -192,6 +214,7 @@
 	}
 	a.release(c)
 	a.dequeue(c)
+	a.Sent(c)
 	a.open--
 }
 
@@ -225,9 +248,31 @@
 	return c.state != Evicted
 }
 
-// Take takes n bytes for the request of a connection and reports whether there was room. Evicted
-// are the connections that yield theirs: stalled ones, and to a small request other small ones
-// that have been incomplete for longest. A large request that is the only one always gets room.
+// Send records that a part of an answer is written to a connection, which goes on until Sent.
+func (a *Account) Send(now time.Time, c *Connection) {
+	if c.state == Evicted {
+		return
+	}
+	c.sentAt = now
+	if c.sending == nil {
+		c.sending = a.sending.PushBack(c)
+	} else {
+		a.sending.MoveToBack(c.sending)
+	}
+}
+
+// Sent records that a part of an answer was written.
+func (a *Account) Sent(c *Connection) {
+	if c.sending != nil {
+		a.sending.Remove(c.sending)
+		c.sending = nil
+	}
+}
+
+// Take takes n bytes for the request of a connection, or its answer, and reports whether there was
+// room. Evicted are the connections that yield theirs: stalled ones, those whose answers aren't
+// taken, and to a small request other small ones that have been incomplete for longest. A large
+// request that is the only one always gets room.
 func (a *Account) Take(now time.Time, c *Connection, n int64) (evicted []*Connection, ok bool) {
 	if c.state == Evicted {
 		return nil, false
@@ -273,6 +318,9 @@
 			return quiet
 		}
 	}
+	if sender := a.stalledSender(now); sender != nil && sender != c {
+		return sender
+	}
 	if !a.isSmall(c.bytes + n) {
 		return nil
 	}
@@ -289,9 +337,11 @@
 func (a *Account) evict(c *Connection) {
 	a.release(c)
 	a.dequeue(c)
+	mayAnswer := c.sending == nil
+	a.Sent(c)
 	c.state = Evicted
 	a.evicted++
-	if a.answering < a.limits.Connections/answeringShare {
+	if mayAnswer && a.answering < a.limits.Connections/answeringShare {
 		c.answering = true
 		a.answering++
 	}
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -205,6 +205,47 @@
 	}
 }
 
+// Answers that their callers don't take yield to others after a while, and those that are taken don't.
+func TestUntakenAnswersYield(t *testing.T) {
+	l := overload.Limits{
+		Bytes: 1 << 20, Reserved: 1 << 18, SmallBytes: 1 << 16, Connections: 100, StallTime: time.Second, SendStallTime: 10 * time.Second,
+	}
+	w := newWorld(t, l)
+	hold := func(c *client, n int64) bool {
+		evicted, ok := w.account.Take(w.now, c.conn, n)
+		w.shed(evicted...)
+		return ok
+	}
+	var callers []*client
+	for range 3 {
+		c := w.connect(100, 100)
+		w.send(c)
+		if !hold(c, 200<<10) {
+			t.Fatal("no room for an answer")
+		}
+		w.account.Send(w.now, c.conn)
+		callers = append(callers, c)
+	}
+	last := w.connect(100, 100)
+	w.send(last)
+	for i := range 10 {
+		if hold(last, 300<<10) {
+			t.Fatalf("an answer gets the room of others after %d s", i)
+		}
+		w.now = w.now.Add(time.Second)
+		w.account.Send(w.now, callers[1].conn) // it takes a part
+	}
+	if !hold(last, 300<<10) {
+		t.Error("no room beside answers that nobody takes")
+	}
+	if !callers[0].shed || callers[1].shed {
+		t.Errorf("untaken answer shed: %v, taken one: %v", callers[0].shed, callers[1].shed)
+	}
+	if callers[0].conn.MayAnswer() {
+		t.Error("a client that takes nothing gets an answer")
+	}
+}
+
 // Whatever clients do, the account stays within its limits and ends empty.
 func TestAccountBalances(t *testing.T) {
 	for seed := range uint64(200) {
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -45,6 +45,9 @@
 	// maxBufferedBytes is the maximum size, in bytes, of an answer that is
 	// buffered before it is forwarded.
 	maxBufferedBytes = 1 << 20
+
+	// uncountedBytes is the size, in bytes, up to which answers always have room.
+	uncountedBytes = 64 << 10
 )
 
 // Reasons for which the entry ends an attempt.
@@ -57,6 +60,7 @@
 	errIncomplete      = errors.ConstError("the answer broke off")
 	errLowConfidence   = errors.ConstError("the model reports low confidence in its answer")
 	errNotContinued    = errors.ConstError("the answer is not the rest of the stream that has begun")
+	errNoRoom          = errors.ConstError("there is no room for the answer")
 	errCallerWrite     = errors.ConstError("writing to the caller failed")
 )
 
@@ -143,7 +147,7 @@
 		status int
 		header http.Header
 		mark   framing.Mark
-		body   []byte
+		body   forward.Body
 	}
 )
 
@@ -240,7 +244,7 @@
 		return errors.Trace(errIncomplete)
 	case x.fallback != nil:
 		x.beginWhole(x.fallback.status, x.fallback.header, x.fallback.mark, x.fallback.body)
-		return x.sink.Write(x.fallback.body)
+		return x.writeBody(x.fallback.body)
 	case refused != nil && refused.IsNotRun() && x.runs == 0:
 		return refused
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -12,6 +12,7 @@
 	"rosereach/core/framing"
 	"rosereach/core/placement"
 	"rosereach/core/route"
+	"rosereach/internal/httpd"
 	"rosereach/io/upstream"
 )
 
@@ -69,12 +70,12 @@
 
 // beginWhole sends the head of an answer whose body has been read. One whose end nothing but
 // its connection marks may have been cut: it gets no other mark from this entry.
-func (x *activeRequest) beginWhole(status int, header http.Header, mark framing.Mark, body []byte) {
+func (x *activeRequest) beginWhole(status int, header http.Header, mark framing.Mark, body forward.Body) {
 	if mark == framing.ByClose {
 		x.begin(status, header, framing.ByClose, -1)
 		return
 	}
-	x.begin(status, header, framing.ByLength, int64(len(body)))
+	x.begin(status, header, framing.ByLength, int64(body.Len()))
 }
 
 // escalate decides whether to drop a low-confidence answer and ask a larger
@@ -112,21 +113,65 @@
 	return true
 }
 
+// readWhole reads an answer to its end, or to a byte more than is buffered. A large one takes room
+// as it arrives.
+func readWhole(ctx context.Context, answer io.Reader) (forward.Body, error) {
+	first, err := io.ReadAll(io.LimitReader(answer, uncountedBytes))
+	if err != nil || len(first) < uncountedBytes {
+		return forward.BodyOf(first), err
+	}
+	rest, err := forward.ReadBody(heldReader{ctx, io.LimitReader(answer, maxBufferedBytes+1-uncountedBytes)}, -1)
+	return append(forward.BodyOf(first), rest...), err
+}
+
+// heldReader takes room for what it reads.
+type heldReader struct {
+	ctx context.Context
+	r   io.Reader
+}
+
+// Read implements io.Reader.
+func (h heldReader) Read(p []byte) (int, error) {
+	n, err := h.r.Read(p)
+	if n > 0 && !httpd.HoldAnswer(h.ctx, int64(n)) {
+		return 0, errors.Trace(errNoRoom)
+	}
+	return n, err
+}
+
+// writeBody writes the body of an answer to the caller.
+func (x *activeRequest) writeBody(body forward.Body) error {
+	if len(body) == 0 {
+		return x.sink.Write(nil)
+	}
+	for _, piece := range body {
+		if err := x.sink.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // forwardWhole buffers an answer before forwarding it, so that the request can
 // be retried if the answer breaks off.
 func (x *activeRequest) forwardWhole(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
 	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.bodyTimeouts())
 	defer watch.stop()
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
+	body, err := readWhole(ctx, answer)
 	switch {
 	case err != nil:
 		a.answer.End = answer.EndBy(err)
-	case len(body) <= maxBufferedBytes:
+	case body.Len() <= maxBufferedBytes:
 		a.answer.End = answer.EndBy(io.EOF)
 	}
 	x.takeOver(watch)
 	x.tried = append(x.tried, a.server.ID)
-	if err != nil || len(body) > maxBufferedBytes {
+	if errors.Is(err, errNoRoom) {
+		answer.Discard()
+		x.abandoned = true // there is no more room for the next answer
+		return forward.Incomplete, err
+	}
+	if err != nil || body.Len() > maxBufferedBytes {
 		answer.Discard()
 		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
 			x.forwarder.recordFailure(a, x, false)
@@ -134,7 +179,7 @@
 		if ctx.Err() == nil && err != nil {
 			x.recordEnd(ctx, a)
 		}
-		return forward.Incomplete, errors.Errorf("reading the answer failed after %d bytes: %v", len(body), err)
+		return forward.Incomplete, errors.Errorf("reading the answer failed after %d bytes: %v", body.Len(), err)
 	}
 	answer.Close()
 	if a.head.Status >= http.StatusInternalServerError {
@@ -144,7 +189,7 @@
 	}
 	x.forwarder.recordSuccess(a, x)
 	x.beginWhole(answer.Status, answer.Header, answer.Framing, body)
-	if err := x.sink.Write(body); err != nil {
+	if err := x.writeBody(body); err != nil {
 		x.callerCut = true
 		level.Debug(x.forwarder.entry.cfg.Logger).Log("msg", "Failed to write the answer to the caller.", "id", x.req.ID, "err", err)
 	}
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -211,10 +211,12 @@
 // Write implements net.Conn. It ends an answer of which the client takes nothing for a while; a
 // slow client has that time for each piece.
 func (t *trackedConn) Write(p []byte) (written int, err error) {
+	defer t.guard.sent(t.held)
 	for first := true; first || written < len(p) && err == nil; first = false {
 		if err := t.SetWriteDeadline(time.Now().Add(t.server.writeTimeout())); err != nil {
 			return written, err
 		}
+		t.guard.send(t.held)
 		var n int
 		n, err = t.Conn.Write(p[written:min(written+writePieceBytes, len(p))])
 		written += n
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -61,6 +61,13 @@
 // connection has a method Establish() to call when its peer has proved who it is.
 func (g *Guard) Listener(l net.Listener) net.Listener { return trackedListener{l, Server{}, g} }
 
+// HoldAnswer takes n bytes for the answer to the request with the context, until it is sent, and
+// reports whether there was room.
+func HoldAnswer(ctx context.Context, n int64) bool {
+	t, ok := ctx.Value(connKey{}).(*trackedConn)
+	return !ok || t.guard.take(t.held, n)
+}
+
 // open adds a connection and reports whether there was room.
 func (g *Guard) open(t *trackedConn) bool {
 	g.mu.Lock()
@@ -124,6 +131,18 @@
 	g.account.Begin(g.clock.Now(), c)
 }
 
+func (g *Guard) send(c *overload.Connection) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.account.Send(g.clock.Now(), c)
+}
+
+func (g *Guard) sent(c *overload.Connection) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.account.Sent(c)
+}
+
 func (g *Guard) release(c *overload.Connection) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
