--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -115,7 +115,9 @@
 			body.onEnd = closeUntil(w.Header())
 		}
 		rc.SetReadDeadline(time.Now().Add(bodyTimeout)) //nolint:errcheck // fails only on a closed connection
-		wrapped := *r                                   // http.Server looks at its own request for what was read of the body
+
+		// http.Server looks at its own request for what was read of the body.
+		wrapped := *r
 		wrapped.Body = body
 		s.Handler.ServeHTTP(w, &wrapped)
 		if !body.hasEnded {
--- a/internal/httpd/body_test.go
+++ b/internal/httpd/body_test.go
@@ -123,3 +123,65 @@
 		t.Error("the answer waits for its client")
 	}
 }
+
+// A client that waits to be asked for its body is asked only for a body that is read.
+func TestExpectedBody(t *testing.T) {
+	address := startServer(t, httpd.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/reject" {
+			http.Error(w, "no", http.StatusServiceUnavailable)
+			return
+		}
+		if n, err := io.Copy(io.Discard, r.Body); n != 100000 || err != nil {
+			t.Errorf("%d bytes, %v", n, err)
+		}
+	})})
+	for path, want := range map[string][]int{"/reject": {503}, "/read": {100, 200}} {
+		c := dial(t, address)
+		r := bufio.NewReader(c)
+		io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 100000\r\n\r\n")
+		for _, status := range want {
+			if got := statusOf(t, r); got != status {
+				t.Errorf("%s: status %d, want %d", path, got, status)
+			}
+			if status == http.StatusContinue {
+				io.WriteString(c, strings.Repeat("x", 100000))
+			}
+		}
+	}
+}
+
+// Requests that are sent without waiting for answers are answered in order, with bodies of all kinds.
+func TestPipelinedRequests(t *testing.T) {
+	address := startServer(t, httpd.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		w.Write(body)
+	})})
+	c := dial(t, address)
+	var sent, want strings.Builder
+	for i := range 50 {
+		body := strings.Repeat(fmt.Sprintf("%02d", i), 1+i*400)
+		want.WriteString(body)
+		if i%2 == 0 {
+			fmt.Fprintf(&sent, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			continue
+		}
+		fmt.Fprintf(&sent, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	go io.WriteString(c, sent.String())
+	r := bufio.NewReader(c)
+	var got strings.Builder
+	for i := range 50 {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		io.Copy(&got, resp.Body)
+		resp.Body.Close()
+	}
+	if got.String() != want.String() {
+		t.Errorf("%d bytes of answers, want %d", got.Len(), want.Len())
+	}
+}
