A small body that is too slow is answered in time

What callers saw: the 408 of a body of up to 16 KiB came 5 s after the request's time was over, as the rest of the body was waited for before the answer (by reading; TestSlowBodyIsEnded now looks at the time and took 5.3 s before). Change: a refused body is answered first, whatever its size; what is left of one that was too slow or stood still is not waited for.

--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -38,6 +38,8 @@
 		conn     *trackedConn
 		cost     int64 // memory that a byte takes
 		size     int64 // bytes so far
+		rc       *http.ResponseController
+		header   http.Header // of the answer
 		hasEnded bool
 		onEnd    func()
 		refusal  *overload.Refusal
@@ -67,11 +69,26 @@
 		b.refusal = b.conn.guard.refusal(overload.TooSlow)
 	}
 	if b.refusal != nil {
+		b.answerFirst()
 		return 0, b.refusal
 	}
 	return n, err
 }
 
+// isAwaited reports whether the rest of the body may still come, and is read so that the answer is
+// not lost to a reset.
+func (b *requestBody) isAwaited() bool {
+	return !b.hasEnded && (b.refusal == nil || b.refusal.Reason == overload.NoRoom)
+}
+
+// answerFirst lets the answer be sent before the rest of the body is read, and the connection be
+// closed after it.
+func (b *requestBody) answerFirst() {
+	if err := b.rc.EnableFullDuplex(); err == nil {
+		b.onEnd = closeUntil(b.header)
+	}
+}
+
 // take takes memory for n bytes. The first ones are read into buffers that grow, so that they take
 // twice their size.
 func (b *requestBody) take(n int64) bool {
@@ -110,9 +127,9 @@
 			return
 		}
 		rc := http.NewResponseController(w)
-		body := &requestBody{ReadCloser: r.Body, conn: conn, cost: s.bodyCost(), onEnd: func() {}}
-		if !isInline(r) && !expectsContinue(r) && rc.EnableFullDuplex() == nil {
-			body.onEnd = closeUntil(w.Header())
+		body := &requestBody{ReadCloser: r.Body, conn: conn, cost: s.bodyCost(), rc: rc, header: w.Header(), onEnd: func() {}}
+		if !isInline(r) && !expectsContinue(r) {
+			body.answerFirst()
 		}
 		rc.SetReadDeadline(time.Now().Add(bodyTimeout)) //nolint:errcheck // fails only on a closed connection
 
@@ -120,7 +137,7 @@
 		wrapped := *r
 		wrapped.Body = body
 		s.Handler.ServeHTTP(w, &wrapped)
-		if !body.hasEnded {
+		if body.isAwaited() {
 			rc.SetReadDeadline(time.Now().Add(bodyEndTime)) //nolint:errcheck // fails only on a closed connection
 		}
 	})
