--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -36,8 +36,8 @@
 	reservedFiles   = 200
 	clientFileShare = 0.45
 
-	// answeringShare is the part of the connections that may get an answer after they were
-	// evicted. Others are closed at once.
+	// One in answeringShare of the connections may get an answer after it was evicted. Others are
+	// closed at once.
 	answeringShare = 8
 
 	smallBytes = 64 << 10
@@ -61,8 +61,8 @@
 	Idle State = iota
 	// Reading connections have brought a part of a request.
 	Reading
-	// Busy connections have brought a whole request, or belong to a proven member. They are never
-	// evicted.
+	// Busy connections have brought a whole request, or belong to a proven member. They are
+	// evicted only if their clients take nothing of their answers.
 	Busy
 	// Evicted connections are about to be closed.
 	Evicted
