No request yields in vain

What callers see: a small request that had brought nothing for 2 s, or an answer that was not taken, was ended for a large one that got no room by it. Cause: victims were evicted one by one until there was room, also where others held what was short: a large request that is short of the part for large ones gains nothing from small ones, and nobody from a connection that holds nothing. Change: the account first looks whether those that help are enough, and evicts them only then. Result: TestNobodyYieldsInVain, which replays it, ended all four before.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -118,6 +118,7 @@
 		answering  int // evicted ones that get an answer
 		bytes      int64
 		largeBytes int64 // of requests over SmallBytes
+		demands    uint64
 
 		idle    list.List // *Connection by when they began to wait
 		reading list.List // *Connection by when the request began
@@ -140,6 +141,17 @@
 		quiet      *list.Element
 		sentAt     time.Time
 		sending    *list.Element
+		demands    uint64 // the number of the last demand to which it might yield
+	}
+
+	// demand is the demand of a connection for n bytes more, with what small and large requests
+	// hold once the victims have yielded.
+	demand struct {
+		account      *Account
+		c            *Connection
+		n            int64
+		small, large int64
+		victims      []*Connection
 	}
 )
 
@@ -271,65 +283,92 @@
 
 // Take takes n bytes for the request of a connection, or its answer, and reports whether there was
 // room. Evicted are the connections that yield theirs: stalled ones, those whose answers aren't
-// taken, and to a small request other small ones that have been incomplete for longest. A large
-// request that is the only one always gets room.
+// taken, and to a small request other small ones that have been incomplete for longest. None yields
+// if that would not be enough. A large request that is the only one always gets room.
 func (a *Account) Take(now time.Time, c *Connection, n int64) (evicted []*Connection, ok bool) {
 	if c.state == Evicted {
 		return nil, false
 	}
-	for !a.hasRoom(c, n) {
-		victim := a.yielding(now, c, n)
-		if victim == nil {
-			return evicted, false
-		}
+	a.demands++
+	d := demand{account: a, c: c, n: n, small: a.bytes - a.largeBytes, large: a.largeBytes}
+	if !d.fits() && !a.yieldTo(now, &d) {
+		return nil, false
+	}
+	for _, victim := range d.victims {
 		a.evict(victim)
-		evicted = append(evicted, victim)
 	}
 	a.add(c, n)
-	return evicted, true
+	return d.victims, true
 }
 
 // Release gives back what the request of a connection holds, when it is rejected.
 func (a *Account) Release(c *Connection) { a.release(c) }
 
-// hasRoom reports whether the request of c may hold n bytes more.
-func (a *Account) hasRoom(c *Connection, n int64) bool {
-	unreserved := a.limits.Bytes - a.limits.Reserved
-	if a.isSmall(c.bytes + n) {
-		// A single large request may hold more than its part.
-		return a.bytes-a.largeBytes+min(a.largeBytes, unreserved)+n <= a.limits.Bytes
+// yieldTo adds connections that yield to the demand until it fits, and reports whether it does.
+func (a *Account) yieldTo(now time.Time, d *demand) bool {
+	for e := a.quiet.Front(); e != nil && now.Sub(connectionOf(e).progressAt) >= a.limits.StallTime; e = e.Next() {
+		if d.evict(connectionOf(e)) {
+			return true
+		}
 	}
-	others := a.largeBytes
-	if !a.isSmall(c.bytes) {
-		others -= c.bytes
+	for e := a.sending.Front(); e != nil && now.Sub(connectionOf(e).sentAt) >= a.limits.SendStallTime; e = e.Next() {
+		if d.evict(connectionOf(e)) {
+			return true
+		}
 	}
-	return others == 0 || others+c.bytes+n <= unreserved && a.bytes+n <= a.limits.Bytes
+	if !d.isSmall() {
+		return false
+	}
+	for e := a.reading.Front(); e != nil; e = e.Next() {
+		if oldest := connectionOf(e); a.isSmall(oldest.bytes) && d.evict(oldest) {
+			return true
+		}
+	}
+	return false
 }
 
-// yielding returns the connection that yields its memory to a request that needs n bytes more, nil
-// for none.
-func (a *Account) yielding(now time.Time, c *Connection, n int64) *Connection {
-	for e := a.quiet.Front(); e != nil; e = e.Next() {
-		quiet := connectionOf(e)
-		if now.Sub(quiet.progressAt) < a.limits.StallTime {
-			break
-		}
-		if quiet != c && quiet.bytes > 0 {
-			return quiet
-		}
+// isSmall reports whether the request is small with what it needs.
+func (d *demand) isSmall() bool { return d.account.isSmall(d.c.bytes + d.n) }
+
+// fits reports whether there is room.
+func (d *demand) fits() bool {
+	limits := d.account.limits
+	unreserved := limits.Bytes - limits.Reserved
+	if d.isSmall() {
+		// A single large request may hold more than its part.
+		return d.small+min(d.large, unreserved)+d.n <= limits.Bytes
 	}
-	if sender := a.stalledSender(now); sender != nil && sender != c {
-		return sender
+	return d.othersLarge() == 0 || d.fitsLarge() && d.small+d.large+d.n <= limits.Bytes
+}
+
+// fitsLarge reports whether the part for large requests has room.
+func (d *demand) fitsLarge() bool {
+	limits := d.account.limits
+	return d.othersLarge()+d.c.bytes+d.n <= limits.Bytes-limits.Reserved
+}
+
+// othersLarge returns what other large requests hold.
+func (d *demand) othersLarge() int64 {
+	if d.account.isSmall(d.c.bytes) {
+		return d.large
 	}
-	if !a.isSmall(c.bytes + n) {
-		return nil
+	return d.large - d.c.bytes
+}
+
+// evict lets a connection yield if that helps, and reports whether the demand fits then.
+func (d *demand) evict(v *Connection) bool {
+	isSmall := d.account.isSmall(v.bytes)
+	if v == d.c || v.bytes == 0 || isSmall && !d.isSmall() && !d.fitsLarge() || v.demands == d.account.demands {
+		return false
 	}
-	for e := a.reading.Front(); e != nil; e = e.Next() {
-		if oldest := connectionOf(e); oldest != c && oldest.bytes > 0 && a.isSmall(oldest.bytes) {
-			return oldest
-		}
+	if isSmall {
+		d.small -= v.bytes
+	} else {
+		d.large -= v.bytes
 	}
-	return nil
+	v.demands = d.account.demands
+	d.victims = append(d.victims, v)
+	return d.fits()
 }
 
 func (a *Account) isSmall(n int64) bool { return n <= a.limits.SmallBytes }
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -301,3 +301,36 @@
 	// 284 MB: 66 MB of requests, 16 of them reserved, 1755 connections
 	// 424 MB: 105 MB of requests, 26 of them reserved, 1755 connections
 }
+
+// A request is not ended for another one that gets no room by it: a large one that is short of room
+// for large ones leaves small ones alone, stalled or not, and callers whose answers hold nothing.
+func TestNobodyYieldsInVain(t *testing.T) {
+	l := overload.Limits{
+		Bytes: 1 << 20, Reserved: 1 << 18, SmallBytes: 1 << 16, Connections: 100, StallTime: time.Second, SendStallTime: 10 * time.Second,
+	}
+	w := newWorld(t, l)
+	var small []*client
+	for range 3 {
+		c := w.connect(2<<10, 1<<10)
+		w.send(c)
+		small = append(small, c)
+	}
+	unread := w.connect(100, 100)
+	w.send(unread)
+	w.account.Await(w.now, unread.conn) // its answer holds nothing
+	w.account.Send(w.now, unread.conn)
+	for range 2 {
+		if c := w.connect(300<<10, 300<<10); !w.sendAll(c) {
+			t.Fatal("no room for a large request that is then complete")
+		}
+	}
+	w.now = w.now.Add(l.SendStallTime)
+	if w.sendAll(w.connect(300<<10, 300<<10)) {
+		t.Fatal("a large request gets the room of complete ones")
+	}
+	for _, c := range append(small, unread) {
+		if c.shed {
+			t.Errorf("%+v has yielded, and nobody got room", c)
+		}
+	}
+}
