Retry-After of a rejected body is the time at which there is room

What callers saw: 503 with Retry-After of 1 s, at which requests that stand still had not yielded yet: they do after 2 s, so that many came back in vain. Cause: half of that time, without a look at the requests. Change: the account says when the first unfinished one will have stalled, and httpd adds up to a quarter. Result: TestRetryAfterIsWhenThereIsRoom replays a crowd that stands still: no room 1 ms before the time, room at it.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -50,6 +50,9 @@
 	// is free again.
 	sendStallTime = 10 * time.Second
 
+	// minRetryAfter spares a process the clients that would come back at once.
+	minRetryAfter = 100 * time.Millisecond
+
 	// The limits of an instance that are not known.
 	defaultMemoryBytes = 512 << 20
 	defaultFiles       = 1024
@@ -301,6 +304,18 @@
 	return d.victims, true
 }
 
+// RetryAfter returns when a request that gets no room now may come back: when the first unfinished
+// request that holds something stalls, if no byte of it arrives. Nothing tells when complete ones
+// end; beside those alone it is StallTime.
+func (a *Account) RetryAfter(now time.Time) time.Duration {
+	for e := a.quiet.Front(); e != nil; e = e.Next() {
+		if c := connectionOf(e); c.bytes > 0 {
+			return min(max(c.progressAt.Add(a.limits.StallTime).Sub(now), minRetryAfter), a.limits.StallTime)
+		}
+	}
+	return a.limits.StallTime
+}
+
 // Release gives back what the request of a connection holds, when it is rejected.
 func (a *Account) Release(c *Connection) { a.release(c) }
 
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -334,3 +334,38 @@
 		}
 	}
 }
+
+// A client that is rejected beside bodies that stand still gets room when it comes back at the time
+// that it was told, and not before.
+func TestRetryAfterIsWhenThereIsRoom(t *testing.T) {
+	const body = 4 << 20
+	for _, passed := range []time.Duration{0, 500 * time.Millisecond, 1900 * time.Millisecond} {
+		w := newWorld(t, limits)
+		for range 20 {
+			c := w.connect(body, 64<<10)
+			for c.left > 64<<10 && w.send(c) {
+			}
+		}
+		w.now = w.now.Add(passed)
+		rejected := w.connect(body, 64<<10)
+		if w.sendAll(rejected) {
+			t.Fatal("the large body is not rejected")
+		}
+		wait := w.account.RetryAfter(w.now)
+		w.now = w.now.Add(wait - time.Millisecond)
+		if w.sendAll(w.connect(body, 64<<10)) {
+			t.Errorf("%s after the bodies stopped: there is room before %s", passed, wait)
+		}
+		w.now = w.now.Add(time.Millisecond)
+		if !w.sendAll(w.connect(body, 64<<10)) {
+			t.Errorf("%s after the bodies stopped: no room after %s", passed, wait)
+		}
+	}
+	w := newWorld(t, limits)
+	for range 20 {
+		w.sendAll(w.connect(body, 64<<10))
+	}
+	if wait := w.account.RetryAfter(w.now); wait != limits.StallTime {
+		t.Errorf("beside complete requests: %s", wait)
+	}
+}
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -166,9 +166,10 @@
 func (g *Guard) refusal(r overload.Reason) *overload.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	refusal := overload.NewRefusal(r)
-	refusal.RetryAfter = retry.WithJitter(refusal.RetryAfter, g.random)
-	return refusal
+	if r == overload.TooSlow {
+		return &overload.Refusal{Reason: r}
+	}
+	return &overload.Refusal{Reason: r, RetryAfter: retry.WithJitter(g.account.RetryAfter(g.clock.Now()), g.random)}
 }
 
 // count counts what is shed and logs it from time to time. Callers hold g.mu.
