A server without timeouts of its own stops

What an embedder would see: a crash when the context ends, as Timeouts says that a nil one stands for the default, and Shutdown was called. TestServerWithoutTimeoutsStops panicked before. Serve says the default only once now.

--- a/internal/httpd/head_test.go
+++ b/internal/httpd/head_test.go
@@ -122,3 +122,31 @@
 		t.Errorf("the connection stays open: %v", err)
 	}
 }
+
+// A server without timeouts of its own stops, and waits for open requests.
+func TestServerWithoutTimeoutsStops(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	l, err := httpd.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handling, goOn := make(chan struct{}), make(chan struct{})
+	ended := make(chan error, 1)
+	go func() {
+		ended <- httpd.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			close(handling)
+			<-goOn
+		})}.Serve(ctx, l)
+	}()
+	c := dial(t, l.Addr().String())
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-handling
+	cancel()
+	close(goOn)
+	if status := statusOf(t, bufio.NewReader(c)); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -39,9 +39,11 @@
 
 type (
 	// Timeouts are the timeouts of a server. They are functions because a timeout may
-	// change while the server runs. One that is nil or returns zero stands for the default.
+	// change while the server runs. One that is nil, or but for Shutdown returns zero, stands
+	// for the default.
 	Timeouts struct {
-		// Shutdown returns how long open requests may take after the context ended.
+		// Shutdown returns how long open requests may take after the context ended, by default
+		// shutdownTimeout.
 		Shutdown func() time.Duration
 		// Header returns how long the head of a request may take from its first byte on, by
 		// default defaultHeaderTimeout.
@@ -85,7 +87,7 @@
 
 // ServeGuarded is Serve with a guard that the servers of the process share.
 func ServeGuarded(ctx context.Context, l net.Listener, h http.Handler, g *Guard) error {
-	return Server{Handler: h, Timeouts: Timeouts{Shutdown: func() time.Duration { return shutdownTimeout }}, Guard: g}.Serve(ctx, l)
+	return Server{Handler: h, Guard: g}.Serve(ctx, l)
 }
 
 // ServeWithTimeouts is Serve with the given timeouts.
@@ -112,7 +114,7 @@
 	case <-ctx.Done():
 	}
 	l.Close() //nolint:errcheck // no request is lost if it fails
-	open.drain(s.Timeouts.Shutdown())
+	open.drain(s.shutdownTimeout())
 	open.resetOnClose()
 	if err := server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Trace(err)
@@ -120,6 +122,13 @@
 	return nil
 }
 
+func (s Server) shutdownTimeout() time.Duration {
+	if s.Timeouts.Shutdown == nil {
+		return shutdownTimeout
+	}
+	return s.Timeouts.Shutdown()
+}
+
 func (s Server) headerTimeout() time.Duration {
 	return valueOf(s.Timeouts.Header, defaultHeaderTimeout)
 }
