A log that blocks holds up no other connection

Cause: the line about what is shed was written while the guard was locked, which each connection asks; a program without settings writes to standard error, which may block. Change: it is written afterwards.

--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -31,6 +31,7 @@
 	shed     map[overload.Reason]int // all so far
 	unlogged map[overload.Reason]int // since the last log line
 	loggedAt time.Time
+	line     []any // to be logged once mu is released
 }
 
 var (
@@ -79,7 +80,7 @@
 		c.Evict = t.evict
 		t.held = c
 	}
-	g.mu.Unlock()
+	g.unlock()
 	if evicted != nil {
 		evicted.Evict()
 	}
@@ -105,7 +106,7 @@
 		g.account.Release(c)
 		g.count(overload.NoRoom)
 	}
-	g.mu.Unlock()
+	g.unlock()
 	for _, e := range evicted {
 		e.Evict()
 	}
@@ -158,8 +159,8 @@
 // recordShed counts a request that was ended without the account.
 func (g *Guard) recordShed(r overload.Reason) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.count(r)
+	g.unlock()
 }
 
 // refusal returns the error of a body that is ended. Its clients come back one after the other.
@@ -172,7 +173,17 @@
 	return &overload.Refusal{Reason: r, RetryAfter: retry.WithJitter(g.account.RetryAfter(g.clock.Now()), g.random)}
 }
 
-// count counts what is shed and logs it from time to time. Callers hold g.mu.
+// unlock releases g.mu and logs what count left to log, as a log may block.
+func (g *Guard) unlock() {
+	line := g.line
+	g.line = nil
+	g.mu.Unlock()
+	if line != nil {
+		level.Warn(g.logger).Log(line...)
+	}
+}
+
+// count counts what is shed, and leaves a log line to unlock from time to time. Callers hold g.mu.
 func (g *Guard) count(r overload.Reason) {
 	g.shed[r]++
 	g.unlogged[r]++
@@ -189,7 +200,7 @@
 		}
 	}
 	clear(g.unlogged)
-	level.Warn(g.logger).Log(fields...)
+	g.line = fields
 }
 
 // Describe implements prometheus.Collector.
