upstream sends core/forward's body

The sum of a body's pieces stood twice, in io/upstream and in core/forward, both added with the pieces. No change of behaviour; the tests of io/upstream pass.

--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -20,6 +20,7 @@
 	"github.com/juju/clock"
 	"github.com/juju/errors"
 
+	"rosereach/core/forward"
 	"rosereach/core/framing"
 )
 
@@ -72,7 +73,7 @@
 		// Header is sent unchanged; Do adds Host and Content-Length.
 		Header map[string][]string
 		// Body is sent in pieces, in order, and not copied.
-		Body [][]byte
+		Body forward.Body
 		// NewConn requires a new connection instead of an idle one.
 		NewConn bool
 		// Via restricts the regions of other instances that the connection may pass
@@ -230,7 +231,7 @@
 func (c *Client) exchange(conn *conn, call Call) (*Answer, error) {
 	head := encodeHead(call)
 	wrote := make(chan error, 1)
-	if bodyBytes(call.Body) <= maxInlineBodyBytes {
+	if call.Body.Len() <= maxInlineBodyBytes {
 		n, err := conn.Write(append(head, bytes.Join(call.Body, nil)...))
 		if err != nil && n == 0 {
 			return nil, errors.Annotatef(ErrNotSent, "%v", err)
@@ -471,7 +472,7 @@
 }
 
 // writeAll writes a head and the pieces of a body.
-func (c *conn) writeAll(head []byte, body [][]byte) error {
+func (c *conn) writeAll(head []byte, body forward.Body) error {
 	if _, err := c.Write(head); err != nil {
 		return err
 	}
@@ -483,14 +484,6 @@
 	return nil
 }
 
-func bodyBytes(body [][]byte) int {
-	n := 0
-	for _, piece := range body {
-		n += len(piece)
-	}
-	return n
-}
-
 // discard closes the connection and ignores the error, which no caller can act on.
 func (c *conn) discard() { c.Close() } //nolint:errcheck // see above
 
@@ -527,8 +520,8 @@
 			b.WriteString(name + ": " + v + "\r\n")
 		}
 	}
-	if bodyBytes(call.Body) > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(bodyBytes(call.Body)) + "\r\n")
+	if call.Body.Len() > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(call.Body.Len()) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
