The answer to a rejected body reaches its client whatever the size of the body

What callers saw: a body of over some 11 MB whose head was rejected was cut while it was sent, and the answer could get lost. Cause: what is dropped after an answer was bounded by 5 MiB, a little more than the bodies of one deployment; configurations have up to 16 MiB. TestRejectionReachesAClientThatWritesOn has a body of 16 MiB beside that of 4, which failed before at 11 of 16 MB.

--- a/internal/httpd/body_test.go
+++ b/internal/httpd/body_test.go
@@ -48,19 +48,21 @@
 // rejected by its head, and no reset.
 func TestRejectionReachesAClientThatWritesOn(t *testing.T) {
 	address := startServer(t, httpd.Server{Handler: http.NotFoundHandler()})
-	c := dial(t, address)
-	body := bytes.Repeat([]byte("x"), 4<<20)
-	io.WriteString(c, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body)))
-	for len(body) > 0 {
-		n, err := c.Write(body[:min(64<<10, len(body))])
-		if err != nil {
-			t.Fatalf("%d bytes before the end: %v", len(body), err)
+	for _, size := range []int{4 << 20, 16 << 20} {
+		c := dial(t, address)
+		body := bytes.Repeat([]byte("x"), size)
+		io.WriteString(c, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body)))
+		for len(body) > 0 {
+			n, err := c.Write(body[:min(64<<10, len(body))])
+			if err != nil {
+				t.Fatalf("%d of %d bytes before the end: %v", len(body), size, err)
+			}
+			body = body[n:]
+			time.Sleep(time.Millisecond)
+		}
+		if status := statusOf(t, bufio.NewReader(c)); status != http.StatusNotFound {
+			t.Errorf("%d bytes: status %d", size, status)
 		}
-		body = body[n:]
-		time.Sleep(time.Millisecond)
-	}
-	if status := statusOf(t, bufio.NewReader(c)); status != http.StatusNotFound {
-		t.Errorf("status %d", status)
 	}
 }
 
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -22,11 +22,10 @@
 	// readAheadBytes is how much of what follows a head http.Server may read with it.
 	readAheadBytes = 4 << 10
 
-	// lingerTime and lingerBytes bound what is read, and dropped, after a request was answered that
-	// was not read to its end. A connection that is closed with unread data is reset, and the
-	// answer may get lost.
-	lingerTime  = 5 * time.Second
-	lingerBytes = 5 << 20
+	// lingerTime bounds how long data is read, and dropped, after a request was answered that was
+	// not read to its end. A connection that is closed with unread data is reset, and the answer
+	// may get lost.
+	lingerTime = 5 * time.Second
 
 	// writePieceBytes is how much of an answer is written at a time.
 	writePieceBytes = 32 << 10
@@ -310,8 +309,8 @@
 		return err
 	}
 	go func() {
-		io.CopyN(io.Discard, t.Conn, lingerBytes) //nolint:errcheck // the connection is closed next
-		t.closeNow()                              //nolint:errcheck // the answer was sent or is lost
+		io.Copy(io.Discard, t.Conn) //nolint:errcheck // the connection is closed next
+		t.closeNow()                //nolint:errcheck // the answer was sent or is lost
 	}()
 	return nil
 }
