Controls in tests keep their port while they are stopped

Cause: the kernel gives a port that was given up to the next connection of any process; a trial that lets a connection from 127.0.0.1 take it has the same error, and none if the control listens at 127.0.77.1, from which no connection comes. Change: the controls of these tests listen there.

--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -47,11 +47,15 @@
 
 // listen opens the listener of a control and, if seed is set, adds its address to
 // the seeds.
+// groupIP is where controls listen, again at their port after a stop. At 127.0.0.1 a connection of
+// any other process may have taken it meanwhile.
+const groupIP = "127.0.77.1"
+
 func (g *seededGroup) listen(id string, seed bool) net.Listener {
 	g.t.Helper()
 	address := g.addresses[id]
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = groupIP + ":0"
 	}
 	l, err := httpd.Listen(context.Background(), address)
 	if err != nil {
