First-start page test takes ports on an address of its own and shows the logs

A connection of another process could take a port on 127.0.0.1 that was free before the process that is to listen there had started, and a run that timed out showed nothing of the processes. The test takes its ports at 127.0.78.1, and prints the ends of the logs. No check changes.

--- a/test/page_test.go
+++ b/test/page_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -31,13 +32,17 @@
 	return blocks
 }
 
+// ownIP is an address from which no connection of another process comes. At 127.0.0.1 one may take
+// a port that was free before the process that is to listen there has started.
+const ownIP = "127.0.78.1"
+
 // freeAddresses returns n distinct loopback addresses with free ports, chosen by the
 // kernel.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(ownIP, "0"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -57,7 +62,8 @@
 	script := "set -eu\n" + strings.Join(codeBlocks(string(data), "sh"), "\n")
 	cmd := exec.Command("sh", "-c", script)
 	cmd.Dir = ".."
-	cmd.Env = append(os.Environ(), "FOLDER="+t.TempDir())
+	folder := t.TempDir()
+	cmd.Env = append(os.Environ(), "FOLDER="+folder)
 	names := []string{"CONTROL_1", "CONTROL_2", "CONTROL_3", "ENTRY_1", "ENTRY_2", "ENTRY_3"}
 	for i, address := range freeAddresses(t, len(names)) {
 		cmd.Env = append(cmd.Env, names[i]+"="+address)
@@ -77,7 +83,7 @@
 			t.Fatalf("%v\n%s", err, out)
 		}
 	case <-time.After(2 * waitTimeout):
-		t.Fatalf("timed out waiting for the page's commands\n%s", out)
+		t.Fatalf("timed out waiting for the page's commands\n%s\n%s", out, logsIn(t, folder))
 	}
 	rest := out.String()
 	for _, block := range codeBlocks(string(data), "text") {
@@ -90,3 +96,21 @@
 		}
 	}
 }
+
+// logsIn returns the ends of the logs in a folder.
+func logsIn(t *testing.T, folder string) string {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all strings.Builder
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&all, "%s:\n%s\n", filepath.Base(path), text[max(0, len(text)-2000):])
+	}
+	return all.String()
+}
