--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -17,7 +17,7 @@
 	"time"
 )
 
-// writeCertificate writes a self-signed certificate for 127.0.0.1 and its private
+// writeCertificate writes a self-signed certificate for 127.0.0.1 and ownIP, and its private
 // key.
 func writeCertificate(t *testing.T, serial int64, cert, key string) {
 	t.Helper()
@@ -29,7 +29,7 @@
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(serial), NotBefore: now.Add(-time.Hour), NotAfter: now.Add(time.Hour), IsCA: true,
 		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1), net.ParseIP(ownIP)},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
 	if err != nil {
