Each request that a planned stop cuts or refuses has a line, each phase too

The entry now logs, at warn, "Request is refused / given up / cut by the stop." with phase, time since the signal and until the exit, expected duration and its basis, time of the last send relative to the signal, server, events and age, and one line for each phase with the requests that are running, waiting, begun, and the connections passed on for other entries. "Entry exits." sums up how requests have ended since the signal. No decision changes.

A draining refusal of a request that was not placed is logged as "Request is refused by the stop." in place of "Request is rejected.".

--- a/core/reach/room.go
+++ b/core/reach/room.go
@@ -19,5 +19,8 @@
 	return true
 }
 
+// Taken returns the number of connections that have room.
+func (r *Room) Taken() int { return r.taken }
+
 // Release gives the room of a connection back.
 func (r *Room) Release() { r.taken-- }
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -109,6 +109,7 @@
 	g.Go(func() error { return p.process.serveMetrics(running, p.entry.ForwardMetrics()) })
 	g.Go(func() error {
 		defer stop()
+		defer p.entry.LogEnding()
 		return serveUntil(accepting, p.callerListener, p.callerServer())
 	})
 	g.Go(func() error {
@@ -121,6 +122,7 @@
 		stopAccepting()
 		return nil
 	})
+	defer p.entry.LogExit()
 	return g.Wait()
 }
 
@@ -142,7 +144,6 @@
 // drain sets the deadline for running requests to the end of the settings' grace
 // time, and removes the entry from the address lists.
 func (p *platformEntry) drain(ctx context.Context) {
-	p.process.logger.Log("msg", "Entry drains.", "id", p.process.settings().Name)
 	exitAt := p.process.clock.Now().Add(p.process.settings().Bounds.GracePeriod - exitMargin)
 	p.drainDeadline.Store(exitAt.UnixNano())
 	p.entry.StopListing(ctx, delistTime, exitAt)
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -102,6 +102,11 @@
 		retryTaken  bool            // the retry for the next attempt was taken from the budget
 		abandoned   bool            // no attempt may follow the last one
 
+		// For the log of a planned stop.
+		expectation  expectation
+		sentAt       time.Time // of the last attempt, zero if none was sent
+		deniedByStop bool      // the stop allowed no further attempt
+
 		// The server that answered, for the log: the expected and the actual
 		// time to its first byte, and the prompt tokens not in its cache.
 		server         string
@@ -239,6 +244,7 @@
 // giveUp ends the request after its last attempt. A server's error answer is
 // forwarded unchanged; a stream that has begun is cut off.
 func (x *activeRequest) giveUp(ctx context.Context, lastOutcome forward.Outcome, refused *forward.Failure) error {
+	x.deniedByStop = refused != nil && refused.Code == forward.Draining
 	switch {
 	case x.headSent:
 		return errors.Trace(errIncomplete)
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -66,6 +66,7 @@
 // begin sends the head of an answer to the caller.
 func (x *activeRequest) begin(status int, header http.Header, mark framing.Mark, length int64) {
 	x.callerMark = x.sink.Begin(status, header, mark, length).String()
+	x.forwarder.entry.stopLog.begun.Add(1)
 }
 
 // beginWhole sends the head of an answer whose body has been read. One whose end nothing but
--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -28,7 +28,10 @@
 }
 
 // logRejected logs why a request is not run.
-func (e *Entry) logRejected(req forward.Request, f *forward.Failure) {
+func (e *Entry) logRejected(req forward.Request, routeName string, f *forward.Failure) {
+	if e.stopLog.logRejected(req, routeName, f) {
+		return
+	}
 	level.Warn(e.cfg.Logger).Log("msg", "Request is rejected.", "id", req.ID, "path", req.Path, "code", f.Code, "why", f.Detail,
 		"plan", e.catalog.Load().Revision(), "retry", f.RetryAfter, "running", e.inFlight.Load(),
 		"waiting", e.engineAdmission.waitingCount()+e.plainAdmission.waitingCount())
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -183,6 +183,13 @@
 	d.room.Release()
 }
 
+// relayedCount returns the number of connections that are passed on for other entries.
+func (d *detours) relayedCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.room.Taken()
+}
+
 // connectFor connects to a server for another entry.
 func (d *detours) connectFor(ctx context.Context, t detour.Target) (net.Conn, detour.Status) {
 	server, ok := d.forwarder.serverByID(t.Server)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,9 +81,10 @@
 		catalog       atomic.Pointer[catalog.Catalog]
 		hasPlan       chan struct{} // closed when there is a routing plan
 		hasPlanOnce   sync.Once
-		draining      atomic.Bool  // removed from the address list
-		closed        atomic.Bool  // refuses new requests
-		stopping      *stopping    // of forwarding
+		draining      atomic.Bool // removed from the address list
+		closed        atomic.Bool // refuses new requests
+		stopping      *stopping   // of forwarding
+		stopLog       *stopLog
 		inFlight      atomic.Int64 // requests being answered
 
 		mu              sync.Mutex
@@ -132,6 +133,7 @@
 	e.relay = newRelay(e)
 	e.ledgerBatcher = &batcher{propose: e.link.propose, pause: e.backOff, queue: make(chan *submission, maxQueuedRecords)}
 	e.meter = newMeter(e)
+	e.stopLog = newStopLog(e)
 	if cfg.Forwarding != nil {
 		e.forwarder = newForwarder(e)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -190,7 +190,7 @@
 
 // Reject records that a request is rejected before it is forwarded.
 func (e *Entry) Reject(req forward.Request, f *forward.Failure) {
-	e.logRejected(req, f)
+	e.logRejected(req, "", f)
 	e.forwarder.metrics.requestEnded(route.Route{}, f, e.cfg.Clock.Now().Sub(req.Arrived))
 }
 
@@ -223,6 +223,7 @@
 	x.logAdmitted(req.Arrived)
 	err = x.run(ctx)
 	x.logEnd(err)
+	x.logStop(ctx, err)
 	if err == nil {
 		x.forwarder.durations.Observe(x.route.Name, x.now().Sub(x.startedAt))
 	}
@@ -246,7 +247,7 @@
 
 // reject logs and counts a request that is not run, and returns the failure.
 func (e *Entry) reject(req forward.Request, r route.Route, f *forward.Failure) error {
-	e.logRejected(req, f)
+	e.logRejected(req, r.Name, f)
 	e.forwarder.metrics.requestEnded(r, f, e.cfg.Clock.Now().Sub(req.Arrived))
 	return f
 }
--- a/internal/entry/forward_metrics.go
+++ b/internal/entry/forward_metrics.go
@@ -77,6 +77,7 @@
 		metrics.NewGauge("rosereach_requests_running", "Requests that are being answered.", func() float64 { return float64(e.inFlight.Load()) }),
 		metrics.NewGauge("rosereach_requests_waiting", "Requests that wait for their turn.", func() float64 { return float64(e.engineAdmission.waitingCount() + e.plainAdmission.waitingCount()) }),
 	)
+	m.registry.MustRegister(e.stopLog.collectors()...)
 	return m
 }
 
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -51,6 +51,7 @@
 	// A control that does not read holds the announcement up, and must not delay the rest.
 	closeAt := e.cfg.Clock.After(addressTTL)
 	e.stopping.setExit(exitAt)
+	e.stopLog.begin(ctx, exitAt)
 	e.draining.Store(true)
 	go e.forwarder.watcher.announcePresence(ctx)
 	select {
@@ -59,6 +60,7 @@
 	}
 	e.closed.Store(true)
 	e.stopping.close()
+	e.stopLog.enter(phaseClosed)
 }
 
 // untilClosed returns a context for the waits of a request that has not run. It ends with
@@ -77,7 +79,9 @@
 	if x.headSent {
 		return nil
 	}
-	if x.runs == 0 && s.isClosed() || !s.endsInTime(x.now(), x.forwarder.durations.Longest(x.route.Name)) {
+	longest := x.forwarder.durations.Longest(x.route.Name)
+	x.expectFromHistory(longest)
+	if x.runs == 0 && s.isClosed() || !s.endsInTime(x.now(), longest) {
 		return newDrainingFailure()
 	}
 	return nil
@@ -90,6 +94,7 @@
 		a.withheld = withheldDraining
 		return failure
 	}
+	x.sentAt = x.now()
 	return x.admit(a)
 }
 
--- /dev/null
+++ b/internal/entry/stop_log.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"rosereach/core/forward"
+)
+
+// Phases of a planned stop, as logs and metrics name them.
+const (
+	phaseDelisting = "delisting" // the entry leaves the address list and still takes requests
+	phaseClosed    = "closed"    // it takes no more requests
+	phaseEnding    = "ending"    // it cuts what still runs, or nothing is left
+	phaseExit      = "exit"
+)
+
+// How requests end during a planned stop.
+const (
+	stopRefused  = "refused"  // as not run
+	stopFinished = "finished" // answered whole
+	stopGivenUp  = "given_up" // answered with a failure, as the stop allowed no further attempt or wait
+	stopCut      = "cut"      // without an answer, or before its end
+	stopFailed   = "failed"   // for other reasons than the stop
+)
+
+// What the expected duration of a request is based on.
+const (
+	basisRouteHistory = "route_history"
+	basisUnknown      = "unknown"
+)
+
+type (
+	// stopLog logs and counts what a planned stop of the entry does to requests.
+	stopLog struct {
+		entry   *Entry
+		metrics *stopMetrics
+		begun   atomic.Int64 // running requests whose answer has begun
+
+		mu         sync.Mutex
+		phase      string // empty before the stop
+		signaledAt time.Time
+		exitAt     time.Time
+		outcomes   map[string]int // requests that ended since the signal
+	}
+
+	// stopTimes are the phase of a stop and how far it has come.
+	stopTimes struct {
+		phase      string
+		since      time.Duration // since the signal
+		left       time.Duration // until the exit
+		signaledAt time.Time
+	}
+
+	// expectation is how long a request may well take from the time on at which it is passed on,
+	// 0 if that is unknown, and what that is based on.
+	expectation struct {
+		longest time.Duration
+		basis   string
+	}
+)
+
+var (
+	// stopPhases are the phases in their order.
+	stopPhases = []string{phaseDelisting, phaseClosed, phaseEnding, phaseExit}
+
+	phaseMessages = map[string]string{
+		phaseDelisting: "Entry drains.", phaseClosed: "Entry takes no more requests.", phaseEnding: "Entry ends what still runs.", phaseExit: "Entry exits.",
+	}
+	outcomeMessages = map[string]string{
+		stopRefused: "Request is refused by the stop.", stopGivenUp: "Request is given up by the stop.", stopCut: "Request is cut by the stop.",
+	}
+)
+
+func newStopLog(e *Entry) *stopLog {
+	return &stopLog{entry: e, metrics: newStopMetrics(), outcomes: make(map[string]int)}
+}
+
+// LogEnding logs that the entry serves its callers no longer, if it stops.
+func (e *Entry) LogEnding() { e.stopLog.enter(phaseEnding) }
+
+// LogExit logs that the process exits, with what its planned stop did to requests. It logs
+// nothing if there was none.
+func (e *Entry) LogExit() { e.stopLog.enter(phaseExit) }
+
+// begin logs the begin of a stop, and its end phase at exitAt unless the context ends before.
+func (s *stopLog) begin(ctx context.Context, exitAt time.Time) {
+	c := s.entry.cfg.Clock
+	now := c.Now()
+	s.mu.Lock()
+	s.signaledAt, s.exitAt, s.phase = now, exitAt, phaseDelisting
+	s.mu.Unlock()
+	s.logPhase(phaseDelisting)
+	go func() {
+		select {
+		case <-c.After(exitAt.Sub(now)):
+			s.enter(phaseEnding)
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// enter logs a phase when it begins. Before a stop, and once the phase or a later one has begun,
+// it does nothing.
+func (s *stopLog) enter(phase string) {
+	s.mu.Lock()
+	if s.phase == "" || slices.Index(stopPhases, phase) <= slices.Index(stopPhases, s.phase) {
+		s.mu.Unlock()
+		return
+	}
+	s.phase = phase
+	s.mu.Unlock()
+	s.logPhase(phase)
+}
+
+func (s *stopLog) logPhase(phase string) {
+	e, now := s.entry, s.entry.cfg.Clock.Now()
+	s.mu.Lock()
+	keyvals := []any{
+		"msg", phaseMessages[phase], "id", e.cfg.ID, "phase", phase, "since", now.Sub(s.signaledAt), "exit_in", s.exitAt.Sub(now),
+		"running", e.inFlight.Load(), "waiting", e.engineAdmission.waitingCount() + e.plainAdmission.waitingCount(), "begun", s.begun.Load(),
+		"relayed", e.forwarder.detours.relayedCount(),
+	}
+	for _, outcome := range []string{stopRefused, stopFinished, stopGivenUp, stopCut, stopFailed} {
+		keyvals = append(keyvals, outcome, s.outcomes[outcome])
+	}
+	s.mu.Unlock()
+	s.metrics.enter(phase)
+	e.cfg.Logger.Log(keyvals...)
+}
+
+// times returns how far the stop has come, ok false without a stop. It enters the end phase when
+// its time has come.
+func (s *stopLog) times(now time.Time) (t stopTimes, ok bool) {
+	s.mu.Lock()
+	isDue := !s.exitAt.IsZero() && !now.Before(s.exitAt)
+	s.mu.Unlock()
+	if isDue {
+		s.enter(phaseEnding)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return stopTimes{phase: s.phase, since: now.Sub(s.signaledAt), left: s.exitAt.Sub(now), signaledAt: s.signaledAt}, s.phase != ""
+}
+
+// isEnding reports whether what still runs is cut.
+func (t stopTimes) isEnding() bool { return t.phase == phaseEnding || t.phase == phaseExit }
+
+// timeLeft returns the time until the exit, 0 without a stop and after it.
+func (s *stopLog) timeLeft() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == "" {
+		return 0
+	}
+	return max(s.exitAt.Sub(s.entry.cfg.Clock.Now()), 0)
+}
+
+func (s *stopLog) count(t stopTimes, outcome string) {
+	s.mu.Lock()
+	s.outcomes[outcome]++
+	s.mu.Unlock()
+	s.metrics.ended(t.phase, outcome)
+}
+
+// logRejected logs and counts a request that is rejected before it is placed. It reports whether
+// the stop is the reason.
+func (s *stopLog) logRejected(req forward.Request, routeName string, f *forward.Failure) bool {
+	now := s.entry.cfg.Clock.Now()
+	t, ok := s.times(now)
+	if !ok {
+		return false
+	}
+	outcome := stopFailed
+	switch {
+	case f.Code == forward.Draining:
+		outcome = stopRefused
+	case f.Code == forward.BadRequest && t.isEnding(): // its body did not arrive
+		outcome = stopCut
+	}
+	s.count(t, outcome)
+	if outcome == stopFailed {
+		return false
+	}
+	s.logRequest(outcome, t, req.ID, "route", routeName, "path", req.Path, "expected", time.Duration(0), "basis", basisUnknown, "begun", false,
+		"age", now.Sub(req.Arrived), "code", f.Code, "why", f.Detail)
+	return true
+}
+
+func (s *stopLog) logRequest(outcome string, t stopTimes, id string, keyvals ...any) {
+	head := []any{"msg", outcomeMessages[outcome], "id", id, "entry", s.entry.cfg.ID, "phase", t.phase, "since", t.since, "exit_in", t.left}
+	level.Warn(s.entry.cfg.Logger).Log(append(head, keyvals...)...)
+}
+
+// expect records what the decision to pass the request on was based on.
+func (x *activeRequest) expect(longest time.Duration, basis string) {
+	x.expectation = expectation{longest, basis}
+}
+
+// expectFromHistory is expect with what requests of the route took.
+func (x *activeRequest) expectFromHistory(longest time.Duration) {
+	if longest == 0 {
+		x.expect(0, basisUnknown)
+		return
+	}
+	x.expect(longest, basisRouteHistory)
+}
+
+// logStop logs the request if the stop of the entry refused it, gave it up or cut it, and counts
+// how it ended. The context is the request's.
+func (x *activeRequest) logStop(ctx context.Context, err error) {
+	s, now := x.forwarder.entry.stopLog, x.now()
+	if x.hasAnswer() {
+		s.begun.Add(-1)
+	}
+	t, ok := s.times(now)
+	if !ok {
+		return
+	}
+	outcome := x.stopOutcome(t, err, errors.Is(ctx.Err(), context.Canceled))
+	s.count(t, outcome)
+	if outcome == stopFinished || outcome == stopFailed {
+		return
+	}
+	sentSince := ""
+	if !x.sentAt.IsZero() {
+		sentSince = x.sentAt.Sub(t.signaledAt).String()
+	}
+	s.logRequest(outcome, t, x.req.ID, "route", x.route.Name, "expected", x.expectation.longest, "basis", x.expectation.basis, "sent_since", sentSince,
+		"begun", x.hasAnswer(), "srv", x.lastServer(), "send", x.sends, "run", x.runs, "events", x.events, "last", x.lastEventID,
+		"age", now.Sub(x.req.Arrived), "left", x.deadline.Sub(now), "err", err)
+}
+
+// stopOutcome returns how the request ended as to the stop. Gone means that its caller's
+// connection is closed.
+func (x *activeRequest) stopOutcome(t stopTimes, err error, gone bool) string {
+	failed := err != nil || x.callerCut
+	failure, _ := asFailure(err)
+	switch {
+	case t.isEnding() && failed && (gone || x.hasAnswer()), x.deniedByStop && failed && x.hasAnswer():
+		return stopCut
+	case failure != nil && failure.Code == forward.Draining:
+		return stopRefused
+	case x.deniedByStop, t.isEnding() && failed:
+		return stopGivenUp
+	case failed:
+		return stopFailed
+	}
+	return stopFinished
+}
+
+// hasAnswer reports whether the head of an answer was sent to the caller.
+func (x *activeRequest) hasAnswer() bool { return x.callerMark != "" }
+
+// lastServer returns the server that the request was last sent to, or that answered it.
+func (x *activeRequest) lastServer() string {
+	if n := len(x.tried); n > 0 {
+		return x.tried[n-1]
+	}
+	return x.server
+}
