The soak's check for lost requests asks when the server was at work

A request that a planned stop cuts is excused only if its server was still at work on it in the last sixth of the grace time. The check took the end of the connection for the end of the work, so that a request whose server had lost the answer long before was excused. Servers now record when their work ends. The deadline and the grace time are those of the request and of the process.

Callers can tell a server what to do with a request: how long to work, how many events to send and how fast, how large the answer is, whether it is lost or breaks off. Nothing sends such requests yet.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -18,6 +18,10 @@
 	status int
 	body   string
 
+	// script is what the caller wanted of the server, and timeLeft the deadline that it set.
+	script   script
+	timeLeft time.Duration
+
 	// entry is the address of the entry, and server the server whose answer it passed
 	// on, empty for none.
 	entry, server string
--- a/internal/soak/observation.go
+++ b/internal/soak/observation.go
@@ -38,11 +38,12 @@
 		byID map[string][]arrival
 	}
 
-	// arrival is one request that reached a server, and how the server answered it.
+	// arrival is one request that reached a server, and how the server answered it. The end of
+	// the server's work is zero while it lasts.
 	arrival struct {
 		requestID string
 		server    string
-		at        time.Time
+		at, end   time.Time
 		answerPlan
 	}
 
@@ -55,12 +56,13 @@
 
 	disruptionKind int
 
-	// observation is all that callers and servers saw in a run, and the disruptions of
-	// entries by address.
+	// observation is all that callers and servers saw in a run, the disruptions of entries by
+	// address, and the time between SIGTERM and SIGKILL.
 	observation struct {
 		outcomes []requestOutcome
 		arrivals []arrival
 		entries  map[string][]disruption
+		grace    time.Duration
 	}
 
 	// entryServer is an entry as a server sees it.
@@ -74,18 +76,31 @@
 	frozen
 )
 
-func (a *arrivals) add(one arrival) {
+// begin records an arrival. The returned function records the end of the server's work; the
+// first call counts.
+func (a *arrivals) begin(one arrival) (end func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	i := len(a.byID[one.requestID])
 	a.byID[one.requestID] = append(a.byID[one.requestID], one)
+	return sync.OnceFunc(func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.byID[one.requestID][i].end = time.Now()
+	})
 }
 
-// runs returns how often a request ran, summed over all servers.
-func (a *arrivals) runs(id string) int {
+// of returns the arrivals of a request in order of time.
+func (a *arrivals) of(id string) []arrival {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return slices.Clone(a.byID[id])
+}
+
+// runs returns how often a request ran, summed over all servers.
+func (a *arrivals) runs(id string) int {
 	n := 0
-	for _, one := range a.byID[id] {
+	for _, one := range a.of(id) {
 		if one.fault != 1 {
 			n++
 		}
@@ -134,8 +149,8 @@
 		a, passedOn := last[r.id]
 		switch {
 		case !r.closed || r.writtenAt.IsZero() || !passedOn && r.endedAt.Sub(r.writtenAt) <= lossSlack:
-		case a.fault > 1 || r.endedAt.Sub(r.sentAt) >= requestTimeout:
-		case o.disrupted(r.entry, r.sentAt.Add(-contactTime), r.endedAt, killed, frozen) || o.outlivesStop(r):
+		case a.fault > 1 || r.endedAt.Sub(r.sentAt) >= r.timeLeft:
+		case o.disrupted(r.entry, r.sentAt.Add(-contactTime), r.endedAt, killed, frozen) || o.outlivesStop(r, a):
 		default:
 			v.add("no answer lost", r.id, "%s request sent to %s at %s: connection closed after %s without a complete answer (head: %v); last at server %q",
 				r.kind, r.entry, clockTime(r.sentAt), r.endedAt.Sub(r.sentAt), !r.headAt.IsZero(), a.server)
@@ -143,13 +158,17 @@
 	}
 }
 
-// outlivesStop reports whether a request was sent early in a planned stop and was still
-// running in the last sixth of the grace time.
-func (o observation) outlivesStop(r requestOutcome) bool {
+// outlivesStop reports whether a request was sent early in a planned stop and its last server was
+// still at work on it in the last sixth of the grace time.
+func (o observation) outlivesStop(r requestOutcome, last arrival) bool {
+	workedUntil := last.end
+	if workedUntil.IsZero() {
+		workedUntil = r.endedAt
+	}
 	return slices.ContainsFunc(o.entries[r.entry], func(d disruption) bool {
-		sentAfter, endedAfter := r.sentAt.Sub(d.begin), r.endedAt.Sub(d.begin)
-		return d.kind == planned && sentAfter <= 3*time.Second && endedAfter >= platform.SimulatedGracePeriod*5/6 &&
-			endedAfter <= platform.SimulatedGracePeriod+time.Second
+		lastSixth, end := d.begin.Add(o.grace*5/6), d.begin.Add(o.grace)
+		return d.kind == planned && r.sentAt.Sub(d.begin) <= 3*time.Second && r.endedAt.Before(end.Add(time.Second)) &&
+			last.at.Before(end) && !workedUntil.Before(lastSixth)
 	})
 }
 
--- a/internal/soak/observation_test.go
+++ b/internal/soak/observation_test.go
@@ -20,7 +20,7 @@
 // cut returns a request to entry e whose connection was closed after a time without an
 // answer.
 func cut(id string, ms, took int) requestOutcome {
-	return requestOutcome{id: id, kind: "unsafe", entry: "e", closed: true, sentAt: at(ms), writtenAt: at(ms), endedAt: at(ms + took)}
+	return requestOutcome{id: id, kind: "unsafe", entry: "e", closed: true, timeLeft: requestTimeout, sentAt: at(ms), writtenAt: at(ms), endedAt: at(ms + took)}
 }
 
 func reached(id, server string, ms int, plan answerPlan) arrival {
@@ -40,6 +40,7 @@
 	t.Helper()
 	for name, c := range cases {
 		var v violations
+		c.o.grace = platform.SimulatedGracePeriod
 		check(&v, c.o)
 		if got := v.all(); len(got) != c.want {
 			t.Errorf("%s: want %d violations, got %v", name, c.want, got)
@@ -52,6 +53,11 @@
 func TestCheckLost(t *testing.T) {
 	grace := int(platform.SimulatedGracePeriod.Milliseconds())
 	passedOn := []arrival{reached("a", "s", 10_001, answerPlan{})}
+	worked := func(until int) []arrival {
+		a := reached("a", "s", 10_001, answerPlan{})
+		a.end = at(until)
+		return []arrival{a}
+	}
 	one := []requestOutcome{cut("a", 10_000, 1000)}
 	runChecks(t, map[string]checkCase{
 		"passed on":                        {observation{outcomes: one, arrivals: passedOn}, 1},
@@ -71,6 +77,9 @@
 		}}, 1},
 		"planned stop":               {observation{outcomes: one, arrivals: passedOn, entries: disruptedFrom(planned, 9000, 12_000)}, 1},
 		"the grace time ends":        {observation{outcomes: one, arrivals: passedOn, entries: disruptedFrom(planned, 11_000-grace*5/6, 13_000)}, 1},
+		"work in the last sixth":     {observation{outcomes: []requestOutcome{cut("a", 10_000, 3900)}, arrivals: worked(13_850), entries: disruptedFrom(planned, 13_800-grace*5/6, 14_500)}, 0},
+		"work before the last sixth": {observation{outcomes: []requestOutcome{cut("a", 10_000, 3900)}, arrivals: worked(13_750), entries: disruptedFrom(planned, 13_800-grace*5/6, 14_500)}, 1},
+		"sent after 3 s":             {observation{outcomes: []requestOutcome{cut("a", 10_000, 3900)}, arrivals: passedOn, entries: disruptedFrom(planned, 6_990, 14_500)}, 1},
 		"the grace time ends, early": {observation{outcomes: []requestOutcome{cut("a", 10_000, 3900)}, arrivals: passedOn, entries: disruptedFrom(planned, 13_800-grace*5/6, 14_500)}, 0},
 	}, (*violations).checkLost)
 }
--- /dev/null
+++ b/internal/soak/script.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// script is what a caller wants a server to do with its request. It is the query of the
+// request's target. The zero script is a short answer.
+type script struct {
+	// work is how long the server works before it sends the head of its answer.
+	work time.Duration
+	// events is the number of events in a stream, streamEvents if it is 0, and pause the time
+	// between two of them, eventPause if it is 0.
+	events uint64
+	pause  time.Duration
+	// size is the number of bytes of an answer that is no stream, those of the request ID at least.
+	size int
+	// lost leaves out the answer, or the rest of a stream after its first events. The
+	// connection stays open.
+	lost bool
+	// breaksOff ends the connection after the first events of a stream that does not go on after
+	// another one.
+	breaksOff bool
+}
+
+// firstEvents is the number of events before a scripted stream is lost or breaks off.
+const firstEvents = 3
+
+// query encodes the script, without what is zero.
+func (s script) query() string {
+	values := make(url.Values)
+	for name, n := range map[string]int64{"work": int64(s.work), "events": int64(s.events), "pause": int64(s.pause), "size": int64(s.size)} { //nolint:gosec // events are few
+		if n != 0 {
+			values.Set(name, strconv.FormatInt(n, 10))
+		}
+	}
+	for name, is := range map[string]bool{"lost": s.lost, "breaks_off": s.breaksOff} {
+		if is {
+			values.Set(name, "1")
+		}
+	}
+	return values.Encode()
+}
+
+// decodeScript decodes a query. Whatever it does not name is zero.
+func decodeScript(query url.Values) script {
+	number := func(name string) int64 {
+		n, err := strconv.ParseInt(query.Get(name), 10, 64)
+		if err != nil {
+			return 0
+		}
+		return n
+	}
+	return script{
+		work: time.Duration(number("work")), events: uint64(number("events")), pause: time.Duration(number("pause")), //nolint:gosec // see above
+		size: int(number("size")), lost: query.Has("lost"), breaksOff: query.Has("breaks_off"),
+	}
+}
+
+// eventCount returns the number of events in a complete stream.
+func (s script) eventCount() uint64 {
+	if s.events == 0 {
+		return streamEvents
+	}
+	return s.events
+}
+
+// answer returns the complete answer to a request that is no stream.
+func (s script) answer(id string) string {
+	return id + strings.Repeat(".", max(0, s.size-len(id)))
+}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -23,8 +24,10 @@
 	// announceInterval is the pause between a server's announcements.
 	announceInterval = 400 * time.Millisecond
 
-	// streamEvents is the number of events in a complete stream.
+	// streamEvents is the number of events in a complete stream, and eventPause the time between
+	// two of them, where a script does not say otherwise.
 	streamEvents = 8
+	eventPause   = 20 * time.Millisecond
 
 	// faultShare is the probability that a faulty server fails a request, and
 	// sharedFaultShare that one of several servers that fail at once does.
@@ -34,6 +37,9 @@
 	// that the build in production was made for as well.
 	faultKinds, olderFaultKinds = 7, 4
 
+	// scriptedBreak is the fault of a server that breaks off as its caller wants.
+	scriptedBreak = faultKinds + 1
+
 	// extraAnswerTime is how long a server waits for the next request on a connection to
 	// answer it with what belongs to none.
 	extraAnswerTime = 300 * time.Millisecond
@@ -69,7 +75,8 @@
 	// cut short, 4 for a server that is killed: its connection closes cleanly in the
 	// head of an answer, or after an event of a stream without a length. 5 is the same
 	// in HTTP/1.0, with a reset, 6 an answer of a status that can't be the rest of a
-	// stream, 7 a whole answer and another one, of no request, to the request after it.
+	// stream, 7 a whole answer and another one, of no request, to the request after it,
+	// scriptedBreak a stream that breaks off between two events.
 	answerPlan struct {
 		fault      int
 		leaving    bool
@@ -213,41 +220,52 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	plan := s.plan()
-	s.arrivals.add(arrival{requestID: id, server: self, at: time.Now(), answerPlan: plan})
+	isStream := len(r.URL.Path) >= 10
+	plan, wanted := s.plan(), decodeScript(r.URL.Query())
+	if plan.fault == 0 && wanted.breaksOff && isStream && after == 0 {
+		plan.fault = scriptedBreak
+	}
+	endWork := s.arrivals.begin(arrival{requestID: id, server: self, at: time.Now(), answerPlan: plan})
+	defer endWork()
 	answer := platform.SimulatedAnswer{RequestID: id, Server: self, Executed: plan.fault != 1, Leaving: plan.leaving, RetryAfter: plan.retryAfter, Limit: plan.limit}
 	answer.SetHeaders(w.Header())
+	if plan.fault == 0 {
+		sleep(r.Context(), wanted.work)
+	}
 	switch {
+	case plan.fault == 0 && wanted.lost && !isStream:
+		endWork()
+		<-r.Context().Done()
 	case plan.fault == 1:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case plan.fault == 2:
 		panic(http.ErrAbortHandler)
 	case plan.fault == 4 || plan.fault == 5:
-		writeKilled(w, len(r.URL.Path) >= 10, after, plan.fault == 5)
+		writeKilled(w, isStream, after, plan.fault == 5)
 	case plan.fault == 6:
 		w.WriteHeader(otherStatuses[int(after)%len(otherStatuses)])
 	case plan.fault == 7:
-		body := id
-		if len(r.URL.Path) >= 10 {
-			body = events(after, streamEvents)
+		body := wanted.answer(id)
+		if isStream {
+			body = events(after, wanted.eventCount())
 		}
 		answer.RequestID = ""
 		writeTwice(w, body, answer)
-	case len(r.URL.Path) < 10:
-		s.writeAnswer(w, id, plan.fault)
+	case !isStream:
+		s.writeAnswer(w, wanted.answer(id), plan.fault)
 	default:
-		writeStream(r.Context(), w, after, plan.fault)
+		writeStream(r.Context(), w, after, wanted, plan.fault, endWork)
 	}
 }
 
-// writeAnswer sends the request ID back, or half of it for fault 3.
-func (s *server) writeAnswer(w http.ResponseWriter, id string, fault int) {
-	w.Header().Set("Content-Length", strconv.Itoa(len(id)))
+// writeAnswer sends an answer, or half of it for fault 3.
+func (s *server) writeAnswer(w http.ResponseWriter, answer string, fault int) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if fault == 3 {
-		io.WriteString(w, id[:len(id)/2]) //nolint:errcheck // the caller may have disconnected
+		io.WriteString(w, answer[:len(answer)/2]) //nolint:errcheck // the caller may have disconnected
 		panic(http.ErrAbortHandler)
 	}
-	io.WriteString(w, id) //nolint:errcheck // see above
+	io.WriteString(w, answer) //nolint:errcheck // see above
 }
 
 // writeKilled ends as if the process were killed: in the head of an answer, or after some
@@ -309,21 +327,30 @@
 }
 
 // writeStream sends the events that follow event number after. Fault 3 cuts it
-// short in the event after the third.
-func writeStream(ctx context.Context, w http.ResponseWriter, after uint64, fault int) {
-	for id := after + 1; id <= streamEvents; id++ {
+// short in the event after the third. A stream that the script loses or breaks off ends after its
+// first events, unless it goes on after others; endWork is called before the former's silence.
+func writeStream(ctx context.Context, w http.ResponseWriter, after uint64, wanted script, fault int, endWork func()) {
+	last := wanted.eventCount()
+	for id := after + 1; id <= last; id++ {
 		io.WriteString(w, events(id-1, id))   //nolint:errcheck // the caller may have disconnected
 		http.NewResponseController(w).Flush() //nolint:errcheck // the caller may have disconnected
 		if fault == 3 && id > after+2 {
-			if id < streamEvents {
+			if id < last {
 				fmt.Fprintf(w, "id: %d\nda", id+1)    //nolint:errcheck // the caller may have disconnected
 				http.NewResponseController(w).Flush() //nolint:errcheck // see above
 			}
 			panic(http.ErrAbortHandler)
 		}
-		select {
-		case <-time.After(20 * time.Millisecond):
-		case <-ctx.Done():
+		if after == 0 && id == firstEvents && wanted.lost {
+			endWork()
+			<-ctx.Done()
+			return
+		}
+		if id == firstEvents && fault == scriptedBreak {
+			panic(http.ErrAbortHandler)
+		}
+		sleep(ctx, cmp.Or(wanted.pause, eventPause))
+		if ctx.Err() != nil {
 			return
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -268,7 +268,7 @@
 // sendRequest sends one request to an entry. The outcome has status 0 when the address
 // is empty.
 func (s *soak) sendRequest(client *http.Client, address, kind, id, key string) requestOutcome {
-	outcome := requestOutcome{kind: kind, id: id, entry: address}
+	outcome := requestOutcome{kind: kind, id: id, entry: address, timeLeft: requestTimeout}
 	if address == "" {
 		return outcome
 	}
@@ -410,7 +410,7 @@
 	for _, outcome := range s.outcomes {
 		s.violations.checkRuns(outcome, s.arrivals.runs(outcome.id))
 	}
-	o := observation{outcomes: s.outcomes, arrivals: s.arrivals.all(), entries: s.entryDisruptions()}
+	o := observation{outcomes: s.outcomes, arrivals: s.arrivals.all(), entries: s.entryDisruptions(), grace: platform.SimulatedGracePeriod}
 	s.violations.checkLost(o)
 	s.violations.checkLeaving(o)
 	s.violations.checkHeldOff(o)
