httpd: the end of a stop ends requests and awaits their handlers

Callers saw connections reset at the exit of a stopping entry, among them ones whose request could still be answered, and answers that were written whole but not taken yet; a cut request had no line in the entry's log.

When the time of a stop was over, Serve set the linger time of every connection with a request to 0, closed them and returned. Handlers learned of it by a failed write at best, and the process ended beside them.

Serve now ends the contexts of requests with the cause ErrStopped, gives handlers Timeouts.End to return, by default 150 ms and at an entry a quarter of the exit margin, and closes connections whose handlers have returned in order. What still runs is reset, and its handlers are awaited for the same time again. A handler that aborts an answer which ends with its connection resets that connection wherever it happens, as only that tells.

--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -31,6 +31,10 @@
 	// exitMargin is the part of the grace time that is reserved for closing
 	// connections and exiting, on a machine with a fifth of a core.
 	exitMargin = 700 * time.Millisecond
+
+	// endTime is the part of exitMargin in which handlers return once their requests are over.
+	// It is waited for twice at most.
+	endTime = exitMargin / 4
 )
 
 // platformEntry is an entry that runs with the platform's settings.
@@ -130,12 +134,14 @@
 		Handler: platform.CallerHandler(p.entry, p.process.clock, p.entry.IsDraining),
 		Timeouts: httpd.Timeouts{
 			Shutdown: p.remainingTime,
+			End:      func() time.Duration { return endTime },
 			Header:   func() time.Duration { return p.entry.Limits().HeaderTimeout },
 			Idle:     p.entry.IdleTime,
 		},
 		MaxHeaderBytes: func() int { return p.entry.Limits().MaxHeaderBytes },
 		BodyCost:       forwardedBodyCost,
 		Guard:          p.process.guard,
+		Clock:          p.process.clock,
 	}
 }
 
--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -113,6 +113,29 @@
 	return true
 }
 
+// serveRequests returns the server's handler. An answer that its handler aborts does not look whole,
+// also where nothing but the end of the connection marks its end.
+func (s Server) serveRequests() http.Handler {
+	h := s.serveBodies()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(*trackedConn)
+		if !ok {
+			h.ServeHTTP(w, r)
+			return
+		}
+		conn.setRunning(true)
+		returned := false
+		defer func() {
+			if !returned && (!r.ProtoAtLeast(1, 1) || w.Header().Get("Transfer-Encoding") == "identity") {
+				conn.SetLinger(0) //nolint:errcheck // fails only on a closed connection
+			}
+			conn.setRunning(false)
+		}()
+		h.ServeHTTP(w, r)
+		returned = true
+	})
+}
+
 // serveBodies returns the server's handler for requests with bodies. It answers a request whose
 // body it does not need without waiting for the body: by itself, http.Server reads on before it
 // sends an answer, for as long as the client likes.
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -72,6 +72,7 @@
 		waiting  bool // no byte has arrived since the last answer
 		ahead    bool // a byte of the next request has arrived before the last answer ended
 		inHead   bool // the head of a request is being read
+		running  bool // the handler of a request has not returned
 		headSize int  // bytes read of it
 		ended    bool // no more is read
 		shed     bool // the guard has ended it
@@ -150,8 +151,9 @@
 // drain closes connections that wait for a request, and waits until the others have had
 // their answers and are closed, for the given time at most.
 func (s *conns) drain(limit time.Duration) {
-	for end := time.Now().Add(limit); s.closeWaiting() > 0 && time.Now().Before(end); {
-		time.Sleep(drainPoll)
+	c := s.server.clock()
+	for end := c.Now().Add(limit); s.closeWaiting() > 0 && c.Now().Before(end); {
+		<-c.After(drainPoll)
 	}
 }
 
@@ -167,15 +169,19 @@
 	return len(s.open)
 }
 
-// resetOnClose lets connections with a running request be reset when they are closed: an
-// answer that ends with its connection must not look whole.
-func (s *conns) resetOnClose() {
+func (s *conns) isEmpty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open) == 0
+}
+
+// resetRunning resets the connections whose handlers have not returned: an answer that ends with
+// its connection must not look whole.
+func (s *conns) resetRunning() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for t := range s.open {
-		if !t.isWaiting() {
-			t.SetLinger(0) //nolint:errcheck // fails only on a closed connection
-		}
+		t.resetIfRunning()
 	}
 }
 
@@ -357,11 +363,33 @@
 		t.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
 		return
 	}
-	socket := t.Conn
-	if c, ok := socket.(interface{ NetConn() net.Conn }); ok {
-		socket = c.NetConn() // TLS would first write an alert, and wait for it
+	t.socket().Close() //nolint:errcheck // see above
+}
+
+// socket returns the connection below TLS, which would write an alert before it closes, and wait
+// for it.
+func (t *trackedConn) socket() net.Conn {
+	if c, ok := t.Conn.(interface{ NetConn() net.Conn }); ok {
+		return c.NetConn()
+	}
+	return t.Conn
+}
+
+func (t *trackedConn) setRunning(running bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running = running
+}
+
+// resetIfRunning resets the connection if the handler of a request has not returned. A handler that
+// returns later finds it closed.
+func (t *trackedConn) resetIfRunning() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running {
+		t.SetLinger(0)     //nolint:errcheck // fails only on a closed connection
+		t.socket().Close() //nolint:errcheck // see above
 	}
-	socket.Close() //nolint:errcheck // see above
 }
 
 // isShed reports whether the guard has ended the connection.
@@ -389,7 +417,7 @@
 // SetLinger sets what becomes of data that is not sent yet when the connection is closed; 0
 // resets the connection.
 func (t *trackedConn) SetLinger(seconds int) error {
-	if c, ok := t.Conn.(interface{ SetLinger(seconds int) error }); ok {
+	if c, ok := t.socket().(interface{ SetLinger(seconds int) error }); ok {
 		return c.SetLinger(seconds)
 	}
 	return nil
@@ -415,12 +443,6 @@
 	}
 }
 
-func (t *trackedConn) isWaiting() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.waiting
-}
-
 func (t *trackedConn) stopWaiting() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -35,8 +35,14 @@
 
 	// shutdownTimeout limits the wait for open requests after the context ended.
 	shutdownTimeout = 5 * time.Second
+
+	// defaultEndTimeout limits the wait for handlers whose requests are over.
+	defaultEndTimeout = 150 * time.Millisecond
 )
 
+// ErrStopped is the cause of the end of a request's context when the time of a stop is over.
+const ErrStopped = errors.ConstError("the server has stopped")
+
 type (
 	// Timeouts are the timeouts of a server. They are functions because a timeout may
 	// change while the server runs. One that is nil, or but for Shutdown returns zero, stands
@@ -45,6 +51,9 @@
 		// Shutdown returns how long open requests may take after the context ended, by default
 		// shutdownTimeout.
 		Shutdown func() time.Duration
+		// End returns how long handlers may take to return when their requests are ended after
+		// Shutdown, and again when their connections are, by default defaultEndTimeout.
+		End func() time.Duration
 		// Header returns how long the head of a request may take from its first byte on, by
 		// default defaultHeaderTimeout.
 		Header func() time.Duration
@@ -69,6 +78,8 @@
 		// Guard is shared by the servers of a process. A server without one has its own, with
 		// the limits of an instance that is not known.
 		Guard *Guard
+		// Clock measures the stop, by default the wall clock.
+		Clock clock.Clock
 	}
 )
 
@@ -96,15 +107,21 @@
 }
 
 // Serve serves on the listener until the context ends, then gives open requests time to complete.
+// Those that have not are ended: their contexts end with the cause ErrStopped, so that handlers can
+// still answer. A connection whose handler does not return is reset. Serve returns when all handlers
+// of connections that are not hijacked have, unless they take longer than Timeouts.End allows.
 func (s Server) Serve(ctx context.Context, l net.Listener) error {
 	guard := s.Guard
 	if guard == nil {
 		guard = NewGuard(overload.LimitsFor(0, 0), clock.WallClock, log.NewNopLogger())
 	}
 	open := newConns(s)
+	requests, end := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer end(ErrStopped)
 	// The connections limit the time of a head themselves, as the limit may change.
 	server := &http.Server{ //nolint:gosec // see above
-		Handler: s.serveBodies(), ConnState: open.onStateChange, ConnContext: withConn, IdleTimeout: idleTimeout,
+		Handler: s.serveRequests(), ConnState: open.onStateChange, ConnContext: withConn, IdleTimeout: idleTimeout,
+		BaseContext: func(net.Listener) context.Context { return requests },
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(trackedListener{l, s, guard}) }()
@@ -115,10 +132,15 @@
 	}
 	l.Close() //nolint:errcheck // no request is lost if it fails
 	open.drain(s.shutdownTimeout())
-	open.resetOnClose()
+	if !open.isEmpty() {
+		end(ErrStopped)
+		open.drain(s.endTimeout())
+	}
+	open.resetRunning()
 	if err := server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Trace(err)
 	}
+	open.drain(s.endTimeout())
 	return nil
 }
 
@@ -129,6 +151,15 @@
 	return s.Timeouts.Shutdown()
 }
 
+func (s Server) endTimeout() time.Duration { return valueOf(s.Timeouts.End, defaultEndTimeout) }
+
+func (s Server) clock() clock.Clock {
+	if s.Clock == nil {
+		return clock.WallClock
+	}
+	return s.Clock
+}
+
 func (s Server) headerTimeout() time.Duration {
 	return valueOf(s.Timeouts.Header, defaultHeaderTimeout)
 }
