httpd: a request that has arrived when a wait ends is answered

Callers lost requests that were sent just as a stop (or the idle timeout) closed waiting connections: the connection was reset, or closed without an answer.

The wait for a request ends by a read deadline in the past. Two things were lost with it. A request that lay in the kernel's buffer was not read, as a read with an expired deadline returns nothing. And of a connection's first request only what one read had brought was seen: when the deadline fell between that read and its record, nothing took the deadline back before the whole head was there, so that a head in two parts ended in between.

When a wait is over, the connection looks once more, without the deadline, for what has arrived, and the first byte of a request takes the deadline back. http.Server's own deadlines no longer undo the end of a wait, so that the server need not look at its connections every 5 ms.

--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// drainPoll is the pause between two looks at the connections of a server that stops.
-	drainPoll = 5 * time.Millisecond
-
 	// readAheadBytes is how much of what follows a head http.Server may read with it.
 	readAheadBytes = 4 << 10
 
@@ -56,6 +53,7 @@
 		mu       sync.Mutex
 		open     map[*trackedConn]bool
 		draining bool
+		ended    chan struct{} // closed when no connection is open any more
 	}
 
 	// trackedConn is a connection that is not closed between the first byte of a request
@@ -70,6 +68,7 @@
 
 		mu       sync.Mutex
 		waiting  bool // no byte has arrived since the last answer
+		waitOver bool // waiting, and the connection is closed unless a request has arrived
 		ahead    bool // a byte of the next request has arrived before the last answer ended
 		inHead   bool // the head of a request is being read
 		running  bool // the handler of a request has not returned
@@ -82,7 +81,9 @@
 	}
 )
 
-func newConns(s Server) *conns { return &conns{server: s, open: make(map[*trackedConn]bool)} }
+func newConns(s Server) *conns {
+	return &conns{server: s, open: make(map[*trackedConn]bool), ended: make(chan struct{})}
+}
 
 // Accept implements net.Listener. It closes connections for which there is no room: one that is
 // not accepted would wait in the kernel's queue and keep others from it.
@@ -117,16 +118,27 @@
 	case http.StateIdle:
 		t.awaitRequest(s.idleTimeout())
 	case http.StateHijacked:
-		delete(s.open, t)
+		s.remove(t)
 		t.stopWaiting()
 		t.hijack()
 		t.guard.begin(t.held)
 	case http.StateClosed:
-		delete(s.open, t)
+		s.remove(t)
 		t.stopWaiting()
 	}
 }
 
+// remove removes a connection that is closed. Callers hold s.mu.
+func (s *conns) remove(t *trackedConn) {
+	if !s.open[t] {
+		return
+	}
+	delete(s.open, t)
+	if s.draining && len(s.open) == 0 {
+		close(s.ended)
+	}
+}
+
 // idleTimeout returns how long a connection may wait for a request from now on, negative
 // for no limit. Callers hold s.mu.
 func (s *conns) idleTimeout() time.Duration {
@@ -148,31 +160,30 @@
 	return max(s.server.idleTimeout(), s.server.headerTimeout())
 }
 
-// drain closes connections that wait for a request, and waits until the others have had
-// their answers and are closed, for the given time at most.
-func (s *conns) drain(limit time.Duration) {
-	c := s.server.clock()
-	for end := c.Now().Add(limit); s.closeWaiting() > 0 && c.Now().Before(end); {
-		<-c.After(drainPoll)
-	}
-}
-
-// closeWaiting closes the connections that wait for a request, now and from now on. It
-// returns the number of open connections.
-func (s *conns) closeWaiting() int {
+// drain closes the connections that wait for a request, now and from now on. No connection is
+// accepted any more.
+func (s *conns) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
+	if len(s.open) == 0 {
+		close(s.ended)
+	}
 	for t := range s.open {
 		t.closeIfWaiting()
 	}
-	return len(s.open)
 }
 
-func (s *conns) isEmpty() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open) == 0
+// await waits until no connection is open, for the given time at most, and reports whether none is.
+func (s *conns) await(limit time.Duration) bool {
+	timer := s.server.clock().NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-s.ended:
+		return true
+	case <-timer.Chan():
+		return false
+	}
 }
 
 // resetRunning resets the connections whose handlers have not returned: an answer that ends with
@@ -192,6 +203,9 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := t.Conn.Read(p)
+	if n == 0 && t.isWaitOver() {
+		n, err = t.readArrived(p, err)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -290,7 +304,10 @@
 
 // beginHead starts the time in which the head of a request has to be complete. Callers hold t.mu.
 func (t *trackedConn) beginHead() {
-	t.waiting = false
+	if t.waitOver {
+		t.Conn.SetReadDeadline(time.Time{}) //nolint:errcheck // fails only on a closed connection
+	}
+	t.waiting, t.waitOver = false, false
 	t.stopTimer()
 	t.timer = time.AfterFunc(t.server.headerTimeout(), t.closeIfInHead)
 }
@@ -299,7 +316,7 @@
 func (t *trackedConn) beginRequest() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ahead, t.waiting, t.inHead, t.headSize = false, false, false, 0
+	t.ahead, t.waiting, t.waitOver, t.inHead, t.headSize = false, false, false, false, 0
 	t.stopTimer()
 }
 
@@ -325,7 +342,7 @@
 func (t *trackedConn) beginLinger() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.shed || t.hijacked || t.lingers || t.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if t.shed || t.hijacked || t.lingers || t.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return false
 	}
 	t.lingers, t.ended, t.inHead = true, true, false
@@ -446,7 +463,7 @@
 func (t *trackedConn) stopWaiting() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.waiting, t.inHead = false, false
+	t.waiting, t.waitOver, t.inHead = false, false, false
 	t.stopTimer()
 }
 
@@ -465,17 +482,51 @@
 	if t.inHead && !t.waiting {
 		t.ended = true
 		t.guard.recordShed(overload.TooSlow)
-		t.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
+		t.Conn.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
 	}
 }
 
-// closeIfWaiting ends the wait for a request. It lets the pending read time out, upon which
-// the server closes the connection: a read that has returned data wins, because the server
-// sets a new deadline before it reads on.
+// closeIfWaiting ends the wait for a request. It lets the pending read time out, upon which the
+// server closes the connection, unless data has arrived.
 func (t *trackedConn) closeIfWaiting() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.waiting {
-		t.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
+		t.waitOver = true
+		t.Conn.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
+	}
+}
+
+func (t *trackedConn) isWaitOver() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.waitOver
+}
+
+// readArrived reads what has arrived although the deadline for it is over. It returns the given
+// error if nothing has.
+func (t *trackedConn) readArrived(p []byte, err error) (int, error) {
+	raw, rawErr := t.SyscallConn()
+	if rawErr != nil {
+		return 0, err
+	}
+	n := 0
+	readErr := raw.Control(func(fd uintptr) {
+		n, _, rawErr = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+	})
+	if readErr != nil || rawErr != nil || n <= 0 {
+		return 0, err
+	}
+	return n, nil
+}
+
+// SetReadDeadline implements net.Conn. http.Server sets the deadline of a wait when the wait may
+// already be over.
+func (t *trackedConn) SetReadDeadline(at time.Time) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.waitOver {
+		return nil
 	}
+	return t.Conn.SetReadDeadline(at)
 }
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -131,16 +131,18 @@
 	case <-ctx.Done():
 	}
 	l.Close() //nolint:errcheck // no request is lost if it fails
-	open.drain(s.shutdownTimeout())
-	if !open.isEmpty() {
+	<-failed  //nolint:errcheck // the listener is closed, and accepts no more
+	open.drain()
+	if !open.await(s.shutdownTimeout()) {
 		end(ErrStopped)
-		open.drain(s.endTimeout())
+		if !open.await(s.endTimeout()) {
+			open.resetRunning()
+		}
 	}
-	open.resetRunning()
 	if err := server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Trace(err)
 	}
-	open.drain(s.endTimeout())
+	open.await(s.endTimeout())
 	return nil
 }
 
