core/drain decides about requests around a planned stop

The entry closed when its own timer fired, 3 s after it had handled the signal; callers count from the signal and from sending, so that the close had no margin. Of long streams, and of routes without history, nothing was known, and they were passed on. The exit was the grace time less 0.7 s, which for a grace time of 4 s is before its last sixth.

Change: a package of its own, pure. A request is passed on only if it is known when it ends, by its deadline, its route's history or its own figures, and that is in time. A sole entry passes on what nothing is known of, as nobody else could take it. Nothing asks the package yet.

--- /dev/null
+++ b/core/drain/decision.go
@@ -0,0 +1,107 @@
+package drain
+
+import (
+	"time"
+)
+
+// What a request is about to do.
+const (
+	// Start sends a request that has not run.
+	Start Step = iota
+	// Repeat sends a request again that may have run and has no answer yet: a retry, a hedge
+	// or an escalation.
+	Repeat
+	// Resume lets an answer that has begun go on at another server.
+	Resume
+)
+
+// What tells when a request ends.
+const (
+	// Deadline: the request's own deadline or the timeout of its route.
+	Deadline Basis = "deadline"
+	// History: what requests of its route take.
+	History Basis = "history"
+	// OwnFigures: the time to its first byte and its tokens.
+	OwnFigures Basis = "own figures"
+	// Unknown: nothing.
+	Unknown Basis = "unknown"
+)
+
+type (
+	// Step is what a request is about to do.
+	Step int
+
+	// Basis is what tells when a request ends.
+	Basis string
+
+	// Request is what is known of a request that is about to be passed on.
+	Request struct {
+		Step Step
+		// Deadline is when the request ends in any case, zero for never.
+		Deadline time.Time
+		// History is how long requests of its route may well take from here on, 0 if unknown.
+		History time.Duration
+		// OwnFigures is how long this one may well take from here on by its own size, 0 if
+		// unknown.
+		OwnFigures time.Duration
+		// Alone means that no other entry could take the request.
+		Alone bool
+	}
+
+	// Decision is whether a request is passed on, and why.
+	Decision struct {
+		Allowed bool
+		// Phase is that of the stop, SinceSignal the time since its signal and Left the time
+		// until its exit. Without a stop both are 0.
+		Phase       Phase
+		SinceSignal time.Duration
+		Left        time.Duration
+		// Expected is how long the request is expected to take from here on, 0 if unknown.
+		Expected time.Duration
+		Basis    Basis
+	}
+)
+
+// Decide decides whether a request is passed on at a time.
+//
+// It answers stops under load in which requests were passed on that could not end before the
+// exit, and were cut without an answer: long streams, requests that arrived late, and ones of
+// which nothing was known. What is refused here goes to another entry at once. Where there is
+// none, a request of which nothing is known is passed on before the close: most end in time,
+// and a refusal would have nowhere to go.
+func (s Schedule) Decide(now time.Time, r Request) Decision {
+	d := Decision{Phase: s.Phase(now)}
+	if d.Phase == Serving {
+		d.Allowed = true
+		return d
+	}
+	d.SinceSignal, d.Left = now.Sub(s.signaled), s.exits.Sub(now)
+	limit := s.ends
+	if r.Step == Resume {
+		limit = s.exits
+	}
+	d.Expected, d.Basis = r.expected(now, limit)
+	switch {
+	case r.Step == Start && d.Phase >= Closed, !now.Before(limit):
+	case d.Basis == Unknown:
+		d.Allowed = r.Alone && r.Step == Start
+	default:
+		d.Allowed = now.Add(d.Expected).Before(limit)
+	}
+	return d
+}
+
+// expected returns how long the request is expected to take, and what tells so: its deadline if
+// that alone ends it before the limit, else the longer one of what is known.
+func (r Request) expected(now, limit time.Time) (time.Duration, Basis) {
+	left := r.Deadline.Sub(now)
+	switch {
+	case !r.Deadline.IsZero() && r.Deadline.Before(limit):
+		return max(left, 0), Deadline
+	case r.History <= 0 && r.OwnFigures <= 0:
+		return 0, Unknown
+	case r.History >= r.OwnFigures:
+		return r.History, History
+	}
+	return r.OwnFigures, OwnFigures
+}
