The entry stops by a schedule, not by its timers

Cause: the entry closed by a flag that its timer set, 3 s after it had handled the signal; a timer that fired late kept it open, and the signal's own delay counted against callers. With a grace time of 4 s the exit came before its last sixth.

Change: StopListing takes a schedule of core/drain, and every check compares the clock with it: with a grace time of 8 s the entry closes 2.7 s after the signal and exits after 7.3 s as before. Drain, of an entry that runs without a platform, follows the same schedule for its ten minutes, and closes 0.3 s earlier than it did. The flag is gone: TestResendWhileDraining closes the entry through the schedule, and the tests of the stop give their times as one; no check changed.

--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -53,7 +53,7 @@
 		Controls: s.addresses("controls"), MemberKey: s.required("member-key"), BackendKey: s.required("backend-key"),
 		Terms: lease.DefaultConfig(), AddressTTL: s.duration("address-ttl"), Timeout: s.duration("request-timeout"),
 		MaxBody: s.number("max-body", 1, 1<<30), MaxRunning: int(s.number("max-running", 1, math.MaxInt32)),
-		MaxWaiting: int(s.number("max-waiting", 0, math.MaxInt32)), Seed: started,
+		MaxWaiting: int(s.number("max-waiting", 0, math.MaxInt32)), DrainTime: drainTimeout, Seed: started,
 		TLS: files.ClientConfig, Clock: clock.WallClock, Logger: newLogger(s, "entry"),
 	}
 	guard := s.guard(cfg.Logger)
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"rosereach/core/drain"
 	"rosereach/core/lease"
 	"rosereach/core/retry"
 	"rosereach/core/warmup"
@@ -19,18 +20,13 @@
 )
 
 const (
-	// delistTime is how long a stopping entry still accepts new connections:
-	// callers keep their address lists for up to three times the advertised time.
-	// Requests that arrive later could not end within the grace time.
-	delistTime = 3 * addressTTL
+	// listLife is how long callers use an old list of addresses: up to three times the
+	// advertised time.
+	listLife = 3 * addressTTL
 
 	// forwardedBodyCost is the memory for a byte of a body that is forwarded, which is never
 	// copied.
 	forwardedBodyCost = 1
-
-	// exitMargin is the part of the grace time that is reserved for closing
-	// connections and exiting, on a machine with a fifth of a core.
-	exitMargin = 700 * time.Millisecond
 )
 
 // platformEntry is an entry that runs with the platform's settings.
@@ -139,13 +135,14 @@
 	}
 }
 
-// drain sets the deadline for running requests to the end of the settings' grace
-// time, and removes the entry from the address lists.
+// drain plans the stop for the settings' grace time, and removes the entry from the
+// address lists.
 func (p *platformEntry) drain(ctx context.Context) {
-	p.process.logger.Log("msg", "Entry drains.", "id", p.process.settings().Name)
-	exitAt := p.process.clock.Now().Add(p.process.settings().Bounds.GracePeriod - exitMargin)
-	p.drainDeadline.Store(exitAt.UnixNano())
-	p.entry.StopListing(ctx, delistTime, exitAt)
+	now, settings := p.process.clock.Now(), p.process.settings()
+	schedule := drain.Settings{Grace: settings.Bounds.GracePeriod, ListLife: listLife}.Begin(now)
+	p.process.logger.Log("msg", "Entry drains.", "id", settings.Name)
+	p.drainDeadline.Store(schedule.Exits().UnixNano())
+	p.entry.StopListing(ctx, schedule)
 }
 
 // remainingTime returns how long running requests may still take.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 
 	"rosereach/core/cascade"
 	"rosereach/core/catalog"
+	"rosereach/core/drain"
 	"rosereach/core/lease"
 	"rosereach/core/ledger"
 	"rosereach/core/limit"
@@ -33,6 +35,9 @@
 	// backendLease is how long an announcement stays valid.
 	backendLease = 3 * time.Second
 
+	// defaultDrainTime is how long a planned stop may take.
+	defaultDrainTime = 10 * time.Minute
+
 	// drainInterval is how often Drain checks whether requests are still running.
 	drainInterval = 20 * time.Millisecond
 
@@ -54,6 +59,7 @@
 		Terms       lease.Config
 		AddressTTL  time.Duration // how long callers may use a list of addresses
 		Timeout     time.Duration // of requests that set no deadline
+		DrainTime   time.Duration // how long Drain may take, 0 for defaultDrainTime
 		MaxBody     int64         // bytes of a request's body
 		MaxRunning  int           // requests, in each admission queue
 		MaxWaiting  int           // requests, in each admission queue
@@ -82,8 +88,7 @@
 		hasPlan       chan struct{} // closed when there is a routing plan
 		hasPlanOnce   sync.Once
 		draining      atomic.Bool  // removed from the address list
-		closed        atomic.Bool  // refuses new requests
-		stopping      *stopping    // of forwarding
+		stopping      *stopping    // its planned stop
 		inFlight      atomic.Int64 // requests being answered
 
 		mu              sync.Mutex
@@ -162,17 +167,19 @@
 	return e.leaseHolder.IsLive(e.cfg.Clock.Now())
 }
 
-// Drain removes the entry from the address list, waits until every caller's copy
-// of the list has expired, then refuses new requests and returns when all
-// running ones have ended.
+// Drain removes the entry from the address list, waits until callers' copies of the
+// list expire, then refuses new requests and returns when all running ones have ended.
 func (e *Entry) Drain(ctx context.Context) error {
+	now := e.cfg.Clock.Now()
+	schedule := e.stopping.begin(drain.Settings{
+		Grace: cmp.Or(e.cfg.DrainTime, defaultDrainTime), ListLife: e.cfg.AddressTTL + e.cfg.Terms.Duration,
+	}.Begin(now))
 	e.draining.Store(true)
 	e.link.renewNow()
 	select {
-	case <-e.cfg.Clock.After(e.cfg.AddressTTL + e.cfg.Terms.Duration):
+	case <-e.cfg.Clock.After(schedule.Closes().Sub(now)):
 	case <-ctx.Done():
 	}
-	e.closed.Store(true)
 	for e.isBusy() {
 		select {
 		case <-e.cfg.Clock.After(drainInterval):
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -66,7 +66,7 @@
 // checkAdmission returns a refusal when the entry is stopping or holds no
 // lease.
 func (e *Entry) checkAdmission() error {
-	if e.closed.Load() {
+	if e.isClosed() {
 		return request.NewNotRun(request.CodeDraining, "this entry is stopping; use another entry").
 			WithAddresses(e.addresses(e.cfg.Region, e.cfg.Zone))
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -213,7 +213,7 @@
 	waiting, endWait := e.untilClosed(ctx)
 	leave, err := e.admissionForRoute(x.route).enter(waiting, e.cfg.Clock, x.ticket())
 	endWait()
-	if err != nil && e.stopping.isClosed() && ctx.Err() == nil {
+	if err != nil && e.isClosed() && ctx.Err() == nil {
 		return e.reject(req, x.route, newDrainingFailure())
 	}
 	if err != nil {
@@ -234,7 +234,7 @@
 // restart of many entries at once, when all callers come back before the plans do: a
 // rejected one would return a second later, and another entry has no plan either.
 func (e *Entry) awaitPlan(ctx context.Context) {
-	if e.catalog.Load().Routes() != nil || e.closed.Load() {
+	if e.catalog.Load().Routes() != nil || e.isClosed() {
 		return
 	}
 	select {
@@ -268,7 +268,7 @@
 func (e *Entry) matchRoute(req forward.Request) (r route.Route, w route.Workspace, failure *forward.Failure) {
 	table := e.catalog.Load().Routes()
 	switch {
-	case e.closed.Load():
+	case e.isClosed():
 		return r, w, newDrainingFailure()
 	case table == nil:
 		return r, w, &forward.Failure{Code: forward.NotReady, Detail: "this entry has no routing plan yet; use another", RetryAfter: notReadyRetryAfter}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -556,7 +556,7 @@
 		ended <- result{got, err}
 	}()
 	<-began
-	r.entry.StopListing(context.Background(), time.Millisecond, time.Now().Add(time.Minute))
+	r.entry.StopListing(context.Background(), stopIn(time.Millisecond, time.Minute))
 	if r.entry.IsOpen() || !r.entry.forwarder.watcher.presence().Draining {
 		t.Error("a stopping entry reports that it is open")
 	}
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rosereach/core/catalog"
+	"rosereach/core/drain"
 	"rosereach/core/ledger"
 	"rosereach/core/request"
 	"rosereach/core/state"
@@ -385,7 +386,7 @@
 	if first := send("a"); first.Outcome() != request.Done {
 		t.Fatalf("posting: %+v", first.Problem)
 	}
-	f.entries[0].closed.Store(true)
+	f.entries[0].stopping.begin(drain.Settings{}.Begin(time.Now()))
 	if again := send("a"); again.Outcome() != request.Done || !again.Repeated {
 		t.Errorf("resend: %+v, %+v", again, again.Problem)
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sync"
-	"time"
+	"sync/atomic"
 
+	"rosereach/core/drain"
 	"rosereach/core/forward"
 )
 
@@ -13,12 +13,12 @@
 
 // stopping is how far the planned stop of an entry has come.
 type stopping struct {
-	// closing ends when the entry takes no more requests.
+	schedule atomic.Pointer[drain.Schedule] // nil before the stop
+
+	// closing ends the waits of requests that have not run when the entry closes. It may end
+	// late; what has to be in time asks the schedule.
 	closing context.Context //nolint:containedctx // it is the state of the entry, not of a call
 	close   context.CancelFunc
-
-	mu     sync.Mutex
-	exitAt time.Time // when running requests have to be finished, zero before the stop
 }
 
 func newStopping() *stopping {
@@ -27,37 +27,38 @@
 	return s
 }
 
-func (s *stopping) setExit(at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.exitAt = at
+// begin begins the stop and returns its schedule: that of the first call.
+func (s *stopping) begin(schedule drain.Schedule) drain.Schedule {
+	s.schedule.CompareAndSwap(nil, &schedule)
+	return *s.schedule.Load()
 }
 
-// isClosed reports whether the entry takes no more requests.
-func (s *stopping) isClosed() bool { return s.closing.Err() != nil }
+// current returns the schedule, the zero one before the stop.
+func (s *stopping) current() drain.Schedule {
+	if schedule := s.schedule.Load(); schedule != nil {
+		return *schedule
+	}
+	return drain.Schedule{}
+}
 
-// endsInTime reports whether what takes so long from now on ends before the exit.
-func (s *stopping) endsInTime(now time.Time, longest time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.exitAt.IsZero() || now.Add(longest).Before(s.exitAt)
+// isClosed reports whether the entry takes no more requests.
+func (e *Entry) isClosed() bool {
+	return e.stopping.current().Phase(e.cfg.Clock.Now()) >= drain.Closed
 }
 
-// StopListing removes the entry from the address list and waits for the given time, until
-// callers no longer use an old list. Afterward the entry refuses new requests, and those that
-// wait without having run. All requests end by exitAt: those that probably can't are refused
-// while they have not run.
-func (e *Entry) StopListing(ctx context.Context, addressTTL time.Duration, exitAt time.Time) {
+// StopListing removes the entry from the address list and waits until the schedule closes it.
+// From then on it refuses new requests, and those that wait without having run. Requests that
+// can't end before the exit are refused while they have not run.
+func (e *Entry) StopListing(ctx context.Context, schedule drain.Schedule) {
+	schedule = e.stopping.begin(schedule)
 	// A control that does not read holds the announcement up, and must not delay the rest.
-	closeAt := e.cfg.Clock.After(addressTTL)
-	e.stopping.setExit(exitAt)
+	closes := e.cfg.Clock.After(schedule.Closes().Sub(e.cfg.Clock.Now()))
 	e.draining.Store(true)
 	go e.forwarder.watcher.announcePresence(ctx)
 	select {
-	case <-closeAt:
+	case <-closes:
 	case <-ctx.Done():
 	}
-	e.closed.Store(true)
 	e.stopping.close()
 }
 
@@ -73,11 +74,12 @@
 // entry stops, nil if it may be: nothing that has not run is after the close, and nothing
 // without an answer if it probably takes longer than the entry has.
 func (x *activeRequest) drainingFailure() *forward.Failure {
-	s := x.forwarder.entry.stopping
 	if x.headSent {
 		return nil
 	}
-	if x.runs == 0 && s.isClosed() || !s.endsInTime(x.now(), x.forwarder.durations.Longest(x.route.Name)) {
+	s, now := x.forwarder.entry.stopping.current(), x.now()
+	longest := x.forwarder.durations.Longest(x.route.Name)
+	if x.runs == 0 && s.Phase(now) >= drain.Closed || !s.IsZero() && !now.Add(longest).Before(s.Exits()) {
 		return newDrainingFailure()
 	}
 	return nil
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/juju/clock"
+
+	"rosereach/core/drain"
 	"rosereach/core/forward"
 	"rosereach/core/limit"
 	"rosereach/core/route"
@@ -34,9 +37,16 @@
 	})
 }
 
+// stopIn returns the schedule of a stop that begins now and exits after the given time.
+// ListLife is how long callers use old lists.
+func stopIn(listLife, left time.Duration) drain.Schedule {
+	const maxExitMargin = 700 * time.Millisecond
+	return drain.Settings{Grace: left + min(left/7, maxExitMargin), ListLife: listLife}.Begin(time.Now())
+}
+
 // close closes the entry, which has the given time until it exits.
 func (s *stoppingEntry) close(left time.Duration) {
-	s.entry.StopListing(context.Background(), time.Millisecond, time.Now().Add(left))
+	s.entry.StopListing(context.Background(), stopIn(time.Millisecond, left))
 }
 
 // start sends a request and returns its error when it has ended.
@@ -147,6 +157,27 @@
 	}
 }
 
+// lateClock is a clock whose timers do not fire in time.
+type lateClock struct{ clock.Clock }
+
+func (lateClock) After(time.Duration) <-chan time.Time { return nil }
+
+// On a busy instance the timer that closes the entry fired late, and the entry passed on requests
+// meanwhile that nobody excuses.
+func TestLateTimerDoesNotKeepTheEntryOpen(t *testing.T) {
+	for _, kind := range stopKinds {
+		s := newStoppingEntry(t)
+		s.counting("a", func(w http.ResponseWriter, _ *http.Request) { event(w, 1) })
+		s.entry.cfg.Clock = lateClock{clock.WallClock}
+		schedule := stopIn(20*time.Millisecond, time.Minute)
+		go s.entry.StopListing(t.Context(), schedule)
+		waitFor(t, "the time of the close", func() bool { return time.Now().After(schedule.Closes()) && s.entry.IsDraining() })
+		if _, err := s.send(kind); codeOf(err) != forward.Draining || s.runs.Load() != 0 {
+			t.Errorf("%s: %v, %d runs", kind, err, s.runs.Load())
+		}
+	}
+}
+
 // A request that can't end before the process exits is refused, not passed on and cut, also
 // while the entry is still listed. One that can is served.
 func TestRequestsThatEndAfterTheExitAreRefused(t *testing.T) {
@@ -164,7 +195,7 @@
 			listed := make(chan struct{})
 			go func() {
 				defer close(listed)
-				s.entry.StopListing(ctx, time.Hour, time.Now().Add(c.left))
+				s.entry.StopListing(ctx, stopIn(time.Hour, c.left))
 			}()
 			waitFor(t, "the stop", s.entry.IsDraining)
 			if _, err := s.send(kind); codeOf(err) != c.want || s.runs.Load() != map[forward.Code]int64{"": 1}[c.want] {
