--- a/internal/entry/stop_log.go
+++ b/internal/entry/stop_log.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
+	"rosereach/core/drain"
 	"rosereach/core/forward"
 )
 
@@ -89,17 +90,16 @@
 // nothing if there was none.
 func (e *Entry) LogExit() { e.stopLog.enter(phaseExit) }
 
-// begin logs the begin of a stop, and its end phase at exitAt unless the context ends before.
-func (s *stopLog) begin(ctx context.Context, exitAt time.Time) {
+// begin logs the begin of a stop, and its end phase unless the context ends before.
+func (s *stopLog) begin(ctx context.Context, schedule drain.Schedule) {
 	c := s.entry.cfg.Clock
-	now := c.Now()
 	s.mu.Lock()
-	s.signaledAt, s.exitAt, s.phase = now, exitAt, phaseDelisting
+	s.signaledAt, s.exitAt, s.phase = schedule.Signaled(), schedule.Exits(), phaseDelisting
 	s.mu.Unlock()
 	s.logPhase(phaseDelisting)
 	go func() {
 		select {
-		case <-c.After(exitAt.Sub(now)):
+		case <-c.After(schedule.Exits().Sub(c.Now())):
 			s.enter(phaseEnding)
 		case <-ctx.Done():
 		}
