A stopping entry passes on only what is known to end before its exit

Cause: one figure, what requests of the route took, decided, and a route without history, just planned or with nothing but long streams, had none; then the request was passed on. The request's own tokens, deadline and model were not asked.

Change: a request is passed on after the signal if its deadline or its route's timeout ends it in time, or else if the longer one of what its route's requests take and of its own figures does: the expected time to its first byte, and its output tokens at the pace of its route and model. A sole entry passes on what nothing is known of; it names the time of its exit in Retry-After, a third of the request's time at most.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -352,7 +352,7 @@
 	if ctx.Err() != nil || !x.now().Before(x.deadline) {
 		return nil, &forward.Failure{Code: forward.TimedOut, Detail: "the deadline has passed"}
 	}
-	if failure := cmp.Or(x.drainingFailure(), x.quarantinedFailure()); failure != nil {
+	if failure := cmp.Or(x.drainingFailure(nil), x.quarantinedFailure()); failure != nil {
 		return nil, failure
 	}
 	if x.runs == 0 {
@@ -361,7 +361,7 @@
 		defer endWait()
 	}
 	if failure := x.awaitTrial(ctx); failure != nil {
-		return nil, cmp.Or(x.drainingFailure(), failure)
+		return nil, cmp.Or(x.drainingFailure(nil), failure)
 	}
 	if a := x.nextAttempt; a != nil {
 		x.nextAttempt = nil
@@ -376,7 +376,7 @@
 	}
 	if !ok {
 		x.endTrial(nil, false, false)
-		return nil, cmp.Or(x.drainingFailure(), x.noServerFailure())
+		return nil, cmp.Or(x.drainingFailure(nil), x.noServerFailure())
 	}
 	x.forwarder.markServiceUp(x.service)
 	return a, nil
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -98,8 +99,9 @@
 		sizes   cascade.SizeCascade
 
 		metrics   *forwardMetrics
-		durations forward.Durations
-		unlocated atomic.Int64 // requests rejected for their homes or evacuated zones
+		durations forward.Durations // of the requests of each route
+		paces     forward.Durations // for each output token of the streams of each route and model
+		unlocated atomic.Int64      // requests rejected for their homes or evacuated zones
 
 		placement placement.Priced
 
@@ -176,8 +178,8 @@
 func (e *Entry) IdleTime() time.Duration { return e.Limits().IdleTimeout }
 
 // CheckHead decides what the head of a request decides alone, before its body is read: whether
-// there is a routing plan, a route and, where it needs one, a workspace. The deadline is when the
-// request ends.
+// there is a routing plan, a route and, where it needs one, a workspace, and whether it ends
+// before a planned stop does. The deadline is when the request ends.
 func (e *Entry) CheckHead(ctx context.Context, req forward.Request) (deadline time.Time, failure *forward.Failure) {
 	e.awaitPlan(ctx)
 	r, _, failure := e.matchRoute(req)
@@ -185,7 +187,12 @@
 		e.Reject(req, failure)
 		return time.Time{}, failure
 	}
-	return deadlineOf(req, r), nil
+	x := &activeRequest{forwarder: e.forwarder, req: req, route: r, deadline: deadlineOf(req, r)}
+	if failure := x.drainingFailure(nil); failure != nil {
+		e.Reject(req, failure)
+		return time.Time{}, failure
+	}
+	return x.deadline, nil
 }
 
 // Reject records that a request is rejected before it is forwarded.
@@ -207,14 +214,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	if failure := x.quarantinedFailure(); failure != nil {
+	if failure := cmp.Or(x.drainingFailure(nil), x.quarantinedFailure()); failure != nil {
 		return e.reject(req, x.route, failure)
 	}
 	waiting, endWait := e.untilClosed(ctx)
 	leave, err := e.admissionForRoute(x.route).enter(waiting, e.cfg.Clock, x.ticket())
 	endWait()
 	if err != nil && e.isClosed() && ctx.Err() == nil {
-		return e.reject(req, x.route, newDrainingFailure())
+		return e.reject(req, x.route, e.newDrainingFailure(x.deadline))
 	}
 	if err != nil {
 		return e.reject(req, x.route, overloadFailure(err))
@@ -223,9 +230,7 @@
 	x.logAdmitted(req.Arrived)
 	err = x.run(ctx)
 	x.logEnd(err)
-	if err == nil {
-		x.forwarder.durations.Observe(x.route.Name, x.now().Sub(x.startedAt))
-	}
+	x.recordDuration(err)
 	x.forwarder.metrics.requestEnded(x.route, err, x.now().Sub(req.Arrived))
 	return err
 }
@@ -269,7 +274,7 @@
 	table := e.catalog.Load().Routes()
 	switch {
 	case e.isClosed():
-		return r, w, newDrainingFailure()
+		return r, w, e.newDrainingFailure(req.Deadline)
 	case table == nil:
 		return r, w, &forward.Failure{Code: forward.NotReady, Detail: "this entry has no routing plan yet; use another", RetryAfter: notReadyRetryAfter}
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
+	"time"
 
 	"rosereach/core/drain"
 	"rosereach/core/forward"
+	"rosereach/core/route"
 )
 
 // withheldDraining is why an attempt is not sent as the entry stops.
@@ -71,30 +74,95 @@
 }
 
 // drainingFailure returns the failure of a request that must not be passed on any more as the
-// entry stops, nil if it may be: nothing that has not run is after the close, and nothing
-// without an answer if it probably takes longer than the entry has.
-func (x *activeRequest) drainingFailure() *forward.Failure {
+// entry stops, nil if it may be. The attempt is nil while no server is chosen.
+func (x *activeRequest) drainingFailure(a *attempt) *forward.Failure {
 	if x.headSent {
 		return nil
 	}
+	step := drain.Start
+	if x.runs > 0 {
+		step = drain.Repeat
+	}
+	if x.decideStop(step, a).Allowed {
+		return nil
+	}
+	return x.forwarder.entry.newDrainingFailure(x.deadline)
+}
+
+// decideStop decides whether the request is passed on as the entry stops. The attempt is nil
+// while no server is chosen.
+func (x *activeRequest) decideStop(step drain.Step, a *attempt) drain.Decision {
 	s, now := x.forwarder.entry.stopping.current(), x.now()
-	longest := x.forwarder.durations.Longest(x.route.Name)
-	if x.runs == 0 && s.Phase(now) >= drain.Closed || !s.IsZero() && !now.Add(longest).Before(s.Exits()) {
-		return newDrainingFailure()
+	if s.IsZero() {
+		return s.Decide(now, drain.Request{Step: step})
 	}
-	return nil
+	return s.Decide(now, drain.Request{
+		Step: step, Deadline: x.deadline, History: x.forwarder.durations.Longest(x.route.Name), OwnFigures: x.ownDuration(now, a),
+		Alone: x.forwarder.entry.isAlone(),
+	})
 }
 
+// ownDuration returns how long the request may well take by its own size: the time to its first
+// byte and that for all its tokens, at the pace of its route and model and at a slow server's of
+// that. It is 0 if unknown.
+func (x *activeRequest) ownDuration(now time.Time, a *attempt) time.Duration {
+	f := x.forwarder
+	all := f.paces.Longest(x.paceGroup()) * time.Duration(x.req.OutputTokens)
+	if all <= 0 || a == nil {
+		return all
+	}
+	f.mu.Lock()
+	ratio := f.latencyModel.ServerRatio(now, a.server.ID)
+	f.mu.Unlock()
+	return a.expected + time.Duration(max(ratio, 1)*float64(all))
+}
+
+// paceGroup returns the key under which the paces of streams are kept.
+func (x *activeRequest) paceGroup() string {
+	model := cmp.Or(x.model, x.req.Model)
+	if x.model == "" && x.req.AnyModel {
+		model = x.forwarder.sizes.First(x.route.Models)
+	}
+	return x.route.Name + "/" + model
+}
+
+// recordDuration records how long the request took, for the decisions of a stop.
+func (x *activeRequest) recordDuration(err error) {
+	f, took := x.forwarder, x.now().Sub(x.startedAt)
+	if err != nil {
+		f.durations.ObserveAtLeast(x.route.Name, took)
+		return
+	}
+	f.durations.Observe(x.route.Name, took)
+	if x.route.Kind == route.Streaming && x.req.OutputTokens > 0 && x.req.LastEventID == 0 && x.runs == 1 {
+		f.paces.Observe(x.paceGroup(), (took-x.firstByte)/time.Duration(x.req.OutputTokens))
+	}
+}
+
+// isAlone reports whether no other entry could take requests.
+func (e *Entry) isAlone() bool { return e.forwarder.watcher.liveEntryCount() <= 1 }
+
 // admitToSend is admit at the last moment before a request is sent: the entry may have closed
 // while it connected.
 func (x *activeRequest) admitToSend(a *attempt) error {
-	if failure := x.drainingFailure(); failure != nil {
+	if failure := x.drainingFailure(a); failure != nil {
 		a.withheld = withheldDraining
 		return failure
 	}
 	return x.admit(a)
 }
 
-func newDrainingFailure() *forward.Failure {
-	return &forward.Failure{Code: forward.Draining, Detail: "this entry is shutting down; use another", RetryAfter: drainingRetryAfter}
+// newDrainingFailure returns the failure of a request that ends at the deadline, zero if that is
+// unknown. Another entry takes it at once; a sole entry's successor, once this one has ended.
+func (e *Entry) newDrainingFailure(deadline time.Time) *forward.Failure {
+	wait := drainingRetryAfter
+	if e.isAlone() {
+		now := e.cfg.Clock.Now()
+		left := e.stopping.current().Exits().Sub(now)
+		if !deadline.IsZero() {
+			left = min(left, deadline.Sub(now)/retryAfterDivisor)
+		}
+		wait = max(wait, left)
+	}
+	return &forward.Failure{Code: forward.Draining, Detail: "this entry is shutting down; use another", RetryAfter: wait}
 }
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -238,3 +238,99 @@
 		}
 	}
 }
+
+// stoppingAmong returns an entry that begins its stop, beside other entries, and exits after the
+// given time. It has not closed yet. The test's end ends the stop.
+func stoppingAmong(t *testing.T, entries int, left time.Duration) *stoppingEntry {
+	s := newStoppingEntry(t)
+	s.entry.forwarder.watcher.liveEntries = entries
+	ctx, cancel := context.WithCancel(t.Context())
+	listed := make(chan struct{})
+	go func() {
+		defer close(listed)
+		s.entry.StopListing(ctx, stopIn(time.Hour, left))
+	}()
+	t.Cleanup(func() { cancel(); <-listed })
+	waitFor(t, "the stop", s.entry.IsDraining)
+	return s
+}
+
+// Requests of which nothing was known were passed on during a stop, and cut at its exit. Beside
+// other entries they are refused at once; alone, only what is known not to end is. A request whose
+// deadline ends it in time is known.
+func TestRequestsOfUnknownDurationAreRefusedAtTheStop(t *testing.T) {
+	const left = 3 * time.Second // the routes' timeout is longer
+	for _, c := range []struct {
+		name     string
+		entries  int
+		history  time.Duration
+		deadline time.Duration
+		want     forward.Code
+	}{
+		{"unknown", 3, 0, 0, forward.Draining},
+		{"unknown, with a deadline", 3, 0, time.Second, ""},
+		{"unknown, with a late deadline", 3, 0, 4 * time.Second, forward.Draining},
+		{"short", 3, 500 * time.Millisecond, 0, ""},
+		{"unknown, alone", 1, 0, 0, ""},
+		{"long, alone", 1, 4 * time.Second, 0, forward.Draining},
+	} {
+		for _, kind := range stopKinds {
+			t.Run(c.name+"/"+string(kind), func(t *testing.T) {
+				s := stoppingAmong(t, c.entries, left)
+				s.counting("a", func(w http.ResponseWriter, _ *http.Request) { event(w, 1) })
+				for range 50 {
+					if c.history > 0 {
+						s.entry.forwarder.durations.Observe(string(kind), c.history)
+					}
+				}
+				req := forward.Request{Path: "/" + string(kind) + "/x", Key: "k"}
+				if c.deadline > 0 {
+					req.Deadline = time.Now().Add(c.deadline)
+				}
+				_, headFailure := s.entry.CheckHead(t.Context(), forward.Request{Host: "h", Path: req.Path, Key: "k", Arrived: time.Now(), Deadline: req.Deadline})
+				if (headFailure != nil) != (c.want != "") {
+					t.Errorf("the head: %v", headFailure)
+				}
+				_, err := s.sendWith(t.Context(), req)
+				if codeOf(err) != c.want || s.runs.Load() != map[forward.Code]int64{"": 1}[c.want] {
+					t.Fatalf("%v, %d runs", err, s.runs.Load())
+				}
+				if f, ok := asFailure(err); ok {
+					if c.entries > 1 && f.RetryAfter != drainingRetryAfter || c.entries == 1 && f.RetryAfter < left/3 {
+						t.Errorf("Retry-After of %s beside %d entries", f.RetryAfter, c.entries)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A stream of many tokens was passed on during a stop as most streams of its route were short.
+func TestStreamTooLongByItsTokensIsRefusedAtTheStop(t *testing.T) {
+	for tokens, want := range map[int64]forward.Code{10: "", 1000: forward.Draining} {
+		s := newStoppingEntry(t)
+		s.counting("a", func(w http.ResponseWriter, _ *http.Request) {
+			for id := range uint64(10) {
+				event(w, id+1)
+				http.NewResponseController(w).Flush()
+				time.Sleep(4 * time.Millisecond)
+			}
+		})
+		stream := func(tokens int64) error {
+			_, err := s.sendWith(t.Context(), forward.Request{Path: "/streaming/x", Key: "k", OutputTokens: tokens})
+			return err
+		}
+		for range 10 {
+			if err := stream(10); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before := s.runs.Load()
+		s.entry.forwarder.watcher.liveEntries = 3
+		s.entry.stopping.begin(stopIn(time.Hour, 3*time.Second))
+		err := stream(tokens)
+		if codeOf(err) != want || s.runs.Load()-before != map[forward.Code]int64{"": 1}[want] {
+			t.Errorf("%d tokens: %v, %d runs", tokens, err, s.runs.Load()-before)
+		}
+	}
+}
