What continues a request at another server ends before the exit, too

What callers saw: a stream that broke off during a stop was resumed at another server and reset at the exit. By tests: a silent attempt was ended in favor of one that was then not sent, as it could not end in time, so that the caller got 502 while its server was still at work; and an answer of low confidence was dropped for a larger model's that was not asked any more, and replaced by 502. Cause: after the head nothing was asked, and of the rest only a new attempt, when the one before it was gone.

Change: a resumption, a retry, the replacement of a silent attempt, a move to a shorter queue and an escalation are asked for before the attempt at hand is given up. A resumption needs what is left of the stream to end before the exit; else the stream is cut at once and its caller goes on elsewhere. A silent attempt is waited for, and an answer at hand is delivered. A sole entry goes on with what nothing is known of: its caller has nowhere to go. No retry is taken from the budget for an attempt that would not be sent.

--- a/core/drain/decision.go
+++ b/core/drain/decision.go
@@ -66,9 +66,9 @@
 //
 // It answers stops under load in which requests were passed on that could not end before the
 // exit, and were cut without an answer: long streams, requests that arrived late, and ones of
-// which nothing was known. What is refused here goes to another entry at once. Where there is
-// none, a request of which nothing is known is passed on before the close: most end in time,
-// and a refusal would have nowhere to go.
+// which nothing was known. What is refused here goes to another entry at once, and so does the
+// rest of an answer that is cut here. Where there is none, a request of which nothing is known is
+// passed on: most end in time, and its caller has nowhere to go.
 func (s Schedule) Decide(now time.Time, r Request) Decision {
 	d := Decision{Phase: s.Phase(now)}
 	if d.Phase == Serving {
@@ -84,7 +84,7 @@
 	switch {
 	case r.Step == Start && d.Phase >= Closed, !now.Before(limit):
 	case d.Basis == Unknown:
-		d.Allowed = r.Alone && r.Step == Start
+		d.Allowed = r.Alone
 	default:
 		d.Allowed = now.Add(d.Expected).Before(limit)
 	}
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -182,6 +182,9 @@
 			x.logNotSpread()
 			return x.giveUp(ctx, outcome, nil)
 		}
+		if failure := x.drainingFailure(nil); failure != nil {
+			return x.giveUp(ctx, outcome, failure)
+		}
 		if ctx.Err() != nil || !x.mayRetry(outcome) && !x.awaitRetry(ctx, outcome) {
 			return x.giveUp(ctx, outcome, nil)
 		}
@@ -200,12 +203,12 @@
 
 // awaitRetry waits until the budget has a retry for an answer that has begun, and reports
 // whether it took one. Such an answer can't be refused, so it is given up only at its
-// deadline or when its caller leaves.
+// deadline, when its caller leaves, or when it can't end before the entry's exit.
 func (x *activeRequest) awaitRetry(ctx context.Context, o forward.Outcome) bool {
 	if !x.headSent || !forward.MayRetry(x.route, o, x.runs) {
 		return false
 	}
-	for x.pause(ctx) {
+	for x.pause(ctx) && x.drainingFailure(nil) == nil {
 		if o == forward.NotSent || x.forwarder.takeRetry(x.service) {
 			return true
 		}
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -95,7 +95,7 @@
 	if ok {
 		spent := x.forwarder.entry.cfg.Clock.Now().Sub(x.req.Arrived)
 		lateRisk := placement.LateRisk(spent+next.expected, x.route.Objective)
-		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued) &&
+		ok = x.forwarder.sizes.ShouldEscalate(a.head.Confidence, lateRisk, next.meanQueued) && x.mayReplace(false, next) &&
 			(x.forwarder.client.HasIdle(next.server.Address, viaOf(next.homes)) || x.connect(ctx, next)) && x.forwarder.takeRetryLeaving(x.service, retriesAfterEscalation)
 		if ok {
 			x.logEscalation(a, lateRisk, next.meanQueued)
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -140,7 +140,7 @@
 		return
 	}
 	if !status.RunsRequest && !s.Begun {
-		if next, ok := t.request.shorterQueue(t.attempt, status); ok && t.connect(next) {
+		if next, ok := t.request.shorterQueue(t.attempt, status); ok && t.request.mayReplace(false, next) && t.connect(next) {
 			t.move(resets, next, start)
 			return
 		}
@@ -176,7 +176,7 @@
 	}
 	for range maxSuccessors {
 		next, ok := t.request.forwarder.chooseServer(&request)
-		if !ok {
+		if !ok || !request.mayReplace(s.Begun, next) {
 			return nil
 		}
 		if t.connect(next) {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -76,11 +76,11 @@
 // drainingFailure returns the failure of a request that must not be passed on any more as the
 // entry stops, nil if it may be. The attempt is nil while no server is chosen.
 func (x *activeRequest) drainingFailure(a *attempt) *forward.Failure {
-	if x.headSent {
-		return nil
-	}
 	step := drain.Start
-	if x.runs > 0 {
+	switch {
+	case x.headSent:
+		step = drain.Resume
+	case x.runs > 0:
 		step = drain.Repeat
 	}
 	if x.decideStop(step, a).Allowed {
@@ -96,10 +96,36 @@
 	if s.IsZero() {
 		return s.Decide(now, drain.Request{Step: step})
 	}
-	return s.Decide(now, drain.Request{
-		Step: step, Deadline: x.deadline, History: x.forwarder.durations.Longest(x.route.Name), OwnFigures: x.ownDuration(now, a),
-		Alone: x.forwarder.entry.isAlone(),
-	})
+	r := drain.Request{
+		Step: step, Deadline: x.deadline, Alone: x.forwarder.entry.isAlone(),
+		History: x.forwarder.durations.Longest(x.route.Name), OwnFigures: x.ownDuration(now, a),
+	}
+	if step == drain.Resume {
+		r.History, r.OwnFigures = x.restOf(now, r.History, a), x.restOf(now, r.OwnFigures, a)
+	}
+	return s.Decide(now, r)
+}
+
+// restOf returns what is left, with the time to the first byte, of an answer that may well take
+// so long as a whole. It is 0, for unknown, if the answer has taken longer.
+func (x *activeRequest) restOf(now time.Time, whole time.Duration, a *attempt) time.Duration {
+	rest := whole - now.Sub(x.startedAt)
+	if rest <= 0 {
+		return 0
+	}
+	if a != nil {
+		rest += a.expected
+	}
+	return rest
+}
+
+// mayReplace reports whether the attempt may replace one that is at a server, or follow its
+// answer, as the entry stops. Begun means that the caller has a part of the answer.
+func (x *activeRequest) mayReplace(begun bool, next *attempt) bool {
+	if begun {
+		return x.decideStop(drain.Resume, next).Allowed
+	}
+	return x.decideStop(drain.Repeat, next).Allowed
 }
 
 // ownDuration returns how long the request may well take by its own size: the time to its first
