--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -21,7 +21,7 @@
 	fmt.Println(late.Allowed, late.Phase)
 	// Output:
 	// true delisted 6.3s 2s history
-	// false delisted 6.3s 7s own figures
+	// false delisted 6.3s 7s own_figures
 	// false closed
 }
 
@@ -49,7 +49,8 @@
 		{"long by its own tokens", sec(1), drain.Request{History: sec(1), OwnFigures: sec(6.5)}, 0, false, drain.OwnFigures},
 		{"retry after the close", sec(4), drain.Request{Step: drain.Repeat, History: sec(2)}, 0, true, drain.History},
 		{"late retry", sec(5.5), drain.Request{Step: drain.Repeat, History: sec(2)}, 0, false, drain.History},
-		{"unknown retry, alone", sec(4), drain.Request{Step: drain.Repeat, Alone: true}, 0, false, drain.Unknown},
+		{"unknown retry", sec(4), drain.Request{Step: drain.Repeat}, 0, false, drain.Unknown},
+		{"unknown retry, alone", sec(4), drain.Request{Step: drain.Repeat, Alone: true}, 0, true, drain.Unknown},
 		{"resumption", sec(5), drain.Request{Step: drain.Resume, History: sec(2)}, 0, true, drain.History},
 		{"late resumption", sec(5.5), drain.Request{Step: drain.Resume, History: sec(2)}, 0, false, drain.History},
 		{"resumption up to a deadline", sec(6), drain.Request{Step: drain.Resume}, sec(7.2), true, drain.Deadline},
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -187,6 +187,9 @@
 			x.logNotSpread()
 			return x.giveUp(ctx, outcome, nil)
 		}
+		if failure := x.drainingFailure(nil); failure != nil {
+			return x.giveUp(ctx, outcome, failure)
+		}
 		if ctx.Err() != nil || !x.mayRetry(outcome) && !x.awaitRetry(ctx, outcome) {
 			return x.giveUp(ctx, outcome, nil)
 		}
@@ -205,12 +208,12 @@
 
 // awaitRetry waits until the budget has a retry for an answer that has begun, and reports
 // whether it took one. Such an answer can't be refused, so it is given up only at its
-// deadline or when its caller leaves.
+// deadline, when its caller leaves, or when it can't end before the entry's exit.
 func (x *activeRequest) awaitRetry(ctx context.Context, o forward.Outcome) bool {
 	if !x.headSent || !forward.MayRetry(x.route, o, x.runs) {
 		return false
 	}
-	for x.pause(ctx) {
+	for x.pause(ctx) && x.drainingFailure(nil) == nil {
 		if o == forward.NotSent || x.forwarder.takeRetry(x.service) {
 			return true
 		}
@@ -358,7 +361,7 @@
 	if ctx.Err() != nil || !x.now().Before(x.deadline) {
 		return nil, &forward.Failure{Code: forward.TimedOut, Detail: "the deadline has passed"}
 	}
-	if failure := cmp.Or(x.drainingFailure(), x.quarantinedFailure()); failure != nil {
+	if failure := cmp.Or(x.drainingFailure(nil), x.quarantinedFailure()); failure != nil {
 		return nil, failure
 	}
 	if x.runs == 0 {
@@ -367,7 +370,7 @@
 		defer endWait()
 	}
 	if failure := x.awaitTrial(ctx); failure != nil {
-		return nil, cmp.Or(x.drainingFailure(), failure)
+		return nil, cmp.Or(x.drainingFailure(nil), failure)
 	}
 	if a := x.nextAttempt; a != nil {
 		x.nextAttempt = nil
@@ -382,7 +385,7 @@
 	}
 	if !ok {
 		x.endTrial(nil, false, false)
-		return nil, cmp.Or(x.drainingFailure(), x.noServerFailure())
+		return nil, cmp.Or(x.drainingFailure(nil), x.noServerFailure())
 	}
 	x.forwarder.markServiceUp(x.service)
 	return a, nil
--- a/internal/entry/stop_log.go
+++ b/internal/entry/stop_log.go
@@ -31,12 +31,6 @@
 	stopFailed   = "failed"   // for other reasons than the stop
 )
 
-// What the expected duration of a request is based on.
-const (
-	basisRouteHistory = "route_history"
-	basisUnknown      = "unknown"
-)
-
 type (
 	// stopLog logs and counts what a planned stop of the entry does to requests.
 	stopLog struct {
@@ -63,7 +57,7 @@
 	// 0 if that is unknown, and what that is based on.
 	expectation struct {
 		longest time.Duration
-		basis   string
+		basis   drain.Basis
 	}
 )
 
@@ -188,7 +182,7 @@
 	if outcome == stopFailed {
 		return false
 	}
-	s.logRequest(outcome, t, req.ID, "route", routeName, "path", req.Path, "expected", time.Duration(0), "basis", basisUnknown, "begun", false,
+	s.logRequest(outcome, t, req.ID, "route", routeName, "path", req.Path, "expected", time.Duration(0), "basis", drain.Unknown, "begun", false,
 		"age", now.Sub(req.Arrived), "code", f.Code, "why", f.Detail)
 	return true
 }
@@ -199,17 +193,16 @@
 }
 
 // expect records what the decision to pass the request on was based on.
-func (x *activeRequest) expect(longest time.Duration, basis string) {
+func (x *activeRequest) expect(longest time.Duration, basis drain.Basis) {
 	x.expectation = expectation{longest, basis}
 }
 
-// expectFromHistory is expect with what requests of the route took.
-func (x *activeRequest) expectFromHistory(longest time.Duration) {
-	if longest == 0 {
-		x.expect(0, basisUnknown)
-		return
+// basisOf returns the basis of a duration that was taken from the route's history.
+func basisOf(history time.Duration) drain.Basis {
+	if history == 0 {
+		return drain.Unknown
 	}
-	x.expect(longest, basisRouteHistory)
+	return drain.History
 }
 
 // logStop logs the request if the stop of the entry refused it, gave it up or cut it, and counts
--- a/internal/entry/stop_log_test.go
+++ b/internal/entry/stop_log_test.go
@@ -98,7 +98,7 @@
 	s.entry.LogExit()
 
 	s.expect("Request is cut by the stop.", "id", "stream", map[string]string{
-		"level": "warn", "entry": "entry-1", "route": "streaming", "phase": "ending", "begun": "true", "srv": "a", "events": "1", "basis": "route_history", "send": "1", "run": "1",
+		"level": "warn", "entry": "entry-1", "route": "streaming", "phase": "ending", "begun": "true", "srv": "a", "events": "1", "basis": "history", "send": "1", "run": "1",
 	})
 	s.expect("Request is cut by the stop.", "id", "silent", map[string]string{
 		"level": "warn", "route": "safe", "phase": "ending", "begun": "false", "srv": "a", "events": "0", "basis": "unknown", "expected": "0s",
@@ -154,7 +154,7 @@
 		t.Errorf("%v", err)
 	}
 	s.entry.LogExit()
-	s.expect("Request is given up by the stop.", "id", "lost", map[string]string{"phase": "closed", "begun": "false", "basis": "route_history", "srv": "a", "run": "1"})
+	s.expect("Request is given up by the stop.", "id", "lost", map[string]string{"phase": "closed", "begun": "false", "basis": "history", "srv": "a", "run": "1"})
 	s.expect("Entry exits.", "id", "entry-1", map[string]string{"given_up": "1", "cut": "0", "failed": "0"})
 }
 
