cmd: a part that fails makes its process stop in order

An error of any part of an entry (readiness, metrics, detours) ended the context of all others at once: callers were refused connections while the controls still listed the entry, kept connections were closed without notice, detours were cut and the entry no longer followed a control, while the process waited without a limit for what ran. In a control, a part that failed ended the listeners alone: node.Run waits for the signal, so that the process stayed without serving anyone (by reading).

An errgroup's context ends with its first error. runParts ends the context that begins the stop instead, as SIGTERM does, and that of the other parts only when the main part has returned; the process still ends with the error. Entries and controls, on the platform and with the product's own protocol, run by it.

--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -11,7 +11,6 @@
 	"github.com/go-kit/log"
 	"github.com/juju/clock"
 	"github.com/urfave/cli/v3"
-	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/lease"
 	"rosereach/internal/control"
@@ -66,24 +65,15 @@
 	}
 	fmt.Println(l.Addr())
 	cfg.Logger.Log("msg", "Control serves.", "id", cfg.ID, "address", cfg.Address)
-	return serveControl(ctx, cfg.Logger, node, func(ctx context.Context) error {
+	return serveControl(ctx, cfg.Logger, node, part{"members", func(ctx context.Context) error {
 		return httpd.ServeGuarded(ctx, files.WrapListener(l, cfg.Clock), node.Handler(), guard)
-	})
+	}})
 }
 
-// serveControl runs the control until the context ends. The listener stays open
-// until node.Run has returned, because a leader that stops transfers the
-// leadership first.
-func serveControl(ctx context.Context, logger log.Logger, node *control.Node, serve func(context.Context) error) error {
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	g, serving := errgroup.WithContext(serving)
-	g.Go(func() error { return serve(serving) })
-	g.Go(func() error {
-		defer stop()
-		return node.Run(ctx)
-	})
-	err := g.Wait()
+// serveControl runs the control until the context ends. The parts that serve it stay until node.Run
+// has returned, because a leader that stops transfers the leadership first.
+func serveControl(ctx context.Context, logger log.Logger, node *control.Node, parts ...part) error {
+	err := runParts(ctx, logger, func(stopping, _ context.Context) error { return node.Run(stopping) }, parts...)
 	logger.Log("msg", "Control stops.", "planned", ctx.Err() != nil, "err", err) //nolint:errcheck // nobody is left to tell
 	return err
 }
--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -9,7 +9,6 @@
 
 	"github.com/juju/clock"
 	"github.com/urfave/cli/v3"
-	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/lease"
 	"rosereach/internal/entry"
@@ -71,34 +70,21 @@
 	if metricsListener != nil {
 		cfg.Logger.Log("msg", "Metrics are shown.", "address", metricsListener.Addr())
 	}
-	return serveEntry(ctx, cfg, func(ctx context.Context, e *entry.Entry) error {
-		g, ctx := errgroup.WithContext(ctx)
-		g.Go(func() error { return serveMetrics(ctx, metricsListener, e.Metrics(), guard) })
-		g.Go(func() error { return httpd.ServeGuarded(ctx, files.WrapListener(l, cfg.Clock), e.Handler(), guard) })
-		return g.Wait()
-	})
+	e := entry.New(cfg)
+	return runParts(ctx, cfg.Logger, func(stopping, running context.Context) error { return drainEntry(stopping, running, cfg, e) },
+		part{"entry", e.Run},
+		part{"metrics", func(ctx context.Context) error { return serveMetrics(ctx, metricsListener, e.Metrics(), guard) }},
+		part{"callers", func(ctx context.Context) error {
+			return httpd.ServeGuarded(ctx, files.WrapListener(l, cfg.Clock), e.Handler(), guard)
+		}})
 }
 
-// serveEntry runs the entry until the context ends and then drains it. Its
-// listener and its connection to the controls stay open until it is drained.
-func serveEntry(ctx context.Context, cfg entry.Config, serve func(context.Context, *entry.Entry) error) error {
-	e := entry.New(cfg)
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	g, serving := errgroup.WithContext(serving)
-	g.Go(func() error { return e.Run(serving) })
-	g.Go(func() error { return serve(serving, e) })
-	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-serving.Done():
-			return nil
-		}
-		defer stop()
-		cfg.Logger.Log("msg", "Entry drains.", "id", cfg.ID)
-		draining, cancel := context.WithTimeout(serving, drainTimeout)
-		defer cancel()
-		return e.Drain(draining)
-	})
-	return g.Wait()
+// drainEntry drains the entry when stopping ends. Its listener and its connection to the controls
+// stay open until it is drained.
+func drainEntry(stopping, running context.Context, cfg entry.Config, e *entry.Entry) error {
+	<-stopping.Done()
+	cfg.Logger.Log("msg", "Entry drains.", "id", cfg.ID) //nolint:errcheck // nobody is left to tell
+	draining, cancel := context.WithTimeout(running, drainTimeout)
+	defer cancel()
+	return e.Drain(draining)
 }
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -5,7 +5,6 @@
 
 	"github.com/juju/clock"
 	"github.com/urfave/cli/v3"
-	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/lease"
 	"rosereach/core/rollout"
@@ -46,21 +45,18 @@
 		return err
 	}
 	p.logger.Log("msg", "Control serves.", "id", now.Name, "address", now.MemberAddress(), "first_start", now.Bootstrap)
-	return serveControl(ctx, p.logger, node, func(ctx context.Context) error {
-		g, ctx := errgroup.WithContext(ctx)
-		g.Go(func() error { return p.watchSettings(ctx) })
-		g.Go(func() error { return p.serveMetrics(ctx, node.TextMetrics()) })
-		g.Go(func() error {
-			return p.serve(ctx, listeners[0], node.Handler())
-		})
-		g.Go(func() error {
+	parts := []part{
+		{"settings", p.watchSettings},
+		{"metrics", func(ctx context.Context) error { return p.serveMetrics(ctx, node.TextMetrics()) }},
+		{"members", func(ctx context.Context) error { return p.serve(ctx, listeners[0], node.Handler()) }},
+		{"control", func(ctx context.Context) error {
 			return p.serve(ctx, listeners[1], platform.ControlHandler(node, p.regions))
-		})
-		if len(listeners) > 2 {
-			g.Go(func() error {
-				return p.serve(ctx, listeners[2], platform.DirectoryHandler(node, addressTTL))
-			})
-		}
-		return g.Wait()
-	})
+		}},
+	}
+	if len(listeners) > 2 {
+		parts = append(parts, part{"directory", func(ctx context.Context) error {
+			return p.serve(ctx, listeners[2], platform.DirectoryHandler(node, addressTTL))
+		}})
+	}
+	return serveControl(ctx, p.logger, node, parts...)
 }
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
-	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/lease"
 	"rosereach/core/retry"
@@ -93,39 +92,39 @@
 	}
 }
 
-// run serves until the context ends and then drains: the entry is first removed
-// from the address lists, then it accepts no new connections, and it stops when
-// the running requests are finished.
+// run serves until the context ends or a part fails, and then drains: the entry is first removed
+// from the address lists, then it accepts no new connections, and it stops when the running requests
+// are finished.
 func (p *platformEntry) run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	accepting, stopAccepting := context.WithCancel(running)
-	defer stopAccepting()
-	g, running := errgroup.WithContext(running)
-	g.Go(func() error { return p.process.watchSettings(running) })
-	g.Go(func() error { return p.entry.Run(running) })
-	g.Go(func() error {
-		return p.process.serve(running, p.readinessListener, platform.ReadinessHandler(p.entry.IsOpen))
-	})
+	parts := []part{
+		{"settings", p.process.watchSettings},
+		{"entry", p.entry.Run},
+		{"readiness", func(ctx context.Context) error {
+			return p.process.serve(ctx, p.readinessListener, platform.ReadinessHandler(p.entry.IsOpen))
+		}},
+		{"metrics", func(ctx context.Context) error { return p.process.serveMetrics(ctx, p.entry.ForwardMetrics()) }},
+	}
 	for _, l := range p.relayListeners {
-		g.Go(func() error { return p.entry.ServeDetours(running, p.process.guard.Listener(l)) })
+		parts = append(parts, part{"detours", func(ctx context.Context) error {
+			return p.entry.ServeDetours(ctx, p.process.guard.Listener(l))
+		}})
 	}
-	g.Go(func() error { return p.process.serveMetrics(running, p.entry.ForwardMetrics()) })
-	g.Go(func() error {
-		defer stop()
-		return serveUntil(accepting, p.callerListener, p.callerServer())
-	})
-	g.Go(func() error {
+	return runParts(ctx, p.process.logger, p.serveCallers, parts...)
+}
+
+// serveCallers serves callers until stopping ends, and then drains.
+func (p *platformEntry) serveCallers(stopping, running context.Context) error {
+	accepting, stopAccepting := context.WithCancel(running)
+	defer stopAccepting()
+	go func() {
+		defer stopAccepting()
 		select {
-		case <-ctx.Done():
+		case <-stopping.Done():
+			p.drain(running)
 		case <-running.Done():
-			return nil
 		}
-		p.drain(running)
-		stopAccepting()
-		return nil
-	})
-	return g.Wait()
+	}()
+	return serveUntil(accepting, p.callerListener, p.callerServer())
 }
 
 // callerServer returns the server for callers. The limits are those of the routing plan in force.
