Lines about requests that a stop cuts have a reserve, and time to be written

The lines came all at once, so that the token bucket, with 20% kept from failures, and the queue of 1,024 dropped some; the rest was written one call a line, and the process waited 100 ms for that.

Lines about refusals stay in the bucket, as callers send as many as they like.

--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-kit/log"
@@ -25,10 +24,6 @@
 )
 
 const (
-	// logFlushTimeout bounds how long a process waits at its end until its last log lines
-	// are written.
-	logFlushTimeout = 100 * time.Millisecond
-
 	// defaultMemoryMB is the memory of an instance that nothing else is known of.
 	defaultMemoryMB = "512"
 
@@ -168,7 +163,7 @@
 	bounded := logs.New(ctx, os.Stdout, clock.WallClock, budget)
 	return withLevel(s, part, bounded), func() {
 		cancel()
-		bounded.Wait(logFlushTimeout)
+		bounded.Wait(logs.FlushTimeout)
 	}
 }
 
--- a/internal/entry/stop_log.go
+++ b/internal/entry/stop_log.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/forward"
+	"rosereach/internal/logs"
 )
 
 // Phases of a planned stop, as logs and metrics name them.
@@ -70,11 +71,14 @@
 	// stopPhases are the phases in their order.
 	stopPhases = []string{phaseDelisting, phaseClosed, phaseEnding, phaseExit}
 
-	phaseMessages = map[string]string{
+	phaseMessages = map[string]logs.Reserved{
 		phaseDelisting: "Entry drains.", phaseClosed: "Entry takes no more requests.", phaseEnding: "Entry ends what still runs.", phaseExit: "Entry exits.",
 	}
-	outcomeMessages = map[string]string{
-		stopRefused: "Request is refused by the stop.", stopGivenUp: "Request is given up by the stop.", stopCut: "Request is cut by the stop.",
+	// Callers send as many requests to be refused as they like: these lines have no reserve.
+	outcomeMessages = map[string]any{
+		stopRefused: "Request is refused by the stop.",
+		stopGivenUp: logs.Reserved("Request is given up by the stop."),
+		stopCut:     logs.Reserved("Request is cut by the stop."),
 	}
 )
 
--- a/internal/entry/stop_log_test.go
+++ b/internal/entry/stop_log_test.go
@@ -89,7 +89,7 @@
 	if err := <-s.forward(t.Context(), route.Safe, "late"); codeOf(err) != forward.Draining {
 		t.Errorf("after the close: %v", err)
 	}
-	waitFor(t, "the exit time", func() bool { return s.line(phaseMessages[phaseEnding], "phase", phaseEnding) != nil })
+	waitFor(t, "the exit time", func() bool { return s.line("Entry ends what still runs.", "phase", phaseEnding) != nil })
 	leave() // as the end of the connections does
 	<-streaming
 	<-silent
@@ -119,7 +119,7 @@
 	s.expect("Entry drains.", "id", "entry-1", map[string]string{"phase": "delisting", "running": "2", "begun": "1", "relayed": "0"})
 	s.expect("Entry takes no more requests.", "id", "entry-1", map[string]string{"phase": "closed", "running": "2", "begun": "1"})
 	s.expect("Entry exits.", "id", "entry-1", map[string]string{"running": "0", "begun": "0", "refused": "1", "finished": "0", "given_up": "0", "cut": "3", "failed": "0"})
-	if n := strings.Count(s.lines.String(), phaseMessages[phaseEnding]); n != 1 {
+	if n := strings.Count(s.lines.String(), "Entry ends what still runs."); n != 1 {
 		t.Errorf("%d lines about the end phase", n)
 	}
 	metrics := httptest.NewRecorder()
