rosereach explain says what a planned stop did to a request

The lines about a request that a stop refused, gave up or cut name the stop (stop=refused, given_up, cut). explain shows the phases of that stop beside them, also those that began more than 10 s before the request, and ends with a sentence: the entry, the phase, the times since the signal and until the exit, how long the request was expected to take and what that was based on, and when it was last sent.

TestTimelineHoldsThePlannedStop.

--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -12,12 +12,20 @@
 	"rosereach/internal/explain"
 )
 
+const explainNotes = `## Planned stops
+
+Where the planned stop of an entry refused the request, gave it up or cut it, a sentence after the
+lines says so: the entry, the phase of the stop (` + "`delisting`, `closed`, `ending`, `exit`" + `), the
+times since the signal and until the exit, and how long the request was expected to take and what
+that was based on. docs/OPERATIONS.md has the fields.
+`
+
 // cmdExplain returns the command that reconstructs the course of a request from
 // logs.
 func cmdExplain() *command {
 	return &command{
 		name: "explain", short: "reconstruct the course of a request from the logs of several processes",
-		args: "ID FILE...", action: runExplain,
+		args: "ID FILE...", action: runExplain, notes: explainNotes,
 	}
 }
 
@@ -39,6 +47,9 @@
 	for _, line := range lines {
 		fmt.Println(line)
 	}
+	for _, sentence := range explain.Stops(lines) {
+		fmt.Println(sentence)
+	}
 	return nil
 }
 
--- a/internal/entry/stop_log.go
+++ b/internal/entry/stop_log.go
@@ -198,7 +198,7 @@
 }
 
 func (s *stopLog) logRequest(outcome string, t stopTimes, id string, keyvals ...any) {
-	head := []any{"msg", outcomeMessages[outcome], "id", id, "entry", s.entry.cfg.ID, "phase", t.phase, "since", t.since, "exit_in", t.left}
+	head := []any{"msg", outcomeMessages[outcome], "id", id, "entry", s.entry.cfg.ID, "stop", outcome, "phase", t.phase, "since", t.since, "exit_in", t.left}
 	level.Warn(s.entry.cfg.Logger).Log(append(head, keyvals...)...)
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -40,6 +40,13 @@
 	fieldPrompt   = "prompt"
 	fieldDigest   = "digest"
 
+	// fieldStop is in lines about requests that a planned stop refuses, gives up or cuts, and
+	// fieldPhase in these and in those about the stop itself.
+	fieldStop  = "stop"
+	fieldPhase = "phase"
+	fieldSince = "since"
+	fieldEntry = "entry"
+
 	// fieldUnfinished is in lines about requests that a process sheds.
 	fieldUnfinished = "unfinished"
 
@@ -94,8 +101,9 @@
 // Timeline returns, in order of time, the lines about the request, the changes of the
 // backend servers that it was sent to or kept from, and, from the processes that handled
 // it, the lines about the documents' revisions that it was handled with, about requests
-// that were shed, and about the words of those servers that still held, however old. Lines that list it or a part
-// of its prompt are included from all processes. It returns nil when no line is
+// that were shed, about the phases of a planned stop that touched it, and about the words of those
+// servers that still held, however old. Lines that list it or a part of its prompt are included from
+// all processes. It returns nil when no line is
 // about the request.
 func (l *Log) Timeline(id string) []Line {
 	var timeline []Line
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -158,3 +158,38 @@
 		t.Errorf("%v", timeline)
 	}
 }
+
+// A request that a planned stop cut is shown with the phases of that stop at its entry, and of
+// no earlier one.
+func TestTimelineHoldsThePlannedStop(t *testing.T) {
+	const text = `level=info part=entry ts=2026-01-01T09:00:00Z msg="Entry drains." id=entry-1 phase=delisting since=300ns exit_in=7.3s running=1
+level=info part=entry ts=2026-01-01T10:00:00Z msg="Entry drains." id=entry-1 phase=delisting since=300ns exit_in=60s running=1
+level=debug part=entry ts=2026-01-01T10:00:50Z msg="Attempt is placed." id=a1 srv=i-1
+level=info part=entry ts=2026-01-01T10:01:00Z msg="Entry ends what still runs." id=entry-1 phase=ending since=60s exit_in=0s running=2
+level=warn part=entry ts=2026-01-01T10:01:00.001Z msg="Request is cut by the stop." id=b2 entry=entry-1 stop=cut phase=ending since=60.001s exit_in=-1ms begun=true
+level=warn part=entry ts=2026-01-01T10:01:00.002Z msg="Request is cut by the stop." id=a1 entry=entry-1 stop=cut phase=ending since=60.002s exit_in=-2ms expected=4s basis=route_history sent_since=50s begun=true srv=i-1 events=3
+`
+	var l explain.Log
+	if err := l.Read("entry.log", strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Read("other.log", strings.NewReader(strings.SplitAfter(text, "\n")[1])); err != nil {
+		t.Fatal(err)
+	}
+	timeline := l.Timeline("a1")
+	var got []string
+	for _, line := range timeline {
+		got = append(got, line.Source+" "+line.Get("msg")+" "+line.Get("id"))
+	}
+	want := []string{
+		"entry.log Entry drains. entry-1", "entry.log Attempt is placed. a1", "entry.log Entry ends what still runs. entry-1", "entry.log Request is cut by the stop. a1",
+	}
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("the timeline is\n%s", strings.Join(got, "\n"))
+	}
+	const sentence = "The planned stop of entry entry-1: request cut in phase ending, 60.002s after the signal, 2ms past the exit time. " +
+		"It was expected to take up to 4s (route_history). It was last sent 50s after the signal, to i-1; its answer had begun, with 3 events passed on."
+	if s := explain.Stops(timeline); len(s) != 1 || s[0] != sentence {
+		t.Errorf("%q", s)
+	}
+}
--- a/internal/explain/traces.go
+++ b/internal/explain/traces.go
@@ -10,10 +10,11 @@
 type traces struct {
 	servers, plans, sources, parts map[string]bool
 	first, last                    time.Time
+	signals                        map[string]time.Time // of planned stops, by source
 }
 
 func newTraces() *traces {
-	return &traces{servers: make(map[string]bool), plans: make(map[string]bool), sources: make(map[string]bool), parts: make(map[string]bool)}
+	return &traces{servers: make(map[string]bool), plans: make(map[string]bool), sources: make(map[string]bool), parts: make(map[string]bool), signals: make(map[string]time.Time)}
 }
 
 // add adds what a line about the request names.
@@ -21,6 +22,9 @@
 	t.sources[line.Source] = true
 	t.servers[line.Get(fieldServer)] = true
 	t.plans[line.Get(fieldPlan)] = true
+	if at, ok := line.signaledAt(); ok {
+		t.signals[line.Source] = at
+	}
 	for _, part := range append(strings.Split(line.Get(fieldPrompt), ","), line.Get(fieldDigest)) {
 		t.parts[part] = part != ""
 	}
@@ -43,5 +47,13 @@
 	aboutPlan := t.sources[line.Source] && line.Get(fieldRevision) != "" && t.plans[line.Get(fieldRevision)]
 	aboutPart := line.Get(fieldID) == "" && (t.parts[line.Get(fieldPrompt)] || t.parts[line.Get(fieldDigest)])
 	aboutLoad := recent && t.sources[line.Source] && line.Get(fieldUnfinished) != ""
-	return aboutServer || aboutWord || aboutPlan || aboutPart || aboutLoad
+	aboutStop := t.sources[line.Source] && line.isPhase() && (recent || t.isSameStop(line))
+	return aboutStop || aboutServer || aboutWord || aboutPlan || aboutPart || aboutLoad
+}
+
+// isSameStop reports whether a line is about a planned stop that touched the request.
+func (t *traces) isSameStop(line Line) bool {
+	at, ok := line.signaledAt()
+	signal, touched := t.signals[line.Source]
+	return ok && touched && at.Sub(signal).Abs() < stopSlack
 }
