--- a/internal/entry/stop_log.go
+++ b/internal/entry/stop_log.go
@@ -12,6 +12,7 @@
 
 	"rosereach/core/drain"
 	"rosereach/core/forward"
+	"rosereach/internal/logs"
 )
 
 // Phases of a planned stop, as logs and metrics name them.
@@ -65,11 +66,14 @@
 	// stopPhases are the phases in their order.
 	stopPhases = []string{phaseDelisting, phaseClosed, phaseEnding, phaseExit}
 
-	phaseMessages = map[string]string{
+	phaseMessages = map[string]logs.Reserved{
 		phaseDelisting: "Entry drains.", phaseClosed: "Entry takes no more requests.", phaseEnding: "Entry ends what still runs.", phaseExit: "Entry exits.",
 	}
-	outcomeMessages = map[string]string{
-		stopRefused: "Request is refused by the stop.", stopGivenUp: "Request is given up by the stop.", stopCut: "Request is cut by the stop.",
+	// Callers send as many requests to be refused as they like: these lines have no reserve.
+	outcomeMessages = map[string]any{
+		stopRefused: "Request is refused by the stop.",
+		stopGivenUp: logs.Reserved("Request is given up by the stop."),
+		stopCut:     logs.Reserved("Request is cut by the stop."),
 	}
 )
 
@@ -188,7 +192,7 @@
 }
 
 func (s *stopLog) logRequest(outcome string, t stopTimes, id string, keyvals ...any) {
-	head := []any{"msg", outcomeMessages[outcome], "id", id, "entry", s.entry.cfg.ID, "phase", t.phase, "since", t.since, "exit_in", t.left}
+	head := []any{"msg", outcomeMessages[outcome], "id", id, "entry", s.entry.cfg.ID, "stop", outcome, "phase", t.phase, "since", t.since, "exit_in", t.left}
 	level.Warn(s.entry.cfg.Logger).Log(append(head, keyvals...)...)
 }
 
