Requests without an answer get a true one before the exit

Cause: nothing ended them; the process closed its connections, and each request that noticed in time wrote its failure into what was left of them.

Change: when the schedule's ending phase begins, a request whose caller has nothing of an answer ends with a cause of its own: 503 if no server can have run it, else 502, or 504 at its deadline. It says nothing against the server, and is not taken for a caller that left. The first event of a stream and this end exclude each other. Answers that have begun go on to the exit and are cut then, by their requests, so that each writes its line. Answers that are read whole are delivered.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -89,6 +89,7 @@
 		pauses      int             // waits for a retry or a server
 		runs        int             // attempts that ran or may have run
 		headSent    bool            // the header of a stream was forwarded
+		answerGate  *gate           // passed by the header of a stream, shut by the exit
 		sentStatus  int             // status in that header
 		lastEventID uint64          // ID of the last event forwarded
 		events      int             // events forwarded
@@ -250,6 +251,8 @@
 		return x.writeBody(x.fallback.body)
 	case refused != nil && refused.IsNotRun() && x.runs == 0:
 		return refused
+	case errors.Is(context.Cause(ctx), errExiting):
+		return x.exitFailure(lastOutcome)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &forward.Failure{Code: forward.CallerGone, Detail: "the caller left"}
 	}
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -149,6 +149,9 @@
 // first.
 func (x *activeRequest) forwardEvent(answer *upstream.Answer, raw []byte) error {
 	if !x.headSent {
+		if !x.answerGate.pass() {
+			return errors.Trace(errExiting)
+		}
 		x.headSent, x.sentStatus = true, answer.Status
 		mark := framing.ByChunks
 		if answer.Framing == framing.ByClose && !x.canAskForRest() {
@@ -172,11 +175,11 @@
 			x.forwarder.tallyPace(a, x, gap)
 		}
 	}
-	callerLeft := errors.Is(err, errCallerWrite)
-	if !callerLeft && ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
+	ownEnd := errors.Is(err, errCallerWrite) || errors.Is(err, errExiting)
+	if !ownEnd && ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
 		x.forwarder.recordFailure(a, x, dead)
 	}
-	if !callerLeft && ctx.Err() == nil {
+	if !ownEnd && ctx.Err() == nil {
 		x.recordEnd(ctx, a)
 	}
 	return forward.Incomplete, err
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -212,8 +212,10 @@
 	if failure != nil {
 		return e.reject(req, route.Route{}, failure)
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := x.untilExit(ctx)
 	defer cancel()
+	ctx, endTime := context.WithDeadline(ctx, x.deadline)
+	defer endTime()
 	if failure := cmp.Or(x.drainingFailure(nil), x.quarantinedFailure()); failure != nil {
 		return e.reject(req, x.route, failure)
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -6,28 +6,67 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"rosereach/core/drain"
 	"rosereach/core/forward"
 	"rosereach/core/route"
 )
 
-// withheldDraining is why an attempt is not sent as the entry stops.
-const withheldDraining = "draining"
+const (
+	// withheldDraining is why an attempt is not sent as the entry stops.
+	withheldDraining = "draining"
 
-// stopping is how far the planned stop of an entry has come.
-type stopping struct {
-	schedule atomic.Pointer[drain.Schedule] // nil before the stop
+	// errExiting is why the entry ends a request when its planned stop has to end.
+	errExiting = errors.ConstError("the entry exits")
+)
 
-	// closing ends the waits of requests that have not run when the entry closes. It may end
-	// late; what has to be in time asks the schedule.
-	closing context.Context //nolint:containedctx // it is the state of the entry, not of a call
-	close   context.CancelFunc
-}
+// The states of a gate.
+const (
+	gateOpen int32 = iota
+	gatePassed
+	gateShut
+)
+
+type (
+	// stopping is how far the planned stop of an entry has come.
+	stopping struct {
+		schedule atomic.Pointer[drain.Schedule] // nil before the stop
+
+		// These contexts end with the phase before the one that they name. They may end late;
+		// what has to be in time asks the schedule.
+		closing stopSignal // ends the waits of requests that have not run
+		ending  stopSignal // ends requests without an answer
+		exiting stopSignal // cuts answers that have begun
+	}
+
+	// stopSignal is a context that a phase of the stop ends.
+	stopSignal struct {
+		context.Context
+		end context.CancelFunc
+	}
+
+	// gate is passed or shut, whichever comes first.
+	gate struct{ state atomic.Int32 }
+)
 
 func newStopping() *stopping {
-	s := &stopping{}
-	s.closing, s.close = context.WithCancel(context.Background())
-	return s
+	return &stopping{closing: newStopSignal(), ending: newStopSignal(), exiting: newStopSignal()}
+}
+
+func newStopSignal() stopSignal {
+	ctx, cancel := context.WithCancel(context.Background())
+	return stopSignal{Context: ctx, end: cancel}
+}
+
+// pass reports whether the gate is passed, now or before.
+func (g *gate) pass() bool {
+	return g.state.CompareAndSwap(gateOpen, gatePassed) || g.state.Load() == gatePassed
+}
+
+// shut reports whether the gate is shut, now or before.
+func (g *gate) shut() bool {
+	return g.state.CompareAndSwap(gateOpen, gateShut) || g.state.Load() == gateShut
 }
 
 // begin begins the stop and returns its schedule: that of the first call.
@@ -51,18 +90,23 @@
 
 // StopListing removes the entry from the address list and waits until the schedule closes it.
 // From then on it refuses new requests, and those that wait without having run. Requests that
-// can't end before the exit are refused while they have not run.
+// can't end before the exit are refused while they have not run. What still runs goes on to the
+// schedule's end: then requests without an answer get a failure, and at the exit answers that
+// have begun are cut.
 func (e *Entry) StopListing(ctx context.Context, schedule drain.Schedule) {
 	schedule = e.stopping.begin(schedule)
+	now := e.cfg.Clock.Now()
+	e.cfg.Clock.AfterFunc(schedule.Ends().Sub(now), e.stopping.ending.end)
+	e.cfg.Clock.AfterFunc(schedule.Exits().Sub(now), e.stopping.exiting.end)
 	// A control that does not read holds the announcement up, and must not delay the rest.
-	closes := e.cfg.Clock.After(schedule.Closes().Sub(e.cfg.Clock.Now()))
+	closes := e.cfg.Clock.After(schedule.Closes().Sub(now))
 	e.draining.Store(true)
 	go e.forwarder.watcher.announcePresence(ctx)
 	select {
 	case <-closes:
 	case <-ctx.Done():
 	}
-	e.stopping.close()
+	e.stopping.closing.end()
 }
 
 // untilClosed returns a context for the waits of a request that has not run. It ends with
@@ -73,6 +117,31 @@
 	return ctx, func() { stop(); cancel() }
 }
 
+// untilExit returns a context for the request. It ends with the given one, and in a planned stop:
+// before the exit while the caller has nothing of an answer, and at the exit in any case.
+func (x *activeRequest) untilExit(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := x.forwarder.entry.stopping
+	x.answerGate = &gate{}
+	stopEnd := context.AfterFunc(s.ending, func() {
+		if x.answerGate.shut() {
+			cancel(errExiting)
+		}
+	})
+	stopExit := context.AfterFunc(s.exiting, func() { cancel(errExiting) })
+	return ctx, func() { stopEnd(); stopExit(); cancel(nil) }
+}
+
+// exitFailure returns the failure of a request that the exit ends without an answer. It says that
+// the request did not run only if no server can have run it.
+func (x *activeRequest) exitFailure(last forward.Outcome) *forward.Failure {
+	failure := forward.FailureFor(last, x.runs, !x.now().Before(x.deadline))
+	if failure.IsNotRun() {
+		return x.forwarder.entry.newDrainingFailure(x.deadline)
+	}
+	return failure
+}
+
 // drainingFailure returns the failure of a request that must not be passed on any more as the
 // entry stops, nil if it may be. The attempt is nil while no server is chosen.
 func (x *activeRequest) drainingFailure(a *attempt) *forward.Failure {
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/juju/clock"
 	"github.com/juju/clock/testclock"
+	"github.com/juju/errors"
 
 	"rosereach/core/drain"
 	"rosereach/core/forward"
@@ -481,3 +483,107 @@
 		}
 	}
 }
+
+// stopByClock begins a stop of 4 s by the clock, and waits until its timers are set.
+func (s *stoppingEntry) stopByClock(c *testclock.Clock) drain.Schedule {
+	schedule := drain.Settings{Grace: 4 * time.Second, ListLife: time.Millisecond}.Begin(c.Now())
+	listed := make(chan struct{})
+	ctx, cancel := context.WithCancel(s.t.Context())
+	go func() {
+		defer close(listed)
+		s.entry.StopListing(ctx, schedule)
+	}()
+	s.t.Cleanup(func() { cancel(); <-listed })
+	waitFor(s.t, "the stop", s.entry.IsDraining)
+	return schedule
+}
+
+// In the same state, at a server and without an answer, some requests got 502 at the exit and
+// others were cut. Each gets an answer before the exit: 503 only if it has not run.
+func TestRequestsWithoutAnAnswerGetOneBeforeTheExit(t *testing.T) {
+	for _, kind := range stopKinds {
+		for state, want := range map[string]forward.Code{"at a server": forward.AnswerLost, "connecting": forward.Draining} {
+			s := newStoppingEntry(t)
+			c := testclock.NewClock(time.Now())
+			s.entry.cfg.Clock = c
+			s.withAttempts(1)
+			reached := make(chan struct{}, 1)
+			s.counting("a", func(_ http.ResponseWriter, r *http.Request) {
+				reached <- struct{}{}
+				<-r.Context().Done()
+			})
+			if state == "connecting" {
+				s.entry.forwarder.client.DialContext = func(ctx context.Context, _ string, _ func(string) bool) (net.Conn, error) {
+					reached <- struct{}{}
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+			}
+			ended := s.start(kind)
+			<-reached
+			schedule := s.stopByClock(c)
+			c.Advance(schedule.Ends().Sub(c.Now()))
+			select {
+			case err := <-ended:
+				if codeOf(err) != want {
+					t.Errorf("%s, %s: %v, want %s", kind, state, err, want)
+				}
+			case <-time.After(2 * time.Second):
+				t.Errorf("%s, %s: no answer before the exit", kind, state)
+			}
+		}
+	}
+}
+
+// An answer that has begun goes on until the exit, and is cut there.
+func TestBegunAnswerIsCutAtTheExitOnly(t *testing.T) {
+	s := newStoppingEntry(t)
+	c := testclock.NewClock(time.Now())
+	s.entry.cfg.Clock = c
+	s.withAttempts(1)
+	goOn := make(chan struct{})
+	s.counting("a", func(w http.ResponseWriter, r *http.Request) {
+		event(w, 1)
+		http.NewResponseController(w).Flush()
+		<-goOn
+		event(w, 2)
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	got, ended := s.startStream(c)
+	waitFor(t, "the first event", func() bool { return got.text() != "" })
+	schedule := s.stopByClock(c)
+	c.Advance(schedule.Ends().Sub(c.Now()))
+	waitFor(t, "the end of requests without an answer", func() bool { return s.entry.stopping.ending.Err() != nil })
+	close(goOn)
+	waitFor(t, "the second event", func() bool { return got.text() == "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n" })
+	select {
+	case err := <-ended:
+		t.Fatalf("ends before the exit: %v", err)
+	default:
+	}
+	c.Advance(schedule.Exits().Sub(c.Now()))
+	select {
+	case err := <-ended:
+		if !errors.Is(err, errIncomplete) {
+			t.Errorf("%v, want a cut answer", err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("not cut at the exit")
+	}
+}
+
+// The first event of a stream and the end of requests without an answer exclude each other.
+func TestGateIsPassedOrShut(t *testing.T) {
+	for range 1000 {
+		var g gate
+		var passed, shut bool
+		var both sync.WaitGroup
+		both.Go(func() { passed = g.pass() })
+		both.Go(func() { shut = g.shut() })
+		both.Wait()
+		if passed == shut || g.pass() != passed || g.shut() != shut {
+			t.Fatalf("passed %v, shut %v", passed, shut)
+		}
+	}
+}
