entry: a stopping entry awaits the detours through it

Entries that are cut off from their servers lost the streams and requests that passed through an entry in a planned stop: it ended as soon as its own callers had gone, some 3 s after SIGTERM, and reset the connections that it passed on for others though grace time was left. It also took new ones until then, and kept connections took further requests.

The process ended with the callers' server. It now waits until no connection is passed on for others, until running requests have to be finished at the latest. Once it takes no more requests it answers Busy to new ones, so that the other entry asks the next relay, with nothing sent. A connection through an entry that is not listed as a relay any more is not used again.

An open but idle connection counts as well: what passes is not read, and a silent server looks the same. Such a stop lasts as long as its grace time.

--- a/core/reach/relay.go
+++ b/core/reach/relay.go
@@ -60,6 +60,11 @@
 // Len returns the number of known relays.
 func (r *Relays) Len() int { return len(r.known) }
 
+// Knows reports whether a relay is known.
+func (r *Relays) Knows(id string) bool {
+	return slices.ContainsFunc(r.known, func(relay Relay) bool { return relay.ID == id })
+}
+
 // Fail records that a relay could not be used.
 func (r *Relays) Fail(now time.Time, id string) {
 	if r.failed == nil {
--- a/core/reach/room.go
+++ b/core/reach/room.go
@@ -21,3 +21,6 @@
 
 // Release gives the room of a connection back.
 func (r *Room) Release() { r.taken-- }
+
+// Taken returns the number of connections that have room.
+func (r *Room) Taken() int { return r.taken }
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -94,7 +94,7 @@
 
 // run serves until the context ends or a part fails, and then drains: the entry is first removed
 // from the address lists, then it accepts no new connections, and it stops when the running requests
-// are finished.
+// are finished, its own and those that other entries send through it.
 func (p *platformEntry) run(ctx context.Context) error {
 	parts := []part{
 		{"settings", p.process.watchSettings},
@@ -124,7 +124,21 @@
 		case <-running.Done():
 		}
 	}()
-	return serveUntil(accepting, p.callerListener, p.callerServer())
+	if err := serveUntil(accepting, p.callerListener, p.callerServer()); err != nil {
+		return err
+	}
+	p.awaitDetours(running)
+	return nil
+}
+
+// awaitDetours waits until no other entry is connected to a server through this one, until the
+// deadline for running requests at most.
+func (p *platformEntry) awaitDetours(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := p.process.clock.AfterFunc(p.remainingTime(), cancel)
+	defer timer.Stop()
+	p.entry.AwaitDetours(ctx)
 }
 
 // callerServer returns the server for callers. The limits are those of the routing plan in force.
--- a/internal/cmd/platform_stop_test.go
+++ b/internal/cmd/platform_stop_test.go
@@ -1,7 +1,10 @@
 package cmd
 
 import (
+	"bufio"
 	"context"
+	"errors"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -14,10 +17,12 @@
 	"github.com/go-kit/log"
 	"github.com/juju/clock"
 
+	"rosereach/core/backend"
 	"rosereach/core/lease"
 	"rosereach/internal/control"
 	"rosereach/internal/entry"
 	"rosereach/internal/httpd"
+	"rosereach/io/detour"
 	"rosereach/platform"
 )
 
@@ -87,6 +92,16 @@
 	return f
 }
 
+// dialDetour connects to a server through the entry.
+func (f *stoppingFleet) dialDetour(t *testing.T, server string) (net.Conn, error) {
+	t.Helper()
+	conn, err := detour.Dial(t.Context(), f.entry.relayListeners[0].Addr().String(), testMemberKey, detour.Target{Server: server, Incarnation: 1})
+	if err == nil {
+		t.Cleanup(func() { conn.Close() })
+	}
+	return conn, err
+}
+
 func awaitCondition(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
@@ -108,6 +123,76 @@
 	}
 }
 
+// serveEcho starts a server that sends back what it gets.
+func serveEcho(t *testing.T) string {
+	t.Helper()
+	l := listenLocal(t)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// An entry whose own callers had left ended at once and cut the streams that passed through it for
+// other entries, with grace time left.
+func TestStoppingEntryStaysForDetours(t *testing.T) {
+	f := startStoppingFleet(t)
+	awaitCondition(t, "a leader", func() bool { return len(f.control.Catalog().Documents().SealKeys) > 0 })
+	f.control.Announce(backend.Announcement{
+		ID: "a", Incarnation: 1, Sequence: 1, Service: "s", Address: serveEcho(t), Capacity: 8, State: backend.Serving, Region: "r", Zone: "z",
+	})
+	var conn net.Conn
+	awaitCondition(t, "a detour", func() bool {
+		var err error
+		conn, err = f.dialDetour(t, "a")
+		return err == nil
+	})
+	r := bufio.NewReader(conn)
+	echo := func() error {
+		io.WriteString(conn, "event\n")
+		got, err := r.ReadString('\n')
+		if err == nil && got != "event\n" {
+			t.Errorf("%q", got)
+		}
+		return err
+	}
+	f.stop()
+	awaitCondition(t, "the close", func() bool {
+		if err := echo(); err != nil {
+			t.Fatalf("the detour is cut: %v", err)
+		}
+		another, err := f.dialDetour(t, "a")
+		if err == nil {
+			another.Close()
+		}
+		return errors.Is(err, detour.ErrNoDetour)
+	})
+	for range 20 {
+		if err := echo(); err != nil {
+			t.Fatalf("the detour is cut: %v", err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	select {
+	case err := <-f.ended:
+		t.Fatalf("the entry has ended: %v", err)
+	default:
+	}
+	conn.Close()
+	if err := f.awaitEnd(t); err != nil {
+		t.Error(err)
+	}
+}
+
 // An entry of which a part failed, here the readiness listener, closed its port at once and left no
 // list: callers were refused connections, and their kept ones were closed without notice.
 func TestEntryWithFailedPartStopsInOrder(t *testing.T) {
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -48,6 +48,7 @@
 		relays   reach.Relays
 		regions  map[string]string // of the relays, by id
 		room     reach.Room        // for other entries
+		released chan struct{}     // closed when a part of the room is given back
 		relaysAt time.Time         // when the relays were received
 		opened   int               // connections through other entries
 		random   *rand.Rand
@@ -62,7 +63,7 @@
 )
 
 // IsStale reports whether the connection should not be used again, as the server can be
-// reached directly.
+// reached directly, or the other entry takes no more requests.
 func (c *detouredConn) IsStale() bool { return c.isStale() }
 
 // Via returns the region of the entry that the connection passes through. It is empty if the
@@ -72,17 +73,35 @@
 func newDetours(f *forwarder) *detours {
 	cfg := f.entry.cfg
 	return &detours{
-		forwarder: f, dialOnce: upstream.DialOnce, links: make(map[string]*serviceLink),
+		forwarder: f, dialOnce: upstream.DialOnce, links: make(map[string]*serviceLink), released: make(chan struct{}),
 		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)), //nolint:gosec // only used to spread load
 	}
 }
 
-// ServeDetours connects other entries to backend servers until the context ends.
+// ServeDetours connects other entries to backend servers until the context ends. Once the entry
+// takes no more requests, it opens no new connections, and other entries choose another way.
 func (e *Entry) ServeDetours(ctx context.Context, l net.Listener) error {
 	d := e.forwarder.detours
 	return detour.Server{Key: e.cfg.MemberKey, Take: d.takeRoom, Release: d.releaseRoom, Connect: d.connectFor}.Serve(ctx, l)
 }
 
+// AwaitDetours waits until no other entry is connected to a backend server through this one, or the
+// context ends. The entry has to take no more requests.
+func (e *Entry) AwaitDetours(ctx context.Context) {
+	d := e.forwarder.detours
+	for {
+		taken, released := d.roomTaken()
+		if taken == 0 {
+			return
+		}
+		select {
+		case <-released:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // dial opens a connection to a server. Once it is known that the entry reaches none of the
 // service, no connection waits for a timeout. Via restricts the regions of other entries,
 // nil for no restriction.
@@ -132,7 +151,7 @@
 		}
 		conn, err := detour.Dial(ctx, relay.Address, cfg.MemberKey, detour.Target{Server: server.ID, Incarnation: server.Incarnation})
 		if err == nil {
-			return d.detoured(server.Service, region, conn), nil
+			return d.detoured(server.Service, relay.ID, region, conn), nil
 		}
 		level.Debug(cfg.Logger).Log("msg", "Another entry does not connect.", "srv", server.ID, "relay", relay.ID, "err", err)
 		if ctx.Err() != nil || errors.Is(err, detour.ErrServerUnreachable) {
@@ -153,8 +172,8 @@
 }
 
 // detoured returns a connection through another entry that is replaced some time after the
-// cut, so that not all are replaced at once.
-func (d *detours) detoured(service, region string, conn net.Conn) net.Conn {
+// cut, so that not all are replaced at once, and at once when the other entry is no relay any more.
+func (d *detours) detoured(service, relay, region string, conn net.Conn) net.Conn {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return conn
@@ -167,20 +186,30 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		l := d.link(service)
-		return !l.IsCut() && d.forwarder.entry.cfg.Clock.Now().Sub(l.endedAt) > spread
+		return !d.relays.Knows(relay) || !l.IsCut() && d.forwarder.entry.cfg.Clock.Now().Sub(l.endedAt) > spread
 	}}
 }
 
 func (d *detours) takeRoom() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.room.Take()
+	return !d.forwarder.entry.closed.Load() && d.room.Take()
+}
+
+// roomTaken returns the number of connections for other entries, and a channel that is closed when
+// one of them ends.
+func (d *detours) roomTaken() (int, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.room.Taken(), d.released
 }
 
 func (d *detours) releaseRoom() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.room.Release()
+	close(d.released)
+	d.released = make(chan struct{})
 }
 
 // connectFor connects to a server for another entry.
