--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,8 +87,8 @@
 		catalog       atomic.Pointer[catalog.Catalog]
 		hasPlan       chan struct{} // closed when there is a routing plan
 		hasPlanOnce   sync.Once
-		draining      atomic.Bool  // removed from the address list
-		stopping      *stopping    // its planned stop
+		draining      atomic.Bool // removed from the address list
+		stopping      *stopping   // its planned stop
 		stopLog       *stopLog
 		inFlight      atomic.Int64 // requests being answered
 
