Test of streams whose server falls silent shortly before the exit

40 streams that may be resumed are sent before SIGTERM. Their servers lose the rest, one event, 6.4 s after it and keep the connections open; the last sixth of the grace time begins at 6.67 s. Another server could send that event at once.

--- a/internal/soak/planned_stop_test.go
+++ b/internal/soak/planned_stop_test.go
@@ -436,6 +436,17 @@
 	f.checkNoneLost(f.awaitEnd())
 }
 
+// A stream whose server falls silent shortly before the exit goes on at another one in time.
+func TestStreamsSilentShortlyBeforeTheExitGoOn(t *testing.T) {
+	f := startStopFleet(t, platform.SimulatedGracePeriod)
+	callers := f.connect(40)
+	wanted := script{events: 66, pause: 100 * time.Millisecond, lost: true, first: 65}
+	f.after(0, callers, func(c *stopCaller) { c.send("streaming", wanted, patientTime, nil) })
+	f.awaitArrivals(2 * len(callers))
+	f.terminate()
+	f.checkNoneLost(f.awaitEnd())
+}
+
 // An answer that its server has sent is whole, although its caller takes it slowly.
 func TestAnswersTakenSlowlyAreWholeAfterTheStop(t *testing.T) {
 	f := startStopFleet(t, platform.SimulatedGracePeriod)
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -18,9 +18,10 @@
 	pause  time.Duration
 	// size is the number of bytes of an answer that is no stream, those of the request ID at least.
 	size int
-	// lost leaves out the answer, or the rest of a stream after its first events. The
-	// connection stays open.
-	lost bool
+	// lost leaves out the answer, or the rest of a stream after its first events, firstEvents if
+	// that is 0. The connection stays open.
+	lost  bool
+	first uint64
 	// breaksOff ends the connection after the first events of a stream that does not go on after
 	// another one.
 	breaksOff bool
@@ -32,7 +33,7 @@
 // query encodes the script, without what is zero.
 func (s script) query() string {
 	values := make(url.Values)
-	for name, n := range map[string]int64{"work": int64(s.work), "events": int64(s.events), "pause": int64(s.pause), "size": int64(s.size)} { //nolint:gosec // events are few
+	for name, n := range map[string]int64{"work": int64(s.work), "events": int64(s.events), "first": int64(s.first), "pause": int64(s.pause), "size": int64(s.size)} { //nolint:gosec // events are few
 		if n != 0 {
 			values.Set(name, strconv.FormatInt(n, 10))
 		}
@@ -56,7 +57,8 @@
 	}
 	return script{
 		work: time.Duration(number("work")), events: uint64(number("events")), pause: time.Duration(number("pause")), //nolint:gosec // see above
-		size: int(number("size")), lost: query.Has("lost"), breaksOff: query.Has("breaks_off"),
+		first: uint64(number("first")), size: int(number("size")), //nolint:gosec // see above
+		lost: query.Has("lost"), breaksOff: query.Has("breaks_off"),
 	}
 }
 
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -330,7 +330,7 @@
 // short in the event after the third. A stream that the script loses or breaks off ends after its
 // first events, unless it goes on after others; endWork is called before the former's silence.
 func writeStream(ctx context.Context, w http.ResponseWriter, after uint64, wanted script, fault int, endWork func()) {
-	last := wanted.eventCount()
+	last, first := wanted.eventCount(), cmp.Or(wanted.first, firstEvents)
 	for id := after + 1; id <= last; id++ {
 		io.WriteString(w, events(id-1, id))   //nolint:errcheck // the caller may have disconnected
 		http.NewResponseController(w).Flush() //nolint:errcheck // the caller may have disconnected
@@ -341,12 +341,12 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		if after == 0 && id == firstEvents && wanted.lost {
+		if after == 0 && id == first && wanted.lost {
 			endWork()
 			<-ctx.Done()
 			return
 		}
-		if id == firstEvents && fault == scriptedBreak {
+		if id == first && fault == scriptedBreak {
 			panic(http.ErrAbortHandler)
 		}
 		sleep(ctx, cmp.Or(wanted.pause, eventPause))
