--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -369,7 +369,7 @@
 	}
 	if x.runs == 0 {
 		var endWait context.CancelFunc
-		ctx, endWait = x.forwarder.entry.untilClosed(ctx)
+		ctx, endWait = x.forwarder.entry.UntilClosed(ctx)
 		defer endWait()
 	}
 	if failure := x.awaitTrial(ctx); failure != nil {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -219,7 +219,7 @@
 	if failure := cmp.Or(x.drainingFailure(nil), x.quarantinedFailure()); failure != nil {
 		return e.reject(req, x.route, failure)
 	}
-	waiting, endWait := e.untilClosed(ctx)
+	waiting, endWait := e.UntilClosed(ctx)
 	leave, err := e.admissionForRoute(x.route).enter(waiting, e.cfg.Clock, x.ticket())
 	endWait()
 	if err != nil && e.isClosed() && ctx.Err() == nil {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -111,9 +111,9 @@
 	e.stopLog.enter(phaseClosed)
 }
 
-// untilClosed returns a context for the waits of a request that has not run. It ends with
+// UntilClosed returns a context for the waits of a request that has not run. It ends with
 // the given one, and when the entry takes no more requests.
-func (e *Entry) untilClosed(ctx context.Context) (context.Context, context.CancelFunc) {
+func (e *Entry) UntilClosed(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(e.stopping.closing, cancel)
 	return ctx, func() { stop(); cancel() }
