No detour passes through a stopping entry

Cause: a stop was not asked for where connections of other entries are taken.

Change: a stopping entry has no room for detours, from the signal on; the other side tries the next relay at once. A connection through an entry that the controls name as a relay no more, as they do with one that stops, is not used for another request. What is under way there is not ended.

Where the stopping entry is the only relay, the list of relays does not change, and a connection that is open can still be used.

--- a/core/reach/relay.go
+++ b/core/reach/relay.go
@@ -57,6 +57,11 @@
 // Set replaces the known relays.
 func (r *Relays) Set(known []Relay) { r.known = known }
 
+// Has reports whether the relay is known.
+func (r *Relays) Has(id string) bool {
+	return slices.ContainsFunc(r.known, func(one Relay) bool { return one.ID == id })
+}
+
 // Len returns the number of known relays.
 func (r *Relays) Len() int { return len(r.known) }
 
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -62,7 +62,7 @@
 )
 
 // IsStale reports whether the connection should not be used again, as the server can be
-// reached directly.
+// reached directly or the other entry leaves.
 func (c *detouredConn) IsStale() bool { return c.isStale() }
 
 // Via returns the region of the entry that the connection passes through. It is empty if the
@@ -132,7 +132,7 @@
 		}
 		conn, err := detour.Dial(ctx, relay.Address, cfg.MemberKey, detour.Target{Server: server.ID, Incarnation: server.Incarnation})
 		if err == nil {
-			return d.detoured(server.Service, region, conn), nil
+			return d.detoured(server.Service, relay.ID, region, conn), nil
 		}
 		level.Debug(cfg.Logger).Log("msg", "Another entry does not connect.", "srv", server.ID, "relay", relay.ID, "err", err)
 		if ctx.Err() != nil || errors.Is(err, detour.ErrServerUnreachable) {
@@ -153,8 +153,9 @@
 }
 
 // detoured returns a connection through another entry that is replaced some time after the
-// cut, so that not all are replaced at once.
-func (d *detours) detoured(service, region string, conn net.Conn) net.Conn {
+// cut, so that not all are replaced at once, and when that entry is no relay any more, as one
+// that stops.
+func (d *detours) detoured(service, relay, region string, conn net.Conn) net.Conn {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return conn
@@ -167,11 +168,16 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		l := d.link(service)
-		return !l.IsCut() && d.forwarder.entry.cfg.Clock.Now().Sub(l.endedAt) > spread
+		return !d.relays.Has(relay) || !l.IsCut() && d.forwarder.entry.cfg.Clock.Now().Sub(l.endedAt) > spread
 	}}
 }
 
+// takeRoom reports whether there is room for a connection of another entry. An entry that stops
+// has none: it does not know what passes, and would cut it at its exit.
 func (d *detours) takeRoom() bool {
+	if !d.forwarder.entry.stopping.current().IsZero() {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.room.Take()
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -17,6 +17,7 @@
 	"rosereach/core/drain"
 	"rosereach/core/forward"
 	"rosereach/core/limit"
+	"rosereach/core/reach"
 	"rosereach/core/route"
 )
 
@@ -587,3 +588,53 @@
 		}
 	}
 }
+
+// A request of an entry that is cut off was passed on through one that stopped, and cut at that
+// one's exit, which excuses nothing. A stopping entry opens no detour.
+func TestNoDetourThroughStoppingEntry(t *testing.T) {
+	c := newCutFleet(t, 1, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+	cutOff, relay := c.startForwardingEntry("forwarding-1"), c.startForwardingEntry("forwarding-2")
+	waitFor(t, "a relay", func() bool { return cutOff.forwarder.detours.relayCount() > 0 })
+	c.cut(cutOff, refusingAddress(t))
+	send := func() error {
+		return cutOff.Forward(t.Context(), forward.Request{ID: "request", Method: http.MethodGet, Host: "h", Path: "/safe/x", Target: "/safe/x", Key: "k", Arrived: time.Now()}, &recordingSink{})
+	}
+	if err := send(); err != nil || c.runs.Load() != 1 {
+		t.Fatalf("before the stop: %v, %d runs", err, c.runs.Load())
+	}
+	go relay.StopListing(t.Context(), stopIn(time.Hour, time.Minute))
+	waitFor(t, "the stop", relay.IsDraining)
+	cutOff.forwarder.client.CloseIdle(func(string) bool { return false })
+	if err := send(); codeOf(err) != forward.NoServer || c.runs.Load() != 1 {
+		t.Errorf("%v, %d runs", err, c.runs.Load())
+	}
+}
+
+// A connection through an entry that stopped was used for further requests. It is not once the
+// controls name that entry as a relay no more.
+func TestConnectionThroughStoppingEntryIsStale(t *testing.T) {
+	s := newStoppingEntry(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	d, now := s.entry.forwarder.detours, time.Now()
+	d.mu.Lock()
+	d.link("s").Judge(now, now)
+	d.mu.Unlock()
+	d.setRelays(now, []reach.Relay{{ID: "a"}, {ID: "b"}}, nil)
+	through, ok := d.detoured("s", "a", "", conn).(*detouredConn)
+	if !ok || through.IsStale() {
+		t.Fatalf("%v is stale", through)
+	}
+	d.setRelays(now, []reach.Relay{{ID: "b"}}, nil)
+	if !through.IsStale() {
+		t.Error("it is used again")
+	}
+}
