--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -190,10 +190,15 @@
 	}}
 }
 
+// takeRoom reports whether there is room for a connection of another entry. An entry that stops
+// has none: it does not know what passes, and would cut it at its exit.
 func (d *detours) takeRoom() bool {
+	if !d.forwarder.entry.stopping.current().IsZero() {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.forwarder.entry.isClosed() && d.room.Take()
+	return d.room.Take()
 }
 
 // roomTaken returns the number of connections for other entries, and a channel that is closed when
