The soak sends requests that outlast a planned stop

Its requests ended within 4 s and had 8 events, so that none outlasted a stop. Six more callers send long streams, of which the route's history knows next to nothing, some with many events, late heads, requests whose server loses the answer and keeps the connection open, and large answers that are taken slowly. They stay on their connections until the entry is gone.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -1,13 +1,17 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"rosereach/platform"
 )
 
 // requestOutcome is the outcome of a request as its caller saw it; the status
@@ -34,10 +38,43 @@
 	closed bool
 }
 
+// slowConn is a connection of a caller that takes its answers slowly.
+type slowConn struct{ net.Conn }
+
+// slowReadPause is the pause of a slow caller before each read, and slowBufferBytes the size of
+// the kernel's buffer for what it has not read.
+const (
+	slowReadPause   = 5 * time.Millisecond
+	slowBufferBytes = 4 << 10
+)
+
+// Read implements net.Conn.
+func (c slowConn) Read(p []byte) (int, error) {
+	time.Sleep(slowReadPause)
+	return c.Conn.Read(p)
+}
+
 // newCallerClient returns a client that keeps one connection to each entry open for as
 // long as the entry does.
-func newCallerClient() *http.Client {
-	return &http.Client{Timeout: requestTimeout + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+func newCallerClient(timeLeft time.Duration) *http.Client {
+	return &http.Client{Timeout: timeLeft + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+}
+
+// newSlowClient is newCallerClient for a caller that takes its answers slowly.
+func newSlowClient(timeLeft time.Duration) *http.Client {
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowBufferBytes) //nolint:errcheck // it only reads faster then
+		})
+	}}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return slowConn{conn}, nil
+	}
+	return &http.Client{Timeout: timeLeft + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, DialContext: dial}}
 }
 
 // sendForStatus sends a request and returns its status, or 0 when no complete
@@ -70,6 +107,20 @@
 	return resp.StatusCode, resp.Header, body, err
 }
 
+// send sends the request with a key and records its outcome, none if it has no address.
+func (o *requestOutcome) send(c *http.Client, key string) {
+	if o.entry == "" {
+		return
+	}
+	r, err := platform.NewCallerRequest(o.entry, o.kind, o.id, key, o.timeLeft)
+	if err != nil {
+		return
+	}
+	r.GetBody = nil // keeps Go's client from resending the request on its own
+	r.URL.RawQuery = o.script.query()
+	o.observe(c, r, platform.AnsweringServer)
+}
+
 // observe sends a request and records its outcome.
 func (o *requestOutcome) observe(c *http.Client, r *http.Request, server func(http.Header) string) {
 	var written atomic.Pointer[time.Time] // the request may be written while its answer is read
--- a/internal/soak/observation.go
+++ b/internal/soak/observation.go
@@ -152,8 +152,8 @@
 		case a.fault > 1 || r.endedAt.Sub(r.sentAt) >= r.timeLeft:
 		case o.disrupted(r.entry, r.sentAt.Add(-contactTime), r.endedAt, killed, frozen) || o.outlivesStop(r, a):
 		default:
-			v.add("no answer lost", r.id, "%s request sent to %s at %s: connection closed after %s without a complete answer (head: %v); last at server %q",
-				r.kind, r.entry, clockTime(r.sentAt), r.endedAt.Sub(r.sentAt), !r.headAt.IsZero(), a.server)
+			v.add("no answer lost", r.id, "%s request sent to %s at %s: connection closed after %s without a complete answer (head: %v); last at server %q, at work from %s to %s; %+v",
+				r.kind, r.entry, clockTime(r.sentAt), r.endedAt.Sub(r.sentAt), !r.headAt.IsZero(), a.server, clockTime(a.at), clockTime(a.end), r.script)
 		}
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,6 +26,7 @@
 	entryCount   = 3
 	serverCount  = 4
 	callerCount  = 12
+	patientCount = 6
 
 	// startTimeout limits the wait for the first accepted configuration and answer.
 	startTimeout = 20 * time.Second
@@ -33,6 +34,11 @@
 	// requestTimeout is the deadline that callers set on each request.
 	requestTimeout = 4 * time.Second
 
+	// patientTimeout is the deadline of requests that may outlast a planned stop, and routeTimeout
+	// the longer one of their routes.
+	patientTimeout = 9 * time.Second
+	routeTimeout   = 12 * time.Second
+
 	// recoveryTime is the time after the last fault within which requests have to
 	// be served again and no rejected request may still run.
 	recoveryTime = 12 * time.Second
@@ -59,7 +65,7 @@
 	// OlderBinary is a program of another build, empty for none. All processes begin with
 	// it and are upgraded at their next start, so that both builds run side by side until
 	// the faults and planned stops have reached each of them. Servers then show only faults
-	// that both builds were made for.
+	// that both builds were made for, and lose no answers.
 	Config struct {
 		Binary      string
 		OlderBinary string
@@ -126,6 +132,9 @@
 	clients.Go(func() { s.nameLimits(loadCtx) })
 	if s.cfg.OlderBinary == "" {
 		clients.Go(func() { s.failTogether(loadCtx) })
+		for i := range patientCount {
+			clients.Go(func() { s.runPatientCaller(loadCtx, i) })
+		}
 	}
 	s.injectFaults(ctx)
 	stopLoad()
@@ -232,7 +241,7 @@
 // over all entries.
 func (s *soak) runCaller(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(s.cfg.Seed, uint64(number))) //nolint:gosec // deterministic requests for a given seed
-	client := newCallerClient()
+	client := newCallerClient(requestTimeout)
 	kinds := []string{"safe", "unsafe", "unsafe", "streaming"}
 	var address string
 	for i := 0; ctx.Err() == nil; i++ {
@@ -240,20 +249,73 @@
 			address = s.pickEntry()
 		}
 		outcome := s.sendRequest(client, address, kinds[random.IntN(len(kinds))], fmt.Sprintf("c%d-%d", number, i), goodKey)
-		s.violations.checkAnswer(outcome)
-		if outcome.status == http.StatusOK {
-			s.answered.Add(1)
-		}
+		s.record(outcome)
 		if outcome.status == 0 {
 			address = ""
 		}
-		s.mu.Lock()
-		s.outcomes = append(s.outcomes, outcome)
-		s.mu.Unlock()
 		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
 	}
 }
 
+// runPatientCaller runs one caller that waits long: for streams that outlast a planned stop, late
+// heads and lost answers, and one in three for large answers that it takes slowly. It stays with
+// its entry, and its connection there, until the entry answers no more.
+func (s *soak) runPatientCaller(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(s.cfg.Seed, uint64(100+number))) //nolint:gosec // deterministic requests for a given seed
+	client, draw := newCallerClient(patientTimeout), drawPatientRequest
+	if number%3 == 0 {
+		client, draw = newSlowClient(patientTimeout), drawLargeRequest
+	}
+	var address string
+	for i := 0; ctx.Err() == nil; i++ {
+		if address == "" {
+			address = s.pickEntry()
+		}
+		kind, wanted := draw(random)
+		outcome := s.sendScripted(client, address, kind, fmt.Sprintf("p%d-%d", number, i), wanted)
+		s.record(outcome)
+		if outcome.status == 0 {
+			address = ""
+		}
+		sleep(ctx, time.Duration(random.IntN(300))*time.Millisecond)
+	}
+}
+
+// drawPatientRequest draws a request whose answer ends, or begins, late or never.
+func drawPatientRequest(random *rand.Rand) (kind string, wanted script) {
+	long := time.Duration(1+random.IntN(7)) * time.Second
+	switch random.IntN(6) {
+	case 0:
+		return "unsafe", script{work: long}
+	case 1:
+		return "unsafe", script{work: long / 8, lost: true}
+	case 2:
+		return "streaming", script{work: long}
+	case 3:
+		return "streaming", script{events: 50, lost: true}
+	case 4:
+		return "streaming", script{events: 600, pause: long / 600}
+	default:
+		return "streaming", script{events: 40, pause: long / 40}
+	}
+}
+
+// drawLargeRequest draws a request with a large answer.
+func drawLargeRequest(random *rand.Rand) (kind string, wanted script) {
+	return []string{"safe", "unsafe"}[random.IntN(2)], script{size: 100_000 + random.IntN(900_000)}
+}
+
+// record checks and keeps the outcome of a request.
+func (s *soak) record(outcome requestOutcome) {
+	s.violations.checkAnswer(outcome)
+	if outcome.status == http.StatusOK {
+		s.answered.Add(1)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes = append(s.outcomes, outcome)
+}
+
 // pickEntry returns one of the entries in the latest answer of the directory, empty for
 // none.
 func (s *soak) pickEntry() string {
@@ -269,15 +331,14 @@
 // is empty.
 func (s *soak) sendRequest(client *http.Client, address, kind, id, key string) requestOutcome {
 	outcome := requestOutcome{kind: kind, id: id, entry: address, timeLeft: requestTimeout}
-	if address == "" {
-		return outcome
-	}
-	r, err := platform.NewCallerRequest(address, kind, id, key, requestTimeout)
-	if err != nil {
-		return outcome
-	}
-	r.GetBody = nil // keeps Go's client from resending the request on its own
-	outcome.observe(client, r, platform.AnsweringServer)
+	outcome.send(client, key)
+	return outcome
+}
+
+// sendScripted is sendRequest for a patient caller, which tells the server what to do.
+func (s *soak) sendScripted(client *http.Client, address, kind, id string, wanted script) requestOutcome {
+	outcome := requestOutcome{kind: kind, id: id, entry: address, script: wanted, timeLeft: patientTimeout}
+	outcome.send(client, goodKey)
 	return outcome
 }
 
@@ -358,7 +419,8 @@
 // putConfig sends a configuration to the controls in turn until one
 // acknowledges it.
 func (s *soak) putConfig(client *http.Client, version uint64, keys ...string) bool {
-	text := platform.SimulatedConfig(version, "s", idleTimeouts[version%uint64(len(idleTimeouts))], keys...)
+	limits := platform.SimulatedLimits{RequestTimeout: routeTimeout, IdleTimeout: idleTimeouts[version%uint64(len(idleTimeouts))]}
+	text := platform.SimulatedConfig(version, "s", limits, keys...)
 	for _, ip := range s.controlIPs() {
 		r, err := s.ports.PutConfigRequest(ip, text)
 		if err != nil {
--- a/internal/soak/violation.go
+++ b/internal/soak/violation.go
@@ -45,12 +45,12 @@
 	if o.status != http.StatusOK {
 		return
 	}
-	want := o.id
+	want := o.script.answer(o.id)
 	if o.kind == "streaming" {
-		want = events(0, streamEvents)
+		want = events(0, o.script.eventCount())
 	}
 	if o.body != want {
-		v.add("complete answer to the right request", o.id, "%s request got the answer %q", o.kind, o.body)
+		v.add("complete answer to the right request", o.id, "%s request got the answer %.200q of %d bytes in place of %d", o.kind, o.body, len(o.body), len(want))
 	}
 }
 
