Log and metrics of a stop take its phases from core/drain

The log kept phases of its own beside the schedule's, with a timer of its own, so that a line could name another phase than the one that decided. They are the schedule's now: delisted, closed, ending, exit.

--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -15,7 +15,7 @@
 const explainNotes = `## Planned stops
 
 Where the planned stop of an entry refused the request, gave it up or cut it, a sentence after the
-lines says so: the entry, the phase of the stop (` + "`delisting`, `closed`, `ending`, `exit`" + `), the
+lines says so: the entry, the phase of the stop (` + "`delisted`, `closed`, `ending`, `exit`" + `), the
 times since the signal and until the exit, and how long the request was expected to take and what
 that was based on. docs/OPERATIONS.md has the fields.
 `
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -121,7 +121,6 @@
 		case <-running.Done():
 		}
 	}()
-	defer p.entry.LogEnding()
 	if err := serveUntil(accepting, p.callerListener, p.callerServer()); err != nil {
 		return err
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -108,7 +108,7 @@
 	case <-ctx.Done():
 	}
 	e.stopping.closing.end()
-	e.stopLog.enter(phaseClosed)
+	e.stopLog.enter(drain.Closed)
 }
 
 // UntilClosed returns a context for the waits of a request that has not run. It ends with
--- a/internal/entry/stop_log.go
+++ b/internal/entry/stop_log.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,14 +14,6 @@
 	"rosereach/internal/logs"
 )
 
-// Phases of a planned stop, as logs and metrics name them.
-const (
-	phaseDelisting = "delisting" // the entry leaves the address list and still takes requests
-	phaseClosed    = "closed"    // it takes no more requests
-	phaseEnding    = "ending"    // it cuts what still runs, or nothing is left
-	phaseExit      = "exit"
-)
-
 // How requests end during a planned stop.
 const (
 	stopRefused  = "refused"  // as not run
@@ -39,16 +30,15 @@
 		metrics *stopMetrics
 		begun   atomic.Int64 // running requests whose answer has begun
 
-		mu         sync.Mutex
-		phase      string // empty before the stop
-		signaledAt time.Time
-		exitAt     time.Time
-		outcomes   map[string]int // requests that ended since the signal
+		mu       sync.Mutex
+		schedule drain.Schedule // zero before the stop
+		logged   drain.Phase    // the last one that has a line
+		outcomes map[string]int // requests that ended since the signal
 	}
 
 	// stopTimes are the phase of a stop and how far it has come.
 	stopTimes struct {
-		phase      string
+		phase      drain.Phase
 		since      time.Duration // since the signal
 		left       time.Duration // until the exit
 		signaledAt time.Time
@@ -63,13 +53,9 @@
 )
 
 var (
-	// stopPhases are the phases in their order.
-	stopPhases = []string{phaseDelisting, phaseClosed, phaseEnding, phaseExit}
-
-	phaseMessages = map[string]logs.Reserved{
-		phaseDelisting: "Entry drains.", phaseClosed: "Entry takes no more requests.", phaseEnding: "Entry ends what still runs.", phaseExit: "Entry exits.",
+	phaseMessages = map[drain.Phase]string{
+		drain.Delisted: "Entry drains.", drain.Closed: "Entry takes no more requests.", drain.Ending: "Entry ends what still runs.", drain.Exit: "Entry exits.",
 	}
-	// Callers send as many requests to be refused as they like: these lines have no reserve.
 	outcomeMessages = map[string]any{
 		stopRefused: "Request is refused by the stop.",
 		stopGivenUp: logs.Reserved("Request is given up by the stop."),
@@ -81,47 +67,44 @@
 	return &stopLog{entry: e, metrics: newStopMetrics(), outcomes: make(map[string]int)}
 }
 
-// LogEnding logs that the entry serves its callers no longer, if it stops.
-func (e *Entry) LogEnding() { e.stopLog.enter(phaseEnding) }
-
 // LogExit logs that the process exits, with what its planned stop did to requests. It logs
 // nothing if there was none.
-func (e *Entry) LogExit() { e.stopLog.enter(phaseExit) }
+func (e *Entry) LogExit() { e.stopLog.enter(drain.Exit) }
 
-// begin logs the begin of a stop, and its end phase unless the context ends before.
+// begin logs the begin of a stop, and its ending phase unless the context ends before.
 func (s *stopLog) begin(ctx context.Context, schedule drain.Schedule) {
-	c := s.entry.cfg.Clock
 	s.mu.Lock()
-	s.signaledAt, s.exitAt, s.phase = schedule.Signaled(), schedule.Exits(), phaseDelisting
+	s.schedule = schedule
 	s.mu.Unlock()
-	s.logPhase(phaseDelisting)
+	s.enter(drain.Delisted)
+	c := s.entry.cfg.Clock
 	go func() {
 		select {
-		case <-c.After(schedule.Exits().Sub(c.Now())):
-			s.enter(phaseEnding)
+		case <-c.After(schedule.Ends().Sub(c.Now())):
+			s.enter(drain.Ending)
 		case <-ctx.Done():
 		}
 	}()
 }
 
-// enter logs a phase when it begins. Before a stop, and once the phase or a later one has begun,
+// enter logs a phase when it begins. Before a stop, and once the phase or a later one has a line,
 // it does nothing.
-func (s *stopLog) enter(phase string) {
+func (s *stopLog) enter(phase drain.Phase) {
 	s.mu.Lock()
-	if s.phase == "" || slices.Index(stopPhases, phase) <= slices.Index(stopPhases, s.phase) {
+	if s.schedule.IsZero() || phase <= s.logged {
 		s.mu.Unlock()
 		return
 	}
-	s.phase = phase
+	s.logged = phase
 	s.mu.Unlock()
 	s.logPhase(phase)
 }
 
-func (s *stopLog) logPhase(phase string) {
+func (s *stopLog) logPhase(phase drain.Phase) {
 	e, now := s.entry, s.entry.cfg.Clock.Now()
 	s.mu.Lock()
 	keyvals := []any{
-		"msg", phaseMessages[phase], "id", e.cfg.ID, "phase", phase, "since", now.Sub(s.signaledAt), "exit_in", s.exitAt.Sub(now),
+		"msg", phaseMessages[phase], "id", e.cfg.ID, "phase", phase, "since", now.Sub(s.schedule.Signaled()), "exit_in", s.schedule.Exits().Sub(now),
 		"running", e.inFlight.Load(), "waiting", e.engineAdmission.waitingCount() + e.plainAdmission.waitingCount(), "begun", s.begun.Load(),
 		"relayed", e.forwarder.detours.relayedCount(),
 	}
@@ -133,31 +116,27 @@
 	e.cfg.Logger.Log(keyvals...)
 }
 
-// times returns how far the stop has come, ok false without a stop. It enters the end phase when
-// its time has come.
+// times returns how far the stop has come, ok false without a stop.
 func (s *stopLog) times(now time.Time) (t stopTimes, ok bool) {
-	s.mu.Lock()
-	isDue := !s.exitAt.IsZero() && !now.Before(s.exitAt)
-	s.mu.Unlock()
-	if isDue {
-		s.enter(phaseEnding)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return stopTimes{phase: s.phase, since: now.Sub(s.signaledAt), left: s.exitAt.Sub(now), signaledAt: s.signaledAt}, s.phase != ""
+	if s.schedule.IsZero() {
+		return stopTimes{}, false
+	}
+	return stopTimes{phase: s.schedule.Phase(now), since: now.Sub(s.schedule.Signaled()), left: s.schedule.Exits().Sub(now), signaledAt: s.schedule.Signaled()}, true
 }
 
-// isEnding reports whether what still runs is cut.
-func (t stopTimes) isEnding() bool { return t.phase == phaseEnding || t.phase == phaseExit }
+// isEnding reports whether requests are ended, with a failure or a cut.
+func (t stopTimes) isEnding() bool { return t.phase >= drain.Ending }
 
 // timeLeft returns the time until the exit, 0 without a stop and after it.
 func (s *stopLog) timeLeft() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.phase == "" {
+	if s.schedule.IsZero() {
 		return 0
 	}
-	return max(s.exitAt.Sub(s.entry.cfg.Clock.Now()), 0)
+	return max(s.schedule.Exits().Sub(s.entry.cfg.Clock.Now()), 0)
 }
 
 func (s *stopLog) count(t stopTimes, outcome string) {
@@ -220,7 +199,7 @@
 	if !ok {
 		return
 	}
-	outcome := x.stopOutcome(t, err, errors.Is(ctx.Err(), context.Canceled))
+	outcome := x.stopOutcome(t, err, errors.Is(context.Cause(ctx), context.Canceled))
 	s.count(t, outcome)
 	if outcome == stopFinished || outcome == stopFailed {
 		return
--- a/internal/entry/stop_metrics.go
+++ b/internal/entry/stop_metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rosereach/core/drain"
 	"rosereach/internal/metrics"
 )
 
@@ -34,10 +35,12 @@
 }
 
 // enter sets the phase that the stop has reached.
-func (m *stopMetrics) enter(phase string) {
+func (m *stopMetrics) enter(phase drain.Phase) {
 	m.phase.Reset()
-	m.phase.WithLabelValues(phase).Set(1)
+	m.phase.WithLabelValues(phase.String()).Set(1)
 }
 
 // ended counts a request that ended during the stop.
-func (m *stopMetrics) ended(phase, outcome string) { m.requests.WithLabelValues(phase, outcome).Inc() }
+func (m *stopMetrics) ended(phase drain.Phase, outcome string) {
+	m.requests.WithLabelValues(phase.String(), outcome).Inc()
+}
