Heads of answers are in the memory account

Callers saw: backend servers sent heads of answers in many short lines and never ended them; the entry kept them all, was killed, and the requests of all its callers ended with it.

A short line takes many times its bytes once it is decoded.

A head now counts at what it takes decoded (one function for requests and answers) as it arrives, beyond the 8 KiB that belong to the memory of its connections. An answer counts as large, so that nothing of what small requests have is taken. One that has brought nothing for 2 s yields when others need its room: its attempt ends, not the request. The only large answer always gets room. The error of a malformed head quotes 200 bytes of it: net/http's quotes the whole line, which went to the log.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -4,10 +4,12 @@
 //
 // The load that it answers is a crowd of clients that open many connections, send large bodies or
 // heads, and never end them. Requests that bring nothing yield first, then new large ones; small
-// requests have a reserved part, so that ordinary callers still get answers.
+// requests have a reserved part, so that ordinary callers still get answers. Servers that begin many
+// answers and never end them are met in the same way: such an answer yields.
 package overload
 
 import (
+	"bytes"
 	"container/list"
 	"time"
 )
@@ -42,6 +44,9 @@
 
 	smallBytes = 64 << 10
 
+	// headLineBytes is the memory that a line of a head takes beside its text.
+	headLineBytes = 160
+
 	// stallTime is far above the pauses of a client on a slow link that it shares with others: a
 	// lost packet is sent again within a second.
 	stallTime = 2 * time.Second
@@ -67,6 +72,8 @@
 	// Busy connections have brought a whole request, or belong to a proven member. They are
 	// evicted only if their clients take nothing of their answers.
 	Busy
+	// Receiving connections are those to servers. They bring an answer to a request.
+	Receiving
 	// Evicted connections are about to be closed.
 	Evicted
 )
@@ -75,8 +82,8 @@
 const (
 	// NoRoom means that the memory for requests is in use.
 	NoRoom Reason = "no_room"
-	// Stalled means that the request was incomplete while others needed its memory, and had
-	// brought nothing for a while or was the oldest small one.
+	// Stalled means that the request or its answer was incomplete while others needed its memory,
+	// and had brought nothing for a while or was the oldest small request.
 	Stalled Reason = "stalled"
 	// NoDescriptor means that too many connections are open.
 	NoDescriptor Reason = "no_descriptor"
@@ -98,21 +105,21 @@
 
 	// Limits are the limits of a process.
 	Limits struct {
-		// Bytes is the memory for the heads and bodies of requests, and Reserved the part of it
-		// that only requests of up to SmallBytes get.
+		// Bytes is the memory for the heads and bodies of requests and answers, and Reserved the
+		// part of it that only requests of up to SmallBytes get.
 		Bytes      int64
 		Reserved   int64
 		SmallBytes int64
 		// Connections is the number of connections that others may open.
 		Connections int
-		// StallTime is how long a request may bring nothing before it yields to others.
+		// StallTime is how long a request or an answer may bring nothing before it yields to others.
 		StallTime time.Duration
 		// SendStallTime is how long a client may take nothing of its answer before it yields.
 		SendStallTime time.Duration
 	}
 
-	// Account holds the connections of a process and what their requests hold. It is not safe for
-	// concurrent use.
+	// Account holds the connections of a process and what their requests and answers hold. It is
+	// not safe for concurrent use.
 	Account struct {
 		limits Limits
 
@@ -120,16 +127,17 @@
 		evicted    int // evicted ones
 		answering  int // evicted ones that get an answer
 		bytes      int64
-		largeBytes int64 // of requests over SmallBytes
+		largeBytes int64 // of requests over SmallBytes, and of answers
 		demands    uint64
 
-		idle    list.List // *Connection by when they began to wait
-		reading list.List // *Connection by when the request began
-		quiet   list.List // *Connection that read, by when they last brought a byte
-		sending list.List // *Connection that are written to, by when they last took something
+		idle      list.List // *Connection by when they began to wait
+		reading   list.List // *Connection by when the request began
+		quiet     list.List // *Connection that read, by when they last brought a byte
+		sending   list.List // *Connection that are written to, by when they last took something
+		receiving list.List // *Connection to servers, by when they last brought a byte
 	}
 
-	// Connection is a connection of an Account.
+	// Connection is a connection of an Account, from a client or to a server.
 	Connection struct {
 		// Evict closes the connection. The owner calls it for the connections that a method of
 		// the Account returns, after it has released its locks.
@@ -141,7 +149,8 @@
 		since      time.Time // when the state began
 		progressAt time.Time
 		queue      *list.Element // in idle or reading
-		quiet      *list.Element
+		quiet      *list.Element // in quiet or receiving
+		request    *Connection   // that the answer is for, nil for a connection from a client
 		sentAt     time.Time
 		sending    *list.Element
 		demands    uint64 // the number of the last demand to which it might yield
@@ -219,8 +228,30 @@
 	return nil
 }
 
+// Receive adds a connection to a server, which brings an answer to the request of a connection.
+// It counts as large, so that answers take nothing of what is reserved for small requests.
+func (a *Account) Receive(now time.Time, request *Connection) *Connection {
+	c := &Connection{state: Receiving, request: request, since: now, progressAt: now}
+	c.quiet = a.receiving.PushBack(c)
+	return c
+}
+
+// Keep lets the request of a connection to a server hold the whole answer until it is answered.
+func (a *Account) Keep(c *Connection) {
+	n := c.bytes
+	a.release(c)
+	if c.request.state != Evicted {
+		a.add(c.request, n)
+	}
+}
+
 // Close removes a connection that is closed.
 func (a *Account) Close(c *Connection) {
+	if c.request != nil {
+		a.release(c)
+		a.dequeue(c)
+		return
+	}
 	if c.state == Evicted {
 		a.evicted--
 	}
@@ -250,15 +281,16 @@
 	a.Read(now, c)
 }
 
-// Read records that a connection has brought a part of a request. It reports whether the
-// connection is not evicted.
+// Read records that a connection has brought a part of a request or an answer. It reports whether
+// the connection is not evicted.
 func (a *Account) Read(now time.Time, c *Connection) bool {
 	if c.state == Idle {
 		a.move(now, c, Reading)
 	}
-	if c.state == Reading {
+	if c.state == Reading || c.state == Receiving {
 		c.progressAt = now
-		a.quiet.MoveToBack(c.quiet)
+		a.quiet.MoveToBack(c.quiet) // without effect on an element of another list
+		a.receiving.MoveToBack(c.quiet)
 	}
 	return c.state != Evicted
 }
@@ -287,7 +319,8 @@
 // Take takes n bytes for the request of a connection, or its answer, and reports whether there was
 // room. Evicted are the connections that yield theirs: stalled ones, those whose answers aren't
 // taken, and to a small request other small ones that have been incomplete for longest. None yields
-// if that would not be enough. A large request that is the only one always gets room.
+// if that would not be enough. A large request that is the only one always gets room, and so does
+// its answer.
 func (a *Account) Take(now time.Time, c *Connection, n int64) (evicted []*Connection, ok bool) {
 	if c.state == Evicted {
 		return nil, false
@@ -308,17 +341,24 @@
 // request that holds something stalls, if no byte of it arrives. Nothing tells when complete ones
 // end; beside those alone it is StallTime.
 func (a *Account) RetryAfter(now time.Time) time.Duration {
-	for e := a.quiet.Front(); e != nil; e = e.Next() {
-		if c := connectionOf(e); c.bytes > 0 {
-			return min(max(c.progressAt.Add(a.limits.StallTime).Sub(now), minRetryAfter), a.limits.StallTime)
+	wait := a.limits.StallTime
+	for _, unfinished := range []*list.List{&a.quiet, &a.receiving} {
+		for e := unfinished.Front(); e != nil; e = e.Next() {
+			if c := connectionOf(e); c.bytes > 0 {
+				wait = min(max(c.progressAt.Add(a.limits.StallTime).Sub(now), minRetryAfter), wait)
+				break
+			}
 		}
 	}
-	return a.limits.StallTime
+	return wait
 }
 
 // Release gives back what the request of a connection holds, when it is rejected.
 func (a *Account) Release(c *Connection) { a.release(c) }
 
+// Return gives back n bytes of what a connection holds.
+func (a *Account) Return(c *Connection, n int64) { a.add(c, -min(n, c.bytes)) }
+
 // yieldTo adds connections that yield to the demand until it fits, and reports whether it does.
 func (a *Account) yieldTo(now time.Time, d *demand) bool {
 	for e := a.quiet.Front(); e != nil && now.Sub(connectionOf(e).progressAt) >= a.limits.StallTime; e = e.Next() {
@@ -326,6 +366,11 @@
 			return true
 		}
 	}
+	for e := a.receiving.Front(); e != nil && now.Sub(connectionOf(e).progressAt) >= a.limits.StallTime; e = e.Next() {
+		if d.evict(connectionOf(e)) {
+			return true
+		}
+	}
 	for e := a.sending.Front(); e != nil && now.Sub(connectionOf(e).sentAt) >= a.limits.SendStallTime; e = e.Next() {
 		if d.evict(connectionOf(e)) {
 			return true
@@ -335,7 +380,7 @@
 		return false
 	}
 	for e := a.reading.Front(); e != nil; e = e.Next() {
-		if oldest := connectionOf(e); a.isSmall(oldest.bytes) && d.evict(oldest) {
+		if oldest := connectionOf(e); a.isSmall(oldest, oldest.bytes) && d.evict(oldest) {
 			return true
 		}
 	}
@@ -343,7 +388,7 @@
 }
 
 // isSmall reports whether the request is small with what it needs.
-func (d *demand) isSmall() bool { return d.account.isSmall(d.c.bytes + d.n) }
+func (d *demand) isSmall() bool { return d.account.isSmall(d.c, d.c.bytes+d.n) }
 
 // fits reports whether there is room.
 func (d *demand) fits() bool {
@@ -362,18 +407,21 @@
 	return d.othersLarge()+d.c.bytes+d.n <= limits.Bytes-limits.Reserved
 }
 
-// othersLarge returns what other large requests hold.
+// othersLarge returns what other large requests and their answers hold.
 func (d *demand) othersLarge() int64 {
-	if d.account.isSmall(d.c.bytes) {
-		return d.large
+	large := d.large
+	for _, own := range []*Connection{d.c, d.c.request} {
+		if own != nil && !d.account.isSmall(own, own.bytes) {
+			large -= own.bytes
+		}
 	}
-	return d.large - d.c.bytes
+	return large
 }
 
 // evict lets a connection yield if that helps, and reports whether the demand fits then.
 func (d *demand) evict(v *Connection) bool {
-	isSmall := d.account.isSmall(v.bytes)
-	if v == d.c || v.bytes == 0 || isSmall && !d.isSmall() && !d.fitsLarge() || v.demands == d.account.demands {
+	isSmall := d.account.isSmall(v, v.bytes)
+	if v == d.c || v == d.c.request || v.bytes == 0 || isSmall && !d.isSmall() && !d.fitsLarge() || v.demands == d.account.demands {
 		return false
 	}
 	if isSmall {
@@ -386,11 +434,18 @@
 	return d.fits()
 }
 
-func (a *Account) isSmall(n int64) bool { return n <= a.limits.SmallBytes }
+// isSmall reports whether the connection counts as small with n bytes.
+func (a *Account) isSmall(c *Connection, n int64) bool {
+	return c.request == nil && n <= a.limits.SmallBytes
+}
 
 func (a *Account) evict(c *Connection) {
 	a.release(c)
 	a.dequeue(c)
+	if c.request != nil {
+		c.state = Evicted
+		return
+	}
 	mayAnswer := c.sending == nil
 	a.Sent(c)
 	c.state = Evicted
@@ -405,12 +460,12 @@
 func (c *Connection) MayAnswer() bool { return c.answering }
 
 func (a *Account) add(c *Connection, n int64) {
-	if !a.isSmall(c.bytes) {
+	if !a.isSmall(c, c.bytes) {
 		a.largeBytes -= c.bytes
 	}
 	c.bytes += n
 	a.bytes += n
-	if !a.isSmall(c.bytes) {
+	if !a.isSmall(c, c.bytes) {
 		a.largeBytes += c.bytes
 	}
 }
@@ -444,16 +499,23 @@
 	}
 	if c.quiet != nil {
 		a.quiet.Remove(c.quiet)
+		a.receiving.Remove(c.quiet)
 		c.quiet = nil
 	}
 }
 
-// Bytes returns the memory that requests hold.
+// Bytes returns the memory that requests and answers hold.
 func (a *Account) Bytes() int64 { return a.bytes }
 
 // Connections returns the numbers of all connections and of those whose request is incomplete.
 func (a *Account) Connections() (open, reading int) { return a.open, a.reading.Len() }
 
+// HeadCost returns the memory in bytes that a part of the head of a request or an answer takes once
+// it is decoded.
+func HeadCost(part []byte) int64 {
+	return 2*int64(len(part)) + headLineBytes*int64(bytes.Count(part, []byte("\n")))
+}
+
 func front(l *list.List) *Connection {
 	if e := l.Front(); e != nil {
 		return connectionOf(e)
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -17,6 +17,7 @@
 	"rosereach/core/residency"
 	"rosereach/core/retry"
 	"rosereach/core/route"
+	"rosereach/internal/httpd"
 	"rosereach/io/upstream"
 )
 
@@ -121,8 +122,9 @@
 		startedAt        time.Time
 		head             forward.Head
 		answer           framing.Answer
-		successRecorded  bool // success was recorded
-		soundRecorded    bool // it was recorded as an answer that speaks for its prompt
+		room             *httpd.AnswerRoom // of its answer
+		successRecorded  bool              // success was recorded
+		soundRecorded    bool              // it was recorded as an answer that speaks for its prompt
 		firstEventAt     time.Time
 		waitTallied      bool // the wait for the first byte was tallied before it came
 		pace             streamPace
@@ -280,6 +282,8 @@
 	x.logPlaced(a)
 	watch := x.startIdleTimer(ctx, cancel, errHeadTimeout, a, x.headTimeouts(a))
 	defer watch.stop()
+	a.room = httpd.NewAnswerRoom(ctx, func() { cancel(errNoRoom) })
+	defer a.room.Close()
 	f.trackStart(now, a.server, a.equivalentTokens)
 	defer f.trackEnd(a.server)
 	answer, err := f.client.Do(ctx, upstream.Call{
@@ -287,7 +291,7 @@
 		Header: f.entry.cfg.Forwarding.Dialect.Attempt(x.req, forward.Attempt{
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: x.serverPriority(), LastEventID: x.lastEventID,
 		}),
-		NewConn: x.sends > 1 && (!x.route.IsRetryable() || slices.Contains(x.tried, a.server.ID)), Via: viaOf(a.homes),
+		NewConn: x.sends > 1 && (!x.route.IsRetryable() || slices.Contains(x.tried, a.server.ID)), Via: viaOf(a.homes), Hold: a.room.Add,
 	}, func() error { return x.admitToSend(a) })
 	if err != nil {
 		return x.handleSendError(ctx, a, err, x.takeOver(watch))
@@ -319,7 +323,7 @@
 	x.answers = append(x.answers, noAnswer)
 	x.runs++
 	x.tried = append(x.tried, a.server.ID)
-	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && !h.moved {
+	if cause := context.Cause(ctx); cause == nil && !errors.Is(err, upstream.ErrNoRoom) || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && !h.moved {
 		x.forwarder.recordFailure(a, x, h.serverDead)
 		if cause == nil {
 			x.recordEnd(ctx, a)
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -181,6 +181,7 @@
 		}
 		return forward.Incomplete, errors.Errorf("reading the answer failed after %d bytes: %v", body.Len(), err)
 	}
+	a.room.Keep()
 	answer.Close()
 	if a.head.Status >= http.StatusInternalServerError {
 		x.forwarder.recordFailure(a, x, false)
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -15,6 +15,7 @@
 	"rosereach/core/forward"
 	"rosereach/core/pacing"
 	"rosereach/core/placement"
+	"rosereach/internal/httpd"
 	"rosereach/io/upstream"
 )
 
@@ -332,9 +333,11 @@
 	defer cancel()
 	start := f.entry.cfg.Clock.Now()
 	defer f.entry.cfg.Clock.AfterFunc(statusTimeout, cancel).Stop()
+	room := httpd.NewAnswerRoom(ctx, cancel)
+	defer room.Close()
 	dialect := f.entry.cfg.Forwarding.Dialect
 	answer, err := f.client.Do(ctx, upstream.Call{
-		Address: server.Address, Method: http.MethodGet, Host: server.Address, Target: dialect.StatusTarget(), NewConn: true,
+		Address: server.Address, Method: http.MethodGet, Host: server.Address, Target: dialect.StatusTarget(), NewConn: true, Hold: room.Add,
 	}, func() error { return nil })
 	if err != nil {
 		return forward.ServerStatus{}, err
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -30,9 +30,6 @@
 	// writePieceBytes is how much of an answer is written at a time.
 	writePieceBytes = 32 << 10
 
-	// headLineBytes is the memory that a line of a head takes beside its text.
-	headLineBytes = 160
-
 	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
 		"Connection: close\r\n\r\nthe header is over the limit\n"
 )
@@ -200,7 +197,7 @@
 		t.refuseHead()
 		return 0, os.ErrDeadlineExceeded
 	}
-	if isHead && !t.guard.take(t.held, headCost(p[:n])) {
+	if isHead && !t.guard.take(t.held, overload.HeadCost(p[:n])) {
 		t.end()
 		return 0, os.ErrDeadlineExceeded
 	}
@@ -223,11 +220,6 @@
 	return written, err
 }
 
-// headCost returns the memory that a part of a head takes once it is decoded.
-func headCost(part []byte) int64 {
-	return 2*int64(len(part)) + headLineBytes*int64(bytes.Count(part, []byte("\n")))
-}
-
 // countHead reports whether a head is being read, and adds n bytes to it and reports whether it is
 // inside the limit. Empty lines before a request count as well.
 func (t *trackedConn) countHead(n int) (isHead, isSmall bool) {
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -35,7 +35,7 @@
 }
 
 var (
-	bytesHeldDesc   = prometheus.NewDesc("rosereach_client_bytes", "Memory that the requests of clients hold.", nil, nil)
+	bytesHeldDesc   = prometheus.NewDesc("rosereach_client_bytes", "Memory that the requests of clients and the answers to them hold.", nil, nil)
 	connectionsDesc = prometheus.NewDesc("rosereach_client_connections", "Connections of clients, by whether they have brought a part of a request.", []string{"state"}, nil)
 	shedDesc        = prometheus.NewDesc("rosereach_shed_total", "Connections and requests of clients that were ended, by reason.", []string{"reason"}, nil)
 )
@@ -150,6 +150,29 @@
 	g.account.Release(c)
 }
 
+// giveBack gives back n bytes of what a connection holds.
+func (g *Guard) giveBack(c *overload.Connection, n int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.account.Return(c, n)
+}
+
+// receive adds a connection to a server, which evict ends.
+func (g *Guard) receive(request *overload.Connection, evict func()) *overload.Connection {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.account.Receive(g.clock.Now(), request)
+	c.Evict = evict
+	return c
+}
+
+// keep lets the request hold the whole answer from a server.
+func (g *Guard) keep(c *overload.Connection) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.account.Keep(c)
+}
+
 func (g *Guard) close(c *overload.Connection) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -41,9 +41,8 @@
 	// answer and a few events.
 	readBufferBytes = 4 << 10
 
-	// maxHeadBytes is the largest head of an answer in bytes, with the informational
-	// answers (1xx) before it.
-	maxHeadBytes = 64 << 10
+	// maxQuotedBytes bounds what an error quotes of an answer.
+	maxQuotedBytes = 200
 
 	// maxInlineBodyBytes is the largest body in bytes that is written before the answer
 	// is read. Larger ones are written while the answer is read.
@@ -60,6 +59,8 @@
 	ErrNotSent = errors.ConstError("the request was not sent")
 	// ErrBadAnswer means that the head of the answer is malformed or cut off.
 	ErrBadAnswer = errors.ConstError("no proper answer")
+	// ErrNoRoom means that Call.Hold had no room for the head of the answer.
+	ErrNoRoom = errors.ConstError("there is no room for the head of the answer")
 )
 
 type (
@@ -79,6 +80,9 @@
 		// Via restricts the regions of other instances that the connection may pass
 		// through. It is nil for no restriction.
 		Via func(region string) bool
+		// Hold takes room for n bytes of memory more that the head of the answer takes, and
+		// reports whether there was room. It is nil for no account.
+		Hold func(n int64) bool
 	}
 
 	// Answer is the head of an answer and a reader of its body. Close must be
@@ -126,7 +130,7 @@
 	conn struct {
 		net.Conn
 		reader *bufio.Reader
-		source *boundedReader // that reader reads from
+		source *headReader // that reader reads from
 		// expiresAt is when an idle connection expires.
 		expiresAt time.Time
 	}
@@ -242,12 +246,11 @@
 			wrote <- conn.writeAll(head, call.Body)
 		}()
 	}
-	conn.source.bound(maxHeadBytes)
-	resp, err := readHead(conn.reader, call.Method) //nolint:bodyclose // Answer.Close ends the connection, and with it the body
+	conn.source.expect(call.Hold)
+	resp, err := conn.readHead(call.Method) //nolint:bodyclose // Answer.Close ends the connection, and with it the body
 	if err != nil {
 		return nil, err
 	}
-	conn.source.unbound()
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body,
 		conn: conn, client: c, address: call.Address, writeResult: wrote,
@@ -265,16 +268,20 @@
 
 // readHead reads the status line and header of the final answer and skips
 // informational ones (1xx). The caller closes the body.
-func readHead(r *bufio.Reader, method string) (*http.Response, error) {
+func (c *conn) readHead(method string) (*http.Response, error) {
 	for {
-		if hasUndefinedFraming(r) {
+		if err := c.source.begin(c.reader); err != nil {
+			return nil, badHead(err)
+		}
+		if hasUndefinedFraming(c.reader) {
 			return nil, errors.Annotatef(ErrBadAnswer, "it has chunks in HTTP/1.0")
 		}
-		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, errors.Annotatef(ErrBadAnswer, "%v", err)
+			return nil, badHead(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
+			c.source.inHead = false
 			return resp, nil
 		}
 		resp.Body.Close()
@@ -284,6 +291,15 @@
 	}
 }
 
+// badHead returns the error of a head that could not be read. Errors of net/http quote the line at
+// fault, which may be as long as a head.
+func badHead(err error) error {
+	if errors.Is(err, ErrNoRoom) {
+		return err
+	}
+	return errors.Annotatef(ErrBadAnswer, "%.*v", maxQuotedBytes, err)
+}
+
 // hasUndefinedFraming reports whether the answer that is read next is one of HTTP/1.0 with
 // chunks (RFC 9112, section 6.1): net/http would read their sizes as a part of the body.
 func hasUndefinedFraming(r *bufio.Reader) bool {
@@ -389,7 +405,7 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	source := &boundedReader{r: raw}
+	source := &headReader{r: raw}
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBufferBytes), source: source}
 }
 
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -240,8 +240,8 @@
 	}
 	c.leave()
 	for i, p := range watched {
-		if n := peaks[i].result(); n > maxOpenFiles-reservedFiles {
-			f.t.Errorf("%s had %d connections open, %d are allowed", p.node.Name, n, maxOpenFiles-reservedFiles)
+		if n := peaks[i].result(); n > f.files-reservedFiles {
+			f.t.Errorf("%s had %d connections open, %d are allowed", p.node.Name, n, f.files-reservedFiles)
 		}
 	}
 	if !f.isAnswered(make([]byte, largeBody)) {
--- a/test/crowd/harness_test.go
+++ b/test/crowd/harness_test.go
@@ -32,6 +32,9 @@
 	maxOpenFiles  = 400
 	reservedFiles = 200
 
+	// manyOpenFiles is the limit of descriptors where memory alone should be short.
+	manyOpenFiles = 4100
+
 	maxHeaderBytes = 16 << 10
 	maxBodyBytes   = 4 << 20
 
@@ -41,6 +44,9 @@
 
 	callerKey = "crowd-key"
 
+	soundService  = "s"
+	faultyService = "faulty"
+
 	// A caller repeats a request that a process refuses as not run, a few times.
 	callerAttempts = 4
 	callerTimeout  = 6 * time.Second
@@ -64,12 +70,15 @@
 		exited chan struct{}
 	}
 
-	// fleet is a control, an entry and a backend server.
+	// fleet is a control, an entry and backend servers.
 	fleet struct {
-		t       *testing.T
-		ports   platform.SimulatedPorts
-		control *process
-		entry   *process
+		t     *testing.T
+		files int // the limit of descriptors of each process
+		ports platform.SimulatedPorts
+		// services are the services of the types of routes.
+		services map[string]string
+		control  *process
+		entry    *process
 	}
 
 	// peak samples the open descriptors of a process.
@@ -97,7 +106,14 @@
 // startFleet starts a fleet and waits until it answers a request.
 func startFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t}
+	return startFleetWith(t, maxOpenFiles, map[string]string{"safe": soundService, "unsafe": soundService, "streaming": soundService})
+}
+
+// startFleetWith is startFleet with a limit of descriptors and the service of each type of route.
+// The service of the safe one is sound.
+func startFleetWith(t *testing.T, files int, services map[string]string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, files: files, services: services}
 	f.pickPorts()
 	metrics := [2]int{freePort(t, controlIP), freePort(t, entryIP)}
 	f.control = f.newProcess("control", controlIP, metrics[0])
@@ -124,7 +140,7 @@
 	p := &process{role: role, folder: f.t.TempDir(), metricsPort: metricsPort}
 	p.node = platform.SimulatedNode{
 		Name: role + "-1", IP: ip, Zone: "z", Seeds: []string{controlIP}, Bootstrap: role == "control", Control: role == "control",
-		DataDir: filepath.Join(p.folder, "data"), Ports: f.ports, MemoryMB: memoryMB, MaxOpenFiles: maxOpenFiles,
+		DataDir: filepath.Join(p.folder, "data"), Ports: f.ports, MemoryMB: memoryMB, MaxOpenFiles: f.files,
 	}
 	return p
 }
@@ -168,7 +184,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	limited := fmt.Sprintf("ulimit -n %d && exec \"$0\" \"$@\"", maxOpenFiles)
+	limited := fmt.Sprintf("ulimit -n %d && exec \"$0\" \"$@\"", p.node.MaxOpenFiles)
 	p.cmd = exec.Command("sh", "-c", limited, program, p.role, "--member-key", "crowd", "--metrics-port", strconv.Itoa(p.metricsPort))
 	p.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
@@ -304,7 +320,12 @@
 	})}
 	go server.Serve(l)
 	f.t.Cleanup(func() { server.Close() })
-	announcement := platform.SimulatedServer{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z", Incarnation: time.Now().UnixMilli()}
+	f.announce(id, soundService, l.Addr().String())
+}
+
+// announce announces a backend server until the test ends.
+func (f *fleet) announce(id, service, address string) {
+	announcement := platform.SimulatedServer{ID: id, Service: service, Address: address, Zone: "z", Incarnation: time.Now().UnixMilli()}
 	go func() {
 		for f.t.Context().Err() == nil {
 			announcement.Sequence++
@@ -321,7 +342,7 @@
 	limits := platform.SimulatedLimits{
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 	}
-	r, err := f.ports.PutConfigRequest(controlIP, platform.SimulatedConfigWithLimits(1, "s", limits, callerKey))
+	r, err := f.ports.PutConfigRequest(controlIP, platform.SimulatedConfigOf(1, f.services, limits, callerKey))
 	if err != nil {
 		return false
 	}
