Bodies and events of answers count from their first bytes

Callers saw: backend servers began large events, or bodies of up to 64 KiB behind a large head, and never ended them; the entry kept them for every request at once and was killed.

Cause: events of streams were in no account at all (up to 1 MiB each), plain bodies only from 64 KiB on. What was counted belonged to the caller's request, which never yields once it is complete.

An answer now holds what it holds in its room, a byte of a growing buffer twice, and its stalled parts yield. What is complete is held by the request until it is sent, and yields when its caller takes nothing, as before. So do events while they are written. The answer to a question for a server's status takes room in the same way. TestEntryTakesLargeAnswers: a head of 60 KB with a body or an event of 1 MB passes in calm.

--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -76,6 +76,9 @@
 	return events, nil
 }
 
+// Len returns the number of buffered bytes.
+func (s *Splitter) Len() int { return len(s.buffer) }
+
 // Buffered returns the number of buffered bytes of an incomplete event, without
 // surrounding white space.
 func (s *Splitter) Buffered() int { return len(bytes.TrimSpace(s.buffer)) }
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -47,8 +47,8 @@
 	// buffered before it is forwarded.
 	maxBufferedBytes = 1 << 20
 
-	// uncountedBytes is the size, in bytes, up to which answers always have room.
-	uncountedBytes = 64 << 10
+	// growingBytes is how much of an answer is read into buffers that grow.
+	growingBytes = 64 << 10
 )
 
 // Reasons for which the entry ends an attempt.
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -12,7 +12,6 @@
 	"rosereach/core/framing"
 	"rosereach/core/placement"
 	"rosereach/core/route"
-	"rosereach/internal/httpd"
 	"rosereach/io/upstream"
 )
 
@@ -113,32 +112,6 @@
 	return true
 }
 
-// readWhole reads an answer to its end, or to a byte more than is buffered. A large one takes room
-// as it arrives.
-func readWhole(ctx context.Context, answer io.Reader) (forward.Body, error) {
-	first, err := io.ReadAll(io.LimitReader(answer, uncountedBytes))
-	if err != nil || len(first) < uncountedBytes {
-		return forward.BodyOf(first), err
-	}
-	rest, err := forward.ReadBody(heldReader{ctx, io.LimitReader(answer, maxBufferedBytes+1-uncountedBytes)}, -1)
-	return append(forward.BodyOf(first), rest...), err
-}
-
-// heldReader takes room for what it reads.
-type heldReader struct {
-	ctx context.Context
-	r   io.Reader
-}
-
-// Read implements io.Reader.
-func (h heldReader) Read(p []byte) (int, error) {
-	n, err := h.r.Read(p)
-	if n > 0 && !httpd.HoldAnswer(h.ctx, int64(n)) {
-		return 0, errors.Trace(errNoRoom)
-	}
-	return n, err
-}
-
 // writeBody writes the body of an answer to the caller.
 func (x *activeRequest) writeBody(body forward.Body) error {
 	if len(body) == 0 {
@@ -157,7 +130,7 @@
 func (x *activeRequest) forwardWhole(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
 	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.bodyTimeouts())
 	defer watch.stop()
-	body, err := readWhole(ctx, answer)
+	body, err := readWhole(a.room, answer)
 	switch {
 	case err != nil:
 		a.answer.End = answer.EndBy(err)
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -20,17 +20,18 @@
 // event.
 func (x *activeRequest) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
 	order := stream.NewSequencer(x.lastEventID)
-	var splitter stream.Splitter
+	splitter := heldSplitter{room: a.room}
 	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.eventTimeouts())
 	defer watch.stop()
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := answer.Read(buffer)
-		events, tooLong := splitter.Push(buffer[:n])
+		events, tooLong := splitter.push(buffer[:n])
 		failed := x.forwardEvents(a, answer, &order, events)
+		splitter.sent()
 		a.answer.Partial = splitter.Buffered() > 0
 		if err != nil || failed != nil || tooLong != nil {
-			x.recordPartial(&splitter)
+			x.recordPartial(&splitter.Splitter)
 		}
 		switch {
 		case len(events) > 0:
@@ -172,11 +173,11 @@
 			x.forwarder.tallyPace(a, x, gap)
 		}
 	}
-	callerLeft := errors.Is(err, errCallerWrite)
-	if !callerLeft && ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
+	isOwn := errors.Is(err, errCallerWrite) || errors.Is(err, errNoRoom)
+	if !isOwn && ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
 		x.forwarder.recordFailure(a, x, dead)
 	}
-	if !callerLeft && ctx.Err() == nil {
+	if !isOwn && ctx.Err() == nil {
 		x.recordEnd(ctx, a)
 	}
 	return forward.Incomplete, err
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -348,7 +348,7 @@
 		head.Limit = pacing.Statement{} // A status need not repeat the limit.
 	}
 	f.hear(server, head, start, requestID) //nolint:contextcheck // a report about the server outlives the request
-	body, err := io.ReadAll(io.LimitReader(answer, maxStatusBytes))
+	body, err := io.ReadAll(heldReader{io.LimitReader(answer, maxStatusBytes), room, growingCost})
 	if err != nil {
 		return forward.ServerStatus{}, errors.Trace(err)
 	}
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -62,13 +62,6 @@
 // connection has a method Establish() to call when its peer has proved who it is.
 func (g *Guard) Listener(l net.Listener) net.Listener { return trackedListener{l, Server{}, g} }
 
-// HoldAnswer takes n bytes for the answer to the request with the context, until it is sent, and
-// reports whether there was room.
-func HoldAnswer(ctx context.Context, n int64) bool {
-	t, ok := ctx.Value(connKey{}).(*trackedConn)
-	return !ok || t.guard.take(t.held, n)
-}
-
 // open adds a connection and reports whether there was room.
 func (g *Guard) open(t *trackedConn) bool {
 	g.mu.Lock()
@@ -95,15 +88,24 @@
 	return g.account.Read(g.clock.Now(), c)
 }
 
-// take takes n bytes for the request of a connection and reports whether there was room.
+// take takes n bytes for the request of a connection and reports whether there was room. If not, the
+// request is rejected.
 func (g *Guard) take(c *overload.Connection, n int64) bool {
+	ok := g.tryTake(c, n)
+	if !ok {
+		g.release(c)
+	}
+	return ok
+}
+
+// tryTake takes n bytes for the request of a connection and reports whether there was room.
+func (g *Guard) tryTake(c *overload.Connection, n int64) bool {
 	g.mu.Lock()
 	evicted, ok := g.account.Take(g.clock.Now(), c, n)
 	for range evicted {
 		g.count(overload.Stalled)
 	}
 	if !ok {
-		g.account.Release(c)
 		g.count(overload.NoRoom)
 	}
 	g.unlock()
--- a/internal/httpd/room.go
+++ b/internal/httpd/room.go
@@ -21,6 +21,7 @@
 	closed bool
 	bytes  int64
 	held   *overload.Connection // nil for an ordinary answer
+	sends  int64                // what the request holds while it is sent
 }
 
 // NewAnswerRoom returns room for an answer to the request with the context. End is called when the
@@ -58,6 +59,30 @@
 	return guard.take(r.held, more)
 }
 
+// Send lets the request hold n bytes of the answer until Sent, and reports whether there was room.
+func (r *AnswerRoom) Send(n int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conn == nil || n <= ordinaryAnswerBytes {
+		return true
+	}
+	if !r.conn.guard.tryTake(r.conn.held, n) {
+		return false
+	}
+	r.sends = n
+	return true
+}
+
+// Sent gives back what the request holds since Send.
+func (r *AnswerRoom) Sent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.sends > 0 {
+		r.conn.guard.giveBack(r.conn.held, r.sends)
+		r.sends = 0
+	}
+}
+
 // Keep lets the request hold the whole answer until it is answered, and ends the room.
 func (r *AnswerRoom) Keep() {
 	r.mu.Lock()
