--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -15,6 +15,7 @@
 	"rosereach/core/forward"
 	"rosereach/core/pacing"
 	"rosereach/core/placement"
+	"rosereach/internal/httpd"
 	"rosereach/io/upstream"
 )
 
@@ -332,9 +333,11 @@
 	defer cancel()
 	start := f.entry.cfg.Clock.Now()
 	defer f.entry.cfg.Clock.AfterFunc(statusTimeout, cancel).Stop()
+	room := httpd.NewAnswerRoom(ctx, cancel)
+	defer room.Close()
 	dialect := f.entry.cfg.Forwarding.Dialect
 	answer, err := f.client.Do(ctx, upstream.Call{
-		Address: server.Address, Method: http.MethodGet, Host: server.Address, Target: dialect.StatusTarget(), NewConn: true,
+		Address: server.Address, Method: http.MethodGet, Host: server.Address, Target: dialect.StatusTarget(), NewConn: true, Hold: room.Add,
 	}, func() error { return nil })
 	if err != nil {
 		return forward.ServerStatus{}, err
@@ -345,7 +348,7 @@
 		head.Limit = pacing.Statement{} // A status need not repeat the limit.
 	}
 	f.hear(server, head, start, requestID) //nolint:contextcheck // a report about the server outlives the request
-	body, err := io.ReadAll(io.LimitReader(answer, maxStatusBytes))
+	body, err := io.ReadAll(heldReader{io.LimitReader(answer, maxStatusBytes), room, growingCost})
 	if err != nil {
 		return forward.ServerStatus{}, errors.Trace(err)
 	}
