Requests that still connect are refused when the entry closes

By tests: a request that was connecting to a server at the close was refused only when the connection was there or had failed, up to the exit where the server does not accept. Its caller lost that time, though another entry could have taken the request. Change: the close ends the attempt of a request that has not run, unless it is being sent; one gate decides which came first.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -269,7 +269,7 @@
 // error is not nil, the outcome says whether the server may have run the
 // request.
 func (x *activeRequest) tryServer(ctx context.Context, a *attempt) (forward.Outcome, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel, sending := x.untilSent(ctx)
 	defer cancel(nil)
 	f := x.forwarder
 	now := f.entry.cfg.Clock.Now()
@@ -294,7 +294,7 @@
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: x.serverPriority(), LastEventID: x.lastEventID,
 		}),
 		NewConn: x.sends > 1 && (!x.route.IsRetryable() || slices.Contains(x.tried, a.server.ID)), Via: viaOf(a.homes),
-	}, func() error { return x.admitToSend(a) })
+	}, func() error { return x.admitToSend(a, sending) })
 	if err != nil {
 		return x.handleSendError(ctx, a, err, x.takeOver(watch))
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -19,6 +19,9 @@
 
 	// errExiting is why the entry ends a request when its planned stop has to end.
 	errExiting = errors.ConstError("the entry exits")
+
+	// errClosed is why the entry ends an attempt that still connects when it closes.
+	errClosed = errors.ConstError("the entry takes no more requests")
 )
 
 // The states of a gate.
@@ -237,10 +240,30 @@
 // isAlone reports whether no other entry could take requests.
 func (e *Entry) isAlone() bool { return e.forwarder.watcher.liveEntryCount() <= 1 }
 
+// untilSent returns a context for an attempt. It ends with the given one, and when the entry
+// closes before a request that has not run has passed the gate.
+func (x *activeRequest) untilSent(ctx context.Context) (context.Context, context.CancelCauseFunc, *gate) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	sending := &gate{}
+	if x.runs > 0 {
+		return ctx, cancel, sending
+	}
+	stop := context.AfterFunc(x.forwarder.entry.stopping.closing, func() {
+		if sending.shut() {
+			cancel(errClosed)
+		}
+	})
+	return ctx, func(cause error) { stop(); cancel(cause) }, sending
+}
+
 // admitToSend is admit at the last moment before a request is sent: the entry may have closed
 // while it connected.
-func (x *activeRequest) admitToSend(a *attempt) error {
-	if failure := x.drainingFailure(a); failure != nil {
+func (x *activeRequest) admitToSend(a *attempt, sending *gate) error {
+	failure := x.drainingFailure(a)
+	if failure == nil && !sending.pass() {
+		failure = x.forwarder.entry.newDrainingFailure(x.deadline)
+	}
+	if failure != nil {
 		a.withheld = withheldDraining
 		return failure
 	}
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -161,6 +161,25 @@
 	}
 }
 
+// A request that connected to a server that does not accept was refused only when that had
+// failed, up to the exit.
+func TestConnectingRequestIsRefusedAtTheClose(t *testing.T) {
+	for _, kind := range stopKinds {
+		s := newStoppingEntry(t)
+		s.counting("a", succeed)
+		dialing := make(chan struct{}, 8)
+		s.entry.forwarder.client.DialContext = func(ctx context.Context, _ string, _ func(string) bool) (net.Conn, error) {
+			dialing <- struct{}{}
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		ended := s.start(kind)
+		<-dialing
+		s.close(time.Minute)
+		s.expectRefused(ended)
+	}
+}
+
 // lateClock is a clock whose timers do not fire in time.
 type lateClock struct{ clock.Clock }
 
