Test of requests that are sent after the close of a busy entry

An entry with one processor and 150 callers that send without pause handles the SIGTERM, and the timer of its close, late.

--- a/internal/soak/planned_stop_test.go
+++ b/internal/soak/planned_stop_test.go
@@ -89,8 +89,9 @@
 	}
 )
 
-// startStopFleet starts a fleet and waits until its first entry answers.
-func startStopFleet(t *testing.T, grace time.Duration) *stopFleet {
+// startStopFleet starts a fleet, with additions to the environment of its processes, and waits until
+// its first entry answers.
+func startStopFleet(t *testing.T, grace time.Duration, env ...string) *stopFleet {
 	t.Helper()
 	t.Parallel()
 	binary, err := buildProgram()
@@ -110,6 +111,7 @@
 		node := platform.SimulatedNode{Name: name, IP: ip(i), Zone: "z", Seeds: []string{ip(0)}, Bootstrap: isControl, Control: isControl, Ports: f.ports, GracePeriod: grace}
 		p, err := newProcess(t.TempDir(), binary, node)
 		if err == nil {
+			p.env = env
 			err = p.start()
 		}
 		if err != nil {
@@ -193,7 +195,8 @@
 // send sends a request to the entry, with its ID as the body unless another one is given.
 func (c *stopCaller) send(kind string, wanted script, timeLeft time.Duration, body io.Reader) requestOutcome {
 	c.f.mu.Lock()
-	id := fmt.Sprintf("r%d-%d", c.number, len(c.f.outcomes))
+	i := len(c.f.outcomes)
+	id := fmt.Sprintf("r%d-%d", c.number, i)
 	c.f.outcomes = append(c.f.outcomes, requestOutcome{id: id})
 	c.f.mu.Unlock()
 	o := requestOutcome{kind: kind, id: id, entry: c.f.address(c.f.entry), script: wanted, timeLeft: timeLeft}
@@ -213,7 +216,6 @@
 	o.observe(c.client, r, platform.AnsweringServer)
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
-	i := slices.IndexFunc(c.f.outcomes, func(one requestOutcome) bool { return one.id == id })
 	c.f.outcomes[i] = o
 	return o
 }
@@ -423,6 +425,27 @@
 	}
 }
 
+// Requests that are sent more than 3 s after SIGTERM are not passed on and cut, although a busy
+// entry handles the signal, and its timers, late.
+func TestRequestsSentAfterTheCloseAreNotCut(t *testing.T) {
+	f := startStopFleet(t, platform.SimulatedGracePeriod, "GOMAXPROCS=1")
+	callers, busy := f.connect(300), f.connect(150)
+	f.after(0, busy, func(c *stopCaller) {
+		for c.send("safe", script{}, patientTime, nil).status == http.StatusOK {
+			continue
+		}
+	})
+	time.Sleep(time.Second)
+	f.terminate()
+	for i := range callers {
+		at := 2900*time.Millisecond + time.Duration(i)*time.Millisecond
+		f.after(at, callers[i:i+1], func(c *stopCaller) {
+			c.send("streaming", script{events: 60, pause: 100 * time.Millisecond}, patientTime, nil)
+		})
+	}
+	f.checkNoneLost(f.awaitEnd())
+}
+
 // With a short grace time, requests that run are not cut before its last sixth.
 func TestRequestsAreNotCutBeforeTheLastSixthOfAShortGraceTime(t *testing.T) {
 	f := startStopFleet(t, shortGracePeriod)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -24,6 +24,8 @@
 	binary string
 	// startWith is the program for the next start, empty for binary.
 	startWith string
+	// env is added to the environment.
+	env []string
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -69,7 +71,7 @@
 	binary := cmp.Or(p.startWith, p.binary)
 	p.startWith = ""
 	cmd := exec.Command(binary, role, "--member-key", "soak", "--log-level", "debug")
-	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s", platform.SettingsVariable, p.settings()))
+	cmd.Env = append(append(os.Environ(), p.env...), fmt.Sprintf("%s=%s", platform.SettingsVariable, p.settings()))
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
