A request that a stop withholds from its server is refused at once

What callers saw: during a planned stop a request whose chosen server is too slow for the time left was placed again and again, 8,686 times in 1.28 s, and refused only then; a processor per request, just as the entry stops under load. Cause: the decision before sending asks the server's figures, the one before the next placement does not, and nothing excluded the server.

The request ends with the refusal that withheld it. TestRequestTooLongAtItsServerIsRefusedAtOnceAtTheStop failed in 1 of 1 run, passes.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -186,6 +186,9 @@
 		x.endTrial(a, false, x.ends > ends)
 		x.logFailedAttempt(a, outcome, err)
 		lastOutcome = outcome
+		if a.withheld == withheldDraining {
+			return x.giveUp(ctx, outcome, x.forwarder.entry.newDrainingFailure(x.deadline))
+		}
 		if !x.maySpread() {
 			x.logNotSpread()
 			return x.giveUp(ctx, outcome, nil)
