A stop lets broken requests of unknown duration go on

What callers saw: a stream whose server broke off, or a safe request, seconds before the exit of a stopping entry, was cut or got 502 where its route had no history, or where it had taken longer than others: just those whose server is in trouble. Cause: what isn't known to end was refused at each step. That serves a request which has not run, as another entry takes it; one that may have run can't be refused, and gains nothing. Hedges and escalations of unknown duration stay refused: an attempt or an answer is at hand (drain.Replace).

--- a/core/drain/decision.go
+++ b/core/drain/decision.go
@@ -8,9 +8,11 @@
 const (
 	// Start sends a request that has not run.
 	Start Step = iota
-	// Repeat sends a request again that may have run and has no answer yet: a retry, a hedge
-	// or an escalation.
+	// Repeat sends a request again whose attempt failed and may have run.
 	Repeat
+	// Replace sends a request again that has an attempt or an answer at hand: a hedge or an
+	// escalation.
+	Replace
 	// Resume lets an answer that has begun go on at another server.
 	Resume
 )
@@ -67,8 +69,9 @@
 // It answers stops under load in which requests were passed on that could not end before the
 // exit, and were cut without an answer: long streams, requests that arrived late, and ones of
 // which nothing was known. What is refused here goes to another entry at once, and so does the
-// rest of an answer that is cut here. Where there is none, a request of which nothing is known is
-// passed on: most end in time, and its caller has nowhere to go.
+// rest of an answer that is cut here. Where that gains nothing, a request of which nothing is known
+// is passed on, as most end in time: where there is no other entry, and after its server failed,
+// as one that may have run can't be refused.
 func (s Schedule) Decide(now time.Time, r Request) Decision {
 	d := Decision{Phase: s.Phase(now)}
 	if d.Phase == Serving {
@@ -84,7 +87,7 @@
 	switch {
 	case r.Step == Start && d.Phase >= Closed, !now.Before(limit):
 	case d.Basis == Unknown:
-		d.Allowed = r.Alone
+		d.Allowed = r.Alone || r.Step == Repeat || r.Step == Resume
 	default:
 		d.Allowed = now.Add(d.Expected).Before(limit)
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -205,7 +205,7 @@
 	if begun {
 		return x.decideStop(drain.Resume, next).Allowed
 	}
-	return x.decideStop(drain.Repeat, next).Allowed
+	return x.decideStop(drain.Replace, next).Allowed
 }
 
 // ownDuration returns how long the request may well take by its own size: the time to its first
