A request that the server ends at the exit first gets its answer, too

What callers saw: where the timers of the entry are late, a request without a head at the exit was reset. Cause: httpd ends such requests with ErrStopped, which the entry took for a caller that left. Both causes give the answer now.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -262,7 +262,7 @@
 		return x.writeBody(x.fallback.body)
 	case refused != nil && refused.IsNotRun() && x.runs == 0:
 		return refused
-	case errors.Is(context.Cause(ctx), errExiting):
+	case isExit(context.Cause(ctx)):
 		return x.exitFailure(lastOutcome)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &forward.Failure{Code: forward.CallerGone, Detail: "the caller left"}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -11,6 +11,7 @@
 	"rosereach/core/drain"
 	"rosereach/core/forward"
 	"rosereach/core/route"
+	"rosereach/internal/httpd"
 )
 
 const (
@@ -137,6 +138,12 @@
 	return ctx, func() { stopEnd(); stopExit(); cancel(nil) }
 }
 
+// isExit reports whether a request ends for the exit: by the entry, or by the server of its caller's
+// connection where the entry's timers are late.
+func isExit(cause error) bool {
+	return errors.Is(cause, errExiting) || errors.Is(cause, httpd.ErrStopped)
+}
+
 // exitFailure returns the failure of a request that the exit ends without an answer. It says that
 // the request did not run only if no server can have run it.
 func (x *activeRequest) exitFailure(last forward.Outcome) *forward.Failure {
