cmd: neither the end of a log's reader nor SIGHUP ends a server at once

An entry or control whose standard output was read by nobody any more died of SIGPIPE at its next line, in calm or during a stop, with all its requests. SIGHUP did the same to processes of the product's own protocol, and on the platform while a process started or, at the end of a stop, wrote its last lines.

Go ends a process that writes to a closed standard output or standard error unless it asks for SIGPIPE; servers ignore it now, other commands keep it. On the platform a process listens to SIGHUP as long as it runs; one of the product's own stops in order at it.

--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -39,9 +39,12 @@
 }
 
 func runControl(ctx context.Context, c *cli.Command) error {
+	withServerSignals()
 	if isOnPlatform() {
 		return runPlatformControl(ctx, c)
 	}
+	ctx, cancel := stopAtHangup(ctx)
+	defer cancel()
 	s := newSettings(c)
 	listen := s.address("listen")
 	cfg := control.Config{
--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -40,9 +40,12 @@
 }
 
 func runEntry(ctx context.Context, c *cli.Command) error {
+	withServerSignals()
 	if isOnPlatform() {
 		return runPlatformEntry(ctx, c)
 	}
+	ctx, cancel := stopAtHangup(ctx)
+	defer cancel()
 	s := newSettings(c)
 	listen := s.address("listen")
 	files, started := s.tlsFiles(), incarnation()
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -49,6 +49,7 @@
 	memberKey      string
 	metricsAddress string
 	guard          *httpd.Guard // of all listeners
+	hangups        chan os.Signal
 	flushLogs      func()
 }
 
@@ -95,7 +96,8 @@
 
 // openPlatformProcess reads the settings file and sets the runtime's memory limit.
 func openPlatformProcess(logger log.Logger) (*platformProcess, error) {
-	p := &platformProcess{settingsPath: os.Getenv(platform.SettingsVariable), logger: logger, clock: clock.WallClock}
+	p := &platformProcess{settingsPath: os.Getenv(platform.SettingsVariable), logger: logger, clock: clock.WallClock, hangups: make(chan os.Signal, 1)}
+	signal.Notify(p.hangups, syscall.SIGHUP) // until the process ends, which the signal must not do
 	s, err := platform.ReadSettings(p.settingsPath)
 	if err != nil {
 		return nil, withExitCode(exitSettings, err)
@@ -121,9 +123,6 @@
 // watchSettings reloads the settings on SIGHUP and when the file has changed, until the
 // context ends. Invalid settings leave the current ones unchanged.
 func (p *platformProcess) watchSettings(ctx context.Context) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	var lastSum [sha256.Size]byte
 	for {
 		if sum, ok := p.settingsHash(); ok && sum != lastSum {
@@ -131,7 +130,7 @@
 			p.reload()
 		}
 		select {
-		case <-hangups:
+		case <-p.hangups:
 		case <-p.clock.After(reloadInterval):
 		case <-ctx.Done():
 			return nil
--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,3 +71,32 @@
 		}
 	}
 }
+
+// A SIGHUP that came before the settings were watched, or after, at the end of a stop, ended the
+// process at once.
+func TestHangupOutsideOfTheWatchEndsNoProcess(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.toml")
+	node := platform.SimulatedNode{Name: "e", IP: "127.0.0.1", Zone: "z", Seeds: []string{"10.0.0.1"}, Ports: platform.SimulatedPorts{Internal: 7, Control: 8, Callers: 9, Readiness: 10}}
+	if err := os.WriteFile(path, node.Settings(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(platform.SettingsVariable, path)
+	p, err := openPlatformProcess(log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	hangUp := func() {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		<-p.hangups
+	}
+	hangUp()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := p.watchSettings(ctx); err != nil {
+		t.Fatal(err)
+	}
+	hangUp()
+}
