httpd: a connection that cannot be accepted does not end the server

Want of the kernel's memory (ENOBUFS, ENOMEM) in an accept ended a server: net/http goes on only after errors that name themselves temporary, such as want of descriptors. An entry left its callers with a closed port.

The listener waits and accepts on after any error but its own end, as that of detours does.

--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"rosereach/core/overload"
@@ -27,6 +28,10 @@
 	// writePieceBytes is how much of an answer is written at a time.
 	writePieceBytes = 32 << 10
 
+	// acceptPause is the pause after a connection that could not be accepted, for want of memory
+	// for example.
+	acceptPause = 50 * time.Millisecond
+
 	// headLineBytes is the memory that a line of a head takes beside its text.
 	headLineBytes = 160
 
@@ -40,6 +45,7 @@
 		net.Listener
 		server Server
 		guard  *Guard
+		ended  <-chan struct{} // closed before the listener is, nil for unknown
 	}
 
 	// conns are the open connections of a server. It closes idle ones after a timeout,
@@ -86,10 +92,11 @@
 }
 
 // Accept implements net.Listener. It closes connections for which there is no room: one that is
-// not accepted would wait in the kernel's queue and keep others from it.
+// not accepted would wait in the kernel's queue and keep others from it. Errors other than the end of
+// the listener pass.
 func (l trackedListener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
@@ -101,6 +108,24 @@
 	}
 }
 
+// accept accepts a connection. It returns an error only when the listener has ended.
+func (l trackedListener) accept() (net.Conn, error) {
+	for failures := 0; ; failures++ {
+		c, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		if failures == 0 {
+			level.Warn(l.guard.logger).Log("msg", "Connections cannot be accepted.", "address", l.Addr(), "err", err)
+		}
+		select {
+		case <-l.guard.clock.After(acceptPause):
+		case <-l.ended:
+			return nil, err
+		}
+	}
+}
+
 // onStateChange is an http.Server.ConnState hook.
 func (s *conns) onStateChange(c net.Conn, state http.ConnState) {
 	t, ok := c.(*trackedConn)
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -60,7 +60,7 @@
 
 // Listener returns a listener of another protocol than HTTP whose connections the guard limits. A
 // connection has a method Establish() to call when its peer has proved who it is.
-func (g *Guard) Listener(l net.Listener) net.Listener { return trackedListener{l, Server{}, g} }
+func (g *Guard) Listener(l net.Listener) net.Listener { return trackedListener{l, Server{}, g, nil} }
 
 // HoldAnswer takes n bytes for the answer to the request with the context, until it is sent, and
 // reports whether there was room.
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -124,7 +124,7 @@
 		BaseContext: func(net.Listener) context.Context { return requests },
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(trackedListener{l, s, guard}) }()
+	go func() { failed <- server.Serve(trackedListener{l, s, guard, ctx.Done()}) }()
 	select {
 	case err := <-failed:
 		return errors.Trace(err)
--- a/internal/httpd/stop_test.go
+++ b/internal/httpd/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -164,3 +165,32 @@
 		t.Errorf("%d bytes, %v", n, err)
 	}
 }
+
+// failingListener fails to accept a few times before it does.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.ENOBUFS}
+	}
+	return l.Listener.Accept()
+}
+
+// A server ended for want of the kernel's memory when it accepted a connection.
+func TestServerGoesOnAfterAFailedAccept(t *testing.T) {
+	s := startStoppable(t, httpd.Server{Handler: http.NotFoundHandler()}, func(l net.Listener) net.Listener {
+		failing := &failingListener{Listener: l}
+		failing.failures.Store(3)
+		return failing
+	})
+	c := dial(t, s.address)
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if status := statusOf(t, bufio.NewReader(c)); status != http.StatusNotFound {
+		t.Errorf("status %d", status)
+	}
+	s.stop()
+	s.await(t)
+}
