--- a/internal/httpd/stop_review_test.go
+++ b/internal/httpd/stop_review_test.go
@@ -15,13 +15,13 @@
 	"rosereach/internal/httpd"
 )
 
-// failingListener fails for good when it is told to.
-type failingListener struct {
+// brokenListener fails for good when it is told to.
+type brokenListener struct {
 	net.Listener
 	fail chan struct{}
 }
 
-func (l failingListener) Accept() (net.Conn, error) {
+func (l brokenListener) Accept() (net.Conn, error) {
 	type accepted struct {
 		c   net.Conn
 		err error
@@ -57,7 +57,7 @@
 			if r.Context().Err() != nil {
 				t.Error(context.Cause(r.Context()))
 			}
-		})}.Serve(ctx, failingListener{l, fail})
+		})}.Serve(ctx, brokenListener{l, fail})
 	}()
 	c := dial(t, l.Addr().String())
 	io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
