HTTP clients read at most 16 KiB of an answer's head

What an operator of a similar system saw: a faulty server sent a head without end, and its caller ran out of memory.

Cause: net/http's transport takes 10 MiB of head, which is up to 76 MB of memory for one answer, the most in short lines. The clients that dial members, call engines and plain services (io/backend), controls (operate), entries (demo and load tool) and the platform's services all used its default.

--- a/internal/cmd/operate.go
+++ b/internal/cmd/operate.go
@@ -13,6 +13,7 @@
 
 	"rosereach/core/change"
 	"rosereach/internal/httpd"
+	"rosereach/io/bounded"
 	"rosereach/io/operator"
 )
 
@@ -69,7 +70,7 @@
 	client := operator.Client{Address: s.address("control"), Key: s.required("operator-key")}
 	if config := s.clientTLS(httpd.TLSFiles{CA: s.optional("tls-ca")}); config != nil {
 		client.TLS = true
-		client.HTTP = &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+		client.HTTP = &http.Client{Transport: bounded.Transport(&http.Transport{TLSClientConfig: config})}
 	}
 	return client
 }
--- a/internal/experiment/bench.go
+++ b/internal/experiment/bench.go
@@ -18,6 +18,7 @@
 	"rosereach/core/version"
 	"rosereach/internal/cluster"
 	iobackend "rosereach/io/backend"
+	"rosereach/io/bounded"
 	"rosereach/io/caller"
 )
 
@@ -102,7 +103,7 @@
 		return err
 	}
 	transport := func() *http.Transport {
-		return &http.Transport{MaxIdleConnsPerHost: maxBenchConns, DisableCompression: true}
+		return bounded.Transport(&http.Transport{MaxIdleConnsPerHost: maxBenchConns, DisableCompression: true})
 	}
 	b := &bench{
 		cluster: c,
--- a/internal/experiment/capacity.go
+++ b/internal/experiment/capacity.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"slices"
 	"time"
@@ -18,6 +17,7 @@
 	"rosereach/internal/cluster"
 	"rosereach/internal/fake"
 	iobackend "rosereach/io/backend"
+	"rosereach/io/bounded"
 )
 
 const (
@@ -245,7 +245,7 @@
 		for i := range measuredAnnouncements {
 			a := engine.Announcement("127.0.0.1:1")
 			a.Sequence = uint64(i + 1)
-			if err := iobackend.Announce(ctx, http.DefaultClient, entry.Address(), c.BackendKey(), a); err != nil {
+			if err := iobackend.Announce(ctx, bounded.Client, entry.Address(), c.BackendKey(), a); err != nil {
 				return errors.Trace(err)
 			}
 		}
--- a/internal/fake/announcer.go
+++ b/internal/fake/announcer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +10,7 @@
 
 	"rosereach/core/backend"
 	iobackend "rosereach/io/backend"
+	"rosereach/io/bounded"
 )
 
 // AnnounceInterval is the interval between announcements of a backend server.
@@ -56,7 +56,7 @@
 			announcement.Address = a.AddressFor(entry)
 		}
 		wg.Go(func() {
-			iobackend.Announce(ctx, http.DefaultClient, entry, a.Key, announcement) //nolint:errcheck // retried every second
+			iobackend.Announce(ctx, bounded.Client, entry, a.Key, announcement) //nolint:errcheck // retried every second
 		})
 	}
 	wg.Wait()
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/request"
+	"rosereach/io/bounded"
 	"rosereach/io/caller"
 )
 
@@ -93,7 +94,7 @@
 // NewRunner returns a runner with one caller for each source.
 func NewRunner(opts Options) *Runner {
 	r := &Runner{opts: opts}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}}
+	client := &http.Client{Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true})}
 	for i, s := range opts.Sources {
 		c := &Caller{BootstrapEntries: opts.Entries, Key: s.Key, Region: s.Region, Zone: s.Zone, HTTP: client, Clock: opts.Clock}
 		r.callers = append(r.callers, c)
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/juju/clock"
 	"github.com/juju/errors"
+
+	"rosereach/io/bounded"
 )
 
 const (
@@ -47,8 +49,8 @@
 func NewClient(c clock.Clock, maxIdle int) *Client {
 	dial := dialGated((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &Client{
-		pooled:   newHTTP(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}),
-		unpooled: newHTTP(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}),
+		pooled:   newHTTP(bounded.Transport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, DisableCompression: true})),
+		unpooled: newHTTP(bounded.Transport(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true})),
 		clock:    c,
 	}
 }
--- /dev/null
+++ b/io/bounded/bounded.go
@@ -0,0 +1,24 @@
+// Package bounded bounds what HTTP clients hold of the answers of servers and other processes.
+package bounded
+
+import "net/http"
+
+// MaxHeadBytes is the largest head of an answer, with the informational answers (1xx) before it.
+// That of net/http is 10 MiB.
+const MaxHeadBytes = 16 << 10
+
+// Client is http.DefaultClient with bounds.
+var Client = &http.Client{Transport: defaultTransport()}
+
+func defaultTransport() *http.Transport {
+	if t, ok := http.DefaultTransport.(*http.Transport); ok {
+		return Transport(t.Clone())
+	}
+	return Transport(&http.Transport{Proxy: http.ProxyFromEnvironment})
+}
+
+// Transport sets the bounds of a transport that is not in use yet, and returns it.
+func Transport(t *http.Transport) *http.Transport {
+	t.MaxResponseHeaderBytes = MaxHeadBytes
+	return t
+}
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -16,6 +16,7 @@
 
 	"rosereach/core/request"
 	iobackend "rosereach/io/backend"
+	"rosereach/io/bounded"
 )
 
 // maxEventBytes is the maximum size of a server-sent event.
@@ -26,7 +27,7 @@
 	Client struct {
 		Address string // host:port
 		Key     string
-		// HTTP is http.DefaultClient if it is nil.
+		// HTTP is bounded.Client if it is nil.
 		HTTP *http.Client
 	}
 
@@ -132,7 +133,7 @@
 	c.setHeaders(req.Header, opts)
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = bounded.Client
 	}
 	start := time.Now()
 	resp, err := client.Do(req)
--- a/io/member/dial.go
+++ b/io/member/dial.go
@@ -9,6 +9,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/juju/errors"
+
+	"rosereach/io/bounded"
 )
 
 const (
@@ -55,7 +57,7 @@
 		target = "wss://" + address + Path
 	}
 	opts := &websocket.DialOptions{CompressionMode: compression, CompressionThreshold: compressionThreshold, HTTPClient: &http.Client{
-		Transport: &http.Transport{TLSClientConfig: tlsConfig, DialContext: connectStaggered, DisableKeepAlives: true},
+		Transport: bounded.Transport(&http.Transport{TLSClientConfig: tlsConfig, DialContext: connectStaggered, DisableKeepAlives: true}),
 	}}
 	ws, resp, err := websocket.Dial(dialCtx, target, opts)
 	if resp != nil && resp.Body != nil {
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -13,6 +13,7 @@
 	"rosereach/core/audit"
 	"rosereach/core/change"
 	"rosereach/core/ledger"
+	"rosereach/io/bounded"
 )
 
 // Client calls a control with an operator's key.
@@ -20,7 +21,7 @@
 	Address string // host:port
 	TLS     bool
 	Key     string
-	// HTTP is http.DefaultClient if it is nil. With TLS it must trust the
+	// HTTP is bounded.Client if it is nil. With TLS it must trust the
 	// control's certificate.
 	HTTP *http.Client
 }
@@ -113,7 +114,7 @@
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = bounded.Client
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -15,6 +15,7 @@
 
 	"rosereach/core/retry"
 	"rosereach/core/version"
+	"rosereach/io/bounded"
 )
 
 // The paths of the platform's services.
@@ -77,7 +78,7 @@
 
 	// Client calls the platform's services over HTTP.
 	Client struct {
-		// HTTP is http.DefaultClient if it is nil.
+		// HTTP is bounded.Client if it is nil.
 		HTTP *http.Client
 	}
 )
@@ -170,7 +171,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = bounded.Client
 	}
 	resp, err := client.Do(req)
 	return resp, errors.Annotatef(err, "platform at %s", target)
