The clients of callers and operators bound bodies of answers

An answer of an entry may have 16 MiB now, as one of a plain service, and one of a control 32 MiB, as a frame between members; a larger one is an error.

--- a/io/bounded/bounded.go
+++ b/io/bounded/bounded.go
@@ -1,7 +1,10 @@
 // Package bounded bounds what HTTP clients hold of the answers of servers and other processes.
 package bounded
 
-import "net/http"
+import (
+	"io"
+	"net/http"
+)
 
 // MaxHeadBytes is the largest head of an answer, with the informational answers (1xx) before it.
 // That of net/http is 10 MiB.
@@ -22,3 +25,7 @@
 	t.MaxResponseHeaderBytes = MaxHeadBytes
 	return t
 }
+
+// Body returns a reader of an answer's body. Its error is an *http.MaxBytesError when the body has
+// more than n bytes.
+func Body(r *http.Response, n int64) io.Reader { return http.MaxBytesReader(nil, r.Body, n) }
--- a/io/bounded/endless_test.go
+++ b/io/bounded/endless_test.go
@@ -33,28 +33,47 @@
 	callTimeout = 10 * time.Second
 )
 
-// headBound is the most that a client may hold of a head.
+// headBound is the most that a client may hold of a head, or beside a body.
 const headBound = 4 << 20
 
+// growing is how many times its content a buffer holds that doubles.
+const growing = 3
+
 type sending struct {
 	name, start, rest string
+	isBody            bool
+}
+
+// client is a client that reads bodies up to a size.
+type client struct {
+	most int
+	call func(ctx context.Context, address string)
 }
 
 // endlessAnswers are answers without an end.
 func endlessAnswers() []sending {
 	const ok = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 	long := strings.Repeat("x", 8<<10)
+	chunk := "2000\r\n" + long + "\r\n"
+	text := `{"choices":[{"delta":{"content":"` + long + `"}}],"id":"r","offset":0}`
 	return []sending{
-		{"status line", "HTTP/1.1 200 O", long},
-		{"head in one line", "HTTP/1.1 200 OK\r\nA: ", long},
-		{"head in lines", "HTTP/1.1 200 OK\r\n", "A: " + long + "\r\n"},
-		{"head in short lines", "HTTP/1.1 200 OK\r\n", strings.Repeat("A:\r\n", 1000)},
-		{"interim answers", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100)},
-		{"one interim answer", "HTTP/1.1 103 Early Hints\r\n", "A: " + long + "\r\n"},
-		{"no HTTP", "", long},
-		{"chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;", long},
-		{"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n1\r\n1\r\n0\r\n", "A: " + long + "\r\n"},
-		{"protocol switch", "HTTP/1.1 101 Switching Protocols\r\n", "A: " + long + "\r\n"},
+		{"status line", "HTTP/1.1 200 O", long, false},
+		{"head in one line", "HTTP/1.1 200 OK\r\nA: ", long, false},
+		{"head in lines", "HTTP/1.1 200 OK\r\n", "A: " + long + "\r\n", false},
+		{"head in short lines", "HTTP/1.1 200 OK\r\n", strings.Repeat("A:\r\n", 1000), false},
+		{"interim answers", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100), false},
+		{"one interim answer", "HTTP/1.1 103 Early Hints\r\n", "A: " + long + "\r\n", false},
+		{"no HTTP", "", long, false},
+		{"body by length", ok + "Content-Length: 1000000000\r\n\r\n\"", long, true},
+		{"body by close", ok + "\r\n\"", long, true},
+		{"body in chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", chunk, true},
+		{"chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;", long, false},
+		{"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n1\r\n1\r\n0\r\n", "A: " + long + "\r\n", false},
+		{"body of a refusal", "HTTP/1.1 503 No\r\nContent-Type: application/problem+json\r\nTransfer-Encoding: chunked\r\n\r\n", chunk, true},
+		{"event", ok + "\r\ndata: ", long, true},
+		{"comments", ok + "\r\n", ": " + long + "\n\n", true},
+		{"events", ok + "\r\n", "data: " + text + "\n\n", true},
+		{"protocol switch", "HTTP/1.1 101 Switching Protocols\r\n", "A: " + long + "\r\n", false},
 	}
 }
 
@@ -117,51 +136,55 @@
 	}
 }
 
-// A head without an end takes no more of a client's memory than a bound, however it is sent.
-func TestEndlessHeadsAreBounded(t *testing.T) {
+// An answer without an end takes no more of a client's memory than a bound, however it is sent.
+func TestEndlessAnswersAreBounded(t *testing.T) {
 	ref, err := version.ParseRef("m@1")
 	if err != nil {
 		t.Fatal(err)
 	}
 	pooled := iobackend.NewClient(clock.WallClock, 1)
-	for name, call := range map[string]func(ctx context.Context, address string){
-		"backend stream": func(ctx context.Context, address string) {
+	for name, c := range map[string]client{
+		"backend stream": {1 << 20, func(ctx context.Context, address string) {
 			pooled.Stream(ctx, iobackend.ChatCall{Address: address, RequestID: "r", Version: ref}, func(iobackend.Piece) error { return nil })
-		},
-		"backend plain": func(ctx context.Context, address string) {
+		}},
+		"backend plain": {16 << 20, func(ctx context.Context, address string) {
 			pooled.Plain(ctx, iobackend.PlainCall{Address: address, RequestID: "r", Method: "POST", Path: "/"})
-		},
-		"backend lookup": func(ctx context.Context, address string) { pooled.LookUp(ctx, address, "r") },
-		"announcement": func(ctx context.Context, address string) {
+		}},
+		"backend lookup": {1 << 20, func(ctx context.Context, address string) { pooled.LookUp(ctx, address, "r") }},
+		"announcement": {0, func(ctx context.Context, address string) {
 			iobackend.Announce(ctx, bounded.Client, address, "k", backend.Announcement{})
-		},
-		"caller stream": func(ctx context.Context, address string) {
+		}},
+		"caller stream": {16 << 20, func(ctx context.Context, address string) {
 			caller.Client{Address: address}.Chat(ctx, caller.ChatRequest{Stream: true}, caller.CallOptions{})
-		},
-		"caller": func(ctx context.Context, address string) {
+		}},
+		"caller": {16 << 20, func(ctx context.Context, address string) {
 			caller.Client{Address: address}.FindAddresses(ctx, "r", "z")
-		},
-		"operator": func(ctx context.Context, address string) { operator.Client{Address: address}.Status(ctx) },
-		"member": func(ctx context.Context, address string) {
+		}},
+		"operator": {32 << 20, func(ctx context.Context, address string) { operator.Client{Address: address}.Status(ctx) }},
+		"member": {0, func(ctx context.Context, address string) {
 			if c, err := member.Dial(ctx, address, "k", member.Peer{ID: "p"}, nil); err == nil {
 				c.Close()
 			}
-		},
-		"platform": func(ctx context.Context, address string) { platform.Client{}.CollectRatings(ctx, address, "c") },
-		"upstream": func(ctx context.Context, address string) {
+		}},
+		"platform": {4 << 20, func(ctx context.Context, address string) { platform.Client{}.CollectRatings(ctx, address, "c") }},
+		"upstream": {0, func(ctx context.Context, address string) {
 			a, err := upstream.NewClient(clock.WallClock).Do(ctx, upstream.Call{Address: address, Method: "GET", Host: "h", Target: "/"}, func() error { return nil })
 			if err == nil {
 				io.CopyN(io.Discard, a, 1<<20)
 				a.Discard()
 			}
-		},
+		}},
 	} {
 		for _, a := range endlessAnswers() {
 			t.Run(name+" "+a.name, func(t *testing.T) {
 				address, sent := endlessServer(t, a)
 				ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
 				defer cancel()
-				if held := heldWhile(func() { call(ctx, address) }); held > headBound {
+				bound := uint64(headBound)
+				if a.isBody {
+					bound += growing * uint64(c.most)
+				}
+				if held := heldWhile(func() { c.call(ctx, address) }); held > bound {
 					t.Errorf("%d MB are held, of %d MB sent", held>>20, sent.Load()>>20)
 				}
 			})
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -19,8 +19,13 @@
 	"rosereach/io/bounded"
 )
 
-// maxEventBytes is the maximum size of a server-sent event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of a server-sent event.
+	maxEventBytes = 1 << 20
+
+	// maxAnswerBytes is the maximum size of an answer, or of the text of a streamed one.
+	maxAnswerBytes = 16 << 20
+)
 
 type (
 	// Client sends requests to one entry as a caller, with one workspace's key.
@@ -174,7 +179,7 @@
 
 // readBody reads an answer that is not streamed, or a problem.
 func (r *Reply) readBody(resp *http.Response) error {
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(bounded.Body(resp, maxAnswerBytes))
 	if err != nil {
 		return errors.Annotate(err, "read answer")
 	}
@@ -211,6 +216,9 @@
 			return nil
 		}
 		r.addChunk(e.Chunk, &text, start, onText)
+		if text.Len() > maxAnswerBytes {
+			return errors.Errorf("the answer exceeds %d bytes", maxAnswerBytes)
+		}
 	}
 	return errors.Annotate(scanner.Err(), "read answer")
 }
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -16,6 +16,9 @@
 	"rosereach/io/bounded"
 )
 
+// maxAnswerBytes is the maximum size of an answer: a page of audit events with their documents.
+const maxAnswerBytes = 32 << 20
+
 // Client calls a control with an operator's key.
 type Client struct {
 	Address string // host:port
@@ -121,12 +124,13 @@
 		return errors.Annotatef(err, "control at %s", c.Address)
 	}
 	defer resp.Body.Close()
+	answer := json.NewDecoder(bounded.Body(resp, maxAnswerBytes))
 	if resp.Header.Get("Content-Type") == "application/problem+json" {
 		p := &Problem{Status: resp.StatusCode}
-		if err := json.NewDecoder(resp.Body).Decode(p); err != nil {
+		if err := answer.Decode(p); err != nil {
 			return errors.Trace(err)
 		}
 		return p
 	}
-	return errors.Annotatef(json.NewDecoder(resp.Body).Decode(result), "answer of %s", c.Address)
+	return errors.Annotatef(answer.Decode(result), "answer of %s", c.Address)
 }
