--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -16,17 +16,23 @@
 
 	"rosereach/core/request"
 	iobackend "rosereach/io/backend"
+	"rosereach/io/bounded"
 )
 
-// maxEventBytes is the maximum size of a server-sent event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of a server-sent event.
+	maxEventBytes = 1 << 20
+
+	// maxAnswerBytes is the maximum size of an answer, or of the text of a streamed one.
+	maxAnswerBytes = 16 << 20
+)
 
 type (
 	// Client sends requests to one entry as a caller, with one workspace's key.
 	Client struct {
 		Address string // host:port
 		Key     string
-		// HTTP is http.DefaultClient if it is nil.
+		// HTTP is bounded.Client if it is nil.
 		HTTP *http.Client
 	}
 
@@ -132,7 +138,7 @@
 	c.setHeaders(req.Header, opts)
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = bounded.Client
 	}
 	start := time.Now()
 	resp, err := client.Do(req)
@@ -173,7 +179,7 @@
 
 // readBody reads an answer that is not streamed, or a problem.
 func (r *Reply) readBody(resp *http.Response) error {
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(bounded.Body(resp, maxAnswerBytes))
 	if err != nil {
 		return errors.Annotate(err, "read answer")
 	}
@@ -210,6 +216,9 @@
 			return nil
 		}
 		r.addChunk(e.Chunk, &text, start, onText)
+		if text.Len() > maxAnswerBytes {
+			return errors.Errorf("the answer exceeds %d bytes", maxAnswerBytes)
+		}
 	}
 	return errors.Annotate(scanner.Err(), "read answer")
 }
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -13,14 +13,18 @@
 	"rosereach/core/audit"
 	"rosereach/core/change"
 	"rosereach/core/ledger"
+	"rosereach/io/bounded"
 )
 
+// maxAnswerBytes is the maximum size of an answer: a page of audit events with their documents.
+const maxAnswerBytes = 32 << 20
+
 // Client calls a control with an operator's key.
 type Client struct {
 	Address string // host:port
 	TLS     bool
 	Key     string
-	// HTTP is http.DefaultClient if it is nil. With TLS it must trust the
+	// HTTP is bounded.Client if it is nil. With TLS it must trust the
 	// control's certificate.
 	HTTP *http.Client
 }
@@ -113,19 +117,20 @@
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = bounded.Client
 	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return errors.Annotatef(err, "control at %s", c.Address)
 	}
 	defer resp.Body.Close()
+	answer := json.NewDecoder(bounded.Body(resp, maxAnswerBytes))
 	if resp.Header.Get("Content-Type") == "application/problem+json" {
 		p := &Problem{Status: resp.StatusCode}
-		if err := json.NewDecoder(resp.Body).Decode(p); err != nil {
+		if err := answer.Decode(p); err != nil {
 			return errors.Trace(err)
 		}
 		return p
 	}
-	return errors.Annotatef(json.NewDecoder(resp.Body).Decode(result), "answer of %s", c.Address)
+	return errors.Annotatef(answer.Decode(result), "answer of %s", c.Address)
 }
