What follows the exit of a stop fits into its grace time

What callers saw, by reading: with a grace time of 4 s or less the waits for handlers and for the log's last lines together (650 ms) could outlast the time until SIGKILL (500 ms, 250 ms for 2 s), and the deadline of a stop followed the time of day, which steps. Constants stood beside the settings.

The waits are parts of the time between the exit and the end of the grace time, those of servers beside the callers' are 10 ms, and the deadline is the schedule's, by the steady clock.

--- a/core/drain/schedule.go
+++ b/core/drain/schedule.go
@@ -61,7 +61,7 @@
 	// Schedule holds the times of a planned stop. It is immutable; the zero value is that of
 	// a process that does not stop.
 	Schedule struct {
-		signaled, closes, ends, exits time.Time
+		signaled, closes, ends, exits, killed time.Time
 	}
 )
 
@@ -81,7 +81,7 @@
 	exit := grace - min(maxExitMargin, grace/exitMarginPart)
 	end := exit - min(maxAnswerMargin, grace/answerMarginPart)
 	listed := min(life-min(maxCloseMargin, life/closeMarginPart), grace/listedPart)
-	return Schedule{signaled: signaled, closes: signaled.Add(listed), ends: signaled.Add(end), exits: signaled.Add(exit)}
+	return Schedule{signaled: signaled, closes: signaled.Add(listed), ends: signaled.Add(end), exits: signaled.Add(exit), killed: signaled.Add(grace)}
 }
 
 // IsZero reports whether the process does not stop.
@@ -99,6 +99,9 @@
 // Exits returns when answers that have begun are cut.
 func (s Schedule) Exits() time.Time { return s.exits }
 
+// ExitMargin returns the time between the exit and the end of the grace time.
+func (s Schedule) ExitMargin() time.Duration { return s.killed.Sub(s.exits) }
+
 // Phase returns the phase at a time.
 func (s Schedule) Phase(now time.Time) Phase {
 	switch {
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -21,6 +21,7 @@
 	"github.com/urfave/cli/v3"
 
 	"rosereach/internal/httpd"
+	"rosereach/internal/logs"
 	"rosereach/platform"
 )
 
@@ -50,7 +51,7 @@
 	metricsAddress string
 	guard          *httpd.Guard // of all listeners
 	hangups        chan os.Signal
-	flushLogs      func()
+	flushLogs      func(limit time.Duration)
 }
 
 // isOnPlatform reports whether the platform passed this process a settings file.
@@ -66,12 +67,12 @@
 	logger, flush := newBoundedLogger(ctx, s, part)
 	key, port := s.required("member-key"), s.number("metrics-port", 0, math.MaxUint16)
 	if err := s.err(); err != nil {
-		flush()
+		flush(logs.FlushTimeout)
 		return nil, err
 	}
 	p, err := openPlatformProcess(logger)
 	if err != nil {
-		flush()
+		flush(logs.FlushTimeout)
 		return nil, err
 	}
 	p.memberKey, p.flushLogs = key, flush
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -9,6 +9,7 @@
 	"rosereach/core/lease"
 	"rosereach/core/rollout"
 	"rosereach/internal/control"
+	"rosereach/internal/logs"
 	"rosereach/platform"
 )
 
@@ -24,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	defer p.flushLogs()
+	defer p.flushLogs(logs.FlushTimeout)
 	now := p.settings()
 	node, err := control.Open(control.Config{
 		ID: now.Name, Folder: now.DataDir, Address: now.MemberAddress(), Region: now.Region, Zone: now.Zone, MemberKey: p.memberKey, OperatorKey: s.optional("operator-key"),
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -15,6 +15,7 @@
 	"rosereach/core/warmup"
 	"rosereach/internal/entry"
 	"rosereach/internal/httpd"
+	"rosereach/internal/logs"
 	"rosereach/platform"
 )
 
@@ -27,21 +28,25 @@
 	// copied.
 	forwardedBodyCost = 1
 
-	// endTime is how long handlers may take to return once their requests are over. It is
-	// waited for twice at most, and has to fit between the exit and the end of the grace time.
-	endTime = 175 * time.Millisecond
+	// Parts of the time between the exit and the end of the grace time: endPart for handlers to
+	// return once their requests are over, for which the server waits twice at most, and
+	// flushPart for the last lines of the log.
+	endPart   = 0.25
+	flushPart = 0.4
+
+	// sideEndTime is endPart for the servers beside that of callers.
+	sideEndTime = 10 * time.Millisecond
 )
 
 // platformEntry is an entry that runs with the platform's settings.
-// DrainDeadline is when running requests have to be finished, in Unix
-// nanoseconds.
+// Stop is the schedule of its planned stop, nil before.
 type platformEntry struct {
 	process           *platformProcess
 	entry             *entry.Entry
 	callerListener    net.Listener
 	readinessListener net.Listener
 	relayListeners    []net.Listener // for other entries, none or one
-	drainDeadline     atomic.Int64
+	stop              atomic.Pointer[drain.Schedule]
 }
 
 // runPlatformEntry runs an entry with the platform's settings.
@@ -50,7 +55,8 @@
 	if err != nil {
 		return err
 	}
-	defer process.flushLogs()
+	flushTime := logs.FlushTimeout
+	defer func() { process.flushLogs(flushTime) }()
 	now := process.settings()
 	listeners, err := listenAll(ctx, now.Listen.Callers, now.Listen.Readiness)
 	if err != nil {
@@ -64,10 +70,11 @@
 	}
 	cfg := process.entryConfig(incarnation())
 	p := &platformEntry{process: process, entry: entry.New(cfg), callerListener: listeners[0], readinessListener: listeners[1], relayListeners: relays}
-	p.drainDeadline.Store(math.MaxInt64)
 	p.entry.RegisterMetrics(process.guard)
 	process.logger.Log("msg", "Entry serves.", "id", now.Name, "address", now.Listen.Callers, "incarnation", cfg.Incarnation)
-	return p.run(ctx)
+	err = p.run(ctx)
+	flushTime = p.flushTime()
+	return err
 }
 
 // entryConfig returns the configuration of an entry that runs under the given
@@ -144,7 +151,7 @@
 		Handler: platform.CallerHandler(p.entry, p.process.clock, p.entry.IsDraining),
 		Timeouts: httpd.Timeouts{
 			Shutdown: p.remainingTime,
-			End:      func() time.Duration { return endTime },
+			End:      p.endTime,
 			Header:   func() time.Duration { return p.entry.Limits().HeaderTimeout },
 			Idle:     p.entry.IdleTime,
 		},
@@ -160,18 +167,42 @@
 func (p *platformEntry) drain(ctx context.Context) {
 	now, settings := p.process.clock.Now(), p.process.settings()
 	schedule := drain.Settings{Grace: settings.Bounds.GracePeriod, ListLife: listLife}.Begin(now)
-	p.drainDeadline.Store(schedule.Exits().UnixNano())
+	p.stop.Store(&schedule)
 	p.entry.StopListing(ctx, schedule)
 }
 
 // remainingTime returns how long running requests may still take.
 func (p *platformEntry) remainingTime() time.Duration {
-	return time.Unix(0, p.drainDeadline.Load()).Sub(p.process.clock.Now())
+	if schedule := p.stop.Load(); schedule != nil {
+		return schedule.Exits().Sub(p.process.clock.Now())
+	}
+	return math.MaxInt64
+}
+
+// endTime returns how long handlers may take to return once their requests are over.
+func (p *platformEntry) endTime() time.Duration {
+	if schedule := p.stop.Load(); schedule != nil {
+		return partOf(schedule.ExitMargin(), endPart)
+	}
+	return 0
 }
 
+// flushTime returns how long the last lines of the log may take.
+func (p *platformEntry) flushTime() time.Duration {
+	if schedule := p.stop.Load(); schedule != nil {
+		return min(partOf(schedule.ExitMargin(), flushPart), logs.FlushTimeout)
+	}
+	return logs.FlushTimeout
+}
+
+func partOf(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
 // maxForwarded bounds both the requests that an entry forwards at once and those
 // that wait: a request holds two file descriptors and some tens of kilobytes.
 const maxForwarded = 1024
 
 // noWait closes a server without waiting for open requests.
-var noWait = httpd.Timeouts{Shutdown: func() time.Duration { return 0 }}
+var noWait = httpd.Timeouts{
+	Shutdown: func() time.Duration { return 0 },
+	End:      func() time.Duration { return sideEndTime },
+}
--- a/internal/cmd/platform_stop_test.go
+++ b/internal/cmd/platform_stop_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"os"
@@ -75,12 +74,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	process.memberKey, process.flushLogs = testMemberKey, func() {}
+	process.memberKey, process.flushLogs = testMemberKey, func(time.Duration) {}
 	p := &platformEntry{
 		process: process, entry: entry.New(process.entryConfig(1)),
 		callerListener: listenLocal(t), readinessListener: listenLocal(t), relayListeners: []net.Listener{listenLocal(t)},
 	}
-	p.drainDeadline.Store(math.MaxInt64)
 	running, stop := context.WithCancel(context.Background())
 	f := &stoppingFleet{control: node, entry: p, stop: stop, ended: make(chan error, 1)}
 	go func() { f.ended <- p.run(running) }()
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-kit/log"
@@ -155,15 +156,15 @@
 }
 
 // newBoundedLogger returns a logger to standard output that never blocks its
-// caller and writes at most the flags' budget per second. Close flushes the
-// pending lines.
-func newBoundedLogger(ctx context.Context, s *settings, part string) (logger log.Logger, close func()) {
+// caller and writes at most the flags' budget per second. Flush writes the
+// pending lines, in the given time at most, and ends the logger.
+func newBoundedLogger(ctx context.Context, s *settings, part string) (logger log.Logger, flush func(time.Duration)) {
 	budget := int(s.number("log-budget", 1<<10, 1<<30))
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	bounded := logs.New(ctx, os.Stdout, clock.WallClock, budget)
-	return withLevel(s, part, bounded), func() {
+	return withLevel(s, part, bounded), func(limit time.Duration) {
 		cancel()
-		bounded.Wait(logs.FlushTimeout)
+		bounded.Wait(limit)
 	}
 }
 
