A body on its way at the end of a stop is refused, not cut

Callers whose request body was still arriving when a stopping entry exited saw a reset connection, though nothing had been passed on and another entry could take the request at once.

The end of a request's context ends no read of its body. The server now ends the bodies of running requests with the refusal "stopping", which becomes 503 draining, not run, with a short Retry-After, and is counted and logged with what else is shed. A read deadline that a handler sets at that moment does not undo it.

--- a/core/forward/size.go
+++ b/core/forward/size.go
@@ -41,8 +41,11 @@
 // request did not run: callers come back after a refusal for want of room, which is not their fault,
 // and not after one that used up its time.
 func FailureForRefusal(r *overload.Refusal) *Failure {
-	if r.Reason == overload.TooSlow {
+	switch r.Reason {
+	case overload.TooSlow:
 		return &Failure{Code: TooSlow, Detail: r.Error()}
+	case overload.Stopping:
+		return &Failure{Code: Draining, Detail: r.Error(), RetryAfter: r.RetryAfter}
 	}
 	return &Failure{Code: Overloaded, Detail: r.Error(), RetryAfter: r.RetryAfter}
 }
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -84,10 +84,12 @@
 	TooSlow Reason = "too_slow"
 	// HeadTooLarge means that the head is over the limit.
 	HeadTooLarge Reason = "head_too_large"
+	// Stopping means that the request was not complete when its server ended.
+	Stopping Reason = "stopping"
 )
 
 // Reasons are all reasons.
-var Reasons = []Reason{NoRoom, Stalled, NoDescriptor, TooSlow, HeadTooLarge}
+var Reasons = []Reason{NoRoom, Stalled, NoDescriptor, TooSlow, HeadTooLarge, Stopping}
 
 type (
 	// State is the state of a connection.
--- a/core/overload/refusal.go
+++ b/core/overload/refusal.go
@@ -12,8 +12,11 @@
 
 // Error describes the reason.
 func (r *Refusal) Error() string {
-	if r.Reason == TooSlow {
+	switch r.Reason {
+	case TooSlow:
 		return "the request was not complete in time; it did not run"
+	case Stopping:
+		return "this server stops before the request is complete; it did not run"
 	}
 	return "there is no room for the request now; it did not run"
 }
--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -64,6 +64,9 @@
 	case err == io.EOF && b.end():
 	case err != nil && b.conn.isShed():
 		b.refusal = b.conn.guard.refusal(overload.Stalled)
+	case err != nil && b.conn.isStopped():
+		b.conn.guard.recordShed(overload.Stopping)
+		b.refusal = b.conn.guard.refusal(overload.Stopping)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		b.conn.guard.recordShed(overload.TooSlow)
 		b.refusal = b.conn.guard.refusal(overload.TooSlow)
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -81,6 +81,7 @@
 		headSize int  // bytes read of it
 		ended    bool // no more is read
 		shed     bool // the guard has ended it
+		stopped  bool // the server has ended it
 		hijacked bool // no handler answers
 		lingers  bool // what still arrives is read and dropped, then the connection is closed
 		timer    *time.Timer
@@ -211,6 +212,15 @@
 	}
 }
 
+// stopReading lets no more of the requests that run be read.
+func (s *conns) stopReading() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.open {
+		t.stopReading()
+	}
+}
+
 // resetRunning resets the connections whose handlers have not returned: an answer that ends with
 // its connection must not look whole.
 func (s *conns) resetRunning() {
@@ -402,7 +412,7 @@
 	t.ended, t.shed = true, true
 	t.mu.Unlock()
 	if hasHandler && t.held.MayAnswer() {
-		t.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
+		t.Conn.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
 		return
 	}
 	t.socket().Close() //nolint:errcheck // see above
@@ -423,6 +433,22 @@
 	t.running = running
 }
 
+// stopReading ends the body of the request whose handler runs. Its answer can still be sent.
+func (t *trackedConn) stopReading() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running {
+		t.ended, t.stopped = true, true
+		t.Conn.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
+	}
+}
+
+func (t *trackedConn) isStopped() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stopped
+}
+
 // resetIfRunning resets the connection if the handler of a request has not returned. A handler that
 // returns later finds it closed.
 func (t *trackedConn) resetIfRunning() {
@@ -545,12 +571,12 @@
 	return n, nil
 }
 
-// SetReadDeadline implements net.Conn. http.Server sets the deadline of a wait when the wait may
-// already be over.
+// SetReadDeadline implements net.Conn. What has ended stays so: http.Server and handlers set
+// deadlines when a wait or a body may already be over.
 func (t *trackedConn) SetReadDeadline(at time.Time) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.waitOver {
+	if t.waitOver || t.ended {
 		return nil
 	}
 	return t.Conn.SetReadDeadline(at)
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -16,8 +16,13 @@
 	"rosereach/core/retry"
 )
 
-// shedLogInterval is the shortest time between two log lines about what a guard sheds.
-const shedLogInterval = time.Second
+const (
+	// shedLogInterval is the shortest time between two log lines about what a guard sheds.
+	shedLogInterval = time.Second
+
+	// stoppedRetryAfter is short, as another server can take the request at once.
+	stoppedRetryAfter = 100 * time.Millisecond
+)
 
 // Guard limits the memory and the descriptors that the clients of a process take. The servers of
 // a process share one. It is a prometheus.Collector.
@@ -167,8 +172,11 @@
 func (g *Guard) refusal(r overload.Reason) *overload.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r == overload.TooSlow {
+	switch r {
+	case overload.TooSlow:
 		return &overload.Refusal{Reason: r}
+	case overload.Stopping:
+		return &overload.Refusal{Reason: r, RetryAfter: retry.WithJitter(stoppedRetryAfter, g.random)}
 	}
 	return &overload.Refusal{Reason: r, RetryAfter: retry.WithJitter(g.account.RetryAfter(g.clock.Now()), g.random)}
 }
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -107,8 +107,8 @@
 }
 
 // Serve serves on the listener until the context ends, then gives open requests time to complete.
-// Those that have not are ended: their contexts end with the cause ErrStopped, so that handlers can
-// still answer. A connection whose handler does not return is reset. Serve returns when all handlers
+// Those that have not are ended: their contexts end with the cause ErrStopped and their bodies with
+// an *overload.Refusal, so that handlers can still answer. A connection whose handler does not return is reset. Serve returns when all handlers
 // of connections that are not hijacked have, unless they take longer than Timeouts.End allows.
 func (s Server) Serve(ctx context.Context, l net.Listener) error {
 	guard := s.Guard
@@ -135,6 +135,7 @@
 	open.drain()
 	if !open.await(s.shutdownTimeout()) {
 		end(ErrStopped)
+		open.stopReading()
 		if !open.await(s.endTimeout()) {
 			open.resetRunning()
 		}
