--- a/internal/soak/planned_stop_test.go
+++ b/internal/soak/planned_stop_test.go
@@ -562,25 +562,42 @@
 }
 
 // The process ends by itself in its grace time, with requests that outlast it, a second SIGTERM
-// and SIGHUP.
+// and SIGHUP, and without a control.
 func TestStoppedEntryEndsWithinItsGraceTime(t *testing.T) {
-	for _, grace := range []time.Duration{platform.SimulatedGracePeriod, shortGracePeriod} {
-		t.Run(grace.String(), func(t *testing.T) {
-			f := startStopFleet(t, grace)
-			callers := f.connect(60)
-			f.after(0, callers[:30], func(c *stopCaller) { c.send("streaming", endless, patientTime, nil) })
-			f.after(0, callers[30:], func(c *stopCaller) { c.send("unsafe", script{work: patientTime}, patientTime, nil) })
-			f.awaitArrivals(2 * len(callers))
-			f.terminate()
-			time.Sleep(time.Second)
-			f.entry.signal(syscall.SIGHUP)
-			time.Sleep(time.Second)
-			f.entry.signal(syscall.SIGTERM)
-			f.awaitEnd()
-			if took := f.exitedAt.Sub(f.stoppedAt); took >= grace {
-				t.Errorf("the process ended %s after SIGTERM", took)
-			}
-		})
+	for name, c := range map[string]struct {
+		grace          time.Duration
+		withoutControl bool
+	}{
+		"usual":           {grace: platform.SimulatedGracePeriod},
+		"short":           {grace: shortGracePeriod},
+		"without control": {grace: platform.SimulatedGracePeriod, withoutControl: true},
+	} {
+		t.Run(name, func(t *testing.T) { testEndWithinGraceTime(t, c.grace, c.withoutControl) })
+	}
+}
+
+// The process ends by itself in a grace time in which its callers still hold old lists of entries.
+func TestStoppedEntryEndsWithinAGraceTimeShorterThanAddressLists(t *testing.T) {
+	testEndWithinGraceTime(t, 3*time.Second, false)
+}
+
+func testEndWithinGraceTime(t *testing.T, grace time.Duration, withoutControl bool) {
+	f := startStopFleet(t, grace)
+	callers := f.connect(60)
+	f.after(0, callers[:30], func(c *stopCaller) { c.send("streaming", endless, patientTime, nil) })
+	f.after(0, callers[30:], func(c *stopCaller) { c.send("unsafe", script{work: patientTime}, patientTime, nil) })
+	f.awaitArrivals(2 * len(callers))
+	if withoutControl {
+		f.control.kill()
+	}
+	f.terminate()
+	time.Sleep(time.Second)
+	f.entry.signal(syscall.SIGHUP)
+	time.Sleep(time.Second)
+	f.entry.signal(syscall.SIGTERM)
+	f.awaitEnd()
+	if took := f.exitedAt.Sub(f.stoppedAt); took >= grace {
+		t.Errorf("the process ended %s after SIGTERM", took)
 	}
 }
 
