Running requests tell of long ones at the signal

Cause: a route of which only short requests had ended, as after the start of an entry, had a history that knew nothing of its long ones, and these were passed on after the signal. Change: at the signal the time that each running request has taken so far counts for its route if it is over the mean. Such a time, like that of a request that ended early, does not count among the five that are needed to tell.

--- a/core/forward/durations.go
+++ b/core/forward/durations.go
@@ -55,13 +55,16 @@
 	d.routes[route] = r.with(took)
 }
 
-// ObserveAtLeast records that a request of the route ended early, after the given time. It
-// counts if it took longer than others.
+// ObserveAtLeast records that a request of the route ended early after the given time, or has
+// run for so long. It counts if others took less, and not as one that tells how long they take.
 func (d *Durations) ObserveAtLeast(route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r, ok := d.routes[route]; ok && took.Seconds() > r.mean {
-		d.routes[route] = r.with(took)
+		n := r.n
+		r = r.with(took)
+		r.n = n
+		d.routes[route] = r
 	}
 }
 
--- a/core/forward/durations_test.go
+++ b/core/forward/durations_test.go
@@ -14,13 +14,14 @@
 	for range 4 {
 		d.Observe("r", time.Second)
 	}
+	d.ObserveAtLeast("r", 2*time.Second)
 	if got := d.Longest("r"); got != 0 {
 		t.Fatalf("%s after 4 requests", got)
 	}
 	d.Observe("r", time.Second)
 	before := d.Longest("r")
 	if before < time.Second {
-		t.Fatalf("%s after 5 requests of 1 s", before)
+		t.Fatalf("%s after requests of 1 s", before)
 	}
 	d.ObserveAtLeast("r", 100*time.Millisecond)
 	if got := d.Longest("r"); got != before {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -119,8 +119,9 @@
 		latencyModel   *placement.LatencyModel
 		speeds         *speed.Table
 		loads          map[string]backend.Load
-		lastActivity   map[string]time.Time // when each server last sent data
-		downSince      map[string]time.Time // since when each service has had no usable server
+		lastActivity   map[string]time.Time         // when each server last sent data
+		running        map[*activeRequest]time.Time // since when each request runs
+		downSince      map[string]time.Time         // since when each service has had no usable server
 		retryBudgets   *retry.WindowBudgets
 		tallies        map[tallyKey]rollout.Tally
 		reportSequence uint64    // sequence number of the last report
@@ -135,7 +136,7 @@
 func newForwarder(e *Entry) *forwarder {
 	f := &forwarder{
 		entry: e, client: upstream.NewClient(e.cfg.Clock),
-		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), restraints: health.NewRestraints(), unreadable: make(map[string]uint64), turnedAway: make(map[string]int), latencyModel: placement.NewLatencyModel(), placement: placement.NewPriced(), loads: make(map[string]backend.Load), lastActivity: make(map[string]time.Time), downSince: make(map[string]time.Time),
+		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), restraints: health.NewRestraints(), unreadable: make(map[string]uint64), turnedAway: make(map[string]int), latencyModel: placement.NewLatencyModel(), placement: placement.NewPriced(), loads: make(map[string]backend.Load), lastActivity: make(map[string]time.Time), running: make(map[*activeRequest]time.Time), downSince: make(map[string]time.Time),
 		tallies: make(map[tallyKey]rollout.Tally), random: rand.New(rand.NewPCG(e.cfg.Seed, ^e.cfg.Incarnation)), //nolint:gosec // only used to spread load
 	}
 	f.startedAt = e.cfg.Clock.Now()
@@ -230,6 +231,8 @@
 	}
 	defer leave()
 	x.logAdmitted(req.Arrived)
+	x.forwarder.beginRunning(x)
+	defer x.forwarder.endRunning(x)
 	err = x.run(ctx)
 	x.logEnd(err)
 	x.recordDuration(err)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -98,6 +98,7 @@
 // have begun are cut.
 func (e *Entry) StopListing(ctx context.Context, schedule drain.Schedule) {
 	schedule = e.stopping.begin(schedule)
+	e.forwarder.observeRunning()
 	now := e.cfg.Clock.Now()
 	e.cfg.Clock.AfterFunc(schedule.Ends().Sub(now), e.stopping.ending.end)
 	e.cfg.Clock.AfterFunc(schedule.Exits().Sub(now), e.stopping.exiting.end)
@@ -237,6 +238,29 @@
 	}
 }
 
+func (f *forwarder) beginRunning(x *activeRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[x] = f.entry.cfg.Clock.Now()
+}
+
+func (f *forwarder) endRunning(x *activeRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running, x)
+}
+
+// observeRunning records how long the requests that run have taken so far. Of a route whose long
+// requests have not ended yet, the others say too little.
+func (f *forwarder) observeRunning() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.entry.cfg.Clock.Now()
+	for x, since := range f.running {
+		f.durations.ObserveAtLeast(x.route.Name, now.Sub(since))
+	}
+}
+
 // isAlone reports whether no other entry could take requests.
 func (e *Entry) isAlone() bool { return e.forwarder.watcher.liveEntryCount() <= 1 }
 
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -657,3 +657,41 @@
 		t.Error("it is used again")
 	}
 }
+
+// Streams of a route whose long ones had not ended yet were passed on during a stop: the short
+// ones that had ended told too little.
+func TestRunningStreamsTellOfLongOnesAtTheStop(t *testing.T) {
+	for _, running := range []int{0, 20} {
+		s := newStoppingEntry(t)
+		s.among(3)
+		c := testclock.NewClock(time.Now())
+		s.entry.cfg.Clock = c
+		s.withAttempts(1)
+		s.takes(100 * time.Millisecond)
+		s.counting("a", func(w http.ResponseWriter, r *http.Request) {
+			event(w, 1)
+			http.NewResponseController(w).Flush()
+			if s.runs.Load() <= int64(running) {
+				<-r.Context().Done()
+			}
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		send := func() error {
+			return s.entry.Forward(ctx, forward.Request{ID: "id-1", Method: "POST", Host: "h", Path: "/streaming/x", Target: "/streaming/x", Key: "k", Model: "*", Arrived: c.Now()}, &recordingSink{})
+		}
+		var ended sync.WaitGroup
+		defer ended.Wait()
+		defer cancel()
+		for range running {
+			ended.Go(func() { send() })
+		}
+		waitFor(t, "the streams", func() bool { return s.runs.Load() == int64(running) })
+		c.Advance(3 * time.Second)
+		s.stopByClock(c)
+		want := map[int]forward.Code{20: forward.Draining}[running]
+		if err := send(); codeOf(err) != want {
+			t.Errorf("beside %d long streams: %v, want %q", running, err, want)
+		}
+	}
+}
