httpd: the kernel takes a ready answer of a slow reader at the end of a stop

A caller that reads slowly lost the rest of an answer that was ready long before: its connection was reset at the end of a stop while the handler waited for room to write.

When its time is over, the server asks the kernel for room for what is left (1 MiB, as much as an entry buffers of an answer). The write that waits goes on, the handler returns, and the kernel sends the rest after the process has ended. A buffer that has grown by itself is left as it is, as asking for less than it has would shrink it. An answer beyond what the kernel allows is cut as before.

--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -32,6 +32,13 @@
 	// for example.
 	acceptPause = 50 * time.Millisecond
 
+	// smallSendBuffer is the largest size to which every kernel lets a socket's buffer grow at a
+	// request, in the kernel's account. A larger one may have grown by itself, and stays.
+	smallSendBuffer = 416 << 10
+
+	// lastSendBuffer is how much of an answer the kernel is asked to take when the server ends.
+	lastSendBuffer = 1 << 20
+
 	// headLineBytes is the memory that a line of a head takes beside its text.
 	headLineBytes = 160
 
@@ -212,12 +219,15 @@
 	}
 }
 
-// stopReading lets no more of the requests that run be read.
-func (s *conns) stopReading() {
+// finish lets no more of the requests that run be read, and the kernel take what is left of their
+// answers: it goes on sending to slow clients when the process has ended.
+func (s *conns) finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for t := range s.open {
-		t.stopReading()
+		if t.stopReading() {
+			t.growSendBuffer()
+		}
 	}
 }
 
@@ -433,14 +443,33 @@
 	t.running = running
 }
 
-// stopReading ends the body of the request whose handler runs. Its answer can still be sent.
-func (t *trackedConn) stopReading() {
+// stopReading ends the body of the request whose handler runs, and reports whether there is one. Its
+// answer can still be sent.
+func (t *trackedConn) stopReading() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.running {
 		t.ended, t.stopped = true, true
 		t.Conn.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
 	}
+	return t.running
+}
+
+// growSendBuffer asks the kernel for a larger buffer. A write that waits for room goes on.
+func (t *trackedConn) growSendBuffer() {
+	c, ok := t.socket().(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) { //nolint:errcheck // fails only on a closed connection
+		if n, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF); err == nil && n < smallSendBuffer {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, lastSendBuffer) //nolint:errcheck // the buffer stays as it is
+		}
+	})
 }
 
 func (t *trackedConn) isStopped() bool {
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -135,7 +135,7 @@
 	open.drain()
 	if !open.await(s.shutdownTimeout()) {
 		end(ErrStopped)
-		open.stopReading()
+		open.finish()
 		if !open.await(s.endTimeout()) {
 			open.resetRunning()
 		}
--- a/internal/httpd/stop_test.go
+++ b/internal/httpd/stop_test.go
@@ -194,3 +194,50 @@
 	s.stop()
 	s.await(t)
 }
+
+// smallBufferListener accepts connections whose kernel buffers are small, as they are on a path with
+// a small window.
+type smallBufferListener struct{ net.Listener }
+
+func (l smallBufferListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		c.(*net.TCPConn).SetWriteBuffer(4 << 10)
+	}
+	return c, err
+}
+
+// An answer that was ready long ago was cut at the end of a stop because its caller read slowly. The
+// kernel sends the rest of it, as far as it takes it.
+func TestReadyAnswerOfSlowReaderOutlivesTheStop(t *testing.T) {
+	const size = 128 << 10
+	began, returned := make(chan struct{}), make(chan struct{})
+	s := startStoppable(t, httpd.Server{Timeouts: httpd.Timeouts{Shutdown: noShutdown}, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		defer close(returned)
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		http.NewResponseController(w).Flush()
+		close(began)
+		if _, err := w.Write(make([]byte, size)); err != nil {
+			t.Error(err)
+		}
+	})}, func(l net.Listener) net.Listener { return smallBufferListener{l} })
+	c := dial(t, s.address)
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	select {
+	case <-returned:
+		t.Fatal("the caller's buffers take the whole answer")
+	case <-time.After(20 * time.Millisecond):
+	}
+	s.stop()
+	s.await(t)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != size {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
