A stop lets begun streams of silent servers go on elsewhere until the exit

Causes: the wait for an event is a second whatever the stop leaves, and a stream that may outlast the stop was not allowed to go on, although it is cut for certain otherwise.

drain.Rescue is allowed until the exit; the wait for the next event ends when the ending phase begins, 250 ms after the last one at the earliest.

--- a/core/drain/decision.go
+++ b/core/drain/decision.go
@@ -13,8 +13,10 @@
 	// Replace sends a request again that has an attempt or an answer at hand: a hedge or an
 	// escalation.
 	Replace
-	// Resume lets an answer that has begun go on at another server.
+	// Resume lets an answer that has begun and broke off go on at another server.
 	Resume
+	// Rescue lets an answer that has begun, and whose server is silent, go on at another one.
+	Rescue
 )
 
 // What tells when a request ends.
@@ -80,12 +82,14 @@
 	}
 	d.SinceSignal, d.Left = now.Sub(s.signaled), s.exits.Sub(now)
 	limit := s.ends
-	if r.Step == Resume {
+	if r.Step == Resume || r.Step == Rescue {
 		limit = s.exits
 	}
 	d.Expected, d.Basis = r.expected(now, limit)
 	switch {
 	case r.Step == Start && d.Phase >= Closed, !now.Before(limit):
+	case r.Step == Rescue:
+		d.Allowed = true // without it the answer is cut for certain
 	case d.Basis == Unknown:
 		d.Allowed = r.Alone || r.Step == Repeat || r.Step == Resume
 	default:
--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -58,6 +58,8 @@
 		{"unknown retry, alone", sec(4), drain.Request{Step: drain.Repeat, Alone: true}, 0, true, drain.Unknown},
 		{"resumption", sec(5), drain.Request{Step: drain.Resume, History: sec(2)}, 0, true, drain.History},
 		{"late resumption", sec(5.5), drain.Request{Step: drain.Resume, History: sec(2)}, 0, false, drain.History},
+		{"late rescue", sec(7.2), drain.Request{Step: drain.Rescue, History: sec(2)}, 0, true, drain.History},
+		{"rescue, exit", sec(7.3), drain.Request{Step: drain.Rescue, History: sec(2)}, 0, false, drain.History},
 		{"resumption up to a deadline", sec(6), drain.Request{Step: drain.Resume}, sec(7.2), true, drain.Deadline},
 		{"after the exit", sec(7.4), drain.Request{Step: drain.Resume}, sec(7), false, drain.Deadline},
 	} {
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -37,6 +37,9 @@
 	eventSoftFactor = 1.0
 	eventSoftFloor  = time.Second
 
+	// eventLastFloor is the least soft timeout for the next event shortly before the exit.
+	eventLastFloor = 250 * time.Millisecond
+
 	// headHardFactor determines the hard timeout for an answer's header, as a
 	// multiple of the route's objective.
 	headHardFactor = 2
@@ -269,7 +272,10 @@
 	t.resets++
 	t.begun = begun
 	t.waited = t.timeouts.soft
-	t.timer.Reset(t.timeouts.soft)
+	if begun {
+		t.waited = t.request.beforeExit(t.timeouts.soft)
+	}
+	t.timer.Reset(t.waited)
 }
 
 // stop stops the timer and returns how it ended the attempt.
@@ -417,3 +423,13 @@
 	soft := max(time.Duration(eventSoftFactor*float64(x.route.EventGap)), eventSoftFloor)
 	return idleTimeouts{soft: soft, hard: max(eventHardFloor, eventHardFactor*x.route.EventGap)}
 }
+
+// beforeExit returns the soft timeout for an event, shortened in a planned stop so that a silent
+// server is noticed while another one can still send the rest.
+func (x *activeRequest) beforeExit(soft time.Duration) time.Duration {
+	s := x.forwarder.entry.stopping.current()
+	if s.IsZero() {
+		return soft
+	}
+	return min(soft, max(s.Ends().Sub(x.now()), eventLastFloor))
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -184,7 +184,7 @@
 		Step: step, Deadline: x.deadline, Alone: x.forwarder.entry.isAlone(),
 		History: history, OwnFigures: x.ownDuration(now, a),
 	}
-	if step == drain.Resume {
+	if step == drain.Resume || step == drain.Rescue {
 		r.History, r.OwnFigures = x.restOf(now, r.History, a), x.restOf(now, r.OwnFigures, a)
 	}
 	d := s.Decide(now, r)
@@ -211,7 +211,7 @@
 // answer, as the entry stops. Begun means that the caller has a part of the answer.
 func (x *activeRequest) mayReplace(begun bool, next *attempt) bool {
 	if begun {
-		return x.decideStop(drain.Resume, next).Allowed
+		return x.decideStop(drain.Rescue, next).Allowed
 	}
 	return x.decideStop(drain.Replace, next).Allowed
 }
