The end of a whole stream is proved during a stop, too

By reading, shown by a test: a stream whose server had made all of it, and whose end only the end of the connection marked, needs other servers to say that nothing follows. Since a resumption is asked for, it was not allowed where streams of its route take longer than the stop has, and the stream was cut though its answer was ready. Change: for a stream that seems whole, what is left is the time to a first byte.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -95,6 +95,7 @@
 		events      int             // events forwarded
 		seenEventID uint64          // highest ID of an event of which at least a part was seen
 		confirmed   int             // answers by which nothing follows the last event
+		awaitsEnd   bool            // the stream seems whole, and nothing proves that it has ended
 		answers     []string        // of servers, as far as their ends are concerned, for the log
 		callerMark  string          // what marks the end of the caller's answer, for the log
 		callerCut   bool            // the caller did not take its whole answer
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -76,6 +76,7 @@
 	x.takeOver(watch)
 	x.tried = append(x.tried, a.server.ID)
 	if extended || !x.moreSeen() {
+		x.awaitsEnd = true
 		return forward.Incomplete, errors.Trace(errUnprovenEnd)
 	}
 	x.forwarder.recordFailure(a, x, false)
@@ -137,7 +138,7 @@
 		}
 		x.lastEventID = order.LastID()
 		if e.IsContent() {
-			x.confirmed = 0
+			x.confirmed, x.awaitsEnd = 0, false
 			x.events++
 			a.answer.Events++
 		}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -36,8 +36,8 @@
 	stopping struct {
 		schedule atomic.Pointer[drain.Schedule] // nil before the stop
 
-		// These contexts end with the phase before the one that they name. They may end late;
-		// what has to be in time asks the schedule.
+		// Each of these ends when its phase begins, or late; what has to be in time asks the
+		// schedule.
 		closing stopSignal // ends the waits of requests that have not run
 		ending  stopSignal // ends requests without an answer
 		exiting stopSignal // cuts answers that have begun
@@ -173,12 +173,24 @@
 		Step: step, Deadline: x.deadline, Alone: x.forwarder.entry.isAlone(),
 		History: x.forwarder.durations.Longest(x.route.Name), OwnFigures: x.ownDuration(now, a),
 	}
-	if step == drain.Resume {
+	switch {
+	case x.awaitsEnd:
+		r.History, r.OwnFigures = 0, x.firstByteOf(a)
+	case step == drain.Resume:
 		r.History, r.OwnFigures = x.restOf(now, r.History, a), x.restOf(now, r.OwnFigures, a)
 	}
 	return s.Decide(now, r)
 }
 
+// firstByteOf returns the expected time to the first byte of an answer, above 0: that of the last
+// one while no server is chosen.
+func (x *activeRequest) firstByteOf(a *attempt) time.Duration {
+	if a != nil {
+		return max(a.expected, 1)
+	}
+	return max(x.expected, 1)
+}
+
 // restOf returns what is left, with the time to the first byte, of an answer that may well take
 // so long as a whole. It is 0, for unknown, if the answer has taken longer.
 func (x *activeRequest) restOf(now time.Time, whole time.Duration, a *attempt) time.Duration {
