--- a/test/crowd/answers_test.go
+++ b/test/crowd/answers_test.go
@@ -22,7 +22,7 @@
 	answerEventBytes = 1000 << 10
 
 	faultyServers = 3
-	answerCrowd   = 400
+	answerCrowd   = 600
 
 	// releaseTimeout is how long connections are kept that nobody uses.
 	releaseTimeout = 20 * time.Second
