cmd: all waits of an exit fit into its margin

Since handlers are awaited, the exit of an entry on the platform may wait for those of callers (twice 175 ms), then for those of its other listeners, and for the log: with the default of 150 ms, twice, these are 750 ms of a margin of 700 (by reckoning; not seen). The other listeners get a sixteenth of the margin, twice, so that all is 540 ms at most.

--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -31,9 +31,11 @@
 	// connections and exiting, on a machine with a fifth of a core.
 	exitMargin = 700 * time.Millisecond
 
-	// endTime is the part of exitMargin in which handlers return once their requests are over.
-	// It is waited for twice at most.
-	endTime = exitMargin / 4
+	// endTime is the part of exitMargin in which the handlers of callers return once their
+	// requests are over, and sideEndTime that of the other parts, after them. Both are waited
+	// for twice at most.
+	endTime     = exitMargin / 4
+	sideEndTime = exitMargin / 16
 )
 
 // platformEntry is an entry that runs with the platform's settings.
@@ -176,5 +178,5 @@
 // that wait: a request holds two file descriptors and some tens of kilobytes.
 const maxForwarded = 1024
 
-// noWait closes a server without waiting for open requests.
-var noWait = httpd.Timeouts{Shutdown: func() time.Duration { return 0 }}
+// noWait ends a server's open requests at once.
+var noWait = httpd.Timeouts{Shutdown: func() time.Duration { return 0 }, End: func() time.Duration { return sideEndTime }}
