An event that was dropped for want of room counts as seen

An event for which there is no room is dropped, and its attempt ends. If the next server ends the stream without it, nothing showed that there is more, and the end could pass for proven.

--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -31,7 +31,7 @@
 		splitter.sent()
 		a.answer.Partial = splitter.Buffered() > 0
 		if err != nil || failed != nil || tooLong != nil {
-			x.recordPartial(&splitter.Splitter)
+			x.recordPartial(&splitter)
 		}
 		switch {
 		case len(events) > 0:
@@ -89,14 +89,14 @@
 // moreSeen reports whether an event was seen that the caller does not have.
 func (x *activeRequest) moreSeen() bool { return x.seenEventID > x.lastEventID }
 
-// recordPartial records the event in which an answer has ended. One whose id was not seen is
-// taken for the next one.
-func (x *activeRequest) recordPartial(s *stream.Splitter) {
+// recordPartial records the event in which an answer has ended, and those that were dropped. One
+// whose id was not seen is taken for the next one.
+func (x *activeRequest) recordPartial(s *heldSplitter) {
 	id, ok := s.Partial()
 	if ok && id == 0 {
 		id = x.lastEventID + 1
 	}
-	x.seenEventID = max(x.seenEventID, id)
+	x.seenEventID = max(x.seenEventID, id, s.droppedID)
 }
 
 // endStream passes on the head of an answer without events: its caller had all of them.
--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -25,7 +25,8 @@
 	// are sent.
 	heldSplitter struct {
 		stream.Splitter
-		room *httpd.AnswerRoom
+		room      *httpd.AnswerRoom
+		droppedID uint64 // of the last event that was dropped, 0 for none
 	}
 )
 
@@ -48,6 +49,9 @@
 		n += int64(len(e.Raw))
 	}
 	if !s.room.Add(growingCost*int64(s.Len()-before)) || !s.room.Send(n) {
+		for _, e := range events {
+			s.droppedID = max(s.droppedID, e.ID)
+		}
 		return nil, errors.Trace(errNoRoom)
 	}
 	return events, err
