--- a/internal/soak/planned_stop_review_test.go
+++ b/internal/soak/planned_stop_review_test.go
@@ -18,3 +18,19 @@
 	f.terminate()
 	f.checkNoneLost(f.awaitEnd())
 }
+
+// A stream that outlasts the stop, as its entry knows, and whose server falls silent early is with
+// a server that is at work when it is cut at the exit.
+func TestSilentStreamsThatOutlastTheStopAreNotLost(t *testing.T) {
+	f := startStopFleet(t, platform.SimulatedGracePeriod)
+	callers := f.connect(40)
+	f.after(0, callers, func(c *stopCaller) {
+		c.send("streaming", script{events: 80, pause: 100 * time.Millisecond}, patientTime, nil)
+	})
+	f.callers.Wait()
+	wanted := script{events: 120, pause: 100 * time.Millisecond, lost: true, first: 35}
+	f.after(0, callers, func(c *stopCaller) { c.send("streaming", wanted, patientTime, nil) })
+	f.awaitArrivals(3 * len(callers))
+	f.terminate()
+	f.checkNoneLost(f.awaitEnd())
+}
