--- a/internal/entry/stop_review_test.go
+++ b/internal/entry/stop_review_test.go
@@ -191,3 +191,27 @@
 	}
 	return 0
 }
+
+// Where the stopping entry is the only one through which another reaches a service, that one goes on
+// to send new requests over the connection that it has kept, until the exit cuts them.
+func TestKeptDetourThroughTheOnlyRelayIsNotUsedAgain(t *testing.T) {
+	c := newCutFleet(t, 1, succeed)
+	cut, relay := c.startForwardingEntry("forwarding-1"), c.startForwardingEntry("forwarding-2")
+	waitFor(t, "a relay", func() bool { return cut.forwarder.detours.relayCount() == 1 })
+	c.cut(cut, refusingAddress(t))
+	send := func() error {
+		return cut.Forward(context.Background(), forward.Request{
+			ID: "request", Method: http.MethodGet, Host: "h", Path: "/safe/x", Target: "/safe/x", Key: "k", Arrived: time.Now(),
+		}, &recordingSink{})
+	}
+	if err := send(); err != nil {
+		t.Fatal(err)
+	}
+	go relay.StopListing(t.Context(), stopIn(time.Second, 10*time.Second))
+	waitFor(t, "the close", relay.isClosed)
+	time.Sleep(time.Second) // some lists of relays
+	before := c.runs.Load()
+	if err := send(); err == nil || c.runs.Load() != before {
+		t.Errorf("%s after the close a request passes through the entry: %v", time.Since(relay.stopping.current().Closes()).Round(time.Millisecond), err)
+	}
+}
