--- a/internal/entry/stop_review_test.go
+++ b/internal/entry/stop_review_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -215,3 +216,23 @@
 		t.Errorf("%s after the close a request passes through the entry: %v", time.Since(relay.stopping.current().Closes()).Round(time.Millisecond), err)
 	}
 }
+
+// Requests leave nothing behind at the contexts of a stop that has not come.
+func TestRequestsLeaveNothingAtTheStop(t *testing.T) {
+	s := newStoppingEntry(t)
+	s.counting("a", succeed)
+	for range 5 {
+		if _, err := s.send(route.Safe); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := runtime.NumGoroutine()
+	for range 300 {
+		if _, err := s.send(route.Safe); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := runtime.NumGoroutine() - before; n > 10 {
+		t.Errorf("%d more goroutines after 300 requests", n)
+	}
+}
