--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -140,6 +140,7 @@
 		paced            bool // it took a place at a server that named a limit
 		homes            residency.Homes
 		warming          bool   // it took a place at a server that warms up
+		rescues          bool   // it takes over a begun answer whose server is silent
 		withheld         string // why it was not sent, empty if it was
 
 		placedAt      time.Time
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -184,6 +184,7 @@
 			return nil
 		}
 		if t.connect(next) {
+			next.rescues = s.Begun
 			return next
 		}
 		request.unreachable = append(request.unreachable, next.server.ID)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -159,7 +159,9 @@
 // entry stops, nil if it may be. The attempt is nil while no server is chosen.
 func (x *activeRequest) drainingFailure(a *attempt) *forward.Failure {
 	step := drain.Start
-	switch {
+	switch next := cmp.Or(a, x.nextAttempt); {
+	case x.headSent && next != nil && next.rescues:
+		step = drain.Rescue
 	case x.headSent:
 		step = drain.Resume
 	case x.runs > 0:
