Queued requests of unknown duration are refused at the signal

By tests: a request that waited in the queue at the signal, and was not known to end in time, waited on until it left the queue or the entry closed, and was refused then. Change: the signal ends such a wait at once, so that another entry takes the request.

TestQueuedRequestOfUnknownDurationIsRefusedAtTheSignal failed on the parent for each kind of request in 3 of 3 runs.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -220,14 +220,11 @@
 	if failure := cmp.Or(x.drainingFailure(nil), x.quarantinedFailure()); failure != nil {
 		return e.reject(req, x.route, failure)
 	}
-	waiting, endWait := e.untilClosed(ctx)
+	waiting, endWait := x.untilRefused(ctx)
 	leave, err := e.admissionForRoute(x.route).enter(waiting, e.cfg.Clock, x.ticket())
 	endWait()
-	if err != nil && e.isClosed() && ctx.Err() == nil {
-		return e.reject(req, x.route, e.newDrainingFailure(x.deadline))
-	}
 	if err != nil {
-		return e.reject(req, x.route, overloadFailure(err))
+		return e.reject(req, x.route, x.waitFailure(ctx, err))
 	}
 	defer leave()
 	x.logAdmitted(req.Arrived)
@@ -240,6 +237,16 @@
 	return err
 }
 
+// waitFailure returns the failure of a request whose wait in the queue ended with the error.
+func (x *activeRequest) waitFailure(ctx context.Context, err error) *forward.Failure {
+	if ctx.Err() == nil {
+		if failure := x.drainingFailure(nil); failure != nil {
+			return failure
+		}
+	}
+	return overloadFailure(err)
+}
+
 // awaitPlan waits until there is a routing plan, for startupWait at most. It answers the
 // restart of many entries at once, when all callers come back before the plans do: a
 // rejected one would return a second later, and another entry has no plan either.
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -38,9 +38,10 @@
 
 		// Each of these ends when its phase begins, or late; what has to be in time asks the
 		// schedule.
-		closing stopSignal // ends the waits of requests that have not run
-		ending  stopSignal // ends requests without an answer
-		exiting stopSignal // cuts answers that have begun
+		signaled stopSignal // ends the waits of requests that aren't known to end in time
+		closing  stopSignal // ends the waits of requests that have not run
+		ending   stopSignal // ends requests without an answer
+		exiting  stopSignal // cuts answers that have begun
 	}
 
 	// stopSignal is a context that a phase of the stop ends.
@@ -54,7 +55,7 @@
 )
 
 func newStopping() *stopping {
-	return &stopping{closing: newStopSignal(), ending: newStopSignal(), exiting: newStopSignal()}
+	return &stopping{signaled: newStopSignal(), closing: newStopSignal(), ending: newStopSignal(), exiting: newStopSignal()}
 }
 
 func newStopSignal() stopSignal {
@@ -99,6 +100,7 @@
 func (e *Entry) StopListing(ctx context.Context, schedule drain.Schedule) {
 	schedule = e.stopping.begin(schedule)
 	e.forwarder.observeRunning()
+	e.stopping.signaled.end()
 	now := e.cfg.Clock.Now()
 	e.cfg.Clock.AfterFunc(schedule.Ends().Sub(now), e.stopping.ending.end)
 	e.cfg.Clock.AfterFunc(schedule.Exits().Sub(now), e.stopping.exiting.end)
@@ -121,6 +123,19 @@
 	return ctx, func() { stop(); cancel() }
 }
 
+// untilRefused returns a context for the wait in the queue. It ends with the given one, when the
+// entry takes no more requests, and at the signal if the request isn't known to end in time.
+func (x *activeRequest) untilRefused(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := x.forwarder.entry.untilClosed(ctx)
+	waiting := *x // the request itself may leave the queue meanwhile
+	stop := context.AfterFunc(x.forwarder.entry.stopping.signaled, func() {
+		if waiting.drainingFailure(nil) != nil {
+			cancel()
+		}
+	})
+	return ctx, func() { stop(); cancel() }
+}
+
 // untilExit returns a context for the request. It ends with the given one, and in a planned stop:
 // before the exit while the caller has nothing of an answer, and at the exit in any case.
 func (x *activeRequest) untilExit(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -720,3 +720,38 @@
 		t.Errorf("%q after %d runs, %v", got.text(), runs.Load(), err)
 	}
 }
+
+// A request that waited in the queue at the signal and was not known to end in time was refused
+// only at the close.
+func TestQueuedRequestOfUnknownDurationIsRefusedAtTheSignal(t *testing.T) {
+	for _, kind := range stopKinds {
+		s := newStoppingEntry(t)
+		s.among(3)
+		s.withRoutes(func(one *route.Route) { one.Timeout = time.Minute })
+		s.entry.plainAdmission, s.entry.engineAdmission = newAdmission(limit.NewFIFO(1, 10)), newAdmission(limit.NewFIFO(1, 10))
+		release := make(chan struct{})
+		s.counting("a", func(w http.ResponseWriter, _ *http.Request) {
+			<-release
+			event(w, 1)
+		})
+		first := s.start(kind)
+		waitFor(t, "the first run", func() bool { return s.runs.Load() == 1 })
+		second := s.start(kind)
+		waitFor(t, "the second request in the queue", func() bool {
+			return s.entry.plainAdmission.waitingCount()+s.entry.engineAdmission.waitingCount() == 1
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		listed := make(chan struct{})
+		go func() {
+			defer close(listed)
+			s.entry.StopListing(ctx, stopIn(time.Hour, 20*time.Second))
+		}()
+		s.expectRefused(second)
+		close(release)
+		if err := <-first; err != nil || s.runs.Load() != 1 {
+			t.Errorf("the running request: %v; %d runs", err, s.runs.Load())
+		}
+		cancel()
+		<-listed
+	}
+}
