With TLS, too, a request that has arrived when its connection closes is answered

A kept TLS connection dropped a request that had arrived when the stop closed the connection: below TLS nothing tells what has arrived, so that it was not looked for. It is read for 5 ms more.

--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -32,6 +32,9 @@
 	// for example.
 	acceptPause = 50 * time.Millisecond
 
+	// arrivedTime is how long data that has arrived may take to pass through TLS.
+	arrivedTime = 5 * time.Millisecond
+
 	// smallSendBuffer is the largest size to which every kernel lets a socket's buffer grow at a
 	// request, in the kernel's account. A larger one may have grown by itself, and stays.
 	smallSendBuffer = 416 << 10
@@ -579,8 +582,9 @@
 // error if nothing has.
 func (t *trackedConn) readArrived(p []byte, err error) (int, error) {
 	raw, rawErr := t.SyscallConn()
-	if rawErr != nil {
-		return 0, err
+	if rawErr != nil { // below TLS nothing tells what has arrived
+		t.Conn.SetReadDeadline(time.Now().Add(arrivedTime)) //nolint:errcheck // the read fails then
+		return t.Conn.Read(p)
 	}
 	n := 0
 	readErr := raw.Control(func(fd uintptr) {
--- a/internal/httpd/tls_stop_review_test.go
+++ b/internal/httpd/tls_stop_review_test.go
@@ -84,6 +84,7 @@
 			t.Fatal(err)
 		}
 		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
 		<-gate.held
 		ask()
 		raw, err := (<-gate.conn).SyscallConn()
@@ -102,6 +103,9 @@
 		if err != nil || resp.StatusCode != http.StatusOK {
 			t.Errorf("TLS %v: %v", withTLS, err)
 		}
+		if err == nil {
+			resp.Body.Close()
+		}
 		s.await(t)
 	}
 }
