The end of a server leaves hijacked connections to their handlers

Cause: since the end of Serve ended the contexts of all requests, those of hijacked connections too, over which the other controls talk to the one that leaves; without load it was done before. In the product the listener outlasts the leaving; a server that ends beside it, as in the test, cut it off.

--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -46,9 +46,13 @@
 	}
 )
 
-// withConn adds the connection to the context of its requests.
+// withConn adds the connection to the context of its requests, which the connection can end.
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	ctx = context.WithValue(ctx, connKey{}, c)
+	if t, ok := c.(*trackedConn); ok {
+		ctx, t.endRequests = context.WithCancelCause(ctx)
+	}
+	return ctx
 }
 
 // Read implements io.Reader. The error is an *overload.Refusal when the request is shed or too
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -78,6 +79,8 @@
 		guard  *Guard
 		held   *overload.Connection // its part of the guard's account
 		closed sync.Once
+		// endRequests ends the contexts of its requests with a cause.
+		endRequests context.CancelCauseFunc
 
 		mu       sync.Mutex
 		waiting  bool // no byte has arrived since the last answer
@@ -231,6 +234,16 @@
 	}
 }
 
+// endRequests ends the contexts of the requests that run. Those of hijacked connections belong to
+// their handlers.
+func (s *conns) endRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.open {
+		t.endRequests(ErrStopped)
+	}
+}
+
 // resetRunning resets the connections whose handlers have not returned: an answer that ends with
 // its connection must not look whole.
 func (s *conns) resetRunning() {
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -108,20 +108,19 @@
 
 // Serve serves on the listener until the context ends, then gives open requests time to complete.
 // Those that have not are ended: their contexts end with the cause ErrStopped and their bodies with
-// an *overload.Refusal, so that handlers can still answer. A connection whose handler does not return is reset. Serve returns when all handlers
-// of connections that are not hijacked have, unless they take longer than Timeouts.End allows.
+// an *overload.Refusal, so that handlers can still answer. A connection whose handler does not return
+// is reset. Serve returns when all handlers of connections that are not hijacked have, unless they take
+// longer than Timeouts.End allows.
 func (s Server) Serve(ctx context.Context, l net.Listener) error {
 	guard := s.Guard
 	if guard == nil {
 		guard = NewGuard(overload.LimitsFor(0, 0), clock.WallClock, log.NewNopLogger())
 	}
 	open := newConns(s)
-	requests, end := context.WithCancelCause(context.WithoutCancel(ctx))
-	defer end(ErrStopped)
 	// The connections limit the time of a head themselves, as the limit may change.
 	server := &http.Server{ //nolint:gosec // see above
 		Handler: s.serveRequests(), ConnState: open.onStateChange, ConnContext: withConn, IdleTimeout: idleTimeout,
-		BaseContext: func(net.Listener) context.Context { return requests },
+		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(trackedListener{l, s, guard, ctx.Done()}) }()
@@ -134,7 +133,7 @@
 	<-failed  //nolint:errcheck // the listener is closed, and accepts no more
 	open.drain()
 	if !open.await(s.shutdownTimeout()) {
-		end(ErrStopped)
+		open.endRequests()
 		open.finish()
 		if !open.await(s.endTimeout()) {
 			open.resetRunning()
--- a/internal/httpd/stop_test.go
+++ b/internal/httpd/stop_test.go
@@ -241,3 +241,29 @@
 		t.Errorf("%d bytes, %v", n, err)
 	}
 }
+
+// The end of a server ended the contexts of hijacked connections, over which a stopping control
+// still hands its vote over.
+func TestHijackedConnectionOutlivesTheStop(t *testing.T) {
+	hijacked, leave, returned := make(chan context.Context), make(chan struct{}), make(chan struct{})
+	s := startStoppable(t, httpd.Server{Timeouts: httpd.Timeouts{Shutdown: noShutdown}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(returned)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		hijacked <- r.Context()
+		<-leave
+	})}, nil)
+	io.WriteString(dial(t, s.address), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	ctx := <-hijacked
+	s.stop()
+	s.await(t)
+	if err := context.Cause(ctx); err != nil {
+		t.Error(err)
+	}
+	close(leave)
+	<-returned
+}
