Crowds: a fleet picks no port twice

Ports are chosen by the kernel one after the other and given up, so that two may be the same; that this one was is by reading. A port is picked once in a run now. No check or bound changes.

--- a/test/crowd/harness_test.go
+++ b/test/crowd/harness_test.go
@@ -153,24 +153,37 @@
 	}
 	for range 100 {
 		f.ports.Internal = freePort(f.t, controlIP)
-		l, err := net.Listen("tcp", net.JoinHostPort(entryIP, strconv.Itoa(f.ports.Internal+1)))
+		next := f.ports.Internal + 1
+		l, err := net.Listen("tcp", net.JoinHostPort(entryIP, strconv.Itoa(next)))
 		if err == nil {
 			l.Close()
-			f.ports.LastInternal = f.ports.Internal + 1
+		}
+		if err == nil && !pickedPorts[next] {
+			pickedPorts[next] = true
+			f.ports.LastInternal = next
 			return
 		}
 	}
 	f.t.Fatal("no two free ports in a row")
 }
 
+// pickedPorts are the ports that were picked. The kernel may choose one again once it was given up.
+var pickedPorts = make(map[int]bool)
+
 func freePort(t *testing.T, ip string) int {
 	t.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		l.Close()
+		if !pickedPorts[port] {
+			pickedPorts[port] = true
+			return port
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
 }
 
 // start starts the process with its limit of descriptors and kills it when the test ends.
