Test of a hangup does not depend on how it was started

TestHangupStopsEntryInOrder waited until its time was over where SIGHUP is ignored, as under nohup: the entry inherits that and ignores the signal on purpose. The test process catches the signal now, which children don't inherit. With SIGHUP ignored (trap '' HUP; go test ./test -run TestHangupStopsEntryInOrder -timeout 25s) it timed out before and passes in 6.0 s.

--- a/test/stop_signals_test.go
+++ b/test/stop_signals_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"syscall"
@@ -153,6 +154,10 @@
 
 // An entry that serves the product's own protocol ended at once at SIGHUP, with all its requests.
 func TestHangupStopsEntryInOrder(t *testing.T) {
+	// Processes inherit that a signal is ignored, as it is under nohup, and not that it is caught.
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(caught) })
 	e := startFleet(t, 1).entries[0]
 	e.cmd.Process.Signal(syscall.SIGHUP)
 	<-e.exited
