An answer whose status is none is a failed attempt at once

A server in trouble answered with status 000. The entry took 000, 001, 099 and +20 for informational answers and waited for another head until its timeouts, so that the caller lost the answer or got it some seconds late; an answer behind such a head was taken for the one to the request. 600 and 999 went to callers as whole answers, and heads of HTTP/2.0 and HTTP/0.9 were read as ones of HTTP/1.1.

--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -280,14 +280,17 @@
 		if err != nil {
 			return nil, badHead(err)
 		}
-		if resp.StatusCode >= http.StatusOK {
+		status, isStatus := framing.ParseStatus(resp.Status)
+		switch {
+		case !isStatus || !framing.IsVersion(resp.Proto):
+			return nil, errors.Annotatef(ErrBadAnswer, "its status line is %.*q", maxQuotedBytes, resp.Proto+" "+resp.Status)
+		case framing.IsFinal(status):
 			c.source.inHead = false
 			return resp, nil
-		}
-		resp.Body.Close()
-		if resp.StatusCode == http.StatusSwitchingProtocols {
+		case status == http.StatusSwitchingProtocols:
 			return nil, errors.Annotatef(ErrBadAnswer, "it switches to another protocol unasked")
 		}
+		resp.Body.Close()
 	}
 }
 
