Clients of net/http take no answer whose status is none

A plain service answered with status 000, 001, 099, +20, 600 or 999, and the entry took that for the answer: it was recorded and written to the caller, where net/http panics at a status under 100. One that claimed not to have run was believed, and the request was sent again. LookUp took 000 to 099 for a request that is found, operator and caller clients decoded such bodies as results, and all took heads of HTTP/2.0 and HTTP/0.9 over plain connections.

Cause: http.Transport passes on any number of three characters, and each client asked only for the statuses that it knows. bounded.Transport, which all of them use, now asks core/framing and returns an error in place of the answer, and closes its connection, which net/http would keep for the next request. The outcome of such an attempt is unknown. 101 is taken only by a request with Upgrade.

Handshakes of members refused such answers before.

--- a/internal/experiment/bench.go
+++ b/internal/experiment/bench.go
@@ -62,7 +62,7 @@
 
 	// directTransport turns a caller's request into one that engines accept.
 	directTransport struct {
-		base *http.Transport
+		base bounded.RoundTripper
 		ref  version.Ref
 	}
 )
@@ -102,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	transport := func() *http.Transport {
+	transport := func() bounded.RoundTripper {
 		return bounded.Transport(&http.Transport{MaxIdleConnsPerHost: maxBenchConns, DisableCompression: true})
 	}
 	b := &bench{
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -57,7 +57,7 @@
 
 // newHTTP returns a client that returns redirects as answers instead of
 // following them, which would send the request again.
-func newHTTP(t *http.Transport) *http.Client {
+func newHTTP(t bounded.RoundTripper) *http.Client {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: t, CheckRedirect: noRedirect}
 }
--- a/io/bounded/bounded.go
+++ b/io/bounded/bounded.go
@@ -1,4 +1,5 @@
-// Package bounded bounds what HTTP clients hold of the answers of servers and other processes.
+// Package bounded bounds what HTTP clients hold of the answers of servers and other processes, and
+// which answers they take.
 package bounded
 
 import (
@@ -13,17 +14,17 @@
 // Client is http.DefaultClient with bounds.
 var Client = &http.Client{Transport: defaultTransport()}
 
-func defaultTransport() *http.Transport {
+func defaultTransport() RoundTripper {
 	if t, ok := http.DefaultTransport.(*http.Transport); ok {
 		return Transport(t.Clone())
 	}
 	return Transport(&http.Transport{Proxy: http.ProxyFromEnvironment})
 }
 
-// Transport sets the bounds of a transport that is not in use yet, and returns it.
-func Transport(t *http.Transport) *http.Transport {
+// Transport sets the bounds of a transport that is not in use yet, and returns it with checks.
+func Transport(t *http.Transport) RoundTripper {
 	t.MaxResponseHeaderBytes = MaxHeadBytes
-	return t
+	return RoundTripper{t}
 }
 
 // Body returns a reader of an answer's body. Its error is an *http.MaxBytesError when the body has
