No status that is none is written to a caller or taken from a record

An answer with a status that is not final reached net/http: it panics under 100, takes 1xx for an informational answer and writes a success of its own behind it, and sends 600 and 999 as they are. The interface of plain services writes the status of records of other entries and earlier releases, and a lookup takes the one that a server has kept. Fresh answers are judged where they are read, and these were not.

--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -6,6 +6,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosereach/core/backend"
+	"rosereach/core/framing"
 	"rosereach/core/ledger"
 	"rosereach/core/request"
 	iobackend "rosereach/io/backend"
@@ -53,11 +54,11 @@
 }
 
 // recordedAnswer returns the answer that a backend server kept for a completed
-// call, or one with CodeAnswerNotKept if it kept none or the body is too large
-// to record.
+// call, or one with CodeAnswerNotKept if it kept none, or none with a valid status, or
+// the body is too large to record.
 func recordedAnswer(known iobackend.Lookup, server string) request.Answer {
 	a := request.Answer{Outcome: request.Done, Backend: server}
-	if known.Status == 0 || len(known.Body) > maxRecordedBytes {
+	if !framing.IsFinal(known.Status) || len(known.Body) > maxRecordedBytes {
 		a.Code = request.CodeAnswerNotKept
 		return a
 	}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/oklog/ulid/v2"
 
+	"rosereach/core/framing"
 	"rosereach/core/request"
 	"rosereach/core/version"
 )
@@ -166,6 +167,10 @@
 		writeRefusal(w, err)
 		return
 	}
+	if !framing.IsFinal(answer.Status) { // recorded by another entry, or in an earlier release
+		writeRefusal(w, &request.Refusal{Outcome: answer.Outcome, Code: request.CodeAnswerNotKept, Detail: "the request is done; its server's answer has no valid status"})
+		return
+	}
 	setAnswerHeaders(w.Header(), answer)
 	if answer.ContentType != "" {
 		w.Header().Set("Content-Type", answer.ContentType)
