Read past answers of other requests to the request's own

A faulty server sends an earlier answer twice, late, on a connection that is in use again. The entry found by the id that it was not the request's own, dropped the connection and ended the attempt, although the server had got the request and may have run it: callers of requests that may run once got 502 for work that was done, and streams that had begun lost an attempt and, with the last one, broke off.

On a connection that has served another request, the answer to this one may follow: at most three foreign answers of 1 MiB together are read past, if their framing ends and the server keeps the connection. Nothing of them is passed on, an answer is taken only by its own id as before, the idle timer ends the wait as it does for any head, and the connection is not used again. core/forward.Foreign decides.

TestOwnAnswerIsReadBehindForeignOnes failed in 5 of 10 cases before, all of requests that may run once; safe ones took a second attempt. It passes now, and each request runs once.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -175,6 +175,10 @@
 	return h.RequestID == requestID && (h.Stamped || !isSuccess)
 }
 
+// IsForeign reports whether the head is that of an answer to another request than the one with the
+// id, or to none.
+func (h Head) IsForeign(requestID string) bool { return h.RequestID != requestID }
+
 // Continues reports whether the answer can be the rest of a stream that began with the
 // status. Anything else, such as an error, does not belong into that stream.
 func (h Head) Continues(begun int) bool { return h.Status == begun }
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"rosereach/core/backend"
@@ -55,7 +56,6 @@
 const (
 	errHeadTimeout     = errors.ConstError("timed out waiting for the answer's header")
 	errStalled         = errors.ConstError("timed out waiting for more of the answer")
-	errWrongRequestID  = errors.ConstError("the answer belongs to another request")
 	errUnprovenEnd     = errors.ConstError("nothing proves that the stream has ended")
 	errContradictedEnd = errors.ConstError("the answer ends a stream of which more was seen")
 	errIncomplete      = errors.ConstError("the answer broke off")
@@ -312,11 +312,17 @@
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: x.serverPriority(), LastEventID: x.lastEventID,
 		}),
 		NewConn: x.sends > 1 && (!x.route.IsRetryable() || slices.Contains(x.tried, a.server.ID)), Via: viaOf(a.homes), Hold: a.room.Add,
+		IsForeign: func(status int, header http.Header) bool {
+			return f.entry.cfg.Forwarding.Dialect.Head(status, header).IsForeign(x.req.ID)
+		},
 	}, func() error { return x.admitToSend(a, sending) })
 	if err != nil {
 		return x.handleSendError(ctx, a, err, x.takeOver(watch))
 	}
 	x.takeOver(watch)
+	if answer.Foreign > 0 {
+		level.Warn(x.log()).Log("msg", "Answers of other requests are read past.", "id", x.req.ID, "srv", a.server.ID, "n", answer.Foreign)
+	}
 	f.recordActivity(a.server.ID)
 	a.head = f.entry.cfg.Forwarding.Dialect.Head(answer.Status, answer.Header)
 	f.hear(a.server, a.head, a.startedAt, x.req.ID) //nolint:contextcheck // a report about the server outlives the request
@@ -343,7 +349,7 @@
 	x.answers = append(x.answers, noAnswer)
 	x.runs++
 	x.tried = append(x.tried, a.server.ID)
-	if cause := context.Cause(ctx); cause == nil && !errors.Is(err, upstream.ErrNoRoom) || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && !h.moved {
+	if cause := context.Cause(ctx); cause == nil && !errors.Is(err, upstream.ErrNoRoom) && !errors.Is(err, upstream.ErrForeign) || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && !h.moved {
 		x.forwarder.recordFailure(a, x, h.serverDead)
 		if cause == nil {
 			x.recordEnd(ctx, a)
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -31,7 +31,7 @@
 		answer.Discard()
 		x.runs++
 		x.tried = append(x.tried, a.server.ID)
-		return forward.Unknown, errors.Trace(errWrongRequestID)
+		return forward.Unknown, errors.Trace(upstream.ErrForeign)
 	}
 	if a.head.Refused {
 		_, err := io.CopyN(io.Discard, answer, maxBufferedBytes)
--- a/internal/entry/foreign_answer_test.go
+++ b/internal/entry/foreign_answer_test.go
@@ -131,6 +131,73 @@
 	}
 }
 
+// Guards against an attempt that is wasted on an answer of another request, before the own one on a
+// connection that is in use again: requests that may run once get it, and begun streams go on.
+func TestOwnAnswerIsReadBehindForeignOnes(t *testing.T) {
+	foreign := extraAnswers["success of the earlier request"]
+	for name, extra := range map[string]func(requestID, earlierID string) string{
+		"by length": foreign,
+		"by chunks": func(_, earlier string) string {
+			return "HTTP/1.1 200 OK\r\nId: " + earlier + "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n"
+		},
+		"without a body": extraAnswers["refusal of the earlier request"],
+		"without an id":  extraAnswers["success without an id"],
+		"two":            func(id, earlier string) string { return foreign(id, earlier) + foreign(id, earlier) },
+	} {
+		for _, kind := range []route.Kind{route.Safe, route.Unsafe} {
+			t.Run(fmt.Sprint(name, "/", kind), func(t *testing.T) {
+				r := newHarness(t)
+				r.plan()
+				var runs runCounts
+				r.repeatingServer("a", extra, &runs)
+				for n := range 4 {
+					id := fmt.Sprint("id-", n)
+					got, err := r.sendID(id, kind)
+					if err != nil || got.status != http.StatusOK || got.text() != "own" {
+						t.Errorf("request %d: status %d, %q, %v", n, got.status, got.text(), err)
+					}
+					if n := runs.of(id); n != 1 {
+						t.Errorf("request %s ran %d times", id, n)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against an answer that never comes behind those of other requests: the wait is bounded in
+// their number and bytes, and ends with the connection.
+func TestEndlessForeignAnswersEndTheAttempt(t *testing.T) {
+	foreign := extraAnswers["success of the earlier request"]
+	for name, extra := range map[string]func(requestID, earlierID string) string{
+		"many":      func(id, earlier string) string { return strings.Repeat(foreign(id, earlier), 50) },
+		"long":      func(_, earlier string) string { return longAnswer(earlier, 2<<20) },
+		"by close":  func(_, earlier string) string { return "HTTP/1.1 200 OK\r\nId: " + earlier + "\r\n\r\nown" },
+		"truncated": func(_, earlier string) string { return longAnswer(earlier, 2<<10)[:1<<10] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(t)
+			r.plan()
+			var runs runCounts
+			r.repeatingServer("a", extra, &runs)
+			if _, err := r.sendID("id-0", route.Unsafe); err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			got, err := r.sendWith(ctx, forward.Request{ID: "id-1", Method: "POST", Path: "/unsafe/x", Key: "k"})
+			if err == nil || got.text() != "" {
+				t.Errorf("status %d, %q, %v", got.status, got.text(), err)
+			}
+		})
+	}
+}
+
+// longAnswer returns an answer to a request with a body of n bytes.
+func longAnswer(requestID string, n int) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", requestID, n, strings.Repeat("x", n))
+}
+
 // Guards against a refusal that is taken for that of a request's second attempt at the same
 // server: the attempt uses another connection, where no earlier answer can follow.
 func TestRetryAtSameServerUsesNewConnection(t *testing.T) {
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -61,6 +61,8 @@
 	ErrBadAnswer = errors.ConstError("no proper answer")
 	// ErrNoRoom means that Call.Hold had no room for the head of the answer.
 	ErrNoRoom = errors.ConstError("there is no room for the head of the answer")
+	// ErrForeign means that no answer followed one of another request.
+	ErrForeign = errors.ConstError("the answer belongs to another request")
 )
 
 type (
@@ -83,6 +85,10 @@
 		// Hold takes room for n bytes of memory more that the head of the answer takes, and
 		// reports whether there was room. It is nil for no account.
 		Hold func(n int64) bool
+		// IsForeign reports whether an answer belongs to another request, or to none. Such answers
+		// are read past where forward.Foreign allows that. It is nil if any answer is that to the
+		// request.
+		IsForeign func(status int, header http.Header) bool
 	}
 
 	// Answer is the head of an answer and a reader of its body. Close must be
@@ -94,6 +100,8 @@
 		Length int64
 		// Framing says what marks the end of the body.
 		Framing framing.Mark
+		// Foreign is the number of answers of other requests that were read past.
+		Foreign int
 
 		body    io.ReadCloser
 		conn    *conn
@@ -133,6 +141,8 @@
 		source *headReader // that reader reads from
 		// expiresAt is when an idle connection expires.
 		expiresAt time.Time
+		// used is set when a request was sent on the connection.
+		used bool
 	}
 )
 
@@ -233,7 +243,8 @@
 
 // exchange writes the request and reads the head of the answer.
 func (c *Client) exchange(conn *conn, call Call) (*Answer, error) {
-	head := encodeHead(call)
+	head, reused := encodeHead(call), conn.used
+	conn.used = true
 	wrote := make(chan error, 1)
 	if call.Body.Len() <= maxInlineBodyBytes {
 		n, err := conn.Write(append(head, bytes.Join(call.Body, nil)...))
@@ -247,23 +258,52 @@
 		}()
 	}
 	conn.source.expect(call.Hold)
-	resp, err := conn.readHead(call.Method) //nolint:bodyclose // Answer.Close ends the connection, and with it the body
+	resp, foreign, err := conn.readAnswer(call, reused) //nolint:bodyclose // Answer.Close ends the connection, and with it the body
 	if err != nil {
 		return nil, err
 	}
 	a := &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: markOf(resp), Foreign: foreign, body: resp.Body,
 		conn: conn, client: c, address: call.Address, writeResult: wrote,
 	}
+	a.keepAlive = a.Framing != framing.ByClose && !resp.Close && foreign == 0
+	conn.expiresAt = c.clock.Now().Add(idleTimeout(resp.Header))
+	return a, nil
+}
+
+// readAnswer reads the head of the call's answer, behind a number of foreign ones. The caller closes
+// the body.
+func (c *conn) readAnswer(call Call, reused bool) (resp *http.Response, foreign int, err error) {
+	f := forward.Foreign{Reused: reused}
+	resp, err = c.readHead(call.Method)
+	for ; err == nil && call.IsForeign != nil && call.IsForeign(resp.StatusCode, resp.Header); f.Before++ {
+		f.Mark, f.Length, f.Closes = markOf(resp), resp.ContentLength, resp.Close
+		maxBytes, ok := f.MayReadPast()
+		if !ok {
+			return resp, f.Before, nil
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBytes+1))
+		resp.Body.Close()
+		if err != nil || n > maxBytes {
+			return nil, f.Before, errors.Annotatef(ErrForeign, "reading past %d bytes: %v", n, err)
+		}
+		f.BytesBefore += n
+		if resp, err = c.readHead(call.Method); err != nil {
+			return nil, f.Before, fmt.Errorf("%w: %w", ErrForeign, err)
+		}
+	}
+	return resp, f.Before, err
+}
+
+// markOf returns what marks the end of an answer's body.
+func markOf(resp *http.Response) framing.Mark {
 	switch {
 	case len(resp.TransferEncoding) > 0:
-		a.Framing = framing.ByChunks
+		return framing.ByChunks
 	case resp.ContentLength >= 0 || resp.StatusCode == http.StatusNoContent:
-		a.Framing = framing.ByLength
+		return framing.ByLength
 	}
-	a.keepAlive = a.Framing != framing.ByClose && !resp.Close
-	conn.expiresAt = c.clock.Now().Add(idleTimeout(resp.Header))
-	return a, nil
+	return framing.ByClose
 }
 
 // readHead reads the status line and header of the final answer and skips
