Last attempt of a begun stream uses an unused connection

A stream that had begun and broke off was sent on over open connections. Faulty servers wrote an answer of another request there and closed the connection, so that attempt after attempt was used up though the server had not even read the request, and the caller's stream broke off. Reading on does not help where nothing follows.

The last attempt of a begun answer now takes a connection on which no request was sent before: the one that was opened to replace a silent attempt, or a new one. Earlier attempts and answers that have not begun stay on open connections, since servers reset new ones above their limit. core/forward.NeedsUnusedConn decides.

--- a/core/forward/foreign.go
+++ b/core/forward/foreign.go
@@ -1,6 +1,9 @@
 package forward
 
-import "rosereach/core/framing"
+import (
+	"rosereach/core/framing"
+	"rosereach/core/route"
+)
 
 const (
 	// maxForeignAnswers and maxForeignBytes bound what is read past for one answer.
@@ -33,3 +36,11 @@
 	maxBytes = maxForeignBytes - f.BytesBefore
 	return maxBytes, f.Reused && f.Mark != framing.ByClose && !f.Closes && f.Before < maxForeignAnswers && f.Length <= maxBytes
 }
+
+// NeedsUnusedConn reports whether the next attempt needs a connection that has served no request.
+// Runs is the number of attempts before it that may have run. On one that is in use again an answer
+// of another request may be all that comes, and an answer that has begun breaks off if its last
+// attempt fails. Others use open connections, as servers reset new ones above their limit.
+func NeedsUnusedConn(r route.Route, begun bool, runs int) bool {
+	return begun && !MayRetry(r, Unknown, runs+1)
+}
--- a/core/forward/foreign_test.go
+++ b/core/forward/foreign_test.go
@@ -5,6 +5,7 @@
 
 	"rosereach/core/forward"
 	"rosereach/core/framing"
+	"rosereach/core/route"
 )
 
 // An own answer can follow only what ends, on a connection that has served other requests, and the
@@ -31,3 +32,16 @@
 		}
 	}
 }
+
+// Only the last attempt of a begun answer needs a connection that was not in use.
+func TestLastAttemptOfBegunAnswersNeedsUnusedConn(t *testing.T) {
+	r := route.Route{Kind: route.Streaming, Resumable: true, MaxAttempts: 3}
+	for runs, want := range []bool{false, false, true} {
+		if got := forward.NeedsUnusedConn(r, true, runs); got != want {
+			t.Errorf("begun, %d runs: %v", runs, got)
+		}
+		if forward.NeedsUnusedConn(r, false, runs) {
+			t.Errorf("not begun, %d runs: needs one", runs)
+		}
+	}
+}
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -311,7 +311,7 @@
 		Header: f.entry.cfg.Forwarding.Dialect.Attempt(x.req, forward.Attempt{
 			Server: a.server.ID, Workspace: x.workspace.Name, Model: x.model, TimeLeft: remaining, Priority: x.serverPriority(), LastEventID: x.lastEventID,
 		}),
-		NewConn: x.sends > 1 && (!x.route.IsRetryable() || slices.Contains(x.tried, a.server.ID)), Via: viaOf(a.homes), Hold: a.room.Add,
+		NewConn: x.sends > 1 && (!x.route.IsRetryable() || slices.Contains(x.tried, a.server.ID)), UnusedConn: forward.NeedsUnusedConn(x.route, x.headSent, x.runs), Via: viaOf(a.homes), Hold: a.room.Add,
 		IsForeign: func(status int, header http.Header) bool {
 			return f.entry.cfg.Forwarding.Dialect.Head(status, header).IsForeign(x.req.ID)
 		},
--- a/internal/entry/foreign_answer_test.go
+++ b/internal/entry/foreign_answer_test.go
@@ -193,6 +193,49 @@
 	}
 }
 
+// Guards against a begun stream that uses up its attempts on connections of which servers write an
+// answer of another request, and close them then: the last one is over a connection that was not in use.
+func TestLastAttemptOfABegunStreamUsesAnUnusedConnection(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	var streams atomic.Int64
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		for reader, n := bufio.NewReader(conn), 0; ; n++ {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			id, own := req.Header.Get("Id"), "own"
+			if strings.HasPrefix(req.URL.Path, "/streaming/") {
+				switch first := streams.Add(1) == 1; {
+				case first:
+					io.WriteString(conn, chunkedHead)
+					chunk(conn, streamText(1, 1))
+					return
+				case n > 0:
+					io.WriteString(conn, longAnswer("earlier", 7))
+					return
+				}
+				own = streamText(2, 3)
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(own), own)
+		}
+	}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r.announce(id, listenRaw(t, serve), 1, backend.Serving)
+	}
+	var all sync.WaitGroup
+	for n := range 40 { // each server gets some, and keeps their connections
+		all.Go(func() { r.sendID(fmt.Sprint("safe-", n), route.Safe) })
+	}
+	all.Wait()
+	got, err := r.sendWith(t.Context(), forward.Request{Path: "/streaming/x", Key: "k"})
+	if want := streamText(1, 3); err != nil || got.text() != want {
+		t.Errorf("%q after %d attempts, %v", got.text(), streams.Load(), err)
+	}
+}
+
 // longAnswer returns an answer to a request with a body of n bytes.
 func longAnswer(requestID string, n int) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", requestID, n, strings.Repeat("x", n))
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -77,8 +77,9 @@
 		Header map[string][]string
 		// Body is sent in pieces, in order, and not copied.
 		Body forward.Body
-		// NewConn requires a new connection instead of an idle one.
-		NewConn bool
+		// NewConn requires a new connection instead of an idle one, and UnusedConn one on which no
+		// request was sent before.
+		NewConn, UnusedConn bool
 		// Via restricts the regions of other instances that the connection may pass
 		// through. It is nil for no restriction.
 		Via func(region string) bool
@@ -208,7 +209,7 @@
 
 // HasIdle reports whether an idle connection to the server is open.
 func (c *Client) HasIdle(address string, via func(region string) bool) bool {
-	for idle := c.popIdle(address, via); idle != nil; idle = c.popIdle(address, via) {
+	for idle := c.popIdle(address, via, false); idle != nil; idle = c.popIdle(address, via, false) {
 		if idle.isReusable() {
 			c.release(address, idle)
 			return true
@@ -424,7 +425,7 @@
 // acquire returns an idle connection to the server, or a new one.
 func (c *Client) acquire(ctx context.Context, call Call) (*conn, error) {
 	for !call.NewConn {
-		idle := c.popIdle(call.Address, call.Via)
+		idle := c.popIdle(call.Address, call.Via, call.UnusedConn)
 		if idle == nil {
 			break
 		}
@@ -490,8 +491,8 @@
 }
 
 // popIdle removes and returns the idle connection that was used last among those that
-// via allows, or nil. It closes expired ones.
-func (c *Client) popIdle(address string, via func(region string) bool) *conn {
+// via allows, or nil, of all connections or of the unused ones. It closes expired ones.
+func (c *Client) popIdle(address string, via func(region string) bool, unused bool) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
@@ -499,7 +500,7 @@
 	for i := len(conns) - 1; i >= 0; i-- {
 		last := conns[i]
 		isExpired := !now.Before(last.expiresAt)
-		if !isExpired && !last.isAllowed(via) {
+		if !isExpired && (!last.isAllowed(via) || unused && last.used) {
 			continue
 		}
 		conns = slices.Delete(conns, i, i+1)
