Bytes behind the last event of a stream outweigh no two servers that agree

Callers got whole streams that looked cut. A server's bytes behind its last event that belong to no event of the stream (a comment or a field without a blank line, wrong bytes, another answer, an event with a far id) counted as the beginning of the next event for as long as the request lived. Every other server, however sound, then contradicted "more was seen", failed, and after three of them the stream was cut: one failing server breaks off a series. The head of another answer in a body without a length reached the caller as an event.

What one server claims is now kept apart from what was seen: the next id, whole, or a field in which a connection broke off. Two framed answers by which nothing follows outweigh a claim, and nothing else does; one that brings the rest counts. Bytes with which no event begins claim nothing; comments and white space neither, and an answer with a mark ends with them: they are passed on, so that the body is the server's whole one.

TestClaimIsOutweighedByTwoServersOnly, which passed before, keeps parts of events, gaps and single denials from ending a stream. held_test.go calls recordRest, which holds what recordPartial did.

--- a/core/framing/framing.go
+++ b/core/framing/framing.go
@@ -58,6 +58,8 @@
 		// MoreSeen means that an event, or a part of one, was seen that the caller does not
 		// have.
 		MoreSeen bool
+		// Claimed means that one server wrote what may belong to such an event.
+		Claimed bool
 		// Confirmations is the number of framed answers, this one included, by which nothing
 		// follows the last event.
 		Confirmations int
@@ -77,11 +79,12 @@
 // EndsStream reports whether the end of an answer with the mark ends the stream. Servers that
 // are killed, and those that fail at once, end answers in order as well: where another server
 // may be asked, the end of a connection is no end, and an answer without events needs another
-// one that agrees. None ends a stream of which more was seen. A server whose time is over may
-// have stopped in the middle, which a length shows and chunks don't.
+// one that agrees. None ends a stream of which more was seen; what only one server claims is
+// outweighed by two that agree. A server whose time is over may have stopped in the middle, which a
+// length shows and chunks don't.
 func (m Mark) EndsStream(s Stream) bool {
 	switch {
-	case s.MoreSeen, s.TimeUp && m != ByLength:
+	case s.MoreSeen, s.TimeUp && m != ByLength, s.Claimed && s.Confirmations < minConfirmations:
 		return false
 	case m == ByClose:
 		return s.Extended && !s.CanAsk
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"strconv"
+	"unicode"
 
 	"github.com/juju/errors"
 )
@@ -83,10 +84,16 @@
 // surrounding white space.
 func (s *Splitter) Buffered() int { return len(bytes.TrimSpace(s.buffer)) }
 
+// Rest returns the buffered bytes.
+func (s *Splitter) Rest() []byte { return s.buffer }
+
+// IsAtEnd reports whether nothing is buffered but comments and white space.
+func (s *Splitter) IsAtEnd() bool { return firstLine(s.buffer) == nil }
+
 // Partial returns the id of the incomplete event that is buffered, 0 if it is not known, and
-// whether there is one. A comment is none.
+// whether there is one. Comments, and bytes with which no event begins, are none.
 func (s *Splitter) Partial() (id uint64, ok bool) {
-	if !hasField(s.buffer) {
+	if !isField(firstLine(s.buffer)) {
 		return 0, false
 	}
 	// The last line may be cut.
@@ -108,14 +115,22 @@
 	return false
 }
 
-// hasField reports whether the text has a line that is neither empty nor a comment.
-func hasField(text []byte) bool {
+// firstLine returns the first line that is neither empty nor a comment, nil if there is none.
+func firstLine(text []byte) []byte {
 	for line := range bytes.Lines(text) {
 		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
-			return true
+			return line
 		}
 	}
-	return false
+	return nil
+}
+
+// isField reports whether a line, which may be cut, is a field of an event.
+func isField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return len(name) > 0 && !bytes.ContainsFunc(name, func(r rune) bool {
+		return r != '-' && r != '_' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
+	})
 }
 
 // NewSequencer returns a sequencer for a stream whose caller has received the
@@ -127,11 +142,11 @@
 
 // Admit reports whether to pass the event on. It returns false for a duplicate, and
 // an error with the cause ErrGap when events are missing before this one, or ErrNoEvent when
-// it has no field. Events without an id always pass, and so does the first event of a caller
+// it begins with no field. Events without an id always pass, and so does the first event of a caller
 // that has none.
 func (s *Sequencer) Admit(e Event) (bool, error) {
 	switch {
-	case !bytes.ContainsRune(e.Raw, ':') && e.ID == 0 && len(bytes.TrimSpace(e.Raw)) > 0:
+	case e.ID == 0 && firstLine(e.Raw) != nil && !isField(firstLine(e.Raw)):
 		return false, errors.Annotatef(ErrNoEvent, "%.40q", e.Raw)
 	case e.ID == 0:
 		return true, nil
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -59,6 +59,45 @@
 	}
 }
 
+// Bytes that are no event were taken for the beginning of the next one, and for an event.
+func TestBytesBehindTheLastEvent(t *testing.T) {
+	for text, want := range map[string]struct {
+		id            uint64
+		atEnd, begins bool
+	}{
+		"":                                {0, true, false},
+		"\n":                              {0, true, false},
+		": ping":                          {0, true, false},
+		": ping\n: p":                     {0, true, false},
+		"id: 2\nda":                       {2, false, true},
+		": ping\nid: 2\n":                 {2, false, true},
+		"id: 2":                           {0, false, true},
+		"i":                               {0, false, true},
+		"data:":                           {0, false, true},
+		"weight-versions: 7\nid":          {0, false, true},
+		"\x00\xf1 wrong":                  {0, false, false},
+		"HTTP/1.1 200 OK\r\nId: id-1\r\n": {0, false, false},
+	} {
+		var s stream.Splitter
+		push(t, &s, event(1)+text)
+		if id, begins := s.Partial(); id != want.id || begins != want.begins || s.IsAtEnd() != want.atEnd {
+			t.Errorf("%q: id %d, begins %v, at its end %v", text, id, begins, s.IsAtEnd())
+		}
+	}
+	for raw, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nId: id-1\r\n\r\n": false, "no such run\n\n": false, "no such run: 1\n\n": false,
+		": ping\n\n": true, "retry: 5\n\n": true, "data\n\n": true, "\n\n": true, "x-weight: 7\nid: 5\ndata\n\n": true,
+	} {
+		var s stream.Splitter
+		o := stream.NewSequencer(4)
+		for _, e := range push(t, &s, raw) {
+			if isNew, err := o.Admit(e); isNew != want || errors.Is(err, stream.ErrNoEvent) == want {
+				t.Errorf("%q: passed %v, %v", raw, isNew, err)
+			}
+		}
+	}
+}
+
 func TestSequencerAfterResume(t *testing.T) {
 	o := stream.NewSequencer(3)
 	if pass, err := o.Admit(stream.Event{ID: 3}); pass || err != nil {
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -106,6 +106,9 @@
 		retryTaken   bool            // the retry for the next attempt was taken from the budget
 		abandoned    bool            // no attempt may follow the last one
 
+		// Highest ID of an event that one server wrote, which may belong to another stream.
+		claimedEventID uint64
+
 		// For the log of a planned stop.
 		expectation  expectation
 		sentAt       time.Time // of the last attempt, zero if none was sent
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"io"
 
@@ -32,9 +33,9 @@
 		events, tooLong := splitter.push(buffer[:n])
 		failed := x.forwardEvents(a, answer, &order, events)
 		splitter.sent()
-		a.answer.Partial = splitter.Buffered() > 0
 		if err != nil || failed != nil || tooLong != nil {
-			x.recordPartial(&splitter)
+			a.answer.Partial = !splitter.IsAtEnd()
+			x.recordRest(&splitter, err, failed)
 		}
 		switch {
 		case len(events) > 0:
@@ -55,8 +56,8 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && (a.answer.Events > 0 || answer.Framing != framing.ByClose && x.hasBegun()):
-			return x.handleStreamEnd(a, answer, watch)
+		case errors.Is(err, io.EOF) && splitter.IsAtEnd() && (a.answer.Events > 0 || answer.Framing != framing.ByClose && x.hasBegun()):
+			return x.handleStreamEnd(a, answer, splitter.Rest(), watch)
 		default:
 			h := x.takeOver(watch)
 			return x.handleBrokenStream(ctx, a, answer, errors.Annotatef(errIncomplete, "%v", err), h.serverDead)
@@ -65,16 +66,16 @@
 }
 
 // handleStreamEnd handles an answer to a stream that has ended in order after a whole event.
-func (x *activeRequest) handleStreamEnd(a *attempt, answer *upstream.Answer, watch *idleTimer) (forward.Outcome, error) {
+func (x *activeRequest) handleStreamEnd(a *attempt, answer *upstream.Answer, rest []byte, watch *idleTimer) (forward.Outcome, error) {
 	answer.Close()
 	extended := a.answer.Events > 0
-	if !extended && !x.moreSeen() {
+	if answer.Framing != framing.ByClose && !x.moreSeen() {
 		x.confirmed++
 	}
 	if answer.Framing.EndsStream(framing.Stream{
-		Extended: extended, Begun: x.hasBegun(), MoreSeen: x.moreSeen(), Confirmations: x.confirmed, CanAsk: x.canAskForRest(), TimeUp: x.isAtDeadline(),
+		Extended: extended, Begun: x.hasBegun(), MoreSeen: x.moreSeen(), Claimed: x.claimedEventID > x.lastEventID, Confirmations: x.confirmed, CanAsk: x.canAskForRest(), TimeUp: x.isAtDeadline(),
 	}) {
-		x.endStream(a, answer)
+		x.endStream(a, answer, rest)
 		return "", nil
 	}
 	x.takeOver(watch)
@@ -93,24 +94,34 @@
 // moreSeen reports whether an event was seen that the caller does not have.
 func (x *activeRequest) moreSeen() bool { return x.seenEventID > x.lastEventID }
 
-// recordPartial records the event in which an answer has ended, and those that were dropped. One
-// whose id was not seen is taken for the next one.
-func (x *activeRequest) recordPartial(s *heldSplitter) {
+// recordRest records events that were dropped, and what follows the last whole event of an answer.
+// A server that ends its answer in order, or writes events behind a gap, may have written what
+// belongs to no event of the stream: it claims that there is more, and shows it only with the next
+// id.
+func (x *activeRequest) recordRest(s *heldSplitter, err, failed error) {
+	x.seenEventID = max(x.seenEventID, s.droppedID)
 	id, ok := s.Partial()
-	if ok && id == 0 {
-		id = x.lastEventID + 1
+	switch {
+	case !ok || errors.Is(failed, stream.ErrNoEvent):
+	case id > x.lastEventID+1, id == 0 && errors.Is(err, io.EOF):
+		x.claimedEventID = max(x.claimedEventID, id, x.lastEventID+1)
+	default:
+		x.seenEventID = max(x.seenEventID, cmp.Or(id, x.lastEventID+1))
 	}
-	x.seenEventID = max(x.seenEventID, id, s.droppedID)
 }
 
-// endStream passes on the head of an answer without events: its caller had all of them.
-func (x *activeRequest) endStream(a *attempt, answer *upstream.Answer) {
-	if x.headSent {
+// endStream passes on the rest of an answer, which belongs to no event, and the head of one without
+// events: its caller had all of them.
+func (x *activeRequest) endStream(a *attempt, answer *upstream.Answer, rest []byte) {
+	if !x.headSent {
+		x.forwarder.recordSuccess(a, x)
+		x.headSent, x.sentStatus = true, answer.Status
+		x.begin(answer.Status, answer.Header, framing.ByLength, 0)
 		return
 	}
-	x.forwarder.recordSuccess(a, x)
-	x.headSent, x.sentStatus = true, answer.Status
-	x.begin(answer.Status, answer.Header, framing.ByLength, 0)
+	if a.answer.Events > 0 && len(rest) > 0 {
+		x.callerCut = x.sink.Write(rest) != nil
+	}
 }
 
 // canAskForRest reports whether another server may be asked for the rest of a stream.
@@ -122,11 +133,14 @@
 		if gap, ok := a.pace.observe(x.now()); ok {
 			x.forwarder.tallyPace(a, x, gap)
 		}
-		x.seenEventID = max(x.seenEventID, e.ID)
 		isNew, err := order.Admit(e)
+		if errors.Is(err, stream.ErrGap) {
+			x.claimedEventID = max(x.claimedEventID, e.ID)
+		}
 		if err != nil {
 			return err
 		}
+		x.seenEventID = max(x.seenEventID, e.ID)
 		if !isNew {
 			continue
 		}
--- a/internal/entry/held_test.go
+++ b/internal/entry/held_test.go
@@ -52,7 +52,7 @@
 	if len(events) != 0 || !errors.Is(err, errNoRoom) {
 		t.Fatalf("%d events, %v", len(events), err)
 	}
-	x.recordPartial(&s)
+	x.recordRest(&s, nil, err)
 	if !x.moreSeen() {
 		t.Error("the dropped event was not seen")
 	}
--- /dev/null
+++ b/internal/entry/series_end_test.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"rosereach/core/backend"
+)
+
+// restWriter writes what a server has of a stream to a caller that has some events.
+type restWriter func(conn net.Conn, has int)
+
+// restInTurn asks for a stream of a route with a number of attempts. The n-th request is answered by
+// the n-th function, later ones by the last.
+func (r *harness) restInTurn(attempts int, answers ...restWriter) (callerAnswer, int64) {
+	r.t.Helper()
+	r.plan()
+	r.withAttempts(attempts)
+	var runs atomic.Int64
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r.announce(id, listenRaw(r.t, func(conn net.Conn) {
+			defer conn.Close()
+			req, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			has, _ := strconv.Atoi(req.Header.Get("After"))
+			answers[min(int(runs.Add(1)), len(answers))-1](conn, has)
+		}), 1, backend.Serving)
+	}
+	return r.ask("HTTP/1.1", "/streaming/x"), runs.Load()
+}
+
+// textOf returns the events with the ids that a caller does not have.
+func textOf(has int, ids ...int) string {
+	var b strings.Builder
+	for _, id := range ids {
+		if id > has {
+			event(&b, uint64(id))
+		}
+	}
+	return b.String()
+}
+
+// inChunks returns a server that has the events with the ids, and extra bytes behind them.
+func inChunks(extra string, ids ...int) restWriter {
+	return func(conn net.Conn, has int) {
+		io.WriteString(conn, chunkedHead)
+		if text := textOf(has, ids...) + extra; text != "" {
+			chunk(conn, text)
+		}
+		io.WriteString(conn, "0\r\n\r\n")
+	}
+}
+
+// cutChunks is inChunks without the last chunk.
+func cutChunks(extra string, ids ...int) restWriter {
+	return func(conn net.Conn, has int) {
+		io.WriteString(conn, chunkedHead)
+		chunk(conn, textOf(has, ids...)+extra)
+	}
+}
+
+// untilClose is inChunks without a mark of the end.
+func untilClose(extra string, ids ...int) restWriter {
+	return func(conn net.Conn, has int) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\n\r\n%s%s", textOf(has, ids...), extra)
+	}
+}
+
+// Bytes of one server behind its last event that belong to no event contradicted all other servers
+// for ever: the whole stream looked cut. Bytes of another answer reached the caller.
+func TestBytesBehindTheLastEventDoNotOutweighOtherServers(t *testing.T) {
+	sound := inChunks("", 1, 2, 3)
+	for name, first := range map[string]restWriter{
+		"comment, chunks":          inChunks(": ping", 1, 2, 3),
+		"comment, close":           untilClose(": ping\n", 1, 2, 3),
+		"wrong bytes, close":       untilClose("\x00\xf1 wrong", 1, 2, 3),
+		"wrong bytes, cut":         cutChunks("\x00\xf1 wrong", 1, 2, 3),
+		"field, chunks":            inChunks("data:", 1, 2, 3),
+		"field, close":             untilClose("event: end\n", 1, 2, 3),
+		"another answer":           untilClose("HTTP/1.1 200 OK\r\nId: id-0\r\nContent-Length: 4\r\n\r\nbody", 1, 2, 3),
+		"head of another answer":   untilClose("HTTP/1.1 200 OK\r\nId: id-0\r\nContent-Length: 0\r\n\r\n", 1, 2, 3),
+		"event of another stream":  untilClose("id: 99\ndata: 99\n\n", 1, 2, 3),
+		"part of another stream":   untilClose("id: 99\nda", 1, 2, 3),
+		"event of another, chunks": inChunks("id: 99\ndata: 99\n\n", 1, 2, 3),
+		"event of another, cut":    cutChunks("id: 99\ndata: 99\n\n", 1, 2, 3),
+	} {
+		got, runs := newHarness(t).restInTurn(3, first, sound)
+		body, _ := strings.CutSuffix(got.body, ": ping")
+		if got.err != nil || body != streamText(1, 3) {
+			t.Errorf("%s: %q after %d runs, %v", name, got.body, runs, got.err)
+		}
+	}
+}
+
+// A comment without a blank line behind the last event of a whole answer cost attempts, and a route
+// with few of them cut the stream. The caller got less than the server's whole body.
+func TestCommentBehindTheLastEventIsPassedOn(t *testing.T) {
+	for _, comment := range []string{": ping", ": ping\n", "\n"} {
+		got, runs := newHarness(t).restInTurn(2, inChunks(comment, 1, 2, 3))
+		if got.err != nil || runs != 1 || got.body != streamText(1, 3)+comment {
+			t.Errorf("%q: %q after %d runs, %v", comment, got.body, runs, got.err)
+		}
+	}
+}
+
+// A server that has the rest of the stream and one that has nothing behind it agree.
+func TestRestOutweighsAClaimWithAnotherServer(t *testing.T) {
+	got, runs := newHarness(t).restInTurn(3, cutChunks("id: 99\ndata: 99\n\n", 1), inChunks("", 1, 2, 3))
+	if got.err != nil || got.body != streamText(1, 3) {
+		t.Errorf("%q after %d runs, %v", got.body, runs, got.err)
+	}
+}
+
+// One server that denies what another one claims ends no stream, nor does an answer that ends before it.
+func TestClaimIsOutweighedByTwoServersOnly(t *testing.T) {
+	for name, answers := range map[string][]restWriter{
+		"field, then empty":      {inChunks("data:", 1), inChunks(""), inChunks("", 1, 2, 3)},
+		"gap, then empty":        {inChunks("", 1, 3), inChunks(""), inChunks("", 1, 2, 3)},
+		"gap, then one event":    {inChunks("", 1, 3), inChunks("", 1, 2), inChunks("", 1, 2, 3)},
+		"part, then empty twice": {cutChunks("id: 2\nda", 1), inChunks("")},
+		"cut, then empty twice":  {cutChunks("i", 1), inChunks("")},
+		"id, then empty twice":   {inChunks("id: 2\n", 1), inChunks("")},
+	} {
+		got, runs := newHarness(t).restInTurn(3, answers...)
+		if got.err == nil && got.body != streamText(1, 3) {
+			t.Errorf("%s: %q ends as complete after %d runs", name, got.body, runs)
+		}
+	}
+}
