A stream whose ids grow by more than one is passed on

PROTOCOL.md promises increasing ids, not consecutive ones. The entry took each id that was left out for a missing event: it broke off, asked another server for what follows the last event, got the same next id, and so at each server until the attempts were used up.

A gap that one server shows still makes the entry ask another one, which has what the first one lost. If that one shows the same gap behind the same event, nothing is between the two ids, and from there on ids of this stream may jump. A part of an event with such an id was seen, as with the next id.

--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -46,6 +46,14 @@
 	// Sequencer passes each event once, in the order of the ids, and detects gaps.
 	Sequencer struct {
 		lastID uint64
+		jumps  bool // the ids grow by more than one
+	}
+
+	// Gap is where an id is not the next one, as a server shows it.
+	Gap struct {
+		Server string
+		// After and Before are the ids of the events around it.
+		After, Before uint64
 	}
 )
 
@@ -137,6 +145,17 @@
 // events up to the id after, 0 for none.
 func NewSequencer(after uint64) Sequencer { return Sequencer{lastID: after} }
 
+// WithJumps returns a sequencer of a stream whose ids grow by more than one.
+func (s Sequencer) WithJumps() Sequencer {
+	s.jumps = true
+	return s
+}
+
+// IsAt reports whether another server shows the same gap: nothing is missing then.
+func (g Gap) IsAt(other Gap) bool {
+	return g.Server != other.Server && g.After == other.After && g.Before == other.Before
+}
+
 // LastID returns the id of the last event that was passed, 0 for none.
 func (s *Sequencer) LastID() uint64 { return s.lastID }
 
@@ -152,7 +171,7 @@
 		return true, nil
 	case e.ID <= s.lastID:
 		return false, nil
-	case s.lastID > 0 && e.ID != s.lastID+1:
+	case s.lastID > 0 && e.ID != s.lastID+1 && !s.jumps:
 		return false, errors.Annotatef(ErrGap, "event %d follows event %d", e.ID, s.lastID)
 	}
 	s.lastID = e.ID
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -111,6 +111,30 @@
 	}
 }
 
+// Ids grow, by how much is the servers' choice. Two that show the same gap have nothing between.
+func TestSequencerOfJumpingIDs(t *testing.T) {
+	o := stream.NewSequencer(3).WithJumps()
+	for id, want := range map[uint64]bool{2: false, 3: false} {
+		if pass, err := o.Admit(stream.Event{ID: id}); pass != want || err != nil {
+			t.Errorf("event %d: %v, %v", id, pass, err)
+		}
+	}
+	for _, id := range []uint64{5, 9, 10} {
+		if pass, err := o.Admit(stream.Event{ID: id}); !pass || err != nil {
+			t.Errorf("event %d: %v, %v", id, pass, err)
+		}
+	}
+	gap := stream.Gap{Server: "a", After: 3, Before: 5}
+	for other, want := range map[stream.Gap]bool{
+		{Server: "b", After: 3, Before: 5}: true, gap: false, {}: false,
+		{Server: "b", After: 3, Before: 6}: false, {Server: "b", After: 2, Before: 5}: false,
+	} {
+		if gap.IsAt(other) != want {
+			t.Errorf("%+v: %v", other, !want)
+		}
+	}
+}
+
 // An event without an end is refused, with the complete ones before it passed on.
 func TestEndlessEventIsRefused(t *testing.T) {
 	var s stream.Splitter
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -18,6 +18,7 @@
 	"rosereach/core/residency"
 	"rosereach/core/retry"
 	"rosereach/core/route"
+	"rosereach/core/stream"
 	"rosereach/internal/httpd"
 	"rosereach/io/upstream"
 )
@@ -108,6 +109,8 @@
 
 		// Highest ID of an event that one server wrote, which may belong to another stream.
 		claimedEventID uint64
+		gap            stream.Gap // the last one in the ids
+		idsJump        bool       // two servers agree that ids are left out
 
 		// For the log of a planned stop.
 		expectation  expectation
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -20,7 +20,7 @@
 // If the stream breaks, the next attempt resumes after the last forwarded
 // event.
 func (x *activeRequest) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
-	order := stream.NewSequencer(x.lastEventID)
+	order := x.sequencer()
 	splitter := heldSplitter{room: a.room}
 	watch := x.startIdleTimer(ctx, cancel, errStalled, a, x.eventTimeouts())
 	defer watch.stop()
@@ -103,7 +103,7 @@
 	id, ok := s.Partial()
 	switch {
 	case !ok || errors.Is(failed, stream.ErrNoEvent):
-	case id > x.lastEventID+1, id == 0 && errors.Is(err, io.EOF):
+	case id > x.lastEventID+1 && !x.idsJump, id == 0 && errors.Is(err, io.EOF):
 		x.claimedEventID = max(x.claimedEventID, id, x.lastEventID+1)
 	default:
 		x.seenEventID = max(x.seenEventID, cmp.Or(id, x.lastEventID+1))
@@ -134,8 +134,9 @@
 			x.forwarder.tallyPace(a, x, gap)
 		}
 		isNew, err := order.Admit(e)
-		if errors.Is(err, stream.ErrGap) {
-			x.claimedEventID = max(x.claimedEventID, e.ID)
+		if errors.Is(err, stream.ErrGap) && x.isAgreedGap(stream.Gap{Server: a.server.ID, After: order.LastID(), Before: e.ID}) {
+			*order = order.WithJumps()
+			isNew, err = order.Admit(e)
 		}
 		if err != nil {
 			return err
@@ -164,6 +165,24 @@
 	return nil
 }
 
+// sequencer returns a sequencer for what follows the last forwarded event.
+func (x *activeRequest) sequencer() stream.Sequencer {
+	s := stream.NewSequencer(x.lastEventID)
+	if x.idsJump {
+		return s.WithJumps()
+	}
+	return s
+}
+
+// isAgreedGap records a gap and reports whether another server has shown the same one. What one
+// server has behind a gap may belong to another stream.
+func (x *activeRequest) isAgreedGap(g stream.Gap) bool {
+	x.claimedEventID = max(x.claimedEventID, g.Before)
+	x.idsJump = x.gap.IsAt(g)
+	x.gap = g
+	return x.idsJump
+}
+
 // forwardEvent forwards an event, preceded by the answer's header if it is the
 // first.
 func (x *activeRequest) forwardEvent(answer *upstream.Answer, raw []byte) error {
--- a/internal/entry/series_end_test.go
+++ b/internal/entry/series_end_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"rosereach/core/backend"
+	"rosereach/core/forward"
 )
 
 // restWriter writes what a server has of a stream to a caller that has some events.
@@ -137,3 +138,51 @@
 		}
 	}
 }
+
+// Ids increase, and need not be consecutive: where one was left out, every server broke off in a
+// series, and the stream was cut.
+func TestStreamWhoseIDsJumpIsNotCut(t *testing.T) {
+	for _, ids := range [][]int{{1, 2, 5}, {2, 4, 6, 8}, {1, 3, 4, 9}} {
+		for name, server := range map[string]restWriter{"chunks": inChunks("", ids...), "cut at its end": cutChunks("", ids...)} {
+			got, runs := newHarness(t).restInTurn(4, server, server, inChunks("", ids...))
+			if got.err != nil || got.body != textOf(0, ids...) || name == "chunks" && runs != 2 {
+				t.Errorf("%v, %s: %q after %d runs, %v", ids, name, got.body, runs, got.err)
+			}
+		}
+	}
+}
+
+// A caller that resumes such a stream gets its rest.
+func TestResumptionOfAStreamWhoseIDsJump(t *testing.T) {
+	r := newHarness(t)
+	r.plan()
+	for _, id := range []string{"a", "b"} {
+		r.server(id, func(w http.ResponseWriter, _ *http.Request) { event(w, 5); event(w, 8) })
+	}
+	got, err := r.sendWith(t.Context(), forward.Request{Path: "/streaming/x", Key: "k", LastEventID: 2})
+	if err != nil || got.text() != textOf(0, 5, 8) {
+		t.Errorf("%q, %v", got.text(), err)
+	}
+}
+
+// A gap that one server alone shows is not passed on, and no stream ends in it.
+func TestGapOfOneServerIsNotPassedOn(t *testing.T) {
+	for name, answers := range map[string][]restWriter{
+		"then the rest":     {inChunks("", 1, 3), inChunks("", 1, 2, 3)},
+		"then another gap":  {inChunks("", 1, 4), inChunks("", 1, 3), inChunks("", 1, 2, 3)},
+		"the same behind 2": {inChunks("", 1, 3, 4), inChunks("", 1, 2, 4), inChunks("", 1, 2, 3)},
+	} {
+		got, runs := newHarness(t).restInTurn(3, answers...)
+		if got.body != streamText(1, 3) {
+			t.Errorf("%s: %q after %d runs, %v", name, got.body, runs, got.err)
+		}
+	}
+}
+
+// A part of an event whose id jumps as the others do was seen.
+func TestPartBehindAJumpEndsNoStream(t *testing.T) {
+	got, runs := newHarness(t).restInTurn(4, inChunks("", 1, 3), cutChunks("id: 7\nda", 1, 3), inChunks(""))
+	if got.err == nil || got.body != textOf(0, 1, 3) {
+		t.Errorf("%q after %d runs, %v", got.body, runs, got.err)
+	}
+}
