Log lines that tell why a begun answer ended in a planned stop

Users sent a record of a stop in which a lost request had no line at its entry, and in which the lines of others were cut after 200 characters, before what tells the cause. A begun answer that breaks off at all its servers during a stop had only lines that a busy log drops, and a handler that panics had none: net/http wrote to the standard logger, the request stayed counted as begun, and no counter knew it.

Every request that ends badly in a stop after its answer began now has a line from the log's reserve ("Request fails in the stop."), as have the phases, of which OPERATIONS.md already said so; one that ends whole has a routine line.

--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -107,8 +107,8 @@
 	if errors.Is(err, errLowConfidence) || a.withheld != "" {
 		return
 	}
-	level.Warn(x.log()).Log("msg", "Attempt brings no answer.", "id", x.req.ID, "route", x.route.Name, "srv", a.server.ID,
-		"model", x.model, "out", o, "send", x.sends, "run", x.runs, "begun", x.headSent, "last", x.lastEventID, "answer", a.answerText(), "took", x.now().Sub(a.startedAt), "err", err)
+	level.Warn(x.log()).Log("msg", "Attempt brings no answer.", "id", x.req.ID, "out", o, "answer", a.answerText(), "run", x.runs, "of", x.route.MaxAttempts, "err", err,
+		"srv", a.server.ID, "begun", x.headSent, "last", x.lastEventID, "send", x.sends, "took", x.now().Sub(a.startedAt), "route", x.route.Name, "model", x.model)
 }
 
 // logEnd logs the result of the request.
@@ -117,9 +117,16 @@
 	if err != nil || x.fallback != nil && x.server == "" {
 		logger = level.Warn(x.log())
 	}
-	logger.Log("msg", "Request ends.", "id", x.req.ID, "route", x.route.Name, "ws", x.workspace.Name, "sess", x.req.Session,
-		"srv", x.server, "model", x.model, "send", x.sends, "run", x.runs, "begun", x.headSent, "last", x.lastEventID, "events", x.events, "answers", strings.Join(x.answers, ","), "caller", x.callerEnd(err), "output", x.req.OutputTokens, "exp", x.expected, "first", x.firstByte,
-		"unread", x.uncachedTokens, "took", x.now().Sub(x.req.Arrived), "err", err)
+	line := append([]any{"msg", "Request ends."}, x.endFields(err)...)
+	logger.Log(append(line, "srv", x.server, "begun", x.headSent, "last", x.lastEventID, "events", x.events, "send", x.sends, "took", x.now().Sub(x.req.Arrived),
+		"route", x.route.Name, "ws", x.workspace.Name, "sess", x.req.Session, "model", x.model, "output", x.req.OutputTokens, "exp", x.expected, "first", x.firstByte,
+		"unread", x.uncachedTokens)...)
+}
+
+// endFields returns the id and what tells why the request ended as it did: the first fields of a
+// line, as readers may keep only its begin.
+func (x *activeRequest) endFields(err error) []any {
+	return []any{"id", x.req.ID, "caller", x.callerEnd(err), "err", err, "answers", strings.Join(x.answers, ","), "run", x.runs, "of", x.route.MaxAttempts}
 }
 
 // callerEnd returns what marks the end of the answer that the caller got, and whether it is
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -26,6 +26,7 @@
 	"rosereach/core/route"
 	"rosereach/core/speed"
 	"rosereach/core/warmup"
+	"rosereach/internal/httpd"
 	"rosereach/io/member"
 	"rosereach/io/upstream"
 )
@@ -51,6 +52,9 @@
 // gone.
 const cleanupInterval = 10 * time.Second
 
+// errAborted is the end of a request whose forwarding has panicked.
+const errAborted = errors.ConstError("forwarding the request was aborted")
+
 type (
 	// Dialect defines the headers exchanged between an entry and the backend
 	// servers that it forwards to.
@@ -182,6 +186,7 @@
 // there is a routing plan, a route and, where it needs one, a workspace, and whether it ends
 // before a planned stop does. The deadline is when the request ends.
 func (e *Entry) CheckHead(ctx context.Context, req forward.Request) (deadline time.Time, failure *forward.Failure) {
+	httpd.Identify(ctx, req.ID)
 	e.awaitPlan(ctx)
 	r, _, failure := e.matchRoute(req)
 	if failure != nil {
@@ -230,12 +235,18 @@
 	x.logAdmitted(req.Arrived)
 	x.forwarder.beginRunning(x)
 	defer x.forwarder.endRunning(x)
+	err = errAborted // unless run returns
+	defer func() { x.recordResult(ctx, err) }()
 	err = x.run(ctx)
+	return err
+}
+
+// recordResult logs and counts how the request ended.
+func (x *activeRequest) recordResult(ctx context.Context, err error) {
 	x.logEnd(err)
 	x.logStop(ctx, err)
 	x.recordDuration(err)
-	x.forwarder.metrics.requestEnded(x.route, err, x.now().Sub(req.Arrived))
-	return err
+	x.forwarder.metrics.requestEnded(x.route, err, x.now().Sub(x.req.Arrived))
 }
 
 // waitFailure returns the failure of a request whose wait in the queue ended with the error.
--- a/internal/entry/stop_log.go
+++ b/internal/entry/stop_log.go
@@ -53,13 +53,15 @@
 )
 
 var (
-	phaseMessages = map[drain.Phase]string{
+	phaseMessages = map[drain.Phase]logs.Reserved{
 		drain.Delisted: "Entry drains.", drain.Closed: "Entry takes no more requests.", drain.Ending: "Entry ends what still runs.", drain.Exit: "Entry exits.",
 	}
 	outcomeMessages = map[string]any{
-		stopRefused: "Request is refused by the stop.",
-		stopGivenUp: logs.Reserved("Request is given up by the stop."),
-		stopCut:     logs.Reserved("Request is cut by the stop."),
+		stopRefused:  "Request is refused by the stop.",
+		stopFinished: "Request finishes in the stop.",
+		stopGivenUp:  logs.Reserved("Request is given up by the stop."),
+		stopCut:      logs.Reserved("Request is cut by the stop."),
+		stopFailed:   logs.Reserved("Request fails in the stop."), // only after its answer began
 	}
 )
 
@@ -165,14 +167,21 @@
 	if outcome == stopFailed {
 		return false
 	}
-	s.logRequest(outcome, t, req.ID, "route", routeName, "path", req.Path, "expected", time.Duration(0), "basis", drain.Unknown, "begun", false,
-		"age", now.Sub(req.Arrived), "code", f.Code, "why", f.Detail)
+	s.logRequest(outcome, t, []any{"id", req.ID, "code", f.Code, "why", f.Detail}, "route", routeName, "path", req.Path,
+		"expected", time.Duration(0), "basis", drain.Unknown, "begun", false, "age", now.Sub(req.Arrived))
 	return true
 }
 
-func (s *stopLog) logRequest(outcome string, t stopTimes, id string, keyvals ...any) {
-	head := []any{"msg", outcomeMessages[outcome], "id", id, "entry", s.entry.cfg.ID, "stop", outcome, "phase", t.phase, "since", t.since, "exit_in", t.left}
-	level.Warn(s.entry.cfg.Logger).Log(append(head, keyvals...)...)
+// logRequest logs what the stop did to a request. The head names the request and the cause, as
+// readers may keep only the begin of a line.
+func (s *stopLog) logRequest(outcome string, t stopTimes, head []any, keyvals ...any) {
+	logger := level.Warn(s.entry.cfg.Logger)
+	if outcome == stopFinished {
+		logger = level.Debug(s.entry.cfg.Logger)
+	}
+	line := append([]any{"msg", outcomeMessages[outcome]}, head...)
+	line = append(line, "entry", s.entry.cfg.ID, "stop", outcome, "phase", t.phase, "since", t.since, "exit_in", t.left)
+	logger.Log(append(line, keyvals...)...)
 }
 
 // expect records what the decision to pass the request on was based on.
@@ -188,8 +197,8 @@
 	return drain.History
 }
 
-// logStop logs the request if the stop of the entry refused it, gave it up or cut it, and counts
-// how it ended. The context is the request's.
+// logStop logs and counts how the request ended if the entry stops. One that fails for other
+// reasons before its answer begins has only the line of every request. The context is the request's.
 func (x *activeRequest) logStop(ctx context.Context, err error) {
 	s, now := x.forwarder.entry.stopLog, x.now()
 	if x.hasAnswer() {
@@ -201,16 +210,16 @@
 	}
 	outcome := x.stopOutcome(t, err, errors.Is(context.Cause(ctx), context.Canceled))
 	s.count(t, outcome)
-	if outcome == stopFinished || outcome == stopFailed {
+	if outcome == stopFailed && !x.hasAnswer() {
 		return
 	}
 	sentSince := ""
 	if !x.sentAt.IsZero() {
 		sentSince = x.sentAt.Sub(t.signaledAt).String()
 	}
-	s.logRequest(outcome, t, x.req.ID, "route", x.route.Name, "expected", x.expectation.longest, "basis", x.expectation.basis, "sent_since", sentSince,
-		"begun", x.hasAnswer(), "srv", x.lastServer(), "silent", x.silence(now), "send", x.sends, "run", x.runs, "of", x.route.MaxAttempts, "spent", x.spent, "events", x.events, "last", x.lastEventID,
-		"age", now.Sub(x.req.Arrived), "left", x.deadline.Sub(now), "err", err)
+	s.logRequest(outcome, t, x.endFields(err), "spent", x.spent, "route", x.route.Name, "expected", x.expectation.longest, "basis", x.expectation.basis, "sent_since", sentSince,
+		"begun", x.hasAnswer(), "srv", x.lastServer(), "silent", x.silence(now), "send", x.sends, "events", x.events, "last", x.lastEventID,
+		"age", now.Sub(x.req.Arrived), "left", x.deadline.Sub(now))
 }
 
 // stopOutcome returns how the request ended as to the stop. Gone means that its caller's
@@ -219,7 +228,7 @@
 	failed := err != nil || x.callerCut
 	failure, _ := asFailure(err)
 	switch {
-	case t.isEnding() && failed && (gone || x.hasAnswer()), x.deniedByStop && failed && x.hasAnswer():
+	case errors.Is(err, errAborted), t.isEnding() && failed && (gone || x.hasAnswer()), x.deniedByStop && failed && x.hasAnswer():
 		return stopCut
 	case failure != nil && failure.Code == forward.Draining:
 		return stopRefused
--- a/internal/entry/stop_log_test.go
+++ b/internal/entry/stop_log_test.go
@@ -160,7 +160,8 @@
 	s.expect("Entry exits.", "id", "entry-1", map[string]string{"given_up": "1", "cut": "0", "failed": "0"})
 }
 
-// Requests that end whole during a stop are counted, and have no line of it.
+// Requests that end whole during a stop are counted and have a routine line, which is none of what the
+// stop does to requests.
 func TestStopCountsRequestsThatFinish(t *testing.T) {
 	s := newLoggedStop(t)
 	began, goOn := make(chan struct{}, 1), make(chan struct{})
@@ -178,6 +179,7 @@
 	}
 	s.entry.LogExit()
 	s.expect("Entry exits.", "id", "entry-1", map[string]string{"finished": "1", "cut": "0", "failed": "0"})
+	s.expect("Request finishes in the stop.", "stop", "finished", map[string]string{"level": "debug", "id": "whole", "caller": "length:whole", "run": "1", "phase": "closed"})
 	if strings.Contains(s.lines.String(), "by the stop.") {
 		t.Error(s.lines.String())
 	}
--- a/internal/explain/stop.go
+++ b/internal/explain/stop.go
@@ -10,8 +10,8 @@
 // stopSlack is by how much the signal of a planned stop, as two lines tell it, may differ.
 const stopSlack = time.Second
 
-// Stops returns a sentence for each line of a timeline by which the planned stop of an entry
-// refused the request, gave it up or cut it.
+// Stops returns a sentence for each line of a timeline that tells how the request ended in the
+// planned stop of an entry.
 func Stops(timeline []Line) []string {
 	var sentences []string
 	for _, line := range timeline {
--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -137,6 +137,10 @@
 				conn.SetLinger(0) //nolint:errcheck // fails only on a closed connection
 			}
 			conn.setRunning(false)
+			if v := recover(); v != nil {
+				conn.guard.recordPanic(conn.request.get(), v)
+				panic(v) // http.Server ends the connection
+			}
 		}()
 		h.ServeHTTP(w, r)
 		if endsByClose(w, r) {
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -73,6 +73,7 @@
 		closed sync.Once
 		// endRequests ends the contexts of its requests with a cause.
 		endRequests context.CancelCauseFunc
+		request     requestName // the last one's
 
 		mu       sync.Mutex
 		waiting  bool // no byte has arrived since the last answer
@@ -326,6 +327,7 @@
 func (t *trackedConn) beginRequest() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.request.set("")
 	t.ahead, t.waiting, t.waitOver, t.inHead, t.headSize = false, false, false, false, 0
 	t.stopTimer()
 }
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -37,12 +37,14 @@
 	unlogged map[overload.Reason]int // since the last log line
 	loggedAt time.Time
 	line     []any // to be logged once mu is released
+	panics   int
 }
 
 var (
 	bytesHeldDesc   = prometheus.NewDesc("rosereach_client_bytes", "Memory that the requests of clients and the answers to them hold.", nil, nil)
 	connectionsDesc = prometheus.NewDesc("rosereach_client_connections", "Connections of clients, by whether they have brought a part of a request.", []string{"state"}, nil)
 	shedDesc        = prometheus.NewDesc("rosereach_shed_total", "Connections and requests of clients that were ended, by reason.", []string{"reason"}, nil)
+	panicsDesc      = prometheus.NewDesc("rosereach_handler_panics_total", "Handlers of requests that panicked.", nil, nil)
 )
 
 // NewGuard returns a guard with the limits.
@@ -243,6 +245,7 @@
 	descs <- bytesHeldDesc
 	descs <- connectionsDesc
 	descs <- shedDesc
+	descs <- panicsDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -256,4 +259,5 @@
 	for _, reason := range overload.Reasons {
 		metrics <- prometheus.MustNewConstMetric(shedDesc, prometheus.CounterValue, float64(g.shed[reason]), string(reason))
 	}
+	metrics <- prometheus.MustNewConstMetric(panicsDesc, prometheus.CounterValue, float64(g.panics))
 }
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -120,7 +120,7 @@
 	open := newConns(s)
 	// The connections limit the time of a head themselves, as the limit may change.
 	server := &http.Server{ //nolint:gosec // see above
-		Handler: s.serveRequests(), ConnState: open.onStateChange, ConnContext: withConn, IdleTimeout: idleTimeout,
+		Handler: s.serveRequests(), ConnState: open.onStateChange, ConnContext: withConn, IdleTimeout: idleTimeout, ErrorLog: guard.errorLog(),
 		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
 	}
 	failed := make(chan error, 1)
