Stops are killed after the grace time in tests and soak

An entry outlasts its grace time while callers connect anew at once after each answer: the tests of stops and the soak waited for it however long it took, so that none of them saw it. They send SIGKILL now, as a platform does, and each such kill is a violation. A kill of the older program of two builds is not counted. Beside each stop of the soak 20 callers connect anew at once after a 503.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -46,12 +46,15 @@
 // slowConn is a connection of a caller that takes its answers slowly.
 type slowConn struct{ net.Conn }
 
-// slowReadPause is the pause of a slow caller before each read, and slowBufferBytes the size of
-// the kernel's buffer for what it has not read. An event of an engine holds tokensPerEvent.
 const (
+	// slowReadPause is the pause of a slow caller before each read, and slowBufferBytes the size of
+	// the kernel's buffer for what it has not read. An event of an engine holds tokensPerEvent.
 	slowReadPause   = 5 * time.Millisecond
 	slowBufferBytes = 4 << 10
 	tokensPerEvent  = 5
+
+	// insistentPause is the pause of an insistent caller after an answer.
+	insistentPause = 20 * time.Millisecond
 )
 
 // Read implements net.Conn.
@@ -83,6 +86,16 @@
 	return &http.Client{Timeout: timeLeft + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, DialContext: dial}}
 }
 
+// insist calls send until the context ends: at once after a refusal, which another entry should get,
+// and after a pause otherwise.
+func insist(ctx context.Context, send func() requestOutcome) {
+	for ctx.Err() == nil {
+		if send().status != http.StatusServiceUnavailable {
+			sleep(ctx, insistentPause)
+		}
+	}
+}
+
 // sendForStatus sends a request and returns its status, or 0 when no complete
 // response arrived.
 func sendForStatus(c *http.Client, r *http.Request) int {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,10 +84,10 @@
 }
 
 // drawEntryFault draws a fault of the entries.
-func (s *soak) drawEntryFault(_ context.Context, random *rand.Rand) plannedFault {
+func (s *soak) drawEntryFault(ctx context.Context, random *rand.Rand) plannedFault {
 	i := random.IntN(entryCount)
 	p, other, pause := s.entries[i], s.entries[(i+1)%entryCount], drawPause(random)
-	stop := func() { s.restartAfter(p, p.stop, pause) }
+	stop := func() { s.restartAfter(p, func() { s.stopEntry(ctx, p) }, pause) }
 	switch random.IntN(6) {
 	case 0:
 		return plannedFault{"kill " + p.node.Name, func() { s.restartAfter(p, p.kill, pause) }}
@@ -99,7 +100,7 @@
 			var second sync.WaitGroup
 			second.Go(func() {
 				time.Sleep(pause)
-				s.restartAfter(other, other.stop, pause)
+				s.restartAfter(other, func() { s.stopEntry(ctx, other) }, pause)
 			})
 			stop()
 			second.Wait()
@@ -116,6 +117,30 @@
 	}
 }
 
+// stopEntry stops an entry beside callers that connect anew at once after each refusal, and checks
+// that it ends within its grace time. That of another build is not checked.
+func (s *soak) stopEntry(ctx context.Context, p *process) {
+	ctx, cancel := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for range insistentCount {
+		callers.Go(func() {
+			insist(ctx, func() requestOutcome {
+				client := newCallerClient(requestTimeout)
+				defer client.CloseIdleConnections()
+				outcome := s.sendRequest(client, s.callerAddress(p), "safe", fmt.Sprintf("i-%d", s.insisted.Add(1)), goodKey)
+				if outcome.status != http.StatusServiceUnavailable { // of these there are thousands
+					s.record(outcome)
+				}
+				return outcome
+			})
+		})
+	}
+	isOlder := p.isOlder
+	s.violations.checkGrace(p.node.Name, p.grace(), p.stop() && !isOlder)
+	cancel()
+	callers.Wait()
+}
+
 // drawServerFault draws a fault of the servers, or something that they want of the
 // entries.
 func (s *soak) drawServerFault(ctx context.Context, random *rand.Rand) plannedFault {
--- a/internal/soak/planned_stop_test.go
+++ b/internal/soak/planned_stop_test.go
@@ -31,9 +31,6 @@
 
 	// shortGracePeriod is a grace time of other settings.
 	shortGracePeriod = 4 * time.Second
-
-	// exitTimeout bounds the wait for a process that ignores its grace time.
-	exitTimeout = time.Minute
 )
 
 // endless is a stream that outlasts every stop here.
@@ -250,6 +247,44 @@
 	}
 }
 
+// insist lets a number of callers connect anew to a process, at once after each answer, until the test
+// has seen the end of the entry.
+func (f *stopFleet) insist(p *process, n int) {
+	for range n {
+		f.callers.Go(func() {
+			for {
+				select {
+				case <-f.exited:
+					return
+				default:
+				}
+				if !f.askAnew(p) {
+					time.Sleep(insistentPause)
+				}
+			}
+		})
+	}
+}
+
+// askAnew sends a request on a connection of its own, and reports whether the connection was taken.
+func (f *stopFleet) askAnew(p *process) bool {
+	conn, err := net.Dial("tcp", f.address(p))
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	r, err := platform.NewCallerRequest(f.address(p), "safe", "anew", goodKey, requestTimeout)
+	if err != nil {
+		f.t.Error(err)
+		return false
+	}
+	r.Close = true
+	if r.Write(conn) == nil {
+		io.Copy(io.Discard, conn)
+	}
+	return true
+}
+
 // awaitArrivals waits until the servers have got a number of requests.
 func (f *stopFleet) awaitArrivals(n int) {
 	f.t.Helper()
@@ -260,17 +295,14 @@
 	}
 }
 
-// terminate sends SIGTERM to the entry.
+// terminate sends SIGTERM to the entry, and SIGKILL after its grace time.
 func (f *stopFleet) terminate() {
 	f.entry.disrupt(planned)
 	f.stoppedAt = f.entry.disruptions[0].begin
-	f.entry.signal(syscall.SIGTERM)
+	wait := f.entry.terminate()
 	go func() {
-		select {
-		case <-f.entry.exited:
-		case <-time.After(exitTimeout):
-			f.entry.signal(syscall.SIGKILL)
-			<-f.entry.exited
+		if wait() {
+			f.t.Errorf("the entry was killed %s after SIGTERM", f.grace)
 		}
 		f.exitedAt = time.Now()
 		close(f.exited)
@@ -670,3 +702,50 @@
 	f.checkNoneLost(outcomes)
 	f.checkAnswered(slices.DeleteFunc(outcomes, func(o requestOutcome) bool { return len(f.arrivals.of(o.id)) == 0 }))
 }
+
+// The process ends by itself in its grace time although callers connect anew at once after each
+// answer: beside other work on one processor, with a part of one, in a stop that overlaps another,
+// and with signals that repeat.
+func TestStoppedEntryEndsBesideCallersWhoConnectAnew(t *testing.T) {
+	for name, c := range map[string]struct {
+		grace         time.Duration
+		processor     float64 // its share, 0 for whole ones
+		overlaps, hup bool
+	}{
+		"alone":   {grace: platform.SimulatedGracePeriod},
+		"signals": {grace: platform.SimulatedGracePeriod, hup: true},
+		"part":    {grace: platform.SimulatedGracePeriod, processor: processorShare, hup: true},
+		"short":   {grace: shortGracePeriod, processor: processorShare},
+		"overlap": {grace: platform.SimulatedGracePeriod, overlaps: true},
+		"all":     {grace: platform.SimulatedGracePeriod, processor: processorShare, overlaps: true, hup: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startStopFleet(t, c.grace, "GOMAXPROCS=1")
+			callers := f.connect(40)
+			f.insist(f.entry, 150)
+			f.after(0, callers, func(c *stopCaller) { c.send("streaming", endless, patientTime, nil) })
+			f.awaitArrivals(2 * len(callers))
+			if c.processor > 0 {
+				go f.entry.limitProcessor(t.Context(), c.processor)
+			}
+			if c.overlaps {
+				f.insist(f.other, 50)
+				f.other.disrupt(planned)
+				wait := f.other.terminate()
+				defer func() {
+					if wait() {
+						t.Error("the other entry was killed")
+					}
+				}()
+				time.Sleep(time.Second)
+			}
+			f.terminate()
+			if c.hup {
+				time.Sleep(time.Second)
+				f.entry.signal(syscall.SIGHUP)
+				f.entry.signal(syscall.SIGTERM)
+			}
+			f.checkNoneLost(f.awaitEnd())
+		})
+	}
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -37,6 +37,7 @@
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
+	isOlder bool // the program that runs is not binary
 	log     *os.File
 	stopped bool
 	exited  chan struct{}
@@ -85,7 +86,7 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Trace(err)
 	}
-	p.cmd, p.stopped, p.exited = cmd, false, make(chan struct{})
+	p.cmd, p.isOlder, p.stopped, p.exited = cmd, binary != p.binary, false, make(chan struct{})
 	go func(exited chan struct{}) {
 		cmd.Wait() //nolint:errcheck // the exit status does not matter: the soak kills it
 		close(exited)
@@ -107,13 +108,43 @@
 // kill sends SIGKILL to the program and waits for it to exit.
 func (p *process) kill() {
 	p.disrupt(killed)
-	p.signalAndWait(syscall.SIGKILL)
+	p.signal(syscall.SIGKILL)
+	p.awaitExit()
 }
 
-// stop asks the program to shut down with SIGTERM and waits for it to exit.
-func (p *process) stop() {
+// stop asks the program to shut down with SIGTERM, and reports whether it had to be killed.
+func (p *process) stop() (killed bool) {
 	p.disrupt(planned)
-	p.signalAndWait(syscall.SIGTERM)
+	return p.terminate()()
+}
+
+// terminate sends SIGTERM to the program, and SIGKILL after its grace time, as the platform does. The
+// returned function waits for it to exit and reports whether it had to be killed.
+func (p *process) terminate() (wait func() (killed bool)) {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGTERM)
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	outlasted := make(chan bool, 1)
+	go func() {
+		select {
+		case <-exited:
+			outlasted <- false
+		case <-time.After(p.grace()):
+			p.signal(syscall.SIGKILL)
+			outlasted <- true
+		}
+	}()
+	return func() bool {
+		p.awaitExit()
+		return <-outlasted
+	}
+}
+
+// grace returns the time between SIGTERM and SIGKILL.
+func (p *process) grace() time.Duration {
+	return cmp.Or(p.node.GracePeriod, platform.SimulatedGracePeriod)
 }
 
 // freeze pauses the program for the given time.
@@ -165,11 +196,8 @@
 	}
 }
 
-// signalAndWait resumes the program in case it is stopped by SIGSTOP, sends it
-// the signal and waits for it to exit.
-func (p *process) signalAndWait(sig syscall.Signal) {
-	p.signal(syscall.SIGCONT)
-	p.signal(sig)
+// awaitExit waits for the program to exit.
+func (p *process) awaitExit() {
 	p.mu.Lock()
 	exited := p.exited
 	p.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,6 +28,9 @@
 	callerCount  = 12
 	patientCount = 6
 
+	// insistentCount is the number of callers that stay with an entry that stops.
+	insistentCount = 20
+
 	// startTimeout limits the wait for the first accepted configuration and answer.
 	startTimeout = 20 * time.Second
 
@@ -98,6 +101,7 @@
 		ackedVersion   atomic.Uint64
 		nextChange     atomic.Int64 // when the operator sends its next change, in Unix nanoseconds
 		answered       atomic.Int64
+		insisted       atomic.Int64 // requests of insistent callers
 		mu             sync.Mutex
 		outcomes       []requestOutcome
 		entryAddresses []string
--- a/internal/soak/violation.go
+++ b/internal/soak/violation.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"rosereach/platform"
 )
@@ -39,6 +40,14 @@
 	return append([]Violation(nil), v.list...)
 }
 
+// checkGrace checks that a process that was sent SIGTERM ended by itself: SIGKILL cuts what runs
+// without a line in the log.
+func (v *violations) checkGrace(name string, grace time.Duration, killed bool) {
+	if killed {
+		v.add("exit within the grace time", name, "killed %s after SIGTERM", grace)
+	}
+}
+
 // checkAnswer checks that a successful answer is complete and belongs to its
 // request.
 func (v *violations) checkAnswer(o requestOutcome) {
