A stream ends when no further server can be asked and those that were agree

Callers who had every event of a stream saw it cut at its route's last attempt. A first answer without a length or chunks needs two more that say that nothing follows. On a route with two attempts, or after one attempt that brought nothing, that proof could not be had: sound servers agreed, and the entry cut the stream, or waited for a retry of the budget until its exit and cut it then.

An end of a connection in order now counts as one server's word if the server still accepts connections, as one that was killed does not. Two words end the stream when the attempts are used up, and where no retry or server can be had; one never does, nor do any after more was seen or claimed. While another server may be asked it is asked, as before, so that the courses of TestNoCutAnswerLooksWhole hold unchanged. No attempt is added.

Evidence: all 5 cases of TestServersThatAgreeOnTheEndAreEnough were cut before, with all events at the caller. TestEndOfOneConnectionIsNotEnough and TestEndOfAKilledServersConnectionIsNotEnough (9 courses) stay cut.

--- a/core/framing/framing.go
+++ b/core/framing/framing.go
@@ -63,6 +63,11 @@
 		// Confirmations is the number of framed answers, this one included, by which nothing
 		// follows the last event.
 		Confirmations int
+		// Closes is the number of answers, this one included, that ended with their connections
+		// after the last event, and whose servers have not ended with them.
+		Closes int
+		// Last means that the attempts are used up.
+		Last bool
 		// CanAsk means that another server may be asked for what follows.
 		CanAsk bool
 		// TimeUp means that the time that the server was given is over.
@@ -72,7 +77,7 @@
 
 func (m Mark) String() string { return [...]string{"close", "length", "chunks"}[m] }
 
-// minConfirmations is the number of answers without events that end a stream. One may come
+// minConfirmations is the number of answers that have to agree on the end of a stream. One may come
 // from a server that fails at once.
 const minConfirmations = 2
 
@@ -80,18 +85,28 @@
 // are killed, and those that fail at once, end answers in order as well: where another server
 // may be asked, the end of a connection is no end, and an answer without events needs another
 // one that agrees. None ends a stream of which more was seen; what only one server claims is
-// outweighed by two that agree. A server whose time is over may have stopped in the middle, which a
+// outweighed by two that agree. When no proof can be had any more, servers that agree on the end
+// make up for it, however they tell. A server whose time is over may have stopped in the middle, which a
 // length shows and chunks don't.
 func (m Mark) EndsStream(s Stream) bool {
 	switch {
 	case s.MoreSeen, s.TimeUp && m != ByLength, s.Claimed && s.Confirmations < minConfirmations:
 		return false
+	case s.Last && s.IsAgreed():
+		return true
 	case m == ByClose:
 		return s.Extended && !s.CanAsk
 	}
 	return s.Extended || s.Begun && (s.Confirmations >= minConfirmations || !s.CanAsk)
 }
 
+// IsAgreed reports whether servers agree that the caller has the whole stream, as far as that can
+// be known without another answer. One that closes its connection in order has sent its whole
+// answer, if it has not been killed.
+func (s Stream) IsAgreed() bool {
+	return s.Begun && !s.MoreSeen && !s.Claimed && !s.TimeUp && s.Confirmations+s.Closes >= minConfirmations
+}
+
 // String returns the fields for a log, separated by colons.
 func (a Answer) String() string {
 	fields := []string{strconv.Itoa(a.Status), a.Mark.String(), string(a.End), strconv.Itoa(a.Events)}
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -110,6 +110,7 @@
 		// Highest ID of an event that one server wrote, which may belong to another stream.
 		claimedEventID uint64
 		gap            stream.Gap // the last one in the ids
+		closes         int        // answers that ended with their connections after the last event
 		idsJump        bool       // two servers agree that ids are left out
 
 		// For the log of a planned stop.
@@ -227,7 +228,7 @@
 // whether it took one. Such an answer can't be refused, so it is given up only at its
 // deadline, when its caller leaves, or when it can't end before the entry's exit.
 func (x *activeRequest) awaitRetry(ctx context.Context, o forward.Outcome) bool {
-	if !x.headSent || !forward.MayRetry(x.route, o, x.runs) {
+	if !x.headSent || x.hasAgreedEnd(ctx) || !forward.MayRetry(x.route, o, x.runs) {
 		return false
 	}
 	for x.pause(ctx) && x.drainingFailure(nil) == nil {
@@ -241,7 +242,7 @@
 // awaitServer waits for a moment if the answer has begun, and reports whether another
 // server may be looked for.
 func (x *activeRequest) awaitServer(ctx context.Context) bool {
-	if !x.headSent {
+	if !x.headSent || x.hasAgreedEnd(ctx) {
 		return false
 	}
 	x.unreachable = nil
@@ -262,10 +263,12 @@
 }
 
 // giveUp ends the request after its last attempt. A server's error answer is
-// forwarded unchanged; a stream that has begun is cut off.
+// forwarded unchanged; a stream that has begun is cut off, unless servers agree on its end.
 func (x *activeRequest) giveUp(ctx context.Context, lastOutcome forward.Outcome, refused *forward.Failure) error {
 	x.deniedByStop = refused != nil && refused.Code == forward.Draining
 	switch {
+	case x.hasAgreedEnd(ctx):
+		return nil
 	case x.headSent:
 		return errors.Trace(errIncomplete)
 	case x.fallback != nil:
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -57,7 +57,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.IsAtEnd() && (a.answer.Events > 0 || answer.Framing != framing.ByClose && x.hasBegun()):
-			return x.handleStreamEnd(a, answer, splitter.Rest(), watch)
+			return x.handleStreamEnd(ctx, a, answer, splitter.Rest(), watch)
 		default:
 			h := x.takeOver(watch)
 			return x.handleBrokenStream(ctx, a, answer, errors.Annotatef(errIncomplete, "%v", err), h.serverDead)
@@ -66,15 +66,19 @@
 }
 
 // handleStreamEnd handles an answer to a stream that has ended in order after a whole event.
-func (x *activeRequest) handleStreamEnd(a *attempt, answer *upstream.Answer, rest []byte, watch *idleTimer) (forward.Outcome, error) {
+func (x *activeRequest) handleStreamEnd(ctx context.Context, a *attempt, answer *upstream.Answer, rest []byte, watch *idleTimer) (forward.Outcome, error) {
 	answer.Close()
 	extended := a.answer.Events > 0
-	if answer.Framing != framing.ByClose && !x.moreSeen() {
+	switch {
+	case x.moreSeen():
+	case answer.Framing != framing.ByClose:
 		x.confirmed++
+	case !x.canAskForRest() || !x.forwarder.hasEnded(ctx, a):
+		x.closes++
 	}
-	if answer.Framing.EndsStream(framing.Stream{
-		Extended: extended, Begun: x.hasBegun(), MoreSeen: x.moreSeen(), Claimed: x.claimedEventID > x.lastEventID, Confirmations: x.confirmed, CanAsk: x.canAskForRest(), TimeUp: x.isAtDeadline(),
-	}) {
+	s := x.streamSoFar()
+	s.Extended, s.Last = extended, !forward.MayRetry(x.route, forward.Incomplete, x.runs)
+	if answer.Framing.EndsStream(s) {
 		x.endStream(a, answer, rest)
 		return "", nil
 	}
@@ -88,6 +92,19 @@
 	return forward.Incomplete, errors.Trace(errContradictedEnd)
 }
 
+// streamSoFar returns what the answers have shown of the stream.
+func (x *activeRequest) streamSoFar() framing.Stream {
+	return framing.Stream{
+		Begun: x.hasBegun(), MoreSeen: x.moreSeen(), Claimed: x.claimedEventID > x.lastEventID,
+		Confirmations: x.confirmed, Closes: x.closes, CanAsk: x.canAskForRest(), TimeUp: x.isAtDeadline(),
+	}
+}
+
+// hasAgreedEnd reports whether a stream that has begun may end when no other server can be asked.
+func (x *activeRequest) hasAgreedEnd(ctx context.Context) bool {
+	return x.headSent && ctx.Err() == nil && x.streamSoFar().IsAgreed()
+}
+
 // hasBegun reports whether the caller has events of the stream.
 func (x *activeRequest) hasBegun() bool { return x.events > 0 || x.req.LastEventID > 0 }
 
@@ -157,7 +174,7 @@
 		}
 		x.lastEventID = order.LastID()
 		if e.IsContent() {
-			x.confirmed, x.awaitsEnd, x.awaitsRescue = 0, false, false
+			x.confirmed, x.closes, x.awaitsEnd, x.awaitsRescue = 0, 0, false, false
 			x.events++
 			a.answer.Events++
 		}
--- a/internal/entry/series_end_test.go
+++ b/internal/entry/series_end_test.go
@@ -15,8 +15,16 @@
 	"rosereach/core/forward"
 )
 
-// restWriter writes what a server has of a stream to a caller that has some events.
-type restWriter func(conn net.Conn, has int)
+type (
+	// restWriter writes what a server has of a stream to a caller that has some events.
+	restWriter func(conn net.Conn, has int)
+
+	// serverConn is a connection of a server with a listener.
+	serverConn struct {
+		net.Conn
+		listener net.Listener
+	}
+)
 
 // restInTurn asks for a stream of a route with a number of attempts. The n-th request is answered by
 // the n-th function, later ones by the last.
@@ -26,16 +34,30 @@
 	r.withAttempts(attempts)
 	var runs atomic.Int64
 	for _, id := range []string{"a", "b", "c", "d"} {
-		r.announce(id, listenRaw(r.t, func(conn net.Conn) {
-			defer conn.Close()
-			req, err := http.ReadRequest(bufio.NewReader(conn))
-			if err != nil {
-				return
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		r.t.Cleanup(func() { l.Close() })
+		r.announce(id, l.Addr().String(), 1, backend.Serving)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer conn.Close()
+					req, err := http.ReadRequest(bufio.NewReader(conn))
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					has, _ := strconv.Atoi(req.Header.Get("After"))
+					answers[min(int(runs.Add(1)), len(answers))-1](serverConn{conn, l}, has)
+				}()
 			}
-			io.Copy(io.Discard, req.Body)
-			has, _ := strconv.Atoi(req.Header.Get("After"))
-			answers[min(int(runs.Add(1)), len(answers))-1](conn, has)
-		}), 1, backend.Serving)
+		}()
 	}
 	return r.ask("HTTP/1.1", "/streaming/x"), runs.Load()
 }
@@ -186,3 +208,69 @@
 		t.Errorf("%q after %d runs, %v", got.body, runs, got.err)
 	}
 }
+
+// killed is a server that ends when it has written its answer.
+func killed(write restWriter) restWriter {
+	return func(conn net.Conn, has int) {
+		write(conn, has)
+		conn.(serverConn).listener.Close()
+	}
+}
+
+func gone(net.Conn, int) {}
+
+// Whole streams whose end only a connection marked were cut at their last attempts: more proof was
+// asked for than attempts were left, although the servers agreed.
+func TestServersThatAgreeOnTheEndAreEnough(t *testing.T) {
+	sound, closed := inChunks("", 1, 2, 3), untilClose("", 1, 2, 3)
+	for name, c := range map[string]struct {
+		attempts int
+		answers  []restWriter
+	}{
+		"two attempts":                  {2, []restWriter{closed, sound}},
+		"begun with the second attempt": {3, []restWriter{gone, closed, sound}},
+		"one without an answer between": {3, []restWriter{closed, gone, sound}},
+		"the last without an answer":    {3, []restWriter{closed, sound, gone}},
+		"the rest of a broken stream":   {3, []restWriter{cutChunks("id: 2\nda", 1), closed, sound}},
+	} {
+		got, runs := newHarness(t).restInTurn(c.attempts, c.answers...)
+		if got.err != nil || got.body != streamText(1, 3) || runs > int64(c.attempts) {
+			t.Errorf("%s: %q after %d runs, %v", name, got.body, runs, got.err)
+		}
+	}
+}
+
+// A connection that ends in order proves nothing alone, nor with a server that has been killed.
+func TestEndOfOneConnectionIsNotEnough(t *testing.T) {
+	sound, closed := inChunks("", 1, 2), untilClose("", 1, 2)
+	for name, answers := range map[string][]restWriter{
+		"alone":               {closed, gone, gone},
+		"at the last attempt": {gone, gone, closed},
+		"behind a broken one": {cutChunks("id: 2\nda", 1), gone, closed},
+		"with another status": {closed, func(conn net.Conn, _ int) {
+			io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nId: id-1\r\nContent-Length: 0\r\n\r\n")
+		}},
+		"after more was seen":       {cutChunks("id: 3\nda", 1, 2), sound, untilClose("", 1, 2)},
+		"after more was seen, last": {closed, sound, cutChunks("id: 3\nda", 1, 2)},
+	} {
+		got, runs := newHarness(t).restInTurn(3, answers...)
+		if got.err == nil {
+			t.Errorf("%s: %q ends as complete after %d runs", name, got.body, runs)
+		}
+	}
+}
+
+// A server that is killed ends its connections in order: that is no end of its stream.
+func TestEndOfAKilledServersConnectionIsNotEnough(t *testing.T) {
+	closed := untilClose("", 1, 2)
+	for name, answers := range map[string][]restWriter{
+		"then empty":       {gone, killed(closed), inChunks("")},
+		"then all killed":  {killed(closed)},
+		"then killed once": {closed, gone, killed(closed)},
+	} {
+		got, runs := newHarness(t).restInTurn(3, answers...)
+		if got.err == nil {
+			t.Errorf("%s: %q ends as complete after %d runs", name, got.body, runs)
+		}
+	}
+}
