Streams of servers that frame none of them are not cut at their ends

Where its streams may be resumed, callers had every event and saw a cut, always: the second and third server's empty answers without a length counted as broken ones, and failed their servers. In a planned stop each of them is a request that its entry passed on and did not answer whole, although no server broke off.

Such an answer is now one server's word, as its first one is, if the server is still there; servers that were killed break off as before. The stream ends when no attempt is left and all that is known agrees.

The price: servers that fail at once by closing their connections in order, two in a row after one that broke off between events in order, end a stream, as two that answer with an empty body already do.

--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -56,7 +56,7 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.IsAtEnd() && (a.answer.Events > 0 || answer.Framing != framing.ByClose && x.hasBegun()):
+		case errors.Is(err, io.EOF) && splitter.IsAtEnd() && x.hasBegun():
 			return x.handleStreamEnd(ctx, a, answer, splitter.Rest(), watch)
 		default:
 			h := x.takeOver(watch)
@@ -75,6 +75,9 @@
 		x.confirmed++
 	case !x.canAskForRest() || !x.forwarder.hasEnded(ctx, a):
 		x.closes++
+	case !extended:
+		h := x.takeOver(watch)
+		return x.handleBrokenStream(ctx, a, answer, errors.Trace(errIncomplete), h.serverDead)
 	}
 	s := x.streamSoFar()
 	s.Extended, s.Last = extended, !forward.MayRetry(x.route, forward.Incomplete, x.runs)
--- a/internal/entry/series_end_test.go
+++ b/internal/entry/series_end_test.go
@@ -231,6 +231,10 @@
 		"begun with the second attempt": {3, []restWriter{gone, closed, sound}},
 		"one without an answer between": {3, []restWriter{closed, gone, sound}},
 		"the last without an answer":    {3, []restWriter{closed, sound, gone}},
+		"all close":                     {3, []restWriter{closed}},
+		"all close, two attempts":       {2, []restWriter{closed}},
+		"all repeat and close":          {3, []restWriter{func(conn net.Conn, _ int) { closed(conn, 0) }}},
+		"all close behind a comment":    {3, []restWriter{untilClose(": ping\n", 1, 2, 3)}},
 		"the rest of a broken stream":   {3, []restWriter{cutChunks("id: 2\nda", 1), closed, sound}},
 	} {
 		got, runs := newHarness(t).restInTurn(c.attempts, c.answers...)
@@ -267,6 +271,7 @@
 		"then empty":       {gone, killed(closed), inChunks("")},
 		"then all killed":  {killed(closed)},
 		"then killed once": {closed, gone, killed(closed)},
+		"killed in turn":   {killed(closed), closed, killed(closed)},
 	} {
 		got, runs := newHarness(t).restInTurn(3, answers...)
 		if got.err == nil {
