--- a/internal/entry/answer_end_test.go
+++ b/internal/entry/answer_end_test.go
@@ -236,6 +236,11 @@
 	}
 	defer conn.Close()
 	fmt.Fprintf(conn, "POST %s %s\r\nHost: h\r\nX-Rosereach-Attempt-Id: id-1\r\nAuthorization: Bearer k\r\nContent-Length: 0\r\n\r\n", path, protocol)
+	return readAnswer(conn)
+}
+
+// readAnswer reads an answer to its end.
+func readAnswer(conn net.Conn) callerAnswer {
 	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return callerAnswer{err: err}
