A handler that aborts an answer without a length over TLS resets the socket

An answer without a length whose handler panicked, over TLS, ended in order for its caller. The server set the socket to reset and left the close to http.Server, whose TLS connection first sends the alert that ends the answer properly. The socket is closed at once, as at the end of a stop.

--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -134,7 +134,7 @@
 		returned := false
 		defer func() {
 			if !returned && endsByClose(w, r) {
-				conn.SetLinger(0) //nolint:errcheck // fails only on a closed connection
+				conn.resetIfRunning() // over TLS, http.Server would say that the answer has ended
 			}
 			conn.setRunning(false)
 			if v := recover(); v != nil {
