Callers that connect anew do not hold a stop

A stopping entry was alive 8 s after SIGTERM and was killed, with all that still ran, while callers that it refused connected anew at once. Accepting had no end of its own: each accept without a passed deadline restarted 5 ms of accepting, and each refused caller came back into the queue. Lingering and the waits for handlers were bounded each by itself.

The listener now takes what the kernel says that it holds, closes, and only then are these connections served: a refused caller finds the listener closed. Nothing is waited for, so a paused process loses none. All waits of a stop end at times that are fixed when it begins, Shutdown and twice End after it, and so do refusals that linger.

--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,8 +22,8 @@
 	readAheadBytes = 4 << 10
 
 	// lingerTime bounds how long data is read, and dropped, after a request was answered that was
-	// not read to its end. A connection that is closed with unread data is reset, and the answer
-	// may get lost.
+	// not read to its end, unless the server closes before. A connection that is closed with unread
+	// data is reset, and the answer may get lost.
 	lingerTime = 5 * time.Second
 
 	// writePieceBytes is how much of an answer is written at a time.
@@ -62,6 +63,10 @@
 		ended    chan struct{} // closed when no connection is open any more
 	}
 
+	// closingTime is when a server that has ended closes what is still open, on the kernel's clock:
+	// nothing before its end.
+	closingTime struct{ at atomic.Pointer[time.Time] }
+
 	// trackedConn is a connection that is not closed between the first byte of a request
 	// and its answer. For http.Server a connection is idle until the whole header of the
 	// next request has been read.
@@ -70,6 +75,7 @@
 		server Server
 		guard  *Guard
 		held   *overload.Connection // its part of the guard's account
+		closes *closingTime         // of its server
 		closed sync.Once
 		// endRequests ends the contexts of its requests with a cause.
 		endRequests context.CancelCauseFunc
@@ -91,6 +97,21 @@
 	}
 )
 
+// begin records that the server has the given times from now on until it closes.
+func (c *closingTime) begin(shutdown, end time.Duration) {
+	at := time.Now().Add(shutdown).Add(2 * end)
+	c.at.Store(&at)
+}
+
+// limit returns the end of a wait that begins now.
+func (c *closingTime) limit(wait time.Duration) time.Time {
+	until := time.Now().Add(wait)
+	if at := c.at.Load(); at != nil && at.Before(until) {
+		return *at
+	}
+	return until
+}
+
 func newConns(s Server) *conns {
 	return &conns{server: s, open: make(map[*trackedConn]bool), ended: make(chan struct{})}
 }
@@ -168,9 +189,10 @@
 	}
 }
 
-// await waits until no connection is open, for the given time at most, and reports whether none is.
-func (s *conns) await(limit time.Duration) bool {
-	timer := s.server.clock().NewTimer(limit)
+// await waits until no connection is open, until the given time at most, and reports whether none is.
+func (s *conns) await(until time.Time) bool {
+	c := s.server.clock()
+	timer := c.NewTimer(until.Sub(c.Now()))
 	defer timer.Stop()
 	select {
 	case <-s.ended:
@@ -276,7 +298,7 @@
 func (t *trackedConn) refuseHead() {
 	t.end()
 	t.guard.recordShed(overload.HeadTooLarge)
-	t.SetWriteDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // fails only on a closed connection
+	t.SetWriteDeadline(t.closes.limit(lingerTime)) //nolint:errcheck // fails only on a closed connection
 	if _, err := io.WriteString(t.Conn, headTooLarge); err == nil {
 		t.CloseWrite() //nolint:errcheck // the connection is closed next
 	}
@@ -354,7 +376,7 @@
 func (t *trackedConn) beginLinger() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.shed || t.hijacked || t.lingers || t.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if t.shed || t.hijacked || t.lingers || t.Conn.SetReadDeadline(t.closes.limit(lingerTime)) != nil {
 		return false
 	}
 	t.lingers, t.ended, t.inHead = true, true, false
@@ -399,7 +421,7 @@
 
 // refuseUnread answers a request that was not read, and reports whether the connection lingers.
 func (t *trackedConn) refuseUnread() bool {
-	t.SetWriteDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // fails only on a closed connection
+	t.SetWriteDeadline(t.closes.limit(lingerTime)) //nolint:errcheck // fails only on a closed connection
 	if _, err := io.WriteString(t.Conn, unreadRefusal); err != nil {
 		return false
 	}
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -68,7 +68,7 @@
 // Listener returns a listener of another protocol than HTTP whose connections the guard limits. A
 // connection has a method Establish() to call when its peer has proved who it is.
 func (g *Guard) Listener(l net.Listener) net.Listener {
-	return trackedListener{l, Server{}, g, nil, nil}
+	return &trackedListener{Listener: l, guard: g, closes: &closingTime{}}
 }
 
 // open adds a connection and reports whether there was room.
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -110,8 +109,8 @@
 // Serve serves on the listener until the context ends, then gives open requests time to complete.
 // Those that have not are ended: their contexts end with the cause ErrStopped and their bodies with
 // an *overload.Refusal, so that handlers can still answer. A connection whose handler does not return
-// is reset. Serve returns when all handlers of connections that are not hijacked have, unless they take
-// longer than Timeouts.End allows.
+// is reset. Serve returns when all handlers of connections that are not hijacked have, and at the latest
+// when Timeouts.Shutdown and twice Timeouts.End have passed since the context ended.
 func (s Server) Serve(ctx context.Context, l net.Listener) error {
 	guard := s.Guard
 	if guard == nil {
@@ -124,29 +123,34 @@
 		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
 	}
 	failed := make(chan error, 1)
-	left := &atomic.Int32{}
-	left.Store(maxLastCall)
-	go func() { failed <- server.Serve(trackedListener{l, s, guard, ctx.Done(), left}) }()
+	closes := &closingTime{}
+	go func() {
+		failed <- server.Serve(&trackedListener{Listener: l, server: s, guard: guard, ended: ctx.Done(), closes: closes})
+	}()
 	select {
 	case err := <-failed:
 		return errors.Trace(err)
 	case <-ctx.Done():
 	}
+	// These times bound all of what follows, so that no part of it adds to them.
+	shutdown, end := s.shutdownTimeout(), s.endTimeout()
+	closes.begin(shutdown, end)
+	exits := s.clock().Now().Add(shutdown)
 	stopAccepting(l)
 	<-failed  //nolint:errcheck // it accepts no more
 	l.Close() //nolint:errcheck // no request is lost if it fails
 	open.drain()
-	if !open.await(s.shutdownTimeout()) {
+	if !open.await(exits) {
 		open.endRequests()
 		open.finish()
-		if !open.await(s.endTimeout()) {
+		if !open.await(exits.Add(end)) {
 			open.resetRunning()
 		}
 	}
 	if err := server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Trace(err)
 	}
-	open.await(s.endTimeout())
+	open.await(exits.Add(2 * end))
 	return nil
 }
 
--- a/internal/httpd/listener.go
+++ b/internal/httpd/listener.go
@@ -3,11 +3,12 @@
 import (
 	"net"
 	"os"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -17,16 +18,24 @@
 
 	// maxLastCall bounds the connections that a server accepts once it has ended.
 	maxLastCall = 1024
+
+	// minLastCalls is how often a server that has ended looks for connections that the kernel
+	// holds, however late it is.
+	minLastCalls = 2
 )
 
 type (
-	// trackedListener tracks the connections that it accepts.
+	// trackedListener tracks the connections that it accepts. When its server has ended, it accepts
+	// those that the kernel holds, and closes.
 	trackedListener struct {
 		net.Listener
 		server Server
 		guard  *Guard
 		ended  <-chan struct{} // closed before the listener is, nil for unknown
-		left   *atomic.Int32   // connections that may still be accepted after that
+		closes *closingTime    // of the server
+
+		hungUp bool
+		last   []net.Conn // accepted at the end, and not returned yet
 	}
 
 	// deadliner is a listener with a deadline for Accept.
@@ -36,30 +45,45 @@
 // Accept implements net.Listener. It closes connections for which there is no room: one that is
 // not accepted would wait in the kernel's queue and keep others from it. Errors other than the end of
 // the listener pass.
-func (l trackedListener) Accept() (net.Conn, error) {
-	for {
+func (l *trackedListener) Accept() (net.Conn, error) {
+	for !l.hungUp {
 		c, err := l.accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			if t := l.track(c); t != nil {
+				return t, nil
+			}
+		case l.hasEnded() && errors.Is(err, os.ErrDeadlineExceeded):
+			l.hangUp()
+		default:
 			return nil, err
 		}
-		t := &trackedConn{Conn: c, server: l.server, guard: l.guard, waiting: true, inHead: true}
-		if l.guard.open(t) {
-			return t, nil
-		}
-		c.Close() //nolint:errcheck // nothing was read
 	}
+	if len(l.last) == 0 {
+		return nil, net.ErrClosed
+	}
+	c := l.last[0]
+	l.last = l.last[1:]
+	return c, nil
 }
 
-// accept accepts a connection. It returns an error only when the listener has ended.
-func (l trackedListener) accept() (net.Conn, error) {
+// track returns the tracked connection, nil if there is no room for it.
+func (l *trackedListener) track(c net.Conn) net.Conn {
+	t := &trackedConn{Conn: c, server: l.server, guard: l.guard, closes: l.closes, waiting: true, inHead: true}
+	if l.guard.open(t) {
+		return t
+	}
+	c.Close() //nolint:errcheck // nothing was read
+	return nil
+}
+
+// accept accepts a connection. It returns an error only when the listener has ended, or is about to.
+func (l *trackedListener) accept() (net.Conn, error) {
 	for failures := 0; ; failures++ {
 		c, err := l.Listener.Accept()
-		if err == nil || errors.Is(err, net.ErrClosed) {
+		if err == nil || errors.Is(err, net.ErrClosed) || l.hasEnded() {
 			return c, err
 		}
-		if l.hasEnded() && errors.Is(err, os.ErrDeadlineExceeded) {
-			return l.acceptArrived()
-		}
 		if failures == 0 {
 			level.Warn(l.guard.logger).Log("msg", "Connections cannot be accepted.", "address", l.Addr(), "err", err)
 		}
@@ -72,7 +96,7 @@
 }
 
 // hasEnded reports whether the listener is about to be closed.
-func (l trackedListener) hasEnded() bool {
+func (l *trackedListener) hasEnded() bool {
 	select {
 	case <-l.ended:
 		return true
@@ -81,23 +105,60 @@
 	}
 }
 
-// acceptArrived accepts a connection that the kernel holds already, and would reset with its request
-// when the listener is closed. It returns net.ErrClosed if there is none.
-func (l trackedListener) acceptArrived() (net.Conn, error) {
+// hangUp accepts the connections that the kernel holds, and would reset with their requests, and
+// closes the listener before one of them is answered: a caller that is refused and connects anew does
+// not get in again.
+func (l *trackedListener) hangUp() {
+	l.hungUp = true
+	defer l.Close() //nolint:errcheck // no request is lost if it fails
+	c := l.server.clock()
+	until := c.Now().Add(l.server.endTimeout())
+	for calls := 0; calls < minLastCalls || c.Now().Before(until); calls++ {
+		n := min(heldBy(l.Listener), maxLastCall-len(l.last))
+		if n <= 0 {
+			return
+		}
+		l.acceptHeld(n)
+	}
+}
+
+// acceptHeld accepts a number of connections that the kernel holds.
+func (l *trackedListener) acceptHeld(n int) {
 	d, ok := l.Listener.(deadliner)
-	if !ok || l.left.Add(-1) < 0 {
-		return nil, net.ErrClosed
+	if !ok || d.SetDeadline(time.Now().Add(l.server.endTimeout())) != nil {
+		return
 	}
-	for range 2 { // a process that is paused meanwhile does not look
-		if err := d.SetDeadline(time.Now().Add(arrivedTime)); err != nil {
-			return nil, errors.Trace(err)
-		}
+	for range n {
 		c, err := l.Listener.Accept()
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return c, err
+		if err != nil {
+			return
+		}
+		if t := l.track(c); t != nil {
+			l.last = append(l.last, t)
+		}
+	}
+}
+
+// heldBy returns the number of connections that the kernel holds for a listener, 0 if that is unknown.
+func heldBy(l net.Listener) int {
+	c, ok := l.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = int(info.Unacked) // of a listener, the connections that wait to be accepted
 		}
+	})
+	if err != nil {
+		return 0
 	}
-	return nil, net.ErrClosed
+	return n
 }
 
 // stopAccepting lets the server's accept return what the kernel holds and then fail, or closes a
--- a/internal/httpd/unread_test.go
+++ b/internal/httpd/unread_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -151,3 +152,38 @@
 		t.Error(err)
 	}
 }
+
+// Callers that a stop refused connected anew at once and got in again, thousands of times a stop: the
+// listener was open while the last connections were answered.
+func TestRefusedCallersDoNotGetInAgain(t *testing.T) {
+	const callers = 20
+	goOn := make(chan struct{})
+	l := pausedListener{listenTCP(t), goOn}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended, got := make(chan error, 1), make(chan error, callers)
+	go func() {
+		ended <- Serve(ctx, l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err == nil {
+				conn.Close()
+			}
+			got <- err
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+	}()
+	for range callers {
+		conn, _ := dialUnread(t, l)
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	cancel()
+	time.Sleep(20 * time.Millisecond) // the server ends before it goes on
+	close(goOn)
+	for range callers {
+		if err := <-got; !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("a caller gets in again: %v", err)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
