The end of an answer after its handler is counted and logged

The entry logs "Request ends." and counts a request as finished when its handler returns. The last chunk, the flush and the close come later, in http.Server, and nobody watched them: a caller could lose the end of an answer that the entry's log and metrics call whole, and no line named it.

Tests: a caller that leaves, a stop between a handler's return and the last chunk (both counted as answered before, without a line; the tests use the new callback, so they don't compile on the code before), a busy log, and the sentence of explain.

--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -47,7 +47,7 @@
 	for _, line := range lines {
 		fmt.Println(line)
 	}
-	for _, sentence := range explain.Stops(lines) {
+	for _, sentence := range append(explain.Stops(lines), explain.Lost(lines)...) {
 		fmt.Println(sentence)
 	}
 	return nil
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -159,6 +159,7 @@
 		BodyCost:       forwardedBodyCost,
 		Guard:          p.process.guard,
 		Clock:          p.process.clock,
+		AnswerLost:     p.entry.RecordLostAnswer,
 	}
 }
 
--- a/internal/entry/stop_cause_test.go
+++ b/internal/entry/stop_cause_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"rosereach/core/forward"
+	"rosereach/internal/httpd"
 	"rosereach/internal/logs"
 )
 
@@ -122,3 +124,28 @@
 	s.expect("Request is cut by the stop.", "id", "id-1", map[string]string{"caller": "chunks:cut", "begun": "true", "err": errAborted.Error()})
 	s.expect("Entry exits.", "id", "entry-1", map[string]string{"running": "0", "begun": "0", "cut": "1", "finished": "0", "failed": "0"})
 }
+
+// An answer that was finished and did not reach its caller had no line of its own. Those of a stop are
+// kept by a busy log, up to a bound.
+func TestBusyLogKeepsAnswersLostInAStop(t *testing.T) {
+	s := newStoppingEntry(t)
+	var out lockedBuffer
+	ctx, cancel := context.WithCancel(t.Context())
+	logger := logs.New(ctx, &out, testclock.NewClock(time.Now()), 1)
+	s.entry.cfg.Logger = logger
+	s.entry.RecordLostAnswer(httpd.LostAnswer{Request: "early", End: httpd.AnswerFailed})
+	s.close(time.Minute)
+	for range 2 * maxReservedLost {
+		s.entry.RecordLostAnswer(httpd.LostAnswer{Request: "late", End: httpd.AnswerReset, Left: 512})
+	}
+	s.entry.LogExit()
+	cancel()
+	logger.Wait(time.Minute)
+	text := out.String()
+	if n := strings.Count(text, "id=late end=reset missing=512 entry=entry-1 phase="); n != maxReservedLost {
+		t.Errorf("%d lines of lost answers", n)
+	}
+	if !strings.Contains(text, `msg="Entry exits."`) || !strings.Contains(text, fmt.Sprintf("failed=0 lost=%d", 2*maxReservedLost)) || strings.Contains(text, "id=early") {
+		t.Error(text[:min(len(text), 2000)])
+	}
+}
--- a/internal/entry/stop_log.go
+++ b/internal/entry/stop_log.go
@@ -11,6 +11,7 @@
 
 	"rosereach/core/drain"
 	"rosereach/core/forward"
+	"rosereach/internal/httpd"
 	"rosereach/internal/logs"
 )
 
@@ -21,8 +22,14 @@
 	stopGivenUp  = "given_up" // answered with a failure, as the stop allowed no further attempt or wait
 	stopCut      = "cut"      // without an answer, or before its end
 	stopFailed   = "failed"   // for other reasons than the stop
+	stopLost     = "lost"     // the caller did not get the end of an answer that counts as one of the above
 )
 
+// maxReservedLost bounds the lines of lost answers that are taken from the log's reserve.
+const maxReservedLost = 512
+
+const msgLostAnswer = "Caller does not get the answer's end."
+
 type (
 	// stopLog logs and counts what a planned stop of the entry does to requests.
 	stopLog struct {
@@ -33,7 +40,7 @@
 		mu       sync.Mutex
 		schedule drain.Schedule // zero before the stop
 		logged   drain.Phase    // the last one that has a line
-		outcomes map[string]int // requests that ended since the signal
+		outcomes map[string]int // requests that ended since the signal, and lost answers
 	}
 
 	// stopTimes are the phase of a stop and how far it has come.
@@ -110,7 +117,7 @@
 		"running", e.inFlight.Load(), "waiting", e.engineAdmission.waitingCount() + e.plainAdmission.waitingCount(), "begun", s.begun.Load(),
 		"relayed", e.forwarder.detours.relayedCount(),
 	}
-	for _, outcome := range []string{stopRefused, stopFinished, stopGivenUp, stopCut, stopFailed} {
+	for _, outcome := range []string{stopRefused, stopFinished, stopGivenUp, stopCut, stopFailed, stopLost} {
 		keyvals = append(keyvals, outcome, s.outcomes[outcome])
 	}
 	s.mu.Unlock()
@@ -141,11 +148,27 @@
 	return max(s.schedule.Exits().Sub(s.entry.cfg.Clock.Now()), 0)
 }
 
-func (s *stopLog) count(t stopTimes, outcome string) {
+// count counts an outcome and returns how often it was counted.
+func (s *stopLog) count(t stopTimes, outcome string) int {
 	s.mu.Lock()
 	s.outcomes[outcome]++
+	n := s.outcomes[outcome]
 	s.mu.Unlock()
 	s.metrics.ended(t.phase, outcome)
+	return n
+}
+
+// RecordLostAnswer logs an answer that was finished here and whose caller did not get its end, and
+// counts it if the entry stops.
+func (e *Entry) RecordLostAnswer(a httpd.LostAnswer) {
+	line := []any{"msg", msgLostAnswer, "id", a.Request, "end", a.End, "missing", a.Left, "entry", e.cfg.ID}
+	if t, ok := e.stopLog.times(e.cfg.Clock.Now()); ok {
+		if e.stopLog.count(t, stopLost) <= maxReservedLost {
+			line[1] = logs.Reserved(msgLostAnswer)
+		}
+		line = append(line, "phase", t.phase, "since", t.since, "exit_in", t.left)
+	}
+	level.Warn(e.cfg.Logger).Log(line...)
 }
 
 // logRejected logs and counts a request that is rejected before it is placed. It reports whether
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -47,6 +47,9 @@
 	fieldSince = "since"
 	fieldEntry = "entry"
 
+	// fieldEnd is in lines about answers whose end a caller did not get.
+	fieldEnd = "end"
+
 	// fieldUnfinished is in lines about requests that a process sheds.
 	fieldUnfinished = "unfinished"
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -159,6 +159,27 @@
 	}
 }
 
+// An answer that was lost after its end is explained, in a planned stop or not.
+func TestLostAnswerIsExplained(t *testing.T) {
+	const text = `level=info part=entry ts=2026-01-01T10:00:00Z msg="Entry drains." id=entry-1 phase=delisted since=300ns exit_in=7.3s running=1 lost=0
+level=debug part=entry ts=2026-01-01T10:00:01Z msg="Request ends." id=a1 caller=chunks:whole err=null
+level=warn part=entry ts=2026-01-01T10:00:01.001Z msg="Caller does not get the answer's end." id=a1 end=reset missing=512 entry=entry-1 phase=delisted since=1.001s exit_in=6.299s
+`
+	var l explain.Log
+	if err := l.Read("entry.log", strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	timeline := l.Timeline("a1")
+	if len(timeline) != 3 || len(explain.Stops(timeline)) != 0 {
+		t.Errorf("%v", timeline)
+	}
+	const sentence = "Entry entry-1 had finished the answer, and its caller did not get its end: " +
+		"the connection was closed with unread data of the caller, which resets it; 512 bytes or more are missing."
+	if s := explain.Lost(timeline); len(s) != 1 || s[0] != sentence {
+		t.Errorf("%q", s)
+	}
+}
+
 // A request that a planned stop cut is shown with the phases of that stop at its entry, and of
 // no earlier one.
 func TestTimelineHoldsThePlannedStop(t *testing.T) {
--- a/internal/explain/stop.go
+++ b/internal/explain/stop.go
@@ -10,6 +10,12 @@
 // stopSlack is by how much the signal of a planned stop, as two lines tell it, may differ.
 const stopSlack = time.Second
 
+// lostEnds says how the end of an answer was lost.
+var lostEnds = map[string]string{
+	"failed": "writing it failed", "timed_out": "the caller took nothing for too long", "reset": "the connection was closed with unread data of the caller, which resets it",
+	"unsent": "the entry ended before the kernel took it",
+}
+
 // Stops returns a sentence for each line of a timeline that tells how the request ended in the
 // planned stop of an entry.
 func Stops(timeline []Line) []string {
@@ -22,6 +28,18 @@
 	return sentences
 }
 
+// Lost returns a sentence for each line of a timeline by which a caller did not get the end of an
+// answer that its entry had finished.
+func Lost(timeline []Line) []string {
+	var sentences []string
+	for _, line := range timeline {
+		if end, ok := lostEnds[line.Get(fieldEnd)]; ok {
+			sentences = append(sentences, fmt.Sprintf("Entry %s had finished the answer, and its caller did not get its end: %s; %s bytes or more are missing.", line.Get(fieldEntry), end, line.Get("missing")))
+		}
+	}
+	return sentences
+}
+
 // stopSentence says what the stop did, when, and what was expected.
 func (l Line) stopSentence() string {
 	var b strings.Builder
@@ -64,4 +82,6 @@
 }
 
 // isPhase reports whether the line tells that a phase of a planned stop begins.
-func (l Line) isPhase() bool { return l.Get(fieldPhase) != "" && l.Get(fieldStop) == "" }
+func (l Line) isPhase() bool {
+	return l.Get(fieldPhase) != "" && l.Get(fieldStop) == "" && l.Get(fieldEnd) == ""
+}
--- /dev/null
+++ b/internal/httpd/answer_end_test.go
@@ -0,0 +1,151 @@
+package httpd_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
+
+	"rosereach/core/overload"
+	"rosereach/internal/httpd"
+)
+
+const lastChunk = "0\r\n\r\n"
+
+type (
+	// answering is a server whose handler waits to go on, writes an answer in chunks and returns.
+	answering struct {
+		*stoppable
+
+		guard       *httpd.Guard
+		begun, goOn chan struct{}
+		lost        chan httpd.LostAnswer
+	}
+
+	// stuckListener accepts connections whose kernel does not take last chunks.
+	stuckListener struct {
+		net.Listener
+		stuck chan struct{}
+	}
+
+	stuckConn struct {
+		net.Conn
+		stuck, closed chan struct{}
+		once          *sync.Once
+	}
+)
+
+func (l stuckListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return stuckConn{c, l.stuck, make(chan struct{}), &sync.Once{}}, err
+}
+
+func (c stuckConn) Write(p []byte) (int, error) {
+	if string(p) != lastChunk {
+		return c.Conn.Write(p)
+	}
+	close(c.stuck)
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+func (c stuckConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func startAnswering(t *testing.T, events int, wrap func(net.Listener) net.Listener) *answering {
+	t.Helper()
+	a := &answering{guard: httpd.NewGuard(overload.LimitsFor(0, 0), clock.WallClock, log.NewNopLogger()), begun: make(chan struct{}), goOn: make(chan struct{}), lost: make(chan httpd.LostAnswer, 10)}
+	a.stoppable = startStoppable(t, httpd.Server{
+		Guard: a.guard, Timeouts: httpd.Timeouts{Shutdown: noShutdown}, AnswerLost: func(l httpd.LostAnswer) { a.lost <- l },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			httpd.Identify(r.Context(), r.URL.Path[1:])
+			a.begun <- struct{}{}
+			<-a.goOn
+			for range events {
+				io.WriteString(w, "id: 1\n\n\n")
+			}
+			http.NewResponseController(w).Flush()
+		}),
+	}, wrap)
+	return a
+}
+
+// send sends a request and returns its connection when the handler runs.
+func (a *answering) send(t *testing.T, path string) net.Conn {
+	t.Helper()
+	c := dial(t, a.address)
+	io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-a.begun
+	return c
+}
+
+func (a *answering) expectLost(t *testing.T, id string, end httpd.AnswerEnd) {
+	t.Helper()
+	select {
+	case got := <-a.lost:
+		if got.Request != id || got.End != end {
+			t.Errorf("lost is %+v, want %s %s", got, id, end)
+		}
+	case <-time.After(10 * time.Second):
+		t.Errorf("no answer is reported as lost")
+	}
+	if text, want := metricsOf(a.guard), fmt.Sprintf("rosereach_client_answers_total{end=%q} 1\n", end); !strings.Contains(text, want) {
+		t.Errorf("no %s in\n%s", want, text)
+	}
+}
+
+func TestWholeAnswersAreCountedAsSent(t *testing.T) {
+	a := startAnswering(t, 1, nil)
+	c := dial(t, a.address)
+	answers := bufio.NewReader(c)
+	for range 2 {
+		io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-a.begun
+		a.goOn <- struct{}{}
+		if status := statusOf(t, answers); status != http.StatusOK {
+			t.Errorf("status %d", status)
+		}
+	}
+	a.stop()
+	a.await(t)
+	if text := metricsOf(a.guard); !strings.Contains(text, `rosereach_client_answers_total{end="sent"} 2`+"\n") || len(a.lost) > 0 {
+		t.Errorf("%d lost in\n%s", len(a.lost), text)
+	}
+}
+
+// A caller left before its answer was written, and the request counted as answered.
+func TestAnswerThatCannotBeWrittenIsReported(t *testing.T) {
+	a := startAnswering(t, 32<<10, nil)
+	c := a.send(t, "/left")
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+	a.goOn <- struct{}{}
+	a.expectLost(t, "left", httpd.AnswerFailed)
+}
+
+// A stop ended between the return of a handler and the last chunk of its answer, and the request
+// counted as answered.
+func TestAnswerWithoutLastChunkIsReported(t *testing.T) {
+	stuck := make(chan struct{})
+	a := startAnswering(t, 1, func(l net.Listener) net.Listener { return stuckListener{l, stuck} })
+	c := a.send(t, "/stuck")
+	a.goOn <- struct{}{}
+	<-stuck
+	a.stop()
+	a.expectLost(t, "stuck", httpd.AnswerUnsent)
+	if got, _ := io.ReadAll(c); bytes.HasSuffix(got, []byte(lastChunk)) {
+		t.Errorf("%q is whole", got)
+	}
+	a.await(t)
+}
--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -131,14 +131,17 @@
 			return
 		}
 		conn.setRunning(true)
+		conn.concludeAnswer(0) // the last one's client goes on
+		conn.answer.begin()
 		returned := false
 		defer func() {
 			if !returned && endsByClose(w, r) {
 				conn.resetIfRunning() // over TLS, http.Server would say that the answer has ended
 			}
 			conn.setRunning(false)
+			conn.answer.returned(returned && !conn.isHijacked())
 			if v := recover(); v != nil {
-				conn.guard.recordPanic(conn.request.get(), v)
+				conn.guard.recordPanic(conn.answer.requestName(), v)
 				panic(v) // http.Server ends the connection
 			}
 		}()
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -79,7 +79,7 @@
 		closed sync.Once
 		// endRequests ends the contexts of its requests with a cause.
 		endRequests context.CancelCauseFunc
-		request     requestName // the last one's
+		answer      answer // to the last request
 
 		mu       sync.Mutex
 		waiting  bool // no byte has arrived since the last answer
@@ -269,8 +269,13 @@
 // slow client has that time for each piece.
 func (t *trackedConn) Write(p []byte) (written int, err error) {
 	defer t.guard.sent(t.held)
+	defer func() {
+		if err != nil {
+			t.answer.failed(err, len(p)-written)
+		}
+	}()
 	for first := true; first || written < len(p) && err == nil; first = false {
-		if err := t.SetWriteDeadline(time.Now().Add(t.server.writeTimeout())); err != nil {
+		if err = t.SetWriteDeadline(time.Now().Add(t.server.writeTimeout())); err != nil {
 			return written, err
 		}
 		t.guard.send(t.held)
@@ -349,7 +354,6 @@
 func (t *trackedConn) beginRequest() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.request.set("")
 	t.ahead, t.waiting, t.waitOver, t.inHead, t.headSize = false, false, false, false, 0
 	t.stopTimer()
 }
@@ -395,8 +399,10 @@
 		lingers = t.refuseUnread()
 	}
 	if lingers {
+		t.concludeAnswer(0)
 		return nil
 	}
+	t.concludeAnswer(t.droppedByClose())
 	t.guard.release(t.held)
 	return t.closeNow()
 }
--- a/internal/httpd/guard.go
+++ b/internal/httpd/guard.go
@@ -38,12 +38,14 @@
 	loggedAt time.Time
 	line     []any // to be logged once mu is released
 	panics   int
+	answers  map[AnswerEnd]int
 }
 
 var (
 	bytesHeldDesc   = prometheus.NewDesc("rosereach_client_bytes", "Memory that the requests of clients and the answers to them hold.", nil, nil)
 	connectionsDesc = prometheus.NewDesc("rosereach_client_connections", "Connections of clients, by whether they have brought a part of a request.", []string{"state"}, nil)
 	shedDesc        = prometheus.NewDesc("rosereach_shed_total", "Connections and requests of clients that were ended, by reason.", []string{"reason"}, nil)
+	answersDesc     = prometheus.NewDesc("rosereach_client_answers_total", "Answers to clients that their handlers have finished, by how they ended.", []string{"end"}, nil)
 	panicsDesc      = prometheus.NewDesc("rosereach_handler_panics_total", "Handlers of requests that panicked.", nil, nil)
 )
 
@@ -54,6 +56,7 @@
 		clock: c, logger: logger, account: overload.NewAccount(l),
 		random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // only used to spread load
 		shed:   make(map[overload.Reason]int), unlogged: make(map[overload.Reason]int),
+		answers: make(map[AnswerEnd]int),
 	}
 }
 
@@ -246,6 +249,7 @@
 	descs <- connectionsDesc
 	descs <- shedDesc
 	descs <- panicsDesc
+	descs <- answersDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -260,4 +264,7 @@
 		metrics <- prometheus.MustNewConstMetric(shedDesc, prometheus.CounterValue, float64(g.shed[reason]), string(reason))
 	}
 	metrics <- prometheus.MustNewConstMetric(panicsDesc, prometheus.CounterValue, float64(g.panics))
+	for _, end := range []AnswerEnd{AnswerSent, AnswerFailed, AnswerTimedOut, AnswerReset, AnswerUnsent} {
+		metrics <- prometheus.MustNewConstMetric(answersDesc, prometheus.CounterValue, float64(g.answers[end]), string(end))
+	}
 }
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -80,6 +80,9 @@
 		Guard *Guard
 		// Clock measures the stop, by default the wall clock.
 		Clock clock.Clock
+		// AnswerLost, if not nil, is called for each answer that its handler has finished and its
+		// client did not get to its end.
+		AnswerLost func(LostAnswer)
 	}
 )
 
--- a/internal/httpd/panic.go
+++ b/internal/httpd/panic.go
@@ -5,7 +5,6 @@
 	"fmt"
 	stdlog "log"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -20,30 +19,15 @@
 	maxErrorText = 4 << 10
 )
 
-type (
-	// requestName names a request in the log.
-	requestName struct{ name atomic.Pointer[string] }
-
-	// errorWriter logs what is written to it.
-	errorWriter struct{ logger log.Logger }
-)
+// errorWriter logs what is written to it.
+type errorWriter struct{ logger log.Logger }
 
 // Identify tells the connection of the request with the context which request it serves, for the
 // log.
 func Identify(ctx context.Context, name string) {
 	if t, ok := ctx.Value(connKey{}).(*trackedConn); ok {
-		t.request.set(name)
-	}
-}
-
-func (n *requestName) set(name string) { n.name.Store(&name) }
-
-// get returns the name, empty if the request has none.
-func (n *requestName) get() string {
-	if name := n.name.Load(); name != nil {
-		return *name
+		t.answer.identify(name)
 	}
-	return ""
 }
 
 // recordPanic logs and counts the panic of a request's handler. http.ErrAbortHandler is none.
