Test of streams that break off in a series around a planned stop

Real processes: an entry is stopped while ten streams of sound servers end. Their ids jump, or their ends are marked by the connections only, or the first server's answer ends in bytes of no event. Callers must get each of them whole, and none is lost by the rule. The scripts of the soak's servers name such endings.

--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -25,6 +25,8 @@
 	// breaksOff ends the connection after the first events of a stream that does not go on after
 	// another one.
 	breaksOff bool
+	// ending is how the servers' streams end or go on, "" for as usual.
+	ending ending
 	// failing is the number of arrivals that end without an answer, refused the number of the one
 	// that its server refuses, and unsure of the one in which a model has little confidence in its
 	// answer, 0 for none. Arrivals count from 1. A model is sure of its answer in all others if
@@ -32,6 +34,18 @@
 	failing, refused, unsure uint64
 }
 
+// ending is how streams of sound servers end or go on.
+type ending string
+
+const (
+	// unframed streams end with their connections.
+	unframed ending = "unframed"
+	// spoilt streams are unframed ones, of which the first server's ends in bytes of no event.
+	spoilt ending = "spoilt"
+	// jumping streams leave out an id behind the first events.
+	jumping ending = "jumping"
+)
+
 // firstEvents is the number of events before a scripted stream is lost or breaks off.
 const firstEvents = 3
 
@@ -48,6 +62,9 @@
 			values.Set(name, "1")
 		}
 	}
+	if s.ending != "" {
+		values.Set("ending", string(s.ending))
+	}
 	return values.Encode()
 }
 
@@ -64,7 +81,7 @@
 		work: time.Duration(number("work")), events: uint64(number("events")), pause: time.Duration(number("pause")), //nolint:gosec // see above
 		first: uint64(number("first")), size: int(number("size")), //nolint:gosec // see above
 		failing: uint64(number("failing")), unsure: uint64(number("unsure")), refused: uint64(number("refused")), //nolint:gosec // see above
-		lost: query.Has("lost"), breaksOff: query.Has("breaks_off"),
+		lost: query.Has("lost"), breaksOff: query.Has("breaks_off"), ending: ending(query.Get("ending")),
 	}
 }
 
@@ -76,6 +93,14 @@
 	return s.events
 }
 
+// stream returns the complete stream.
+func (s script) stream() string {
+	if s.ending != jumping {
+		return events(0, s.eventCount())
+	}
+	return events(0, firstEvents) + events(firstEvents+1, s.eventCount()+1)
+}
+
 // answer returns the complete answer to a request that is no stream.
 func (s script) answer(id string) string {
 	return id + strings.Repeat(".", max(0, s.size-len(id)))
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -308,11 +308,43 @@
 		writeTwice(w, body, answer)
 	case !isStream:
 		s.writeAnswer(w, wanted.answer(id), plan.fault)
+	case plan.fault == 0 && wanted.ending != "":
+		writeEnding(r.Context(), w, after, wanted, run)
 	default:
 		writeStream(r.Context(), w, after, wanted, plan.fault, endWork)
 	}
 }
 
+// writeEnding sends the events of a stream with an ending that follow event number after, in the
+// given run of its request.
+func writeEnding(ctx context.Context, w http.ResponseWriter, after uint64, wanted script, run uint64) {
+	body, flush := io.Writer(w), func() { http.NewResponseController(w).Flush() } //nolint:errcheck // the caller may have disconnected
+	if wanted.ending == unframed || wanted.ending == spoilt && run == 1 {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()                                  //nolint:errcheck // the connection is not used again
+		fmt.Fprint(buffered, "HTTP/1.1 200 OK\r\n")         //nolint:errcheck // the caller may have disconnected
+		w.Header().Write(buffered)                          //nolint:errcheck // see above
+		buffered.WriteString("\r\n")                        //nolint:errcheck // see above
+		body, flush = buffered, func() { buffered.Flush() } //nolint:errcheck // see above
+	}
+	for event := range strings.SplitAfterSeq(wanted.stream(), "\n\n") {
+		var id uint64
+		if n, _ := fmt.Sscanf(event, "id: %d", &id); n == 0 || id <= after { //nolint:errcheck // the last piece is empty
+			continue
+		}
+		io.WriteString(body, event) //nolint:errcheck // see above
+		flush()
+		sleep(ctx, cmp.Or(wanted.pause, eventPause))
+	}
+	if wanted.ending == spoilt && run == 1 {
+		io.WriteString(body, "\x00\xf1 wrong bytes") //nolint:errcheck // see above
+	}
+	flush()
+}
+
 // isEngineRequest reports whether a request is on the route of engines.
 func isEngineRequest(r *http.Request) bool {
 	return strings.HasPrefix(r.URL.Path, "/"+platform.SimulatedEngineKind+"/")
