A stream without ids is not repeated

The entry asked behind event 0, which is the beginning.

Behind an event that has no id no attempt follows. What ends there without a mark ends for the caller with its connection, as on routes whose streams may not be resumed, and what breaks off there is cut. An id in a later event lets the stream go on again, and a comment changes nothing.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -111,6 +111,7 @@
 		claimedEventID uint64
 		gap            stream.Gap // the last one in the ids
 		closes         int        // answers that ended with their connections after the last event
+		unnumbered     bool       // the last event has no id, so that no server can go on behind it
 		idsJump        bool       // two servers agree that ids are left out
 
 		// For the log of a planned stop.
@@ -218,7 +219,7 @@
 // not sent or the next one is placed already, it takes a retry from the budget
 // of the service, shared by all entries.
 func (x *activeRequest) mayRetry(o forward.Outcome) bool {
-	if x.abandoned || !forward.MayRetry(x.route, o, x.runs) || x.sends >= x.route.MaxAttempts+maxExtraSends {
+	if x.abandoned || !x.mayFollow(o) || x.sends >= x.route.MaxAttempts+maxExtraSends {
 		return false
 	}
 	return o == forward.NotSent || x.nextAttempt != nil || x.retryTaken || x.forwarder.takeRetry(x.service, x.headSent)
@@ -228,7 +229,7 @@
 // whether it took one. Such an answer can't be refused, so it is given up only at its
 // deadline, when its caller leaves, or when it can't end before the entry's exit.
 func (x *activeRequest) awaitRetry(ctx context.Context, o forward.Outcome) bool {
-	if !x.headSent || x.hasAgreedEnd(ctx) || !forward.MayRetry(x.route, o, x.runs) {
+	if !x.headSent || x.hasAgreedEnd(ctx) || !x.mayFollow(o) {
 		return false
 	}
 	for x.pause(ctx) && x.drainingFailure(nil) == nil {
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -80,7 +80,7 @@
 		return x.handleBrokenStream(ctx, a, answer, errors.Trace(errIncomplete), h.serverDead)
 	}
 	s := x.streamSoFar()
-	s.Extended, s.Last = extended, !forward.MayRetry(x.route, forward.Incomplete, x.runs)
+	s.Extended, s.Last = extended, !x.mayFollow(forward.Incomplete)
 	if answer.Framing.EndsStream(s) {
 		x.endStream(a, answer, rest)
 		return "", nil
@@ -145,7 +145,15 @@
 }
 
 // canAskForRest reports whether another server may be asked for the rest of a stream.
-func (x *activeRequest) canAskForRest() bool { return x.route.Resumable && x.route.MaxAttempts > 1 }
+func (x *activeRequest) canAskForRest() bool {
+	return x.route.Resumable && x.route.MaxAttempts > 1 && !x.unnumbered
+}
+
+// mayFollow reports whether another attempt may follow one with the outcome. None goes on behind an
+// event that has no id.
+func (x *activeRequest) mayFollow(o forward.Outcome) bool {
+	return forward.MayRetry(x.route, o, x.runs) && !x.unnumbered
+}
 
 // forwardEvents forwards the events that the caller has not received yet.
 func (x *activeRequest) forwardEvents(a *attempt, answer *upstream.Answer, order *stream.Sequencer, events []stream.Event) error {
@@ -172,6 +180,9 @@
 		if x.now().Sub(a.firstEventAt) >= soundAfter {
 			x.recordSound(a)
 		}
+		if e.IsContent() {
+			x.unnumbered = e.ID == 0
+		}
 		if err := x.forwardEvent(answer, e.Raw); err != nil {
 			return err
 		}
--- a/internal/entry/series_end_test.go
+++ b/internal/entry/series_end_test.go
@@ -279,3 +279,27 @@
 		}
 	}
 }
+
+// No server can go on behind an event without an id: callers got the events again from each server
+// that was asked for the rest.
+func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
+	const text = "data: 1\n\ndata: 2\n\n"
+	for name, c := range map[string]struct {
+		first restWriter
+		body  string
+		whole bool
+	}{
+		"chunks":            {inChunks(text), text, true},
+		"close":             {untilClose(text), text, true},
+		"cut":               {cutChunks(text), text, false},
+		"cut in an event":   {cutChunks(text + "da"), text, false},
+		"behind an id":      {cutChunks(text, 1), textOf(0, 1) + text, false},
+		"before an id":      {cutChunks("data: 1\n\nid: 2\ndata: 2\n\n"), "data: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", true},
+		"comment, then cut": {cutChunks(": ping\n\n"), ": ping\n\nid: 3\ndata: 3\n\n", true},
+	} {
+		got, runs := newHarness(t).restInTurn(3, c.first, inChunks("", 3))
+		if got.body != c.body || (got.err == nil) != c.whole {
+			t.Errorf("%s: %q after %d runs, %v", name, got.body, runs, got.err)
+		}
+	}
+}
