Data behind a request does not cut its answer's end

A caller that reads slowly lost the end of an answer that the entry counted as whole, if the answer said "Connection: close", as all do in a planned stop, and any byte had arrived behind its request: the next request, or the empty line that some clients send after a body. net/http closes such a connection with those bytes unread, upon which the kernel resets it and drops all that the caller's window had not taken yet.

After an answer that was sent whole, a connection with unread data now lingers as one does whose body was not read: the sending side is closed, and what arrives is read and dropped for a bounded time, so that nothing is left to reset it. Answers that their handlers abort are still closed at once.

--- a/internal/httpd/answer_end.go
+++ b/internal/httpd/answer_end.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// isSent reports whether http.Server has written all of the answer.
+func (a *answer) isSent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state == answerSent && a.err == nil
+}
+
 // conclude ends the account of an answer whose handler has returned, ok false if there is none. A
 // connection that closes drops the given number of bytes.
 func (a *answer) conclude(dropped int) (lost LostAnswer, ok bool) {
--- a/internal/httpd/answer_end_test.go
+++ b/internal/httpd/answer_end_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -72,6 +73,9 @@
 			httpd.Identify(r.Context(), r.URL.Path[1:])
 			a.begun <- struct{}{}
 			<-a.goOn
+			if r.URL.Path == "/closing" {
+				w.Header().Set("Connection", "close")
+			}
 			for range events {
 				io.WriteString(w, "id: 1\n\n\n")
 			}
@@ -105,6 +109,16 @@
 	}
 }
 
+// awaitEnd waits until an answer is counted.
+func (a *answering) awaitEnd(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !regexp.MustCompile(`rosereach_client_answers_total.* 1\n`).MatchString(metricsOf(a.guard)); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the answer does not end")
+		}
+	}
+}
+
 func TestWholeAnswersAreCountedAsSent(t *testing.T) {
 	a := startAnswering(t, 1, nil)
 	c := dial(t, a.address)
@@ -149,3 +163,29 @@
 	}
 	a.await(t)
 }
+
+// The next request, or the empty line that some clients send after a body, had arrived when a
+// connection was closed after an answer. That reset it, and the answer's end was lost.
+func TestDataBehindARequestDoesNotCutItsAnswer(t *testing.T) {
+	const events = 32 << 10
+	for name, rest := range map[string]string{"nothing": "", "next request": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok", "empty line": "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			a := startAnswering(t, events, nil)
+			c := a.send(t, "/closing")
+			io.WriteString(c, rest)
+			a.goOn <- struct{}{}
+			a.awaitEnd(t)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if body, err := io.ReadAll(resp.Body); err != nil || strings.Count(string(body), "id: 1") != events {
+				t.Errorf("%d bytes: %v", len(body), err)
+			}
+			if len(a.lost) > 0 {
+				t.Errorf("lost: %+v", <-a.lost)
+			}
+		})
+	}
+}
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -388,8 +388,8 @@
 	return true
 }
 
-// Close closes the connection, unless it lingers. A request that has arrived since its wait ended is
-// refused.
+// Close closes the connection, unless it lingers, as it does when data follows a request that was
+// answered. A request that has arrived since its wait ended is refused.
 func (t *trackedConn) Close() error {
 	t.mu.Lock()
 	lingers, waitOver := t.lingers, t.waitOver
@@ -398,6 +398,9 @@
 	if !lingers && waitOver && t.hasArrived() {
 		lingers = t.refuseUnread()
 	}
+	if !lingers && t.answer.isSent() && t.hasArrived() {
+		lingers = t.linger() // a reset would drop what the client does not have yet
+	}
 	if lingers {
 		t.concludeAnswer(0)
 		return nil
@@ -431,6 +434,11 @@
 	if _, err := io.WriteString(t.Conn, unreadRefusal); err != nil {
 		return false
 	}
+	return t.linger()
+}
+
+// linger closes the sending side, and reports whether the connection lingers.
+func (t *trackedConn) linger() bool {
 	if t.CloseWrite() != nil {
 		return false
 	}
