The exit makes room for the last chunk of an answer

When a stop's time is over, the kernel is asked for a larger buffer for the answers of handlers that still run, so that it sends them to slow callers after the process has ended. An answer whose handler has returned was left out: if the kernel had no room for its last chunk, the exit closed the connection without it, and the caller got a cut answer that the entry counted as whole.

Connections whose answer's end is being written are now asked for as well. TestExitMakesRoomForTheLastChunk uses a connection that takes the last chunk once a larger buffer is granted: on the code before, 3 of 3 runs end without the chunk and the server reports the answer as unsent; now 20 of 20 pass under -race.

--- a/internal/httpd/answer_end.go
+++ b/internal/httpd/answer_end.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// isEnding reports whether the handler has returned and the answer's end is being written.
+func (a *answer) isEnding() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state == answerEnds
+}
+
 // isSent reports whether http.Server has written all of the answer.
 func (a *answer) isSent() bool {
 	a.mu.Lock()
--- a/internal/httpd/answer_end_test.go
+++ b/internal/httpd/answer_end_test.go
@@ -10,6 +10,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -32,36 +33,73 @@
 		lost        chan httpd.LostAnswer
 	}
 
-	// stuckListener accepts connections whose kernel does not take last chunks.
+	// stuckListener accepts connections whose kernel has no room for last chunks, unless it grants a
+	// larger buffer.
 	stuckListener struct {
 		net.Listener
-		stuck chan struct{}
+		stuck  chan struct{}
+		grants bool
 	}
 
 	stuckConn struct {
-		net.Conn
-		stuck, closed chan struct{}
+		*net.TCPConn
+		listener      stuckListener
+		closed, grown chan struct{}
 		once          *sync.Once
 	}
+
+	// growingConn tells when the process asks for a larger buffer.
+	growingConn struct {
+		syscall.RawConn
+		conn stuckConn
+	}
 )
 
 func (l stuckListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	return stuckConn{c, l.stuck, make(chan struct{}), &sync.Once{}}, err
+	if err != nil {
+		return nil, err
+	}
+	conn := c.(*net.TCPConn)
+	conn.SetWriteBuffer(4 << 10)
+	return stuckConn{conn, l, make(chan struct{}), make(chan struct{}), &sync.Once{}}, nil
 }
 
 func (c stuckConn) Write(p []byte) (int, error) {
 	if string(p) != lastChunk {
-		return c.Conn.Write(p)
+		return c.TCPConn.Write(p)
+	}
+	close(c.listener.stuck)
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case <-c.grown:
+		return c.TCPConn.Write(p)
 	}
-	close(c.stuck)
-	<-c.closed
-	return 0, net.ErrClosed
 }
 
 func (c stuckConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
-	return c.Conn.Close()
+	return c.TCPConn.Close()
+}
+
+func (c stuckConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return growingConn{raw, c}, err
+}
+
+func (c growingConn) Control(f func(fd uintptr)) error {
+	return c.RawConn.Control(func(fd uintptr) {
+		before := sendBuffer(fd)
+		if f(fd); c.conn.listener.grants && sendBuffer(fd) > before {
+			close(c.conn.grown)
+		}
+	})
+}
+
+func sendBuffer(fd uintptr) int {
+	n, _ := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF)
+	return n
 }
 
 func startAnswering(t *testing.T, events int, wrap func(net.Listener) net.Listener) *answering {
@@ -152,7 +190,7 @@
 // counted as answered.
 func TestAnswerWithoutLastChunkIsReported(t *testing.T) {
 	stuck := make(chan struct{})
-	a := startAnswering(t, 1, func(l net.Listener) net.Listener { return stuckListener{l, stuck} })
+	a := startAnswering(t, 1, func(l net.Listener) net.Listener { return stuckListener{l, stuck, false} })
 	c := a.send(t, "/stuck")
 	a.goOn <- struct{}{}
 	<-stuck
@@ -164,6 +202,24 @@
 	a.await(t)
 }
 
+// A caller that read slowly lost the last chunk of an answer at the exit, though the kernel was asked
+// for more room for the answers of handlers that still ran.
+func TestExitMakesRoomForTheLastChunk(t *testing.T) {
+	stuck := make(chan struct{})
+	a := startAnswering(t, 1, func(l net.Listener) net.Listener { return stuckListener{l, stuck, true} })
+	c := a.send(t, "/slow")
+	a.goOn <- struct{}{}
+	<-stuck
+	a.stop()
+	if got, _ := io.ReadAll(c); !bytes.HasSuffix(got, []byte(lastChunk)) {
+		t.Errorf("%q is not whole", got)
+	}
+	a.await(t)
+	if len(a.lost) > 0 {
+		t.Errorf("lost: %+v", <-a.lost)
+	}
+}
+
 // The next request, or the empty line that some clients send after a body, had arrived when a
 // connection was closed after an answer. That reset it, and the answer's end was lost.
 func TestDataBehindARequestDoesNotCutItsAnswer(t *testing.T) {
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -208,7 +208,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for t := range s.open {
-		if t.stopReading() {
+		if t.stopReading() || t.answer.isEnding() {
 			t.growSendBuffer()
 		}
 	}
