A part that does not end does not hold a process until it is killed

An entry or a control waited for all of its parts at the end of a planned stop without a bound, and gave the log a fixed time after that, however late it was. A part that stays, such as a control's write to a slow disk, would have lasted until SIGKILL, which cuts without a line.

The schedule of the stop now says when the process leaves, two fifths of the exit margin before the kill, and how long the log may take from a time on. An end beside parts that stay has a line and exit code 1.

--- a/core/drain/schedule.go
+++ b/core/drain/schedule.go
@@ -44,6 +44,11 @@
 	answerMarginPart = 24
 	listedPart       = 2
 
+	// Parts of the margin for the exit: its last two fifths are for the log, but for the time that
+	// the end of a process itself takes.
+	logPart  = 2.0 / 5
+	gonePart = 1.0 / 20
+
 	// closeMarginPart bounds the margin of the close as a part of a list's life.
 	closeMarginPart = 10
 )
@@ -126,6 +131,16 @@
 // ExitMargin returns the time between the exit and the end of the grace time.
 func (s Schedule) ExitMargin() time.Duration { return s.killed.Sub(s.exits) }
 
+// Leaves returns when the process writes the last lines of its log and ends, whatever still runs.
+func (s Schedule) Leaves() time.Time { return s.killed.Add(-partOf(s.ExitMargin(), logPart)) }
+
+// LogTime returns how long the last lines of the log may take from a time on.
+func (s Schedule) LogTime(now time.Time) time.Duration {
+	return max(s.killed.Add(-partOf(s.ExitMargin(), gonePart)).Sub(now), 0)
+}
+
+func partOf(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
 // Phase returns the phase at a time.
 func (s Schedule) Phase(now time.Time) Phase {
 	switch {
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -20,6 +20,7 @@
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
+	"rosereach/core/drain"
 	"rosereach/internal/httpd"
 	"rosereach/internal/logs"
 	"rosereach/platform"
@@ -40,6 +41,9 @@
 	addressTTL = time.Second
 )
 
+// errOutlasted is the error of a process that ends beside parts that have not.
+const errOutlasted = errors.ConstError("parts of the process did not end within the grace time")
+
 // platformProcess is a process on the platform with its current settings. MetricsAddress is
 // where metrics are served, empty for nowhere; flushLogs writes the last log lines.
 type platformProcess struct {
@@ -52,6 +56,7 @@
 	guard          *httpd.Guard // of all listeners
 	hangups        chan os.Signal
 	flushLogs      func(limit time.Duration)
+	stop           atomic.Pointer[drain.Schedule] // of its planned stop, nil before
 }
 
 // isOnPlatform reports whether the platform passed this process a settings file.
@@ -111,6 +116,44 @@
 	return p, nil
 }
 
+// planStop returns the schedule of the planned stop, which begins with the first call.
+func (p *platformProcess) planStop() drain.Schedule {
+	schedule := drain.Settings{Grace: p.settings().Bounds.GracePeriod, ListLife: listLife}.Begin(p.clock.Now())
+	p.stop.CompareAndSwap(nil, &schedule)
+	return *p.stop.Load()
+}
+
+// runInTime runs the process until it has ended or, once the context has, its planned stop has to:
+// what has not ended would be killed, with the last lines of the log.
+func (p *platformProcess) runInTime(ctx context.Context, run func(ctx context.Context) error) error {
+	ended := make(chan error, 1)
+	go func() { ended <- run(ctx) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	schedule := p.planStop()
+	if schedule.ExitMargin() == 0 { // the settings have no grace time
+		return <-ended
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-p.clock.After(schedule.Leaves().Sub(p.clock.Now())):
+	}
+	level.Error(p.logger).Log("msg", "Process ends beside parts that have not ended.", "since", p.clock.Now().Sub(schedule.Signaled()))
+	return errors.Trace(errOutlasted)
+}
+
+// logTime returns how long the last lines of the log may take, the given time at most.
+func (p *platformProcess) logTime(limit time.Duration) time.Duration {
+	if schedule := p.stop.Load(); schedule != nil && schedule.ExitMargin() > 0 {
+		return min(schedule.LogTime(p.clock.Now()), limit)
+	}
+	return limit
+}
+
 // settings returns the current settings.
 func (p *platformProcess) settings() platform.Settings { return *p.current.Load() }
 
--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -25,14 +25,19 @@
 	if err != nil {
 		return err
 	}
-	defer p.flushLogs(logs.FlushTimeout)
+	defer func() { p.flushLogs(p.logTime(logs.FlushTimeout)) }()
+	cfg := control.Config{OperatorKey: s.optional("operator-key"), ForgetQuarantine: c.Bool("forget-quarantine")}
+	return p.runInTime(ctx, func(ctx context.Context) error { return p.runControl(ctx, cfg) })
+}
+
+// runControl runs a control with the settings. The configuration holds what flags say.
+func (p *platformProcess) runControl(ctx context.Context, cfg control.Config) error {
 	now := p.settings()
-	node, err := control.Open(control.Config{
-		ID: now.Name, Folder: now.DataDir, Address: now.MemberAddress(), Region: now.Region, Zone: now.Zone, MemberKey: p.memberKey, OperatorKey: s.optional("operator-key"),
-		Seeds:            &control.Seeds{Addresses: p.memberAddresses, MayFound: now.Bootstrap, MinVoters: 2*now.FaultTolerance + 1},
-		ForgetQuarantine: c.Bool("forget-quarantine"),
-		MinVoters:        min(len(now.Controls), foundingVoters), Exposure: rollout.Budget{Share: now.Bounds.ExposureShare, Slack: now.Bounds.ExposureSlack}, Terms: lease.DefaultConfig(), Clock: clock.WallClock, Logger: p.logger,
-	})
+	cfg.ID, cfg.Folder, cfg.Address, cfg.Region, cfg.Zone, cfg.MemberKey = now.Name, now.DataDir, now.MemberAddress(), now.Region, now.Zone, p.memberKey
+	cfg.Seeds = &control.Seeds{Addresses: p.memberAddresses, MayFound: now.Bootstrap, MinVoters: 2*now.FaultTolerance + 1}
+	cfg.MinVoters, cfg.Exposure = min(len(now.Controls), foundingVoters), rollout.Budget{Share: now.Bounds.ExposureShare, Slack: now.Bounds.ExposureSlack}
+	cfg.Terms, cfg.Clock, cfg.Logger = lease.DefaultConfig(), clock.WallClock, p.logger
+	node, err := control.Open(cfg)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/platform_entry.go
+++ b/internal/cmd/platform_entry.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	flushTime := logs.FlushTimeout
-	defer func() { process.flushLogs(flushTime) }()
+	defer func() { process.flushLogs(process.logTime(flushTime)) }()
 	now := process.settings()
 	listeners, err := listenAll(ctx, now.Listen.Callers, now.Listen.Readiness)
 	if err != nil {
@@ -72,7 +72,7 @@
 	p := &platformEntry{process: process, entry: entry.New(cfg), callerListener: listeners[0], readinessListener: listeners[1], relayListeners: relays}
 	p.entry.RegisterMetrics(process.guard)
 	process.logger.Log("msg", "Entry serves.", "id", now.Name, "address", now.Listen.Callers, "incarnation", cfg.Incarnation)
-	err = p.run(ctx)
+	err = process.runInTime(ctx, p.run)
 	flushTime = p.flushTime()
 	return err
 }
@@ -166,8 +166,7 @@
 // drain plans the stop for the settings' grace time, and removes the entry from the
 // address lists.
 func (p *platformEntry) drain(ctx context.Context) {
-	now, settings := p.process.clock.Now(), p.process.settings()
-	schedule := drain.Settings{Grace: settings.Bounds.GracePeriod, ListLife: listLife}.Begin(now)
+	schedule := p.process.planStop()
 	p.stop.Store(&schedule)
 	p.entry.StopListing(ctx, schedule)
 }
