In a stop, a silent stream out of attempts gets one more

Callers lost streams around a planned stop that had begun with the last attempt of their route: earlier ones had gone to a larger model, to a server that failed or to one that sent an answer of another request, and the last server then lost the stream. Nothing might follow, so the entry waited for the silent server until the exit and cut the stream there, though sound servers could have sent the rest.

The route's limit is one on the servers that run a request. In a planned stop a begun stream that may be resumed, and whose last attempt is at a silent server, now gets one more, with a retry from the shared budget as any other: anywhere while fewer servers have had it than the route allows, else only at one that has. The timer of a last attempt learns of the stop from its signal and judges silence from then on; outside of a stop nothing changes, nor for streams whose last server breaks off. core/forward.MayRescue and IsOutOfServers decide.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -43,7 +43,8 @@
 		Kind    Kind     `json:"kind"`
 		Targets []Target `json:"targets"`
 		// MaxAttempts is the maximum number of attempts of one request that ran
-		// or may have run.
+		// or may have run, and of the servers of these. An answer that has begun gets one more
+		// attempt if its server is silent in a planned stop.
 		MaxAttempts int `json:"attempts"`
 		// Timeout is the maximum time until the end of the answer.
 		Timeout time.Duration `json:"timeout"`
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -85,6 +85,7 @@
 		ends    int              // servers that ended while they had the request
 		model   string
 		tried   []string // servers of the attempts so far
+		ranAt   []string // servers at which it ran or may have run, each once
 		// Subset of the tried servers to which no connection could be opened.
 		unreachable  []string
 		sends        int             // attempts sent
@@ -219,17 +220,40 @@
 // not sent or the next one is placed already, it takes a retry from the budget
 // of the service, shared by all entries.
 func (x *activeRequest) mayRetry(o forward.Outcome) bool {
-	if x.abandoned || !x.mayFollow(o) || x.sends >= x.route.MaxAttempts+maxExtraSends {
+	if x.abandoned || !x.mayFollow(o) && !x.isRescued() || x.sends >= x.route.MaxAttempts+maxExtraSends {
 		return false
 	}
 	return o == forward.NotSent || x.nextAttempt != nil || x.retryTaken || x.forwarder.takeRetry(x.service, x.headSent)
 }
 
+// isRescued reports whether an answer was taken from a silent server and may go on although its
+// route's attempts are used up.
+func (x *activeRequest) isRescued() bool { return x.awaitsRescue && x.mayRescue(x.headSent, x.runs) }
+
+// mayRescue reports whether an answer whose server is silent may go on, as the entry stops, although
+// its route's attempts are used up. Runs is the number of attempts that may have run.
+func (x *activeRequest) mayRescue(begun bool, runs int) bool {
+	return !x.unnumbered && forward.MayRescue(x.route, begun, !x.forwarder.entry.stopping.current().IsZero(), runs)
+}
+
+// recordRun records that the attempt ran or may have run.
+func (x *activeRequest) recordRun(a *attempt) {
+	x.runs++
+	x.addServer(a.server.ID)
+}
+
+// addServer adds a server to those at which the request ran or may have run.
+func (x *activeRequest) addServer(id string) {
+	if !slices.Contains(x.ranAt, id) {
+		x.ranAt = append(slices.Clip(x.ranAt), id)
+	}
+}
+
 // awaitRetry waits until the budget has a retry for an answer that has begun, and reports
 // whether it took one. Such an answer can't be refused, so it is given up only at its
 // deadline, when its caller leaves, or when it can't end before the entry's exit.
 func (x *activeRequest) awaitRetry(ctx context.Context, o forward.Outcome) bool {
-	if !x.headSent || x.hasAgreedEnd(ctx) || !x.mayFollow(o) {
+	if !x.headSent || x.hasAgreedEnd(ctx) || !x.mayFollow(o) && !x.isRescued() {
 		return false
 	}
 	for x.pause(ctx) && x.drainingFailure(nil) == nil {
@@ -357,7 +381,7 @@
 		return forward.NotSent, err
 	}
 	x.answers = append(x.answers, noAnswer)
-	x.runs++
+	x.recordRun(a)
 	x.tried = append(x.tried, a.server.ID)
 	if cause := context.Cause(ctx); cause == nil && !errors.Is(err, upstream.ErrNoRoom) && !errors.Is(err, upstream.ErrForeign) || errors.Is(cause, errHeadTimeout) && x.countsAsFailure(a) && !h.moved {
 		x.forwarder.recordFailure(a, x, h.serverDead)
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -29,7 +29,7 @@
 	}
 	if !a.head.Answers(x.req.ID) {
 		answer.Discard()
-		x.runs++
+		x.recordRun(a)
 		x.tried = append(x.tried, a.server.ID)
 		return forward.Unknown, errors.Trace(upstream.ErrForeign)
 	}
@@ -43,7 +43,7 @@
 		}
 		return forward.NotRun, errors.Errorf("the server did not run the request: status %d, draining its body: %v", a.head.Status, err)
 	}
-	x.runs++
+	x.recordRun(a)
 	if x.headSent && !a.head.Continues(x.sentStatus) {
 		answer.Discard()
 		x.tried = append(x.tried, a.server.ID)
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -64,7 +64,7 @@
 
 // idleTimeouts holds the timeouts of a wait for a server: soft for a first check
 // whether the server still has the request, hard for the end of the wait. No attempt
-// may follow the last one, which ends at the deadline.
+// may follow the last one, which ends at the deadline, except for a rescue in a planned stop.
 type idleTimeouts struct {
 	soft, hard time.Duration
 	last       bool
@@ -88,6 +88,7 @@
 	resets   uint64        // number of resets, to detect one during a check
 	begun    bool          // part of the answer was forwarded
 	waited   time.Duration // time since the last reset at which the timer is due
+	endWatch func() bool   // ends the watch for a planned stop
 	stopped  bool
 	handover handover
 }
@@ -108,20 +109,57 @@
 	t.request.tried = append(slices.Clone(x.tried), a.server.ID)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.request.addServer(a.server.ID)
 	t.begun = x.headSent
-	t.waited = timeouts.soft
-	if t.begun && t.inBody && !timeouts.last {
-		t.waited = x.patience(timeouts.soft)
-	}
+	t.waited = t.wait(timeouts.soft)
 	t.timer = x.forwarder.entry.cfg.Clock.AfterFunc(t.waited, t.onTimeout)
+	t.endWatch = func() bool { return true }
+	if timeouts.last && x.canAskForRest() {
+		t.endWatch = context.AfterFunc(x.forwarder.entry.stopping.signaled, t.onStop) //nolint:contextcheck // the stop is no part of the request
+	}
 	return t
 }
 
+// onStop restarts the timer of a last attempt when a planned stop begins, which allows a rescue.
+func (t *idleTimer) onStop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped {
+		t.waited = t.wait(t.timeouts.soft)
+		t.timer.Reset(t.waited)
+	}
+}
+
+// wait returns how long to wait for the server where that is usually the given time: up to the
+// deadline if no attempt may follow. Callers hold t.mu.
+func (t *idleTimer) wait(usual time.Duration) time.Duration {
+	switch {
+	case t.timeouts.last && !t.mayRescue(t.begun):
+		return t.request.deadline.Sub(t.request.now())
+	case t.begun && t.inBody:
+		return t.request.patience(usual)
+	}
+	return usual
+}
+
+// mayRescue reports whether another attempt may follow the last one.
+func (t *idleTimer) mayRescue(begun bool) bool {
+	return t.request.mayRescue(begun, t.runs()) && t.request.sends < t.request.route.MaxAttempts+maxExtraSends
+}
+
+// runs returns the number of attempts that may have run, including this one.
+func (t *idleTimer) runs() int {
+	if t.inBody {
+		return t.request.runs
+	}
+	return t.request.runs + 1
+}
+
 func (t *idleTimer) onTimeout() {
 	t.mu.Lock()
 	resets, waited, begun := t.resets, t.waited, t.begun
 	t.mu.Unlock()
-	if t.timeouts.last || t.request.isAtDeadline() {
+	if t.timeouts.last && !t.mayRescue(begun) || t.request.isAtDeadline() {
 		t.awaitDeadline(resets)
 		return
 	}
@@ -278,10 +316,7 @@
 	defer t.mu.Unlock()
 	t.resets++
 	t.begun = begun
-	t.waited = t.timeouts.soft
-	if begun {
-		t.waited = t.request.patience(t.timeouts.soft)
-	}
+	t.waited = t.wait(t.timeouts.soft)
 	t.timer.Reset(t.waited)
 }
 
@@ -291,6 +326,7 @@
 	defer t.mu.Unlock()
 	t.stopped = true
 	t.timer.Stop()
+	t.endWatch()
 	return t.handover
 }
 
@@ -412,12 +448,13 @@
 // headTimeouts returns the timeouts for the header of an attempt's answer.
 func (x *activeRequest) headTimeouts(a *attempt) idleTimeouts {
 	last := x.deadlineTimeouts()
-	if !x.mayRetryAfter(x.runs+1) || x.route.Objective <= 0 {
+	isLast := !x.mayRetryAfter(x.runs + 1)
+	if isLast && !x.headSent || x.route.Objective <= 0 {
 		return last
 	}
 	hard := headHardFactor * x.route.Objective
 	soft := max(time.Duration(headSoftFactor*float64(a.expected)), min(headSoftFloor, hard))
-	return idleTimeouts{soft: min(soft, last.soft), hard: min(max(hard, soft), last.hard)}
+	return idleTimeouts{soft: min(soft, last.soft), hard: min(max(hard, soft), last.hard), last: isLast}
 }
 
 // bodyTimeouts returns the timeouts for the body of an answer that is no
@@ -431,9 +468,6 @@
 
 // eventTimeouts returns the timeouts for the next event of a stream.
 func (x *activeRequest) eventTimeouts() idleTimeouts {
-	if !x.mayRetryAfter(x.runs) {
-		return x.deadlineTimeouts()
-	}
 	soft := max(time.Duration(eventSoftFactor*float64(x.route.EventGap)), eventSoftFloor)
-	return idleTimeouts{soft: soft, hard: max(eventHardFloor, eventHardFactor*x.route.EventGap)}
+	return idleTimeouts{soft: soft, hard: max(eventHardFloor, eventHardFactor*x.route.EventGap), last: !x.mayRetryAfter(x.runs)}
 }
--- a/internal/entry/pick.go
+++ b/internal/entry/pick.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rosereach/core/backend"
+	"rosereach/core/forward"
 	"rosereach/core/placement"
 	"rosereach/core/rollout"
 	"rosereach/core/roster"
@@ -168,10 +169,15 @@
 // these lists that is not empty: untried servers that are available, not degraded, not
 // silent and not reported as failing by other entries; all untried servers that are
 // available; all untried ones; and all servers except those that could not be
-// connected to. Callers hold f.mu.
+// connected to. A request that ran at as many servers as its route allows may go to these, and to no
+// others. Callers hold f.mu.
 func (f *forwarder) usableServers(now time.Time, x *activeRequest) []backend.Announcement {
 	all := filterRecords(f.permittedServers(now, x), func(r roster.Record) bool { return !slices.Contains(x.unreachable, r.Server.ID) })
 	untried := filterRecords(all, func(r roster.Record) bool { return !slices.Contains(x.tried, r.Server.ID) })
+	if forward.IsOutOfServers(x.route, len(x.ranAt)) {
+		all = filterRecords(all, func(r roster.Record) bool { return slices.Contains(x.ranAt, r.Server.ID) })
+		untried = all
+	}
 	allowed := filterRecords(untried, func(r roster.Record) bool { return f.health.IsAvailable(now, r.Server.ID) })
 	healthy := filterRecords(allowed, func(r roster.Record) bool {
 		return !r.Silent && !f.health.IsDegraded(now, r.Server.ID) && !f.isReportedFailing(r.Server)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -209,7 +209,7 @@
 		t.Errorf("the timeline is\n%s", strings.Join(got, "\n"))
 	}
 	const sentence = "The planned stop of entry entry-1: request cut in phase ending, 60.002s after the signal, 2ms past the exit time. " +
-		"It was expected to take up to 4s (history). It was last sent 50s after the signal, to i-1; its answer had begun, with 3 events passed on. That server had sent nothing for 6s. Of 3 attempts 3 were used, 1 by choice."
+		"It was expected to take up to 4s (history). It was last sent 50s after the signal, to i-1; its answer had begun, with 3 events passed on. That server had sent nothing for 6s. Its route allows 3 attempts; 3 were used, 1 by choice."
 	if s := explain.Stops(timeline); len(s) != 1 || s[0] != sentence {
 		t.Errorf("%q", s)
 	}
--- a/internal/explain/stop.go
+++ b/internal/explain/stop.go
@@ -70,7 +70,7 @@
 		b.WriteString("; its answer had not begun.")
 	}
 	if silent, err := time.ParseDuration(l.Get("silent")); err == nil && silent > 0 {
-		fmt.Fprintf(&b, " That server had sent nothing for %s. Of %s attempts %s were used, %s by choice.", silent, l.Get("of"), l.Get("run"), cmp.Or(l.Get("spent"), "0"))
+		fmt.Fprintf(&b, " That server had sent nothing for %s. Its route allows %s attempts; %s were used, %s by choice.", silent, l.Get("of"), l.Get("run"), cmp.Or(l.Get("spent"), "0"))
 	}
 	return b.String()
 }
