A stream without ids is not cut while its server pauses

The timer is told with each event whether a server can go on behind it. If none can, the attempt is the last one and is waited for up to the request's deadline, as any other last attempt.

TestPausedStreamWithoutIDsIsWaitedFor failed before ("data: 1", the answer broke off) and passes.

--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -39,7 +39,7 @@
 		}
 		switch {
 		case len(events) > 0:
-			watch.reset(x.headSent)
+			watch.reset(x.headSent, x.unnumbered)
 		case n > 0:
 			// Bytes are a sign of life and no progress: an event may have no end.
 			x.forwarder.recordActivity(a.server.ID)
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -87,6 +87,7 @@
 	timer    clock.Timer
 	resets   uint64        // number of resets, to detect one during a check
 	begun    bool          // part of the answer was forwarded
+	final    bool          // no server can go on behind that part
 	waited   time.Duration // time since the last reset at which the timer is due
 	endWatch func() bool   // ends the watch for a planned stop
 	stopped  bool
@@ -110,7 +111,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.request.addServer(a.server.ID)
-	t.begun = x.headSent
+	t.begun, t.final = x.headSent, x.unnumbered
 	t.waited = t.wait(timeouts.soft)
 	t.timer = x.forwarder.entry.cfg.Clock.AfterFunc(t.waited, t.onTimeout)
 	t.endWatch = func() bool { return true }
@@ -134,7 +135,7 @@
 // deadline if no attempt may follow. Callers hold t.mu.
 func (t *idleTimer) wait(usual time.Duration) time.Duration {
 	switch {
-	case t.timeouts.last && !t.mayRescue(t.begun):
+	case t.isLast():
 		return t.request.deadline.Sub(t.request.now())
 	case t.begun && t.inBody:
 		return t.request.patience(usual)
@@ -142,9 +143,10 @@
 	return usual
 }
 
-// mayRescue reports whether another attempt may follow the last one.
-func (t *idleTimer) mayRescue(begun bool) bool {
-	return t.request.mayRescue(begun, t.runs()) && t.request.sends < t.request.route.MaxAttempts+maxExtraSends
+// isLast reports whether no attempt may follow. Callers hold t.mu.
+func (t *idleTimer) isLast() bool {
+	mayRescue := t.request.mayRescue(t.begun, t.runs()) && t.request.sends < t.request.route.MaxAttempts+maxExtraSends
+	return t.final || t.timeouts.last && !mayRescue
 }
 
 // runs returns the number of attempts that may have run, including this one.
@@ -157,9 +159,9 @@
 
 func (t *idleTimer) onTimeout() {
 	t.mu.Lock()
-	resets, waited, begun := t.resets, t.waited, t.begun
+	resets, waited, begun, last := t.resets, t.waited, t.begun, t.isLast()
 	t.mu.Unlock()
-	if t.timeouts.last && !t.mayRescue(begun) || t.request.isAtDeadline() {
+	if last || t.request.isAtDeadline() {
 		t.awaitDeadline(resets)
 		return
 	}
@@ -309,13 +311,13 @@
 }
 
 // reset restarts the timer after the server has sent data. Begun says that part of the
-// answer was forwarded.
-func (t *idleTimer) reset(begun bool) {
+// answer was forwarded, final that no server can go on behind it.
+func (t *idleTimer) reset(begun, final bool) {
 	t.request.forwarder.recordActivity(t.attempt.server.ID)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.resets++
-	t.begun = begun
+	t.begun, t.final = begun, final
 	t.waited = t.wait(t.timeouts.soft)
 	t.timer.Reset(t.waited)
 }
--- a/internal/entry/lost_answer_test.go
+++ b/internal/entry/lost_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -28,13 +29,14 @@
 	runs   atomic.Int64
 	broken atomic.Bool // the first answer breaks off when it resumes
 	// later handles the runs after the first.
-	later http.HandlerFunc
+	later   http.HandlerFunc
+	withIDs bool // events have ids
 }
 
 func newPausedStream(t *testing.T, slack float64, later http.HandlerFunc) *pausedStream {
 	p := &pausedStream{
 		harness: newHarness(t), clock: testclock.NewClock(time.Now()),
-		resume: make(chan struct{}), later: later,
+		resume: make(chan struct{}), later: later, withIDs: true,
 	}
 	p.entry.cfg.Clock = p.clock
 	p.entry.forwarder.retryBudgets = retry.NewWindowBudgets(retry.WindowBudgetConfig{Slack: slack, Window: 2 * time.Second})
@@ -51,14 +53,14 @@
 		case <-req.Context().Done():
 		}
 	case p.runs.Add(1) == 1:
-		event(w, 1)
+		io.WriteString(w, p.event(1))
 		http.NewResponseController(w).Flush()
 		select {
 		case <-p.resume:
 			if p.broken.Load() {
 				hangUp(w)
 			}
-			event(w, 2)
+			io.WriteString(w, p.event(2))
 		case <-req.Context().Done():
 		}
 	default:
@@ -66,6 +68,14 @@
 	}
 }
 
+// event returns an event of the stream.
+func (p *pausedStream) event(id int) string {
+	if !p.withIDs {
+		return fmt.Sprintf("data: %d\n\n", id)
+	}
+	return streamText(id, id)
+}
+
 // start sends the request and waits for the first event.
 func (p *pausedStream) start() {
 	p.t.Helper()
@@ -94,7 +104,7 @@
 // expectWhole checks that the caller gets both events, each once.
 func (p *pausedStream) expectWhole() {
 	p.t.Helper()
-	want := "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+	want := p.event(1) + p.event(2)
 	if err := <-p.ended; err != nil || p.got.text() != want {
 		p.t.Fatalf("%q, %v", p.got.text(), err)
 	}
@@ -116,6 +126,17 @@
 	p.expectWhole()
 }
 
+// A stream without ids, which no other server can go on with, is not cut while its server pauses.
+func TestPausedStreamWithoutIDsIsWaitedFor(t *testing.T) {
+	p := newPausedStream(t, 50, refuse)
+	p.withIDs = false
+	p.server("b", p.serve)
+	p.start()
+	p.stayPaused()
+	close(p.resume)
+	p.expectWhole()
+}
+
 // Without another server that accepts connections, a paused server is waited for.
 func TestPausedServerIsWaitedForWithoutSuccessor(t *testing.T) {
 	for name, addSuccessor := range map[string]func(p *pausedStream){
