A stream whose end servers agree on is not cut at a silent one

Two servers had ended a stream whose caller had every event, and the third and last, asked for one more word, did not answer. The entry waited for it until its exit, or until the deadline, and cut the stream then: in a planned stop a request that is lost with no server at work.

What servers agree on by then ends the stream at both times. A word of a server whose time is over does not count, as before, so that a stream that stops with its deadline stays cut.

Evidence: TestStreamsThatTwoServersEndAreNotLostAtASilentOne, real processes, lost 10 of 10 streams before, cut 3.5 s after SIGTERM, and none now; TestAgreedEndOutlastsASilentServer failed before in its row "agreed", and its two other rows stay cut.

--- a/core/framing/framing.go
+++ b/core/framing/framing.go
@@ -104,7 +104,7 @@
 // be known without another answer. One that closes its connection in order has sent its whole
 // answer, if it has not been killed.
 func (s Stream) IsAgreed() bool {
-	return s.Begun && !s.MoreSeen && !s.Claimed && !s.TimeUp && s.Confirmations+s.Closes >= minConfirmations
+	return s.Begun && !s.MoreSeen && !s.Claimed && s.Confirmations+s.Closes >= minConfirmations
 }
 
 // String returns the fields for a log, separated by colons.
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -70,7 +70,7 @@
 	answer.Close()
 	extended := a.answer.Events > 0
 	switch {
-	case x.moreSeen():
+	case x.moreSeen(), x.isAtDeadline() && answer.Framing != framing.ByLength:
 	case answer.Framing != framing.ByClose:
 		x.confirmed++
 	case !x.canAskForRest() || !x.forwarder.hasEnded(ctx, a):
@@ -80,7 +80,7 @@
 		return x.handleBrokenStream(ctx, a, answer, errors.Trace(errIncomplete), h.serverDead)
 	}
 	s := x.streamSoFar()
-	s.Extended, s.Last = extended, !x.mayFollow(forward.Incomplete)
+	s.Extended, s.Last, s.TimeUp = extended, !x.mayFollow(forward.Incomplete), x.isAtDeadline()
 	if answer.Framing.EndsStream(s) {
 		x.endStream(a, answer, rest)
 		return "", nil
@@ -99,13 +99,16 @@
 func (x *activeRequest) streamSoFar() framing.Stream {
 	return framing.Stream{
 		Begun: x.hasBegun(), MoreSeen: x.moreSeen(), Claimed: x.claimedEventID > x.lastEventID,
-		Confirmations: x.confirmed, Closes: x.closes, CanAsk: x.canAskForRest(), TimeUp: x.isAtDeadline(),
+		Confirmations: x.confirmed, Closes: x.closes, CanAsk: x.canAskForRest(),
 	}
 }
 
-// hasAgreedEnd reports whether a stream that has begun may end when no other server can be asked.
+// hasAgreedEnd reports whether a stream that has begun may end when no other server can be asked, or
+// none answers in time.
 func (x *activeRequest) hasAgreedEnd(ctx context.Context) bool {
-	return x.headSent && ctx.Err() == nil && x.streamSoFar().IsAgreed()
+	cause := context.Cause(ctx)
+	isThere := cause == nil || isExit(cause) || errors.Is(cause, context.DeadlineExceeded)
+	return x.headSent && isThere && x.streamSoFar().IsAgreed()
 }
 
 // hasBegun reports whether the caller has events of the stream.
--- a/internal/entry/series_end_test.go
+++ b/internal/entry/series_end_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"rosereach/core/backend"
 	"rosereach/core/forward"
@@ -303,3 +304,37 @@
 		}
 	}
 }
+
+// A stream whose end servers agree on was cut at its deadline, since the last server did not answer.
+func TestAgreedEndOutlastsASilentServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		second restWriter
+		whole  bool
+	}{"agreed": {inChunks("", 1, 2), true}, "more was seen": {cutChunks("id: 3\nda", 1, 2), false}, "one alone": {gone, false}} {
+		r := newHarness(t)
+		r.plan()
+		var runs atomic.Int64
+		for _, id := range []string{"a", "b", "c"} {
+			r.announce(id, listenRaw(t, func(conn net.Conn) {
+				defer conn.Close()
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				has, _ := strconv.Atoi(req.Header.Get("After"))
+				switch runs.Add(1) {
+				case 1:
+					untilClose("", 1, 2)(conn, has)
+				case 2:
+					c.second(conn, has)
+				default:
+					io.Copy(io.Discard, conn)
+				}
+			}), 1, backend.Serving)
+		}
+		got, err := r.sendWith(t.Context(), forward.Request{Path: "/streaming/x", Key: "k", Deadline: time.Now().Add(500 * time.Millisecond)})
+		if got.text() != streamText(1, 2) || (err == nil) != c.whole {
+			t.Errorf("%s: %q after %d runs, %v", name, got.text(), runs.Load(), err)
+		}
+	}
+}
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -42,6 +42,9 @@
 	unframed ending = "unframed"
 	// spoilt streams are unframed ones, of which the first server's ends in bytes of no event.
 	spoilt ending = "spoilt"
+	// deserted streams are unframed ones, of which the second server knows the end and the third
+	// falls silent.
+	deserted ending = "deserted"
 	// jumping streams leave out an id behind the first events.
 	jumping ending = "jumping"
 )
--- a/internal/soak/series_test.go
+++ b/internal/soak/series_test.go
@@ -38,3 +38,7 @@
 
 // Guards against the same where no server marks the ends of its streams.
 func TestUnframedStreamsAreNotLost(t *testing.T) { testSeries(t, unframed) }
+
+// Guards against streams that two servers have ended and that are cut at the exit, since the third
+// server does not answer.
+func TestStreamsThatTwoServersEndAreNotLostAtASilentOne(t *testing.T) { testSeries(t, deserted) }
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -309,17 +309,22 @@
 	case !isStream:
 		s.writeAnswer(w, wanted.answer(id), plan.fault)
 	case plan.fault == 0 && wanted.ending != "":
-		writeEnding(r.Context(), w, after, wanted, run)
+		writeEnding(r.Context(), w, after, wanted, run, endWork)
 	default:
 		writeStream(r.Context(), w, after, wanted, plan.fault, endWork)
 	}
 }
 
 // writeEnding sends the events of a stream with an ending that follow event number after, in the
-// given run of its request.
-func writeEnding(ctx context.Context, w http.ResponseWriter, after uint64, wanted script, run uint64) {
+// given run of its request. It calls endWork before it falls silent.
+func writeEnding(ctx context.Context, w http.ResponseWriter, after uint64, wanted script, run uint64, endWork func()) {
+	if wanted.ending == deserted && run > 2 {
+		endWork()
+		<-ctx.Done()
+		return
+	}
 	body, flush := io.Writer(w), func() { http.NewResponseController(w).Flush() } //nolint:errcheck // the caller may have disconnected
-	if wanted.ending == unframed || wanted.ending == spoilt && run == 1 {
+	if wanted.ending == unframed || wanted.ending != jumping && run == 1 {
 		conn, buffered, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
