Streams run when a stop beside callers who connect anew begins

TestStoppedEntryEndsBesideCallersWhoConnectAnew counted the requests of these callers as the streams that it waits for, so that the stop could begin before the streams and end with the hang-up.

--- a/internal/soak/planned_stop_test.go
+++ b/internal/soak/planned_stop_test.go
@@ -722,9 +722,10 @@
 		t.Run(name, func(t *testing.T) {
 			f := startStopFleet(t, c.grace, "GOMAXPROCS=1")
 			callers := f.connect(40)
-			f.insist(f.entry, 150)
 			f.after(0, callers, func(c *stopCaller) { c.send("streaming", endless, patientTime, nil) })
 			f.awaitArrivals(2 * len(callers))
+			f.insist(f.entry, 150)
+			time.Sleep(time.Second)
 			if c.processor > 0 {
 				go f.entry.limitProcessor(t.Context(), c.processor)
 			}
