--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -412,20 +412,26 @@
 
 // hasArrived reports whether data has arrived that was not read.
 func (t *trackedConn) hasArrived() bool {
-	c, ok := t.socket().(syscall.Conn)
+	var b [1]byte
+	n, _ := receiveArrived(t.socket(), b[:], syscall.MSG_PEEK)
+	return n > 0
+}
+
+// receiveArrived receives what has arrived at a connection, whatever its deadlines. It reports false if
+// that can't be told.
+func receiveArrived(c net.Conn, p []byte, flags int) (n int, ok bool) {
+	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, false
 	}
-	raw, err := c.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0, false
 	}
-	n := 0
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:errcheck // n is not positive then
+		n, _, _ = syscall.Recvfrom(int(fd), p, flags|syscall.MSG_DONTWAIT) //nolint:errcheck // n is not positive then
 	})
-	return err == nil && n > 0
+	return max(n, 0), err == nil
 }
 
 // refuseUnread answers a request that was not read, and reports whether the connection lingers.
@@ -625,19 +631,15 @@
 // readArrived reads what has arrived although the deadline for it is over. It returns the given
 // error if nothing has.
 func (t *trackedConn) readArrived(p []byte, err error) (int, error) {
-	raw, rawErr := t.SyscallConn()
-	if rawErr != nil { // below TLS nothing tells what has arrived
+	n, ok := receiveArrived(t.Conn, p, 0)
+	if !ok { // below TLS nothing tells what has arrived
 		t.Conn.SetReadDeadline(time.Now().Add(arrivedTime)) //nolint:errcheck // the read fails then
 		return t.Conn.Read(p)
 	}
-	n := 0
-	readErr := raw.Control(func(fd uintptr) {
-		n, _, rawErr = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
-	})
-	if readErr != nil || rawErr != nil || n <= 0 {
-		return 0, err
+	if n > 0 {
+		return n, nil
 	}
-	return n, nil
+	return 0, err
 }
 
 // SetReadDeadline implements net.Conn. What has ended stays so: http.Server and handlers set
