Refusals of unread requests spread their callers

Requests that cross the end of their connections, hundreds at a time when an entry hangs up or an idle timeout is shortened, were all told to come back after 0.100 s, and came back together to the next entry. The time now has the jitter of all other refusals of a stop, up to a quarter more. TestRefusalsOfUnreadRequestsSpreadTheirCallers: 20 of 20 callers had the same time before, in 4 groups or less it fails.

--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -40,8 +41,8 @@
 	lastSendBuffer = 1 << 20
 
 	// unreadRefusal answers a request that crosses the end of its connection, and was not read.
-	// Another connection takes it at once.
-	unreadRefusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 0.100\r\n" +
+	// Another connection takes it after the given seconds.
+	unreadRefusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: %.3f\r\n" +
 		"Connection: close\r\n\r\nthe connection was idle and is closed; use another\n"
 
 	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
@@ -437,7 +438,8 @@
 // refuseUnread answers a request that was not read, and reports whether the connection lingers.
 func (t *trackedConn) refuseUnread() bool {
 	t.SetWriteDeadline(t.closes.limit(lingerTime)) //nolint:errcheck // fails only on a closed connection
-	if _, err := io.WriteString(t.Conn, unreadRefusal); err != nil {
+	wait := t.guard.refusal(overload.Stopping).RetryAfter
+	if _, err := fmt.Fprintf(t.Conn, unreadRefusal, wait.Seconds()); err != nil {
 		return false
 	}
 	return t.linger()
--- a/internal/httpd/unread_test.go
+++ b/internal/httpd/unread_test.go
@@ -7,10 +7,16 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/clock"
+
+	"rosereach/core/overload"
 )
 
 type (
@@ -153,6 +159,39 @@
 	}
 }
 
+// Requests that crossed the end of their connections were all told to come back after the same time,
+// and came back together.
+func TestRefusalsOfUnreadRequestsSpreadTheirCallers(t *testing.T) {
+	const callers = 20
+	guard := NewGuard(overload.LimitsFor(0, 0), clock.WallClock, log.NewNopLogger())
+	waits := make(map[string]bool)
+	for range callers {
+		l := pausingListener{listenTCP(t), make(chan struct{}), make(chan struct{})}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- ServeGuarded(ctx, l, http.NotFoundHandler(), guard) }()
+		conn, answers := dialUnread(t, l)
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		expectStatus(t, answers, http.StatusNotFound)
+		cancel()
+		<-l.looked
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(5 * time.Millisecond) // it arrives
+		close(l.goOn)
+		h, _ := expectStatus(t, answers, http.StatusServiceUnavailable)
+		waits[h.Get("Retry-After")] = true
+		if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err != nil || seconds <= 0 {
+			t.Errorf("Retry-After: %q", h.Get("Retry-After"))
+		}
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+	if len(waits) < callers/4 {
+		t.Errorf("%d callers are told to come back after %v", callers, waits)
+	}
+}
+
 // Callers that a stop refused connected anew at once and got in again, thousands of times a stop: the
 // listener was open while the last connections were answered.
 func TestRefusedCallersDoNotGetInAgain(t *testing.T) {
