Bytes behind a gap of one server contradict no others

A whole stream looked cut if one server's answer went on with events of another stream and a part of one more arrived with the first of them: the part counted as seen, each other server contradicted it, and the stream was cut with all of its events at the caller.

Cause: recordRest takes what follows a gap for a claim of one server, but only a part whose id is known and not the next one. Other parts behind the gap, which belong to the same foreign bytes, were taken for the beginning of the next event. All of them are claims now: two framed answers by which nothing follows outweigh them.

Evidence: 2 of the 3 new rows of TestBytesBehindTheLastEventDoNotOutweighOtherServers failed before, each after 3 runs with all events at the caller ("field of another, chunks" passed); all pass now, and so do the tests of claims and gaps.

--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -126,7 +126,7 @@
 	id, ok := s.Partial()
 	switch {
 	case !ok || errors.Is(failed, stream.ErrNoEvent):
-	case id > x.lastEventID+1 && !x.idsJump, id == 0 && errors.Is(err, io.EOF):
+	case errors.Is(failed, stream.ErrGap), id > x.lastEventID+1 && !x.idsJump, id == 0 && errors.Is(err, io.EOF):
 		x.claimedEventID = max(x.claimedEventID, id, x.lastEventID+1)
 	default:
 		x.seenEventID = max(x.seenEventID, cmp.Or(id, x.lastEventID+1))
--- a/internal/entry/series_end_test.go
+++ b/internal/entry/series_end_test.go
@@ -117,6 +117,9 @@
 		"part of another stream":   untilClose("id: 99\nda", 1, 2, 3),
 		"event of another, chunks": inChunks("id: 99\ndata: 99\n\n", 1, 2, 3),
 		"event of another, cut":    cutChunks("id: 99\ndata: 99\n\n", 1, 2, 3),
+		"events of another, cut":   cutChunks("id: 99\ndata: 99\n\nid", 1, 2, 3),
+		"next id of another, cut":  cutChunks("id: 99\ndata: 99\n\nid: 4\nda", 1, 2, 3),
+		"field of another, chunks": inChunks("id: 99\ndata: 99\n\nda", 1, 2, 3),
 	} {
 		got, runs := newHarness(t).restInTurn(3, first, sound)
 		body, _ := strings.CutSuffix(got.body, ": ping")
