Killed server's stream without ids does not look whole

A stream of a route that may be resumed, whose answer had no length or chunks, ended as complete for its caller when its server was killed behind an event without an id (ORDER, MIXED): the caller's answer had chunks since its first event or comment, and got the last chunk although only the end of the server's connection marked the end.

Cause: since no server is asked for the rest behind such an event, which was also taken to mean that the caller's answer ends with its connection. That is so only if the first event has no id. Where the caller has chunks, a server that has ended with its connection now cuts the stream; one that is still there ends it, as before.

--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -73,9 +73,9 @@
 	case x.moreSeen(), x.isAtDeadline() && answer.Framing != framing.ByLength:
 	case answer.Framing != framing.ByClose:
 		x.confirmed++
-	case !x.canAskForRest() || !x.forwarder.hasEnded(ctx, a):
+	case x.endsWithServer() || !x.forwarder.hasEnded(ctx, a):
 		x.closes++
-	case !extended:
+	case !extended || !x.canAskForRest():
 		h := x.takeOver(watch)
 		return x.handleBrokenStream(ctx, a, answer, errors.Trace(errIncomplete), h.serverDead)
 	}
@@ -152,6 +152,12 @@
 	return x.route.Resumable && x.route.MaxAttempts > 1 && !x.unnumbered
 }
 
+// endsWithServer reports whether the end of the connection marks the end of the stream for the caller
+// as for the entry.
+func (x *activeRequest) endsWithServer() bool {
+	return !x.canAskForRest() && x.callerMark == framing.ByClose.String()
+}
+
 // mayFollow reports whether another attempt may follow one with the outcome. None goes on behind an
 // event that has no id.
 func (x *activeRequest) mayFollow(o forward.Outcome) bool {
