Servers that can't be reached do not agree on a stream's end

A stream without a length or chunks could end as complete before its last event when its server's machine ended with it: the end of the connection counted as the server's word unless its address refused connections, so also when it could not be reached, or when the check itself was cancelled.

Such an end now counts only if a connection to the server opens. The check of a server that broke off, which reports crashes, still wants a refusal, as an unreachable server may run.

--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -73,7 +73,7 @@
 	case x.moreSeen(), x.isAtDeadline() && answer.Framing != framing.ByLength:
 	case answer.Framing != framing.ByClose:
 		x.confirmed++
-	case x.endsWithServer() || !x.forwarder.hasEnded(ctx, a):
+	case x.endsWithServer() || x.forwarder.isThere(ctx, a):
 		x.closes++
 	case !extended || !x.canAskForRest():
 		h := x.takeOver(watch)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -139,10 +139,20 @@
 // hasEnded reports whether the server of an attempt has ended: it is known to, or refuses
 // connections.
 func (f *forwarder) hasEnded(ctx context.Context, a *attempt) bool {
+	return f.isKnownToHaveEnded(a) || f.client.IsRefused(ctx, a.server.Address)
+}
+
+// isThere reports whether the server of an attempt accepts connections. One that can't be reached
+// may have ended.
+func (f *forwarder) isThere(ctx context.Context, a *attempt) bool {
+	return !f.isKnownToHaveEnded(a) && f.client.Connect(ctx, a.server.Address, nil) == nil
+}
+
+func (f *forwarder) isKnownToHaveEnded(a *attempt) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	_, known := f.parts.ended[serverStart{server: a.server.ID, incarnation: a.server.Incarnation}]
-	f.mu.Unlock()
-	return known || f.client.IsRefused(ctx, a.server.Address)
+	return known
 }
 
 // reportEnds sends the ends of servers to the watched controls.
--- a/internal/entry/series_end_test.go
+++ b/internal/entry/series_end_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"rosereach/core/backend"
 	"rosereach/core/forward"
+	"rosereach/io/upstream"
 )
 
 type (
@@ -284,6 +288,25 @@
 	}
 }
 
+// A server whose machine ends with it can't be reached: the end of its connection counted as its word.
+func TestEndOfAnUnreachableServersConnectionIsNotEnough(t *testing.T) {
+	r := newHarness(t)
+	var unreachable sync.Map
+	r.entry.forwarder.client.DialContext = func(ctx context.Context, address string, _ func(string) bool) (net.Conn, error) {
+		if _, ok := unreachable.Load(address); ok {
+			return nil, syscall.EHOSTUNREACH
+		}
+		return upstream.DialOnce(ctx, address)
+	}
+	got, runs := r.restInTurn(3, gone, func(conn net.Conn, has int) {
+		untilClose("", 1, 2)(conn, has)
+		unreachable.Store(conn.LocalAddr().String(), true)
+	}, inChunks(""))
+	if got.err == nil {
+		t.Errorf("%q ends as complete after %d runs", got.body, runs)
+	}
+}
+
 // No server can go on behind an event without an id: callers got the events again from each server
 // that was asked for the rest.
 func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
