An answer without a length whose write failed is reset

A client that took nothing of an answer without a length for the write timeout (30 s by default), and read on later, got a part of it that looked whole (MIXED): answers that are buffered are written with their write errors ignored, their handlers return, and http.Server closes the connection in order behind what the kernel had taken.

A connection on which a write of the last answer failed is now reset when it is closed. Answers with a length or chunks are incomplete then anyway. Found by reading; independent of stops, and there before.

--- a/internal/httpd/answer_end.go
+++ b/internal/httpd/answer_end.go
@@ -117,6 +117,13 @@
 	return a.state == answerSent && a.err == nil
 }
 
+// hasFailed reports whether a write of it has failed.
+func (a *answer) hasFailed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.err != nil
+}
+
 // conclude ends the account of an answer whose handler has returned, ok false if there is none. A
 // connection that closes drops the given number of bytes.
 func (a *answer) conclude(dropped int) (lost LostAnswer, ok bool) {
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -390,7 +390,8 @@
 }
 
 // Close closes the connection, unless it lingers, as it does when data follows a request that was
-// answered. A request that has arrived since its wait ended is refused.
+// answered. A request that has arrived since its wait ended is refused. After a failed write, the
+// connection is reset, as its end may mark that of the answer.
 func (t *trackedConn) Close() error {
 	t.mu.Lock()
 	lingers, waitOver := t.lingers, t.waitOver
@@ -406,6 +407,9 @@
 		t.concludeAnswer(0)
 		return nil
 	}
+	if t.answer.hasFailed() {
+		t.SetLinger(0) //nolint:errcheck // fails only on a closed connection
+	}
 	t.concludeAnswer(t.droppedByClose())
 	t.guard.release(t.held)
 	return t.closeNow()
