Panics leave the reserve of the log

Lines about requests that a stop cuts are taken from a reserve of 1 MiB, which a process has once, so that a burst of them is kept.

The first 64 panics of a process are taken from the reserve, later ones from the bucket of all lines. They are counted as before.

--- a/internal/httpd/panic.go
+++ b/internal/httpd/panic.go
@@ -17,8 +17,14 @@
 	// such as the stack of a panic, is logged, in bytes.
 	maxPanicText = 256
 	maxErrorText = 4 << 10
+
+	// maxReservedPanics bounds the lines of panics that are taken from the log's reserve, which is for
+	// the end of the process.
+	maxReservedPanics = 64
 )
 
+const msgPanic = "Handler panics."
+
 // errorWriter logs what is written to it.
 type errorWriter struct{ logger log.Logger }
 
@@ -37,8 +43,12 @@
 	}
 	g.mu.Lock()
 	g.panics++
+	var msg any = msgPanic
+	if g.panics <= maxReservedPanics {
+		msg = logs.Reserved(msgPanic)
+	}
 	g.mu.Unlock()
-	level.Error(g.logger).Log("msg", logs.Reserved("Handler panics."), "id", name, "err", prefix(fmt.Sprint(value), maxPanicText))
+	level.Error(g.logger).Log("msg", msg, "id", name, "err", prefix(fmt.Sprint(value), maxPanicText))
 }
 
 // errorLog returns the log for the errors of an http.Server.
