Held connections are accepted where the kernel does not tell their number

Callers whose connections and requests the kernel held when an entry hung up got a reset in place of an answer or refusal, if the listener's socket does not report how many it holds: an option that some kernels don't have for each kind of socket (Go's listeners are MPTCP ones where the kernel has it). Since an unknown number counted as none.

Connections are then accepted until none comes for 5 ms, twice, inside the same bounds of time and number, before the listener is closed and any of them is answered.

Not seen on a kernel: here it tells.

--- a/internal/httpd/listener.go
+++ b/internal/httpd/listener.go
@@ -114,51 +114,56 @@
 	c := l.server.clock()
 	until := c.Now().Add(l.server.endTimeout())
 	for calls := 0; calls < minLastCalls || c.Now().Before(until); calls++ {
-		n := min(heldBy(l.Listener), maxLastCall-len(l.last))
-		if n <= 0 {
+		n, ok := heldBy(l.Listener)
+		limit := l.server.endTimeout()
+		if !ok {
+			n, limit = maxLastCall, arrivedTime
+		}
+		if n = min(n, maxLastCall-len(l.last)); n <= 0 {
+			return
+		}
+		if l.acceptHeld(n, limit) == 0 && !ok && calls > 0 {
 			return
 		}
-		l.acceptHeld(n)
 	}
 }
 
-// acceptHeld accepts a number of connections that the kernel holds.
-func (l *trackedListener) acceptHeld(n int) {
+// acceptHeld accepts a number of connections that the kernel holds, for the given time at most, and
+// returns how many it got.
+func (l *trackedListener) acceptHeld(n int, limit time.Duration) (accepted int) {
 	d, ok := l.Listener.(deadliner)
-	if !ok || d.SetDeadline(time.Now().Add(l.server.endTimeout())) != nil {
-		return
+	if !ok || d.SetDeadline(time.Now().Add(limit)) != nil {
+		return 0
 	}
-	for range n {
+	for ; accepted < n; accepted++ {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			return
+			break
 		}
 		if t := l.track(c); t != nil {
 			l.last = append(l.last, t)
 		}
 	}
+	return accepted
 }
 
-// heldBy returns the number of connections that the kernel holds for a listener, 0 if that is unknown.
-func heldBy(l net.Listener) int {
-	c, ok := l.(syscall.Conn)
-	if !ok {
-		return 0
+// heldBy returns the number of connections that the kernel holds for a listener, ok false if it does
+// not tell.
+func heldBy(l net.Listener) (n int, ok bool) {
+	c, isSocket := l.(syscall.Conn)
+	if !isSocket {
+		return 0, false
 	}
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return 0
+		return 0, false
 	}
-	n := 0
 	err = raw.Control(func(fd uintptr) {
 		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			n = int(info.Unacked) // of a listener, the connections that wait to be accepted
+			n, ok = int(info.Unacked), true // of a listener, the connections that wait to be accepted
 		}
 	})
-	if err != nil {
-		return 0
-	}
-	return n
+	return n, ok && err == nil
 }
 
 // stopAccepting lets the server's accept return what the kernel holds and then fail, or closes a
