Idle connections hold no long ids

A client with many idle connections could make an entry hold the id of the last request of each, up to the limit of a head, beside the account of the clients' memory: since a connection keeps the name of its last request for the log until the next one begins. A line with such an id was also too long for the log's reserve, so that the loss of its answer could leave no line.

A connection keeps a copy of the first 128 bytes of the name.

--- a/internal/httpd/panic.go
+++ b/internal/httpd/panic.go
@@ -5,6 +5,7 @@
 	"fmt"
 	stdlog "log"
 	"net/http"
+	"strings"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -18,6 +19,10 @@
 	maxPanicText = 256
 	maxErrorText = 4 << 10
 
+	// maxNameBytes is how much of a request's name is kept, for as long as its connection is open, and
+	// logged.
+	maxNameBytes = 128
+
 	// maxReservedPanics bounds the lines of panics that are taken from the log's reserve, which is for
 	// the end of the process.
 	maxReservedPanics = 64
@@ -32,7 +37,7 @@
 // log.
 func Identify(ctx context.Context, name string) {
 	if t, ok := ctx.Value(connKey{}).(*trackedConn); ok {
-		t.answer.identify(name)
+		t.answer.identify(strings.Clone(prefix(name, maxNameBytes)))
 	}
 }
 
