A roll-out to the release that runs leaves its servers in use

POST /rollouts with the version that all servers of a service already run: all requests of the service got 503 until the target took all (10 s of 12, by hand, in the review). Until then only servers of other releases got requests, and there were none; a roll-back at the end would have left the service without servers for good.

The leader now gives the roll-out's monitor the releases of the servers that take requests. If the target is the only one, and no other had requests since the order, the target takes all at once and the roll-out is completed at its usual time. Old servers that are lost during a real roll-out had requests, so that the bound on a bad release holds as before; a leader that doesn't know all servers yet decides nothing. It moves by way of the canary, which controls of older builds allow too.

--- a/core/rollout/monitor.go
+++ b/core/rollout/monitor.go
@@ -76,6 +76,8 @@
 		// fullSince is the time after the order at which the target was to take all
 		// requests, 0 if this control did not decide it.
 		fullSince time.Duration
+		// hasNoOthers is set while the target has servers and no other release has any.
+		hasNoOthers bool
 	}
 
 	reporter struct {
@@ -132,6 +134,12 @@
 	}
 }
 
+// ObserveServers takes the releases of all servers of the order's service that take
+// requests.
+func (m *Monitor) ObserveServers(o Order, releases []string) {
+	m.hasNoOthers = slices.Contains(releases, o.Target) && !slices.ContainsFunc(releases, o.MayServe)
+}
+
 // compare returns the attempts at the target and at the others, in all and by route.
 func (m *Monitor) compare(target string) (releases, map[string]releases) {
 	var all releases
@@ -163,6 +171,13 @@
 	return r.next.Requests, r.next.Requests + r.old.Requests
 }
 
+// isOnlyRelease reports whether the target has been the only release since the order. A
+// release that has lost all of its servers meanwhile may still be the one to go back to.
+func (m *Monitor) isOnlyRelease(target string) bool {
+	seen, all := m.counts(target)
+	return m.hasNoOthers && seen == all
+}
+
 // rollbackReason returns the reason to roll the target back, or "". It compares the
 // releases over all routes and on each route, as a release can be bad on a single
 // one.
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -238,6 +238,9 @@
 	if o.IsFinal() {
 		return stay
 	}
+	if m.isOnlyRelease(o.Target) {
+		return o.nextWithoutOthers(elapsed, stay)
+	}
 	if reason := m.rollbackReason(o.Target); reason != "" {
 		return Move{Stage: StageRolledBack, Reason: reason}
 	}
@@ -264,6 +267,22 @@
 	return stay
 }
 
+// nextWithoutOthers returns the move that is due when the target is the only release: its
+// servers serve as before the order, and there is no release to go back to. The target
+// takes all by way of the canary, as controls of older builds allow no other way.
+func (o Order) nextWithoutOthers(elapsed time.Duration, stay Move) Move {
+	const reason = "no other release has servers"
+	switch {
+	case o.Stage == StageOrdered || o.Stage == StageProbe:
+		return Move{Stage: StageCanary, Reason: reason}
+	case o.isCanary():
+		return Move{Stage: StageFull, Reason: reason}
+	case elapsed >= o.completionTime():
+		return Move{Stage: StageCompleted, Reason: reason}
+	}
+	return stay
+}
+
 // mayTakeAll reports whether the target may take all requests: because the operator's
 // bound allows it for the rest of the duration, or because its health is shown. The
 // former is the strongest test of a release while the old servers still run, and the only
--- a/core/rollout/order_test.go
+++ b/core/rollout/order_test.go
@@ -254,3 +254,51 @@
 		t.Fatal("a much later order counts as a resend")
 	}
 }
+
+// The servers of a release got no requests for most of a roll-out to that release, as there
+// were no others to go to, and a roll-back would have taken all of them away.
+func TestRolloutToTheOnlyReleaseKeepsItsServers(t *testing.T) {
+	o, m := order(rollout.StageOrdered), &rollout.Monitor{}
+	o.RolledBack = []string{"v3"}
+	m.ObserveServers(o, []string{"v2", "v3", "v2"})
+	m.Observe(o, []rollout.Report{{Entry: "entry", Tallies: []rollout.Tally{tally("v2", "r", 300, 3, 100)}}})
+	var completed time.Duration
+	for at := time.Duration(0); at <= duration && completed == 0; at += 200 * time.Millisecond {
+		for range 3 { // a move is followed by the next one at once
+			move := o.Next(at, m, rollout.Budget{Share: 0.15})
+			if o.Changes(move) && !o.MayMove(move.Stage) {
+				t.Fatalf("%s cannot move to %s", o.Stage, move.Stage)
+			}
+			o.Stage = move.Stage
+		}
+		if share := o.TargetShare(0.15); share != 1 {
+			t.Fatalf("stage %s after %s: the only release gets %.2f of the requests", o.Stage, at, share)
+		}
+		if o.Stage == rollout.StageCompleted {
+			completed = at
+		}
+	}
+	if completed < duration/2 || completed > duration-time.Second {
+		t.Errorf("completed after %s of %s, %s", completed, duration, o.Stage)
+	}
+}
+
+// A target is not taken for the only release while the old one may come back, or as long as
+// no server of the target is known.
+func TestLostServersAreNoReasonToTakeAll(t *testing.T) {
+	for name, c := range map[string]struct {
+		releases []string
+		tallies  []rollout.Tally
+	}{
+		"another release has a server": {releases: []string{"v2", "v1"}},
+		"another release had requests": {[]string{"v2"}, []rollout.Tally{tally("v1", "r", 1, 0, 100)}},
+		"no server is known":           {},
+	} {
+		o, m := order(rollout.StageOrdered), &rollout.Monitor{}
+		m.ObserveServers(o, c.releases)
+		m.Observe(o, []rollout.Report{{Entry: "entry", Tallies: c.tallies}})
+		if move := o.Next(time.Second, m, rollout.Budget{Share: 0.15}); move.Stage != rollout.StageOrdered {
+			t.Errorf("%s: moves to %s", name, move.Stage)
+		}
+	}
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -174,6 +174,9 @@
 	}
 	n.cfg.Logger.Log("msg", "Documents are committed.", "revision", revision)
 	n.startRolloutClocks(n.cfg.Clock.Now())
+	if n.leadership != nil && n.leadership.ready {
+		n.advanceRollouts(ctx, n.cfg.Clock.Now()) // servers that already run the target wait for it
+	}
 	n.fleet.wakeWatchers()
 	for c := range n.watchers {
 		go c.Notify(ctx, member.KindDocumentsChanged, member.DocumentsChanged{Revision: revision}) //nolint:errcheck // an entry that misses the notice gets the revision with its next lease
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		elapsed := n.rolloutElapsed(now, o)
-		monitor := n.observeRollout(o)
+		monitor := n.observeRollout(now, o)
 		budget, isMeasured := n.cfg.Exposure, n.hasFeature(change.MeasuredRollouts)
 		if !isMeasured {
 			budget.Slack = 0
@@ -78,15 +78,22 @@
 	}
 }
 
-// observeRollout adds the entries' reports to the monitor of a roll-out whose clock runs.
-// Callers hold n.mu.
-func (n *Node) observeRollout(o rollout.Order) *rollout.Monitor {
+// observeRollout adds the entries' reports, and the servers once all are known, to the
+// monitor of a roll-out whose clock runs. Callers hold n.mu.
+func (n *Node) observeRollout(now time.Time, o rollout.Order) *rollout.Monitor {
 	monitor := n.rolloutClocks[o.Service].monitor
 	reports := make([]rollout.Report, 0, len(n.fleet.reports))
 	for _, r := range n.fleet.reports {
 		reports = append(reports, rollout.Report{Entry: r.latest.Entry, Incarnation: r.latest.Incarnation, Tallies: r.latest.Tallies})
 	}
 	monitor.Observe(o, reports)
+	if n.fleet.isCurrent && now.Sub(n.fleet.since) >= sharesAfter {
+		var releases []string
+		for _, r := range n.fleet.roster.Serving(o.Service) {
+			releases = append(releases, r.Server.Release)
+		}
+		monitor.ObserveServers(o, releases)
+	}
 	return monitor
 }
 
