A data file that can't grow counts as a full disk

When the file has to grow, the library formats the cause into its error ("file resize error: truncate ...: no space left on device", "file sync error: ...") and does not wrap it, so that it was taken for another error.

The text of such an error ends with that of its cause, by which it is now recognized.

--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -9,6 +9,8 @@
 	"encoding/binary"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -251,12 +253,20 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EDQUOT), errors.Is(err, syscall.EFBIG):
+	case isFull(err):
 		return errors.Annotatef(ErrFull, "data file %s: %v: free space on the disk; cause", s.path, err)
 	}
 	return errors.Annotatef(err, "data file %s", s.path)
 }
 
+// isFull reports whether a write failed for lack of space. When the file has to grow, the
+// library has the cause in the error's text only.
+func isFull(err error) bool {
+	return slices.ContainsFunc([]syscall.Errno{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG}, func(full syscall.Errno) bool {
+		return errors.Is(err, full) || strings.HasSuffix(err.Error(), ": "+full.Error())
+	})
+}
+
 // newIncarnation returns a random 63-bit number, which no other folder has.
 func newIncarnation() uint64 {
 	var b [8]byte
