A stream that begins with a byte order mark is passed on

A stream whose first event has a byte order mark before its first field, which text/event-stream allows, failed at each server and its caller got 502: since an event without an id has to begin with a field, and the mark is none of a field's characters.

TestByteOrderMarkBeginsAStream fails before and passes now.

--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -24,6 +24,9 @@
 // MaxEventBytes is the largest event in bytes.
 const MaxEventBytes = 1 << 20
 
+// byteOrderMark may begin a stream.
+const byteOrderMark = "\ufeff"
+
 // maxSpentBytes is how much of a buffer is kept whose events were returned.
 const maxSpentBytes = 16 << 10
 
@@ -133,9 +136,10 @@
 	return nil
 }
 
-// isField reports whether a line, which may be cut, is a field of an event.
+// isField reports whether a line, which may be cut, is a field of an event, behind a byte order mark if
+// the line is a stream's first.
 func isField(line []byte) bool {
-	name, _, _ := bytes.Cut(line, []byte(":"))
+	name, _, _ := bytes.Cut(bytes.TrimPrefix(line, []byte(byteOrderMark)), []byte(":"))
 	return len(name) > 0 && !bytes.ContainsFunc(name, func(r rune) bool {
 		return r != '-' && r != '_' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
 	})
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -174,3 +174,18 @@
 	}
 	runtime.KeepAlive(splitters)
 }
+
+// A stream that begins with a byte order mark was taken for something else than events.
+func TestByteOrderMarkBeginsAStream(t *testing.T) {
+	var s stream.Splitter
+	events, err := s.Push([]byte("\ufeffdata: 1\n\nid: 2\ndata: 2\n\n"))
+	if err != nil || len(events) != 2 {
+		t.Fatal(events, err)
+	}
+	order := stream.NewSequencer(0)
+	for _, e := range events {
+		if ok, err := order.Admit(e); !ok || err != nil {
+			t.Errorf("%q: %v, %v", e.Raw, ok, err)
+		}
+	}
+}
