A killed relay's end is not that of an answer

An answer without a length or chunks that reached an entry through another one looked whole when that other entry was killed in the middle of it (MIXED, ORDER): the kernel ends the connections of a killed process in order, as a server does at the end of such an answer. Callers got the part as a success; where a stream may be resumed, the end counted as the word of its server, which was still there.

At the end of such an answer over a detour the entry now asks whether the other entry still accepts connections; if not, the answer broke off. A relay that stops in order resets its detours, as before.

--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -70,6 +70,17 @@
 // control that named the entry did not tell.
 func (c *detouredConn) Via() string { return c.region }
 
+// IsOrphaned reports whether the other entry is gone. A process that is killed ends its connections
+// in order, as a server does at the end of an answer without a length.
+func (c *detouredConn) IsOrphaned() bool {
+	conn, err := upstream.DialOnce(context.Background(), c.RemoteAddr().String())
+	if err != nil {
+		return true
+	}
+	conn.Close() //nolint:errcheck // nothing was sent
+	return false
+}
+
 func newDetours(f *forwarder) *detours {
 	cfg := f.entry.cfg
 	return &detours{
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -132,7 +132,8 @@
 		// DialContext opens a connection to a server, by default with Dial. It must be set
 		// before the first request. Via is that of the call. A connection with a method
 		// IsStale() bool that returns true is not used for another request, and one with
-		// a method Via() string only for calls that allow that region.
+		// a method Via() string only for calls that allow that region. If a method
+		// IsOrphaned() bool returns true, its end is not that of an answer.
 		DialContext func(ctx context.Context, address string, via func(region string) bool) (net.Conn, error)
 	}
 
@@ -364,7 +365,7 @@
 // framing tells.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
-	if err == io.EOF && a.Framing == framing.ByClose && !a.wroteAll() {
+	if err == io.EOF && a.Framing == framing.ByClose && (!a.wroteAll() || a.conn.isOrphaned()) {
 		// The kernel reports a reset once. If the write of the request got it, a read
 		// returns the same as at the end of the connection.
 		err = io.ErrUnexpectedEOF
@@ -571,6 +572,12 @@
 	return err == nil && quiet
 }
 
+// isOrphaned reports whether what the connection passes through is gone.
+func (c *conn) isOrphaned() bool {
+	passing, ok := c.Conn.(interface{ IsOrphaned() bool })
+	return ok && passing.IsOrphaned()
+}
+
 // encodeHead encodes the request line and header.
 func encodeHead(call Call) []byte {
 	var b bytes.Buffer
