A killed process's answer without a length does not look whole

Answers with chunks or a length were cut visibly.

While such an answer is written, the socket is told to reset its connection when it is closed (SO_LINGER 0), which holds for the kernel as well, and is told otherwise once the handler has returned in order. Other answers cost no call.

--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -133,6 +133,7 @@
 		conn.setRunning(true)
 		conn.concludeAnswer(0) // the last one's client goes on
 		conn.answer.begin()
+		conn.beginAnswer(func() bool { return endsByClose(w, r) })
 		returned := false
 		defer func() {
 			if !returned && endsByClose(w, r) {
@@ -148,6 +149,7 @@
 		h.ServeHTTP(w, r)
 		if endsByClose(w, r) {
 			http.NewResponseController(w).Flush() //nolint:errcheck // fails only on a closed connection
+			conn.SetLinger(-1)                    //nolint:errcheck // see above
 		}
 		returned = true
 	})
--- a/internal/httpd/conns.go
+++ b/internal/httpd/conns.go
@@ -95,6 +95,8 @@
 		hijacked bool // no handler answers
 		lingers  bool // what still arrives is read and dropped, then the connection is closed
 		timer    *time.Timer
+		// endsByClose is nil once the answer to the last request has begun to be written.
+		endsByClose func() bool
 	}
 )
 
@@ -269,6 +271,9 @@
 // Write implements net.Conn. It ends an answer of which the client takes nothing for a while; a
 // slow client has that time for each piece.
 func (t *trackedConn) Write(p []byte) (written int, err error) {
+	if t.mayLookWhole() {
+		t.SetLinger(0) //nolint:errcheck // fails only on a closed connection
+	}
 	defer t.guard.sent(t.held)
 	defer func() {
 		if err != nil {
@@ -287,6 +292,24 @@
 	return written, err
 }
 
+// beginAnswer begins the answer to a request. EndsByClose reports whether the end of the connection may
+// mark its end, once its head is known.
+func (t *trackedConn) beginAnswer(endsByClose func() bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endsByClose = endsByClose
+}
+
+// mayLookWhole reports, once an answer, whether a part of it would look whole if the process were
+// killed: the kernel ends the connection in order unless it is told otherwise.
+func (t *trackedConn) mayLookWhole() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	endsByClose := t.endsByClose
+	t.endsByClose = nil
+	return endsByClose != nil && endsByClose()
+}
+
 // countHead reports whether a head is being read, and adds n bytes to it and reports whether it is
 // inside the limit. Empty lines before a request count as well.
 func (t *trackedConn) countHead(n int) (isHead, isSmall bool) {
