Streams taken from silent servers keep a retry to prove their ends

Callers of a stopping entry lost streams of which they had every event and whose servers were sound: 0.3 s before requests without an answer are ended, the entry takes begun answers from servers that are silent for the moment. Another server then says that nothing follows, and a third has to agree; but all retries of the budget had gone into taking streams. They waited for a retry until the exit cut them, with no server at work, while their first servers would have ended them 0.3 s later.

In a stop, an answer is now taken from a silent server only if the budget has a retry for it and one for each answer that was taken and of which no other server has sent more. The others stay with their servers, and are looked after again a quarter of a second later.

TestRescuesLeaveRetriesToProveEnds fails without the reserve: 0 of 48 rescued answers have a retry.

--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -99,6 +99,7 @@
 		seenEventID  uint64          // highest ID of an event of which at least a part was seen
 		confirmed    int             // answers by which nothing follows the last event
 		awaitsEnd    bool            // the stream seems whole, and nothing proves that it has ended
+		rescues      *rescues        // its own
 		awaitsRescue bool            // it was taken from a silent server, and none has sent more of it
 		answers      []string        // of servers, as far as their ends are concerned, for the log
 		callerMark   string          // what marks the end of the caller's answer, for the log
--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -198,6 +198,7 @@
 		x.lastEventID = order.LastID()
 		if e.IsContent() {
 			x.confirmed, x.closes, x.awaitsEnd, x.awaitsRescue = 0, 0, false, false
+			x.rescues.end()
 			x.events++
 			a.answer.Events++
 		}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -106,6 +106,7 @@
 		durations forward.Durations // of the requests of each route
 		paces     forward.Durations // for each output token of the streams of each route and model
 		unlocated atomic.Int64      // requests rejected for their homes or evacuated zones
+		rescues   atomic.Int64      // see rescues
 
 		placement placement.Priced
 
@@ -235,6 +236,7 @@
 	x.logAdmitted(req.Arrived)
 	x.forwarder.beginRunning(x)
 	defer x.forwarder.endRunning(x)
+	defer x.rescues.end()
 	err = errAborted // unless run returns
 	defer func() { x.recordResult(ctx, err) }()
 	err = x.run(ctx)
@@ -286,7 +288,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	x := &activeRequest{forwarder: e.forwarder, req: req, route: r, workspace: w, sink: sink, deadline: deadlineOf(req, r)}
+	x := &activeRequest{forwarder: e.forwarder, req: req, route: r, workspace: w, sink: sink, deadline: deadlineOf(req, r), rescues: &rescues{entry: &e.forwarder.rescues}}
 	x.service = e.forwarder.pickService(r)
 	x.parts = x.sharedParts()
 	x.digest = quarantine.DigestOf(x.service, w.Name, req.Method, req.Target, req.Body)
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -251,7 +251,12 @@
 	if next != nil {
 		expected = max(next.expected, 1)
 	}
-	decision := s.Decide(expected, left, func() bool { return f.takeRetry(t.request.service, s.Begun) })
+	decision := s.Decide(expected, left, func() bool {
+		if s.Begun && s.Stopping {
+			return f.takeRescue(t.request.service, t.request.rescues)
+		}
+		return f.takeRetry(t.request.service, s.Begun)
+	})
 	f.metrics.silent.WithLabelValues(string(decision)).Inc()
 	t.request.logSilence(t.attempt, s, next, decision)
 	switch decision {
--- /dev/null
+++ b/internal/entry/rescue.go
@@ -0,0 +1,29 @@
+package entry
+
+import "sync/atomic"
+
+// rescues counts the begun answers that were taken from silent servers in a stop, and of which no
+// other server has sent more. One of which only the end is left needs a further retry: a second
+// server has to agree on the end.
+type rescues struct {
+	entry *atomic.Int64 // those of all requests
+	own   atomic.Int64  // those of one request
+}
+
+// takeRescue takes a retry for an answer that is taken from a silent server. It leaves one for each
+// such answer, so that none is given up at its server for an end that nothing can prove.
+func (f *forwarder) takeRescue(service string, r *rescues) bool {
+	if left := f.rescues.Add(1); !f.takeRetryLeaving(service, true, int(left)) {
+		f.rescues.Add(-1)
+		return false
+	}
+	r.own.Add(1)
+	return true
+}
+
+// end records that the request needs no more retries for its rescues.
+func (r *rescues) end() {
+	if r != nil {
+		r.entry.Add(-r.own.Swap(0))
+	}
+}
