Rescues of a service leave those of others

In a stop, a begun answer stayed at its silent server, and was cut at the exit, because answers for another service had been taken from silent servers: since a rescue leaves one retry for each answer that was taken and not gone on with, counted over all services, in the budget of its own service. Each service has a budget of its own.

The rescues are counted for each service.

TestRescuesOfAServiceLeaveThoseOfOthers: with equal budgets the first service had 25 rescues and the second 12 before; both have as many now.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -106,7 +106,6 @@
 		durations forward.Durations // of the requests of each route
 		paces     forward.Durations // for each output token of the streams of each route and model
 		unlocated atomic.Int64      // requests rejected for their homes or evacuated zones
-		rescues   atomic.Int64      // see rescues
 
 		placement placement.Priced
 
@@ -126,6 +125,7 @@
 		loads          map[string]backend.Load
 		lastActivity   map[string]time.Time         // when each server last sent data
 		running        map[*activeRequest]time.Time // since when each request runs
+		rescues        map[string]*atomic.Int64     // of each service; see rescues
 		downSince      map[string]time.Time         // since when each service has had no usable server
 		retryBudgets   *retry.WindowBudgets
 		tallies        map[tallyKey]rollout.Tally
@@ -141,7 +141,7 @@
 func newForwarder(e *Entry) *forwarder {
 	f := &forwarder{
 		entry: e, client: upstream.NewClient(e.cfg.Clock),
-		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), restraints: health.NewRestraints(), unreadable: make(map[string]uint64), turnedAway: make(map[string]int), latencyModel: placement.NewLatencyModel(), placement: placement.NewPriced(), loads: make(map[string]backend.Load), lastActivity: make(map[string]time.Time), running: make(map[*activeRequest]time.Time), downSince: make(map[string]time.Time),
+		roster: newEntryRoster(e.cfg.Incarnation), health: health.NewTracker(), restraints: health.NewRestraints(), unreadable: make(map[string]uint64), turnedAway: make(map[string]int), latencyModel: placement.NewLatencyModel(), placement: placement.NewPriced(), loads: make(map[string]backend.Load), lastActivity: make(map[string]time.Time), running: make(map[*activeRequest]time.Time), downSince: make(map[string]time.Time), rescues: make(map[string]*atomic.Int64),
 		tallies: make(map[tallyKey]rollout.Tally), random: rand.New(rand.NewPCG(e.cfg.Seed, ^e.cfg.Incarnation)), //nolint:gosec // only used to spread load
 	}
 	f.startedAt = e.cfg.Clock.Now()
@@ -288,8 +288,9 @@
 	if failure != nil {
 		return nil, failure
 	}
-	x := &activeRequest{forwarder: e.forwarder, req: req, route: r, workspace: w, sink: sink, deadline: deadlineOf(req, r), rescues: &rescues{entry: &e.forwarder.rescues}}
+	x := &activeRequest{forwarder: e.forwarder, req: req, route: r, workspace: w, sink: sink, deadline: deadlineOf(req, r)}
 	x.service = e.forwarder.pickService(r)
+	x.rescues = e.forwarder.rescuesFor(x.service)
 	x.parts = x.sharedParts()
 	x.digest = quarantine.DigestOf(x.service, w.Name, req.Method, req.Target, req.Body)
 	return x, nil
