A whole stream behind which wrong bytes came is proved in a stop

A stream whose server wrote bytes of no event behind its end was cut in a planned stop, with all events at its caller: as broken streams are, it was expected to take as long as its route's longest ones, which the stop did not leave. It has only its end left, as one without a mark, whose proof counts as a first byte.

--- a/internal/entry/active_request_stream.go
+++ b/internal/entry/active_request_stream.go
@@ -59,12 +59,19 @@
 		case errors.Is(err, io.EOF) && splitter.IsAtEnd() && x.hasBegun():
 			return x.handleStreamEnd(ctx, a, answer, splitter.Rest(), watch)
 		default:
+			x.awaitsEnd = x.awaitsEnd || errors.Is(err, io.EOF) && x.seemsWhole(a)
 			h := x.takeOver(watch)
 			return x.handleBrokenStream(ctx, a, answer, errors.Annotatef(errIncomplete, "%v", err), h.serverDead)
 		}
 	}
 }
 
+// seemsWhole reports whether an answer that has ended in order had events, and showed nothing that follows
+// them.
+func (x *activeRequest) seemsWhole(a *attempt) bool {
+	return a.answer.Events > 0 && !x.moreSeen() && x.claimedEventID <= x.lastEventID
+}
+
 // handleStreamEnd handles an answer to a stream that has ended in order after a whole event.
 func (x *activeRequest) handleStreamEnd(ctx context.Context, a *attempt, answer *upstream.Answer, rest []byte, watch *idleTimer) (forward.Outcome, error) {
 	answer.Close()
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -704,27 +704,31 @@
 }
 
 // A stream that its server had made whole was cut during a stop where only the end of the
-// connection marked its own: the proof that nothing follows takes no longer than a first byte.
+// connection marked its own, or where bytes of no event followed: the proof that nothing follows takes no
+// longer than a first byte.
 func TestEndOfWholeStreamIsProvedDuringTheStop(t *testing.T) {
-	s := newStoppingEntry(t)
-	s.takes(4 * time.Second)
-	s.among(3)
-	began, goOn := make(chan struct{}), make(chan struct{})
-	runs := s.serveInTurn(func(conn net.Conn) {
-		io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\nConnection: close\r\n\r\nid: 1\ndata: 1\n\n")
-		close(began)
-		<-goOn
-	}, emptyAnswer)
-	got := &recordingSink{}
-	ended := make(chan error, 1)
-	go func() {
-		ended <- s.entry.Forward(t.Context(), forward.Request{ID: "id-1", Method: "POST", Host: "h", Path: "/streaming/x", Target: "/streaming/x", Key: "k", Arrived: time.Now()}, got)
-	}()
-	<-began
-	s.entry.stopping.begin(stopIn(time.Millisecond, 3*time.Second))
-	close(goOn)
-	if err := <-ended; err != nil || got.text() != "id: 1\ndata: 1\n\n" || runs.Load() != 3 {
-		t.Errorf("%q after %d runs, %v", got.text(), runs.Load(), err)
+	for name, behind := range map[string]string{"nothing": "", "wrong bytes": "\x00\xf1 wrong bytes"} {
+		s := newStoppingEntry(t)
+		s.takes(4 * time.Second)
+		s.among(3)
+		began, goOn := make(chan struct{}), make(chan struct{})
+		runs := s.serveInTurn(func(conn net.Conn) {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\nConnection: close\r\n\r\nid: 1\ndata: 1\n\n")
+			close(began)
+			<-goOn
+			io.WriteString(conn, behind)
+		}, emptyAnswer)
+		got := &recordingSink{}
+		ended := make(chan error, 1)
+		go func() {
+			ended <- s.entry.Forward(t.Context(), forward.Request{ID: "id-1", Method: "POST", Host: "h", Path: "/streaming/x", Target: "/streaming/x", Key: "k", Arrived: time.Now()}, got)
+		}()
+		<-began
+		s.entry.stopping.begin(stopIn(time.Millisecond, 3*time.Second))
+		close(goOn)
+		if err := <-ended; err != nil || got.text() != "id: 1\ndata: 1\n\n" || runs.Load() != 3 {
+			t.Errorf("%s: %q after %d runs, %v", name, got.text(), runs.Load(), err)
+		}
 	}
 }
 
