Lines about silent attempts tell why there is no successor

Begun streams waited for a silent server until the exit of their entry, and their lines said only that no server could take over (next=). Four causes look the same: the retry budget is used up, no other server takes requests, none could be connected to, or the rest could not come in time.

The line has the cause now (why), next to the server and within its first 200 characters.

--- a/internal/entry/active_request_log.go
+++ b/internal/entry/active_request_log.go
@@ -57,13 +57,13 @@
 }
 
 // logSilence logs the decision about a silent attempt.
-func (x *activeRequest) logSilence(a *attempt, s forward.Silence, next *attempt, d forward.SilenceDecision) {
+func (x *activeRequest) logSilence(a *attempt, s forward.Silence, next *attempt, why noSuccessor, d forward.SilenceDecision) {
 	successor, expected := "", time.Duration(0)
 	if next != nil {
 		successor, expected = next.server.ID, next.expected
 	}
-	level.Warn(x.log()).Log("msg", "Silent attempt is judged.", "id", x.req.ID, "srv", a.server.ID, "model", x.model, "silent", s.Duration,
-		"hard", s.Hard, "alive", s.SignOfLife, "holds", s.Holds, "begun", s.Begun, "last", x.lastEventID, "next", successor, "next_exp", expected,
+	level.Warn(x.log()).Log("msg", "Silent attempt is judged.", "id", x.req.ID, "srv", a.server.ID, "next", successor, "why", why, "silent", s.Duration, "model", x.model,
+		"hard", s.Hard, "alive", s.SignOfLife, "holds", s.Holds, "begun", s.Begun, "last", x.lastEventID, "next_exp", expected,
 		"run", x.runs, "tried", len(x.tried), "left", x.deadline.Sub(x.now()), "decision", d)
 }
 
--- a/internal/entry/idle_timer.go
+++ b/internal/entry/idle_timer.go
@@ -62,6 +62,17 @@
 	maxStatusBytes = 256 << 10
 )
 
+// Why no server takes over a request whose server is silent.
+const (
+	noRetry    noSuccessor = "no_retry"    // the budget is used up
+	noServer   noSuccessor = "no_server"   // none may get the request now
+	notInTime  noSuccessor = "not_in_time" // it could not answer before the deadline, or end before the exit
+	notReached noSuccessor = "not_reached" // no connection could be opened
+)
+
+// noSuccessor is why no server takes a request over, empty if one could.
+type noSuccessor string
+
 // idleTimeouts holds the timeouts of a wait for a server: soft for a first check
 // whether the server still has the request, hard for the end of the wait. No attempt
 // may follow the last one, which ends at the deadline, except for a rescue in a planned stop.
@@ -178,12 +189,12 @@
 		s.Runs = status.Reported && status.RunsRequest
 	}
 	if s.IsSuspect() {
-		next := t.findSuccessor(s)
+		next, why := t.findSuccessor(s)
 		if next == nil && s.Hard && !begun {
 			s.SignOfLife, status = t.request.checkSilent(t.ctx, t.attempt.server)
 			s.Holds = s.SignOfLife && status.HoldsRequest()
 		}
-		t.decide(resets, s, next, start)
+		t.decide(resets, s, next, why, start)
 		return
 	}
 	if !status.RunsRequest && !s.Begun && forward.MayChoose(t.request.route, t.request.runs+1) {
@@ -211,36 +222,41 @@
 
 // findSuccessor chooses a server that could take the request over and opens a connection
 // to it, so that the attempt is not given up for one that is gone. It returns nil if there
-// is none.
-func (t *idleTimer) findSuccessor(s forward.Silence) *attempt {
+// is none, and why.
+func (t *idleTimer) findSuccessor(s forward.Silence) (*attempt, noSuccessor) {
 	if !t.request.forwarder.hasRetry(t.request.service, s.Begun) {
-		return nil
+		return nil, noRetry
 	}
 	request := t.request
 	request.unreachable = slices.Clone(t.request.unreachable)
 	if !s.MayReturn() {
 		request.unreachable = append(request.unreachable, t.attempt.server.ID)
 	}
+	why := noServer
 	for range maxSuccessors {
 		next, ok := t.request.forwarder.chooseServer(&request)
-		if !ok || !request.mayReplace(s.Begun, next) {
-			return nil
+		if !ok {
+			break
+		}
+		if !request.mayReplace(s.Begun, next) {
+			return nil, notInTime
 		}
 		if t.connect(next) {
 			next.rescues = s.Begun
-			return next
+			return next, ""
 		}
-		request.unreachable = append(request.unreachable, next.server.ID)
+		request.unreachable, why = append(request.unreachable, next.server.ID), notReached
 	}
-	return nil
+	return nil, why
 }
 
 // connect opens a connection for the attempt and reports whether that succeeded.
 func (t *idleTimer) connect(a *attempt) bool { return t.request.connect(t.ctx, a) }
 
 // decide ends the attempt or lets the wait go on, unless the server has sent data since
-// the given number of resets. Next is the attempt that may replace it, nil for none.
-func (t *idleTimer) decide(resets uint64, s forward.Silence, next *attempt, start time.Time) {
+// the given number of resets. Next is the attempt that may replace it, nil for none, and why is why
+// there is none.
+func (t *idleTimer) decide(resets uint64, s forward.Silence, next *attempt, why noSuccessor, start time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped || t.resets != resets {
@@ -258,7 +274,14 @@
 		return f.takeRetry(t.request.service, s.Begun)
 	})
 	f.metrics.silent.WithLabelValues(string(decision)).Inc()
-	t.request.logSilence(t.attempt, s, next, decision)
+	switch {
+	case next == nil || decision == forward.Replace:
+	case expected > left:
+		why = notInTime
+	default:
+		why = noRetry // another request took the last one meanwhile
+	}
+	t.request.logSilence(t.attempt, s, next, why, decision)
 	switch decision {
 	case forward.KeepWaiting:
 		t.rearm(start)
