Retries of requests in a stop leave some for streams up to the exit

Seen: begun streams whose servers had lost them were cut at the exit of their entry after one attempt, without a successor. With real processes (40 callers whose safe requests fail from 2 s before SIGTERM on, 10 streams that servers lose 4.1 s after it, load average 17) 10 of 10 streams were lost on, and all 60 lines about their silence say why=no_retry.

Cause: an entry's part of the budget is paid for by its own requests. In a stop it gets no more of them. Retries may use the requests of the window before, as the rule has it, but the window that ends now counts its own requests only. Those that paid for a burst leave it before the burst does: the retries of requests that can be refused, which leave an eighth of the budget, then are more than the whole budget, though no stream had used any. The entry keeps its part of the slack, by reading: controls count draining entries too.

Change: from the signal on, a retry of a request that has not begun must also leave the eighth in each window that ends up to 7 s later, as if no request followed. This only refuses retries that were allowed before, so that no entry gets more than it could.

TestStopKeepsRetriesForStreams: 7 of 10 before. TestFailedRequestsLeaveRetriesForStreams- SilentLate: 10 of 10 streams lost in one run before, none in three runs now.

Not covered: an entry that had used up, before the signal, what its requests until the close pay for. Letting streams use requests of the window before there was tried in virtual time and left out: all entries together came to up to 5% of the budget more.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -9,6 +9,10 @@
 	// begunReserve is the part of a budget that is left for answers that have begun.
 	begunReserve = 0.125
 
+	// stopSlices is the longest time, in slices, that a member which takes no more requests still has
+	// answers that have begun.
+	stopSlices = 7
+
 	// keptSlices includes the window before each one that has not ended yet.
 	keptSlices = 2 * windowSlices
 )
@@ -79,6 +83,31 @@
 	return w.allows(now, members, 1, 1-begunReserve)
 }
 
+// AllowsRefusableStopping is AllowsRefusable at a member that stops.
+//
+// It answers streams whose servers fall silent late in a planned stop. The member gets no more requests,
+// and those that paid for a burst of retries leave the window before the retries do: nothing was left of
+// the part for answers that have begun.
+func (w *WindowBudget) AllowsRefusableStopping(now time.Time, members int) bool {
+	return w.allowsStopping(now, members, 1)
+}
+
+// allowsStopping reports whether the part for answers that have begun is left after n more retries, now
+// and in each window that ends in the stop, also if no request follows.
+func (w *WindowBudget) allowsStopping(now time.Time, members, n int) bool {
+	if !w.allows(now, members, n, 1-begunReserve) {
+		return false
+	}
+	retries, slack := float64(n), w.cfg.Slack/float64(max(members, 1))
+	for first := w.current; first >= w.current-windowSlices; first-- {
+		retries += w.retries[index(first)]
+		if first <= w.current-windowSlices+stopSlices && retries > (1-begunReserve)*(w.cfg.Ratio*w.requestsIn(first+1, w.current)+slack) {
+			return false
+		}
+	}
+	return true
+}
+
 // allows reports whether the part of the budget allows n more retries in each window that includes
 // now, whether it ends now or later. Of the slice that a window begins in, the retries count and
 // the requests do not, as they may have come before it.
@@ -124,10 +153,17 @@
 	return w.trySpend(now, members, left, 1-begunReserve)
 }
 
+// TrySpendRefusableStopping is TrySpendRefusable at a member that stops, see AllowsRefusableStopping.
+func (w *WindowBudget) TrySpendRefusableStopping(now time.Time, members, left int) bool {
+	return w.allowsStopping(now, members, 1+left) && w.spend(now)
+}
+
 func (w *WindowBudget) trySpend(now time.Time, members, left int, part float64) bool {
-	if !w.allows(now, members, 1+left, part) {
-		return false
-	}
+	return w.allows(now, members, 1+left, part) && w.spend(now)
+}
+
+// spend counts a retry and returns true.
+func (w *WindowBudget) spend(now time.Time) bool {
 	w.retries[w.advance(now)]++
 	return true
 }
--- a/internal/entry/forward_state.go
+++ b/internal/entry/forward_state.go
@@ -58,8 +58,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	budget, spend := f.retryBudgets.For(service), (*retry.WindowBudget).TrySpendRefusable
-	if begun {
+	switch {
+	case begun:
 		spend = (*retry.WindowBudget).TrySpendLeaving
+	case f.isStopping():
+		spend = (*retry.WindowBudget).TrySpendRefusableStopping
 	}
 	if !spend(budget, f.entry.cfg.Clock.Now(), members, left) {
 		f.metrics.retriesDenied.Inc()
@@ -74,12 +77,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	budget, now := f.retryBudgets.For(service), f.entry.cfg.Clock.Now()
-	if begun {
+	switch {
+	case begun:
 		return budget.Allows(now, members)
+	case f.isStopping():
+		return budget.AllowsRefusableStopping(now, members)
 	}
 	return budget.AllowsRefusable(now, members)
 }
 
+// isStopping reports whether the planned stop of the entry has begun.
+func (f *forwarder) isStopping() bool { return !f.entry.stopping.current().IsZero() }
+
 func (f *forwarder) trackStart(now time.Time, server backend.Announcement, tokens int64) {
 	e := f.entry
 	e.mu.Lock()
--- a/internal/entry/retry_budget_test.go
+++ b/internal/entry/retry_budget_test.go
@@ -7,9 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/juju/clock/testclock"
+
 	"rosereach/core/backend"
 	"rosereach/core/catalog"
+	"rosereach/core/drain"
 	"rosereach/core/key"
+	"rosereach/core/retry"
 	"rosereach/core/roster"
 	"rosereach/core/route"
 )
@@ -56,3 +60,29 @@
 		t.Errorf("%d arrivals beyond the first of each request, bound %d", retries, bound)
 	}
 }
+
+// Retries of requests that servers fail in a planned stop left none for streams whose servers fall silent
+// before the exit.
+func TestStopKeepsRetriesForStreams(t *testing.T) {
+	r := newHarness(t)
+	c := testclock.NewClock(time.Now())
+	r.entry.cfg.Clock = c
+	f := r.entry.forwarder
+	f.retryBudgets = retry.NewWindowBudgets(retry.WindowBudgetConfig{Ratio: 0.9, Slack: 52, Window: 10 * time.Second})
+	serve := func(d time.Duration, retries int) {
+		for end := c.Now().Add(d); c.Now().Before(end); c.Advance(10 * time.Millisecond) {
+			f.countRequest("s")
+			for range retries {
+				f.takeRetry("s", false)
+			}
+		}
+	}
+	serve(20*time.Second, 0)
+	schedule := r.entry.stopping.begin(drain.Settings{Grace: 8 * time.Second, ListLife: 3 * time.Second}.Begin(c.Now()))
+	serve(schedule.Closes().Sub(c.Now()), 10)
+	for ; c.Now().Before(schedule.Exits()); c.Advance(500 * time.Millisecond) {
+		if !f.hasRetry("s", true) || !f.takeRetry("s", true) {
+			t.Errorf("no retry for a stream %s before the exit", schedule.Exits().Sub(c.Now()))
+		}
+	}
+}
--- a/internal/soak/silent_stop_test.go
+++ b/internal/soak/silent_stop_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,3 +98,32 @@
 func TestStreamOfTheLastAttemptIsNotCutAtASilentServer(t *testing.T) {
 	testSilentStreams(t, 20, "streaming", script{events: 20, pause: 100 * time.Millisecond, lost: true, failing: 2}, 3)
 }
+
+// Requests that servers fail shortly before a stop and in it, and that are sent again, leave retries for
+// streams whose servers fall silent before the exit.
+func TestFailedRequestsLeaveRetriesForStreamsSilentLate(t *testing.T) {
+	f := startStopFleet(t, platform.SimulatedGracePeriod)
+	callers := f.connect(50)
+	var failing atomic.Bool
+	f.after(0, callers[10:], func(c *stopCaller) {
+		for {
+			wanted := script{}
+			if failing.Load() {
+				wanted.failing = 3
+			}
+			if c.send("safe", wanted, patientTime, nil).status == 0 {
+				return
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+	})
+	time.Sleep(8 * time.Second)
+	failing.Store(true)
+	time.Sleep(time.Second)
+	f.after(0, callers[:10], func(c *stopCaller) {
+		c.send("streaming", script{events: 62, pause: 100 * time.Millisecond, lost: true, first: 50}, patientTime, nil)
+	})
+	time.Sleep(time.Second)
+	f.terminate()
+	f.checkNoneLost(f.awaitEnd())
+}
