--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -129,6 +129,14 @@
 			record("operator: no control answers with version %s", os.Args[3])
 			exit(1)
 		}
+	case "refused": // CONTROLS ENTRIES NET TROUBLE
+		if refused(list(2), list(3), os.Args[4], os.Args[5] != "0") {
+			exit(1)
+		}
+	case "served": // CONTROLS ENTRIES NET SECONDS
+		if !served(list(2), list(3), os.Args[4], time.Now().Add(time.Duration(number(5))*time.Second)) {
+			exit(1)
+		}
 	default:
 		fmt.Fprintln(os.Stderr, "unknown verb "+verb)
 		exit(2)
