--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -137,6 +137,18 @@
 		if !served(list(2), list(3), os.Args[4], time.Now().Add(time.Duration(number(5))*time.Second)) {
 			exit(1)
 		}
+	case "worker": // ID ADDRESS CONTROLS
+		if _, err := startWorker(os.Args[2], os.Args[3], list(4), answerWithoutLength); err != nil {
+			record("worker: %v", err)
+			exit(2)
+		}
+		select {}
+	case "whole": // ENTRIES SECONDS
+		entries := list(2)
+		awaitService(entries)
+		if whole(entries, time.Now().Add(time.Duration(number(3))*time.Second)) {
+			exit(1)
+		}
 	default:
 		fmt.Fprintln(os.Stderr, "unknown verb "+verb)
 		exit(2)
