--- a/review/standin2/whole.go
+++ b/review/standin2/whole.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		panic(err)
 	}
-	defer conn.Close() //nolint:errcheck // the caller may have gone
+	defer conn.Close()                                                                                                                                     //nolint:errcheck // the caller may have gone
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n%s: %s\r\n%s: stamp.%s.%s\r\n\r\nbegin %s\n", headerAttempt, id, headerStamp, w.id, id, id) //nolint:errcheck // the caller may have gone
 	time.Sleep(partTime)
 	fmt.Fprintf(conn, "end %s\n", id) //nolint:errcheck // see above
