--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -37,5 +37,6 @@
   say "held: the configuration is read back"
   exit 0
 fi
+all_run || exit 2
 say "broken: the configuration does not come"
 exit 1
--- a/review/standin2/fleet.sh
+++ b/review/standin2/fleet.sh
@@ -128,6 +128,14 @@
 control_list() { local n list=""; for n in $(seq "$CONTROLS"); do list="$list,$NET.$n:$CONTROL_PORT"; done; echo "${list#,}"; }
 entry_list() { local n list=""; for n in $(seq "$ENTRIES"); do list="$list,$NET.$((100 + n)):$CALLER_PORT"; done; echo "${list#,}"; }
 
+# all_run reports whether all processes that were started, and not ended by the script, still run.
+all_run() {
+  local name
+  for name in "${!PID[@]}"; do
+    kill -0 "${PID[$name]}" 2>/dev/null || { echo "$name has ended by itself"; return 1; }
+  done
+}
+
 # fleet_stop ends all processes that the script has started, and removes its folder.
 fleet_stop() {
   local p
