--- a/core/replica/membership.go
+++ b/core/replica/membership.go
@@ -124,10 +124,11 @@
 }
 
 // IsCaughtUp reports whether a replica has synced all entries that were committed
-// at the heartbeat before the last.
+// at the heartbeat before the last, and the newest membership: a replica votes only if it
+// knows that it is a member.
 func (r *Replica) IsCaughtUp(id Identity) bool {
 	p, ok := r.peers[id]
-	return ok && p.match > 0 && p.match >= r.catchUpIndex
+	return ok && p.match > 0 && p.match >= max(r.catchUpIndex, r.membersIndex)
 }
 
 // HasPendingMembers reports whether the newest membership is not committed yet.
--- a/core/replica/vote_test.go
+++ b/core/replica/vote_test.go
@@ -117,3 +117,36 @@
 		t.Fatalf("applied %+v", c.Entries)
 	}
 }
+
+// Guards against a group that ends for good: a learner without the entry that makes it a member was
+// promoted, the leader ended, and the new voter refused its vote as it knew of no membership.
+func TestPromotedReplicaKnowsThatItIsAMember(t *testing.T) {
+	saved := Bootstrap(Member{Identity: voteA})
+	r := newTestReplica(voteA, saved)
+	now := epoch
+	sync := func() {
+		for w, ok := r.TakeWrite(); ok; w, ok = r.TakeWrite() {
+			r.Synced(now, w.Sequence)
+		}
+		r.TakeMessages()
+	}
+	r.Tick(now)
+	sync()
+	for range 3 {
+		if _, _, err := r.Propose(now, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		sync()
+	}
+	before := r.log.lastIndex()
+	if err := r.AddLearner(now, Member{Identity: voteB}); err != nil {
+		t.Fatal(err)
+	}
+	sync()
+	for match := before; match <= before+1; match++ {
+		r.Receive(now, Message{Group: "g", Kind: AppendReply, From: voteB, To: voteA, Term: r.hardState.Term, Index: match})
+		if got, want := r.IsCaughtUp(voteB), match > before; got != want {
+			t.Errorf("with the entries up to %d of %d it has caught up: %v", match, before+1, got)
+		}
+	}
+}
