--- a/core/replica/election.go
+++ b/core/replica/election.go
@@ -32,7 +32,7 @@
 // changing the term (pre-vote).
 func (r *Replica) startPreVote() {
 	r.resetElectionTimeout()
-	if !r.members.IsVoter(r.cfg.Self) {
+	if !r.isCurrentVoter(r.cfg.Self) {
 		return
 	}
 	r.role = PreCandidate
@@ -134,7 +134,7 @@
 	case r.hasVoteQuorum():
 		r.becomeLeader(Entry{Kind: Empty})
 	case r.hasHalfQuorum():
-		r.electedByHalf, r.halfIndex = true, r.current()[0].index
+		r.electedByHalf, r.halfIndex = true, r.committed().index
 		r.becomeLeader(r.firstEntryOfHalf())
 	}
 }
--- a/core/replica/membership.go
+++ b/core/replica/membership.go
@@ -155,8 +155,9 @@
 // loadMembers adopts the newest membership of the log, committed or not, and
 // updates the leader's set of peers.
 func (r *Replica) loadMembers() {
-	r.memberships = r.log.memberships(r.commit)
-	newest := r.memberships[len(r.memberships)-1]
+	all := r.log.memberships(r.commit)
+	r.setMemberships(all)
+	newest := all[len(all)-1]
 	r.members, r.membersIndex = newest.Membership, newest.index
 	if r.role != Leader {
 		return
--- a/core/replica/quorum.go
+++ b/core/replica/quorum.go
@@ -29,17 +29,40 @@
 	return found
 }
 
-// current returns the memberships that count: the newest one that is known to be committed,
-// then those that are not. A majority of each is needed. With an even number of voters, half
-// of them may elect a leader once others have lost their disks; a change that only a majority
-// of the next, smaller membership had would be unknown to that half.
+// minHalfVoters is the least number of voters of which half may elect a leader.
+const minHalfVoters = 4
+
+// allowsHalf reports whether half of the voters may elect a leader beside lost disks.
+func (m Membership) allowsHalf() bool { return len(m.Voters)%2 == 0 && len(m.Voters) >= minHalfVoters }
+
+// current returns the memberships of which a majority is needed: the newest one and, of the
+// newest that is known to be committed and those after it, each of which half may elect a leader.
+// A change that only a majority of the next, smaller membership had would be unknown to that
+// half.
 func (r *Replica) current() []appointed {
-	for len(r.memberships) > 1 && r.memberships[1].index <= r.commit {
-		r.memberships = r.memberships[1:]
-	}
+	r.committed()
 	return r.memberships
 }
 
+// committed returns the newest membership that is known to be committed.
+func (r *Replica) committed() appointed {
+	first := 0
+	for first+1 < len(r.allMemberships) && r.allMemberships[first+1].index <= r.commit {
+		first++
+	}
+	if first > 0 {
+		r.setMemberships(r.allMemberships[first:])
+	}
+	return r.allMemberships[0]
+}
+
+// setMemberships sets the newest committed membership and those after it.
+func (r *Replica) setMemberships(all []appointed) {
+	newest := len(all) - 1
+	kept := slices.DeleteFunc(slices.Clone(all[:newest]), func(m appointed) bool { return !m.allowsHalf() })
+	r.allMemberships, r.memberships = all, append(kept, all[newest])
+}
+
 // peerMembers returns the members of all current memberships, each once.
 func (r *Replica) peerMembers() []Member {
 	var all []Member
@@ -70,7 +93,7 @@
 // required returns how many voters of a current membership have to answer. A leader that was
 // elected by half of the voters needs no more until it has removed one whose disk is lost.
 func (r *Replica) required(m appointed) int {
-	if base := r.current()[0]; r.electedByHalf && base.index == r.halfIndex && m.hasVotersOf(base.Membership) {
+	if base := r.committed(); r.electedByHalf && base.index == r.halfIndex && m.hasVotersOf(base.Membership) {
 		return len(m.Voters) / 2
 	}
 	return m.Quorum()
@@ -145,9 +168,8 @@
 //
 // Changes of the voters that are not committed need a majority as ever.
 func (r *Replica) hasHalfQuorum() bool {
-	all := r.current()
-	base := all[0]
-	if len(base.Voters)%2 != 0 || len(r.lostBefore) == 0 {
+	base := r.committed()
+	if !base.allowsHalf() || len(r.lostBefore) == 0 {
 		return false
 	}
 	lost := 0
@@ -160,7 +182,7 @@
 	if votes < len(base.Voters)/2 || votes+lost < base.Quorum() {
 		return false
 	}
-	return !slices.ContainsFunc(all[1:], func(m appointed) bool {
+	return !slices.ContainsFunc(r.current(), func(m appointed) bool {
 		return !m.hasVotersOf(base.Membership) && r.countVotesOf(m.Membership) < m.Quorum()
 	})
 }
@@ -195,7 +217,7 @@
 			delete(r.lostDisks, id)
 			continue
 		}
-		if r.halfElections && r.current()[0].IsVoter(id) {
+		if r.halfElections && r.committed().IsVoter(id) {
 			if r.lostBefore == nil {
 				r.lostBefore = make(map[Identity]bool)
 			}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -71,13 +71,16 @@
 		hardState HardState
 		log       entryLog
 
-		// members is the newest membership of the log, and memberships those that count.
-		members      Membership
-		membersIndex uint64
-		memberships  []appointed
-		leader       Identity
-		commit       uint64
-		applied      uint64
+		// members is the newest membership of the log. allMemberships holds the newest
+		// committed one and those after it, memberships the ones of which a majority is
+		// needed.
+		members        Membership
+		membersIndex   uint64
+		allMemberships []appointed
+		memberships    []appointed
+		leader         Identity
+		commit         uint64
+		applied        uint64
 
 		// Follower state: the time of the last message from a leader, when the
 		// election timeout expires, and the snapshot being received.
@@ -280,5 +283,5 @@
 }
 
 func (r *Replica) isSoleVoter() bool {
-	return len(r.current()) == 1 && len(r.members.Voters) == 1 && r.members.IsVoter(r.cfg.Self)
+	return len(r.members.Voters) == 1 && r.members.IsVoter(r.cfg.Self)
 }
--- a/core/replica/status.go
+++ b/core/replica/status.go
@@ -28,7 +28,7 @@
 	return Status{
 		Self: r.cfg.Self, Role: r.role, Term: r.hardState.Term, Leader: r.leader, Commit: r.commit, Applied: r.applied,
 		LastIndex: r.log.lastIndex(), Members: r.members,
-		Ready: r.isReady(), ByHalf: r.electedByHalf && r.halfIndex == r.current()[0].index,
+		Ready: r.isReady(), ByHalf: r.electedByHalf && r.halfIndex == r.committed().index,
 	}
 }
 
