--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -122,6 +122,9 @@
 		RequestID string
 		// Refused means that the server did not run the request.
 		Refused bool
+		// PromisesNotRun means that the status tells callers that the request did not run and
+		// never will, whether or not the server says so itself.
+		PromisesNotRun bool
 		// Misdirected means that the request reached another server than intended.
 		Misdirected bool
 		// Stamped means that the answer has a server stamp.
--- a/internal/entry/active_request.go
+++ b/internal/entry/active_request.go
@@ -61,6 +61,7 @@
 	errContradictedEnd = errors.ConstError("the answer ends a stream of which more was seen")
 	errIncomplete      = errors.ConstError("the answer broke off")
 	errLowConfidence   = errors.ConstError("the model reports low confidence in its answer")
+	errFalsePromise    = errors.ConstError("the server ran the request, and its answer promises that it did not run")
 	errNotContinued    = errors.ConstError("the answer is not the rest of the stream that has begun")
 	errNoRoom          = errors.ConstError("there is no room for the answer")
 	errCallerWrite     = errors.ConstError("writing to the caller failed")
@@ -361,7 +362,7 @@
 	f.recordActivity(a.server.ID)
 	a.head = f.entry.cfg.Forwarding.Dialect.Head(answer.Status, answer.Header)
 	f.hear(a.server, a.head, a.startedAt, x.req.ID) //nolint:contextcheck // a report about the server outlives the request
-	f.settle(a, !a.head.Refused && a.head.HoldOff == 0)
+	f.settle(a, !a.head.Refused && !a.head.PromisesNotRun && a.head.HoldOff == 0)
 	return x.handleAnswer(ctx, cancel, a, answer)
 }
 
--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -47,7 +47,7 @@
 	if x.headSent && !a.head.Continues(x.sentStatus) {
 		answer.Discard()
 		x.tried = append(x.tried, a.server.ID)
-		if a.head.Status >= http.StatusInternalServerError {
+		if a.head.IsFailure() {
 			x.forwarder.recordFailure(a, x, false)
 		}
 		return forward.Failed, errors.Annotatef(errNotContinued, "status %d", a.head.Status)
@@ -158,12 +158,18 @@
 	}
 	a.room.Keep()
 	answer.Close()
-	if a.head.Status >= http.StatusInternalServerError {
+	if a.head.IsFailure() {
 		x.forwarder.recordFailure(a, x, false)
+	} else {
+		x.forwarder.recordSuccess(a, x)
+	}
+	switch {
+	case !forward.MayPassOn(x.route, a.head, x.runs):
+		return forward.Failed, errors.Annotatef(errFalsePromise, "status %d", a.head.Status)
+	case a.head.Status >= http.StatusInternalServerError:
 		x.fallback = &fallbackAnswer{status: answer.Status, header: answer.Header, mark: answer.Framing, body: body}
 		return forward.Failed, errors.Errorf("status %d", a.head.Status)
 	}
-	x.forwarder.recordSuccess(a, x)
 	x.beginWhole(answer.Status, answer.Header, answer.Framing, body)
 	if err := x.writeBody(body); err != nil {
 		x.callerCut = true
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -58,6 +58,7 @@
 func (testDialect) Head(status int, header map[string][]string) forward.Head {
 	h := http.Header(header)
 	head := forward.Head{Status: status, RequestID: h.Get("Id"), Refused: h.Get("Refused") != "", Stamped: h.Get("Unstamped") == "", Confidence: -1}
+	head.PromisesNotRun = slices.Contains(promises, status)
 	if n, err := strconv.Atoi(h.Get("Sure")); err == nil {
 		head.Confidence = n
 	}
