--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -147,9 +147,9 @@
 			}
 		}()
 		h.ServeHTTP(w, r)
-		if endsByClose(w, r) {
-			http.NewResponseController(w).Flush() //nolint:errcheck // fails only on a closed connection
-			conn.SetLinger(-1)                    //nolint:errcheck // see above
+		// A write that a close has ended leaves a part, which must not end in order.
+		if endsByClose(w, r) && http.NewResponseController(w).Flush() == nil {
+			conn.SetLinger(-1) //nolint:errcheck // fails only on a closed connection
 		}
 		returned = true
 	})
