--- a/core/forward/promise.go
+++ b/core/forward/promise.go
@@ -1,10 +1,9 @@
 package forward
 
-import (
-	"net/http"
+import "rosereach/core/route"
 
-	"rosereach/core/route"
-)
+// minFailureStatus is the least status by which a server says that it failed.
+const minFailureStatus = 500
 
 // MayPassOn reports whether an answer may reach the caller of a request of which so many
 // attempts may have run. Callers send a request again after a status that promises that it
@@ -19,5 +18,5 @@
 // IsFailure reports whether a server that ran the request has failed it. A rejection comes
 // without a run, so that one after a run is a failure like any other.
 func (h Head) IsFailure() bool {
-	return !h.Refused && (h.Status >= http.StatusInternalServerError || h.PromisesNotRun)
+	return !h.Refused && (h.Status >= minFailureStatus || h.PromisesNotRun)
 }
--- a/core/forward/promise_test.go
+++ b/core/forward/promise_test.go
@@ -24,7 +24,7 @@
 		for _, promises := range []bool{false, true} {
 			for runs := range 3 {
 				runsOnce := r.Kind == route.Unsafe || r.Kind == route.Streaming && !r.Resumable
-				if got, want := MayPassOn(r, Head{PromisesNotRun: promises}, runs), !(promises && runsOnce && runs > 0); got != want {
+				if got, want := MayPassOn(r, Head{PromisesNotRun: promises}, runs), !promises || !runsOnce || runs == 0; got != want {
 					t.Errorf("%+v, promises %v, %d runs: %v", r, promises, runs, got)
 				}
 			}
--- a/internal/cmd/cmd_soak.go
+++ b/internal/cmd/cmd_soak.go
@@ -21,6 +21,7 @@
 		flags: []cli.Flag{
 			flag("seed", "1", "seed of the faults and requests"),
 			flag("for", "1m", "how long to inject faults"),
+			flag("controls", "5", "number of controls, 3 at least"),
 			flag("older-binary", "", "program of the build in production: all processes begin with it and are upgraded at their next start"),
 			flag("folder", "", "folder for settings, data and logs, kept after the run (a temporary one when empty)"),
 		},
@@ -29,7 +30,7 @@
 
 func runSoak(ctx context.Context, c *cli.Command) error {
 	s := newSettings(c)
-	cfg := soak.Config{Seed: uint64(s.number("seed", 0, 1<<62)), Duration: s.duration("for"), Folder: s.optional("folder"), OlderBinary: s.optional("older-binary")} //nolint:gosec // not negative
+	cfg := soak.Config{Seed: uint64(s.number("seed", 0, 1<<62)), Duration: s.duration("for"), Folder: s.optional("folder"), OlderBinary: s.optional("older-binary"), Controls: int(s.number("controls", 3, 9))} //nolint:gosec // not negative
 	if err := s.err(); err != nil {
 		return err
 	}
--- a/internal/soak/control_stop_test.go
+++ b/internal/soak/control_stop_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	for _, srv := range s.servers {
-		go srv.announceLoop(t.Context(), s.ports, s.controlIPs())
+		go srv.announceLoop(t.Context(), s.ports, s.controlIPs)
 	}
 	if err := s.waitUntilServing(t.Context()); err != nil {
 		t.Fatal(err)
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -56,7 +56,12 @@
 // drawControlFault draws a fault of the controls. At most one is down at a time, except
 // when all are killed, which keeps their data folders.
 func (s *soak) drawControlFault(_ context.Context, random *rand.Rand) plannedFault {
-	p, pause := s.controls[random.IntN(controlCount)], drawPause(random)
+	controls := s.currentControls()
+	chosen := random.IntN(len(controls))
+	p, pause := controls[chosen], drawPause(random)
+	if s.cfg.OlderBinary == "" && (random.IntN(6) == 0 || len(controls) < controlCount && random.IntN(2) == 0) {
+		return s.drawRemoval(p, controls[(chosen+1)%len(controls)], random)
+	}
 	switch random.IntN(5) {
 	case 0:
 		return plannedFault{"kill " + p.node.Name, func() { s.restartAfter(p, p.kill, pause) }}
@@ -71,10 +76,10 @@
 		}}
 	case 3:
 		return plannedFault{"kill all controls", func() {
-			for _, p := range s.controls {
+			for _, p := range controls {
 				p.kill()
 			}
-			for _, p := range s.controls {
+			for _, p := range controls {
 				s.restartAfter(p, func() {}, 0)
 			}
 		}}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -37,7 +37,7 @@
 
 	// faultKinds is the number of kinds of faults of an answer, and olderFaultKinds of those
 	// that the build in production was made for as well.
-	faultKinds, olderFaultKinds = 7, 4
+	faultKinds, olderFaultKinds = 8, 4
 
 	// scriptedBreak is the fault of a server that breaks off as its caller wants.
 	scriptedBreak = faultKinds + 1
@@ -47,6 +47,9 @@
 	extraAnswerTime = 300 * time.Millisecond
 )
 
+// rejections are the statuses of answers that reject a request which ran, without saying that it did not.
+var rejections = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
 // otherStatuses are the statuses of answers that can't be the rest of a stream.
 var otherStatuses = []int{http.StatusNotFound, http.StatusNoContent, http.StatusNotModified, http.StatusGone, http.StatusPartialContent, http.StatusFound, http.StatusBadGateway}
 
@@ -78,7 +81,8 @@
 	// cut short, 4 for a server that is killed: its connection closes cleanly in the
 	// head of an answer, or after an event of a stream without a length. 5 is the same
 	// in HTTP/1.0, with a reset, 6 an answer of a status that can't be the rest of a
-	// stream, 7 a whole answer and another one, of no request, to the request after it,
+	// stream, 7 a whole answer and another one, of no request, to the request after it, 8 a
+	// rejection of a request that ran, unless it is a stream, which gets 6,
 	// scriptedBreak a stream that breaks off between two events.
 	answerPlan struct {
 		fault      int
@@ -109,14 +113,14 @@
 }
 
 // announceLoop announces the server at each interval until the context is canceled.
-func (s *server) announceLoop(ctx context.Context, ports platform.SimulatedPorts, controls []string) {
+func (s *server) announceLoop(ctx context.Context, ports platform.SimulatedPorts, controls func() []string) {
 	for next := 0; ctx.Err() == nil; next++ {
 		s.mu.Lock()
 		s.announcement.Sequence++
 		announcement, silent := s.announcement, s.silent
 		s.mu.Unlock()
 		if !silent {
-			s.callControl(ctx, controls, next, func(ip string) (*http.Request, error) { return ports.HeartbeatRequest(announcement, ip) })
+			s.callControl(ctx, controls(), next, func(ip string) (*http.Request, error) { return ports.HeartbeatRequest(announcement, ip) })
 		}
 		select {
 		case <-time.After(announceInterval):
@@ -205,6 +209,13 @@
 	return plan
 }
 
+// draw returns a random number below n.
+func (s *server) draw(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
 // id returns the ID of the current instance.
 func (s *server) id() string {
 	s.mu.Lock()
@@ -297,7 +308,9 @@
 		panic(http.ErrAbortHandler)
 	case plan.fault == 4 || plan.fault == 5:
 		writeKilled(w, isStream, after, plan.fault == 5)
-	case plan.fault == 6:
+	case plan.fault == 8 && !isStream:
+		w.WriteHeader(rejections[s.draw(len(rejections))])
+	case plan.fault == 6 || plan.fault == 8:
 		w.WriteHeader(otherStatuses[int(after)%len(otherStatuses)])
 	case plan.fault == 7:
 		body := wanted.answer(id)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -65,6 +66,9 @@
 	// Config holds the settings of a soak run. Folder receives settings, data
 	// and logs of all processes and is kept. Progress may be nil.
 	//
+	// Controls is the number of controls, controlCount if it is 0. A group of three has no margin
+	// beyond the one disk that it may lose.
+	//
 	// OlderBinary is a program of another build, empty for none. All processes begin with
 	// it and are upgraded at their next start, so that both builds run side by side until
 	// the faults and planned stops have reached each of them. Servers then show only faults
@@ -72,6 +76,7 @@
 	Config struct {
 		Binary      string
 		OlderBinary string
+		Controls    int
 
 		Folder   string
 		Seed     uint64
@@ -93,7 +98,8 @@
 		cfg            Config
 		random         *rand.Rand
 		ports          platform.SimulatedPorts
-		controls       []*process
+		controls       []*process // guarded by mu
+		added          int        // controls that were added to the first ones
 		entries        []*process
 		servers        []*server
 		arrivals       *arrivals
@@ -121,7 +127,7 @@
 	}
 	var announcers sync.WaitGroup
 	for _, srv := range s.servers {
-		announcers.Go(func() { srv.announceLoop(ctx, s.ports, s.controlIPs()) })
+		announcers.Go(func() { srv.announceLoop(ctx, s.ports, s.controlIPs) })
 	}
 	if err := s.waitUntilServing(ctx); err != nil {
 		return Report{}, err
@@ -152,8 +158,7 @@
 
 // start starts the controls, the entries and the backend servers.
 func (s *soak) start(ctx context.Context) error {
-	subnet := 2 + s.cfg.Seed%200
-	ip := func(i int) string { return fmt.Sprintf("127.77.%d.%d", subnet, i+10) }
+	ip, controls := s.ip, cmp.Or(s.cfg.Controls, controlCount)
 	if err := s.pickPorts(ip(0)); err != nil {
 		return err
 	}
@@ -161,8 +166,8 @@
 	for i := range 3 {
 		seeds = append(seeds, ip(i))
 	}
-	for i := range controlCount + entryCount {
-		n := platform.SimulatedNode{Name: fmt.Sprintf("entry-%d", i-controlCount+1), IP: ip(i), Zone: "z", Seeds: seeds, Bootstrap: true, Control: i < controlCount, Ports: s.ports}
+	for i := range controls + entryCount {
+		n := platform.SimulatedNode{Name: fmt.Sprintf("entry-%d", i-controls+1), IP: ip(i), Zone: "z", Seeds: seeds, Bootstrap: true, Control: i < controls, Ports: s.ports}
 		if n.Control {
 			n.Name = fmt.Sprintf("control-%d", i+1)
 		}
@@ -215,7 +220,7 @@
 
 // cleanUp kills all processes and closes the backend servers.
 func (s *soak) cleanUp() {
-	for _, p := range append(append([]*process(nil), s.controls...), s.entries...) {
+	for _, p := range append(s.currentControls(), s.entries...) {
 		p.kill()
 		p.log.Close() //nolint:errcheck // the process has exited
 	}
@@ -422,7 +427,7 @@
 // the last propagationTime.
 func (s *soak) isDisrupted(entry *process) bool {
 	since := time.Now().Add(-contactTime - propagationTime)
-	return slices.ContainsFunc(append([]*process{entry}, s.controls...), func(p *process) bool { return p.disruptedSince(since) })
+	return slices.ContainsFunc(append(s.currentControls(), entry), func(p *process) bool { return p.disruptedSince(since) })
 }
 
 // putConfig sends a configuration to the controls in turn until one
@@ -444,20 +449,21 @@
 }
 
 // checkRead checks that a control that answers returns a configuration version of
-// at least minVersion. A control that does not answer is skipped.
-func (s *soak) checkRead(client *http.Client, ip string, minVersion uint64) {
+// at least minVersion, and reports whether it answers.
+func (s *soak) checkRead(client *http.Client, ip string, minVersion uint64) bool {
 	r, err := s.ports.GetConfigRequest(ip)
 	if err != nil {
-		return
+		return false
 	}
 	status, text := send(client, r)
 	if status != http.StatusOK {
-		return
+		return false
 	}
 	version, err := platform.ConfigVersion(text)
 	if err != nil || version < minVersion {
 		s.violations.add("acknowledged configuration is never rolled back", ip, "reads version %d (%v), %d was acknowledged", version, err, minVersion)
 	}
+	return true
 }
 
 // checkFinalState waits for recoveryTime after the last fault, then checks that
@@ -473,8 +479,12 @@
 	if !served {
 		s.violations.add("recovery", "last", "no request is served %s after the last fault", recoveryTime)
 	}
+	isRead := false
 	for _, ip := range s.controlIPs() {
-		s.checkRead(client, ip, s.ackedVersion.Load())
+		isRead = s.checkRead(client, ip, s.ackedVersion.Load()) || isRead
+	}
+	if !isRead {
+		s.violations.add("acknowledged configuration is read back", "", "no control answers a read %s after the last fault, %d was acknowledged", recoveryTime, s.ackedVersion.Load())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -494,9 +504,19 @@
 	return Report{Requests: len(s.outcomes), Answered: int(s.answered.Load()), Faults: s.faults, Violations: s.violations.all()}
 }
 
+// ip returns the address of the process with the number.
+func (s *soak) ip(i int) string { return fmt.Sprintf("127.77.%d.%d", 2+s.cfg.Seed%200, i+10) }
+
+// currentControls returns the controls that have not been removed.
+func (s *soak) currentControls() []*process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.controls)
+}
+
 func (s *soak) controlIPs() []string {
-	ips := make([]string, 0, len(s.controls))
-	for _, p := range s.controls {
+	var ips []string
+	for _, p := range s.currentControls() {
 		ips = append(ips, p.node.IP)
 	}
 	return ips
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 )
@@ -32,6 +33,26 @@
 	}
 }
 
+// Three controls, of which some are removed without notice beside their successors while another
+// one loses its disk, lose nothing that was acknowledged and go on.
+func TestSoakOfThreeControls(t *testing.T) {
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "rosereach")
+	if out, err := exec.Command("go", "build", "-o", binary, "../..").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	report, err := Run(context.Background(), Config{Binary: binary, Folder: folder, Controls: 3, Seed: 3, Duration: 8 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range report.Violations {
+		t.Errorf("%s: request %s: %s", b.Guarantee, b.ID, b.Detail)
+	}
+	if faults := strings.Join(report.Faults, "; "); !strings.Contains(faults, "remove control") {
+		t.Errorf("no control was removed: %s", faults)
+	}
+}
+
 // While processes of the build in production are replaced by this one, in the order in which
 // faults reach them, the guarantees hold. It is skipped where the older build can't be made,
 // as in a checkout without its commit.
--- a/internal/soak/stop_fleet_test.go
+++ b/internal/soak/stop_fleet_test.go
@@ -125,7 +125,7 @@
 			t.Fatal(err)
 		}
 		f.servers = append(f.servers, srv)
-		announcers.Go(func() { srv.announceLoop(ctx, f.ports, []string{ip(0)}) })
+		announcers.Go(func() { srv.announceLoop(ctx, f.ports, func() []string { return []string{ip(0)} }) })
 	}
 	t.Cleanup(func() {
 		cancel()
