--- a/internal/entry/active_request_answer.go
+++ b/internal/entry/active_request_answer.go
@@ -127,6 +127,13 @@
 	return nil
 }
 
+// mayBeCut reports whether a success of which only its connection marks the end may be a part: its
+// server takes no more connections. The kernel of one that is killed ends them in order. A request
+// that may not run again is better served by what there is.
+func (x *activeRequest) mayBeCut(ctx context.Context, a *attempt, answer *upstream.Answer) bool {
+	return answer.Framing == framing.ByClose && a.head.Status/100 == 2 && x.route.IsRetryable() && !x.forwarder.isThere(ctx, a) && ctx.Err() == nil
+}
+
 // forwardWhole buffers an answer before forwarding it, so that the request can
 // be retried if the answer breaks off.
 func (x *activeRequest) forwardWhole(ctx context.Context, cancel context.CancelCauseFunc, a *attempt, answer *upstream.Answer) (forward.Outcome, error) {
@@ -158,6 +165,11 @@
 	}
 	a.room.Keep()
 	answer.Close()
+	if x.mayBeCut(ctx, a, answer) {
+		x.forwarder.recordFailure(a, x, true)
+		x.recordEnd(ctx, a)
+		return forward.Incomplete, errors.Annotatef(errIncomplete, "the server is gone after %d bytes", body.Len())
+	}
 	if a.head.IsFailure() {
 		x.forwarder.recordFailure(a, x, false)
 	} else {
