--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -206,7 +206,7 @@
 			return Step{Action: Remove, Member: id, Reason: "is silent"}
 		}
 	}
-	if reason := m.lackOf(voters); reason != "" {
+	if reason := m.growthReason(voters); reason != "" {
 		if step := v.promoteFirst(v.isReadySpare, reason); step.Action != 0 {
 			return step
 		}
@@ -228,8 +228,8 @@
 	return c.Tolerant >= 3 && voters >= c.MinVoters && (voters == c.Tolerant || voters == c.Tolerant+1)
 }
 
-// lackOf returns why a group of so many voters needs one more at once, "" if it does not.
-func (m *Manager) lackOf(voters int) string {
+// growthReason returns why a group of so many voters takes one more at once, "" if it does not.
+func (m *Manager) growthReason(voters int) string {
 	switch {
 	case m.needsVotingSpare(voters):
 		return "votes as the spare"
--- a/core/replica/append.go
+++ b/core/replica/append.go
@@ -36,10 +36,10 @@
 	r.appendOwnEntries(r.now, first)
 }
 
-// firstEntryOfHalf returns the first entry of a leader that half of the voters elected: a
+// firstEntryAfterHalfElection returns the first entry of a leader that half of the voters elected: a
 // membership without one of the voters whose disks are lost, of which that half is a
 // majority.
-func (r *Replica) firstEntryOfHalf() Entry {
+func (r *Replica) firstEntryAfterHalfElection() Entry {
 	for _, v := range r.members.Voters {
 		if r.lostBefore[v.Identity] {
 			next := r.members.Without(v.Identity)
@@ -84,7 +84,7 @@
 
 // broadcast sends every other replica the entries that it lacks.
 func (r *Replica) broadcast(heartbeat bool) {
-	for _, m := range r.peerMembers() {
+	for _, m := range r.Peers() {
 		if p, ok := r.peers[m.Identity]; ok {
 			r.sendNext(m.Identity, p, heartbeat)
 		}
@@ -290,7 +290,7 @@
 		return
 	}
 	if r.advanceCommit(index) {
-		// The others need a majority of the former membership too until they know.
+		// The others need a majority of the former membership too until they know of the commit.
 		r.broadcast(true)
 		r.dropPeers()
 	}
--- a/core/replica/election.go
+++ b/core/replica/election.go
@@ -38,7 +38,7 @@
 	r.role = PreCandidate
 	r.leader = Identity{}
 	r.votes = map[Identity]bool{r.cfg.Self: true}
-	r.fixLostDisks()
+	r.freezeLostDisks()
 	if r.hasVoteQuorum() {
 		r.startElection(false)
 		return
@@ -54,14 +54,14 @@
 	r.hardState = HardState{Term: r.hardState.Term + 1, Vote: r.cfg.Self}
 	r.writeHardState()
 	r.votes = make(map[Identity]bool)
-	r.fixLostDisks()
+	r.freezeLostDisks()
 	r.voteSequence = r.pendingSequence()
 	r.resetElectionTimeout()
 	r.requestVotes(Vote, r.hardState.Term, forced)
 }
 
 func (r *Replica) requestVotes(kind Kind, term uint64, forced bool) {
-	for _, m := range r.peerMembers() {
+	for _, m := range r.Peers() {
 		if m.Identity == r.cfg.Self || !r.isCurrentVoter(m.Identity) {
 			continue
 		}
@@ -135,7 +135,7 @@
 		r.becomeLeader(Entry{Kind: Empty})
 	case r.hasHalfQuorum():
 		r.electedByHalf, r.halfIndex = true, r.committed().index
-		r.becomeLeader(r.firstEntryOfHalf())
+		r.becomeLeader(r.firstEntryAfterHalfElection())
 	}
 }
 
--- a/core/replica/membership.go
+++ b/core/replica/membership.go
@@ -162,7 +162,7 @@
 	if r.role != Leader {
 		return
 	}
-	for _, m := range r.peerMembers() {
+	for _, m := range r.Peers() {
 		if _, ok := r.peers[m.Identity]; !ok && m.Identity != r.cfg.Self {
 			r.peers[m.Identity] = &progress{next: r.log.lastIndex() + 1, ackedSendTime: r.now}
 		}
--- a/core/replica/quorum.go
+++ b/core/replica/quorum.go
@@ -5,26 +5,26 @@
 	"time"
 )
 
-// appointed is a membership and the index of its log entry.
-type appointed struct {
+// loggedMembership is a membership with the index of its log entry.
+type loggedMembership struct {
 	Membership
 	index uint64
 }
 
 // memberships returns the newest committed membership and the later ones in the log.
-func (l *entryLog) memberships(commit uint64) []appointed {
-	var found []appointed
+func (l *entryLog) memberships(commit uint64) []loggedMembership {
+	var found []loggedMembership
 	for _, e := range slices.Backward(l.entries) {
 		if e.Kind != Members {
 			continue
 		}
-		found = append(found, appointed{*e.Members, e.Index})
+		found = append(found, loggedMembership{*e.Members, e.Index})
 		if e.Index <= commit {
 			slices.Reverse(found)
 			return found
 		}
 	}
-	found = append(found, appointed{l.snapshot.Members, l.snapshot.Index})
+	found = append(found, loggedMembership{l.snapshot.Members, l.snapshot.Index})
 	slices.Reverse(found)
 	return found
 }
@@ -39,13 +39,13 @@
 // newest that is known to be committed and those after it, each of which half may elect a leader.
 // A change that only a majority of the next, smaller membership had would be unknown to that
 // half.
-func (r *Replica) current() []appointed {
+func (r *Replica) current() []loggedMembership {
 	r.committed()
 	return r.memberships
 }
 
 // committed returns the newest membership that is known to be committed.
-func (r *Replica) committed() appointed {
+func (r *Replica) committed() loggedMembership {
 	first := 0
 	for first+1 < len(r.allMemberships) && r.allMemberships[first+1].index <= r.commit {
 		first++
@@ -57,14 +57,15 @@
 }
 
 // setMemberships sets the newest committed membership and those after it.
-func (r *Replica) setMemberships(all []appointed) {
+func (r *Replica) setMemberships(all []loggedMembership) {
 	newest := len(all) - 1
-	kept := slices.DeleteFunc(slices.Clone(all[:newest]), func(m appointed) bool { return !m.allowsHalf() })
+	kept := slices.DeleteFunc(slices.Clone(all[:newest]), func(m loggedMembership) bool { return !m.allowsHalf() })
 	r.allMemberships, r.memberships = all, append(kept, all[newest])
 }
 
-// peerMembers returns the members of all current memberships, each once.
-func (r *Replica) peerMembers() []Member {
+// Peers returns the members of all current memberships, each once: those with which the replica
+// exchanges messages. A member that a change removes may be among them until it is committed.
+func (r *Replica) Peers() []Member {
 	var all []Member
 	for _, m := range r.current() {
 		for _, member := range m.All() {
@@ -76,23 +77,19 @@
 	return all
 }
 
-// Peers returns the members of the group with which the replica exchanges messages. Those
-// that a change removes are among them until it is committed.
-func (r *Replica) Peers() []Member { return r.peerMembers() }
-
 // isCurrentMember reports whether a replica is a member by one of the current memberships.
 func (r *Replica) isCurrentMember(id Identity) bool {
-	return slices.ContainsFunc(r.current(), func(m appointed) bool { return m.IsMember(id) })
+	return slices.ContainsFunc(r.current(), func(m loggedMembership) bool { return m.IsMember(id) })
 }
 
 // isCurrentVoter reports whether a replica votes by one of the current memberships.
 func (r *Replica) isCurrentVoter(id Identity) bool {
-	return slices.ContainsFunc(r.current(), func(m appointed) bool { return m.IsVoter(id) })
+	return slices.ContainsFunc(r.current(), func(m loggedMembership) bool { return m.IsVoter(id) })
 }
 
 // required returns how many voters of a current membership have to answer. A leader that was
 // elected by half of the voters needs no more until it has removed one whose disk is lost.
-func (r *Replica) required(m appointed) int {
+func (r *Replica) required(m loggedMembership) int {
 	if base := r.committed(); r.electedByHalf && base.index == r.halfIndex && m.hasVotersOf(base.Membership) {
 		return len(m.Voters) / 2
 	}
@@ -157,7 +154,7 @@
 // hasVoteQuorum reports whether a majority of each current membership has voted for this
 // replica.
 func (r *Replica) hasVoteQuorum() bool {
-	return !slices.ContainsFunc(r.current(), func(m appointed) bool { return r.countVotesOf(m.Membership) < m.Quorum() })
+	return !slices.ContainsFunc(r.current(), func(m loggedMembership) bool { return r.countVotesOf(m.Membership) < m.Quorum() })
 }
 
 // hasHalfQuorum reports whether half of an even number of voters has voted for this replica,
@@ -182,7 +179,7 @@
 	if votes < len(base.Voters)/2 || votes+lost < base.Quorum() {
 		return false
 	}
-	return !slices.ContainsFunc(r.current(), func(m appointed) bool {
+	return !slices.ContainsFunc(r.current(), func(m loggedMembership) bool {
 		return !m.hasVotersOf(base.Membership) && r.countVotesOf(m.Membership) < m.Quorum()
 	})
 }
@@ -208,9 +205,9 @@
 // All members have to be of builds that need a majority of each current membership.
 func (r *Replica) PermitHalfElections() { r.halfElections = true }
 
-// fixLostDisks determines which lost disks count in the election that begins. Later ones do
+// freezeLostDisks determines which lost disks count in the election that begins. Later ones do
 // not: a voter whose disk is lost after the request may have voted for another candidate.
-func (r *Replica) fixLostDisks() {
+func (r *Replica) freezeLostDisks() {
 	r.lostBefore = nil
 	for id := range r.lostDisks {
 		if !r.isCurrentMember(id) {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -76,8 +76,8 @@
 		// needed.
 		members        Membership
 		membersIndex   uint64
-		allMemberships []appointed
-		memberships    []appointed
+		allMemberships []loggedMembership
+		memberships    []loggedMembership
 		leader         Identity
 		commit         uint64
 		applied        uint64
--- a/internal/control/lost_disk_test.go
+++ b/internal/control/lost_disk_test.go
@@ -22,16 +22,7 @@
 		{"the leader loses its disk", false, true, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			g := newSeededGroup(t)
-			listeners := map[string]net.Listener{}
-			for i := range 3 {
-				id := fmt.Sprint("c", i)
-				listeners[id] = g.listen(id, true)
-			}
-			for id, l := range listeners {
-				g.start(id, l, true)
-			}
-			g.waitForLeader("three voters", func(l *Node) bool { return len(l.group().Members.Voters) == 3 })
+			g := startThreeControls(t)
 			g.putPlan("c0", 1)
 			g.start("c9", g.listen("c9", false), false)
 			var leader string
