--- a/internal/cmd/platform_control.go
+++ b/internal/cmd/platform_control.go
@@ -13,10 +13,18 @@
 	"rosereach/platform"
 )
 
-// foundingVoters is the number of voters that a new group needs before it
-// acknowledges routing plans and roll-outs, so that the loss of one disk loses no
-// data. Fleets with fewer controls need all of them.
-const foundingVoters = 3
+// maxSeeds is how many seeds the settings name at most. Fleets with fewer controls name all.
+const maxSeeds = 3
+
+// minVoters returns the number of voters that a group needs before it acknowledges routing plans
+// and roll-outs: as many as tolerate the disks that may be lost at once, and three so that one may.
+// Fleets with fewer controls need all of them.
+func minVoters(seeds, tolerant int) int {
+	if seeds < maxSeeds {
+		return seeds
+	}
+	return max(maxSeeds, tolerant)
+}
 
 // runPlatformControl runs a control with the platform's settings.
 func runPlatformControl(ctx context.Context, c *cli.Command) error {
@@ -34,8 +42,9 @@
 func (p *platformProcess) runControl(ctx context.Context, cfg control.Config) error {
 	now := p.settings()
 	cfg.ID, cfg.Folder, cfg.Address, cfg.Region, cfg.Zone, cfg.MemberKey = now.Name, now.DataDir, now.MemberAddress(), now.Region, now.Zone, p.memberKey
-	cfg.Seeds = &control.Seeds{Addresses: p.memberAddresses, MayFound: now.Bootstrap, MinVoters: 2*now.FaultTolerance + 1}
-	cfg.MinVoters, cfg.Exposure = min(len(now.Controls), foundingVoters), rollout.Budget{Share: now.Bounds.ExposureShare, Slack: now.Bounds.ExposureSlack}
+	tolerant := 2*now.FaultTolerance + 1
+	cfg.Seeds = &control.Seeds{Addresses: p.memberAddresses, MayFound: now.Bootstrap, MinVoters: tolerant}
+	cfg.MinVoters, cfg.Exposure = minVoters(len(now.Controls), tolerant), rollout.Budget{Share: now.Bounds.ExposureShare, Slack: now.Bounds.ExposureSlack}
 	cfg.Terms, cfg.Clock, cfg.Logger = lease.DefaultConfig(), clock.WallClock, p.logger
 	node, err := control.Open(cfg)
 	if err != nil {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -115,7 +115,7 @@
 		return membership.Config{Manual: true}
 	}
 	return membership.Config{
-		MinVoters: n.minVoters(), Tolerant: n.cfg.Seeds.MinVoters,
+		MinVoters: max(n.cfg.Seeds.MinVoters, n.cfg.MinVoters), Tolerant: n.cfg.Seeds.MinVoters,
 		VotingSpare: n.hasFeature(change.HalfElections),
 	}
 }
--- a/internal/control/routing.go
+++ b/internal/control/routing.go
@@ -67,21 +67,12 @@
 	return n.Change(ctx, change.Change{ID: ulid.Make().String(), Kind: kind, Name: name, Document: data, Actor: actor, From: from})
 }
 
-// hasMinVoters reports whether the group has as many voters as it needs for acknowledgements,
-// and to tolerate the failures that it has to. With fewer, disks that may be lost at once
-// could hold the only copies of what was acknowledged.
+// hasMinVoters reports whether the group has MinVoters voters. With fewer, disks that may be
+// lost at once could hold the only copies of what was acknowledged.
 func (n *Node) hasMinVoters() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.groupLocked().Members.Voters) >= n.minVoters()
-}
-
-// minVoters returns the number of voters that changes need.
-func (n *Node) minVoters() int {
-	if n.cfg.Seeds == nil {
-		return n.cfg.MinVoters
-	}
-	return max(n.cfg.Seeds.MinVoters, n.cfg.MinVoters)
+	return len(n.groupLocked().Members.Voters) >= n.cfg.MinVoters
 }
 
 // Routing returns the newest committed routing plan. A leader confirms its
