--- a/core/replica/election.go
+++ b/core/replica/election.go
@@ -148,11 +148,12 @@
 	r.startElection(true)
 }
 
-// canVoteFor reports whether the replica may vote for the candidate: the replica is
+// canVoteFor reports whether the replica may vote for the candidate: the replica was
 // a member of the group, and the candidate's log is up to date. A replica with an
-// empty data folder is not a member.
+// empty data folder knows of no members. One that was removed votes, as the candidate may
+// not know yet that this is committed, and need its vote.
 func (r *Replica) canVoteFor(m Message) bool {
-	return r.isCurrentMember(r.cfg.Self) && r.log.isUpToDate(m.Index, m.LogTerm)
+	return len(r.members.Voters) > 0 && r.log.isUpToDate(m.Index, m.LogTerm)
 }
 
 // hasRecentLeader reports whether a leader may rely on this replica not to vote for
--- a/core/replica/vote_test.go
+++ b/core/replica/vote_test.go
@@ -18,6 +18,13 @@
 	return PersistentState{Snapshot: Snapshot{Index: 1, Term: 1, Members: members}, HardState: HardState{Term: 1}}
 }
 
+// withoutVoteA is the state of a replica that has been removed.
+func withoutVoteA() PersistentState {
+	saved := threeVoters()
+	saved.Snapshot.Members = saved.Snapshot.Members.Without(voteA)
+	return saved
+}
+
 func newTestReplica(self Identity, saved PersistentState) *Replica {
 	return New(Config{
 		Group: "g", Self: self, HeartbeatInterval: testHeartbeat, ElectionTimeout: testElection,
@@ -46,6 +53,7 @@
 		{"recent contact with a leader that transfers its leadership", threeVoters(), true, 1, true, true},
 		{"contact before a restart is unknown", threeVoters(), false, testElection - 1, false, false},
 		{"an empty folder", PersistentState{}, false, testElection, true, false},
+		{"it was removed, which the candidate may not know", withoutVoteA(), false, testElection, true, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newTestReplica(voteA, tc.saved)
